Lay out the workspace, shared types, tickets and the core's interfaces

Cause: the decision core, text, daemon and stand-ins are built side by side and need the same ids, result codes, tickets and headers from the start. Ruled out: one crate for all (the core must not be able to reach sockets), and types repeated per crate. Conclusion: the parts can now be written against fixed borders.

--- /dev/null
+++ b/crates/core/src/budget.rs
@@ -0,0 +1,1 @@
+//! Hard budgets: token buckets and shares of first attempts.
--- /dev/null
+++ b/crates/core/src/control.rs
@@ -0,0 +1,1 @@
+//! Control state: membership, configuration, dissemination, leaving.
--- /dev/null
+++ b/crates/types/src/prelude.rs
@@ -0,0 +1,8 @@
+//! The types that almost every module of the workspace needs.
+
+pub use crate::clock::Millis;
+pub use crate::code::{Certainty, ResultCode};
+pub use crate::id::{
+    CallKey, ConfigVersion, DataCentre, Incarnation, ServiceName, TenantName, VmId,
+};
+pub use crate::policy::{CallClass, CallPolicy, ServicePolicy};
--- /dev/null
+++ b/crates/wire/src/control.rs
@@ -0,0 +1,1 @@
+//! placeholder
