Tell a dead ticket and a pending run apart from an unknown outcome

Cause: a ticket whose gate has been replaced was answered as unknown even when the caller had never sent it before, which would fail calls in every rolling restart. Ruled out: a header with which the caller declares its first send; ordinary clients that follow a 307 cannot set one. Change: certainties ticket-dead and pending with their own number ranges; a caller whose sends were all answered not-yet or ticket-dead knows that the request never ran. Conclusion: the caller's contract can be stated without guessing.

--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -16,8 +16,14 @@
     Answered,
     /// The request did not run and, under this ticket, never will.
     NotRun,
-    /// This attempt did not run; the same ticket may be sent again.
+    /// This attempt did not run; the ticket stays valid and the same one may be
+    /// sent again.
     NotYet,
+    /// This attempt did not run and its ticket is dead. The request did not run
+    /// if every send under the ticket was answered with this or [`Self::NotYet`].
+    TicketDead,
+    /// The run goes on; the same ticket fetches its answer.
+    Pending,
     /// Nobody can tell whether the request ran.
     Unknown,
 }
@@ -60,9 +66,6 @@
     UploadCut = 1106,
     /// The key was fenced before it could start.
     Fenced = 1107,
-    /// The ticket names another gate, service or life of a gate; this attempt
-    /// went to a process that never runs it.
-    WrongGate = 1108,
     /// The service is not in the configuration in force.
     UnknownService = 1109,
     /// The request is malformed: ticket, headers or path.
@@ -75,16 +78,24 @@
     NoConfiguration = 1113,
     /// The gate's records are full; the same ticket may be sent again.
     RecordsFull = 1201,
+    /// The gate could not be reached; nothing was sent to it.
+    GateUnreachable = 1202,
+    /// The gate that the ticket names has ended or been replaced; nothing was
+    /// sent to it in this attempt.
+    GateGone = 1301,
+    /// The ticket has expired; whether an earlier send ran is forgotten.
+    TicketExpired = 1302,
+    /// The ticket names another gate, service or life of a gate; this attempt
+    /// went to a process that never runs it.
+    WrongGate = 1303,
     /// The run goes on; the same ticket will fetch its answer.
-    StillRunning = 1202,
+    StillRunning = 1401,
     /// The gate that may have run the request is gone or cannot be reached.
     GateLost = 2101,
     /// The target's connection broke in the middle of the run.
     RunBroken = 2102,
-    /// The ticket has expired; whether an earlier attempt ran is forgotten.
-    TicketExpired = 2103,
     /// The request ran, but its answer was too large to be kept.
-    AnswerNotKept = 2104,
+    AnswerNotKept = 2103,
     /// An idempotent call failed on every attempt that its budget allowed.
     AttemptsFailed = 3101,
     /// An idempotent call passed its deadline while running.
@@ -119,6 +130,8 @@
             1000..=1099 => Certainty::Answered,
             1100..=1199 => Certainty::NotRun,
             1200..=1299 => Certainty::NotYet,
+            1300..=1399 => Certainty::TicketDead,
+            1400..=1499 => Certainty::Pending,
             _ => Certainty::Unknown,
         }
     }
@@ -132,10 +145,10 @@
             Self::BadRequest | Self::UploadCut => 400,
             Self::UnknownService => 404,
             Self::Fenced | Self::StillRunning | Self::WrongGate => 409,
-            Self::TicketExpired | Self::AnswerNotKept => 410,
+            Self::TicketExpired | Self::GateGone | Self::AnswerNotKept => 410,
             Self::TooLarge => 413,
             Self::KeyReused | Self::CrashSuspect => 422,
-            Self::Overloaded | Self::RecordsFull => 503,
+            Self::Overloaded | Self::RecordsFull | Self::GateUnreachable => 503,
             Self::Leaving | Self::NoTarget | Self::NoConfiguration => 503,
             Self::GateLost | Self::RunBroken | Self::AttemptsFailed | Self::AnswerCut => 502,
             Self::DeadlineTooShort | Self::DeadlinePassed => 504,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod id;
 pub mod policy;
 pub mod prelude;
+pub mod status;
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -32,6 +32,8 @@
 pub const STATE_DRAINING: &str = "draining";
 /// A target's statement that it did not run the request.
 pub const NOT_RUN: &str = "hitch-not-run";
+/// Control address of the entry that sends a call to a gate.
+pub const ENTRY: &str = "hitch-entry";
 /// Fingerprint of a request, for crash suspicion.
 pub const FINGERPRINT: &str = "hitch-fingerprint";
 
