Check the configuration text and resolve it to policies

Cause: operators write one text, and a faulty one must be refused whole with every fault named, on their own machine and on each node alike. Ruled out: serde straight into the policies; it stops at the first fault and loses positions. A schema validator; it cannot name cycles or say which line set a value first. Change: check() reads the tree of jsonc-parser, reports all faults with line, column, place, reason and what is allowed, and resolves built-in values, the text's defaults and the service's own values in that order.

--- /dev/null
+++ b/crates/text/src/checked.rs
@@ -0,0 +1,108 @@
+//! A text that passed its checks.
+
+use serde::Serialize;
+use strum::EnumCount;
+
+use crate::prelude::*;
+
+/// A checked text, resolved to what the nodes run by.
+///
+/// It can only come from [`crate::check`], so every value is in the range that
+/// its policy names.
+#[derive(Clone, Debug, PartialEq)]
+#[non_exhaustive]
+pub struct CheckedText {
+    /// What holds for the whole deployment.
+    pub deployment: DeploymentPolicy,
+    /// Data centres that the text lists, ordered by name.
+    pub data_centres: Vec<DataCentre>,
+    /// The services, ordered by name.
+    pub services: Vec<ServicePolicy>,
+    /// What is allowed but probably not meant.
+    pub warnings: Vec<Warning>,
+    /// Where the values of `services` come from, in the same order.
+    pub(crate) sources: Vec<ServiceSources>,
+}
+
+impl CheckedText {
+    /// Finds a service by its name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&ServicePolicy> {
+        let index = self.service_index(name)?;
+        Some(&self.services[index])
+    }
+
+    pub(crate) fn service_index(&self, name: &str) -> Option<usize> {
+        self.services
+            .binary_search_by(|service| service.service.as_str().cmp(name))
+            .ok()
+    }
+
+    /// Names of the services that depend on a service.
+    #[must_use]
+    pub fn callers_of(&self, name: &str) -> Vec<&ServiceName> {
+        let mut callers = Vec::new();
+        for service in &self.services {
+            if !service.depends_on.iter().any(|one| one.as_str() == name) {
+                continue;
+            }
+            callers.push(&service.service);
+        }
+        callers
+    }
+}
+
+/// Where a resolved value comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(tag = "from", rename_all = "kebab-case")]
+pub enum Origin {
+    /// Neither the service nor the text's defaults set it.
+    BuiltIn,
+    /// It follows another value.
+    Follows {
+        /// The value that it follows.
+        value: Followed,
+    },
+    /// The text's `defaults` set it.
+    Defaults {
+        /// Line of the value.
+        line: u32,
+    },
+    /// The service itself sets it.
+    Service {
+        /// Line of the value.
+        line: u32,
+    },
+}
+
+/// A value that another one follows when it is not set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, strum::Display)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Followed {
+    /// The service's slots.
+    Slots,
+    /// The service's deadline.
+    DeadlineMs,
+    /// The method of the call.
+    Method,
+}
+
+/// Where the values of one service come from.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct ServiceSources {
+    pub(crate) line: u32,
+    pub(crate) depends_on: Origin,
+    pub(crate) calls_origin: Origin,
+    pub(crate) calls: Vec<CallSources>,
+    pub(crate) numbers: [Origin; Setting::COUNT],
+}
+
+/// Where the values of one call come from.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct CallSources {
+    pub(crate) line: u32,
+    pub(crate) idempotent: Origin,
+    pub(crate) class: Origin,
+    pub(crate) deadline_ms: Origin,
+}
--- /dev/null
+++ b/crates/text/src/draft.rs
@@ -0,0 +1,100 @@
+//! What a text says, before it is resolved.
+
+use hornbeamhitch_types::policy::CallClass;
+use strum::EnumCount;
+
+use crate::setting::Setting;
+
+/// A value with the byte offset at which it stands.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Located<T> {
+    pub(crate) value: T,
+    pub(crate) offset: usize,
+}
+
+/// The whole text.
+#[derive(Debug, Default)]
+pub(crate) struct TextDraft<'v> {
+    pub(crate) deployment: &'v str,
+    pub(crate) data_centres: Vec<Located<&'v str>>,
+    pub(crate) default_distance_ms: Option<f64>,
+    pub(crate) distances: Vec<DistanceDraft<'v>>,
+    pub(crate) tenants: Vec<Located<&'v str>>,
+    pub(crate) defaults: ServiceDraft<'v>,
+    pub(crate) services: Vec<NamedService<'v>>,
+}
+
+/// One distance between two data centres.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DistanceDraft<'v> {
+    pub(crate) from: Located<&'v str>,
+    pub(crate) to: Located<&'v str>,
+    pub(crate) one_way_ms: f64,
+}
+
+/// A service under its name.
+#[derive(Debug)]
+pub(crate) struct NamedService<'v> {
+    pub(crate) name: Located<&'v str>,
+    pub(crate) draft: ServiceDraft<'v>,
+}
+
+/// What a service, or `defaults`, sets.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceDraft<'v> {
+    pub(crate) depends_on: Option<Located<Vec<Located<&'v str>>>>,
+    pub(crate) calls: Option<Located<Vec<CallDraft<'v>>>>,
+    pub(crate) numbers: Numbers,
+}
+
+/// The numbers that a service, or `defaults`, sets; each is in its range.
+#[derive(Debug, Default)]
+pub(crate) struct Numbers([Option<Located<f64>>; Setting::COUNT]);
+
+impl Numbers {
+    pub(crate) fn get(&self, setting: Setting) -> Option<Located<f64>> {
+        self.0[setting as usize]
+    }
+
+    pub(crate) fn set(&mut self, setting: Setting, number: Located<f64>) {
+        self.0[setting as usize] = Some(number);
+    }
+}
+
+/// One named call.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallDraft<'v> {
+    pub(crate) name: Located<&'v str>,
+    pub(crate) method: &'v str,
+    pub(crate) path_prefix: &'v str,
+    pub(crate) match_offset: usize,
+    pub(crate) idempotent: Option<Located<bool>>,
+    pub(crate) class: Option<Located<CallClass>>,
+    pub(crate) deadline_ms: Option<Located<f64>>,
+}
+
+impl<'v> TextDraft<'v> {
+    /// The dependencies of a service: its own, else those of `defaults`.
+    pub(crate) fn dependencies<'s>(
+        &'s self,
+        service: &'s ServiceDraft<'v>,
+    ) -> &'s [Located<&'v str>] {
+        let written = service
+            .depends_on
+            .as_ref()
+            .or(self.defaults.depends_on.as_ref());
+        match written {
+            Some(list) => &list.value,
+            None => &[],
+        }
+    }
+
+    /// The calls of a service: its own, else those of `defaults`.
+    pub(crate) fn calls<'s>(&'s self, service: &'s ServiceDraft<'v>) -> &'s [CallDraft<'v>] {
+        let written = service.calls.as_ref().or(self.defaults.calls.as_ref());
+        match written {
+            Some(list) => &list.value,
+            None => &[],
+        }
+    }
+}
--- /dev/null
+++ b/crates/text/src/graph.rs
@@ -0,0 +1,207 @@
+//! Checks the dependencies between services.
+
+use std::collections::HashMap;
+
+use crate::draft::{Located, TextDraft};
+use crate::fault::{FaultKind, Place};
+use crate::limits::{MAX_CYCLE_NAMES, MAX_DEPTH};
+use crate::name::shortened;
+use crate::nearest::nearest;
+use crate::report::Report;
+use crate::warning::WarningKind;
+
+/// Reports dependencies that are unknown or circular, and warns of deep ones.
+pub(crate) fn check(draft: &TextDraft<'_>, report: &mut Report<'_, '_>) {
+    let graph = Graph::new(draft);
+    graph.check_known(report);
+    let mut search = Search::new(&graph);
+    for service in 0..draft.services.len() {
+        search.from(service, report);
+    }
+    search.warn_of_depth(report);
+}
+
+/// Services as numbers, in the order of the text.
+struct Graph<'d, 'v> {
+    draft: &'d TextDraft<'v>,
+    numbers: HashMap<&'v str, usize>,
+}
+
+impl<'d, 'v> Graph<'d, 'v> {
+    fn new(draft: &'d TextDraft<'v>) -> Self {
+        let mut numbers = HashMap::new();
+        for (number, service) in draft.services.iter().enumerate() {
+            numbers.insert(service.name.value, number);
+        }
+        Self { draft, numbers }
+    }
+
+    fn name(&self, service: usize) -> &'v str {
+        self.draft.services[service].name.value
+    }
+
+    fn edges(&self, service: usize) -> &'d [Located<&'v str>] {
+        self.draft.dependencies(&self.draft.services[service].draft)
+    }
+
+    /// Checks each list as written, so that one of `defaults` counts once.
+    fn check_known(&self, report: &mut Report<'_, '_>) {
+        if let Some(list) = &self.draft.defaults.depends_on {
+            self.check_list("defaults", "defaults", &list.value, report);
+        }
+        for service in &self.draft.services {
+            let Some(list) = &service.draft.depends_on else {
+                continue;
+            };
+            let owner = format!("services.{}", service.name.value);
+            self.check_list(service.name.value, &owner, &list.value, report);
+        }
+    }
+
+    fn check_list(
+        &self,
+        owner: &str,
+        owner_place: &str,
+        list: &[Located<&str>],
+        report: &mut Report<'_, '_>,
+    ) {
+        for dependency in list {
+            if self.numbers.contains_key(dependency.value) {
+                continue;
+            }
+            report.fault(dependency.offset, || {
+                let known = self.draft.services.iter().map(|service| service.name.value);
+                let kind = FaultKind::UnknownDependency {
+                    service: shortened(owner),
+                    dependency: shortened(dependency.value),
+                    nearest: nearest(dependency.value, known).map(str::to_owned),
+                };
+                (Place(format!("{owner_place}.depends_on")), kind)
+            });
+        }
+    }
+}
+
+/// How far the search has come with a service.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    Unseen,
+    /// On the way from the start; the number is its place on that way.
+    OnPath(usize),
+    Done,
+}
+
+/// One service on the way from the start, with its next edge.
+struct Visit {
+    service: usize,
+    next_edge: usize,
+}
+
+/// A depth-first search with a path of its own in place of recursion, so that
+/// a long chain of services cannot exhaust the stack.
+struct Search<'g, 'd, 'v> {
+    graph: &'g Graph<'d, 'v>,
+    progress: Vec<Progress>,
+    /// Services on the longest way down from each, itself included.
+    depths: Vec<usize>,
+    is_dependency: Vec<bool>,
+    path: Vec<Visit>,
+}
+
+impl<'g, 'd, 'v> Search<'g, 'd, 'v> {
+    fn new(graph: &'g Graph<'d, 'v>) -> Self {
+        let count = graph.draft.services.len();
+        Self {
+            graph,
+            progress: vec![Progress::Unseen; count],
+            depths: vec![1; count],
+            is_dependency: vec![false; count],
+            path: Vec::new(),
+        }
+    }
+
+    fn from(&mut self, start: usize, report: &mut Report<'_, '_>) {
+        if self.progress[start] != Progress::Unseen {
+            return;
+        }
+        self.enter(start);
+        while let Some(visit) = self.path.last_mut() {
+            let service = visit.service;
+            let Some(edge) = self.graph.edges(service).get(visit.next_edge) else {
+                self.leave(service);
+                continue;
+            };
+            visit.next_edge += 1;
+            self.follow(service, *edge, report);
+        }
+    }
+
+    fn follow(&mut self, from: usize, edge: Located<&'v str>, report: &mut Report<'_, '_>) {
+        let Some(&to) = self.graph.numbers.get(edge.value) else {
+            return;
+        };
+        self.is_dependency[to] = true;
+        match self.progress[to] {
+            Progress::Unseen => self.enter(to),
+            Progress::Done => self.deepen(from, to),
+            Progress::OnPath(first) => report.fault(edge.offset, || {
+                let place = Place(format!("services.{}.depends_on", self.graph.name(from)));
+                let cycle = self.describe_cycle(first);
+                (place, FaultKind::CircularDependency { cycle })
+            }),
+        }
+    }
+
+    fn enter(&mut self, service: usize) {
+        self.progress[service] = Progress::OnPath(self.path.len());
+        self.path.push(Visit {
+            service,
+            next_edge: 0,
+        });
+    }
+
+    fn leave(&mut self, service: usize) {
+        self.progress[service] = Progress::Done;
+        self.path.pop();
+        if let Some(above) = self.path.last() {
+            self.deepen(above.service, service);
+        }
+    }
+
+    fn deepen(&mut self, from: usize, to: usize) {
+        self.depths[from] = self.depths[from].max(self.depths[to] + 1);
+    }
+
+    fn describe_cycle(&self, first: usize) -> String {
+        let cycle = &self.path[first..];
+        let mut words = String::new();
+        for visit in cycle.iter().take(MAX_CYCLE_NAMES) {
+            words.push_str(&shortened(self.graph.name(visit.service)));
+            words.push_str(" -> ");
+        }
+        if cycle.len() > MAX_CYCLE_NAMES {
+            let left_out = cycle.len() - MAX_CYCLE_NAMES;
+            words.push_str(&format!("({left_out} more) -> "));
+        }
+        words.push_str(&shortened(self.graph.name(cycle[0].service)));
+        words
+    }
+
+    /// Warns at services that nothing depends on, where chains begin.
+    fn warn_of_depth(&self, report: &mut Report<'_, '_>) {
+        for (service, depth) in self.depths.iter().copied().enumerate() {
+            if depth <= MAX_DEPTH || self.is_dependency[service] {
+                continue;
+            }
+            let name = self.graph.draft.services[service].name;
+            report.warning(name.offset, || {
+                let kind = WarningKind::DeepDependencies {
+                    service: name.value.to_owned(),
+                    depth,
+                    limit: MAX_DEPTH,
+                };
+                (Place(format!("services.{}", name.value)), kind)
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/text/src/limits.rs
@@ -0,0 +1,35 @@
+//! Sizes that bound a text and the work of checking it.
+
+/// Largest text in bytes; the platform holds values up to a megabyte.
+pub const MAX_TEXT_BYTES: usize = 1_048_576;
+/// From this size in bytes on, a text is close enough to the largest to warn.
+pub(crate) const LARGE_TEXT_BYTES: usize = 900_000;
+/// Services of one text.
+pub(crate) const MAX_SERVICES: usize = 4_096;
+/// Services that one service may depend on.
+pub(crate) const MAX_DEPENDENCIES: usize = 256;
+/// Calls that one service may name.
+pub(crate) const MAX_CALLS: usize = 256;
+/// Tenants of one text; each has histograms of its own.
+pub(crate) const MAX_TENANTS: usize = 256;
+/// Data centres of one text.
+pub(crate) const MAX_DATA_CENTRES: usize = 256;
+/// Listed distances of one text.
+pub(crate) const MAX_DISTANCES: usize = 4_096;
+/// Characters of a name.
+pub(crate) const MAX_NAME_CHARS: usize = 63;
+/// Characters of a call's path prefix.
+pub(crate) const MAX_PATH_CHARS: usize = 256;
+/// Characters of an HTTP method.
+pub(crate) const MAX_METHOD_CHARS: usize = 16;
+/// Faults and warnings that are kept; the rest is only counted.
+///
+/// A megabyte of unknown keys would otherwise cost far more memory and time
+/// than the text itself, on every node that reads it.
+pub(crate) const MAX_REPORTED: usize = 1_000;
+/// Names written out when a long cycle is described.
+pub(crate) const MAX_CYCLE_NAMES: usize = 16;
+/// Calls may be this many services deep before a warning.
+pub(crate) const MAX_DEPTH: usize = 8;
+/// Characters of the text that a message quotes.
+pub(crate) const MAX_QUOTED_CHARS: usize = 64;
--- /dev/null
+++ b/crates/text/src/prelude.rs
@@ -0,0 +1,9 @@
+//! The types that most modules of this crate need.
+
+pub use hornbeamhitch_types::policy::{Budgets, DeploymentPolicy, Distance, EjectionPolicy};
+pub use hornbeamhitch_types::prelude::*;
+
+pub use crate::fault::{Fault, FaultKind, Faults};
+pub use crate::position::Position;
+pub use crate::setting::Setting;
+pub use crate::warning::{Warning, WarningKind};
--- /dev/null
+++ b/crates/text/src/reader.rs
@@ -0,0 +1,279 @@
+//! Walks the tree of values and reports what has the wrong shape.
+
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
+
+use jsonc_parser::ast::{Array, NumberLit, Object, ObjectProp, Value};
+use jsonc_parser::common::Ranged;
+
+use crate::draft::Located;
+use crate::fault::{FaultKind, JsonType, Place};
+use crate::keys::Key;
+use crate::name::{NameKind, shortened};
+use crate::nearest::nearest;
+use crate::report::Report;
+use crate::setting::Range;
+
+/// One step on the way from the root to a value.
+#[derive(Clone, Copy)]
+enum Step<'v> {
+    Key(&'v str),
+    Index(usize),
+}
+
+/// Reads values at a place in the tree.
+pub(crate) struct Reader<'r, 'i, 't, 'v> {
+    report: &'r mut Report<'i, 't>,
+    path: Vec<Step<'v>>,
+}
+
+impl<'r, 'i, 't, 'v> Reader<'r, 'i, 't, 'v> {
+    pub(crate) fn new(report: &'r mut Report<'i, 't>) -> Self {
+        Self {
+            report,
+            path: Vec::new(),
+        }
+    }
+
+    /// Reads something that stands under a key.
+    pub(crate) fn under<T>(&mut self, key: &'v str, read: impl FnOnce(&mut Self) -> T) -> T {
+        self.path.push(Step::Key(key));
+        let result = read(self);
+        self.path.pop();
+        result
+    }
+
+    /// Reads something that stands at an index of an array.
+    pub(crate) fn at<T>(&mut self, index: usize, read: impl FnOnce(&mut Self) -> T) -> T {
+        self.path.push(Step::Index(index));
+        let result = read(self);
+        self.path.pop();
+        result
+    }
+
+    /// Reports a fault at the present place.
+    pub(crate) fn fault(&mut self, offset: usize, kind: impl FnOnce() -> FaultKind) {
+        let path = &self.path;
+        self.report.fault(offset, || (place(path), kind()));
+    }
+
+    pub(crate) fn line(&self, offset: usize) -> u32 {
+        self.report.lines().line(offset)
+    }
+
+    /// The known keys of an object, each once; all others are reported.
+    pub(crate) fn entries<K: Key>(
+        &mut self,
+        object: &'v Object<'_>,
+        known: &[K],
+    ) -> Vec<(K, &'v ObjectProp<'v>)> {
+        let mut entries = Vec::new();
+        for prop in self.distinct(object) {
+            let written = prop.name.as_str();
+            if let Some(key) = known.iter().find(|key| key.name() == written) {
+                entries.push((*key, prop));
+                continue;
+            }
+            self.fault(prop.start(), || unknown_key(written, known));
+        }
+        entries
+    }
+
+    /// The properties of an object, without repeated keys, which are reported.
+    pub(crate) fn distinct(&mut self, object: &'v Object<'_>) -> Vec<&'v ObjectProp<'v>> {
+        let mut first_offsets: HashMap<&str, usize> = HashMap::new();
+        let mut properties = Vec::new();
+        for prop in &object.properties {
+            match first_offsets.entry(prop.name.as_str()) {
+                Entry::Vacant(vacant) => {
+                    vacant.insert(prop.start());
+                    properties.push(prop);
+                }
+                Entry::Occupied(first) => {
+                    let first_line = self.line(*first.get());
+                    self.fault(prop.start(), || FaultKind::DuplicateKey {
+                        key: shortened(prop.name.as_str()),
+                        first_line,
+                    });
+                }
+            }
+        }
+        properties
+    }
+
+    pub(crate) fn object(&mut self, value: &'v Value<'v>) -> Option<&'v Object<'v>> {
+        let Value::Object(object) = value else {
+            return self.wrong_type(value, JsonType::Object);
+        };
+        Some(object)
+    }
+
+    /// An array with at most `limit` elements.
+    pub(crate) fn array(&mut self, value: &'v Value<'v>, limit: usize) -> Option<&'v Array<'v>> {
+        let Value::Array(array) = value else {
+            return self.wrong_type(value, JsonType::Array);
+        };
+        let count = array.elements.len();
+        if count > limit {
+            self.fault(value.start(), || FaultKind::TooMany { count, limit });
+            return None;
+        }
+        Some(array)
+    }
+
+    pub(crate) fn string(&mut self, value: &'v Value<'v>) -> Option<Located<&'v str>> {
+        let Value::StringLit(string) = value else {
+            return self.wrong_type(value, JsonType::String);
+        };
+        Some(Located {
+            value: string.value.as_ref(),
+            offset: value.start(),
+        })
+    }
+
+    pub(crate) fn boolean(&mut self, value: &'v Value<'v>) -> Option<Located<bool>> {
+        let Value::BooleanLit(boolean) = value else {
+            return self.wrong_type(value, JsonType::Boolean);
+        };
+        Some(Located {
+            value: boolean.value,
+            offset: value.start(),
+        })
+    }
+
+    /// A number within a range.
+    pub(crate) fn number(&mut self, value: &'v Value<'v>, range: Range) -> Option<Located<f64>> {
+        let Value::NumberLit(literal) = value else {
+            return self.wrong_type(value, JsonType::Number);
+        };
+        match parse_number(literal) {
+            Some(number) if range.contains(number) => Some(Located {
+                value: number,
+                offset: value.start(),
+            }),
+            _ => {
+                self.fault(value.start(), || FaultKind::OutOfRange {
+                    written: shortened(literal.value),
+                    range,
+                });
+                None
+            }
+        }
+    }
+
+    /// A string that is a valid name.
+    pub(crate) fn name(
+        &mut self,
+        value: &'v Value<'v>,
+        kind: NameKind,
+    ) -> Option<Located<&'v str>> {
+        let name = self.string(value)?;
+        self.check_name(name, kind).then_some(name)
+    }
+
+    /// Reports a name that is not valid.
+    pub(crate) fn check_name(&mut self, name: Located<&'v str>, kind: NameKind) -> bool {
+        if kind.accepts(name.value) {
+            return true;
+        }
+        self.fault(name.offset, || FaultKind::InvalidName {
+            kind,
+            name: shortened(name.value),
+        });
+        false
+    }
+
+    /// An array of distinct valid names.
+    pub(crate) fn names(
+        &mut self,
+        value: &'v Value<'v>,
+        kind: NameKind,
+        limit: usize,
+    ) -> Option<Vec<Located<&'v str>>> {
+        let array = self.array(value, limit)?;
+        let mut seen = HashMap::new();
+        let mut names = Vec::new();
+        for (index, element) in array.elements.iter().enumerate() {
+            let Some(name) = self.at(index, |reader| reader.name(element, kind)) else {
+                continue;
+            };
+            if self.is_repeated(&mut seen, name) {
+                continue;
+            }
+            names.push(name);
+        }
+        Some(names)
+    }
+
+    /// Reports an entry that a list already has.
+    pub(crate) fn is_repeated(
+        &mut self,
+        seen: &mut HashMap<String, usize>,
+        entry: Located<&str>,
+    ) -> bool {
+        let Some(first_offset) = seen.get(entry.value) else {
+            seen.insert(entry.value.to_owned(), entry.offset);
+            return false;
+        };
+        let first_line = self.line(*first_offset);
+        self.fault(entry.offset, || FaultKind::DuplicateEntry {
+            name: shortened(entry.value),
+            first_line,
+        });
+        true
+    }
+
+    fn wrong_type<T>(&mut self, value: &Value<'_>, expected: JsonType) -> Option<T> {
+        self.fault(value.start(), || FaultKind::WrongType {
+            found: type_of(value),
+            expected,
+        });
+        None
+    }
+}
+
+/// Reads a literal; one too large for a double becomes infinite, which no
+/// range contains.
+fn parse_number(literal: &NumberLit<'_>) -> Option<f64> {
+    let number: f64 = literal.value.parse().ok()?;
+    // Adding zero turns -0 into 0, which would otherwise be shown as "-0".
+    Some(number + 0.0)
+}
+
+fn unknown_key<K: Key>(written: &str, known: &[K]) -> FaultKind {
+    let names: Vec<&'static str> = known.iter().map(|key| key.name()).collect();
+    FaultKind::UnknownKey {
+        key: shortened(written),
+        nearest: nearest(written, names.iter().copied()),
+        known: names,
+    }
+}
+
+fn type_of(value: &Value<'_>) -> JsonType {
+    match value {
+        Value::StringLit(_) => JsonType::String,
+        Value::NumberLit(_) => JsonType::Number,
+        Value::BooleanLit(_) => JsonType::Boolean,
+        Value::Object(_) => JsonType::Object,
+        Value::Array(_) => JsonType::Array,
+        Value::NullKeyword(_) => JsonType::Null,
+    }
+}
+
+fn place(path: &[Step<'_>]) -> Place {
+    let mut written = String::new();
+    for step in path {
+        match step {
+            Step::Key(key) => {
+                if !written.is_empty() {
+                    written.push('.');
+                }
+                written.push_str(&shortened(key).escape_debug().to_string());
+            }
+            Step::Index(index) => {
+                written.push_str(&format!("[{index}]"));
+            }
+        }
+    }
+    Place(written)
+}
--- /dev/null
+++ b/crates/text/src/relations.rs
@@ -0,0 +1,128 @@
+//! Warnings that follow from several resolved values together.
+
+use crate::checked::CheckedText;
+use crate::draft::{CallDraft, NamedService, TextDraft};
+use crate::fault::Place;
+use crate::prelude::*;
+use crate::report::Report;
+use crate::resolve::is_safe;
+
+/// Warns of values that are allowed each by itself but not meant together.
+pub(crate) fn check(draft: &TextDraft<'_>, resolved: &CheckedText, report: &mut Report<'_, '_>) {
+    for service in &draft.services {
+        let Some(policy) = resolved.service(service.name.value) else {
+            continue;
+        };
+        check_connections(service, policy, report);
+        check_tickets(service, policy, report);
+        check_dependencies(draft, service, policy, resolved, report);
+        if let Some(calls) = &service.draft.calls {
+            let place = format!("services.{}.calls", service.name.value);
+            check_payments(&place, &calls.value, report);
+        }
+    }
+    if let Some(calls) = &draft.defaults.calls {
+        check_payments("defaults.calls", &calls.value, report);
+    }
+}
+
+fn check_connections(
+    service: &NamedService<'_>,
+    policy: &ServicePolicy,
+    report: &mut Report<'_, '_>,
+) {
+    if policy.connections >= policy.slots {
+        return;
+    }
+    let written = service.draft.numbers.get(Setting::Connections);
+    let offset = written.map_or(service.name.offset, |found| found.offset);
+    report.warning(offset, || {
+        let kind = WarningKind::ConnectionsBelowSlots {
+            connections: policy.connections,
+            slots: policy.slots,
+        };
+        (place_of(service), kind)
+    });
+}
+
+fn check_tickets(service: &NamedService<'_>, policy: &ServicePolicy, report: &mut Report<'_, '_>) {
+    let deadline_ms = longest_deadline(policy);
+    if policy.ticket_ttl_ms >= deadline_ms {
+        return;
+    }
+    let written = service.draft.numbers.get(Setting::TicketTtlMs);
+    let offset = written.map_or(service.name.offset, |found| found.offset);
+    report.warning(offset, || {
+        let kind = WarningKind::TicketExpiresEarly {
+            ticket_ttl_ms: policy.ticket_ttl_ms.0,
+            deadline_ms: deadline_ms.0,
+        };
+        (place_of(service), kind)
+    });
+}
+
+/// A caller that gives up first leaves its dependency working for nobody.
+fn check_dependencies(
+    draft: &TextDraft<'_>,
+    service: &NamedService<'_>,
+    policy: &ServicePolicy,
+    resolved: &CheckedText,
+    report: &mut Report<'_, '_>,
+) {
+    let caller_ms = longest_deadline(policy);
+    for written in draft.dependencies(&service.draft) {
+        let Some(dependency) = resolved.service(written.value) else {
+            continue;
+        };
+        let dependency_ms = longest_deadline(dependency);
+        if dependency_ms <= caller_ms {
+            continue;
+        }
+        report.warning(written.offset, || {
+            let kind = WarningKind::DependencyDeadline {
+                caller: service.name.value.to_owned(),
+                caller_ms: caller_ms.0,
+                dependency: written.value.to_owned(),
+                dependency_ms: dependency_ms.0,
+            };
+            (
+                Place(format!("services.{}.depends_on", service.name.value)),
+                kind,
+            )
+        });
+    }
+}
+
+fn check_payments(place: &str, calls: &[CallDraft<'_>], report: &mut Report<'_, '_>) {
+    for call in calls {
+        let Some(class) = call.class else {
+            continue;
+        };
+        let Some(idempotent) = call.idempotent else {
+            continue;
+        };
+        let moves_money = class.value == CallClass::Payment && !is_safe(call.method);
+        if !moves_money || !idempotent.value {
+            continue;
+        }
+        report.warning(idempotent.offset, || {
+            let kind = WarningKind::IdempotentPayment {
+                method: call.method.to_owned(),
+                class: class.value,
+            };
+            (Place(place.to_owned()), kind)
+        });
+    }
+}
+
+fn longest_deadline(policy: &ServicePolicy) -> Millis {
+    let mut longest = policy.deadline_ms;
+    for call in &policy.calls {
+        longest = longest.max(call.deadline_ms);
+    }
+    longest
+}
+
+fn place_of(service: &NamedService<'_>) -> Place {
+    Place(format!("services.{}", service.name.value))
+}
--- /dev/null
+++ b/crates/text/src/report.rs
@@ -0,0 +1,82 @@
+//! Collects the faults and warnings of one check.
+
+use crate::checked::CheckedText;
+use crate::fault::Place;
+use crate::limits::MAX_REPORTED;
+use crate::position::LineIndex;
+use crate::prelude::*;
+
+/// Faults and warnings found so far.
+pub(crate) struct Report<'i, 't> {
+    lines: &'i LineIndex<'t>,
+    faults: Vec<Fault>,
+    omitted_faults: usize,
+    warnings: Vec<Warning>,
+}
+
+impl<'i, 't> Report<'i, 't> {
+    pub(crate) fn new(lines: &'i LineIndex<'t>) -> Self {
+        Self {
+            lines,
+            faults: Vec::new(),
+            omitted_faults: 0,
+            warnings: Vec::new(),
+        }
+    }
+
+    pub(crate) fn lines(&self) -> &'i LineIndex<'t> {
+        self.lines
+    }
+
+    /// Adds a fault at a byte offset. Beyond the limit it is only counted, and
+    /// `describe` is not called, which bounds the cost of a hostile text.
+    pub(crate) fn fault(&mut self, offset: usize, describe: impl FnOnce() -> (Place, FaultKind)) {
+        if self.faults.len() >= MAX_REPORTED {
+            self.omitted_faults += 1;
+            return;
+        }
+        let (place, kind) = describe();
+        self.faults.push(Fault {
+            position: self.lines.position(offset),
+            place,
+            kind,
+        });
+    }
+
+    /// Adds a warning at a byte offset.
+    pub(crate) fn warning(
+        &mut self,
+        offset: usize,
+        describe: impl FnOnce() -> (Place, WarningKind),
+    ) {
+        if self.warnings.len() >= MAX_REPORTED {
+            return;
+        }
+        let (place, kind) = describe();
+        self.warnings.push(Warning {
+            position: self.lines.position(offset),
+            place,
+            kind,
+        });
+    }
+
+    pub(crate) fn into_faults(mut self) -> Faults {
+        self.faults
+            .sort_by(|a, b| (a.position, &a.place).cmp(&(b.position, &b.place)));
+        Faults {
+            faults: self.faults,
+            omitted: self.omitted_faults,
+        }
+    }
+
+    /// The verdict on the whole text.
+    pub(crate) fn finish(mut self, mut resolved: CheckedText) -> Result<CheckedText, Faults> {
+        if !self.faults.is_empty() {
+            return Err(self.into_faults());
+        }
+        self.warnings
+            .sort_by(|a, b| (a.position, &a.place).cmp(&(b.position, &b.place)));
+        resolved.warnings = self.warnings;
+        Ok(resolved)
+    }
+}
--- /dev/null
+++ b/crates/text/src/syntax.rs
@@ -0,0 +1,104 @@
+//! From text to a tree of values with positions.
+
+use jsonc_parser::ast::Value;
+use jsonc_parser::errors::ParseError;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+
+use crate::fault::{FaultKind, Place};
+use crate::limits::{LARGE_TEXT_BYTES, MAX_TEXT_BYTES};
+use crate::report::Report;
+use crate::warning::WarningKind;
+
+/// JSON with comments and trailing commas, and nothing else.
+fn strict() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
+/// Parses the text; `None` when it cannot be read at all.
+///
+/// The parser stops at its first error. Where only a comma or a quote is
+/// missing, a second, lenient run lets the other faults of the text show in
+/// the same check; the syntax error is reported all the same. The parser
+/// bounds the depth of nesting, so that no text exhausts the stack.
+pub(crate) fn parse<'t>(text: &'t str, report: &mut Report<'_, '_>) -> Option<Value<'t>> {
+    if text.len() > MAX_TEXT_BYTES {
+        let size_bytes = text.len();
+        report.fault(0, || {
+            (Place::default(), FaultKind::TextTooLong { size_bytes })
+        });
+        return None;
+    }
+    warn_if_large(report);
+    let strict_error = match run(text, &strict()) {
+        Ok(root) => return root.or_else(|| empty(report)),
+        Err(error) => error,
+    };
+    let strict_start = strict_error.range().start;
+    record(&strict_error, report);
+    match run(text, &ParseOptions::default()) {
+        Ok(root) => root,
+        Err(lenient_error) => {
+            if lenient_error.range().start != strict_start {
+                record(&lenient_error, report);
+            }
+            None
+        }
+    }
+}
+
+fn run<'t>(text: &'t str, options: &ParseOptions) -> Result<Option<Value<'t>>, ParseError> {
+    let parsed = parse_to_ast(text, &CollectOptions::default(), options)?;
+    Ok(parsed.value)
+}
+
+fn warn_if_large(report: &mut Report<'_, '_>) {
+    let size_bytes = report.lines().text_bytes();
+    if size_bytes < LARGE_TEXT_BYTES {
+        return;
+    }
+    report.warning(0, || {
+        let kind = WarningKind::LargeText {
+            size_bytes,
+            limit_bytes: MAX_TEXT_BYTES,
+        };
+        (Place::default(), kind)
+    });
+}
+
+fn record(error: &ParseError, report: &mut Report<'_, '_>) {
+    report.fault(error.range().start, || {
+        let kind = FaultKind::Syntax {
+            message: lower_first(&error.kind().to_string()),
+        };
+        (Place::default(), kind)
+    });
+}
+
+fn empty<'t>(report: &mut Report<'_, '_>) -> Option<Value<'t>> {
+    report.fault(0, || {
+        let kind = FaultKind::Syntax {
+            message: "the text is empty".to_owned(),
+        };
+        (Place::default(), kind)
+    });
+    None
+}
+
+fn lower_first(message: &str) -> String {
+    let mut chars = message.chars();
+    match chars.next() {
+        Some(first) => first.to_lowercase().collect::<String>() + chars.as_str(),
+        None => String::new(),
+    }
+}
