Pick, retry, hedge and give up at the entry

Ruled out: trusting a report until the next one (entries herd on it); latency alone as score (a quick error looks like the best target). Change: score from own attempts, faded reports, distance, ramp, stalls and failures; ejection with single trials under a share; retry and hedge budgets as shares of first attempts; ticket gates by rendezvous hashing. CallProgress gains may_have_run, without which a call that broke once and was then refused would be told "not run". Conclusion: callers of the interface can be linked against it.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -2,8 +2,42 @@
 
 use std::sync::Arc;
 
+use rand::rngs::Xoshiro256PlusPlus;
+use rand::{RngExt, SeedableRng};
+
+use crate::budget::ShareBudget;
 use crate::prelude::*;
 
+mod ejection;
+mod latency;
+mod outcome;
+mod picker;
+mod retry;
+mod retry_after;
+mod score;
+mod table;
+mod target;
+mod target_stats;
+mod ticket_choice;
+
+#[cfg(test)]
+mod tests;
+
+use latency::LatencyHistogram;
+use outcome::Lesson;
+use picker::Choice;
+use retry_after::RetryAfter;
+use score::Typical;
+use table::TargetTable;
+use target::Target;
+
+pub use retry_after::{MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS};
+
+/// A hedge looks for room in at most this many targets.
+const ROOM_DRAWS: usize = 8;
+/// A target is busy from this share of its limit on.
+const BUSY_RATIO: f32 = 0.8;
+
 /// What an entry knows about itself.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
@@ -25,6 +59,8 @@
     pub started_at: Millis,
     /// The attempt is the single trial of an ejected target.
     pub is_trial: bool,
+    /// Life of the target in which the attempt started.
+    life: u32,
 }
 
 /// What an attempt needs.
@@ -78,6 +114,10 @@
     pub depth: u32,
     /// When the whole call must have ended.
     pub deadline_at: Millis,
+    /// An attempt before the one that just ended, or one that is still out, may
+    /// have run; see [`AttemptEnd::may_have_run`]. Without it a call that broke
+    /// once and was refused then would be told "not run".
+    pub may_have_run: bool,
 }
 
 /// What to do after a failed attempt.
@@ -101,84 +141,374 @@
 }
 
 /// One service as one entry sees it.
+///
+/// Shared by traffic threads behind a mutex: no call blocks, and only
+/// [`Self::update`] does work that grows with the number of targets on each
+/// call.
 #[derive(Debug)]
 pub struct EntryService {
     view: Arc<ServiceView>,
+    table: TargetTable,
+    typical: Typical,
+    latency: LatencyHistogram,
+    retry_budget: ShareBudget,
+    hedge_budget: ShareBudget,
+    retry_after: RetryAfter,
+    rng: Xoshiro256PlusPlus,
 }
 
 impl EntryService {
     /// Starts with a first view.
     #[must_use]
-    pub fn new(_settings: &EntrySettings, view: Arc<ServiceView>, _now: Millis) -> Self {
-        Self { view }
+    pub fn new(settings: &EntrySettings, view: Arc<ServiceView>, now: Millis) -> Self {
+        let budgets = view.policy.budgets;
+        let mut service = Self {
+            table: TargetTable::new(),
+            typical: Typical::new(),
+            latency: LatencyHistogram::new(budgets.hedge_quantile, now),
+            retry_budget: ShareBudget::new(budgets.retry_share),
+            hedge_budget: ShareBudget::new(budgets.hedge_share),
+            retry_after: RetryAfter::new(now),
+            rng: Xoshiro256PlusPlus::seed_from_u64(settings.seed),
+            view,
+        };
+        service.table.update(&service.view, now);
+        service
     }
 
     /// Takes over a newer view; what was learnt about targets that stay is kept.
-    pub fn update(&mut self, view: Arc<ServiceView>, _now: Millis) {
+    pub fn update(&mut self, view: Arc<ServiceView>, now: Millis) {
+        if Arc::ptr_eq(&self.view, &view) {
+            return;
+        }
+        if self.view.policy.budgets != view.policy.budgets {
+            let budgets = &view.policy.budgets;
+            self.retry_budget.set_share(budgets.retry_share);
+            self.hedge_budget.set_share(budgets.hedge_share);
+            self.latency.set_quantile(budgets.hedge_quantile);
+        }
         self.view = view;
+        self.table.update(&self.view, now);
     }
 
     /// Chooses a target for one attempt and counts it as in flight.
     ///
+    /// An empty `exclude` marks a first attempt: it earns the budgets their
+    /// share, and it alone may become the trial of an ejected target.
+    ///
     /// # Errors
     ///
     /// Refuses when no usable target is left; the refusal is final.
-    pub fn pick(&mut self, _request: &PickRequest<'_>, _now: Millis) -> Result<Pick, Refusal> {
-        todo!()
+    pub fn pick(&mut self, request: &PickRequest<'_>, now: Millis) -> Result<Pick, Refusal> {
+        let is_first = request.exclude.is_empty();
+        if now >= request.deadline_at {
+            return Err(Refusal::fixed(late_code(is_first)));
+        }
+        let trial = if is_first {
+            self.table.start_due_trial(now)
+        } else {
+            None
+        };
+        let Some(target) = trial.or_else(|| self.choose(request.exclude, now)) else {
+            return Err(self.refuse_pick(is_first, now));
+        };
+        if is_first {
+            self.retry_budget.count_first_attempt();
+            self.hedge_budget.count_first_attempt();
+        }
+        Ok(self.start(target, trial.is_some(), now))
     }
 
     /// The target behind an index, while it is in the view.
     #[must_use]
-    pub fn target(&self, _index: TargetIndex) -> Option<&TargetView> {
-        todo!()
+    pub fn target(&self, index: TargetIndex) -> Option<&TargetView> {
+        let place = self.table.get(index)?.view_place?;
+        self.view.targets.get(place as usize)
     }
 
     /// The target on a VM: where a ticketed call must go.
     #[must_use]
-    pub fn target_on(&self, _vm: &VmId) -> Option<(TargetIndex, &TargetView)> {
-        todo!()
+    pub fn target_on(&self, vm: &VmId) -> Option<(TargetIndex, &TargetView)> {
+        let index = self.table.find(vm)?;
+        let target = self.target(index)?;
+        Some((index, target))
     }
 
     /// Counts an attempt that a ticket sends to a fixed target.
-    pub fn pick_fixed(&mut self, _target: TargetIndex, _now: Millis) -> Pick {
-        todo!()
+    ///
+    /// `target` must come from [`Self::target_on`] under the same lock, because
+    /// the index of a VM that has gone may be given to another.
+    pub fn pick_fixed(&mut self, target: TargetIndex, now: Millis) -> Pick {
+        self.start(target, false, now)
     }
 
     /// Ends an attempt: frees its place and learns from its outcome.
-    pub fn finish(&mut self, _pick: &Pick, _outcome: &AttemptOutcome, _now: Millis) {
-        todo!()
+    pub fn finish(&mut self, pick: &Pick, outcome: &AttemptOutcome, now: Millis) {
+        let Some(target) = self.table.get_mut(pick.target) else {
+            return;
+        };
+        let before = target.standing();
+        target.stats.end_attempt(now);
+        if let Some(report) = &outcome.load {
+            self.hear(pick.target, report, now);
+        }
+        self.count_for_retry_after(outcome, now);
+        self.learn(pick, outcome, now);
+        let policy = Arc::clone(&self.view.policy);
+        if self.table.get(pick.target).map(Target::standing) != Some(before) {
+            self.table.rebuild(&policy, now);
+        }
+        self.table.eject_if_deserved(pick.target, &policy, now);
+        self.table.release_if_gone(pick.target.0);
     }
 
     /// Decides between another attempt and a final answer, and spends from the
     /// retry budget. Call after [`Self::finish`].
-    pub fn after_failure(&mut self, _call: &CallProgress, _end: &AttemptEnd, _now: Millis) -> Next {
-        todo!()
+    ///
+    /// After a failed answer of the target itself the driver may pass that
+    /// answer on in place of the refusal.
+    pub fn after_failure(&mut self, call: &CallProgress, end: &AttemptEnd, now: Millis) -> Next {
+        if !retry::may_retry(call, end) || now >= call.deadline_at {
+            let code = retry::final_code(call, end, now);
+            return Next::GiveUp(self.refusal(code, end, now));
+        }
+        if !self.has_time_for_another(call, now) {
+            let code = retry::deadline_code(call, end);
+            return Next::GiveUp(self.refusal(code, end, now));
+        }
+        if self.has_target_for_another(call) && self.spend_retry(call) {
+            return Next::Retry;
+        }
+        let code = retry::final_code(call, end, now);
+        Next::GiveUp(self.refusal(code, end, now))
     }
 
     /// How long to wait before a hedge of a first attempt; `None` for never.
     #[must_use]
-    pub fn hedge_delay_ms(&self, _call: &CallProgress) -> Option<Millis> {
-        todo!()
+    pub fn hedge_delay_ms(&self, call: &CallProgress) -> Option<Millis> {
+        if !self.may_hedge(call) {
+            return None;
+        }
+        let delay_us = self.latency.quantile_us()?;
+        Some(Millis(u64::from(delay_us).div_ceil(1_000).max(1)))
     }
 
     /// Spends from the hedge budget; false when it is empty or a hedge would
     /// not help, as when all targets are busy.
-    pub fn try_hedge(&mut self, _call: &CallProgress, _now: Millis) -> bool {
-        todo!()
+    ///
+    /// The hedge itself is a [`Self::pick`] that excludes the first target.
+    pub fn try_hedge(&mut self, call: &CallProgress, now: Millis) -> bool {
+        if !self.may_hedge(call) || !self.has_time_for_another(call, now) {
+            return false;
+        }
+        if !self.has_room(now) {
+            return false;
+        }
+        retry::cost_at_depth(call.depth).is_some_and(|cost| self.hedge_budget.try_spend(cost))
     }
 
     /// Chooses the gate for a new ticket, the same for one key while views
     /// agree and the gate is usable.
     ///
+    /// The expiry is counted from the gate's clock as last heard, without
+    /// adding the time since: a ticket may run out early, which its caller is
+    /// told, but never outlives the record by this node's error.
+    ///
     /// # Errors
     ///
     /// Refuses when no gate whose life is known can take new work.
-    pub fn ticket_gate(&mut self, _key: CallKey, _now: Millis) -> Result<TicketGate, Refusal> {
-        todo!()
+    pub fn ticket_gate(&mut self, key: CallKey, now: Millis) -> Result<TicketGate, Refusal> {
+        if let Some(target) = ticket_choice::choose(&self.table, key, now)
+            && let Some(report) = target.stats.report()
+        {
+            return Ok(TicketGate {
+                vm: target.vm.clone(),
+                incarnation: report.incarnation,
+                expires_at: report.gate_clock_ms + self.view.policy.ticket_ttl_ms,
+            });
+        }
+        Err(self.refuse_pick(true, now))
     }
 
     /// When a refused caller should come back: spread, growing under overload.
-    pub fn retry_after_ms(&mut self, _now: Millis) -> Millis {
-        todo!()
+    pub fn retry_after_ms(&mut self, now: Millis) -> Millis {
+        self.retry_after.draw(&mut self.rng, now)
+    }
+
+    /// Attempts of this entry that are open at a target.
+    #[must_use]
+    pub fn in_flight(&self, index: TargetIndex) -> u32 {
+        self.table
+            .get(index)
+            .map_or(0, |target| target.stats.in_flight())
+    }
+
+    /// Targets that are ejected at present, for metrics.
+    #[must_use]
+    pub fn ejected_targets(&self) -> usize {
+        self.table.ejected.len()
+    }
+
+    fn start(&mut self, index: TargetIndex, is_trial: bool, now: Millis) -> Pick {
+        let mut life = 0;
+        if let Some(target) = self.table.get_mut(index) {
+            target.stats.start_attempt(now);
+            life = target.life;
+        }
+        Pick {
+            target: index,
+            started_at: now,
+            is_trial,
+            life,
+        }
+    }
+
+    fn choose(&mut self, exclude: &[TargetIndex], now: Millis) -> Option<TargetIndex> {
+        let choice = Choice {
+            table: &self.table,
+            typical: &self.typical,
+            policy: &self.view.policy,
+            exclude,
+            now,
+        };
+        for tier in [&self.table.ready, &self.table.doubtful] {
+            if let Some(target) = choice.choose(tier, &mut self.rng) {
+                return Some(target);
+            }
+        }
+        None
+    }
+
+    /// Whether an attempt before this pick ran is not known here, so only a
+    /// first attempt is refused with "not run".
+    fn refuse_pick(&mut self, is_first: bool, now: Millis) -> Refusal {
+        let code = if is_first {
+            ResultCode::NoTarget
+        } else {
+            ResultCode::AttemptsFailed
+        };
+        self.retry_after.count_refused(now);
+        Refusal::retry_after(code, self.retry_after_ms(now))
+    }
+
+    fn hear(&mut self, index: TargetIndex, report: &LoadReport, now: Millis) {
+        let Some(target) = self.table.get_mut(index) else {
+            return;
+        };
+        if !target.hear_on_answer(report, now) {
+            return;
+        }
+        if let Some(ratio) = target.stats.others_ratio() {
+            self.typical.learn_load(ratio);
+        }
+    }
+
+    fn count_for_retry_after(&mut self, outcome: &AttemptOutcome, now: Millis) {
+        if outcome.end.is_for_overload() {
+            self.retry_after.count_refused(now);
+            return;
+        }
+        self.retry_after.count_taken(now);
+    }
+
+    /// An attempt that started in an earlier life of the target teaches
+    /// nothing about the present one.
+    fn learn(&mut self, pick: &Pick, outcome: &AttemptOutcome, now: Millis) {
+        let ejection = self.view.policy.ejection;
+        let slots = self.view.policy.slots;
+        let Some(target) = self.table.get_mut(pick.target) else {
+            return;
+        };
+        if target.life != pick.life {
+            return;
+        }
+        let away_us = (outcome.latency_us as f32 - target.round_trip_us()).max(1.0);
+        let limit = target.stats.limit(slots);
+        let service_us = target.stats.unloaded_us(away_us, limit);
+        match Lesson::of(outcome, self.latency.median_us()) {
+            Lesson::Works => {
+                target.learn_success(pick, service_us, now);
+                let typical_us = target.stats.reported_service_us().unwrap_or(service_us);
+                self.typical.learn_service(typical_us);
+                self.latency.record(outcome.latency_us, now);
+            }
+            Lesson::Fails => {
+                target.learn_failure(pick, &ejection, now);
+                if outcome.end == AttemptEnd::TimedOut {
+                    target.stats.learn_lower_bound(service_us, now);
+                    self.latency.record_lower_bound(outcome.latency_us, now);
+                }
+            }
+            Lesson::Absent => target.learn_absence(pick, &ejection, now),
+            Lesson::Full => target.learn_refusal(pick, now),
+            Lesson::Leaving => target.learn_leaving(pick, now),
+            Lesson::SlowerThan => {
+                target.learn_nothing(pick, now);
+                target.stats.learn_lower_bound(service_us, now);
+                self.latency.record_lower_bound(outcome.latency_us, now);
+            }
+            Lesson::Nothing => target.learn_nothing(pick, now),
+        }
+        self.table.find_next_trial();
+    }
+
+    fn refusal(&mut self, code: ResultCode, end: &AttemptEnd, now: Millis) -> Refusal {
+        let told = match end {
+            AttemptEnd::Refused(refusal) => refusal.retry_after_ms,
+            _ => None,
+        };
+        if told.is_none() && !retry::is_worth_coming_back(code) {
+            return Refusal::fixed(code);
+        }
+        let own = self.retry_after_ms(now);
+        let longest = told.unwrap_or(Millis::ZERO).max(own);
+        Refusal::retry_after(code, longest.min(MAX_RETRY_AFTER_MS))
+    }
+
+    /// A resend that will most likely miss the deadline only adds load.
+    fn has_time_for_another(&self, call: &CallProgress, now: Millis) -> bool {
+        let needed_us = self.latency.median_us().unwrap_or(0);
+        let left_us = call.deadline_at.since(now).0.saturating_mul(1_000);
+        left_us > u64::from(needed_us)
+    }
+
+    fn has_target_for_another(&self, call: &CallProgress) -> bool {
+        let most = retry::MAX_ATTEMPTS as usize;
+        (call.attempts as usize) < self.table.open_targets().min(most)
+    }
+
+    fn spend_retry(&mut self, call: &CallProgress) -> bool {
+        retry::cost_at_depth(call.depth).is_some_and(|cost| self.retry_budget.try_spend(cost))
+    }
+
+    fn may_hedge(&self, call: &CallProgress) -> bool {
+        call.idempotent
+            && call.attempts <= 1
+            && self.view.policy.budgets.hedge_share > 0.0
+            && self.table.first_tier().len() > 1
+            && retry::cost_at_depth(call.depth).is_some()
+    }
+
+    /// Failure answered: all targets are busy, so every call is slow, and
+    /// hedging the slow ones doubles the load.
+    fn has_room(&mut self, now: Millis) -> bool {
+        let tier = self.table.first_tier();
+        let start = self.rng.random_range(0..tier.len());
+        let (before, after) = tier.split_at(start);
+        for index in after.iter().chain(before).take(ROOM_DRAWS) {
+            let stats = &self.table.at(*index).stats;
+            let load = stats.load_ratio(&self.typical, self.view.policy.slots, now);
+            if load < BUSY_RATIO {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+fn late_code(is_first: bool) -> ResultCode {
+    if is_first {
+        return ResultCode::DeadlineTooShort;
     }
+    ResultCode::DeadlinePassed
 }
--- /dev/null
+++ b/crates/core/src/entry/latency.rs
@@ -0,0 +1,138 @@
+//! Quantiles of recent latency from a histogram with logarithmic buckets.
+
+use hornbeamhitch_types::clock::Millis;
+
+/// Buckets per doubling: an edge is at most 12.5% above any value it stands for.
+const BUCKETS_PER_OCTAVE: usize = 8;
+const OCTAVE_BITS: u32 = BUCKETS_PER_OCTAVE.trailing_zeros();
+const OCTAVES: usize = u32::BITS as usize;
+const BUCKETS: usize = BUCKETS_PER_OCTAVE * OCTAVES;
+/// Weight at which everything is halved, so that about the last thousand
+/// samples decide.
+const FULL_WEIGHT: f32 = 1_024.0;
+/// At low rates everything is halved after this time instead.
+const HALVING_MS: Millis = Millis::from_secs(30);
+/// Samples between two computations of the cached quantiles.
+const REFRESH_SAMPLES: u32 = 16;
+/// Below this weight there is no opinion.
+const MIN_WEIGHT: f32 = 20.0;
+const MEDIAN: f64 = 0.5;
+
+/// Recent latencies of one service; recording and asking never allocate.
+#[derive(Clone, Debug)]
+pub(crate) struct LatencyHistogram {
+    weights: Box<[f32; BUCKETS]>,
+    total: f32,
+    quantile: f64,
+    halved_at: Millis,
+    since_refresh: u32,
+    cached_quantile_us: Option<u32>,
+    cached_median_us: Option<u32>,
+}
+
+impl LatencyHistogram {
+    /// An empty histogram that keeps `quantile` at hand.
+    pub(crate) fn new(quantile: f64, now: Millis) -> Self {
+        Self {
+            weights: Box::new([0.0; BUCKETS]),
+            total: 0.0,
+            quantile,
+            halved_at: now,
+            since_refresh: 0,
+            cached_quantile_us: None,
+            cached_median_us: None,
+        }
+    }
+
+    pub(crate) fn set_quantile(&mut self, quantile: f64) {
+        self.quantile = quantile;
+        self.refresh();
+    }
+
+    /// Counts the latency of an answer.
+    pub(crate) fn record(&mut self, latency_us: u32, now: Millis) {
+        self.weights[bucket_of(latency_us)] += 1.0;
+        self.total += 1.0;
+        if self.total >= FULL_WEIGHT || now.since(self.halved_at) >= HALVING_MS {
+            self.halve(now);
+        }
+        self.since_refresh += 1;
+        if self.since_refresh >= REFRESH_SAMPLES {
+            self.refresh();
+        }
+    }
+
+    /// Counts an attempt that was given up unanswered after this time.
+    ///
+    /// Lost hedges are the slow ones. Leaving them out would pull the quantile
+    /// down, start hedges sooner and lose more of them. Below the quantile the
+    /// bound says nothing and is left out.
+    pub(crate) fn record_lower_bound(&mut self, latency_us: u32, now: Millis) {
+        if self
+            .cached_quantile_us
+            .is_none_or(|known_us| latency_us < known_us)
+        {
+            return;
+        }
+        self.record(latency_us, now);
+    }
+
+    /// The quantile in microseconds, once enough is known.
+    pub(crate) fn quantile_us(&self) -> Option<u32> {
+        self.cached_quantile_us
+    }
+
+    /// The median in microseconds, once enough is known.
+    pub(crate) fn median_us(&self) -> Option<u32> {
+        self.cached_median_us
+    }
+
+    fn halve(&mut self, now: Millis) {
+        self.total = 0.0;
+        for weight in self.weights.iter_mut() {
+            *weight *= 0.5;
+            self.total += *weight;
+        }
+        self.halved_at = now;
+    }
+
+    fn refresh(&mut self) {
+        self.since_refresh = 0;
+        self.cached_quantile_us = self.upper_edge_at(self.quantile);
+        self.cached_median_us = self.upper_edge_at(MEDIAN);
+    }
+
+    fn upper_edge_at(&self, quantile: f64) -> Option<u32> {
+        if self.total < MIN_WEIGHT {
+            return None;
+        }
+        let wanted = self.total * quantile as f32;
+        let mut seen = 0.0;
+        for (bucket, weight) in self.weights.iter().enumerate() {
+            seen += weight;
+            if *weight > 0.0 && seen >= wanted {
+                return Some(upper_edge_us(bucket));
+            }
+        }
+        None
+    }
+}
+
+/// The octave from the highest bit, the place within it from the next bits.
+fn bucket_of(latency_us: u32) -> usize {
+    let value = latency_us.max(1);
+    let octave = value.ilog2();
+    let place = if octave >= OCTAVE_BITS {
+        value >> (octave - OCTAVE_BITS)
+    } else {
+        value << (OCTAVE_BITS - octave)
+    };
+    octave as usize * BUCKETS_PER_OCTAVE + (place as usize - BUCKETS_PER_OCTAVE)
+}
+
+fn upper_edge_us(bucket: usize) -> u32 {
+    let octave = (bucket / BUCKETS_PER_OCTAVE) as u32;
+    let place = (bucket % BUCKETS_PER_OCTAVE + BUCKETS_PER_OCTAVE + 1) as u64;
+    let edge = (place << octave) >> OCTAVE_BITS;
+    u32::try_from(edge.max(1)).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/core/src/entry/picker.rs
@@ -0,0 +1,127 @@
+//! Choosing one target out of a tier.
+
+use rand::RngExt;
+use rand::rngs::Xoshiro256PlusPlus;
+
+use crate::entry::TargetIndex;
+use crate::entry::score::Typical;
+use crate::entry::table::TargetTable;
+use crate::prelude::*;
+
+/// Up to this many targets are all compared; above, two random ones, because
+/// the cost of a pick must not grow with the service and because two entries
+/// with the same picture then rarely choose alike.
+const COMPARE_ALL_UP_TO: usize = 8;
+/// Draws for two targets before giving up on drawing.
+const MAX_DRAWS: usize = 16;
+/// Scores that differ by less than this share count as tied.
+const TIE_SHARE: f32 = 0.1;
+
+/// All that a choice depends on but the tier itself.
+pub(crate) struct Choice<'a> {
+    pub(crate) table: &'a TargetTable,
+    pub(crate) typical: &'a Typical,
+    pub(crate) policy: &'a ServicePolicy,
+    pub(crate) exclude: &'a [TargetIndex],
+    pub(crate) now: Millis,
+}
+
+impl Choice<'_> {
+    /// The target of `tier` with the lowest expected time, ties broken by
+    /// chance; `None` when all are excluded.
+    pub(crate) fn choose(&self, tier: &[u32], rng: &mut Xoshiro256PlusPlus) -> Option<TargetIndex> {
+        if tier.len() <= COMPARE_ALL_UP_TO {
+            return self.best_of_all(tier, rng);
+        }
+        self.best_of_two(tier, rng)
+    }
+
+    fn best_of_all(&self, tier: &[u32], rng: &mut Xoshiro256PlusPlus) -> Option<TargetIndex> {
+        let mut best = None;
+        let mut best_held_back = None;
+        for index in tier {
+            if self.is_excluded(*index) {
+                continue;
+            }
+            let ramp = self.ramp(*index);
+            let cost = self.cost(*index, ramp, rng);
+            if is_held_back(ramp, rng) {
+                keep_lower(&mut best_held_back, *index, cost);
+                continue;
+            }
+            keep_lower(&mut best, *index, cost);
+        }
+        let (index, _) = best.or(best_held_back)?;
+        Some(TargetIndex(index))
+    }
+
+    fn best_of_two(&self, tier: &[u32], rng: &mut Xoshiro256PlusPlus) -> Option<TargetIndex> {
+        let mut best = None;
+        let mut first = None;
+        for _ in 0..MAX_DRAWS {
+            let index = tier[rng.random_range(0..tier.len())];
+            if first == Some(index) || self.is_excluded(index) {
+                continue;
+            }
+            let ramp = self.ramp(index);
+            if is_held_back(ramp, rng) {
+                continue;
+            }
+            keep_lower(&mut best, index, self.cost(index, ramp, rng));
+            if first.is_some() {
+                break;
+            }
+            first = Some(index);
+        }
+        match best {
+            Some((index, _)) => Some(TargetIndex(index)),
+            None => self.next_from_random_place(tier, rng),
+        }
+    }
+
+    fn next_from_random_place(
+        &self,
+        tier: &[u32],
+        rng: &mut Xoshiro256PlusPlus,
+    ) -> Option<TargetIndex> {
+        let (before, after) = tier.split_at(rng.random_range(0..tier.len()));
+        for index in after.iter().chain(before) {
+            if self.is_excluded(*index) {
+                continue;
+            }
+            return Some(TargetIndex(*index));
+        }
+        None
+    }
+
+    fn cost(&self, index: u32, ramp: f32, rng: &mut Xoshiro256PlusPlus) -> f32 {
+        let target = self.table.at(index);
+        let belief = target.belief(self.typical, self.policy.slots, ramp, self.now);
+        belief.expected_us(self.typical) * (1.0 + TIE_SHARE * rng.random::<f32>())
+    }
+
+    fn ramp(&self, index: u32) -> f32 {
+        if self.table.all_warm(self.now) {
+            return 1.0;
+        }
+        let target = self.table.at(index);
+        self.table
+            .relative_ramp(target, self.policy.cold_ramp_ms, self.now)
+    }
+
+    fn is_excluded(&self, index: u32) -> bool {
+        self.exclude.contains(&TargetIndex(index))
+    }
+}
+
+/// A cold target stays out of most choices. Its score alone would not do: it
+/// is empty, so every entry would find it the best one.
+fn is_held_back(ramp: f32, rng: &mut Xoshiro256PlusPlus) -> bool {
+    ramp < 1.0 && rng.random::<f32>() >= ramp
+}
+
+fn keep_lower(best: &mut Option<(u32, f32)>, index: u32, cost: f32) {
+    if best.is_none_or(|(_, known)| cost < known) {
+        *best = Some((index, cost));
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/table.rs
@@ -0,0 +1,258 @@
+//! All targets of a service, and which of them may be used now.
+
+use std::collections::HashMap;
+
+use crate::entry::TargetIndex;
+use crate::entry::ejection::max_ejected;
+use crate::entry::target::{Target, Tier};
+use crate::entry::target_stats::ramp_after;
+use crate::prelude::*;
+
+/// Targets by index, sorted into tiers.
+///
+/// The tiers are lists that are rebuilt when a target changes its tier, which
+/// is rare, so that a pick reads a list and asks no target whether it may be
+/// used.
+#[derive(Debug)]
+pub(crate) struct TargetTable {
+    targets: Vec<Target>,
+    by_vm: HashMap<VmId, u32>,
+    free: Vec<u32>,
+    pub(crate) ready: Vec<u32>,
+    pub(crate) doubtful: Vec<u32>,
+    pub(crate) ejected: Vec<u32>,
+    /// The earliest trial that is due; `MAX` when none is.
+    next_trial_at: Millis,
+    /// When the warmest target that takes work was first seen.
+    oldest_seen: Millis,
+    /// When the coldest target will be warm.
+    warm_at: Millis,
+}
+
+impl TargetTable {
+    pub(crate) fn new() -> Self {
+        Self {
+            targets: Vec::new(),
+            by_vm: HashMap::new(),
+            free: Vec::new(),
+            ready: Vec::new(),
+            doubtful: Vec::new(),
+            ejected: Vec::new(),
+            next_trial_at: Millis::MAX,
+            oldest_seen: Millis::MAX,
+            warm_at: Millis::ZERO,
+        }
+    }
+
+    /// Takes over the targets of a view; others are kept only while attempts
+    /// there are open.
+    pub(crate) fn update(&mut self, view: &ServiceView, now: Millis) {
+        for target in &mut self.targets {
+            target.view_place = None;
+        }
+        for (place, target_view) in view.targets.iter().enumerate() {
+            let index = self.index_for(target_view, now);
+            self.targets[index as usize].update(target_view, place as u32, now);
+        }
+        for index in 0..self.targets.len() {
+            self.release_if_gone(index as u32);
+        }
+        self.rebuild(&view.policy, now);
+    }
+
+    pub(crate) fn get(&self, index: TargetIndex) -> Option<&Target> {
+        self.targets.get(index.0 as usize)
+    }
+
+    pub(crate) fn get_mut(&mut self, index: TargetIndex) -> Option<&mut Target> {
+        self.targets.get_mut(index.0 as usize)
+    }
+
+    /// The target behind a number out of a tier.
+    pub(crate) fn at(&self, index: u32) -> &Target {
+        &self.targets[index as usize]
+    }
+
+    pub(crate) fn find(&self, vm: &VmId) -> Option<TargetIndex> {
+        self.by_vm.get(vm).map(|index| TargetIndex(*index))
+    }
+
+    /// Targets that take work, those under trial included.
+    pub(crate) fn open_targets(&self) -> usize {
+        if self.ready.is_empty() {
+            return self.doubtful.len() + self.ejected.len();
+        }
+        self.ready.len() + self.ejected.len()
+    }
+
+    /// The targets that first attempts go to.
+    pub(crate) fn first_tier(&self) -> &[u32] {
+        if self.ready.is_empty() {
+            return &self.doubtful;
+        }
+        &self.ready
+    }
+
+    /// Whether every target has its full share.
+    pub(crate) fn all_warm(&self, now: Millis) -> bool {
+        now >= self.warm_at
+    }
+
+    /// A target's ramp relative to the warmest one: where all are equally new,
+    /// as when this node has just started, nothing is held back.
+    pub(crate) fn relative_ramp(&self, target: &Target, ramp_ms: Millis, now: Millis) -> f32 {
+        let warmest = ramp_after(now.since(self.oldest_seen), ramp_ms);
+        (target.stats.ramp(ramp_ms, now) / warmest).min(1.0)
+    }
+
+    /// An ejected target whose trial is due; it is marked as under trial.
+    pub(crate) fn start_due_trial(&mut self, now: Millis) -> Option<TargetIndex> {
+        if now < self.next_trial_at {
+            return None;
+        }
+        for place in 0..self.ejected.len() {
+            let index = self.ejected[place];
+            let target = &mut self.targets[index as usize];
+            if target.is_doubtful() {
+                continue;
+            }
+            if target.health.trial_at().is_none_or(|at| now < at) {
+                continue;
+            }
+            target.health.start_trial();
+            self.find_next_trial();
+            return Some(TargetIndex(index));
+        }
+        self.find_next_trial();
+        None
+    }
+
+    /// Forgets a target that has left the view, once nothing is open there.
+    pub(crate) fn release_if_gone(&mut self, index: u32) {
+        let target = &self.targets[index as usize];
+        if target.view_place.is_some() || target.stats.in_flight() > 0 {
+            return;
+        }
+        if self.by_vm.get(&target.vm) != Some(&index) {
+            return;
+        }
+        self.by_vm.remove(&target.vm);
+        self.free.push(index);
+    }
+
+    /// Ejects a target that deserves it, if the share allows; when it is used
+    /// up, a much worse target takes the place of the least bad one.
+    pub(crate) fn eject_if_deserved(
+        &mut self,
+        index: TargetIndex,
+        policy: &ServicePolicy,
+        now: Millis,
+    ) {
+        let target = &self.targets[index.0 as usize];
+        if target.tier() == Tier::Closed || !target.health.deserves_ejection(&policy.ejection) {
+            return;
+        }
+        let taking_work = self.ready.len() + self.doubtful.len() + self.ejected.len();
+        let allowed = max_ejected(taking_work, policy.ejection.max_ejected_share);
+        if self.ejected.len() >= allowed {
+            let Some(least_bad) = self.least_bad_ejected() else {
+                return;
+            };
+            let ejected = &self.targets[least_bad as usize].health;
+            if !target.health.is_much_worse_than(ejected) {
+                return;
+            }
+            self.targets[least_bad as usize].health.readmit(now);
+        }
+        let target = &mut self.targets[index.0 as usize];
+        target.health.eject(&policy.ejection, now);
+        self.rebuild(policy, now);
+    }
+
+    /// Sorts the targets into tiers anew.
+    pub(crate) fn rebuild(&mut self, policy: &ServicePolicy, now: Millis) {
+        self.sort_into_tiers();
+        self.readmit_above_share(policy, now);
+        self.find_next_trial();
+        self.find_ramp_times(policy.cold_ramp_ms);
+    }
+
+    fn index_for(&mut self, view: &TargetView, now: Millis) -> u32 {
+        if let Some(index) = self.by_vm.get(&view.vm) {
+            return *index;
+        }
+        let index = match self.free.pop() {
+            Some(index) => {
+                let life = self.targets[index as usize].life.wrapping_add(1);
+                self.targets[index as usize] = Target::new(view, life, now);
+                index
+            }
+            None => {
+                self.targets.push(Target::new(view, 0, now));
+                (self.targets.len() - 1) as u32
+            }
+        };
+        self.by_vm.insert(view.vm.clone(), index);
+        index
+    }
+
+    fn sort_into_tiers(&mut self) {
+        self.ready.clear();
+        self.doubtful.clear();
+        self.ejected.clear();
+        for (index, target) in self.targets.iter().enumerate() {
+            let list = match target.tier() {
+                Tier::Ready => &mut self.ready,
+                Tier::Doubtful => &mut self.doubtful,
+                Tier::Ejected => &mut self.ejected,
+                Tier::Closed => continue,
+            };
+            list.push(index as u32);
+        }
+    }
+
+    /// Failure answered: one target is ejected, then the others leave; the
+    /// service would be refused although a target is there.
+    fn readmit_above_share(&mut self, policy: &ServicePolicy, now: Millis) {
+        loop {
+            let taking_work = self.ready.len() + self.doubtful.len() + self.ejected.len();
+            let allowed = max_ejected(taking_work, policy.ejection.max_ejected_share);
+            if self.ejected.len() <= allowed {
+                return;
+            }
+            let Some(least_bad) = self.least_bad_ejected() else {
+                return;
+            };
+            self.targets[least_bad as usize].health.readmit(now);
+            self.sort_into_tiers();
+        }
+    }
+
+    fn least_bad_ejected(&self) -> Option<u32> {
+        let failures = |index: &&u32| self.at(**index).health.consecutive_failures();
+        self.ejected.iter().min_by_key(failures).copied()
+    }
+
+    pub(crate) fn find_next_trial(&mut self) {
+        self.next_trial_at = Millis::MAX;
+        for index in &self.ejected {
+            let target = &self.targets[*index as usize];
+            if target.is_doubtful() {
+                continue;
+            }
+            if let Some(at) = target.health.trial_at() {
+                self.next_trial_at = self.next_trial_at.min(at);
+            }
+        }
+    }
+
+    fn find_ramp_times(&mut self, cold_ramp_ms: Millis) {
+        self.oldest_seen = Millis::MAX;
+        self.warm_at = Millis::ZERO;
+        for index in self.ready.iter().chain(&self.doubtful) {
+            let seen = self.targets[*index as usize].stats.first_seen();
+            self.oldest_seen = self.oldest_seen.min(seen);
+            self.warm_at = self.warm_at.max(seen + cold_ramp_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/target_stats.rs
@@ -0,0 +1,301 @@
+//! What an entry has learnt about one target in its present life.
+
+use crate::entry::score::{Belief, Typical, fade};
+use crate::prelude::*;
+
+/// Time after which half of an unusual service time is forgotten, so that a
+/// target that was slow is tried again.
+const SERVICE_HALF_LIFE_MS: f32 = 2_000.0;
+/// Time after which half of the memory of failures is forgotten.
+const FAILURE_HALF_LIFE_MS: f32 = 2_000.0;
+/// Weight of the newest outcome in the failure rate.
+const FAILURE_WEIGHT: f32 = 0.25;
+/// Weight of the newest latency in the service time.
+const SERVICE_WEIGHT: f32 = 0.125;
+/// The own measurement includes queueing and the network's moods; only beyond
+/// this multiple does it override what the gate measured.
+const OWN_OVER_REPORTED: f32 = 2.0;
+/// Share of a warm target's work that a cold one starts with.
+const MIN_RAMP: f32 = 0.1;
+
+/// A load report, and what of it was this entry's own doing.
+#[derive(Clone, Copy, Debug)]
+struct KnownLoad {
+    report: LoadReport,
+    heard_at: Millis,
+    own_in_flight: u32,
+}
+
+impl KnownLoad {
+    fn ratio(&self) -> f32 {
+        let outstanding = self.report.in_flight.saturating_add(self.report.queued);
+        outstanding as f32 / self.report.limit.max(1) as f32
+    }
+
+    /// Load that others had put on the target, as a multiple of its limit.
+    fn others_ratio(&self) -> f32 {
+        let outstanding = self.report.in_flight.saturating_add(self.report.queued);
+        let others = outstanding.saturating_sub(self.own_in_flight);
+        others as f32 / self.report.limit.max(1) as f32
+    }
+}
+
+/// A smoothed value and when it last changed.
+#[derive(Clone, Copy, Debug)]
+struct Aged {
+    value: f32,
+    at: Millis,
+}
+
+/// Counters and smoothed values of one target.
+#[derive(Clone, Debug)]
+pub(crate) struct TargetStats {
+    in_flight: u32,
+    /// When an attempt last ended, or the first of the open ones started.
+    progress_at: Millis,
+    first_seen: Millis,
+    load: Option<KnownLoad>,
+    own_service_us: Option<Aged>,
+    failure: Aged,
+    refused_at: Option<Millis>,
+}
+
+impl TargetStats {
+    pub(crate) fn new(now: Millis) -> Self {
+        Self {
+            in_flight: 0,
+            progress_at: now,
+            first_seen: now,
+            load: None,
+            own_service_us: None,
+            failure: Aged {
+                value: 0.0,
+                at: now,
+            },
+            refused_at: None,
+        }
+    }
+
+    /// Forgets everything about a former life but the attempts still open,
+    /// which stay exact because each will be ended.
+    pub(crate) fn reset(&mut self, now: Millis) {
+        let in_flight = self.in_flight;
+        *self = Self::new(now);
+        self.in_flight = in_flight;
+    }
+
+    /// Lets the share grow from its start again; what is known stays.
+    pub(crate) fn restart_ramp(&mut self, now: Millis) {
+        self.first_seen = now;
+        self.failure.value = 0.0;
+    }
+
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    pub(crate) fn first_seen(&self) -> Millis {
+        self.first_seen
+    }
+
+    /// The newest report of the present life.
+    pub(crate) fn report(&self) -> Option<&LoadReport> {
+        self.load.as_ref().map(|known| &known.report)
+    }
+
+    /// The service time that the gate measured, once it has.
+    pub(crate) fn reported_service_us(&self) -> Option<f32> {
+        let reported_us = self.report()?.service_time_us;
+        (reported_us > 0).then_some(reported_us as f32)
+    }
+
+    pub(crate) fn start_attempt(&mut self, now: Millis) {
+        if self.in_flight == 0 {
+            self.progress_at = now;
+        }
+        self.in_flight += 1;
+    }
+
+    pub(crate) fn end_attempt(&mut self, now: Millis) {
+        debug_assert!(self.in_flight > 0, "every pick is ended exactly once");
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.progress_at = now;
+    }
+
+    /// Whether a report was overtaken by another on its way here.
+    pub(crate) fn knows_newer_than(&self, report: &LoadReport) -> bool {
+        self.report()
+            .is_some_and(|known| known.gate_clock_ms > report.gate_clock_ms)
+    }
+
+    /// Takes the newest report of the present life.
+    pub(crate) fn hear(&mut self, report: &LoadReport, heard_at: Millis) {
+        self.load = Some(KnownLoad {
+            report: *report,
+            heard_at,
+            own_in_flight: self.in_flight,
+        });
+    }
+
+    /// Load that others had by the newest report.
+    pub(crate) fn others_ratio(&self) -> Option<f32> {
+        self.load.map(|known| known.others_ratio())
+    }
+
+    /// Everything outstanding by the newest report, as a multiple of the limit;
+    /// 0 when the report is older than `oldest`.
+    pub(crate) fn reported_ratio_within(&self, oldest: Millis, now: Millis) -> f32 {
+        match &self.load {
+            Some(known) if now.since(known.heard_at) <= oldest => known.ratio(),
+            _ => 0.0,
+        }
+    }
+
+    /// Learns from an answer; `service_us` has distance taken off.
+    pub(crate) fn learn_success(&mut self, service_us: f32, now: Millis) {
+        self.learn_outcome(0.0, now);
+        self.learn_own_service(service_us, now);
+    }
+
+    pub(crate) fn learn_failure(&mut self, now: Millis) {
+        self.learn_outcome(1.0, now);
+    }
+
+    /// Takes the target to fail for certain, as when nothing listens there.
+    pub(crate) fn learn_absence(&mut self, now: Millis) {
+        self.failure = Aged {
+            value: 1.0,
+            at: now,
+        };
+    }
+
+    /// Learns that an answer would have taken at least this long.
+    pub(crate) fn learn_lower_bound(&mut self, service_us: f32, now: Millis) {
+        if self
+            .own_service_us
+            .is_some_and(|known| known.value >= service_us)
+        {
+            return;
+        }
+        self.learn_own_service(service_us, now);
+    }
+
+    pub(crate) fn learn_refusal(&mut self, now: Millis) {
+        self.refused_at = Some(now);
+    }
+
+    /// The latency without the waiting that load explains.
+    ///
+    /// The picture of load in force when the answer came is used to take the
+    /// wait out again, the inverse of what a pick will put in.
+    pub(crate) fn unloaded_us(&self, latency_us: f32, limit: u32) -> f32 {
+        let others = self.others_ratio().unwrap_or(0.0);
+        let own = self.in_flight as f32 / limit.max(1) as f32;
+        latency_us / (1.0 + others + own)
+    }
+
+    /// Share of a warm target's work that this one may get, from its age.
+    pub(crate) fn ramp(&self, cold_ramp_ms: Millis, now: Millis) -> f32 {
+        ramp_after(now.since(self.first_seen), cold_ramp_ms)
+    }
+
+    pub(crate) fn failure_rate(&self, now: Millis) -> f32 {
+        let age = now.since(self.failure.at);
+        self.failure.value * fade(age, FAILURE_HALF_LIFE_MS)
+    }
+
+    /// Everything outstanding there as a multiple of its limit: own attempts
+    /// exactly, those of others from the report as far as it can be believed.
+    ///
+    /// Failure answered: many entries hear that one target is empty and all
+    /// send there until the next report. Own sends count at once, and what the
+    /// report says of others fades into the typical load, where all look alike.
+    pub(crate) fn load_ratio(&self, typical: &Typical, slots: u32, now: Millis) -> f32 {
+        let limit = self.limit(slots);
+        let own = self.in_flight as f32 / limit as f32;
+        let Some(known) = &self.load else {
+            return own + typical.load_ratio();
+        };
+        let age = now.since(known.heard_at);
+        let left = fade(age, typical.load_half_life_ms());
+        let others = known.others_ratio() * left + typical.load_ratio() * (1.0 - left);
+        own + others
+    }
+
+    /// The gate's limit as last heard, at first the policy's slots.
+    pub(crate) fn limit(&self, slots: u32) -> u32 {
+        match self.report() {
+            Some(report) => report.limit.max(1),
+            None => slots.max(1),
+        }
+    }
+
+    /// Everything believed at this moment but for the network and the ramp.
+    pub(crate) fn belief(&self, typical: &Typical, slots: u32, now: Millis) -> Belief {
+        Belief {
+            load_ratio: self.load_ratio(typical, slots, now),
+            relative_service: self.relative_service(typical, now),
+            stalled: self.stalled(now),
+            failure: self.failure_rate(now),
+            refused: self.refused(typical, now),
+            ramp: 1.0,
+            round_trip_us: 0.0,
+        }
+    }
+
+    fn learn_outcome(&mut self, outcome: f32, now: Millis) {
+        let rate = self.failure_rate(now);
+        self.failure = Aged {
+            value: rate + (outcome - rate) * FAILURE_WEIGHT,
+            at: now,
+        };
+    }
+
+    fn learn_own_service(&mut self, service_us: f32, now: Millis) {
+        let value = match self.own_service_us {
+            Some(known) => known.value + (service_us - known.value) * SERVICE_WEIGHT,
+            None => service_us,
+        };
+        self.own_service_us = Some(Aged { value, at: now });
+    }
+
+    /// Service time as a multiple of the typical one, fading towards 1.
+    fn relative_service(&self, typical: &Typical, now: Millis) -> f32 {
+        let typical_us = typical.service_us();
+        let (measured_us, at) = match (self.own_service_us, &self.load) {
+            (None, None) => return 1.0,
+            (Some(own), None) => (own.value, own.at),
+            (None, Some(known)) => (known.report.service_time_us as f32, known.heard_at),
+            (Some(own), Some(known)) => {
+                let reported_us = known.report.service_time_us as f32;
+                let measured_us = reported_us.max(own.value / OWN_OVER_REPORTED);
+                (measured_us, own.at.max(known.heard_at))
+            }
+        };
+        let left = fade(now.since(at), SERVICE_HALF_LIFE_MS);
+        1.0 + (measured_us / typical_us - 1.0) * left
+    }
+
+    /// A lower bound on the age of the oldest open attempt.
+    fn stalled(&self, now: Millis) -> Millis {
+        if self.in_flight == 0 {
+            return Millis::ZERO;
+        }
+        now.since(self.progress_at)
+    }
+
+    fn refused(&self, typical: &Typical, now: Millis) -> f32 {
+        match self.refused_at {
+            Some(at) => fade(now.since(at), typical.load_half_life_ms()),
+            None => 0.0,
+        }
+    }
+}
+
+/// The share of a warm target's work after `age`, growing evenly.
+pub(crate) fn ramp_after(age: Millis, cold_ramp_ms: Millis) -> f32 {
+    if age >= cold_ramp_ms {
+        return 1.0;
+    }
+    (age.0 as f32 / cold_ramp_ms.0 as f32).max(MIN_RAMP)
+}
