--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -1,8 +1,55 @@
 //! The gate's side of a call: admission, the queue, records of tickets.
+//!
+//! One [`Gate`] stands before one target and decides about every call to it:
+//!
+//! - [`Gate::arrive`] runs, holds, joins, replays or refuses;
+//! - [`Gate::finish`], [`Gate::abandon`] and [`Gate::tick`] return what becomes
+//!   of held calls;
+//! - [`Gate::fence`] settles a key whose sender lost its stream.
+//!
+//! `arrive`, `fence` and `update` may also decide about other calls than the
+//! one they answer (one is displaced, one gets its turn). Those decisions wait
+//! in [`Gate::take_wakes`], which the driver calls after each of the three.
+//!
+//! Time never runs backwards here: a `now` that lies before one already seen,
+//! as read by a thread that was paused before it got the lock, counts as the
+//! later one. A record forgotten at its ticket's expiry can therefore never be
+//! followed by an arrival from before that expiry.
+//!
+//! Notes: `docs/design/at-most-once.md`, `admission.md`, `crash-requests.md`.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use crate::prelude::*;
+use crate::suspects::{SuspectEntry, SuspectSet, Suspects};
+
+mod admission;
+mod backoff;
+mod crash;
+mod fence;
+mod limit;
+mod pump;
+mod quarantine;
+mod queue;
+mod records;
+mod run;
+mod service_time;
+mod ticketed;
+
+#[cfg(test)]
+mod tests;
+
+use backoff::Backoff;
+use crash::CrashEvidence;
+use limit::ConcurrencyLimit;
+use quarantine::Quarantine;
+use queue::Queue;
+use records::Records;
+use run::{Phase, Run};
+use service_time::ServiceTimes;
+
+pub use crash::CrashReport;
 
 /// What a gate knows about itself.
 #[derive(Clone, Debug)]
@@ -125,74 +172,206 @@
 /// One gate with its target.
 #[derive(Debug)]
 pub struct Gate {
-    _settings: GateSettings,
+    settings: GateSettings,
+    policy: Arc<ServicePolicy>,
+    /// The latest time seen.
+    now: Millis,
+    leaving: bool,
+    /// The longest validity of tickets that any policy of this life allowed.
+    longest_ticket_ttl: Millis,
+    records: Records,
+    queue: Queue,
+    quarantine: Quarantine,
+    crash_evidence: CrashEvidence,
+    limit: ConcurrencyLimit,
+    service_times: ServiceTimes,
+    backoff: Backoff,
+    /// What the fleet knows of suspects.
+    fleet_suspects: Arc<SuspectSet>,
+    /// What this gate saw itself; in force before the fleet has heard of it.
+    own_suspects: Suspects,
+    cleared: Vec<SuspectEntry>,
+    /// Calls held or running.
+    runs: HashMap<RunId, Run>,
+    in_flight: u32,
+    last_run: u64,
+    wakes: Vec<Wake>,
 }
 
 impl Gate {
     /// A gate without calls; it admits once a policy is known.
     #[must_use]
-    pub fn new(settings: GateSettings, _policy: Arc<ServicePolicy>, _now: Millis) -> Self {
+    pub fn new(settings: GateSettings, policy: Arc<ServicePolicy>, now: Millis) -> Self {
         Self {
-            _settings: settings,
+            now,
+            leaving: false,
+            longest_ticket_ttl: policy.ticket_ttl_ms,
+            records: Records::default(),
+            queue: Queue::default(),
+            quarantine: Quarantine::default(),
+            crash_evidence: CrashEvidence::default(),
+            limit: ConcurrencyLimit::new(&policy, now),
+            service_times: ServiceTimes::default(),
+            backoff: Backoff::new(settings.seed),
+            fleet_suspects: Arc::default(),
+            own_suspects: Suspects::new(),
+            cleared: Vec::new(),
+            runs: HashMap::new(),
+            in_flight: 0,
+            last_run: 0,
+            wakes: Vec::new(),
+            settings,
+            policy,
         }
     }
 
-    /// Takes over a changed policy; calls in hand are not touched.
-    pub fn update(&mut self, _policy: Arc<ServicePolicy>, _now: Millis) {
-        todo!()
+    /// Takes over a changed policy; calls in hand are not touched, but a raised
+    /// limit may start some. Call [`Self::take_wakes`] afterwards.
+    pub fn update(&mut self, policy: Arc<ServicePolicy>, now: Millis) {
+        let now = self.advance(now);
+        self.longest_ticket_ttl = self.longest_ticket_ttl.max(policy.ticket_ttl_ms);
+        self.limit.update(&policy);
+        self.policy = policy;
+        self.pump(now);
     }
 
     /// Takes over the requests suspected by the fleet.
-    pub fn update_suspects(&mut self, _suspects: Arc<crate::suspects::SuspectSet>) {
-        todo!()
+    pub fn update_suspects(&mut self, suspects: Arc<SuspectSet>) {
+        self.fleet_suspects = suspects;
     }
 
-    /// Decides about a call that has arrived.
-    pub fn arrive(&mut self, _arrival: &Arrival<'_>, _now: Millis) -> Verdict {
-        todo!()
+    /// Decides about a call that has arrived. Call [`Self::take_wakes`]
+    /// afterwards.
+    ///
+    /// A call without a ticket that is refused leaves nothing behind. A
+    /// ticketed call that is refused as "not run" never runs later, whatever
+    /// late duplicates of it arrive.
+    pub fn arrive(&mut self, arrival: &Arrival<'_>, now: Millis) -> Verdict {
+        let now = self.advance(now);
+        self.pump(now);
+        let verdict = match arrival.ticket {
+            Some(ticket) => self.arrive_ticketed(ticket, arrival, now),
+            None => self.arrive_plain(arrival, now),
+        };
+        if matches!(verdict, Verdict::Wait(_)) {
+            self.pump(now);
+        }
+        verdict
     }
 
-    /// Ends a run. Exactly once for each run that was started.
+    /// Ends a run. Exactly once for each run that was started; for a run that
+    /// is not running, nothing happens.
+    ///
+    /// A call whose [`Wake::Start`] came too late for its caller, and of which
+    /// nothing was sent, is ended with [`RunEnd::NotRun`].
     pub fn finish(
         &mut self,
-        _run: RunId,
-        _end: RunEnd,
-        _service_time_us: u32,
-        _now: Millis,
+        run: RunId,
+        end: RunEnd,
+        service_time_us: u32,
+        now: Millis,
     ) -> Vec<Wake> {
-        todo!()
+        let now = self.advance(now);
+        if let Some(ended) = self.take_running(run) {
+            self.learn(&ended, &end, service_time_us, now);
+            self.settle_ended(run, &ended, end);
+        }
+        self.pump(now);
+        self.take_wakes()
     }
 
-    /// The caller of a held call has left before it was started.
-    pub fn abandon(&mut self, _run: RunId, _now: Millis) -> Vec<Wake> {
-        todo!()
+    /// A caller of a held call (its first or one that joined) has left before
+    /// it was started. When the last one leaves, the call is dropped, and
+    /// fenced if it has a ticket.
+    ///
+    /// Nothing happens to a run that was started: a ticketed one goes on, so
+    /// that its answer is stored; the driver cancels an idempotent one by
+    /// [`RunEnd::Cancelled`].
+    pub fn abandon(&mut self, run: RunId, now: Millis) -> Vec<Wake> {
+        let now = self.advance(now);
+        self.leave_held(run);
+        self.pump(now);
+        self.take_wakes()
     }
 
-    /// Refuses held calls whose deadline cannot be met; forgets expired records.
-    pub fn tick(&mut self, _now: Millis) -> Vec<Wake> {
-        todo!()
+    /// Refuses held calls whose deadline cannot be met; forgets expired
+    /// records; starts what a grown limit allows. To be called every few
+    /// milliseconds.
+    pub fn tick(&mut self, now: Millis) -> Vec<Wake> {
+        let now = self.advance(now);
+        self.records.purge(now);
+        self.own_suspects.tick(now);
+        self.refuse_hopeless(now);
+        self.pump(now);
+        self.take_wakes()
     }
 
-    /// Settles a key as far as it can be settled; see [`FenceAnswer`].
-    pub fn fence(&mut self, _ticket: &Ticket, _now: Millis) -> FenceAnswer {
-        todo!()
+    /// Decisions about held calls that [`Self::arrive`], [`Self::fence`] and
+    /// [`Self::update`] left. Every other method that returns wakes returns
+    /// these as well. Does not allocate when there are none.
+    #[must_use]
+    pub fn take_wakes(&mut self) -> Vec<Wake> {
+        std::mem::take(&mut self.wakes)
+    }
+
+    /// A refusal with this code and the present time to stay away, for answers
+    /// that the driver itself gives (no connection to the target, say).
+    pub fn refusal(&mut self, code: ResultCode) -> Refusal {
+        Refusal::retry_after(code, self.backoff.draw())
     }
 
     /// The report that rides on answers and control messages.
     #[must_use]
-    pub fn load(&self, _now: Millis) -> LoadReport {
-        todo!()
+    pub fn load(&self, now: Millis) -> LoadReport {
+        let now = self.now.max(now);
+        LoadReport {
+            in_flight: self.in_flight,
+            queued: narrow(self.queue.len() + self.quarantine.len()),
+            limit: self.limit.current(now),
+            service_time_us: self.service_times.overall_us() as u32,
+            gate_clock_ms: now,
+            incarnation: self.settings.incarnation,
+            leaving: self.leaving,
+        }
     }
 
     /// From now on (or no longer) refuses new work; what is held or running
     /// is finished.
-    pub fn set_leaving(&mut self, _leaving: bool) {
-        todo!()
+    pub const fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
     }
 
     /// Calls held or running; a graceful shutdown ends at zero.
     #[must_use]
     pub fn in_hand(&self) -> usize {
-        todo!()
+        self.runs.len()
     }
+
+    /// Records of ticketed calls now held.
+    #[must_use]
+    pub fn record_count(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Bytes of stored answers now held.
+    #[must_use]
+    pub const fn stored_bytes(&self) -> u64 {
+        self.records.stored_bytes()
+    }
+
+    fn advance(&mut self, now: Millis) -> Millis {
+        self.now = self.now.max(now);
+        self.now
+    }
+
+    fn arrive_plain(&mut self, arrival: &Arrival<'_>, now: Millis) -> Verdict {
+        match self.admit(arrival, now) {
+            Ok(admission) => self.enlist(arrival, admission, now),
+            Err(refusal) => Verdict::Refuse(refusal),
+        }
+    }
+}
+
+fn narrow(value: usize) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
 }
--- /dev/null
+++ b/crates/core/src/gate/admission.rs
@@ -0,0 +1,146 @@
+//! Admission: run now, hold, or refuse at once.
+
+use super::run::Admission;
+use super::{Arrival, Gate};
+use crate::prelude::*;
+use crate::suspects::{NO_FINGERPRINT, Standing};
+
+/// A predicted wait of up to this many service times is accepted ...
+const MAX_WAIT_SERVICE_TIMES: f64 = 3.0;
+/// ... or of this long, so that a stall of a noisy neighbour (5 to 50 ms) is
+/// sat out in the queue.
+const MIN_WAIT_BOUND_US: f64 = 50_000.0;
+/// Share of what is left of its deadline that a call may spend waiting.
+const MAX_WAIT_SHARE: f64 = 0.5;
+/// A call is hopeless when less is left than this share of what is predicted.
+/// Predictions are averages, and half of all calls are faster than usual.
+const HOPELESS_SHARE: f64 = 0.5;
+/// When the sender of a convicted request may ask again.
+const CONVICTED_RETRY_AFTER: Millis = Millis::from_secs(600);
+
+const US_PER_MS: f64 = 1_000.0;
+
+impl Gate {
+    /// Decides about a new call.
+    pub(super) fn admit(
+        &mut self,
+        arrival: &Arrival<'_>,
+        now: Millis,
+    ) -> Result<Admission, Refusal> {
+        if self.leaving {
+            return Err(self.refusal(ResultCode::Leaving));
+        }
+        match self.standing(arrival.fingerprint) {
+            Standing::Convicted => return Err(Self::convicted_refusal()),
+            Standing::Suspect => return self.admit_suspect(arrival, now),
+            Standing::Clear => {}
+        }
+        if self.is_hopeless(arrival.class, arrival.deadline_at, 0.0, now) {
+            return Err(self.refusal(ResultCode::DeadlineTooShort));
+        }
+        if self.may_start(now) {
+            return Ok(Admission::Run);
+        }
+        self.admit_to_queue(arrival, now)
+    }
+
+    /// What is held against a fingerprint, here or in the fleet.
+    pub(super) fn standing(&self, fingerprint: u64) -> Standing {
+        if fingerprint == NO_FINGERPRINT {
+            return Standing::Clear;
+        }
+        let heard = self.fleet_suspects.mark(fingerprint);
+        heard.max(self.own_suspects.mark(fingerprint)).standing
+    }
+
+    pub(super) const fn convicted_refusal() -> Refusal {
+        Refusal::retry_after(ResultCode::CrashSuspect, CONVICTED_RETRY_AFTER)
+    }
+
+    /// A refusal for want of room.
+    pub(super) fn overload(&mut self) -> Refusal {
+        self.backoff.note_refused();
+        self.refusal(ResultCode::Overloaded)
+    }
+
+    /// Whether a call cannot make its deadline after this wait.
+    ///
+    /// An idle target takes every call whose deadline has not passed. Otherwise
+    /// a target that was slow once would be refused all calls from then on, and
+    /// nothing would ever show that it has recovered.
+    pub(super) fn is_hopeless(
+        &self,
+        class: CallClass,
+        deadline_at: Millis,
+        wait_us: f64,
+        now: Millis,
+    ) -> bool {
+        if now >= deadline_at {
+            return true;
+        }
+        if self.in_flight == 0 {
+            return false;
+        }
+        let needed_us = wait_us + self.service_times.class_us(class);
+        left_us(deadline_at, now) < needed_us * HOPELESS_SHARE
+    }
+
+    /// Predicted wait behind `ahead` calls that wait already.
+    pub(super) fn wait_us(&self, ahead: usize, now: Millis) -> f64 {
+        let slots = f64::from(self.limit.current(now));
+        (ahead + 1) as f64 * self.service_times.overall_us() / slots
+    }
+
+    fn may_start(&self, now: Millis) -> bool {
+        self.queue.is_empty()
+            && !self.quarantine.blocks()
+            && self.in_flight < self.limit.current(now)
+    }
+
+    fn admit_to_queue(&mut self, arrival: &Arrival<'_>, now: Millis) -> Result<Admission, Refusal> {
+        let queue_limit = self.policy.queue_limit as usize;
+        let ahead = self
+            .queue
+            .ahead(arrival.class, arrival.deadline_at, queue_limit);
+        let wait_us = self.wait_us(ahead, now);
+        if self.waits_too_long(arrival, wait_us, now) {
+            return Err(self.overload());
+        }
+        if self.queue.len() < queue_limit {
+            return Ok(Admission::Queue);
+        }
+        let Some(displaced) = self.queue.displaceable(arrival.class) else {
+            return Err(self.overload());
+        };
+        let refusal = self.overload();
+        self.refuse_held(displaced, refusal);
+        Ok(Admission::Queue)
+    }
+
+    /// Bounds the wait, so that an overload leads to refusals at once and not
+    /// to a long queue in which every call spends its deadline.
+    fn waits_too_long(&self, arrival: &Arrival<'_>, wait_us: f64, now: Millis) -> bool {
+        let bound_us =
+            (MAX_WAIT_SERVICE_TIMES * self.service_times.overall_us()).max(MIN_WAIT_BOUND_US);
+        let left_us = left_us(arrival.deadline_at, now);
+        let own_us = self.service_times.class_us(arrival.class);
+        wait_us > bound_us || wait_us > left_us * MAX_WAIT_SHARE || wait_us + own_us > left_us
+    }
+
+    fn admit_suspect(&mut self, arrival: &Arrival<'_>, now: Millis) -> Result<Admission, Refusal> {
+        if now >= arrival.deadline_at {
+            return Err(self.refusal(ResultCode::DeadlineTooShort));
+        }
+        if self.may_start(now) && self.in_flight == 0 && self.quarantine.is_idle() {
+            return Ok(Admission::RunAlone);
+        }
+        if !self.quarantine.has_room() {
+            return Err(self.overload());
+        }
+        Ok(Admission::Quarantine)
+    }
+}
+
+fn left_us(deadline_at: Millis, now: Millis) -> f64 {
+    deadline_at.since(now).0 as f64 * US_PER_MS
+}
--- /dev/null
+++ b/crates/core/src/gate/backoff.rs
@@ -0,0 +1,49 @@
+//! When a refused caller should come back.
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::prelude::*;
+
+const SHORTEST_MS: f64 = 50.0;
+const LONGEST_MS: f64 = 10_000.0;
+
+/// Weight of one decision in the smoothed share of refusals.
+const SMOOTHING: f64 = 1.0 / 32.0;
+
+/// Callers that were refused together must not come back together.
+const SPREAD_LOW: f64 = 0.5;
+const SPREAD_HIGH: f64 = 1.5;
+
+/// The time to stay away: it grows with the share of calls refused of late.
+#[derive(Debug)]
+pub(super) struct Backoff {
+    rng: SmallRng,
+    /// Smoothed share of arrivals refused for overload, 0 to 1.
+    refused_share: f64,
+}
+
+impl Backoff {
+    pub(super) fn new(seed: u64) -> Self {
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            refused_share: 0.0,
+        }
+    }
+
+    pub(super) fn note_admitted(&mut self) {
+        self.refused_share -= self.refused_share * SMOOTHING;
+    }
+
+    pub(super) fn note_refused(&mut self) {
+        self.refused_share += (1.0 - self.refused_share) * SMOOTHING;
+    }
+
+    /// Draws a time between 50 ms and 10 s: exponential in the share refused,
+    /// spread by half on either side.
+    pub(super) fn draw(&mut self) -> Millis {
+        let base_ms = SHORTEST_MS * (LONGEST_MS / SHORTEST_MS).powf(self.refused_share);
+        let spread = self.rng.random_range(SPREAD_LOW..SPREAD_HIGH);
+        Millis((base_ms * spread).clamp(SHORTEST_MS, LONGEST_MS) as u64)
+    }
+}
--- /dev/null
+++ b/crates/core/src/gate/crash.rs
@@ -0,0 +1,150 @@
+//! What the gate does when its target has crashed: who was in flight?
+
+use super::run::Run;
+use super::{Gate, Phase};
+use crate::prelude::*;
+use crate::suspects::SuspectEntry;
+
+/// How long a broken run counts as evidence of a crash that the driver has yet
+/// to report: it takes one refused connection to be sure.
+const EVIDENCE: Millis = Millis(250);
+
+/// What a crash of the target has shown; for control, which tells the others.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CrashReport {
+    /// Calls that were in flight.
+    pub in_flight: u32,
+    /// New knowledge about their fingerprints, to be merged and sent on.
+    pub entries: Vec<SuspectEntry>,
+}
+
+/// A run whose connection broke.
+#[derive(Clone, Copy, Debug)]
+struct Broken {
+    fingerprint: u64,
+    alone: bool,
+    order: u64,
+    at: Millis,
+}
+
+/// Runs that broke of late, and the order of starts and breaks.
+#[derive(Debug, Default)]
+pub(super) struct CrashEvidence {
+    broken: Vec<Broken>,
+    order: u64,
+}
+
+impl CrashEvidence {
+    /// Numbers the next start or break.
+    pub(super) const fn next_order(&mut self) -> u64 {
+        self.order += 1;
+        self.order
+    }
+
+    pub(super) fn note_broken(&mut self, run: &Run, now: Millis) {
+        self.prune(now);
+        if run.in_crash {
+            return;
+        }
+        let order = self.next_order();
+        self.broken.push(Broken {
+            fingerprint: run.fingerprint,
+            alone: run.alone,
+            order,
+            at: now,
+        });
+    }
+
+    fn prune(&mut self, now: Millis) {
+        self.broken.retain(|broken| now.since(broken.at) < EVIDENCE);
+    }
+}
+
+/// Calls in flight when the target crashed.
+#[derive(Default)]
+struct InFlight {
+    fingerprints: Vec<u64>,
+    calls: u32,
+}
+
+impl InFlight {
+    fn add(&mut self, fingerprint: u64) {
+        self.fingerprints.push(fingerprint);
+        self.calls += 1;
+    }
+}
+
+impl Gate {
+    /// The target has crashed: its connections broke together, or a new one was
+    /// refused right after one broke. Call it once per crash, before or after
+    /// the runs are finished as [`super::RunEnd::Broken`]; a second call for
+    /// the same crash finds nobody left to suspect.
+    ///
+    /// What was in flight is suspected at once at this gate. The report is for
+    /// control, which spreads it. The target is taken for cold from now on.
+    pub fn target_crashed(&mut self, now: Millis) -> CrashReport {
+        let now = self.advance(now);
+        self.limit.restart_ramp();
+        let mut crashed = self.in_flight_at_crash(now);
+        crashed.fingerprints.sort_unstable();
+        crashed.fingerprints.dedup();
+        for fingerprint in &crashed.fingerprints {
+            let heard = self.fleet_suspects.mark(*fingerprint);
+            self.own_suspects.raise(*fingerprint, heard, now);
+        }
+        let alone = crashed.calls == 1;
+        let entries = self
+            .own_suspects
+            .observe_crash(&crashed.fingerprints, alone, now);
+        CrashReport {
+            in_flight: crashed.calls,
+            entries,
+        }
+    }
+
+    /// Requests cleared since the last call because they ran alone and the
+    /// target lived; for control, which tells the others.
+    #[must_use]
+    pub fn take_cleared(&mut self) -> Vec<SuspectEntry> {
+        std::mem::take(&mut self.cleared)
+    }
+
+    pub(super) fn clear_suspect(&mut self, fingerprint: u64, now: Millis) {
+        let heard = self.fleet_suspects.mark(fingerprint);
+        self.own_suspects.raise(fingerprint, heard, now);
+        if let Some(entry) = self.own_suspects.clear(fingerprint, now) {
+            self.cleared.push(entry);
+        }
+    }
+
+    /// Takes the calls that may have caused the crash.
+    ///
+    /// A call started after the last break met a target that was dead already.
+    /// Without that rule, whatever is started between the break of a suspect
+    /// that ran alone and the report of the crash would be suspected with it,
+    /// and the suspect would never be convicted.
+    fn in_flight_at_crash(&mut self, now: Millis) -> InFlight {
+        self.crash_evidence.prune(now);
+        let broken = std::mem::take(&mut self.crash_evidence.broken);
+        let last_break = broken.last().map_or(u64::MAX, |broken| broken.order);
+        let mut crashed = InFlight::default();
+        for run in self.runs.values_mut() {
+            if run.phase != Phase::Running || run.in_crash {
+                continue;
+            }
+            run.in_crash = true;
+            if run.started < last_break {
+                crashed.add(run.fingerprint);
+            }
+        }
+        if let Some(culprit) = broken.iter().find(|broken| broken.alone) {
+            crashed = InFlight::default();
+            crashed.add(culprit.fingerprint);
+            return crashed;
+        }
+        for broken in &broken {
+            crashed.add(broken.fingerprint);
+        }
+        crashed
+    }
+}
--- /dev/null
+++ b/crates/core/src/gate/limit.rs
@@ -0,0 +1,230 @@
+//! The adaptive concurrency limit, at or below the target's slots.
+
+use strum::VariantArray;
+
+use crate::prelude::*;
+
+/// Shortest time over which service times are judged.
+const WINDOW: Millis = Millis(250);
+/// Fewest answers on which a window is judged.
+const MIN_SAMPLES: usize = 16;
+/// Most answers that a window keeps; later ones overwrite earlier ones.
+const MAX_SAMPLES: usize = 64;
+/// Slowdown against the baseline that is taken for noise.
+const TOLERATED_SLOWDOWN: f64 = 2.0;
+/// Windows in a row that must be slow before the limit is cut. A stall of a
+/// noisy neighbour (5 to 50 ms) spoils the median of at most one.
+const SLOW_WINDOWS_TO_CUT: u32 = 2;
+/// Most that one window may cut.
+const DEEPEST_CUT: f64 = 0.9;
+/// Share of its limit that a window must have used for its slowness to be put
+/// down to concurrency.
+const BUSY_SHARE: f64 = 0.5;
+/// By how much the baseline rises in each window, so that it follows a target
+/// that has become slower for good.
+const BASELINE_DRIFT: f64 = 1.0 / 64.0;
+/// Depth of cuts at which it is checked whether they helped.
+const CUTS_TO_JUDGE: f64 = 0.7;
+/// Share of the slowdown that must be gone by then.
+const HELPED: f64 = 0.85;
+/// The limit never falls below this share of the slots.
+const FLOOR_SHARE: f64 = 0.25;
+/// Weight of one answer in the fast average that feeds the baseline.
+const FAST_SMOOTHING: f64 = 1.0 / 8.0;
+
+const CLASSES: usize = CallClass::VARIANTS.len();
+
+/// Usual service time of one class without contention.
+#[derive(Clone, Copy, Debug, Default)]
+struct Baseline {
+    fast_us: f64,
+    low_us: f64,
+}
+
+impl Baseline {
+    /// Slowdown of one answer against the baseline.
+    fn record(&mut self, sample_us: f64) -> f64 {
+        if self.low_us == 0.0 {
+            self.fast_us = sample_us;
+            self.low_us = sample_us;
+            return 1.0;
+        }
+        self.fast_us += (sample_us - self.fast_us) * FAST_SMOOTHING;
+        sample_us / self.low_us
+    }
+
+    fn end_window(&mut self) {
+        self.low_us = (self.low_us * (1.0 + BASELINE_DRIFT)).min(self.fast_us);
+    }
+}
+
+/// What the first of a series of cuts started from.
+#[derive(Clone, Copy, Debug)]
+struct CutFrom {
+    limit: f64,
+    slowdown: f64,
+}
+
+/// The limit with what it learns from.
+#[derive(Debug)]
+pub(super) struct ConcurrencyLimit {
+    cap: u32,
+    cold_ramp: Millis,
+    /// When the target got its first call, or the first one after a crash.
+    first_call_at: Option<Millis>,
+    limit: f64,
+    cut_from: Option<CutFrom>,
+    baselines: [Baseline; CLASSES],
+    window_started_at: Millis,
+    /// Slowdowns of this window's answers.
+    slowdowns: Vec<f64>,
+    samples: usize,
+    peak_in_flight: u32,
+    slow_windows: u32,
+}
+
+impl ConcurrencyLimit {
+    pub(super) fn new(policy: &ServicePolicy, now: Millis) -> Self {
+        let cap = cap_of(policy);
+        Self {
+            cap,
+            cold_ramp: policy.cold_ramp_ms,
+            first_call_at: None,
+            limit: f64::from(cap),
+            cut_from: None,
+            baselines: [Baseline::default(); CLASSES],
+            window_started_at: now,
+            slowdowns: Vec::with_capacity(MAX_SAMPLES),
+            samples: 0,
+            peak_in_flight: 0,
+            slow_windows: 0,
+        }
+    }
+
+    /// Takes over changed slots; a limit that stood at the old cap follows.
+    pub(super) fn update(&mut self, policy: &ServicePolicy) {
+        let cap = cap_of(policy);
+        self.cold_ramp = policy.cold_ramp_ms;
+        if cap == self.cap {
+            return;
+        }
+        self.cap = cap;
+        self.limit = f64::from(cap);
+        self.cut_from = None;
+        self.slow_windows = 0;
+    }
+
+    /// The limit in force, at least 1.
+    pub(super) fn current(&self, now: Millis) -> u32 {
+        let limit = self.limit.min(self.ramped(now));
+        (limit as u32).clamp(1, self.cap)
+    }
+
+    /// Notes how many calls run after one was started.
+    pub(super) fn note_start(&mut self, in_flight: u32, now: Millis) {
+        self.first_call_at.get_or_insert(now);
+        self.peak_in_flight = self.peak_in_flight.max(in_flight);
+    }
+
+    /// The target comes up anew and is cold.
+    pub(super) const fn restart_ramp(&mut self) {
+        self.first_call_at = None;
+    }
+
+    /// Learns from an answer that was no failure.
+    pub(super) fn record(&mut self, class: CallClass, service_time_us: u32, now: Millis) {
+        let sample_us = f64::from(service_time_us.max(1));
+        let slowdown = self.baselines[class as usize].record(sample_us);
+        if self.slowdowns.len() < MAX_SAMPLES {
+            self.slowdowns.push(slowdown);
+        } else {
+            self.slowdowns[self.samples % MAX_SAMPLES] = slowdown;
+        }
+        self.samples += 1;
+        if now.since(self.window_started_at) >= WINDOW && self.samples >= MIN_SAMPLES {
+            self.end_window(now);
+        }
+    }
+
+    fn end_window(&mut self, now: Millis) {
+        self.slowdowns.sort_unstable_by(f64::total_cmp);
+        let slowdown = self.slowdowns[self.slowdowns.len() / 2];
+        let was_busy = f64::from(self.peak_in_flight) >= self.limit * BUSY_SHARE;
+        if slowdown > TOLERATED_SLOWDOWN && was_busy {
+            self.slow_window(slowdown);
+        } else {
+            self.good_window();
+        }
+        for baseline in &mut self.baselines {
+            baseline.end_window();
+        }
+        self.slowdowns.clear();
+        self.samples = 0;
+        self.peak_in_flight = 0;
+        self.window_started_at = now;
+    }
+
+    fn slow_window(&mut self, slowdown: f64) {
+        self.slow_windows += 1;
+        if self.slow_windows < SLOW_WINDOWS_TO_CUT {
+            return;
+        }
+        let from = *self.cut_from.get_or_insert(CutFrom {
+            limit: self.limit,
+            slowdown,
+        });
+        if self.limit <= from.limit * CUTS_TO_JUDGE && slowdown > from.slowdown * HELPED {
+            self.give_up_cutting(from);
+            return;
+        }
+        let cut = (TOLERATED_SLOWDOWN / slowdown).max(DEEPEST_CUT);
+        self.limit = (self.limit * cut).max(self.floor());
+    }
+
+    /// Fewer calls at once did not make the target faster, so concurrency is
+    /// not what slows it. Without this, a host that became slower for good
+    /// would lose its throughput as well, and refuse what it could serve.
+    fn give_up_cutting(&mut self, from: CutFrom) {
+        self.limit = from.limit;
+        self.cut_from = None;
+        self.slow_windows = 0;
+        for baseline in &mut self.baselines {
+            baseline.low_us = baseline.fast_us;
+        }
+    }
+
+    fn good_window(&mut self) {
+        self.slow_windows = 0;
+        let cap = f64::from(self.cap);
+        if self.limit >= cap {
+            self.cut_from = None;
+            return;
+        }
+        let was_used = f64::from(self.peak_in_flight) >= self.limit.floor();
+        if was_used {
+            self.limit = (self.limit + 1.0).min(cap);
+        }
+    }
+
+    fn floor(&self) -> f64 {
+        (f64::from(self.cap) * FLOOR_SHARE).max(1.0)
+    }
+
+    /// The share of the slots that a cold target may use by now.
+    fn ramped(&self, now: Millis) -> f64 {
+        if self.cold_ramp == Millis::ZERO {
+            return f64::from(self.cap);
+        }
+        let Some(first_call_at) = self.first_call_at else {
+            return self.floor();
+        };
+        let done = now.since(first_call_at).0 as f64 / self.cold_ramp.0 as f64;
+        let cap = f64::from(self.cap);
+        self.floor() + (cap - self.floor()) * done.min(1.0)
+    }
+}
+
+/// Calls beyond the connections would only wait for one, unseen.
+fn cap_of(policy: &ServicePolicy) -> u32 {
+    policy.slots.min(policy.connections).max(1)
+}
--- /dev/null
+++ b/crates/core/src/gate/queue.rs
@@ -0,0 +1,127 @@
+//! The short queue: by class, then by deadline, then by arrival.
+
+use std::collections::BTreeSet;
+
+use strum::VariantArray;
+
+use super::RunId;
+use crate::prelude::*;
+
+/// Every so many calls taken from the queue, one goes to the next class in
+/// turn instead of the best one, so that a steady load of better classes
+/// cannot starve the others.
+const FAIR_TURN_EVERY: u32 = 8;
+
+const CLASSES: usize = CallClass::VARIANTS.len();
+
+/// Where a call stands within its class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Place {
+    pub(super) deadline_at: Millis,
+    /// Grows with arrival, so it keeps equal deadlines in order.
+    pub(super) run: RunId,
+}
+
+/// Calls that wait for a slot.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    by_class: [BTreeSet<Place>; CLASSES],
+    len: usize,
+    taken: u32,
+    fair_class: usize,
+}
+
+impl Queue {
+    pub(super) const fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(super) const fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    pub(super) fn insert(&mut self, class: CallClass, place: Place) {
+        self.len += usize::from(self.by_class[rank(class)].insert(place));
+    }
+
+    pub(super) fn remove(&mut self, class: CallClass, place: &Place) {
+        self.len -= usize::from(self.by_class[rank(class)].remove(place));
+    }
+
+    /// Takes the call to serve next.
+    pub(super) fn pop(&mut self) -> Option<Place> {
+        if self.is_empty() {
+            return None;
+        }
+        self.taken = self.taken.wrapping_add(1);
+        if self.taken.is_multiple_of(FAIR_TURN_EVERY) {
+            return self.pop_fair();
+        }
+        for places in &mut self.by_class {
+            let Some(place) = places.pop_first() else {
+                continue;
+            };
+            self.len -= 1;
+            return Some(place);
+        }
+        None
+    }
+
+    /// How many calls would be served before a newcomer; counting stops above
+    /// `enough`, so an arrival costs no more in a long queue than in a short.
+    pub(super) fn ahead(&self, class: CallClass, deadline_at: Millis, enough: usize) -> usize {
+        let mut ahead = 0;
+        for places in &self.by_class[..rank(class)] {
+            ahead += places.len();
+        }
+        let newcomer = Place {
+            deadline_at,
+            run: RunId(u64::MAX),
+        };
+        for _ in self.by_class[rank(class)].range(..newcomer) {
+            if ahead > enough {
+                break;
+            }
+            ahead += 1;
+        }
+        ahead
+    }
+
+    /// Whom a call of `class` may displace from a full queue: the last of the
+    /// lowest class, if that ranks below `class`.
+    ///
+    /// The only waiting call of a class is never displaced. Otherwise a steady
+    /// load of better classes would push each call of the class out before its
+    /// fair turn came, and the class would starve in spite of it.
+    pub(super) fn displaceable(&self, class: CallClass) -> Option<RunId> {
+        for places in self.by_class[rank(class) + 1..].iter().rev() {
+            if places.len() < 2 {
+                continue;
+            }
+            return places.last().map(|place| place.run);
+        }
+        None
+    }
+
+    /// All waiting calls in the order in which they are served, but for fair
+    /// turns.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Place> {
+        self.by_class.iter().flatten()
+    }
+
+    fn pop_fair(&mut self) -> Option<Place> {
+        for _ in 0..CLASSES {
+            self.fair_class = (self.fair_class + 1) % CLASSES;
+            let Some(place) = self.by_class[self.fair_class].pop_first() else {
+                continue;
+            };
+            self.len -= 1;
+            return Some(place);
+        }
+        None
+    }
+}
+
+const fn rank(class: CallClass) -> usize {
+    class as usize
+}
--- /dev/null
+++ b/crates/core/src/gate/records.rs
@@ -0,0 +1,228 @@
+//! Records of ticketed calls: what is known about each key, until its ticket
+//! has expired.
+//!
+//! Two rules make "at most once" hold in constant memory:
+//!
+//! - a record is only forgotten once every ticket that was presented for its
+//!   key has expired, and an expired ticket without a record never runs;
+//! - when no record can be added, nothing new may start. A key that must be
+//!   fenced then raises the *floor*: tickets without a record that expire at or
+//!   before it never run. That fences more keys than asked for, never fewer.
+
+use std::cmp::Reverse;
+use std::collections::hash_map::Entry;
+use std::collections::{BinaryHeap, HashMap};
+use std::sync::Arc;
+
+use super::{RunId, StoredAnswer};
+use crate::prelude::*;
+
+/// Bytes counted for each stored header beside its name and value.
+const HEADER_OVERHEAD_BYTES: u64 = 64;
+
+/// How long the record of a run that outlives its ticket is kept at a time.
+const LIVE_EXTENSION: Millis = Millis(1_000);
+
+/// Fenced tickets with an absurdly distant expiry that one life of a gate
+/// remembers. They hold their record for so long that they need a bound of
+/// their own.
+const MAX_FAR_FENCES: u32 = 64;
+
+/// What is known about a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum RecordState {
+    /// Held or running as this run.
+    Live(RunId),
+    /// It ran; here is its answer.
+    Answered(Arc<StoredAnswer>),
+    /// It ran; its answer was too large to be kept.
+    AnswerNotKept,
+    /// It was started and its end was never seen. Never run again.
+    Unknown,
+    /// It did not run and never will under any ticket presented so far.
+    Fenced {
+        /// When the caller was told to come back.
+        retry_after_ms: Option<Millis>,
+    },
+}
+
+/// One key's record.
+#[derive(Debug)]
+pub(super) struct Record {
+    /// Digest of the request; `None` when the key was fenced unseen.
+    pub(super) digest: Option<u64>,
+    /// Latest expiry of all tickets presented for the key.
+    expires_at: Millis,
+    pub(super) state: RecordState,
+}
+
+/// When a record is next looked at; one such entry per record.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Due {
+    at: Millis,
+    key: CallKey,
+}
+
+/// All records of one life of a gate.
+#[derive(Debug, Default)]
+pub(super) struct Records {
+    by_key: HashMap<CallKey, Record>,
+    due: BinaryHeap<Reverse<Due>>,
+    floor: Option<Millis>,
+    fenced: usize,
+    far_fences: u32,
+    stored_bytes: u64,
+}
+
+impl Records {
+    /// Finds a key's record and keeps it at least as long as this ticket.
+    ///
+    /// Without the extension a second ticket for the key, told "not run" from
+    /// this record, could start after the record was forgotten.
+    pub(super) fn touch(&mut self, ticket: &Ticket) -> Option<&Record> {
+        let record = self.by_key.get_mut(&ticket.key)?;
+        record.expires_at = record.expires_at.max(ticket.expires_at);
+        Some(record)
+    }
+
+    /// Whether the key's record already lasts as long as this ticket.
+    pub(super) fn covers(&self, ticket: &Ticket) -> bool {
+        match self.by_key.get(&ticket.key) {
+            Some(record) => record.expires_at >= ticket.expires_at,
+            None => false,
+        }
+    }
+
+    /// Whether the floor forbids a ticket without a record to run.
+    pub(super) fn below_floor(&self, ticket: &Ticket) -> bool {
+        self.floor.is_some_and(|floor| ticket.expires_at <= floor)
+    }
+
+    /// Fences every ticket without a record that expires no later than this.
+    pub(super) fn raise_floor(&mut self, expires_at: Millis) {
+        self.floor = self.floor.max(Some(expires_at));
+    }
+
+    /// Whether another record fits, after forgetting what has expired.
+    pub(super) fn has_room(&mut self, max_records: u32, now: Millis) -> bool {
+        if self.by_key.len() < max_records as usize {
+            return true;
+        }
+        self.purge(now);
+        self.by_key.len() < max_records as usize
+    }
+
+    /// Spends one of the few records for tickets that expire absurdly late.
+    pub(super) fn take_far_fence(&mut self) -> bool {
+        if self.far_fences >= MAX_FAR_FENCES {
+            return false;
+        }
+        self.far_fences += 1;
+        true
+    }
+
+    /// Adds a record for a key that has none.
+    pub(super) fn insert(&mut self, ticket: &Ticket, digest: Option<u64>, state: RecordState) {
+        let Entry::Vacant(place) = self.by_key.entry(ticket.key) else {
+            unreachable!("a record is only added for a key that has none");
+        };
+        self.fenced += usize::from(is_fenced(&state));
+        place.insert(Record {
+            digest,
+            expires_at: ticket.expires_at,
+            state,
+        });
+        self.due.push(Reverse(Due {
+            at: ticket.expires_at,
+            key: ticket.key,
+        }));
+    }
+
+    /// Records the end of a live run. The answer becomes "not kept" when it
+    /// would exceed the bytes that all records may hold.
+    pub(super) fn settle(&mut self, key: CallKey, state: RecordState, max_stored_bytes: u64) {
+        let state = self.within_bytes(state, max_stored_bytes);
+        let record = self.by_key.get_mut(&key);
+        let record = record.expect("the record of a live run is never forgotten");
+        debug_assert!(matches!(record.state, RecordState::Live(_)));
+        self.fenced += usize::from(is_fenced(&state));
+        record.state = state;
+    }
+
+    /// Forgets records whose tickets have all expired, except of live runs.
+    pub(super) fn purge(&mut self, now: Millis) {
+        while let Some(Reverse(due)) = self.due.peek() {
+            if due.at > now {
+                return;
+            }
+            let Some(Reverse(due)) = self.due.pop() else {
+                return;
+            };
+            match self.next_look(due.key, now) {
+                Some(at) => self.due.push(Reverse(Due { at, key: due.key })),
+                None => self.forget(due.key),
+            }
+        }
+    }
+
+    /// Keys that did not run and hold a record.
+    pub(super) const fn fenced(&self) -> usize {
+        self.fenced
+    }
+
+    /// Bytes of all stored answers.
+    pub(super) const fn stored_bytes(&self) -> u64 {
+        self.stored_bytes
+    }
+
+    /// Records held.
+    pub(super) fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
+    fn next_look(&self, key: CallKey, now: Millis) -> Option<Millis> {
+        let record = self.by_key.get(&key)?;
+        if record.expires_at > now {
+            return Some(record.expires_at);
+        }
+        match record.state {
+            RecordState::Live(_) => Some(now + LIVE_EXTENSION),
+            _ => None,
+        }
+    }
+
+    fn forget(&mut self, key: CallKey) {
+        let Some(record) = self.by_key.remove(&key) else {
+            return;
+        };
+        self.fenced -= usize::from(is_fenced(&record.state));
+        if let RecordState::Answered(answer) = &record.state {
+            self.stored_bytes -= size_bytes(answer);
+        }
+    }
+
+    fn within_bytes(&mut self, state: RecordState, max_stored_bytes: u64) -> RecordState {
+        let RecordState::Answered(answer) = &state else {
+            return state;
+        };
+        let total_bytes = self.stored_bytes.saturating_add(size_bytes(answer));
+        if total_bytes > max_stored_bytes {
+            return RecordState::AnswerNotKept;
+        }
+        self.stored_bytes = total_bytes;
+        state
+    }
+}
+
+const fn is_fenced(state: &RecordState) -> bool {
+    matches!(state, RecordState::Fenced { .. })
+}
+
+/// Bytes that a stored answer counts for.
+pub(super) fn size_bytes(answer: &StoredAnswer) -> u64 {
+    let mut bytes = answer.body.len() as u64;
+    for header in &answer.headers {
+        bytes += (header.name.len() + header.value.len()) as u64 + HEADER_OVERHEAD_BYTES;
+    }
+    bytes
+}
--- /dev/null
+++ b/crates/core/src/gate/run.rs
@@ -0,0 +1,244 @@
+//! Calls in hand: from admission to their end.
+
+use super::queue::Place;
+use super::records::{RecordState, size_bytes};
+use super::{Arrival, Gate, RunEnd, RunId, Settlement, Verdict, Wake};
+use crate::prelude::*;
+
+/// How far a call in hand has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// Waits for a slot.
+    Queued,
+    /// Waits for the target to itself.
+    Quarantined,
+    /// Was handed out to be sent to the target.
+    Running,
+}
+
+/// One call in hand.
+#[derive(Clone, Debug)]
+pub(super) struct Run {
+    pub(super) class: CallClass,
+    pub(super) deadline_at: Millis,
+    /// Key of a ticketed call.
+    pub(super) key: Option<CallKey>,
+    pub(super) fingerprint: u64,
+    pub(super) phase: Phase,
+    /// Callers, the first and those that joined, while it is held.
+    pub(super) callers: u32,
+    /// Whether its end must be told by [`Wake::Settled`].
+    pub(super) watched: bool,
+    /// Whether the target runs nothing else.
+    pub(super) alone: bool,
+    /// Place of its start in the order of starts and breaks.
+    pub(super) started: u64,
+    /// Whether it was counted in a crash of the target already.
+    pub(super) in_crash: bool,
+}
+
+impl Run {
+    pub(super) const fn place(&self, id: RunId) -> Place {
+        Place {
+            deadline_at: self.deadline_at,
+            run: id,
+        }
+    }
+}
+
+/// How an admitted call begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Admission {
+    Run,
+    RunAlone,
+    Queue,
+    Quarantine,
+}
+
+/// What the end of a ticketed run leaves behind.
+struct Ending {
+    state: RecordState,
+    settlement: Settlement,
+}
+
+impl Ending {
+    fn fenced(refusal: Refusal) -> Self {
+        Self {
+            state: RecordState::Fenced {
+                retry_after_ms: refusal.retry_after_ms,
+            },
+            settlement: Settlement::Refused(refusal),
+        }
+    }
+}
+
+impl Gate {
+    /// Takes an admitted call in hand.
+    pub(super) fn enlist(
+        &mut self,
+        arrival: &Arrival<'_>,
+        admission: Admission,
+        now: Millis,
+    ) -> Verdict {
+        self.backoff.note_admitted();
+        self.last_run += 1;
+        let id = RunId(self.last_run);
+        let run = Run {
+            class: arrival.class,
+            deadline_at: arrival.deadline_at,
+            key: arrival.ticket.map(|ticket| ticket.key),
+            fingerprint: arrival.fingerprint,
+            phase: Phase::Queued,
+            callers: 1,
+            watched: false,
+            alone: false,
+            started: 0,
+            in_crash: false,
+        };
+        let place = run.place(id);
+        self.runs.insert(id, run);
+        match admission {
+            Admission::Run => self.mark_started(id, false, now),
+            Admission::RunAlone => self.mark_started(id, true, now),
+            Admission::Queue => self.queue.insert(arrival.class, place),
+            Admission::Quarantine => self.quarantine_held(id, place),
+        }
+        match admission {
+            Admission::Run | Admission::RunAlone => Verdict::Run(id),
+            Admission::Queue | Admission::Quarantine => Verdict::Wait(id),
+        }
+    }
+
+    /// Counts a call as running. Whoever calls this hands the start out.
+    pub(super) fn mark_started(&mut self, id: RunId, alone: bool, now: Millis) {
+        let started = self.crash_evidence.next_order();
+        let run = self.runs.get_mut(&id);
+        let run = run.expect("only a call in hand is started");
+        run.phase = Phase::Running;
+        run.alone = alone;
+        run.started = started;
+        self.in_flight += 1;
+        self.limit.note_start(self.in_flight, now);
+        if alone {
+            self.quarantine.begin_alone(id, now);
+        } else {
+            self.quarantine.note_innocent_start();
+        }
+    }
+
+    /// Removes a run from those running.
+    pub(super) fn take_running(&mut self, id: RunId) -> Option<Run> {
+        if self.runs.get(&id)?.phase != Phase::Running {
+            return None;
+        }
+        let run = self.runs.remove(&id)?;
+        self.in_flight -= 1;
+        self.quarantine.end_alone(id);
+        Some(run)
+    }
+
+    /// Removes a call that was not started; it ends with this refusal.
+    pub(super) fn refuse_held(&mut self, id: RunId, refusal: Refusal) {
+        let Some(run) = self.take_held(id) else {
+            return;
+        };
+        self.wakes.push(Wake::Refuse(id, refusal));
+        self.settle_ticketed(id, &run, Ending::fenced(refusal));
+    }
+
+    /// One caller of a held call has left.
+    pub(super) fn leave_held(&mut self, id: RunId) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        if run.phase == Phase::Running {
+            return;
+        }
+        run.callers = run.callers.saturating_sub(1);
+        if run.callers > 0 {
+            return;
+        }
+        let Some(run) = self.take_held(id) else {
+            return;
+        };
+        let fenced = Ending::fenced(Refusal::fixed(ResultCode::Fenced));
+        self.settle_ticketed(id, &run, fenced);
+    }
+
+    /// Draws the lesson from a run for limits, times and suspicion.
+    pub(super) fn learn(&mut self, run: &Run, end: &RunEnd, service_time_us: u32, now: Millis) {
+        match end {
+            RunEnd::Answered { failed, .. } => {
+                if run.alone {
+                    self.clear_suspect(run.fingerprint, now);
+                }
+                if !*failed {
+                    self.service_times.record(run.class, service_time_us);
+                    self.limit.record(run.class, service_time_us, now);
+                }
+            }
+            RunEnd::Broken => self.crash_evidence.note_broken(run, now),
+            RunEnd::NotRun | RunEnd::Unreachable | RunEnd::Cancelled => {}
+        }
+    }
+
+    /// Writes the end of a ticketed run into its record.
+    pub(super) fn settle_ended(&mut self, id: RunId, run: &Run, end: RunEnd) {
+        if run.key.is_none() {
+            return;
+        }
+        let ending = self.ending(end);
+        self.settle_ticketed(id, run, ending);
+    }
+
+    fn ending(&mut self, end: RunEnd) -> Ending {
+        match end {
+            RunEnd::Answered { answer: None, .. } => Ending {
+                state: RecordState::AnswerNotKept,
+                settlement: Settlement::Refused(Refusal::fixed(ResultCode::AnswerNotKept)),
+            },
+            RunEnd::Answered {
+                answer: Some(answer),
+                ..
+            } => {
+                let max_bytes = u64::from(self.policy.max_stored_answer_bytes);
+                let state = if size_bytes(&answer) > max_bytes {
+                    RecordState::AnswerNotKept
+                } else {
+                    RecordState::Answered(answer.clone())
+                };
+                Ending {
+                    state,
+                    settlement: Settlement::Answered(answer),
+                }
+            }
+            RunEnd::NotRun => Ending::fenced(self.refusal(ResultCode::Overloaded)),
+            RunEnd::Unreachable => Ending::fenced(self.refusal(ResultCode::NoTarget)),
+            RunEnd::Broken | RunEnd::Cancelled => Ending {
+                state: RecordState::Unknown,
+                settlement: Settlement::Refused(Refusal::fixed(ResultCode::RunBroken)),
+            },
+        }
+    }
+
+    fn settle_ticketed(&mut self, id: RunId, run: &Run, ending: Ending) {
+        let Some(key) = run.key else {
+            return;
+        };
+        let max_bytes = self.settings.max_stored_bytes;
+        self.records.settle(key, ending.state, max_bytes);
+        if run.watched {
+            self.wakes.push(Wake::Settled(id, ending.settlement));
+        }
+    }
+
+    fn take_held(&mut self, id: RunId) -> Option<Run> {
+        let place = self.runs.get(&id)?.place(id);
+        match self.runs.get(&id)?.phase {
+            Phase::Running => return None,
+            Phase::Queued => self.queue.remove(self.runs[&id].class, &place),
+            Phase::Quarantined => self.quarantine.remove(&place),
+        }
+        self.runs.remove(&id)
+    }
+}
--- /dev/null
+++ b/crates/core/src/gate/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the gate in virtual time.
--- /dev/null
+++ b/crates/core/src/gate/ticketed.rs
@@ -0,0 +1,181 @@
+//! Arrivals under a ticket: at most one start per key in this life.
+
+use super::records::RecordState;
+use super::{Arrival, Gate, RunId, Verdict};
+use crate::prelude::*;
+
+/// Slack on top of twice the longest validity that a policy has allowed;
+/// writers of tickets may hold an older or newer policy than this gate.
+const EXPIRY_MARGIN: Millis = Millis::from_secs(60);
+
+/// Calls refused on arrival may use one record out of this many. Refusals
+/// outnumber runs in an overload, and their records must not take the room of
+/// calls that can be served.
+const FENCED_SHARE_DIVISOR: usize = 2;
+
+/// What a record says to another arrival of its key.
+enum Known {
+    Verdict(Verdict),
+    Live(RunId),
+}
+
+impl Gate {
+    /// Whether the ticket names this life of this gate.
+    pub(super) fn is_mine(&self, ticket: &Ticket) -> bool {
+        ticket.incarnation == self.settings.incarnation
+            && ticket.gate == self.settings.vm
+            && ticket.service == self.policy.service
+    }
+
+    pub(super) fn arrive_ticketed(
+        &mut self,
+        ticket: &Ticket,
+        arrival: &Arrival<'_>,
+        now: Millis,
+    ) -> Verdict {
+        if !self.is_mine(ticket) {
+            return refuse(ResultCode::WrongGate);
+        }
+        if let Some(refusal) = self.refuse_far(ticket, now) {
+            return Verdict::Refuse(refusal);
+        }
+        if let Some(verdict) = self.answer_again(ticket, arrival.digest) {
+            return verdict;
+        }
+        if now >= ticket.expires_at {
+            return refuse(ResultCode::TicketExpired);
+        }
+        if self.records.below_floor(ticket) {
+            return refuse(ResultCode::Fenced);
+        }
+        self.arrive_first(ticket, arrival, now)
+    }
+
+    /// Fences a key that has no record: by a record, or when they are full by
+    /// the floor. Either way no ticket up to this one's expiry runs it later.
+    pub(super) fn fence_new(
+        &mut self,
+        ticket: &Ticket,
+        digest: Option<u64>,
+        retry_after_ms: Option<Millis>,
+        now: Millis,
+    ) {
+        if !self.records.has_room(self.policy.max_records, now) {
+            self.records.raise_floor(ticket.expires_at);
+            return;
+        }
+        let fenced = RecordState::Fenced { retry_after_ms };
+        self.records.insert(ticket, digest, fenced);
+    }
+
+    /// Whether the expiry lies so far ahead that no policy can have allowed it.
+    pub(super) fn is_far(&self, ticket: &Ticket, now: Millis) -> bool {
+        let ttl = self.longest_ticket_ttl;
+        ticket.expires_at > now + ttl + ttl + EXPIRY_MARGIN
+    }
+
+    /// Refuses a ticket that would hold its record absurdly long.
+    ///
+    /// "Not run" has to stay true when the expiry has come nearer and a late
+    /// duplicate looks reasonable, so the key is fenced by a record. Such
+    /// records are few; beyond them the answer is "not yet".
+    fn refuse_far(&mut self, ticket: &Ticket, now: Millis) -> Option<Refusal> {
+        if !self.is_far(ticket, now) || self.records.covers(ticket) {
+            return None;
+        }
+        let max_records = self.policy.max_records;
+        if !self.records.has_room(max_records, now) || !self.records.take_far_fence() {
+            return Some(self.refusal(ResultCode::RecordsFull));
+        }
+        if self.records.touch(ticket).is_some() {
+            return None;
+        }
+        self.fence_new(ticket, None, None, now);
+        Some(Refusal::fixed(ResultCode::BadRequest))
+    }
+
+    /// Answers from the key's record, if there is one.
+    fn answer_again(&mut self, ticket: &Ticket, digest: u64) -> Option<Verdict> {
+        let record = self.records.touch(ticket)?;
+        if record.digest.is_some_and(|known| known != digest) {
+            return Some(refuse(ResultCode::KeyReused));
+        }
+        match Known::from(&record.state) {
+            Known::Verdict(verdict) => Some(verdict),
+            Known::Live(run) => Some(self.join(run)),
+        }
+    }
+
+    fn join(&mut self, id: RunId) -> Verdict {
+        let run = self.runs.get_mut(&id);
+        let run = run.expect("a live record names a call in hand");
+        run.callers += 1;
+        run.watched = true;
+        Verdict::Join(id)
+    }
+
+    fn arrive_first(&mut self, ticket: &Ticket, arrival: &Arrival<'_>, now: Millis) -> Verdict {
+        if !self.leaving && !self.records.has_room(self.policy.max_records, now) {
+            return Verdict::Refuse(self.refusal(ResultCode::RecordsFull));
+        }
+        match self.admit(arrival, now) {
+            Ok(admission) => {
+                let verdict = self.enlist(arrival, admission, now);
+                let (Verdict::Run(run) | Verdict::Wait(run)) = verdict else {
+                    unreachable!("an admitted call runs or waits");
+                };
+                let live = RecordState::Live(run);
+                self.records.insert(ticket, Some(arrival.digest), live);
+                verdict
+            }
+            Err(refusal) => Verdict::Refuse(self.refuse_first(ticket, arrival, refusal, now)),
+        }
+    }
+
+    /// Makes "not run" certain before it is said: the caller may take a ticket
+    /// for another gate on the strength of it, and a late duplicate of this
+    /// arrival must find the key fenced.
+    fn refuse_first(
+        &mut self,
+        ticket: &Ticket,
+        arrival: &Arrival<'_>,
+        refusal: Refusal,
+        now: Millis,
+    ) -> Refusal {
+        if !self.may_fence_refused(refusal.code) {
+            return Refusal {
+                code: ResultCode::RecordsFull,
+                ..refusal
+            };
+        }
+        let retry_after_ms = refusal.retry_after_ms;
+        self.fence_new(ticket, Some(arrival.digest), retry_after_ms, now);
+        refusal
+    }
+
+    /// Whether a refusal on arrival may take a record of its own.
+    fn may_fence_refused(&self, code: ResultCode) -> bool {
+        let share = (self.policy.max_records as usize).div_ceil(FENCED_SHARE_DIVISOR);
+        let is_final = matches!(code, ResultCode::Leaving | ResultCode::CrashSuspect);
+        is_final || self.records.fenced() < share
+    }
+}
+
+impl From<&RecordState> for Known {
+    fn from(state: &RecordState) -> Self {
+        Self::Verdict(match state {
+            RecordState::Live(run) => return Self::Live(*run),
+            RecordState::Answered(answer) => Verdict::Replay(answer.clone()),
+            RecordState::AnswerNotKept => refuse(ResultCode::AnswerNotKept),
+            RecordState::Unknown => refuse(ResultCode::RunBroken),
+            RecordState::Fenced { retry_after_ms } => Verdict::Refuse(Refusal {
+                code: ResultCode::Fenced,
+                retry_after_ms: *retry_after_ms,
+            }),
+        })
+    }
+}
+
+const fn refuse(code: ResultCode) -> Verdict {
+    Verdict::Refuse(Refusal::fixed(code))
+}
--- /dev/null
+++ b/crates/core/src/suspects/store.rs
@@ -0,0 +1,193 @@
+//! One node's knowledge of suspects: bounded, ageing, mergeable.
+
+use std::collections::BTreeMap;
+
+use hornbeamhitch_types::prelude::*;
+
+use super::{Mark, NO_FINGERPRINT, Standing, SuspectEntry, SuspectSet};
+
+/// Fingerprints that one node remembers.
+pub const MAX_SUSPECTS: usize = 1024;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Known {
+    mark: Mark,
+    /// End of life in this node's clock. Kept instead of the time of birth,
+    /// which may lie before the clock's origin.
+    expires_at: Millis,
+}
+
+impl Known {
+    fn age_ms(&self, now: Millis) -> Millis {
+        let left = self.expires_at.since(now);
+        self.mark.lifetime().minus(left)
+    }
+}
+
+/// Order in which marks are evicted; the least goes first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct EvictionRank {
+    standing: Standing,
+    expires_at: Millis,
+    fingerprint: u64,
+}
+
+/// The mutable store of one node.
+#[derive(Clone, Debug, Default)]
+pub struct Suspects {
+    known: BTreeMap<u64, Known>,
+}
+
+impl Suspects {
+    /// A store that suspects nobody.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes that a target crashed with these requests in flight; `alone` when
+    /// there was just one. Returns what has to be told to others.
+    pub fn observe_crash(
+        &mut self,
+        fingerprints: &[u64],
+        alone: bool,
+        now: Millis,
+    ) -> Vec<SuspectEntry> {
+        let mut entries = Vec::with_capacity(fingerprints.len());
+        for fingerprint in fingerprints {
+            if *fingerprint == NO_FINGERPRINT {
+                continue;
+            }
+            let mark = self.mark(*fingerprint).after_crash(alone);
+            let expires_at = now + mark.lifetime();
+            if !self.put(*fingerprint, Known { mark, expires_at }) {
+                continue;
+            }
+            entries.push(SuspectEntry::new(*fingerprint, mark, Millis::ZERO));
+        }
+        entries
+    }
+
+    /// Notes that a suspect ran alone and the target lived. Returns what has to
+    /// be told to others; `None` when nothing was held against it.
+    pub fn clear(&mut self, fingerprint: u64, now: Millis) -> Option<SuspectEntry> {
+        let before = self.mark(fingerprint);
+        let mark = before.after_good_run();
+        if mark == before {
+            return None;
+        }
+        let expires_at = now + mark.lifetime();
+        self.put(fingerprint, Known { mark, expires_at });
+        Some(SuspectEntry::new(fingerprint, mark, Millis::ZERO))
+    }
+
+    /// Takes in what another node says; true when something changed.
+    ///
+    /// Of two equal marks the older one stays, so an entry that nodes pass
+    /// round and round still ages out: no echo makes it younger.
+    pub fn merge(&mut self, entry: &SuspectEntry, now: Millis) -> bool {
+        let mark = entry.mark();
+        let expires_at = now + mark.lifetime().minus(entry.age_ms);
+        if entry.fingerprint == NO_FINGERPRINT || expires_at <= now {
+            return false;
+        }
+        let heard = Known { mark, expires_at };
+        let Some(known) = self.known.get(&entry.fingerprint) else {
+            return self.put(entry.fingerprint, heard);
+        };
+        if known.mark > mark || (known.mark == mark && known.expires_at <= expires_at) {
+            return false;
+        }
+        self.put(entry.fingerprint, heard)
+    }
+
+    /// Forgets what has aged out; true when something changed.
+    pub fn tick(&mut self, now: Millis) -> bool {
+        let before = self.known.len();
+        self.known.retain(|_, known| known.expires_at > now);
+        self.known.len() != before
+    }
+
+    /// What traffic reads.
+    #[must_use]
+    pub fn snapshot(&self) -> SuspectSet {
+        SuspectSet::from_sorted(self.known.iter().map(|(key, known)| (key, known.mark)))
+    }
+
+    /// All that others should hear, in the order of fingerprints.
+    pub fn entries(&self, now: Millis) -> impl Iterator<Item = SuspectEntry> + '_ {
+        self.known
+            .iter()
+            .map(move |(key, known)| SuspectEntry::new(*key, known.mark, known.age_ms(now)))
+    }
+
+    /// What is held against a fingerprint.
+    #[must_use]
+    pub fn standing(&self, fingerprint: u64) -> Standing {
+        self.mark(fingerprint).standing
+    }
+
+    /// Fingerprints known, cleared ones included.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether no fingerprint is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    pub(crate) fn mark(&self, fingerprint: u64) -> Mark {
+        match self.known.get(&fingerprint) {
+            Some(known) => known.mark,
+            None => Mark::default(),
+        }
+    }
+
+    /// Raises a mark to one that is known elsewhere in this process, so that
+    /// an observation counts on from there.
+    pub(crate) fn raise(&mut self, fingerprint: u64, mark: Mark, now: Millis) {
+        if self.mark(fingerprint) < mark {
+            let expires_at = now + mark.lifetime();
+            self.put(fingerprint, Known { mark, expires_at });
+        }
+    }
+
+    /// Stores what is known; false when the store is full of graver things.
+    fn put(&mut self, fingerprint: u64, known: Known) -> bool {
+        if !self.known.contains_key(&fingerprint)
+            && self.known.len() >= MAX_SUSPECTS
+            && !self.evict(known.mark.standing)
+        {
+            return false;
+        }
+        self.known.insert(fingerprint, known);
+        true
+    }
+
+    /// Makes room for a mark: the least grave goes first, then the oldest.
+    ///
+    /// A flood of suspects (many requests in flight in each crash) must not
+    /// wash out a conviction, or the convicted request would crash targets
+    /// anew; so nothing graver than the newcomer is ever evicted.
+    fn evict(&mut self, newcomer: Standing) -> bool {
+        let mut least: Option<EvictionRank> = None;
+        for (fingerprint, known) in &self.known {
+            let rank = EvictionRank {
+                standing: known.mark.standing,
+                expires_at: known.expires_at,
+                fingerprint: *fingerprint,
+            };
+            if least.is_none_or(|least| rank < least) {
+                least = Some(rank);
+            }
+        }
+        let Some(victim) = least.filter(|victim| victim.standing <= newcomer) else {
+            return false;
+        };
+        self.known.remove(&victim.fingerprint);
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/suspects/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of suspicion and of its spreading.
