Log JSON lines and keep metrics without holding up traffic

Cause: operators need lines for their log store and histograms by class and tenant, and neither may cost a caller anything: a stalled log collector must not freeze calls, and made-up tenants must not fill the VM's memory. Ruled out: fern's own standard error output, which writes in the calling thread and blocks on a full pipe; labels straight from requests; the experimental bound instruments of the metrics library, whose interface is not settled. Change: lines pass a lock-free limit by place and a bounded queue to a thread of their own; what is lost is counted and exported. Conclusion: both can be used by the daemon; the cost of a record on the traffic path is not measured yet.

--- /dev/null
+++ b/crates/node/src/logs/queue.rs
@@ -0,0 +1,99 @@
+//! The queue between those who log and the one thread that writes.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::thread;
+use std::time::Duration;
+
+use super::count_dropped;
+
+/// Lines that may wait.
+const MAX_LINES: usize = 4_096;
+/// Bytes that may wait; reached first when lines are long.
+const MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// The sending end; clones share the queue.
+///
+/// Standard error is often a pipe. Once its reader stalls, a write blocks
+/// without end; once it is gone, each write fails. Written from a traffic
+/// thread, the first would freeze every call of the node for as long as the
+/// log collector sleeps. Here only the writing thread waits; all others find
+/// the queue full, drop their line and count it.
+#[derive(Clone, Debug)]
+pub(super) struct Queue {
+    sender: SyncSender<Item>,
+    waiting_bytes: Arc<AtomicUsize>,
+}
+
+enum Item {
+    Line(Vec<u8>),
+    /// Answer once everything before is written.
+    Flush(SyncSender<()>),
+}
+
+impl Queue {
+    pub(super) fn start(sink: Box<dyn Write + Send>) -> std::io::Result<Self> {
+        let (sender, receiver) = sync_channel(MAX_LINES);
+        let waiting_bytes = Arc::new(AtomicUsize::new(0));
+        let writer = Writer {
+            sink,
+            receiver,
+            waiting_bytes: Arc::clone(&waiting_bytes),
+        };
+        thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || writer.run())?;
+        Ok(Self {
+            sender,
+            waiting_bytes,
+        })
+    }
+
+    /// Hands over a line, or drops it; never waits.
+    pub(super) fn push(&self, line: Vec<u8>) {
+        let size_bytes = line.len();
+        let before = self.waiting_bytes.fetch_add(size_bytes, Ordering::Relaxed);
+        if before + size_bytes <= MAX_BYTES && self.sender.try_send(Item::Line(line)).is_ok() {
+            return;
+        }
+        self.waiting_bytes.fetch_sub(size_bytes, Ordering::Relaxed);
+        count_dropped(1);
+    }
+
+    pub(super) fn flush(&self, timeout: Duration) -> bool {
+        let (done, written) = sync_channel(1);
+        match self.sender.try_send(Item::Flush(done)) {
+            Ok(()) => written.recv_timeout(timeout).is_ok(),
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => false,
+        }
+    }
+}
+
+struct Writer {
+    sink: Box<dyn Write + Send>,
+    receiver: Receiver<Item>,
+    waiting_bytes: Arc<AtomicUsize>,
+}
+
+impl Writer {
+    /// Runs until the last sender is gone. A failed write loses its line only:
+    /// the next may succeed, for instance once a full file system has room.
+    fn run(mut self) {
+        while let Ok(item) = self.receiver.recv() {
+            match item {
+                Item::Line(line) => self.write(&line),
+                // Whoever asked may have given up waiting.
+                Item::Flush(done) => drop(done.try_send(())),
+            }
+        }
+    }
+
+    fn write(&mut self, line: &[u8]) {
+        self.waiting_bytes.fetch_sub(line.len(), Ordering::Relaxed);
+        if self.sink.write_all(line).is_err() {
+            count_dropped(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/logs/repeats.rs
@@ -0,0 +1,143 @@
+//! Silences places in the code that write too often.
+
+use std::array;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use hornbeamhitch_types::prelude::*;
+use log::Record;
+use xxhash_rust::xxh3::Xxh3;
+
+const WINDOW_MS: u64 = 10_000;
+/// Far more places than the daemon and its libraries have.
+const SLOTS: usize = 1_024;
+const MAX_PROBES: usize = 16;
+
+/// Whether a line may be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Permit {
+    /// Write it, and say how many of its place were left out before.
+    Write {
+        /// Lines left out in the last window in which the place wrote.
+        suppressed: u32,
+    },
+    /// Leave it out.
+    Suppress,
+}
+
+/// Counts lines by target, level and place, in windows of ten seconds.
+///
+/// During an outage each call fails in the same way and logs it. Without a
+/// bound, the log store is flooded when it is needed most, and formatting
+/// takes the cores that the calls need. Each place keeps its first lines of a
+/// window, so a rare line is never lost to a frequent one of another place.
+#[derive(Debug)]
+pub(super) struct Repeats {
+    max_lines: u32,
+    slots: Box<[Slot; SLOTS]>,
+}
+
+/// One place; lock-free, because traffic threads pass here at once.
+#[derive(Debug, Default)]
+struct Slot {
+    /// Hash of the place; 0 while the slot is free.
+    place: AtomicU64,
+    /// Window in the upper 32 bits, lines asked for in it in the lower.
+    count: AtomicU64,
+}
+
+impl Repeats {
+    pub(super) fn new(max_lines: u32) -> Self {
+        Self {
+            max_lines,
+            slots: Box::new(array::from_fn(|_| Slot::default())),
+        }
+    }
+
+    pub(super) fn ask(&self, record: &Record<'_>, now: Millis) -> Permit {
+        let window = now.0 / WINDOW_MS;
+        self.slot(place_of(record))
+            .ask(window as u32, self.max_lines)
+    }
+
+    /// The place's slot. Beyond `MAX_PROBES` collisions it shares one, which
+    /// can silence it too early but never lets through more.
+    fn slot(&self, place: u64) -> &Slot {
+        let mut index = place as usize % SLOTS;
+        for _ in 0..MAX_PROBES {
+            let slot = &self.slots[index];
+            if slot.take(place) {
+                return slot;
+            }
+            index = (index + 1) % SLOTS;
+        }
+        &self.slots[index]
+    }
+}
+
+impl Slot {
+    /// Whether the slot belongs to the place, now or already.
+    fn take(&self, place: u64) -> bool {
+        let taken = self
+            .place
+            .compare_exchange(0, place, Ordering::Relaxed, Ordering::Relaxed);
+        match taken {
+            Ok(_) => true,
+            Err(owner) => owner == place,
+        }
+    }
+
+    fn ask(&self, window: u32, max_lines: u32) -> Permit {
+        let mut before = self.count.load(Ordering::Relaxed);
+        loop {
+            let after = next_count(before, window);
+            match self.count.compare_exchange_weak(
+                before,
+                after,
+                Ordering::Relaxed,
+                Ordering::Relaxed,
+            ) {
+                Ok(_) => return permit(before, after, max_lines),
+                Err(other) => before = other,
+            }
+        }
+    }
+}
+
+fn next_count(before: u64, window: u32) -> u64 {
+    let (last_window, lines) = unpack(before);
+    if last_window == window {
+        return pack(window, lines.saturating_add(1));
+    }
+    pack(window, 1)
+}
+
+fn permit(before: u64, after: u64, max_lines: u32) -> Permit {
+    let (last_window, last_lines) = unpack(before);
+    let (window, lines) = unpack(after);
+    if lines > max_lines {
+        return Permit::Suppress;
+    }
+    let mut suppressed = 0;
+    if window != last_window {
+        suppressed = last_lines.saturating_sub(max_lines);
+    }
+    Permit::Write { suppressed }
+}
+
+fn pack(window: u32, lines: u32) -> u64 {
+    (u64::from(window) << u32::BITS) | u64::from(lines)
+}
+
+fn unpack(count: u64) -> (u32, u32) {
+    ((count >> u32::BITS) as u32, count as u32)
+}
+
+/// Never 0, which stands for a free slot.
+fn place_of(record: &Record<'_>) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(record.target().as_bytes());
+    hash.update(&[record.level() as u8]);
+    hash.update(record.file().unwrap_or_default().as_bytes());
+    hash.update(&record.line().unwrap_or_default().to_le_bytes());
+    hash.digest().max(1)
+}
--- /dev/null
+++ b/crates/node/src/metrics/tests.rs
@@ -0,0 +1,217 @@
+//! What was recorded stands in the text, and label sets stay bounded.
+
+use super::*;
+
+fn metrics() -> Metrics {
+    let metrics = Metrics::new(
+        &VmId::new("cashier-1"),
+        &ServiceName::new("cashier"),
+        &DataCentre::new("bkk-a"),
+    )
+    .expect("the metrics library accepts its set-up");
+    metrics.set_names(
+        &[ServiceName::new("cashier"), ServiceName::new("ledger")],
+        &[TenantName::new("district-7")],
+    );
+    metrics
+}
+
+fn sample(tenant: &str) -> CallSample<'_> {
+    CallSample {
+        service: "cashier",
+        class: CallClass::Payment,
+        tenant,
+        code: ResultCode::Answered,
+        latency_us: 7_000,
+    }
+}
+
+/// The value of the one line that begins with `series`.
+fn value_of(text: &str, series: &str) -> f64 {
+    let mut found = None;
+    for line in text.lines() {
+        let Some(rest) = line.strip_prefix(series) else {
+            continue;
+        };
+        let Some(value) = rest.strip_prefix(' ') else {
+            continue;
+        };
+        assert!(found.is_none(), "{series} stands twice in\n{text}");
+        found = value.parse().ok();
+    }
+    found.unwrap_or_else(|| panic!("{series} is missing in\n{text}"))
+}
+
+fn render(metrics: &Metrics) -> String {
+    metrics.render().expect("metrics can be written")
+}
+
+#[test]
+fn recorded_values_stand_in_the_text() {
+    let metrics = metrics();
+    metrics.call_ended(&sample("district-7"));
+    metrics.call_ended(&CallSample {
+        code: ResultCode::Overloaded,
+        latency_us: 90,
+        ..sample("district-7")
+    });
+    metrics.added(Side::Entry, 980);
+    metrics.added(Side::Gate, 120);
+    metrics.attempt_sent("cashier", AttemptKind::First);
+    metrics.attempt_sent("cashier", AttemptKind::Retry);
+    metrics.attempt_sent("cashier", AttemptKind::Hedge);
+    metrics.loser_cancelled("cashier");
+    metrics.gate_ran(CallClass::Payment, 6_000);
+    metrics.gate_waited(CallClass::Payment, 400);
+    metrics.gate_refused(ResultCode::RecordsFull);
+    metrics.gate_levels(&GateLevels {
+        in_flight: 11,
+        queued: 3,
+        limit: 12,
+        records: 40,
+        stored_bytes: 8_192,
+    });
+    metrics.probe_sent("ledger");
+    metrics.datagram_sent(300);
+    metrics.datagram_received(200);
+    metrics.bulk_pulled(5_000);
+    metrics.bulk_served(6_000);
+    metrics.platform_read(PlatformRead::Stale);
+    metrics.control_busy(1_234);
+    metrics.config_in_force(ConfigVersion(41));
+    metrics.config_refused(ConfigVersion(42));
+    metrics.members(&MemberLevels {
+        live: 9,
+        leaving: 1,
+        doubtful: 2,
+    });
+    metrics.targets("ledger", TargetState::Ejected, 1);
+    metrics.suspects(SuspectState::Convicted, 1);
+
+    insta::assert_snapshot!(without_moving_figures(&render(&metrics)));
+}
+
+/// Leaves out what differs from run to run: shares of the time since the
+/// start, and the log's counters, which belong to the whole process.
+fn without_moving_figures(text: &str) -> String {
+    let mut kept = String::new();
+    for line in text.lines() {
+        let moving = line.starts_with("hitch_control_core_share ")
+            || line.starts_with("hitch_control_bytes_per_s ")
+            || line.starts_with("hitch_log_lines_");
+        if moving {
+            continue;
+        }
+        kept.push_str(line);
+        kept.push('\n');
+    }
+    kept
+}
+
+#[test]
+fn callers_cannot_add_label_values() {
+    // A faulty caller makes up a tenant and a service for each call. If each
+    // became a label, the node's memory and the text would grow with every
+    // call, until the VM had none left. All of them must count as `other`.
+    let metrics = metrics();
+    for number in 0..5_000 {
+        let tenant = format!("made-up-{number}");
+        let service = format!("made-up-too-{number}");
+        metrics.call_ended(&CallSample {
+            service: &service,
+            ..sample(&tenant)
+        });
+    }
+    let text = render(&metrics);
+    assert!(!text.contains("made-up"));
+    let others =
+        "hitch_tenant_call_latency_milliseconds_count{certainty=\"answered\",tenant=\"other\"}";
+    assert!((value_of(&text, others) - 5_000.0).abs() < f64::EPSILON);
+}
+
+#[test]
+fn edits_of_the_text_cannot_add_tenants_without_end() {
+    // Each edit of the text renames a tenant, for as long as the process
+    // lives. Old names stay in the metrics library, so without a bound over
+    // the life of the process they would pile up.
+    let metrics = metrics();
+    for number in 0..3 * labels::MAX_TENANTS {
+        let tenant = format!("district-{number}");
+        metrics.set_names(&[ServiceName::new("cashier")], &[TenantName::new(&tenant)]);
+        metrics.call_ended(&sample(&tenant));
+    }
+    let text = render(&metrics);
+    let mut tenants = std::collections::BTreeSet::new();
+    for line in text.lines() {
+        let Some((_, rest)) = line.split_once("tenant=\"") else {
+            continue;
+        };
+        tenants.insert(rest.split('"').next());
+    }
+    assert_eq!(tenants.len(), labels::MAX_TENANTS + 1);
+    assert!(tenants.contains(&Some(labels::OTHER)));
+}
+
+#[test]
+fn a_tenant_that_left_the_text_counts_as_other() {
+    let metrics = metrics();
+    metrics.set_names(&[ServiceName::new("cashier")], &[]);
+    metrics.call_ended(&sample("district-7"));
+    assert!(!render(&metrics).contains("district-7"));
+}
+
+#[test]
+fn hostile_names_of_the_text_stay_within_their_label() {
+    let metrics = metrics();
+    let hostile = "a\"} 1\nforged{b=\"\\";
+    metrics.set_names(&[ServiceName::new("cashier")], &[TenantName::new(hostile)]);
+    metrics.call_ended(&sample(hostile));
+    let text = render(&metrics);
+    assert!(text.contains(r#"tenant="a\"} 1\nforged{b=\"\\""#), "{text}");
+    assert!(!text.lines().any(|line| line.starts_with("forged")));
+}
+
+#[test]
+fn the_cost_of_measuring_is_a_figure() {
+    let metrics = metrics();
+    assert_eq!(metrics.measuring_cost().messages_per_call(), None);
+    assert!(!render(&metrics).contains("hitch_measuring_messages_per_call "));
+    for _ in 0..100 {
+        metrics.call_ended(&sample("district-7"));
+    }
+    metrics.probe_sent("ledger");
+    metrics.datagram_sent(300);
+    metrics.datagram_sent(300);
+    metrics.datagram_received(70);
+    metrics.bulk_pulled(1_000);
+    metrics.platform_read(PlatformRead::Unchanged);
+
+    let cost = metrics.measuring_cost();
+    assert_eq!(cost.messages_per_call(), Some(0.05));
+    assert_eq!(cost.sent_bytes, 600);
+    let text = render(&metrics);
+    assert!((value_of(&text, "hitch_measuring_messages_per_call") - 0.05).abs() < 1e-9);
+    let counters = metrics.control_counters();
+    assert_eq!(counters.datagrams_sent, 2);
+    assert_eq!(counters.received_bytes, 70);
+    assert_eq!(counters.bulk_bytes, 1_000);
+}
+
+#[test]
+fn all_threads_count_into_the_same_series() {
+    const THREADS: u32 = 4;
+    const CALLS: u32 = 1_000;
+    let metrics = metrics();
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                for _ in 0..CALLS {
+                    metrics.call_ended(&sample("district-7"));
+                }
+            });
+        }
+    });
+    let series = "hitch_calls_total{class=\"payment\",code=\"1000\",result=\"answered\",service=\"cashier\"}";
+    let counted = value_of(&render(&metrics), series);
+    assert!((counted - f64::from(THREADS * CALLS)).abs() < f64::EPSILON);
+}
