--- /dev/null
+++ b/crates/standins/src/platform/admin.rs
@@ -0,0 +1,111 @@
+//! Steering over HTTP, for the stand-in as a process.
+
+use tokio::time::sleep;
+
+use crate::http_server::{Answer, json_answer, query_value, read_body, read_json, text_answer};
+use crate::prelude::*;
+
+use super::Shared;
+use super::mood::{Mood, Reach};
+use super::vms::{VmEntry, VmState};
+
+const CLOSE_AFTER: Duration = Duration::from_millis(20);
+
+/// Body of `POST /admin/mood`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct MoodOrder {
+    /// The mood to take.
+    pub mood: Mood,
+    /// Returns to the default mood after this time; needed to close the port,
+    /// because then nothing can be ordered over HTTP any more.
+    pub for_ms: Option<u64>,
+}
+
+/// Body of `POST /admin/vm-state`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct VmStateOrder {
+    /// The VM.
+    pub vm: String,
+    /// Its new state; `None` removes it.
+    pub state: Option<VmState>,
+}
+
+/// Answer to an order that published a value.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Published {
+    /// The new version.
+    pub version: u64,
+}
+
+pub(super) async fn answer(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
+    match obey(shared, request).await {
+        Ok(answer) => answer,
+        Err(error) => text_answer(StatusCode::BAD_REQUEST, format!("{error:#}")),
+    }
+}
+
+async fn obey(shared: &Arc<Shared>, request: Request<Incoming>) -> Result<Answer> {
+    let (head, body) = request.into_parts();
+    match (head.method.as_str(), head.uri.path()) {
+        ("POST", "/admin/text") => {
+            let version = query_value(head.uri.query(), "version");
+            let version = version.map(str::parse).transpose()?;
+            let bytes = read_body(body).await?;
+            let text = std::str::from_utf8(&bytes)?;
+            published(shared.store.set_text(text, version)?)
+        }
+        ("POST", "/admin/vms") => {
+            let vms: Vec<VmEntry> = read_json(body).await?;
+            published(shared.store.set_vms(vms)?)
+        }
+        ("POST", "/admin/vm-state") => {
+            let order: VmStateOrder = read_json(body).await?;
+            published(match order.state {
+                Some(state) => shared.store.set_vm_state(&order.vm, state)?,
+                None => shared.store.remove_vm(&order.vm)?,
+            })
+        }
+        ("POST", "/admin/mood") => {
+            let order: MoodOrder = read_json(body).await?;
+            order_mood(shared, order).await
+        }
+        ("GET", "/admin/mood") => Ok(json_answer(StatusCode::OK, &shared.store.mood())),
+        ("GET", "/admin/counts") => Ok(json_answer(StatusCode::OK, &shared.counter.counts())),
+        ("POST", "/admin/reset-counts") => {
+            shared.counter.reset();
+            Ok(text_answer(StatusCode::OK, ""))
+        }
+        _ => Ok(text_answer(StatusCode::NOT_FOUND, "no such order")),
+    }
+}
+
+fn published(version: u64) -> Result<Answer> {
+    Ok(json_answer(StatusCode::OK, &Published { version }))
+}
+
+async fn order_mood(shared: &Arc<Shared>, order: MoodOrder) -> Result<Answer> {
+    let closes = order.mood.reach == Reach::Refused;
+    ensure!(
+        order.for_ms.is_some() || !closes,
+        "a closed port needs for_ms, or it could never be opened again"
+    );
+    if closes {
+        let owner = Arc::clone(shared);
+        tokio::spawn(async move {
+            // The answer to the order goes out before the port is closed.
+            sleep(CLOSE_AFTER).await;
+            owner.set_mood(order.mood).await;
+        });
+    } else {
+        shared.set_mood(order.mood).await;
+    }
+    if let Some(for_ms) = order.for_ms {
+        let owner = Arc::clone(shared);
+        tokio::spawn(async move {
+            sleep(CLOSE_AFTER + Duration::from_millis(for_ms)).await;
+            owner.set_mood(Mood::default()).await;
+        });
+    }
+    Ok(text_answer(StatusCode::OK, ""))
+}
--- /dev/null
+++ b/crates/standins/src/prelude.rs
@@ -0,0 +1,17 @@
+//! What almost every module of this crate needs.
+
+pub use std::net::SocketAddr;
+pub use std::sync::Arc;
+pub use std::time::Duration;
+
+pub use bytes::Bytes;
+pub use eyre::{Result, WrapErr, bail, ensure, eyre};
+pub use http::{HeaderMap, Method, Request, Response, StatusCode};
+pub use hyper::body::Incoming;
+pub use parking_lot::Mutex;
+pub use serde::{Deserialize, Serialize};
+
+pub use hornbeamhitch_types::prelude::*;
+pub use hornbeamhitch_wire::header;
+
+pub use crate::clock::{Clock, wall_clock};
--- /dev/null
+++ b/crates/standins/src/target.rs
@@ -0,0 +1,350 @@
+//! The target's stand-in: an HTTP/1.1 server with slots, moods and a journal
+//! of what ran.
+
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep};
+
+use crate::http_client::{HttpClient, HttpVersion};
+use crate::http_server::{HttpServer, ServerControl, control};
+use crate::prelude::*;
+
+pub mod admin;
+pub mod config;
+pub mod cut;
+pub mod echo;
+pub mod headers;
+pub mod hints;
+pub mod journal;
+pub mod mood;
+pub mod service_time;
+pub mod slots;
+
+mod calls;
+mod downstream;
+mod stall;
+
+pub use config::TargetConfig;
+pub use cut::Cut;
+pub use hints::Load;
+pub use journal::{RequestMarks, RunEnd, RunRecord};
+pub use mood::{HealthSays, Mood, RandomStalls};
+pub use service_time::ServiceTime;
+pub use slots::Overflow;
+
+use hints::Hints;
+use journal::Journal;
+use service_time::Sampler;
+use slots::Slots;
+use stall::Stalls;
+
+/// Share of the newest run in the smoothed service time, as a divisor.
+const SMOOTHING: u32 = 8;
+
+/// What a target has counted.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetCounts {
+    /// Requests to `/.health`.
+    pub health_probes: u64,
+    /// Requests to `/.load`.
+    pub load_probes: u64,
+    /// Requests that were calls.
+    pub calls: u64,
+    /// Calls shed with `hitch-not-run`.
+    pub shed: u64,
+    /// Calls whose client went away before a slot was free.
+    pub cancelled_in_queue: u64,
+    /// Crashes.
+    pub crashes: u64,
+    /// Stalls.
+    pub stalls: u64,
+    /// Answers cut on command.
+    pub cut: u64,
+    /// The most runs that were in progress at once.
+    pub max_in_flight: u32,
+    /// Runs that the journal had no room for.
+    pub runs_forgotten: u64,
+}
+
+#[derive(Default)]
+struct Counters {
+    health_probes: AtomicU64,
+    load_probes: AtomicU64,
+    calls: AtomicU64,
+    shed: AtomicU64,
+    crashes: AtomicU64,
+    cut: AtomicU64,
+}
+
+struct CutOrder {
+    cut: Cut,
+    left: u32,
+}
+
+pub(crate) struct Shared {
+    config: TargetConfig,
+    mood: Mutex<Mood>,
+    node: Mutex<Option<SocketAddr>>,
+    next_cuts: Mutex<Option<CutOrder>>,
+    started_at: Mutex<Instant>,
+    slots: Slots,
+    stalls: Stalls,
+    sampler: Sampler,
+    journal: Arc<Journal>,
+    hints: Hints,
+    counters: Counters,
+    smoothed_us: AtomicU32,
+    client: HttpClient,
+    control: ServerControl,
+}
+
+/// A running stand-in of a target; it ends when this value is dropped.
+pub struct TargetStandin {
+    server: HttpServer,
+    shared: Arc<Shared>,
+    staller: AbortHandle,
+}
+
+impl TargetStandin {
+    /// Binds and serves.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound or the journal's file not made.
+    pub async fn start(config: TargetConfig) -> Result<Self> {
+        let (control, end) = control();
+        let addr = config.addr;
+        let shared = Arc::new(Shared::new(config, control)?);
+        let handler = Arc::new(calls::TargetHandler {
+            shared: Arc::clone(&shared),
+        });
+        let server = HttpServer::start(addr, handler, end).await?;
+        let staller = tokio::spawn(stall_at_random(Arc::clone(&shared)));
+        Ok(Self {
+            server,
+            shared,
+            staller: staller.abort_handle(),
+        })
+    }
+
+    /// The address that was bound.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Its name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.shared.config.name
+    }
+
+    /// The present mood.
+    #[must_use]
+    pub fn mood(&self) -> Mood {
+        self.shared.mood()
+    }
+
+    /// Takes another mood, in place of the present one.
+    pub fn set_mood(&self, mood: Mood) {
+        self.shared.set_mood(mood);
+    }
+
+    /// Changes parts of the mood.
+    pub fn change_mood(&self, change: impl FnOnce(&mut Mood)) {
+        let mut mood = self.shared.mood();
+        change(&mut mood);
+        self.shared.set_mood(mood);
+    }
+
+    /// Names the node through which it calls other services.
+    pub fn set_node(&self, node: SocketAddr) {
+        *self.shared.node.lock() = Some(node);
+    }
+
+    /// Freezes all work for a while, from now.
+    pub fn stall(&self, span_ms: u64) {
+        self.shared.stalls.freeze(Duration::from_millis(span_ms));
+    }
+
+    /// Cuts the next answers to calls.
+    pub fn cut_next(&self, cut: Cut, count: u32) {
+        self.shared.cut_next(cut, count);
+    }
+
+    /// Crashes now: resets all connections, comes back cold after its
+    /// `restart_ms`.
+    pub async fn crash(&self) {
+        self.shared.crash().await;
+    }
+
+    /// Closes the port for good, or until [`Self::reopen`].
+    pub async fn close(&self) {
+        self.shared.journal.set_crashing(true);
+        self.shared.control.close().await;
+        self.shared.journal.set_crashing(false);
+    }
+
+    /// Listens again after [`Self::close`], cold.
+    pub async fn reopen(&self) {
+        *self.shared.started_at.lock() = Instant::now();
+        self.shared.control.open().await;
+    }
+
+    /// Runs of one `hitch-key`, idempotency key or nonce.
+    #[must_use]
+    pub fn runs(&self, key: &str) -> Vec<RunRecord> {
+        self.shared.journal.of_key(key)
+    }
+
+    /// All runs since the start, crashes included.
+    #[must_use]
+    pub fn all_runs(&self) -> Vec<RunRecord> {
+        self.shared.journal.all()
+    }
+
+    /// Its load as it truly is now.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        self.shared.load()
+    }
+
+    /// Counts since the start.
+    #[must_use]
+    pub fn counts(&self) -> TargetCounts {
+        self.shared.counts()
+    }
+
+    /// Resets all connections and frees the port.
+    pub async fn stop(self) {
+        self.shared.control.stop().await;
+    }
+}
+
+impl Drop for TargetStandin {
+    fn drop(&mut self) {
+        self.staller.abort();
+    }
+}
+
+impl Shared {
+    fn new(config: TargetConfig, control: ServerControl) -> Result<Self> {
+        let first_load = Load {
+            slots: config.slots,
+            ..Load::default()
+        };
+        Ok(Self {
+            mood: Mutex::new(config.mood.clone()),
+            node: Mutex::new(config.node),
+            next_cuts: Mutex::new(None),
+            started_at: Mutex::new(Instant::now()),
+            slots: Slots::new(config.slots, config.overflow),
+            stalls: Stalls::new(),
+            sampler: Sampler::new(config.seed),
+            journal: Arc::new(Journal::new(&config.name, config.journal.as_deref())?),
+            hints: Hints::new(first_load),
+            counters: Counters::default(),
+            smoothed_us: AtomicU32::new(0),
+            client: HttpClient::new(HttpVersion::Http1),
+            control,
+            config,
+        })
+    }
+
+    fn mood(&self) -> Mood {
+        self.mood.lock().clone()
+    }
+
+    fn set_mood(&self, mood: Mood) {
+        *self.mood.lock() = mood;
+        self.note_load();
+    }
+
+    fn note_load(&self) {
+        let load = self.load();
+        self.hints.note(load, &self.mood.lock());
+    }
+
+    fn load(&self) -> Load {
+        Load {
+            in_flight: self.slots.in_flight(),
+            queued: self.slots.queued(),
+            slots: self.config.slots,
+            service_time_us: self.smoothed_us.load(Ordering::Relaxed),
+        }
+    }
+
+    fn learn_service_time(&self, took: Duration) {
+        let took_us = u32::try_from(took.as_micros()).unwrap_or(u32::MAX);
+        let before = self.smoothed_us.load(Ordering::Relaxed);
+        let after = before - before / SMOOTHING + took_us / SMOOTHING;
+        self.smoothed_us.store(after, Ordering::Relaxed);
+    }
+
+    fn cut_next(&self, cut: Cut, count: u32) {
+        *self.next_cuts.lock() = Some(CutOrder { cut, left: count });
+    }
+
+    fn take_cut_order(&self) -> Option<Cut> {
+        let mut orders = self.next_cuts.lock();
+        let order = orders.as_mut()?;
+        if order.left == 0 {
+            return None;
+        }
+        order.left -= 1;
+        Some(order.cut)
+    }
+
+    async fn crash(&self) {
+        self.counters.crashes.fetch_add(1, Ordering::Relaxed);
+        let down = Duration::from_millis(self.config.restart_ms);
+        *self.started_at.lock() = Instant::now() + down;
+        self.journal.set_crashing(true);
+        self.control.crash(down).await;
+        self.journal.set_crashing(false);
+    }
+
+    /// How many times slower a cold target is now.
+    fn coldness(&self) -> f64 {
+        let cold = Duration::from_millis(self.config.cold_start_ms);
+        let age = self.started_at.lock().elapsed();
+        if age >= cold {
+            return 1.0;
+        }
+        let left = 1.0 - age.as_secs_f64() / cold.as_secs_f64();
+        1.0 + (self.config.cold_factor - 1.0).max(0.0) * left
+    }
+
+    fn counts(&self) -> TargetCounts {
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        TargetCounts {
+            health_probes: read(&self.counters.health_probes),
+            load_probes: read(&self.counters.load_probes),
+            calls: read(&self.counters.calls),
+            shed: read(&self.counters.shed),
+            cancelled_in_queue: self.slots.cancelled_in_queue(),
+            crashes: read(&self.counters.crashes),
+            stalls: self.stalls.count(),
+            cut: read(&self.counters.cut),
+            max_in_flight: self.slots.max_in_flight(),
+            runs_forgotten: self.journal.forgotten(),
+        }
+    }
+}
+
+/// How often the wish for random stalls is looked up while there is none.
+const STALLER_POLL: Duration = Duration::from_millis(20);
+
+async fn stall_at_random(shared: Arc<Shared>) {
+    loop {
+        let Some(stalls) = shared.mood().random_stalls else {
+            sleep(STALLER_POLL).await;
+            continue;
+        };
+        let pause_ms = shared.sampler.between(1, stalls.every_ms.max(1));
+        sleep(Duration::from_millis(pause_ms)).await;
+        let span_ms = shared.sampler.between(stalls.min_ms, stalls.max_ms);
+        shared.stalls.freeze(Duration::from_millis(span_ms));
+    }
+}
--- /dev/null
+++ b/crates/standins/src/target/admin.rs
@@ -0,0 +1,75 @@
+//! Steering over HTTP, for the stand-in as a process.
+
+use crate::http_server::{Answer, json_answer, query_value, read_json, text_answer};
+use crate::prelude::*;
+
+use super::cut::Cut;
+use super::{Mood, Shared};
+
+/// Body of `POST /admin/stall`.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct StallOrder {
+    /// Length of the stall.
+    pub span_ms: u64,
+}
+
+/// Body of `POST /admin/cut`.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct CutNextOrder {
+    /// How to cut.
+    pub cut: Cut,
+    /// How many of the next answers.
+    pub count: u32,
+}
+
+/// Body of `POST /admin/node`.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct NodeOrder {
+    /// The node through which the target calls other services.
+    pub node: SocketAddr,
+}
+
+pub(super) async fn answer(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
+    match obey(shared, request).await {
+        Ok(answer) => answer,
+        Err(error) => text_answer(StatusCode::BAD_REQUEST, format!("{error:#}")),
+    }
+}
+
+async fn obey(shared: &Arc<Shared>, request: Request<Incoming>) -> Result<Answer> {
+    let (head, body) = request.into_parts();
+    match (head.method.as_str(), head.uri.path()) {
+        ("GET", "/admin/runs") => {
+            let runs = match query_value(head.uri.query(), "key") {
+                Some(key) => shared.journal.of_key(key),
+                None => shared.journal.all(),
+            };
+            return Ok(json_answer(StatusCode::OK, &runs));
+        }
+        ("GET", "/admin/counts") => return Ok(json_answer(StatusCode::OK, &shared.counts())),
+        ("GET", "/admin/load") => return Ok(json_answer(StatusCode::OK, &shared.load())),
+        ("GET", "/admin/mood") => return Ok(json_answer(StatusCode::OK, &shared.mood())),
+        ("POST", "/admin/mood") => {
+            let mood: Mood = read_json(body).await?;
+            shared.set_mood(mood);
+        }
+        ("POST", "/admin/stall") => {
+            let order: StallOrder = read_json(body).await?;
+            shared.stalls.freeze(Duration::from_millis(order.span_ms));
+        }
+        ("POST", "/admin/cut") => {
+            let order: CutNextOrder = read_json(body).await?;
+            shared.cut_next(order.cut, order.count);
+        }
+        ("POST", "/admin/node") => {
+            let order: NodeOrder = read_json(body).await?;
+            *shared.node.lock() = Some(order.node);
+        }
+        ("POST", "/admin/crash") => {
+            let owner = Arc::clone(shared);
+            tokio::spawn(async move { owner.crash().await });
+        }
+        _ => return Ok(text_answer(StatusCode::NOT_FOUND, "no such order")),
+    }
+    Ok(text_answer(StatusCode::OK, ""))
+}
