Describe edits and resolved values of the text, and bound its nesting

Cause: operators review a text by what an edit does, not by its lines. A trial of a check on a thread with 1 MiB of stack overflowed at the parser's own bound of 512 levels, which would abort every node that reads such a value. Ruled out: a thread with a larger stack for the check; each caller would have to know of it. Comparing entries only: a removed entry can leave a payment to a broader idempotent one, and no entry that is left has changed. Change: diff() and explain(); nesting is bounded at 32 before parsing; copies of inherited lists are bounded over all services; wrong types name the range.

--- /dev/null
+++ b/crates/text/src/explanation.rs
@@ -0,0 +1,155 @@
+//! What a service resolves to, with the origin of each value.
+
+use std::fmt;
+
+use serde::Serialize;
+use thiserror::Error;
+
+pub use crate::checked::{Followed, Origin};
+use crate::fault::meant;
+use crate::prelude::*;
+use crate::setting::Group;
+
+/// What one service resolves to.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Explanation {
+    /// The service's name.
+    pub service: ServiceName,
+    /// Line on which it begins.
+    pub line: u32,
+    /// Services that it depends on.
+    pub depends_on: Vec<ServiceName>,
+    /// Where that list comes from.
+    pub depends_on_origin: Origin,
+    /// Services that depend on it.
+    pub callers: Vec<ServiceName>,
+    /// Every number of the service.
+    pub settings: Vec<ExplainedSetting>,
+    /// Where the list of calls comes from.
+    pub calls_origin: Origin,
+    /// The named calls, in the order in which they are tried for one length of
+    /// path.
+    pub calls: Vec<ExplainedCall>,
+}
+
+/// One number and its origin.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct ExplainedSetting {
+    /// Which number.
+    pub setting: Setting,
+    /// Its value, in the unit that its key ends with.
+    pub value: f64,
+    /// Where it comes from.
+    pub origin: Origin,
+}
+
+/// One named call and the origin of its values.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ExplainedCall {
+    /// Line on which it is named.
+    pub line: u32,
+    /// The call.
+    pub call: CallPolicy,
+    /// Where its idempotence comes from.
+    pub idempotent_origin: Origin,
+    /// Where its class comes from.
+    pub class_origin: Origin,
+    /// Where its deadline comes from.
+    pub deadline_origin: Origin,
+}
+
+/// The text has no such service.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("the text has no service {service:?}{}", meant(nearest.as_deref()))]
+pub struct UnknownService {
+    /// The name asked for.
+    pub service: String,
+    /// The service that it resembles.
+    pub nearest: Option<String>,
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::BuiltIn => f.write_str("built-in default"),
+            Self::Follows { value } => write!(f, "follows {value}"),
+            Self::Defaults { line } => write!(f, "defaults, line {line}"),
+            Self::Service { line } => write!(f, "line {line}"),
+        }
+    }
+}
+
+const KEY_WIDTH: usize = 30;
+const VALUE_WIDTH: usize = 20;
+
+impl fmt::Display for Explanation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "service {}, line {}", self.service, self.line)?;
+        row(
+            f,
+            "depends_on",
+            &joined(&self.depends_on),
+            &self.depends_on_origin,
+        )?;
+        writeln!(
+            f,
+            "  {:KEY_WIDTH$} {}",
+            "depended on by",
+            joined(&self.callers)
+        )?;
+        for explained in &self.settings {
+            let key = full_key(explained.setting);
+            row(f, &key, &explained.value.to_string(), &explained.origin)?;
+        }
+        self.write_calls(f)
+    }
+}
+
+impl Explanation {
+    fn write_calls(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        row(
+            f,
+            "calls",
+            &self.calls.len().to_string(),
+            &self.calls_origin,
+        )?;
+        for explained in &self.calls {
+            let call = &explained.call;
+            let title = format!("call {}: {} {}", call.name, call.method, call.path_prefix);
+            writeln!(f, "  {title}, line {}", explained.line)?;
+            let idempotent = call.idempotent.to_string();
+            row(f, "  idempotent", &idempotent, &explained.idempotent_origin)?;
+            row(
+                f,
+                "  class",
+                &call.class.to_string(),
+                &explained.class_origin,
+            )?;
+            let deadline_ms = call.deadline_ms.0.to_string();
+            row(f, "  deadline_ms", &deadline_ms, &explained.deadline_origin)?;
+        }
+        Ok(())
+    }
+}
+
+fn row(f: &mut fmt::Formatter<'_>, key: &str, value: &str, origin: &Origin) -> fmt::Result {
+    writeln!(f, "  {key:KEY_WIDTH$} {value:VALUE_WIDTH$} {origin}")
+}
+
+fn full_key(setting: Setting) -> String {
+    match setting.group() {
+        Group::Service => setting.key().to_owned(),
+        group => {
+            let group: &'static str = group.into();
+            format!("{group}.{setting}")
+        }
+    }
+}
+
+fn joined(names: &[ServiceName]) -> String {
+    if names.is_empty() {
+        return "-".to_owned();
+    }
+    let names: Vec<&str> = names.iter().map(ServiceName::as_str).collect();
+    names.join(", ")
+}
--- a/crates/text/src/fault.rs
+++ b/crates/text/src/fault.rs
@@ -7,7 +7,7 @@
 use strum::{Display, IntoStaticStr, VariantArray};
 use thiserror::Error;
 
-use crate::limits::MAX_TEXT_BYTES;
+use crate::limits::{MAX_NESTING, MAX_TEXT_BYTES};
 use crate::name::{NameKind, quoted};
 use crate::position::Position;
 use crate::setting::Range;
@@ -35,6 +35,24 @@
     Null,
 }
 
+/// What a value should be.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Expected {
+    /// Any value of a type.
+    Type(JsonType),
+    /// A number in a range.
+    Number(Range),
+}
+
+impl fmt::Display for Expected {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Type(json_type) => json_type.fmt(f),
+            Self::Number(range) => range.fmt(f),
+        }
+    }
+}
+
 /// One fault of a text; a text with faults is refused whole.
 #[derive(Clone, Debug, PartialEq, Error)]
 #[error("{position}: {place}{kind}{}", allowed_suffix(kind))]
@@ -72,6 +90,9 @@
         /// The parser's reason.
         message: String,
     },
+    /// Brackets within brackets, more than any text needs.
+    #[error("nested too deep")]
+    TooDeep,
     /// The text is larger than the platform holds.
     #[error("the text is {size_bytes} bytes long")]
     TextTooLong {
@@ -107,8 +128,8 @@
     WrongType {
         /// The type in the text.
         found: JsonType,
-        /// The type that is allowed.
-        expected: JsonType,
+        /// What is allowed.
+        expected: Expected,
     },
     /// A number outside its range, or with a fraction where none is allowed.
     #[error("{written} is out of range")]
@@ -145,6 +166,14 @@
         /// Entries allowed.
         limit: usize,
     },
+    /// More dependencies and calls than all services may have together.
+    #[error("all services together have {count} dependencies and calls, inherited ones included")]
+    TooManyResolved {
+        /// Dependencies and calls after inheritance.
+        count: usize,
+        /// Those allowed.
+        limit: usize,
+    },
     /// The text lists no service.
     #[error("no service is listed")]
     NoServices,
@@ -211,10 +240,8 @@
     #[must_use]
     pub fn allowed(&self) -> String {
         match self {
-            Self::Syntax { .. } => {
-                "JSON with // and /* */ comments and trailing commas, nested at most 512 deep"
-                    .to_owned()
-            }
+            Self::Syntax { .. } => "JSON with // and /* */ comments and trailing commas".to_owned(),
+            Self::TooDeep => format!("at most {MAX_NESTING} levels"),
             Self::TextTooLong { .. } => format!("at most {MAX_TEXT_BYTES} bytes"),
             Self::UnknownKey { known, .. } => known.join(", "),
             Self::DuplicateKey { .. } => "each key once in an object".to_owned(),
@@ -223,7 +250,9 @@
             Self::OutOfRange { range, .. } => range.to_string(),
             Self::InvalidName { kind, .. } => kind.allowed().to_owned(),
             Self::DuplicateEntry { .. } => "each entry once".to_owned(),
-            Self::TooMany { limit, .. } => format!("at most {limit}"),
+            Self::TooMany { limit, .. } | Self::TooManyResolved { limit, .. } => {
+                format!("at most {limit}")
+            }
             Self::NoServices => "at least one service".to_owned(),
             Self::UnknownDependency { .. } => "names of services of this text".to_owned(),
             Self::CircularDependency { .. } => {
--- a/crates/text/src/lib.rs
+++ b/crates/text/src/lib.rs
@@ -8,14 +8,19 @@
 //! Nothing here does I/O, and every result depends on the text alone: the
 //! operator's command line and each node come to the same verdict.
 
+pub mod change;
 pub mod checked;
+pub mod explanation;
 pub mod fault;
 pub mod position;
 pub mod prelude;
 pub mod setting;
 pub mod warning;
 
+mod depth;
+mod diff;
 mod draft;
+mod explain;
 mod graph;
 mod keys;
 mod limits;
@@ -29,7 +34,11 @@
 mod resolve;
 mod syntax;
 
+pub use change::Change;
 pub use checked::CheckedText;
+pub use diff::diff;
+pub use explain::explain;
+pub use explanation::{Explanation, UnknownService};
 pub use fault::{Fault, FaultKind, Faults};
 pub use limits::MAX_TEXT_BYTES;
 pub use position::Position;
--- a/crates/text/src/limits.rs
+++ b/crates/text/src/limits.rs
@@ -4,12 +4,19 @@
 pub const MAX_TEXT_BYTES: usize = 1_048_576;
 /// From this size in bytes on, a text is close enough to the largest to warn.
 pub(crate) const LARGE_TEXT_BYTES: usize = 900_000;
+/// Levels of nesting; a text as documented has seven.
+pub(crate) const MAX_NESTING: usize = 32;
 /// Services of one text.
 pub(crate) const MAX_SERVICES: usize = 4_096;
 /// Services that one service may depend on.
 pub(crate) const MAX_DEPENDENCIES: usize = 256;
 /// Calls that one service may name.
 pub(crate) const MAX_CALLS: usize = 256;
+/// Dependencies and calls of all services together.
+///
+/// A list in `defaults` is copied to each service that inherits it. Without a
+/// bound on the copies, a few kilobytes of text could fill a node's memory.
+pub(crate) const MAX_RESOLVED_ENTRIES: usize = 200_000;
 /// Tenants of one text; each has histograms of its own.
 pub(crate) const MAX_TENANTS: usize = 256;
 /// Data centres of one text.
--- a/crates/text/src/reader.rs
+++ b/crates/text/src/reader.rs
@@ -7,7 +7,7 @@
 use jsonc_parser::common::Ranged;
 
 use crate::draft::Located;
-use crate::fault::{FaultKind, JsonType, Place};
+use crate::fault::{Expected, FaultKind, JsonType, Place};
 use crate::keys::Key;
 use crate::name::{NameKind, shortened};
 use crate::nearest::nearest;
@@ -103,7 +103,7 @@
 
     pub(crate) fn object(&mut self, value: &'v Value<'v>) -> Option<&'v Object<'v>> {
         let Value::Object(object) = value else {
-            return self.wrong_type(value, JsonType::Object);
+            return self.wrong_type(value, Expected::Type(JsonType::Object));
         };
         Some(object)
     }
@@ -111,7 +111,7 @@
     /// An array with at most `limit` elements.
     pub(crate) fn array(&mut self, value: &'v Value<'v>, limit: usize) -> Option<&'v Array<'v>> {
         let Value::Array(array) = value else {
-            return self.wrong_type(value, JsonType::Array);
+            return self.wrong_type(value, Expected::Type(JsonType::Array));
         };
         let count = array.elements.len();
         if count > limit {
@@ -123,7 +123,7 @@
 
     pub(crate) fn string(&mut self, value: &'v Value<'v>) -> Option<Located<&'v str>> {
         let Value::StringLit(string) = value else {
-            return self.wrong_type(value, JsonType::String);
+            return self.wrong_type(value, Expected::Type(JsonType::String));
         };
         Some(Located {
             value: string.value.as_ref(),
@@ -133,7 +133,7 @@
 
     pub(crate) fn boolean(&mut self, value: &'v Value<'v>) -> Option<Located<bool>> {
         let Value::BooleanLit(boolean) = value else {
-            return self.wrong_type(value, JsonType::Boolean);
+            return self.wrong_type(value, Expected::Type(JsonType::Boolean));
         };
         Some(Located {
             value: boolean.value,
@@ -144,7 +144,7 @@
     /// A number within a range.
     pub(crate) fn number(&mut self, value: &'v Value<'v>, range: Range) -> Option<Located<f64>> {
         let Value::NumberLit(literal) = value else {
-            return self.wrong_type(value, JsonType::Number);
+            return self.wrong_type(value, Expected::Number(range));
         };
         match parse_number(literal) {
             Some(number) if range.contains(number) => Some(Located {
@@ -223,7 +223,7 @@
         true
     }
 
-    fn wrong_type<T>(&mut self, value: &Value<'_>, expected: JsonType) -> Option<T> {
+    fn wrong_type<T>(&mut self, value: &Value<'_>, expected: Expected) -> Option<T> {
         self.fault(value.start(), || FaultKind::WrongType {
             found: type_of(value),
             expected,
--- a/crates/text/src/relations.rs
+++ b/crates/text/src/relations.rs
@@ -1,5 +1,7 @@
 //! Warnings that follow from several resolved values together.
 
+use std::collections::HashMap;
+
 use crate::checked::CheckedText;
 use crate::draft::{CallDraft, NamedService, TextDraft};
 use crate::fault::Place;
@@ -9,13 +11,14 @@
 
 /// Warns of values that are allowed each by itself but not meant together.
 pub(crate) fn check(draft: &TextDraft<'_>, resolved: &CheckedText, report: &mut Report<'_, '_>) {
+    let deadlines = longest_deadlines(resolved);
     for service in &draft.services {
         let Some(policy) = resolved.service(service.name.value) else {
             continue;
         };
         check_connections(service, policy, report);
         check_tickets(service, policy, report);
-        check_dependencies(draft, service, policy, resolved, report);
+        check_dependencies(draft, service, &deadlines, report);
         if let Some(calls) = &service.draft.calls {
             let place = format!("services.{}.calls", service.name.value);
             check_payments(&place, &calls.value, report);
@@ -65,16 +68,16 @@
 fn check_dependencies(
     draft: &TextDraft<'_>,
     service: &NamedService<'_>,
-    policy: &ServicePolicy,
-    resolved: &CheckedText,
+    deadlines: &HashMap<&str, Millis>,
     report: &mut Report<'_, '_>,
 ) {
-    let caller_ms = longest_deadline(policy);
+    let Some(&caller_ms) = deadlines.get(service.name.value) else {
+        return;
+    };
     for written in draft.dependencies(&service.draft) {
-        let Some(dependency) = resolved.service(written.value) else {
+        let Some(&dependency_ms) = deadlines.get(written.value) else {
             continue;
         };
-        let dependency_ms = longest_deadline(dependency);
         if dependency_ms <= caller_ms {
             continue;
         }
@@ -115,6 +118,14 @@
     }
 }
 
+fn longest_deadlines(resolved: &CheckedText) -> HashMap<&str, Millis> {
+    let mut deadlines = HashMap::new();
+    for policy in &resolved.services {
+        deadlines.insert(policy.service.as_str(), longest_deadline(policy));
+    }
+    deadlines
+}
+
 fn longest_deadline(policy: &ServicePolicy) -> Millis {
     let mut longest = policy.deadline_ms;
     for call in &policy.calls {
--- a/crates/text/src/resolve.rs
+++ b/crates/text/src/resolve.rs
@@ -5,6 +5,7 @@
 use crate::checked::{CallSources, CheckedText, Followed, Origin, ServiceSources};
 use crate::draft::{CallDraft, Located, NamedService, TextDraft};
 use crate::fault::Place;
+use crate::limits::MAX_RESOLVED_ENTRIES;
 use crate::number::{to_micros, to_millis, to_u32, to_u64};
 use crate::position::LineIndex;
 use crate::prelude::*;
@@ -21,7 +22,7 @@
     report: &mut Report<'_, '_>,
 ) -> CheckedText {
     let mut resolved = Vec::new();
-    for service in &draft.services {
+    for service in services_to_resolve(draft, report) {
         resolved.push(resolve_service(draft, service, lines, report));
     }
     resolved.sort_by(|(a, _), (b, _)| a.service.cmp(&b.service));
@@ -35,6 +36,29 @@
     }
 }
 
+/// All services, or none when their copies of inherited lists are too many.
+fn services_to_resolve<'d, 'v>(
+    draft: &'d TextDraft<'v>,
+    report: &mut Report<'_, '_>,
+) -> &'d [NamedService<'v>] {
+    let mut count = 0;
+    for service in &draft.services {
+        count += draft.dependencies(&service.draft).len();
+        count += draft.calls(&service.draft).len();
+    }
+    let limit = MAX_RESOLVED_ENTRIES;
+    if count <= limit {
+        return &draft.services;
+    }
+    report.fault(0, || {
+        (
+            Place::default(),
+            FaultKind::TooManyResolved { count, limit },
+        )
+    });
+    &[]
+}
+
 fn deployment(draft: &TextDraft<'_>) -> DeploymentPolicy {
     let mut tenants = Vec::new();
     for tenant in &draft.tenants {
--- a/crates/text/src/syntax.rs
+++ b/crates/text/src/syntax.rs
@@ -4,6 +4,7 @@
 use jsonc_parser::errors::ParseError;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
 
+use crate::depth::too_deep;
 use crate::fault::{FaultKind, Place};
 use crate::limits::{LARGE_TEXT_BYTES, MAX_TEXT_BYTES};
 use crate::report::Report;
@@ -25,12 +26,22 @@
     }
 }
 
+/// As [`strict`], but reads on where a comma, a quote or a digit is missing.
+///
+/// Strings in single quotes stay refused: [`too_deep`] must find the end of
+/// each string where the parser does.
+fn lenient() -> ParseOptions {
+    ParseOptions {
+        allow_single_quoted_strings: false,
+        ..ParseOptions::default()
+    }
+}
+
 /// Parses the text; `None` when it cannot be read at all.
 ///
 /// The parser stops at its first error. Where only a comma or a quote is
 /// missing, a second, lenient run lets the other faults of the text show in
-/// the same check; the syntax error is reported all the same. The parser
-/// bounds the depth of nesting, so that no text exhausts the stack.
+/// the same check; the syntax error is reported all the same.
 pub(crate) fn parse<'t>(text: &'t str, report: &mut Report<'_, '_>) -> Option<Value<'t>> {
     if text.len() > MAX_TEXT_BYTES {
         let size_bytes = text.len();
@@ -39,6 +50,10 @@
         });
         return None;
     }
+    if let Some(offset) = too_deep(text) {
+        report.fault(offset, || (Place::default(), FaultKind::TooDeep));
+        return None;
+    }
     warn_if_large(report);
     let strict_error = match run(text, &strict()) {
         Ok(root) => return root.or_else(|| empty(report)),
@@ -46,7 +61,7 @@
     };
     let strict_start = strict_error.range().start;
     record(&strict_error, report);
-    match run(text, &ParseOptions::default()) {
+    match run(text, &lenient()) {
         Ok(root) => root,
         Err(lenient_error) => {
             if lenient_error.range().start != strict_start {
--- a/crates/text/tests/examples.rs
+++ b/crates/text/tests/all/examples.rs
@@ -1,17 +1,8 @@
 //! The example texts stay valid and say what the documentation says of them.
 
-use hornbeamhitch_text::{CheckedText, check};
 use hornbeamhitch_types::policy::CallClass;
 
-const BANGKOK: &str = include_str!("../../../examples/bangkok.jsonc");
-const LJUBLJANA: &str = include_str!("../../../examples/ljubljana.jsonc");
-
-fn checked(text: &str) -> CheckedText {
-    match check(text) {
-        Ok(checked) => checked,
-        Err(faults) => panic!("the example has faults:\n{faults}"),
-    }
-}
+use crate::support::{BANGKOK, LJUBLJANA, checked};
 
 #[test]
 fn bangkok_has_the_sizes_of_the_print_office() {
--- /dev/null
+++ b/crates/text/tests/all/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the configuration text through the crate's public interface.
+
+mod differences;
+mod examples;
+mod explanations;
+mod faults;
+mod hostile;
+mod properties;
+mod support;
+mod warnings;
--- /dev/null
+++ b/crates/text/tests/all/support.rs
@@ -0,0 +1,41 @@
+//! Helpers that several test modules share.
+
+use hornbeamhitch_text::{CheckedText, check};
+use proptest::test_runner::{Config, RngSeed};
+
+pub(crate) const BANGKOK: &str = include_str!("../../../../examples/bangkok.jsonc");
+pub(crate) const LJUBLJANA: &str = include_str!("../../../../examples/ljubljana.jsonc");
+
+/// Checks a text that must be accepted.
+pub(crate) fn checked(text: &str) -> CheckedText {
+    match check(text) {
+        Ok(checked) => checked,
+        Err(faults) => panic!("the text has faults:\n{faults}"),
+    }
+}
+
+/// The faults of a text that must be refused, one a line.
+pub(crate) fn faults(text: &str) -> String {
+    match check(text) {
+        Ok(_) => panic!("the text was accepted"),
+        Err(faults) => faults.to_string(),
+    }
+}
+
+/// Replaces a piece that stands exactly once in a text.
+pub(crate) fn edited(text: &str, from: &str, to: &str) -> String {
+    assert_eq!(text.matches(from).count(), 1, "{from:?} must stand once");
+    text.replace(from, to)
+}
+
+/// Random cases that are the same on every run, so that the verdict is too.
+pub(crate) fn fixed_seed() -> Config {
+    const SEED: u64 = 0x6865_6467;
+    const CASES: u32 = 512;
+    Config {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
