--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -2,8 +2,8 @@
 //!
 //! `fern` decides by level and target, then each line passes two safeguards
 //! for the traffic threads. A place in the code that writes too often is
-//! silenced for a while ([`repeats`]), and lines travel over a bounded queue
-//! to a thread of their own ([`queue`]), so that nobody else ever waits for
+//! silenced for a while (`repeats`), and lines travel over a bounded queue
+//! to a thread of their own (`queue`), so that nobody else ever waits for
 //! standard error.
 
 mod line;
--- a/crates/node/src/metrics/tests.rs
+++ b/crates/node/src/metrics/tests.rs
@@ -215,3 +215,23 @@
     let counted = value_of(&render(&metrics), series);
     assert!((counted - f64::from(THREADS * CALLS)).abs() < f64::EPSILON);
 }
+
+#[test]
+fn the_documentation_has_every_metric() {
+    let page = std::path::Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../../docs/operators/logs-and-metrics.md");
+    let page = std::fs::read_to_string(page).expect("the page is part of the repository");
+    let snapshot = include_str!(
+        "snapshots/hornbeamhitch_node__metrics__tests__recorded_values_stand_in_the_text.snap"
+    );
+    let mut metrics = 0;
+    for line in snapshot.lines() {
+        let Some(declared) = line.strip_prefix("# TYPE hitch_") else {
+            continue;
+        };
+        let name = declared.split(' ').next().expect("a name comes first");
+        assert!(page.contains(&format!("`hitch_{name}`")), "hitch_{name}");
+        metrics += 1;
+    }
+    assert!(metrics > 30, "{metrics}");
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -218,7 +218,7 @@
     }
 }
 
-/// Defaults of [`Limits`]; the bounds stand beside them in [`read_limits`].
+/// Defaults of [`Limits`]; the bounds stand beside them in `read_limits`.
 impl Default for Limits {
     fn default() -> Self {
         Self {
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -160,3 +160,22 @@
     assert_eq!(faults.faults[0].kind, FaultKind::Unreadable);
     assert_snapshot!(faults);
 }
+
+#[test]
+fn the_documentation_has_every_key() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operators/settings.md");
+    let page = fs::read_to_string(page).expect("the page is part of the repository");
+    let unknown =
+        with_required(r#""zzzzzzzz": 1, "limits": { "zzzzzzzz": 1 }, "log": { "zzzzzzzz": 1 }"#);
+    let faults = Config::parse(&unknown).expect_err("three keys are unknown");
+    assert_eq!(faults.faults.len(), 3);
+    for fault in faults.faults {
+        for key in fault.allowed.split(", ") {
+            if matches!(key, "limits" | "log") {
+                assert!(page.contains(&format!("### `{key}`")), "{key}");
+                continue;
+            }
+            assert!(page.contains(&format!("\n| `{key}` | ")), "{key}");
+        }
+    }
+}
