--- /dev/null
+++ b/crates/lab/src/host.rs
@@ -0,0 +1,176 @@
+//! A target's VM: the fake target, and the gate before it unless a baseline
+//! does without.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+use hornbeamhitch_core::gate::{Gate, GateSettings, RunId};
+use hornbeamhitch_core::suspects::SuspectSet;
+
+use crate::event::AttemptIndex;
+use crate::prelude::*;
+use crate::target::FakeTarget;
+use crate::workload::mix;
+
+/// Time between two copies of a gate's report in cases with stale reports.
+pub(crate) const REPORT_GAP: Micros = Micros::from_millis(10);
+/// Copies kept, enough for the oldest report that a case asks for.
+const KEPT_REPORTS: usize = 52;
+/// Weight of the newest service time in a target's own smoothed value.
+const SMOOTHING: f64 = 0.1;
+const MAX_STORED_BYTES: u64 = 64 << 20;
+
+/// One VM with a target.
+#[derive(Debug)]
+pub(crate) struct Host {
+    pub(crate) vm: VmId,
+    pub(crate) data_centre: usize,
+    /// Index of the node on the same VM.
+    pub(crate) node: usize,
+    pub(crate) gate: Option<Gate>,
+    pub(crate) target: FakeTarget,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) leaving: bool,
+    /// Partitioned away, or gone with its data centre.
+    pub(crate) lost_since: Option<Micros>,
+    /// Attempts on their way here, from their pick or their ticket on, which
+    /// only the oracle sees.
+    pub(crate) incoming: usize,
+    /// The attempt behind each admitted run.
+    pub(crate) attempts: HashMap<RunId, AttemptIndex>,
+    /// Attempts that wait for the run of another.
+    pub(crate) joined: Vec<(RunId, AttemptIndex)>,
+    reports: VecDeque<LoadReport>,
+    service_time_us: f64,
+    policy: Arc<ServicePolicy>,
+    seed: u64,
+}
+
+/// Where a host stands and whether it has a gate.
+#[derive(Clone, Debug)]
+pub(crate) struct HostSettings {
+    pub(crate) vm: VmId,
+    pub(crate) data_centre: usize,
+    pub(crate) node: usize,
+    pub(crate) gated: bool,
+    pub(crate) seed: u64,
+    pub(crate) policy: Arc<ServicePolicy>,
+    pub(crate) mean_work_us: f64,
+}
+
+impl Host {
+    pub(crate) fn new(settings: HostSettings) -> Self {
+        let mut host = Self {
+            vm: settings.vm,
+            data_centre: settings.data_centre,
+            node: settings.node,
+            gate: None,
+            target: FakeTarget::new(settings.policy.slots),
+            incarnation: Incarnation(1),
+            leaving: false,
+            lost_since: None,
+            incoming: 0,
+            attempts: HashMap::new(),
+            joined: Vec::new(),
+            reports: VecDeque::with_capacity(KEPT_REPORTS),
+            service_time_us: settings.mean_work_us,
+            policy: settings.policy,
+            seed: settings.seed,
+        };
+        if settings.gated {
+            host.gate = Some(host.new_gate(Micros::ZERO));
+        }
+        host
+    }
+
+    fn new_gate(&self, now: Micros) -> Gate {
+        let settings = GateSettings {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            seed: mix(self.seed, self.incarnation.0),
+            max_stored_bytes: MAX_STORED_BYTES,
+        };
+        Gate::new(settings, Arc::clone(&self.policy), now.floor_millis())
+    }
+
+    /// A new life of the gate, with a cold target.
+    pub(crate) fn restart(&mut self, suspects: &Arc<SuspectSet>, now: Micros) {
+        self.incarnation.0 += 1;
+        self.leaving = false;
+        self.target.start_cold(now);
+        if self.gate.is_none() {
+            return;
+        }
+        let mut gate = self.new_gate(now);
+        gate.update_suspects(Arc::clone(suspects));
+        self.gate = Some(gate);
+    }
+
+    pub(crate) fn leave(&mut self) {
+        self.leaving = true;
+        if let Some(gate) = &mut self.gate {
+            gate.set_leaving(true);
+        }
+    }
+
+    pub(crate) fn observe_service_time(&mut self, service_time: Micros) {
+        self.service_time_us += SMOOTHING * (service_time.0 as f64 - self.service_time_us);
+    }
+
+    /// The report of this moment.
+    pub(crate) fn load(&self, now: Micros) -> LoadReport {
+        if let Some(gate) = &self.gate {
+            return gate.load(now.floor_millis());
+        }
+        LoadReport {
+            in_flight: self.target.running() as u32,
+            queued: self.target.waiting() as u32,
+            limit: self.target.slots() as u32,
+            service_time_us: self.service_time_us as u32,
+            gate_clock_ms: now.floor_millis(),
+            incarnation: self.incarnation,
+            leaving: self.leaving,
+        }
+    }
+
+    pub(crate) fn keep_report(&mut self, now: Micros) {
+        if self.reports.len() == KEPT_REPORTS {
+            self.reports.pop_back();
+        }
+        let report = self.load(now);
+        self.reports.push_front(report);
+    }
+
+    /// The kept report of about that age.
+    pub(crate) fn old_report(&self, age: Micros, now: Micros) -> LoadReport {
+        let steps = (age.0 / REPORT_GAP.0) as usize;
+        let oldest = self.reports.len().saturating_sub(1);
+        match self.reports.get(steps.min(oldest)) {
+            Some(report) => *report,
+            None => self.load(now),
+        }
+    }
+
+    /// When a call that sets out now would be answered, in microseconds from
+    /// now, for an eye that sees every queue at once.
+    pub(crate) fn expected_time_us(&self, mean_work_us: f64, now: Micros) -> f64 {
+        if self.lost_since.is_some() || self.leaving || !self.target.is_up() {
+            return f64::INFINITY;
+        }
+        if self.target.fails_fast() {
+            return f64::INFINITY;
+        }
+        let work_us = mean_work_us * self.target.factor(now);
+        let mut queued = self.target.waiting() + self.incoming;
+        let mut places = self.target.slots();
+        if let Some(gate) = &self.gate {
+            let load = gate.load(now.floor_millis());
+            queued += load.queued as usize;
+            places = places.min(load.limit.max(1) as usize);
+        }
+        let ahead = self.target.running() + queued;
+        let wait_calls = (ahead + 1).saturating_sub(places);
+        let wait_us = wait_calls as f64 * work_us / places as f64;
+        self.target.frozen_for(now).0 as f64 + wait_us + work_us
+    }
+}
--- /dev/null
+++ b/crates/lab/src/target.rs
@@ -0,0 +1,212 @@
+//! The fake target: slots, a plain queue, and everything that goes wrong.
+
+use std::collections::VecDeque;
+
+use crate::event::AttemptIndex;
+use crate::time::Micros;
+
+/// A target that fails fast answers in this time.
+const FAIL_FAST_WORK: Micros = Micros(200);
+/// How many times slower than warm the first call of a cold target is, less one.
+const COLD_PENALTY: f64 = 3.0;
+/// Time in which the cold penalty falls to a third.
+const WARMING_US: f64 = 1_500_000.0;
+
+/// A call that holds a slot.
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    attempt: AttemptIndex,
+    started_at: Micros,
+    /// `None` while the call waits for a service that it calls itself.
+    done_at: Option<Micros>,
+}
+
+/// What to do when the time comes at which a call's work should be done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Progress {
+    /// The work is done now.
+    Done,
+    /// A stall came in between; look again then.
+    Later(Micros),
+    /// The call no longer runs here.
+    Gone,
+}
+
+/// One target process.
+#[derive(Debug)]
+pub(crate) struct FakeTarget {
+    slots: usize,
+    running: Vec<Running>,
+    waiting: VecDeque<(AttemptIndex, Micros)>,
+    frozen_until: Micros,
+    slow_factor: f64,
+    fails_fast: bool,
+    started_cold_at: Option<Micros>,
+    up: bool,
+}
+
+impl FakeTarget {
+    pub(crate) fn new(slots: u32) -> Self {
+        Self {
+            slots: slots as usize,
+            running: Vec::with_capacity(slots as usize),
+            waiting: VecDeque::new(),
+            frozen_until: Micros::ZERO,
+            slow_factor: 1.0,
+            fails_fast: false,
+            started_cold_at: None,
+            up: true,
+        }
+    }
+
+    /// Takes a call; says when its work will be done if it got a slot at once.
+    pub(crate) fn offer(
+        &mut self,
+        attempt: AttemptIndex,
+        work: Micros,
+        now: Micros,
+    ) -> Option<Micros> {
+        if self.running.len() >= self.slots {
+            self.waiting.push_back((attempt, work));
+            return None;
+        }
+        Some(self.start(attempt, work, now))
+    }
+
+    fn start(&mut self, attempt: AttemptIndex, work: Micros, now: Micros) -> Micros {
+        let done_at = now.max(self.frozen_until) + self.time_for(work, now);
+        self.running.push(Running {
+            attempt,
+            started_at: now,
+            done_at: Some(done_at),
+        });
+        done_at
+    }
+
+    fn time_for(&self, work: Micros, now: Micros) -> Micros {
+        if self.fails_fast {
+            return FAIL_FAST_WORK;
+        }
+        Micros::from_f64(work.0 as f64 * self.factor(now))
+    }
+
+    /// How many times longer than on a healthy, warm target calls take now.
+    pub(crate) fn factor(&self, now: Micros) -> f64 {
+        let Some(started_at) = self.started_cold_at else {
+            return self.slow_factor;
+        };
+        let age_us = now.since(started_at).0 as f64;
+        self.slow_factor * (1.0 + COLD_PENALTY * (-age_us / WARMING_US).exp())
+    }
+
+    pub(crate) fn progress(&self, attempt: AttemptIndex, now: Micros) -> Progress {
+        for running in &self.running {
+            if running.attempt != attempt {
+                continue;
+            }
+            return match running.done_at {
+                Some(done_at) if done_at > now => Progress::Later(done_at),
+                Some(_) => Progress::Done,
+                None => Progress::Gone,
+            };
+        }
+        Progress::Gone
+    }
+
+    /// The call has done its own work and holds its slot while it calls on.
+    pub(crate) fn calls_on(&mut self, attempt: AttemptIndex) {
+        for running in &mut self.running {
+            if running.attempt == attempt {
+                running.done_at = None;
+            }
+        }
+    }
+
+    /// Frees what a call holds; gives the time for which it held a slot.
+    pub(crate) fn remove(&mut self, attempt: AttemptIndex, now: Micros) -> Micros {
+        for index in 0..self.running.len() {
+            if self.running[index].attempt != attempt {
+                continue;
+            }
+            let removed = self.running.swap_remove(index);
+            return now.since(removed.started_at);
+        }
+        self.waiting.retain(|(waiting, _)| *waiting != attempt);
+        Micros::ZERO
+    }
+
+    /// Starts the next waiting call if a slot is free.
+    pub(crate) fn start_waiting(&mut self, now: Micros) -> Option<(AttemptIndex, Micros)> {
+        if self.running.len() >= self.slots {
+            return None;
+        }
+        let (attempt, work) = self.waiting.pop_front()?;
+        Some((attempt, self.start(attempt, work, now)))
+    }
+
+    /// A noisy neighbour stops all work for a while.
+    pub(crate) fn freeze(&mut self, length: Micros, now: Micros) {
+        let from = self.frozen_until.max(now);
+        let until = from.max(now + length);
+        let shift = until.since(from);
+        self.frozen_until = until;
+        for running in &mut self.running {
+            running.done_at = running.done_at.map(|done_at| done_at + shift);
+        }
+    }
+
+    /// Everything that ran or waited, in the order of its arrival here.
+    pub(crate) fn crash(&mut self) -> Vec<AttemptIndex> {
+        self.up = false;
+        self.clear()
+    }
+
+    pub(crate) fn clear(&mut self) -> Vec<AttemptIndex> {
+        let mut lost = Vec::with_capacity(self.running.len() + self.waiting.len());
+        for running in self.running.drain(..) {
+            lost.push(running.attempt);
+        }
+        for (attempt, _) in self.waiting.drain(..) {
+            lost.push(attempt);
+        }
+        lost
+    }
+
+    pub(crate) fn start_cold(&mut self, now: Micros) {
+        self.up = true;
+        self.started_cold_at = Some(now);
+    }
+
+    pub(crate) fn set_slow(&mut self, factor: f64) {
+        self.slow_factor = factor;
+    }
+
+    pub(crate) fn set_fails_fast(&mut self, fails_fast: bool) {
+        self.fails_fast = fails_fast;
+    }
+
+    pub(crate) fn fails_fast(&self) -> bool {
+        self.fails_fast
+    }
+
+    pub(crate) fn is_up(&self) -> bool {
+        self.up
+    }
+
+    pub(crate) fn slots(&self) -> usize {
+        self.slots
+    }
+
+    pub(crate) fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    pub(crate) fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// What is left of a stall.
+    pub(crate) fn frozen_for(&self, now: Micros) -> Micros {
+        self.frozen_until.since(now)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/time.rs
@@ -0,0 +1,69 @@
+//! Virtual time, finer than the core's milliseconds.
+
+use std::ops::Add;
+
+use hornbeamhitch_types::clock::Millis;
+
+/// A point or span of virtual time in whole microseconds.
+///
+/// The core's clock counts whole milliseconds, but queues of calls that take a
+/// few milliseconds need a finer one; the core is handed the floor.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Micros(pub u64);
+
+const MICROS_PER_MILLI: u64 = 1_000;
+
+impl Micros {
+    /// The start of every run.
+    pub const ZERO: Self = Self(0);
+
+    /// A span of whole milliseconds.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * MICROS_PER_MILLI)
+    }
+
+    /// The nearest span to a number of microseconds that is not negative.
+    #[must_use]
+    pub fn from_f64(micros: f64) -> Self {
+        Self(micros.max(0.0).round() as u64)
+    }
+
+    /// The floor in the core's clock.
+    #[must_use]
+    pub const fn floor_millis(self) -> Millis {
+        Millis(self.0 / MICROS_PER_MILLI)
+    }
+
+    /// The span from `earlier` to `self`, empty when `earlier` lies ahead.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Self {
+        Self(self.0.saturating_sub(earlier.0))
+    }
+
+    /// The span as the core's messages carry it.
+    #[must_use]
+    pub fn to_u32(self) -> u32 {
+        u32::try_from(self.0).unwrap_or(u32::MAX)
+    }
+
+    /// The span in seconds.
+    #[must_use]
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+}
+
+impl Add for Micros {
+    type Output = Self;
+
+    fn add(self, span: Self) -> Self {
+        Self(self.0 + span.0)
+    }
+}
+
+impl From<Millis> for Micros {
+    fn from(millis: Millis) -> Self {
+        Self(millis.0.saturating_mul(MICROS_PER_MILLI))
+    }
+}
