Add the load tool: open loop, documented callers, reconciliation

Cause: at-most-once and "not run" can only be shown by comparing what callers were told with what targets ran, and latency only by an open loop.

Change: plan, pacer, caller by docs/callers/result-codes.md, histograms by class, tenant and kind, reconciliation with journals, table and JSON; direct mode as the baseline. Onward calls of targets get a nonce of their own, because the caller's would look like a second run.

Not yet run against nodes.

Conclusion: the caller's rules and the books are tested against scripted nodes; the whole path is unproved.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod http_client;
 pub mod http_server;
+pub mod load;
 pub mod platform;
 pub mod prelude;
 pub mod target;
--- /dev/null
+++ b/crates/standins/src/load/answer.rs
@@ -0,0 +1,100 @@
+//! Reads a node's or a target's answer as a documented caller does.
+
+use crate::http_client::WholeAnswer;
+use crate::http_server::{header_number, header_text};
+use crate::prelude::*;
+
+/// What an answer means to a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Meaning {
+    pub(super) code: Option<u16>,
+    pub(super) what: What,
+    /// When to come back, as far as the answer says.
+    pub(super) wait: Option<Duration>,
+    /// A ticket to go on with.
+    pub(super) next_ticket: Option<String>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum What {
+    Answered,
+    /// Nothing has run; the request belongs to this path.
+    Redirect(String),
+    NotRun,
+    /// Not run, and trying again would not help.
+    Refused,
+    NotYet,
+    TicketDead,
+    Pending,
+    Unknown,
+}
+
+/// Reads an answer of a node.
+pub(super) fn from_node(answer: &WholeAnswer) -> Meaning {
+    let headers = &answer.headers;
+    let number = header_number(headers, header::CODE);
+    let number = number.and_then(|number| u16::try_from(number).ok());
+    Meaning {
+        code: number,
+        what: what_of(number.and_then(ResultCode::from_number), headers),
+        wait: wait_of(headers),
+        next_ticket: header_text(headers, header::NEXT_TICKET).map(str::to_owned),
+    }
+}
+
+/// Reads an answer of a target that was called without nodes.
+pub(super) fn from_target(answer: &WholeAnswer) -> Meaning {
+    let what = match answer.headers.contains_key(header::NOT_RUN) {
+        true => What::NotRun,
+        false => What::Answered,
+    };
+    Meaning {
+        code: None,
+        what,
+        wait: wait_of(&answer.headers),
+        next_ticket: None,
+    }
+}
+
+fn what_of(code: Option<ResultCode>, headers: &HeaderMap) -> What {
+    let Some(code) = code else {
+        // Not from a node that keeps to the protocol, so nothing is certain.
+        return What::Unknown;
+    };
+    match code {
+        ResultCode::TicketNeeded => {
+            let location = header_text(headers, http::header::LOCATION.as_str());
+            return location.map_or(What::Unknown, |url| What::Redirect(path_of(url)));
+        }
+        ResultCode::CrashSuspect
+        | ResultCode::TooLarge
+        | ResultCode::KeyReused
+        | ResultCode::UnknownService => return What::Refused,
+        _ => {}
+    }
+    match code.certainty() {
+        Certainty::Answered => What::Answered,
+        Certainty::NotRun => What::NotRun,
+        Certainty::NotYet => What::NotYet,
+        Certainty::TicketDead => What::TicketDead,
+        Certainty::Pending => What::Pending,
+        Certainty::Unknown => What::Unknown,
+    }
+}
+
+/// The path of a URL, which any entry serves.
+fn path_of(url: &str) -> String {
+    let Ok(uri) = url.parse::<http::Uri>() else {
+        return url.to_owned();
+    };
+    uri.path_and_query()
+        .map_or_else(|| url.to_owned(), |path| path.as_str().to_owned())
+}
+
+fn wait_of(headers: &HeaderMap) -> Option<Duration> {
+    if let Some(wait_ms) = header_number(headers, header::RETRY_AFTER_MS) {
+        return Some(Duration::from_millis(wait_ms));
+    }
+    let wait_s = header_number(headers, http::header::RETRY_AFTER.as_str());
+    wait_s.map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/standins/src/load/caller.rs
@@ -0,0 +1,468 @@
+//! A caller that keeps to the documented protocol.
+//!
+//! The rules are those of `docs/callers/result-codes.md`: a new ticket only
+//! after a certain "not run", the same ticket through another entry after a
+//! broken connection, and a stop at "unknown".
+
+use std::time::Instant;
+
+use http_body_util::Full;
+use tokio::time::sleep;
+
+use crate::http_client::{HttpClient, SendFault, WholeAnswer};
+use crate::http_server::header_text;
+use crate::prelude::*;
+use crate::target::echo::{EchoRequest, digest, echo_body};
+use crate::target::headers;
+
+use super::answer::{Meaning, What, from_node, from_target};
+use super::plan::{CallKind, CallerLimits, Destination, LoadPlan};
+use super::record::{CallRecord, Verdict};
+use super::tickets::{TicketBatch, TicketStash};
+
+/// Wait after a fault for which nobody named a time; it doubles each time.
+const FIRST_BACKOFF: Duration = Duration::from_millis(20);
+const MAX_BACKOFF_DOUBLINGS: u32 = 6;
+/// Validity of a `hitch-next-ticket`, whose header names none.
+const NEXT_TICKET_VALID_MS: u64 = 60_000;
+
+/// One call to be made.
+#[derive(Clone, Debug)]
+pub struct Call<'a> {
+    /// Its kind.
+    pub kind: &'a CallKind,
+    /// Index of the kind, for the record.
+    pub kind_index: usize,
+    /// The caller's name of the call; also its idempotency key.
+    pub nonce: String,
+    /// Its tenant.
+    pub tenant: Option<String>,
+    /// Decides about the first entry.
+    pub entry_draw: u64,
+    /// When the call was meant to start.
+    pub intended_at: Instant,
+}
+
+/// Makes calls; shared by all calls of one run.
+pub struct Caller {
+    client: HttpClient,
+    destination: Destination,
+    limits: CallerLimits,
+    stash: TicketStash,
+}
+
+/// Where a call stands.
+struct Progress {
+    started_at: Instant,
+    ticket_path: Option<String>,
+    /// Counts tickets; for idempotent calls, sends.
+    try_number: u64,
+    /// No send of this try can have run.
+    clean: bool,
+    /// An earlier send of an idempotent call may have run.
+    may_have_run: bool,
+    entry: usize,
+    faults: u32,
+    unknowns: u32,
+    record: CallRecord,
+}
+
+/// What to do next.
+enum Step {
+    Done(Verdict),
+    Again,
+    AgainAfter(Duration),
+}
+
+impl Caller {
+    /// A caller for one plan.
+    #[must_use]
+    pub fn new(plan: &LoadPlan) -> Self {
+        Self {
+            client: HttpClient::new(plan.http),
+            destination: plan.destination.clone(),
+            limits: plan.caller,
+            stash: TicketStash::default(),
+        }
+    }
+
+    /// Makes one call, bounded in requests and time.
+    pub async fn call(&self, call: &Call<'_>) -> CallRecord {
+        let mut progress = self.begin(call).await;
+        let verdict = self.pursue(call, &mut progress).await;
+        let mut record = progress.record;
+        record.verdict = verdict;
+        record.latency_us = micros(call.intended_at.elapsed());
+        record.from_send_us = micros(progress.started_at.elapsed());
+        record
+    }
+
+    async fn begin(&self, call: &Call<'_>) -> Progress {
+        let entries = self.destination.addrs(&call.kind.service).len().max(1);
+        let entry = usize::try_from(call.entry_draw % entries as u64).unwrap_or(0);
+        let mut progress = Progress {
+            started_at: Instant::now(),
+            ticket_path: None,
+            try_number: 0,
+            clean: true,
+            may_have_run: false,
+            entry,
+            faults: 0,
+            unknowns: 0,
+            record: CallRecord {
+                nonce: call.nonce.clone(),
+                kind: call.kind_index,
+                tenant: call.tenant.clone(),
+                verdict: Verdict::NotRun,
+                status: None,
+                code: None,
+                wrong_answer: false,
+                not_run_tries: Vec::new(),
+                codes: Vec::new(),
+                sends: 0,
+                tickets: 0,
+                broken_sends: 0,
+                latency_us: 0,
+                from_send_us: 0,
+            },
+        };
+        if self.is_ticketed(call) && self.limits.tickets_ahead > 0 {
+            let ticket = match self.stash.take(&call.kind.service) {
+                Some(ticket) => Some(ticket),
+                None => self.fetch_tickets(call, &mut progress).await,
+            };
+            progress.use_ticket(call, ticket);
+        }
+        progress
+    }
+
+    fn is_ticketed(&self, call: &Call<'_>) -> bool {
+        !call.kind.idempotent && !self.destination.is_direct()
+    }
+
+    async fn pursue(&self, call: &Call<'_>, progress: &mut Progress) -> Verdict {
+        let give_up_after = Duration::from_millis(self.limits.give_up_after_ms);
+        loop {
+            let late = call.intended_at.elapsed() >= give_up_after;
+            if late || progress.record.sends >= self.limits.max_sends {
+                return progress.give_up();
+            }
+            match self.step(call, progress).await {
+                Step::Done(verdict) => return verdict,
+                Step::Again => {}
+                Step::AgainAfter(wait) => {
+                    if call.intended_at.elapsed() + wait >= give_up_after {
+                        return progress.give_up();
+                    }
+                    sleep(wait).await;
+                }
+            }
+        }
+    }
+
+    async fn step(&self, call: &Call<'_>, progress: &mut Progress) -> Step {
+        match self.send(call, progress).await {
+            Ok(answer) => self.take(call, progress, &answer).await,
+            Err(fault) => self.take_fault(call, progress, fault),
+        }
+    }
+
+    fn take_fault(&self, call: &Call<'_>, progress: &mut Progress, fault: SendFault) -> Step {
+        progress.record.broken_sends += 1;
+        progress.entry += 1;
+        progress.faults += 1;
+        let nothing_was_sent = fault == SendFault::NotConnected;
+        // Without a ticket an entry runs nothing that is not idempotent.
+        let runs_nothing = self.is_ticketed(call) && progress.ticket_path.is_none();
+        if !nothing_was_sent && !runs_nothing {
+            progress.clean = false;
+            if self.destination.is_direct() && !call.kind.idempotent {
+                return Step::Done(Verdict::Unknown);
+            }
+        }
+        if call.kind.idempotent {
+            progress.next_idempotent_try();
+        }
+        Step::AgainAfter(backoff(progress.faults))
+    }
+
+    async fn take(&self, call: &Call<'_>, progress: &mut Progress, answer: &WholeAnswer) -> Step {
+        let meaning = match self.destination.is_direct() {
+            true => from_target(answer),
+            false => from_node(answer),
+        };
+        progress.note(answer, &meaning);
+        let wait = meaning.wait.unwrap_or_else(|| backoff(progress.faults + 1));
+        match &meaning.what {
+            What::Answered => {
+                progress.record.wrong_answer = !is_right(call, answer);
+                self.keep_next(call, meaning.next_ticket);
+                Step::Done(Verdict::Answered)
+            }
+            What::Redirect(path) => {
+                progress.redirect(path);
+                Step::Again
+            }
+            What::NotRun => {
+                self.try_anew(call, progress, meaning.next_ticket, wait)
+                    .await
+            }
+            What::Refused => {
+                progress.conclude_not_run();
+                Step::Done(progress.certain_not_run())
+            }
+            What::NotYet if meaning.code == Some(ResultCode::BadRequest.number()) => {
+                Step::Done(progress.give_up())
+            }
+            What::NotYet => {
+                progress.faults += 1;
+                progress.entry += 1;
+                if call.kind.idempotent {
+                    progress.conclude_not_run();
+                    progress.next_idempotent_try();
+                }
+                Step::AgainAfter(wait)
+            }
+            What::TicketDead if progress.clean => {
+                let none = Duration::ZERO;
+                self.try_anew(call, progress, meaning.next_ticket, none)
+                    .await
+            }
+            What::TicketDead => Step::Done(Verdict::Unknown),
+            What::Pending => {
+                progress.clean = false;
+                Step::AgainAfter(wait)
+            }
+            What::Unknown => self.take_unknown(call, progress, wait),
+        }
+    }
+
+    fn take_unknown(&self, call: &Call<'_>, progress: &mut Progress, wait: Duration) -> Step {
+        progress.clean = false;
+        progress.entry += 1;
+        if progress.unknowns >= self.limits.unknown_resends {
+            return Step::Done(Verdict::Unknown);
+        }
+        progress.unknowns += 1;
+        if call.kind.idempotent {
+            progress.next_idempotent_try();
+        }
+        Step::AgainAfter(wait)
+    }
+
+    /// Goes on after a certain "not run": with a new ticket, whose key is new
+    /// as well, because the old key is fenced at its gate.
+    async fn try_anew(
+        &self,
+        call: &Call<'_>,
+        progress: &mut Progress,
+        next_ticket: Option<String>,
+        wait: Duration,
+    ) -> Step {
+        progress.conclude_not_run();
+        if progress.try_number + 1 >= u64::from(self.limits.max_tickets) {
+            return Step::Done(progress.certain_not_run());
+        }
+        progress.faults += 1;
+        progress.entry += 1;
+        if call.kind.idempotent || self.destination.is_direct() {
+            progress.next_idempotent_try();
+            return Step::AgainAfter(wait);
+        }
+        let had_ticket = progress.ticket_path.take().is_some();
+        progress.try_number += 1;
+        progress.clean = true;
+        let ticket = match next_ticket {
+            Some(ticket) => Some(ticket),
+            None if had_ticket => self.fetch_tickets(call, progress).await,
+            None => None,
+        };
+        progress.use_ticket(call, ticket);
+        Step::AgainAfter(wait)
+    }
+
+    fn keep_next(&self, call: &Call<'_>, next_ticket: Option<String>) {
+        if self.limits.tickets_ahead == 0 {
+            return;
+        }
+        let Some(ticket) = next_ticket else {
+            return;
+        };
+        let batch = TicketBatch {
+            tickets: vec![ticket],
+            valid_ms: NEXT_TICKET_VALID_MS,
+        };
+        self.stash.keep(&call.kind.service, batch);
+    }
+
+    /// Fetches tickets with fresh keys; one is returned, the rest are kept.
+    async fn fetch_tickets(&self, call: &Call<'_>, progress: &mut Progress) -> Option<String> {
+        let count = self.limits.tickets_ahead.max(1);
+        let entry = self.entry(call, progress)?;
+        let service = &call.kind.service;
+        let prefix = header::TICKETS_PREFIX;
+        let mut request = Request::post(format!("http://{entry}{prefix}{service}?count={count}"));
+        if let Some(tenant) = &call.tenant {
+            request = request.header(header::TENANT, tenant);
+        }
+        let request = request.body(Full::default()).ok()?;
+        progress.record.sends += 1;
+        let bound = Duration::from_millis(self.limits.send_timeout_ms);
+        let answer = self.client.send(request, bound).await.ok()?;
+        let mut batch: TicketBatch = answer.json().ok()?;
+        let ticket = batch.tickets.pop()?;
+        self.stash.keep(service, batch);
+        Some(ticket)
+    }
+
+    fn entry(&self, call: &Call<'_>, progress: &Progress) -> Option<SocketAddr> {
+        let entries = self.destination.addrs(&call.kind.service);
+        if entries.is_empty() {
+            return None;
+        }
+        Some(entries[progress.entry % entries.len()])
+    }
+
+    async fn send(
+        &self,
+        call: &Call<'_>,
+        progress: &mut Progress,
+    ) -> Result<WholeAnswer, SendFault> {
+        let Some(entry) = self.entry(call, progress) else {
+            return Err(SendFault::NotConnected);
+        };
+        progress.record.sends += 1;
+        let request = self.request(call, progress, entry);
+        let bound = Duration::from_millis(self.limits.send_timeout_ms);
+        self.client.send(request, bound).await
+    }
+
+    fn request(
+        &self,
+        call: &Call<'_>,
+        progress: &Progress,
+        entry: SocketAddr,
+    ) -> Request<Full<Bytes>> {
+        let kind = call.kind;
+        let path = match (&progress.ticket_path, self.destination.is_direct()) {
+            (Some(path), _) => path.clone(),
+            (None, true) => kind.path.clone(),
+            (None, false) => format!("/{}{}", kind.service, kind.path),
+        };
+        let mut request = Request::builder()
+            .method(kind.method.as_str())
+            .uri(format!("http://{entry}{path}"))
+            .header(headers::NONCE, &call.nonce)
+            .header(headers::TRY, progress.try_number);
+        if !kind.idempotent && progress.ticket_path.is_none() {
+            request = request.header(header::IDEMPOTENCY_KEY, &call.nonce);
+        }
+        if kind.answer_bytes > 0 {
+            request = request.header(headers::ANSWER_BYTES, kind.answer_bytes);
+        }
+        if let Some(tenant) = &call.tenant {
+            request = request.header(header::TENANT, tenant);
+        }
+        if let Some(deadline_ms) = kind.deadline_ms {
+            request = request.header(header::DEADLINE_MS, deadline_ms);
+        }
+        for (name, value) in &kind.headers {
+            request = request.header(name, value);
+        }
+        let request = request.body(Full::new(body_of(call)));
+        request.expect("method, path and headers of a checked plan are valid")
+    }
+}
+
+impl Progress {
+    fn note(&mut self, answer: &WholeAnswer, meaning: &Meaning) {
+        self.record.status = Some(answer.status.as_u16());
+        self.record.code = meaning.code;
+        self.record.codes.push(meaning.code.unwrap_or(0));
+    }
+
+    fn redirect(&mut self, path: &str) {
+        self.ticket_path = Some(path.to_owned());
+        self.record.tickets += 1;
+    }
+
+    fn use_ticket(&mut self, call: &Call<'_>, ticket: Option<String>) {
+        let Some(ticket) = ticket else {
+            return;
+        };
+        let prefix = header::TICKETED_PREFIX;
+        let (service, path) = (&call.kind.service, &call.kind.path);
+        self.redirect(&format!("{prefix}{ticket}/{service}{path}"));
+    }
+
+    /// Each send of an idempotent call is a try of its own, because "not run"
+    /// speaks of that send only.
+    fn next_idempotent_try(&mut self) {
+        self.may_have_run |= !self.clean;
+        self.clean = true;
+        self.try_number += 1;
+    }
+
+    fn conclude_not_run(&mut self) {
+        self.clean = true;
+        if self.record.not_run_tries.last() != Some(&self.try_number) {
+            self.record.not_run_tries.push(self.try_number);
+        }
+    }
+
+    fn certain_not_run(&self) -> Verdict {
+        match self.may_have_run {
+            true => Verdict::Unknown,
+            false => Verdict::NotRun,
+        }
+    }
+
+    fn give_up(&mut self) -> Verdict {
+        if !self.clean {
+            return Verdict::Unknown;
+        }
+        self.conclude_not_run();
+        self.certain_not_run()
+    }
+}
+
+fn backoff(faults: u32) -> Duration {
+    let doublings = faults.saturating_sub(1).min(MAX_BACKOFF_DOUBLINGS);
+    FIRST_BACKOFF * 2_u32.pow(doublings)
+}
+
+/// The body of a call, which no other call has.
+fn body_of(call: &Call<'_>) -> Bytes {
+    if call.kind.body_bytes == 0 && call.kind.body_prefix.is_empty() {
+        return Bytes::new();
+    }
+    let mut body = call.kind.body_prefix.clone();
+    body.push_str(&call.nonce);
+    while body.len() < call.kind.body_bytes {
+        body.push_str(&digest(body.as_bytes()));
+    }
+    Bytes::from(body)
+}
+
+/// Whether an answer is whole and the one that this request must bring.
+///
+/// Only successes of the target echo; its failures have no derived body.
+fn is_right(call: &Call<'_>, answer: &WholeAnswer) -> bool {
+    if !answer.status.is_success() {
+        return true;
+    }
+    let body = body_of(call);
+    let expected = echo_body(&EchoRequest {
+        nonce: &call.nonce,
+        method: &call.kind.method,
+        path: &call.kind.path,
+        body: &body,
+        answer_bytes: call.kind.answer_bytes,
+    });
+    let announced = header_text(&answer.headers, headers::DIGEST);
+    announced == Some(digest(&answer.body).as_str()) && answer.body == expected
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/standins/src/load/reconcile.rs
@@ -0,0 +1,144 @@
+//! What callers were told against what targets ran.
+
+use std::collections::HashMap;
+
+use crate::prelude::*;
+use crate::target::{RunEnd, RunRecord};
+
+use super::plan::LoadPlan;
+use super::record::{CallRecord, Verdict};
+
+/// Calls that are named in a report for each kind of fault.
+const MAX_EXAMPLES: usize = 10;
+
+/// The outcome of the comparison; the first five must be zero.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reconciliation {
+    /// Told "answered", but no target finished such a run.
+    pub lost: u64,
+    /// Not idempotent, and started more than once.
+    pub run_twice: u64,
+    /// Told "not run", but it ran.
+    pub not_run_but_ran: u64,
+    /// Answered with anything but the whole answer to its own request.
+    pub wrong_answers: u64,
+    /// Runs without a nonce, which could be second runs of anything.
+    pub unaccounted_runs: u64,
+    /// Calls whose callers cannot tell whether they ran.
+    pub unknown: u64,
+    /// Of these, calls that ran.
+    pub unknown_ran: u64,
+    /// Of these, calls that did not run.
+    pub unknown_not_ran: u64,
+    /// Idempotent calls that ran more than once: retries and hedges.
+    pub idempotent_repeats: u64,
+    /// Calls behind the first four, a few of each.
+    pub examples: Vec<String>,
+}
+
+impl Reconciliation {
+    /// Whether nothing was lost, run twice, wrongly refused or mixed up.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        let faults = self.lost + self.run_twice + self.not_run_but_ran + self.wrong_answers;
+        faults + self.unaccounted_runs == 0
+    }
+
+    fn example(&mut self, count: u64, fault: &str, record: &CallRecord, runs: &[&RunRecord]) {
+        if count > MAX_EXAMPLES as u64 {
+            return;
+        }
+        let mut starts = Vec::new();
+        for run in runs {
+            let marks = &run.marks;
+            let (number, attempt) = (marks.try_number, marks.attempt);
+            starts.push(format!(
+                "{}#{} try {number:?} attempt {attempt:?} {:?}",
+                run.target, run.run, run.end
+            ));
+        }
+        self.examples.push(format!(
+            "{fault}: {} codes {:?}, not-run tries {:?}, runs [{}]",
+            record.nonce,
+            record.codes,
+            record.not_run_tries,
+            starts.join("; ")
+        ));
+    }
+}
+
+pub(super) fn reconcile(
+    plan: &LoadPlan,
+    records: &[CallRecord],
+    runs: &[RunRecord],
+) -> Reconciliation {
+    let mut by_nonce: HashMap<&str, Vec<&RunRecord>> = HashMap::new();
+    let mut sum = Reconciliation::default();
+    for run in runs {
+        match &run.marks.nonce {
+            Some(nonce) => by_nonce.entry(nonce).or_default().push(run),
+            None => sum.unaccounted_runs += 1,
+        }
+    }
+    for record in records {
+        let runs = by_nonce.get(record.nonce.as_str());
+        let runs = runs.map_or(&[][..], Vec::as_slice);
+        compare(plan, record, runs, &mut sum);
+    }
+    sum
+}
+
+fn compare(plan: &LoadPlan, record: &CallRecord, runs: &[&RunRecord], sum: &mut Reconciliation) {
+    let finished = runs.iter().any(|run| has_answered(run));
+    if record.verdict == Verdict::Answered && !finished {
+        sum.lost += 1;
+        sum.example(sum.lost, "lost", record, runs);
+    }
+    if runs.len() > 1 {
+        if plan.kinds[record.kind].idempotent {
+            sum.idempotent_repeats += 1;
+        } else {
+            sum.run_twice += 1;
+            sum.example(sum.run_twice, "run twice", record, runs);
+        }
+    }
+    if ran_although_told_not(record, runs) {
+        sum.not_run_but_ran += 1;
+        sum.example(sum.not_run_but_ran, "not run but ran", record, runs);
+    }
+    if record.wrong_answer {
+        sum.wrong_answers += 1;
+        sum.example(sum.wrong_answers, "wrong answer", record, runs);
+    }
+    if record.verdict == Verdict::Unknown {
+        sum.unknown += 1;
+        if runs.is_empty() {
+            sum.unknown_not_ran += 1;
+        } else {
+            sum.unknown_ran += 1;
+        }
+    }
+}
+
+/// Whether a run is one that a target can have answered.
+fn has_answered(run: &RunRecord) -> bool {
+    matches!(
+        run.end,
+        RunEnd::Finished | RunEnd::FailedFast | RunEnd::DeadlinePassed
+    )
+}
+
+fn ran_although_told_not(record: &CallRecord, runs: &[&RunRecord]) -> bool {
+    if record.verdict == Verdict::NotRun && !runs.is_empty() {
+        return true;
+    }
+    for run in runs {
+        let Some(number) = run.marks.try_number else {
+            continue;
+        };
+        if record.not_run_tries.contains(&number) {
+            return true;
+        }
+    }
+    false
+}
--- /dev/null
+++ b/crates/standins/src/load/report.rs
@@ -0,0 +1,225 @@
+//! Sums up one run of the load tool.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+
+use crate::prelude::*;
+
+use super::reconcile::Reconciliation;
+use super::record::{CallRecord, Verdict};
+use super::{LoadOutcome, Tally, table};
+
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+/// Quantiles of one group of calls, in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LatencySummary {
+    /// Calls in the group.
+    pub count: u64,
+    /// Mean.
+    pub mean_us: f64,
+    /// Half of all calls take less.
+    pub p50_us: u64,
+    /// 99 of 100 calls take less.
+    pub p99_us: u64,
+    /// 999 of 1,000 calls take less.
+    pub p999_us: u64,
+    /// The slowest call.
+    pub max_us: u64,
+}
+
+/// The report of one run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Report {
+    /// Calls a second that were meant to start.
+    pub planned_rate_per_s: f64,
+    /// Calls a second from the first start to the last end.
+    pub measured_rate_per_s: f64,
+    /// From the first start to the last end.
+    pub elapsed_s: f64,
+    /// Calls.
+    pub calls: u64,
+    /// Calls by what their callers ended up knowing.
+    pub verdicts: Tally,
+    /// Last answers by result code.
+    pub final_codes: Tally,
+    /// Last answers by HTTP status.
+    pub final_statuses: Tally,
+    /// All answers by result code, redirects and refused tries included.
+    pub all_codes: Tally,
+    /// Requests sent.
+    pub sends: u64,
+    /// Requests above one a call, redirects not counted.
+    pub resends: u64,
+    /// Tickets used.
+    pub tickets: u64,
+    /// Requests without a whole answer.
+    pub broken_sends: u64,
+    /// Answered calls, from their intended start, by group: `all`,
+    /// `class <name>`, `tenant <name>`, `kind <name>`.
+    pub latency: BTreeMap<String, LatencySummary>,
+    /// Answered calls, from their first send.
+    pub latency_from_send: LatencySummary,
+    /// Calls that were not answered, from their intended start.
+    pub latency_unanswered: LatencySummary,
+    /// Comparison with the targets' journals, if they are known.
+    pub reconciliation: Option<Reconciliation>,
+}
+
+impl Report {
+    /// Whether the targets' journals are known and agree.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        let known = self.reconciliation.as_ref();
+        known.is_some_and(Reconciliation::is_clean)
+    }
+
+    /// A table for people.
+    #[must_use]
+    pub fn table(&self) -> String {
+        table::render(self)
+    }
+
+    /// JSON for programs.
+    ///
+    /// # Errors
+    ///
+    /// Never for a report as this crate makes it.
+    pub fn json(&self) -> Result<String> {
+        Ok(serde_json::to_string_pretty(self)?)
+    }
+}
+
+pub(super) fn report(outcome: &LoadOutcome, reconciliation: Option<Reconciliation>) -> Report {
+    let mut sum = Sum::default();
+    for record in &outcome.records {
+        sum.add(outcome, record);
+    }
+    let elapsed_s = outcome.elapsed.as_secs_f64();
+    let calls = u64::try_from(outcome.records.len()).unwrap_or(u64::MAX);
+    let mut latency = BTreeMap::new();
+    for (group, histogram) in &sum.groups {
+        latency.insert(group.clone(), summary(histogram));
+    }
+    let redirects = sum.all_codes.get(&code_name(Some(1100))).copied();
+    Report {
+        planned_rate_per_s: outcome.plan.rate_per_s,
+        measured_rate_per_s: calls as f64 / elapsed_s.max(f64::MIN_POSITIVE),
+        elapsed_s,
+        calls,
+        resends: sum.sends.saturating_sub(calls + redirects.unwrap_or(0)),
+        verdicts: sum.verdicts,
+        final_codes: sum.final_codes,
+        final_statuses: sum.final_statuses,
+        all_codes: sum.all_codes,
+        sends: sum.sends,
+        tickets: sum.tickets,
+        broken_sends: sum.broken_sends,
+        latency,
+        latency_from_send: summary(&sum.from_send),
+        latency_unanswered: summary(&sum.unanswered),
+        reconciliation,
+    }
+}
+
+struct Sum {
+    verdicts: Tally,
+    final_codes: Tally,
+    final_statuses: Tally,
+    all_codes: Tally,
+    sends: u64,
+    tickets: u64,
+    broken_sends: u64,
+    groups: BTreeMap<String, Histogram<u64>>,
+    from_send: Histogram<u64>,
+    unanswered: Histogram<u64>,
+}
+
+impl Default for Sum {
+    fn default() -> Self {
+        Self {
+            verdicts: Tally::new(),
+            final_codes: Tally::new(),
+            final_statuses: Tally::new(),
+            all_codes: Tally::new(),
+            sends: 0,
+            tickets: 0,
+            broken_sends: 0,
+            groups: BTreeMap::new(),
+            from_send: histogram(),
+            unanswered: histogram(),
+        }
+    }
+}
+
+impl Sum {
+    fn add(&mut self, outcome: &LoadOutcome, record: &CallRecord) {
+        let verdict = match record.verdict {
+            Verdict::Answered => "answered",
+            Verdict::NotRun => "not-run",
+            Verdict::Unknown => "unknown",
+        };
+        count(&mut self.verdicts, verdict.to_owned());
+        count(&mut self.final_codes, code_name(record.code));
+        let status = record.status.map(|status| status.to_string());
+        count(
+            &mut self.final_statuses,
+            status.unwrap_or_else(|| "none".to_owned()),
+        );
+        for code in &record.codes {
+            let code = (*code != 0).then_some(*code);
+            count(&mut self.all_codes, code_name(code));
+        }
+        self.sends += u64::from(record.sends);
+        self.tickets += u64::from(record.tickets);
+        self.broken_sends += u64::from(record.broken_sends);
+        if record.verdict != Verdict::Answered {
+            self.unanswered.saturating_record(record.latency_us);
+            return;
+        }
+        self.from_send.saturating_record(record.from_send_us);
+        let kind = &outcome.plan.kinds[record.kind];
+        let mut groups = vec![
+            "all".to_owned(),
+            format!("class {}", kind.class),
+            format!("kind {}", kind.name),
+        ];
+        if let Some(tenant) = &record.tenant {
+            groups.push(format!("tenant {tenant}"));
+        }
+        for group in groups {
+            let histogram = self.groups.entry(group).or_insert_with(histogram);
+            histogram.saturating_record(record.latency_us);
+        }
+    }
+}
+
+fn count(tally: &mut Tally, name: String) {
+    *tally.entry(name).or_default() += 1;
+}
+
+fn code_name(code: Option<u16>) -> String {
+    let Some(number) = code else {
+        return "none".to_owned();
+    };
+    match ResultCode::from_number(number) {
+        Some(code) => code.to_string(),
+        None => format!("{number} ?"),
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new(SIGNIFICANT_DIGITS).expect("three significant digits are allowed")
+}
+
+fn summary(histogram: &Histogram<u64>) -> LatencySummary {
+    LatencySummary {
+        count: histogram.len(),
+        mean_us: histogram.mean(),
+        p50_us: histogram.value_at_quantile(0.5),
+        p99_us: histogram.value_at_quantile(0.99),
+        p999_us: histogram.value_at_quantile(0.999),
+        max_us: histogram.max(),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/load/table.rs
@@ -0,0 +1,90 @@
+//! The report as a table for people.
+
+use std::fmt::Write;
+
+use super::Tally;
+use super::reconcile::Reconciliation;
+use super::report::{LatencySummary, Report};
+
+const US_PER_MS: f64 = 1_000.0;
+
+pub(super) fn render(report: &Report) -> String {
+    let mut text = String::new();
+    let _ = writeln!(
+        text,
+        "{} calls in {:.2} s, {:.1}/s planned, {:.1}/s measured",
+        report.calls, report.elapsed_s, report.planned_rate_per_s, report.measured_rate_per_s
+    );
+    let _ = writeln!(
+        text,
+        "{} requests, {} resends, {} broken, {} tickets",
+        report.sends, report.resends, report.broken_sends, report.tickets
+    );
+    tally(&mut text, "what callers know", &report.verdicts);
+    tally(&mut text, "last answers by code", &report.final_codes);
+    tally(&mut text, "last answers by status", &report.final_statuses);
+    tally(&mut text, "all answers by code", &report.all_codes);
+    latencies(&mut text, report);
+    match &report.reconciliation {
+        Some(sum) => reconciliation(&mut text, sum),
+        None => text.push_str("\nno reconciliation: the targets' journals were not read\n"),
+    }
+    text
+}
+
+fn tally(text: &mut String, title: &str, tally: &Tally) {
+    let _ = writeln!(text, "\n{title}");
+    for (name, count) in tally {
+        let _ = writeln!(text, "  {name:<28} {count:>10}");
+    }
+}
+
+fn latencies(text: &mut String, report: &Report) {
+    let _ = writeln!(
+        text,
+        "\n{:<30} {:>9} {:>9} {:>9} {:>9} {:>9}",
+        "latency in ms", "count", "p50", "p99", "p99.9", "max"
+    );
+    for (group, summary) in &report.latency {
+        latency(text, group, summary);
+    }
+    latency(text, "from the first send", &report.latency_from_send);
+    latency(text, "not answered", &report.latency_unanswered);
+}
+
+fn latency(text: &mut String, name: &str, summary: &LatencySummary) {
+    if summary.count == 0 {
+        return;
+    }
+    let ms = |us: u64| us as f64 / US_PER_MS;
+    let _ = writeln!(
+        text,
+        "  {name:<28} {:>9} {:>9.2} {:>9.2} {:>9.2} {:>9.2}",
+        summary.count,
+        ms(summary.p50_us),
+        ms(summary.p99_us),
+        ms(summary.p999_us),
+        ms(summary.max_us)
+    );
+}
+
+fn reconciliation(text: &mut String, sum: &Reconciliation) {
+    let rows = [
+        ("lost", sum.lost),
+        ("run twice", sum.run_twice),
+        ("told not run, but ran", sum.not_run_but_ran),
+        ("wrong answers", sum.wrong_answers),
+        ("runs not accounted for", sum.unaccounted_runs),
+        ("unknown", sum.unknown),
+        ("  of which ran", sum.unknown_ran),
+        ("  of which did not run", sum.unknown_not_ran),
+        ("idempotent, run again", sum.idempotent_repeats),
+    ];
+    let _ = writeln!(text, "\nreconciliation with the targets' journals");
+    for (name, count) in rows {
+        let _ = writeln!(text, "  {name:<28} {count:>10}");
+    }
+    for example in &sum.examples {
+        let _ = writeln!(text, "  {example}");
+    }
+}
--- /dev/null
+++ b/crates/standins/src/load/tickets.rs
@@ -0,0 +1,55 @@
+//! Tickets that callers hold ahead of their calls.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Instant;
+
+use crate::prelude::*;
+
+/// Tickets that are kept for one service.
+const MAX_KEPT: usize = 256;
+
+/// Body of an answer to `POST /.hitch/tickets/<service>`.
+#[derive(Clone, Debug, Deserialize)]
+pub(super) struct TicketBatch {
+    pub(super) tickets: Vec<String>,
+    pub(super) valid_ms: u64,
+}
+
+struct Kept {
+    ticket: String,
+    use_before: Instant,
+}
+
+/// Tickets by service.
+#[derive(Default)]
+pub(super) struct TicketStash {
+    by_service: Mutex<HashMap<String, VecDeque<Kept>>>,
+}
+
+impl TicketStash {
+    /// Keeps tickets; a half of their validity is left for the call itself.
+    pub(super) fn keep(&self, service: &str, batch: TicketBatch) {
+        let use_before = Instant::now() + Duration::from_millis(batch.valid_ms / 2);
+        let mut by_service = self.by_service.lock();
+        let kept = by_service.entry(service.to_owned()).or_default();
+        for ticket in batch.tickets {
+            if kept.len() >= MAX_KEPT {
+                return;
+            }
+            kept.push_back(Kept { ticket, use_before });
+        }
+    }
+
+    /// Takes a ticket that is still good.
+    pub(super) fn take(&self, service: &str) -> Option<String> {
+        let mut by_service = self.by_service.lock();
+        let kept = by_service.get_mut(service)?;
+        while let Some(first) = kept.pop_front() {
+            if first.use_before <= Instant::now() {
+                continue;
+            }
+            return Some(first.ticket);
+        }
+        None
+    }
+}
--- a/crates/standins/src/target/headers.rs
+++ b/crates/standins/src/target/headers.rs
@@ -10,6 +10,7 @@
 /// With [`CUT`]: only attempts whose `hitch-attempt` is below this number.
 pub const CUT_BELOW_ATTEMPT: &str = "standin-cut-below-attempt";
 /// Calls on: `service/path`, several of them separated by commas form a chain.
+/// The nonce of each further call has one `+` more at its end.
 pub const CALL: &str = "standin-call";
 /// Holds the answer back after the run, in milliseconds.
 pub const DELAY_MS: &str = "standin-delay-ms";
--- /dev/null
+++ b/crates/standins/tests/load.rs
@@ -0,0 +1,406 @@
+//! The load tool: its callers against scripted nodes, its books against
+//! targets.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures_util::future::BoxFuture;
+use hornbeamhitch_standins::http_server::{
+    Answer, Connection, DropConnection, Handler, HttpServer, control, read_body, text_answer,
+};
+use hornbeamhitch_standins::load::{
+    self, CallKind, CallRecord, CallerLimits, Destination, LoadOutcome, LoadPlan, Pacing, Verdict,
+};
+use hornbeamhitch_standins::target::echo::{EchoRequest, digest, echo_body};
+use hornbeamhitch_standins::target::{
+    RequestMarks, RunEnd, RunRecord, ServiceTime, TargetConfig, TargetStandin, headers,
+};
+use hornbeamhitch_types::clock::Millis;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+
+/// What a scripted node does with the next request.
+#[derive(Clone, Copy)]
+enum Line {
+    Answer,
+    Redirect,
+    Code(u16),
+    /// With `hitch-next-ticket`.
+    CodeAndTicket(u16),
+    Drop,
+    Tickets,
+}
+
+/// Entries that follow one script and remember what they were sent.
+struct Script {
+    lines: Mutex<VecDeque<Line>>,
+    seen: Mutex<Vec<Seen>>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Seen {
+    entry: SocketAddr,
+    path: String,
+    try_number: String,
+}
+
+struct ScriptedNode {
+    script: Arc<Script>,
+    addr: Arc<Mutex<Option<SocketAddr>>>,
+}
+
+impl Handler for ScriptedNode {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        connection: Connection,
+    ) -> BoxFuture<'static, Result<Answer, DropConnection>> {
+        Box::pin(async move {
+            let (head, body) = request.into_parts();
+            let body = read_body(body).await.unwrap();
+            let header = |name: &str| match head.headers.get(name) {
+                Some(value) => value.to_str().unwrap().to_owned(),
+                None => String::new(),
+            };
+            let entry = *self.addr.lock();
+            self.script.seen.lock().push(Seen {
+                entry: entry.unwrap(),
+                path: head.uri.path().to_owned(),
+                try_number: header(headers::TRY),
+            });
+            let line = self.script.lines.lock().pop_front();
+            let line = line.expect("the script is as long as the call");
+            let mut answer = text_answer(StatusCode::OK, "");
+            match line {
+                Line::Drop => {
+                    connection.reset_when_dropped();
+                    return Err(DropConnection);
+                }
+                Line::Redirect => {
+                    *answer.status_mut() = StatusCode::TEMPORARY_REDIRECT;
+                    set(&mut answer, "hitch-code", "1100");
+                    set(&mut answer, "location", "/.hitch/t/first/cashier/charge");
+                }
+                Line::Code(code) => set(&mut answer, "hitch-code", &code.to_string()),
+                Line::CodeAndTicket(code) => {
+                    set(&mut answer, "hitch-code", &code.to_string());
+                    set(&mut answer, "hitch-next-ticket", "next");
+                }
+                Line::Tickets => {
+                    let json = r#"{"tickets": ["fetched"], "valid_ms": 120000}"#;
+                    return Ok(text_answer(StatusCode::OK, json));
+                }
+                Line::Answer => {
+                    let echo = echo_body(&EchoRequest {
+                        nonce: &header(headers::NONCE),
+                        method: head.method.as_str(),
+                        path: "/charge",
+                        body: &body,
+                        answer_bytes: 0,
+                    });
+                    answer = text_answer(StatusCode::OK, echo.clone());
+                    set(&mut answer, "hitch-code", "1000");
+                    set(&mut answer, headers::DIGEST, &digest(&echo));
+                }
+            }
+            set(&mut answer, "hitch-retry-after-ms", "1");
+            Ok(answer)
+        })
+    }
+}
+
+fn set<B>(answer: &mut Response<B>, name: &'static str, value: &str) {
+    answer.headers_mut().insert(name, value.parse().unwrap());
+}
+
+fn charge() -> CallKind {
+    CallKind {
+        name: "charge".to_owned(),
+        service: "cashier".to_owned(),
+        method: "POST".to_owned(),
+        path: "/charge".to_owned(),
+        idempotent: false,
+        body_bytes: 100,
+        ..CallKind::default()
+    }
+}
+
+/// Sends one charge through two entries that follow a script.
+async fn charge_by(lines: &[Line], limits: CallerLimits) -> (CallRecord, Vec<Seen>) {
+    let script = Arc::new(Script {
+        lines: Mutex::new(lines.iter().copied().collect()),
+        seen: Mutex::default(),
+    });
+    let mut servers = Vec::new();
+    let mut addrs = Vec::new();
+    for _ in 0..2 {
+        let addr = Arc::new(Mutex::new(None));
+        let node = Arc::new(ScriptedNode {
+            script: Arc::clone(&script),
+            addr: Arc::clone(&addr),
+        });
+        let (_control, end) = control();
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = HttpServer::start(any_port, node, end).await.unwrap();
+        *addr.lock() = Some(server.addr());
+        addrs.push(server.addr());
+        servers.push((server, _control));
+    }
+    let outcome = load::run(LoadPlan {
+        destination: Destination::Nodes(addrs),
+        kinds: vec![charge()],
+        calls: 1,
+        rate_per_s: 1_000.0,
+        caller: limits,
+        ..LoadPlan::default()
+    })
+    .await
+    .unwrap();
+    assert!(
+        script.lines.lock().is_empty(),
+        "the script was not played out"
+    );
+    let seen = script.seen.lock().clone();
+    (outcome.records[0].clone(), seen)
+}
+
+fn paths(seen: &[Seen]) -> Vec<&str> {
+    seen.iter().map(|seen| seen.path.as_str()).collect()
+}
+
+const PLAIN: &str = "/cashier/charge";
+const FIRST: &str = "/.hitch/t/first/cashier/charge";
+const NEXT: &str = "/.hitch/t/next/cashier/charge";
+
+/// The connection breaks after the charge was sent under its ticket. The
+/// caller must send the same ticket through the other entry and nothing else:
+/// a new ticket could charge twice.
+#[tokio::test]
+async fn a_broken_charge_keeps_its_ticket() {
+    let lines = [Line::Redirect, Line::Drop, Line::Answer];
+    let (record, seen) = charge_by(&lines, CallerLimits::default()).await;
+    assert_eq!(record.verdict, Verdict::Answered);
+    assert!(!record.wrong_answer);
+    assert_eq!(paths(&seen), [PLAIN, FIRST, FIRST]);
+    assert_ne!(seen[1].entry, seen[2].entry);
+    assert_eq!(
+        (record.sends, record.broken_sends, record.tickets),
+        (3, 1, 1)
+    );
+    assert!(record.not_run_tries.is_empty());
+}
+
+#[tokio::test]
+async fn not_run_takes_the_next_ticket_or_fetches_one() {
+    let lines = [Line::Redirect, Line::CodeAndTicket(1101), Line::Answer];
+    let (record, seen) = charge_by(&lines, CallerLimits::default()).await;
+    assert_eq!(record.verdict, Verdict::Answered);
+    assert_eq!(paths(&seen), [PLAIN, FIRST, NEXT]);
+    assert_eq!(record.not_run_tries, [0]);
+    assert_eq!(seen[2].try_number, "1");
+
+    let lines = [
+        Line::Redirect,
+        Line::Code(1103),
+        Line::Tickets,
+        Line::Answer,
+    ];
+    let (record, seen) = charge_by(&lines, CallerLimits::default()).await;
+    assert_eq!(record.verdict, Verdict::Answered);
+    assert_eq!(seen[2].path, "/.hitch/tickets/cashier");
+    assert_eq!(seen[3].path, "/.hitch/t/fetched/cashier/charge");
+}
+
+#[tokio::test]
+async fn not_yet_and_pending_keep_the_ticket() {
+    let lines = [
+        Line::Redirect,
+        Line::Code(1201),
+        Line::Code(1401),
+        Line::Answer,
+    ];
+    let (record, seen) = charge_by(&lines, CallerLimits::default()).await;
+    assert_eq!(record.verdict, Verdict::Answered);
+    assert_eq!(paths(&seen), [PLAIN, FIRST, FIRST, FIRST]);
+    assert!(record.not_run_tries.is_empty());
+}
+
+/// The gate is gone. If every earlier send was certainly not run, a new ticket
+/// is safe; after a broken one it is not, and the caller must stop.
+#[tokio::test]
+async fn a_dead_ticket_is_replaced_only_when_it_cannot_have_run() {
+    let lines = [
+        Line::Redirect,
+        Line::Code(1202),
+        Line::CodeAndTicket(1301),
+        Line::Answer,
+    ];
+    let (record, seen) = charge_by(&lines, CallerLimits::default()).await;
+    assert_eq!(record.verdict, Verdict::Answered);
+    assert_eq!(paths(&seen), [PLAIN, FIRST, FIRST, NEXT]);
+
+    let lines = [Line::Redirect, Line::Drop, Line::CodeAndTicket(1301)];
+    let (record, _) = charge_by(&lines, CallerLimits::default()).await;
+    assert_eq!(record.verdict, Verdict::Unknown);
+}
+
+#[tokio::test]
+async fn unknown_stops_or_chases_the_same_ticket() {
+    let lines = [Line::Redirect, Line::Code(2101)];
+    let (record, _) = charge_by(&lines, CallerLimits::default()).await;
+    assert_eq!(record.verdict, Verdict::Unknown);
+
+    let limits = CallerLimits {
+        unknown_resends: 1,
+        ..CallerLimits::default()
+    };
+    let lines = [Line::Redirect, Line::Code(2101), Line::Answer];
+    let (record, seen) = charge_by(&lines, limits).await;
+    assert_eq!(record.verdict, Verdict::Answered);
+    assert_eq!(paths(&seen), [PLAIN, FIRST, FIRST]);
+}
+
+#[tokio::test]
+async fn tries_are_bounded() {
+    let limits = CallerLimits {
+        max_tickets: 2,
+        ..CallerLimits::default()
+    };
+    let lines = [Line::Redirect, Line::CodeAndTicket(1101), Line::Code(1101)];
+    let (record, _) = charge_by(&lines, limits).await;
+    assert_eq!(record.verdict, Verdict::NotRun);
+    assert_eq!(record.not_run_tries, [0, 1]);
+
+    let limits = CallerLimits {
+        max_sends: 3,
+        ..CallerLimits::default()
+    };
+    let lines = [Line::Redirect, Line::Drop, Line::Code(1202)];
+    let (record, _) = charge_by(&lines, limits).await;
+    assert_eq!(record.verdict, Verdict::Unknown);
+}
+
+#[tokio::test]
+async fn tickets_ahead_spare_the_redirect() {
+    let limits = CallerLimits {
+        tickets_ahead: 1,
+        ..CallerLimits::default()
+    };
+    let (record, seen) = charge_by(&[Line::Tickets, Line::Answer], limits).await;
+    assert_eq!(record.verdict, Verdict::Answered);
+    assert_eq!(seen[1].path, "/.hitch/t/fetched/cashier/charge");
+}
+
+#[tokio::test]
+async fn the_baseline_goes_straight_to_targets() {
+    let target = TargetStandin::start(TargetConfig {
+        service_time: ServiceTime::Exponential { mean_us: 1_000 },
+        ..TargetConfig::default()
+    })
+    .await
+    .unwrap();
+    let by_service = BTreeMap::from([("cashier".to_owned(), vec![target.addr()])]);
+    let read = CallKind {
+        name: "price".to_owned(),
+        service: "cashier".to_owned(),
+        answer_bytes: 3_000,
+        tenants: vec!["passports".to_owned()],
+        ..CallKind::default()
+    };
+    let outcome = load::run(LoadPlan {
+        destination: Destination::Targets(by_service),
+        kinds: vec![charge(), read],
+        calls: 300,
+        rate_per_s: 1_000.0,
+        pacing: Pacing::Even,
+        ..LoadPlan::default()
+    })
+    .await
+    .unwrap();
+    let report = outcome.report(Some(&target.all_runs()));
+    assert!(report.is_clean(), "{}", report.table());
+    assert_eq!(report.calls, 300);
+    assert_eq!(report.verdicts["answered"], 300);
+    assert_eq!(target.all_runs().len(), 300);
+    assert_eq!(report.latency["all"].count, 300);
+    assert!(report.latency["tenant passports"].count < 300);
+    assert!(report.json().unwrap().contains("\"p999_us\""));
+}
+
+fn run(nonce: &str, try_number: u64, end: RunEnd) -> RunRecord {
+    RunRecord {
+        run: 0,
+        target: "cashier-1".to_owned(),
+        marks: RequestMarks {
+            nonce: Some(nonce.to_owned()),
+            try_number: Some(try_number),
+            ..RequestMarks::default()
+        },
+        started_at_ms: Millis::ZERO,
+        ended_at_ms: None,
+        end,
+        status: None,
+    }
+}
+
+fn told(nonce: &str, verdict: Verdict, not_run_tries: &[u64]) -> CallRecord {
+    CallRecord {
+        nonce: nonce.to_owned(),
+        kind: 0,
+        tenant: None,
+        verdict,
+        status: None,
+        code: None,
+        wrong_answer: false,
+        not_run_tries: not_run_tries.to_vec(),
+        codes: Vec::new(),
+        sends: 1,
+        tickets: 1,
+        broken_sends: 0,
+        latency_us: 1,
+        from_send_us: 1,
+    }
+}
+
+/// The books must show each kind of fault, or a clean report proves nothing.
+#[test]
+fn the_books_show_each_fault() {
+    let records = vec![
+        told("fine", Verdict::Answered, &[0]),
+        told("lost", Verdict::Answered, &[]),
+        told("cancelled", Verdict::Answered, &[]),
+        told("twice", Verdict::Answered, &[]),
+        told("lied", Verdict::Answered, &[0]),
+        told("refused", Verdict::NotRun, &[0]),
+        told("unknown-ran", Verdict::Unknown, &[]),
+        told("unknown-not", Verdict::Unknown, &[]),
+    ];
+    let runs = [
+        run("fine", 1, RunEnd::Finished),
+        run("cancelled", 0, RunEnd::Cancelled),
+        run("twice", 0, RunEnd::Cancelled),
+        run("twice", 0, RunEnd::Finished),
+        run("lied", 0, RunEnd::Finished),
+        run("refused", 0, RunEnd::Running),
+        run("unknown-ran", 0, RunEnd::Crashed),
+    ];
+    let outcome = LoadOutcome {
+        plan: LoadPlan {
+            kinds: vec![charge()],
+            ..LoadPlan::default()
+        },
+        records,
+        elapsed: std::time::Duration::from_secs(1),
+    };
+    let sum = outcome.reconcile(&runs);
+    assert!(!sum.is_clean());
+    assert_eq!((sum.lost, sum.run_twice, sum.not_run_but_ran), (2, 1, 2));
+    assert_eq!(
+        (sum.unknown, sum.unknown_ran, sum.unknown_not_ran),
+        (2, 1, 1)
+    );
+    let table = outcome.report(Some(&runs)).table();
+    assert!(table.contains("run twice: twice"), "{table}");
+}
