Serve a request from end to end as separate processes

Cause: the parts stood apart; nothing showed that a call goes from a caller through entry and gate to a target and back. Ruled out: nodes inside the test's process; the failures to come are those of processes (kill, stop, restart), so nodes are processes from the first test.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -10,6 +10,7 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Instant;
 
 use hornbeamhitch_core::prelude::*;
 use hornbeamhitch_wire::header;
@@ -18,12 +19,13 @@
 use hyper::body::Incoming;
 use tokio::sync::watch;
 
-pub use entries::{Entry, EntryBoard, SharedRoutes};
+pub use entries::{Entry, EntryBoard, EntryCounts, SharedRoutes, TargetCounts};
 
 use crate::answer;
 use crate::body::{self, NodeBody};
 use crate::clock::ProcessClock;
 use crate::control_loop::ControlHandle;
+use crate::metrics::{CallSample, Metrics};
 use crate::peers::PeerPool;
 use call::{CallerCall, MAX_DEPTH, ServicePath};
 
@@ -106,6 +108,7 @@
     entry_header: HeaderValue,
     /// Ticks with each publication of routes.
     published: watch::Receiver<u64>,
+    metrics: Arc<Metrics>,
 }
 
 impl CallerServer {
@@ -117,6 +120,7 @@
         control: ControlHandle,
         control_address: std::net::SocketAddr,
         published: watch::Receiver<u64>,
+        metrics: Arc<Metrics>,
     ) -> Self {
         let address = control_address.to_string();
         Self {
@@ -127,6 +131,7 @@
             control,
             entry_header: HeaderValue::from_str(&address).expect("an address is plain ASCII"),
             published,
+            metrics,
         }
     }
 
@@ -176,16 +181,15 @@
         if call.depth > MAX_DEPTH {
             return bad_request("the call is nested too deeply");
         }
-        if !call.idempotent {
-            return tickets::redirect(self, &entry, &call, &parts.headers, body).await;
-        }
-        idempotent::serve(
-            Arc::clone(self),
-            entry,
-            call,
-            Request::from_parts(parts, body),
-        )
-        .await
+        let sample = Sample::start(&call);
+        let response = if call.idempotent {
+            let request = Request::from_parts(parts, body);
+            idempotent::serve(Arc::clone(self), entry, call, request).await
+        } else {
+            tickets::redirect(self, &entry, &call, &parts.headers, body).await
+        };
+        sample.record(&self.metrics, &response);
+        response
     }
 
     async fn serve_ticketed(
@@ -216,14 +220,11 @@
         };
         let (parts, body) = request.into_parts();
         let call = CallerCall::read(&parts, to, Arc::clone(&view.policy), self.clock.now());
-        ticketed::serve(
-            self,
-            &entry,
-            call,
-            &ticket,
-            Request::from_parts(parts, body),
-        )
-        .await
+        let sample = Sample::start(&call);
+        let request = Request::from_parts(parts, body);
+        let response = ticketed::serve(self, &entry, call, &ticket, request).await;
+        sample.record(&self.metrics, &response);
+        response
     }
 
     async fn serve_batch(self: &Arc<Self>, rest: &str, request: &Parts) -> Response<NodeBody> {
@@ -286,6 +287,36 @@
     }
 }
 
+/// A call on its way into the histograms.
+struct Sample {
+    service: ServiceName,
+    class: CallClass,
+    tenant: TenantName,
+    started_at: Instant,
+}
+
+impl Sample {
+    fn start(call: &CallerCall) -> Self {
+        Self {
+            service: call.to.service.clone(),
+            class: call.class,
+            tenant: call.tenant.clone(),
+            started_at: Instant::now(),
+        }
+    }
+
+    fn record(&self, metrics: &Metrics, response: &Response<NodeBody>) {
+        let latency_us = self.started_at.elapsed().as_micros();
+        metrics.call_ended(&CallSample {
+            service: self.service.as_str(),
+            class: self.class,
+            tenant: self.tenant.as_str(),
+            code: answer::code_of(response.headers()).unwrap_or(ResultCode::Answered),
+            latency_us: u64::try_from(latency_us).unwrap_or(u64::MAX),
+        });
+    }
+}
+
 fn bad_request(reason: &str) -> Response<NodeBody> {
     answer::from_code(ResultCode::BadRequest, reason)
 }
--- a/crates/node/src/callers/call.rs
+++ b/crates/node/src/callers/call.rs
@@ -69,8 +69,6 @@
     pub tenant: TenantName,
     /// Depth, 0 at the outermost caller.
     pub depth: u32,
-    /// When it arrived.
-    pub arrived_at: Millis,
     /// When it must have ended.
     pub deadline_at: Millis,
 }
@@ -89,7 +87,6 @@
             class: kind.map_or_else(CallClass::default, |call| call.class),
             tenant: tenant_of(&parts.headers),
             depth: answer::number(&parts.headers, header::DEPTH).unwrap_or(0),
-            arrived_at: now,
             deadline_at: now + deadline_ms,
             to,
             policy,
--- a/crates/node/src/callers/entries.rs
+++ b/crates/node/src/callers/entries.rs
@@ -41,6 +41,50 @@
     service: EntryService,
     /// The view that `service` was last updated with.
     seen: Arc<ServiceView>,
+    counts: EntryCounts,
+}
+
+/// Counts of one service at this entry since the start.
+#[derive(Clone, Debug, Default)]
+pub struct EntryCounts {
+    /// Calls that were sent at least once.
+    pub first_attempts: u64,
+    /// Retries that the budget allowed.
+    pub retries: u64,
+    /// Hedges that the budget allowed.
+    pub hedges: u64,
+    /// By target.
+    targets: HashMap<TargetIndex, TargetCounts>,
+}
+
+/// Counts of one target at this entry since the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TargetCounts {
+    /// Attempts that have ended.
+    pub attempts: u64,
+    /// Attempts that failed; refusals are not failures.
+    pub failures: u64,
+}
+
+impl EntryCounts {
+    /// Counts of one target.
+    #[must_use]
+    pub fn of(&self, target: TargetIndex) -> TargetCounts {
+        self.targets.get(&target).copied().unwrap_or_default()
+    }
+
+    fn note_end(&mut self, target: TargetIndex, end: &AttemptEnd) {
+        let counts = self.targets.entry(target).or_default();
+        counts.attempts += 1;
+        let failed = matches!(
+            end,
+            AttemptEnd::Answered { failed: true }
+                | AttemptEnd::Unreachable
+                | AttemptEnd::Broken
+                | AttemptEnd::TimedOut
+        );
+        counts.failures += u64::from(failed);
+    }
 }
 
 /// A target chosen for one attempt, with what is needed to reach it.
@@ -87,10 +131,11 @@
     }
 
     /// Visits every entry, for status and metrics.
-    pub fn visit(&self, mut visit: impl FnMut(&ServiceName, &EntryService)) {
+    pub fn visit(&self, mut visit: impl FnMut(&ServiceName, &EntryService, &EntryCounts)) {
         let entries = self.entries.read();
         for (name, entry) in entries.iter() {
-            visit(name, &entry.state.lock().service);
+            let state = entry.state.lock();
+            visit(name, &state.service, &state.counts);
         }
     }
 
@@ -105,6 +150,7 @@
                 state: Mutex::new(EntryState {
                     service,
                     seen: Arc::clone(view),
+                    counts: EntryCounts::default(),
                 }),
             })
         });
@@ -139,6 +185,7 @@
         };
         let mut state = self.state.lock();
         let pick = state.service.pick(&request, now)?;
+        state.counts.first_attempts += u64::from(exclude.is_empty());
         let chosen = chosen(&state.service, pick);
         drop(state);
         Ok(self.guard(chosen))
@@ -151,6 +198,7 @@
         let (index, target) = state.service.target_on(vm)?;
         let incarnation = target.incarnation;
         let pick = state.service.pick_fixed(index, now);
+        state.counts.first_attempts += 1;
         let chosen = chosen(&state.service, pick);
         drop(state);
         Some((self.guard(chosen), incarnation))
@@ -159,7 +207,10 @@
     /// Decides what follows a failed attempt.
     pub fn after_failure(&self, call: &CallProgress, end: &AttemptEnd) -> Next {
         let now = self.clock.now();
-        self.state.lock().service.after_failure(call, end, now)
+        let mut state = self.state.lock();
+        let next = state.service.after_failure(call, end, now);
+        state.counts.retries += u64::from(next == Next::Retry);
+        next
     }
 
     /// How long to wait before a hedge.
@@ -171,7 +222,10 @@
     /// Spends from the hedge budget.
     pub fn try_hedge(&self, call: &CallProgress) -> bool {
         let now = self.clock.now();
-        self.state.lock().service.try_hedge(call, now)
+        let mut state = self.state.lock();
+        let is_allowed = state.service.try_hedge(call, now);
+        state.counts.hedges += u64::from(is_allowed);
+        is_allowed
     }
 
     /// Chooses the gate for a new ticket.
@@ -251,6 +305,7 @@
         let now = self.entry.clock.now();
         let mut state = self.entry.state.lock();
         state.service.finish(&self.target.pick, &outcome, now);
+        state.counts.note_end(self.target.pick.target, &end);
     }
 
     fn elapsed_us(&self) -> u32 {
--- a/crates/node/src/callers/idempotent.rs
+++ b/crates/node/src/callers/idempotent.rs
@@ -19,6 +19,7 @@
 use super::relay::{self, Relayed, Taken};
 use crate::answer;
 use crate::body::{self, NodeBody};
+use crate::metrics::AttemptKind;
 use crate::peers::SendFailure;
 
 /// How one attempt ended, seen from the call.
@@ -138,7 +139,7 @@
 
     async fn run(&mut self) -> Response<NodeBody> {
         let mut attempts: FuturesUnordered<AttemptFuture> = FuturesUnordered::new();
-        match self.start() {
+        match self.start(AttemptKind::First) {
             Ok(attempt) => attempts.push(attempt),
             Err(refusal) => return answer::from_refusal(&refusal),
         }
@@ -186,7 +187,7 @@
         match next {
             Next::Retry if self.content.is_repeatable() => {
                 self.server.traffic.note_retry();
-                self.start()
+                self.start(AttemptKind::Retry)
             }
             Next::Retry => Err(Refusal::retry_after(
                 ResultCode::AttemptsFailed,
@@ -196,12 +197,14 @@
         }
     }
 
-    fn start(&mut self) -> Result<AttemptFuture, Refusal> {
+    fn start(&mut self, kind: AttemptKind) -> Result<AttemptFuture, Refusal> {
         let guard = self.entry.choose(&self.tried, self.call.deadline_at)?;
         let Some(body) = self.content.next() else {
             return Err(Refusal::fixed(ResultCode::AttemptsFailed));
         };
         self.tried.push(guard.target.pick.target);
+        let service = self.call.to.service.as_str();
+        self.server.metrics.attempt_sent(service, kind);
         let left_ms = self.call.deadline_at.since(self.server.clock.now());
         let request =
             self.outbound
@@ -243,7 +246,7 @@
         if running.is_empty() || !self.entry.try_hedge(&self.progress) {
             return None;
         }
-        let hedge = self.start().ok()?;
+        let hedge = self.start(AttemptKind::Hedge).ok()?;
         self.server.traffic.note_hedge();
         Some(hedge)
     }
--- a/crates/node/src/control_loop.rs
+++ b/crates/node/src/control_loop.rs
@@ -11,7 +11,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use eyre::{Context, Result};
@@ -28,6 +28,7 @@
 use crate::callers::SharedRoutes;
 use crate::clock::ProcessClock;
 use crate::gate_server::GateBoard;
+use crate::metrics::{Metrics, PlatformRead};
 use bulk::BulkServer;
 use platform::PlatformClient;
 
@@ -49,6 +50,8 @@
     pub status: Arc<ArcSwap<ControlStatus>>,
     /// The gate that takes over policies and suspects.
     pub gate: Arc<GateBoard>,
+    /// Counts what control costs.
+    pub metrics: Arc<Metrics>,
 }
 
 /// Sockets that are bound before the thread starts, so that a taken address
@@ -179,16 +182,38 @@
     }
 
     fn handle(&mut self, event: ControlEvent) {
+        let started_at = Instant::now();
+        self.count(&event);
         let now = self.clock.now();
         for action in self.control.handle(event, now) {
             self.perform(action);
         }
+        let busy_us = started_at.elapsed().as_micros();
+        let busy_us = u64::try_from(busy_us).unwrap_or(u64::MAX);
+        self.outputs.metrics.control_busy(busy_us);
+    }
+
+    fn count(&self, event: &ControlEvent) {
+        let metrics = &self.outputs.metrics;
+        match event {
+            ControlEvent::Datagram { bytes, .. } => metrics.datagram_received(bytes.len()),
+            ControlEvent::BulkAnswered { message, .. } => metrics.bulk_pulled(message.len()),
+            ControlEvent::TextRead { .. } | ControlEvent::VmsRead { .. } => {
+                metrics.platform_read(PlatformRead::Changed);
+            }
+            ControlEvent::TextUnchanged | ControlEvent::VmsUnchanged => {
+                metrics.platform_read(PlatformRead::Unchanged);
+            }
+            ControlEvent::PlatformFailed(_) => metrics.platform_read(PlatformRead::Failed),
+            _ => {}
+        }
     }
 
     fn perform(&mut self, action: ControlAction) {
         match action {
             // A full socket buffer drops the datagram, as any network may.
             ControlAction::SendDatagram { to, bytes } => {
+                self.outputs.metrics.datagram_sent(bytes.len());
                 let _ = self.socket.try_send_to(&bytes, to);
             }
             ControlAction::ReadText { after, wait_ms } => {
@@ -202,7 +227,10 @@
             ControlAction::BulkRequest { to, message } => {
                 bulk::ask(to, message, self.sender.clone());
             }
-            ControlAction::BulkAnswer { request, message } => self.bulk.answer(request, message),
+            ControlAction::BulkAnswer { request, message } => {
+                self.outputs.metrics.bulk_served(message.len());
+                self.bulk.answer(request, message);
+            }
             ControlAction::Publish(table) => self.publish(table),
         }
     }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Putting a node together, running it, and ending it gracefully.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
@@ -19,12 +20,16 @@
 use crate::gate_server::{GateBoard, GateServer};
 use crate::health;
 use crate::listener::{self, HttpServer, ServerLimits};
+use crate::metrics::Metrics;
+use crate::operators::{self, OperatorsServer, OperatorsSource};
+use crate::report::Reporter;
 use crate::settings::Config;
 
 /// Events that may wait for the control thread.
 const EVENT_CAPACITY: usize = 4_096;
 /// How often held calls are checked against their deadlines.
 const GATE_TICK: Duration = Duration::from_millis(5);
+const GAUGE_REFRESH: Duration = Duration::from_secs(1);
 /// A leaving node goes on serving this long, so that the word of its leaving
 /// reaches entries before its addresses close.
 const LEAVING_NOTICE: Duration = Duration::from_millis(1_500);
@@ -82,6 +87,7 @@
     callers: Arc<CallerServer>,
     control: ControlHandle,
     status: Arc<ArcSwap<ControlStatus>>,
+    metrics: Arc<Metrics>,
 }
 
 /// Runs a node until SIGTERM or SIGINT, then drains it.
@@ -127,6 +133,7 @@
 
 struct Running {
     node: Node,
+    operators: OperatorsServer,
     caller_server: HttpServer,
     peer_server: HttpServer,
 }
@@ -144,6 +151,14 @@
         let peer_server = HttpServer::start(sockets.peers, peer_limits, move |request| {
             Arc::clone(&gate).serve(request)
         })?;
+        let reporter = node.reporter();
+        let operators = operators::start(
+            node.config.operators_address,
+            Arc::clone(&reporter) as Arc<dyn OperatorsSource>,
+            Arc::clone(&node.metrics),
+        )?;
+        reporter.listening.store(true, Ordering::Release);
+        tokio::spawn(refresh_gauges(reporter));
         tokio::spawn(health::watch(Arc::clone(&node.gate), node.clock));
         tokio::spawn(tick_gate(Arc::clone(&node.gate)));
         log::info!(
@@ -155,6 +170,7 @@
         );
         Ok(Self {
             node,
+            operators,
             caller_server,
             peer_server,
         })
@@ -171,12 +187,15 @@
         self.caller_server.shut_down().await;
         self.node.gate.drained().await;
         self.peer_server.shut_down().await;
+        self.operators.close().await;
     }
 }
 
 impl Node {
     fn start(config: Config, sockets: ControlSockets) -> Result<Self> {
         let clock = ProcessClock::start();
+        let metrics = Metrics::new(&config.vm, &config.service, &config.data_centre)?;
+        let metrics = Arc::new(metrics);
         let incarnation = new_incarnation();
         let seed = rand::random();
         let (sender, receiver) = mpsc::channel(EVENT_CAPACITY);
@@ -205,6 +224,7 @@
                 published,
                 status: Arc::clone(&status),
                 gate: Arc::clone(&board),
+                metrics: Arc::clone(&metrics),
             },
         };
         start_control(thread)?;
@@ -215,6 +235,7 @@
             config.target_address,
             clock,
             control.clone(),
+            Arc::clone(&metrics),
         ));
         let callers = Arc::new(CallerServer::new(
             EntryBoard::new(routes, clock, seed),
@@ -222,6 +243,7 @@
             control.clone(),
             config.control_address,
             published_seen,
+            Arc::clone(&metrics),
         ));
         Ok(Self {
             config,
@@ -231,6 +253,21 @@
             callers,
             control,
             status,
+            metrics,
+        })
+    }
+
+    fn reporter(&self) -> Arc<Reporter> {
+        Arc::new(Reporter {
+            config: self.config.clone(),
+            incarnation: self.incarnation,
+            clock: self.clock,
+            gate: Arc::clone(&self.gate),
+            callers: Arc::clone(&self.callers),
+            control: Arc::clone(&self.status),
+            metrics: Arc::clone(&self.metrics),
+            listening: AtomicBool::new(false),
+            seen: parking_lot::Mutex::default(),
         })
     }
 
@@ -277,6 +314,15 @@
     Ok(())
 }
 
+async fn refresh_gauges(reporter: Arc<Reporter>) {
+    let mut interval = tokio::time::interval(GAUGE_REFRESH);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    loop {
+        interval.tick().await;
+        reporter.refresh_gauges();
+    }
+}
+
 async fn tick_gate(gate: Arc<GateServer>) {
     let mut interval = tokio::time::interval(GATE_TICK);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
--- a/crates/node/src/gate_server.rs
+++ b/crates/node/src/gate_server.rs
@@ -24,6 +24,7 @@
 use crate::body::{self, NodeBody};
 use crate::clock::ProcessClock;
 use crate::control_loop::ControlHandle;
+use crate::metrics::Metrics;
 use crate::target_client::TargetClient;
 use call::GateCall;
 
@@ -59,6 +60,8 @@
     clock: ProcessClock,
     /// The control thread.
     control: ControlHandle,
+    /// Counts and histograms.
+    metrics: Arc<Metrics>,
     /// What is known of the target's own state.
     target_state: Mutex<TargetState>,
     /// Health checks sent to the target.
@@ -81,6 +84,7 @@
         target: SocketAddr,
         clock: ProcessClock,
         control: ControlHandle,
+        metrics: Arc<Metrics>,
     ) -> Self {
         Self {
             vm,
@@ -89,6 +93,7 @@
             target: TargetClient::new(target),
             clock,
             control,
+            metrics,
             target_state: Mutex::new(TargetState {
                 draining: false,
                 reachable: true,
@@ -112,6 +117,11 @@
         request: Request<Incoming>,
     ) -> Result<Response<NodeBody>, Infallible> {
         let mut response = self.dispatch(request.map(body::wrap)).await;
+        if let Some(code) = answer::code_of(response.headers())
+            && code.certainty() != Certainty::Answered
+        {
+            self.metrics.gate_refused(code);
+        }
         let load = self.board.load().to_string();
         let load = HeaderValue::from_str(&load).expect("a load report is digits and commas");
         response.headers_mut().insert(header::LOAD, load);
@@ -252,6 +262,7 @@
     /// Counts a health check.
     pub fn note_probe(&self) {
         self.probes.fetch_add(1, Ordering::Relaxed);
+        self.metrics.probe_sent(self.service.as_str());
     }
 
     /// Health checks sent to the target since the start.
--- a/crates/node/src/gate_server/board.rs
+++ b/crates/node/src/gate_server/board.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 
 use hornbeamhitch_core::gate::{
@@ -52,6 +53,8 @@
     settings: GateSettings,
     clock: ProcessClock,
     state: Mutex<State>,
+    started: AtomicU64,
+    refused: AtomicU64,
 }
 
 /// What becomes of a call that streams through the gate.
@@ -105,6 +108,8 @@
                 leaving: false,
                 waiting: Waiting::default(),
             }),
+            started: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
         }
     }
 
@@ -162,7 +167,7 @@
         let admission = match gate.arrive(arrival, now) {
             Verdict::Run(run) => Admission::Run(self.permit(run)),
             Verdict::Wait(run) => Admission::Held(self.hold(&mut state.waiting, run)),
-            Verdict::Refuse(refusal) => Admission::Refused(refusal),
+            Verdict::Refuse(refusal) => Admission::Refused(self.refuse(refusal)),
             Verdict::Join(_) | Verdict::Replay(_) => {
                 unreachable!("only ticketed calls have records")
             }
@@ -191,7 +196,7 @@
             },
             Verdict::Join(run) => RecordedAdmission::Joined(state.waiting.join(run)),
             Verdict::Replay(answer) => RecordedAdmission::Replay(answer),
-            Verdict::Refuse(refusal) => RecordedAdmission::Refused(refusal),
+            Verdict::Refuse(refusal) => RecordedAdmission::Refused(self.refuse(refusal)),
         };
         let wakes = gate.take_wakes();
         release(gate, &mut state.waiting, wakes, now);
@@ -306,7 +311,25 @@
         }
     }
 
+    /// Runs started since the start of the process.
+    #[must_use]
+    pub fn started(&self) -> u64 {
+        self.started.load(Ordering::Relaxed)
+    }
+
+    /// Calls refused at arrival since the start of the process.
+    #[must_use]
+    pub fn refused(&self) -> u64 {
+        self.refused.load(Ordering::Relaxed)
+    }
+
+    fn refuse(&self, refusal: Refusal) -> Refusal {
+        self.refused.fetch_add(1, Ordering::Relaxed);
+        refusal
+    }
+
     fn permit(self: &Arc<Self>, run: RunId) -> RunPermit {
+        self.started.fetch_add(1, Ordering::Relaxed);
         RunPermit {
             board: Arc::clone(self),
             run,
--- a/crates/types/src/status.rs
+++ b/crates/types/src/status.rs
@@ -280,16 +280,10 @@
 /// One request suspected of crashing targets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct Suspect {
-    /// The service that the request was for.
-    #[schemars(with = "String")]
-    pub service: ServiceName,
     /// Fingerprint of the request, as 16 hexadecimal digits.
     pub fingerprint: String,
     /// Suspected or convicted.
     pub state: SuspectState,
-    /// Time until the suspicion ages out.
-    #[schemars(with = "u64")]
-    pub expires_in_ms: Millis,
 }
 
 /// Traffic between nodes for control since the node started.
--- /dev/null
+++ b/tests/all/support.rs
@@ -0,0 +1,222 @@
+//! A deployment of node processes, stand-in targets and a stand-in platform.
+//!
+//! Nodes are processes, because the failures to be shown are those of
+//! processes; stand-ins live in the test's own process, so that their counts
+//! and journals can be read without a detour.
+
+pub mod caller;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use eyre::{Result, bail, eyre};
+use hornbeamhitch_standins::fleet::{Fleet, FleetConfig, NodeSpec};
+use hornbeamhitch_standins::http_client::{HttpClient, HttpVersion};
+use hornbeamhitch_standins::platform::PlatformStandin;
+use hornbeamhitch_standins::target::{RunRecord, TargetConfig, TargetStandin};
+use hornbeamhitch_types::status::NodeStatus;
+
+/// The program under test.
+const NODE: &str = env!("CARGO_BIN_EXE_hornbeamhitch-node");
+/// Bound on every wait; reached only when something is broken.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(10);
+
+/// The usual text of tests: one service with both kinds of calls.
+pub const CASHIER_TEXT: &str = r#"{
+  // Small limits, so that tests reach them.
+  "deployment": "test",
+  "services": {
+    "cashier": {
+      "slots": 4,
+      "connections": 50,
+      "calls": [
+        { "name": "charge", "match": "POST /charge", "idempotent": false, "class": "payment" },
+        { "name": "price", "match": "GET /price", "idempotent": true },
+      ],
+    },
+  },
+}"#;
+
+/// One target to be, with its node.
+pub struct Member {
+    /// VM of both.
+    pub vm: String,
+    /// The service.
+    pub service: String,
+    /// The data centre.
+    pub data_centre: String,
+    /// How the target behaves.
+    pub target: TargetConfig,
+}
+
+impl Member {
+    /// A member of a service in the first data centre, with a quick target.
+    pub fn new(vm: &str, service: &str) -> Self {
+        Self {
+            vm: vm.to_owned(),
+            service: service.to_owned(),
+            data_centre: "a".to_owned(),
+            target: TargetConfig {
+                name: vm.to_owned(),
+                ..TargetConfig::default()
+            },
+        }
+    }
+
+    /// Puts the member into another data centre.
+    pub fn in_data_centre(mut self, data_centre: &str) -> Self {
+        self.data_centre = data_centre.to_owned();
+        self
+    }
+
+    /// Changes how the target behaves.
+    pub fn with(mut self, change: impl FnOnce(&mut TargetConfig)) -> Self {
+        change(&mut self.target);
+        self
+    }
+}
+
+/// Everything that runs for one test. Dropping it ends the nodes.
+pub struct Deployment {
+    /// The platform.
+    pub platform: PlatformStandin,
+    /// Targets by VM.
+    pub targets: BTreeMap<String, TargetStandin>,
+    /// Node processes.
+    pub fleet: Fleet,
+    client: HttpClient,
+}
+
+impl Deployment {
+    /// Starts everything and waits until each node has the text in force and
+    /// knows every member.
+    pub async fn start(text: &str, members: Vec<Member>) -> Result<Self> {
+        let mut deployment = Self::prepare(members).await?;
+        deployment.platform.set_text(text)?;
+        deployment.start_nodes().await?;
+        Ok(deployment)
+    }
+
+    /// Starts platform and targets; nodes are added but not started.
+    pub async fn prepare(members: Vec<Member>) -> Result<Self> {
+        let platform = PlatformStandin::start(loopback()).await?;
+        let mut fleet = Fleet::new(FleetConfig::new(Path::new(NODE), platform.addr()))?;
+        let mut targets = BTreeMap::new();
+        for member in members {
+            let target = TargetStandin::start(member.target).await?;
+            let addresses = fleet.add(NodeSpec {
+                vm: member.vm.clone(),
+                service: member.service,
+                data_centre: member.data_centre,
+                target: target.addr(),
+            })?;
+            target.set_node(addresses.callers);
+            targets.insert(member.vm, target);
+        }
+        Ok(Self {
+            platform,
+            targets,
+            fleet,
+            client: HttpClient::new(HttpVersion::Http1),
+        })
+    }
+
+    /// Starts all nodes and waits until each knows every member.
+    pub async fn start_nodes(&mut self) -> Result<()> {
+        let platform = &self.platform;
+        let publish = async |vms| platform.set_vms(vms).map(drop);
+        self.fleet.start_all(publish).await?;
+        for vm in self.fleet.names() {
+            self.wait_for_peers(&vm).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a node has heard from every member of its own service.
+    pub async fn wait_for_peers(&self, vm: &str) -> Result<()> {
+        let service = self.status(vm).await?.service;
+        let expected = self.fleet.vm_entries();
+        let expected = expected
+            .iter()
+            .filter(|entry| entry.service == service.as_str());
+        let expected = expected.count();
+        self.wait_status(vm, "hears its peers", |status| {
+            let Some(own) = status.services.iter().find(|known| known.name == service) else {
+                return false;
+            };
+            let heard = own.targets.iter().filter(|target| target.load.is_some());
+            heard.count() == expected
+        })
+        .await
+        .map(drop)
+    }
+
+    /// A node's status as operators see it.
+    pub async fn status(&self, vm: &str) -> Result<NodeStatus> {
+        let operators = self.fleet.addresses(vm)?.operators;
+        self.client.get(operators, "/v1/status").await?.json()
+    }
+
+    /// Waits until a node's status fits.
+    pub async fn wait_status(
+        &self,
+        vm: &str,
+        what: &str,
+        fits: impl Fn(&NodeStatus) -> bool,
+    ) -> Result<NodeStatus> {
+        let give_up = Instant::now() + PATIENCE;
+        let mut last = None;
+        while Instant::now() < give_up {
+            if let Ok(status) = self.status(vm).await {
+                if fits(&status) {
+                    return Ok(status);
+                }
+                last = Some(status);
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        bail!("{vm} never reached: {what}; last seen {last:#?}")
+    }
+
+    /// Where callers reach a node.
+    pub fn entry(&self, vm: &str) -> SocketAddr {
+        let addresses = self.fleet.addresses(vm);
+        addresses.expect("the test names its own nodes").callers
+    }
+
+    /// A target's stand-in.
+    pub fn target(&self, vm: &str) -> &TargetStandin {
+        self.targets
+            .get(vm)
+            .expect("the test names its own targets")
+    }
+
+    /// Runs of one caller's call, by its nonce, over all targets.
+    pub fn runs_of(&self, nonce: &str) -> Vec<RunRecord> {
+        let mut runs = Vec::new();
+        for target in self.targets.values() {
+            runs.extend(target.runs(nonce));
+        }
+        runs
+    }
+
+    /// Waits until something that the test can see comes true.
+    pub async fn wait_until(&self, what: &str, holds: impl Fn(&Self) -> bool) -> Result<()> {
+        let give_up = Instant::now() + PATIENCE;
+        while Instant::now() < give_up {
+            if holds(self) {
+                return Ok(());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Err(eyre!("never came true: {what}"))
+    }
+}
+
+/// A free port of this machine.
+pub fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
