--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -272,7 +272,7 @@
         now: Millis,
     ) -> Vec<Wake> {
         let now = self.advance(now);
-        if let Some(ended) = self.take_running(run) {
+        if let Some(ended) = self.take_running(run, now) {
             self.learn(&ended, &end, service_time_us, now);
             self.settle_ended(run, &ended, end);
         }
--- a/crates/core/src/gate/quarantine.rs
+++ b/crates/core/src/gate/quarantine.rs
@@ -104,9 +104,12 @@
         self.drain_until = None;
     }
 
-    pub(super) fn end_alone(&mut self, run: RunId) {
+    /// Ends the turn of the suspect that runs alone; the next so many starts
+    /// are for the innocent.
+    pub(super) fn end_alone(&mut self, run: RunId, innocents: u32) {
         if self.alone.is_some_and(|alone| alone.run == run) {
             self.alone = None;
+            self.owe(innocents);
         }
     }
 
--- a/crates/core/src/gate/records.rs
+++ b/crates/core/src/gate/records.rs
@@ -53,6 +53,7 @@
     pub(super) digest: Option<u64>,
     /// Latest expiry of all tickets presented for the key.
     expires_at: Millis,
+    created_at: Millis,
     pub(super) state: RecordState,
 }
 
@@ -75,12 +76,21 @@
 }
 
 impl Records {
-    /// Finds a key's record and keeps it at least as long as this ticket.
+    /// Finds the record that speaks for a ticket, and keeps it at least as long
+    /// as the ticket.
     ///
     /// Without the extension a second ticket for the key, told "not run" from
     /// this record, could start after the record was forgotten.
+    ///
+    /// A ticket that had expired before the record was made is not spoken for:
+    /// its own record may have been forgotten, and the key may have been given
+    /// a second ticket since. Answering "fenced" for the second would deny a
+    /// run under the first.
     pub(super) fn touch(&mut self, ticket: &Ticket) -> Option<&Record> {
         let record = self.by_key.get_mut(&ticket.key)?;
+        if ticket.expires_at <= record.created_at {
+            return None;
+        }
         record.expires_at = record.expires_at.max(ticket.expires_at);
         Some(record)
     }
@@ -122,7 +132,13 @@
     }
 
     /// Adds a record for a key that has none.
-    pub(super) fn insert(&mut self, ticket: &Ticket, digest: Option<u64>, state: RecordState) {
+    pub(super) fn insert(
+        &mut self,
+        ticket: &Ticket,
+        digest: Option<u64>,
+        state: RecordState,
+        now: Millis,
+    ) {
         let Entry::Vacant(place) = self.by_key.entry(ticket.key) else {
             unreachable!("a record is only added for a key that has none");
         };
@@ -130,6 +146,7 @@
         place.insert(Record {
             digest,
             expires_at: ticket.expires_at,
+            created_at: now,
             state,
         });
         self.due.push(Reverse(Due {
--- a/crates/core/src/gate/run.rs
+++ b/crates/core/src/gate/run.rs
@@ -127,13 +127,13 @@
     }
 
     /// Removes a run from those running.
-    pub(super) fn take_running(&mut self, id: RunId) -> Option<Run> {
+    pub(super) fn take_running(&mut self, id: RunId, now: Millis) -> Option<Run> {
         if self.runs.get(&id)?.phase != Phase::Running {
             return None;
         }
         let run = self.runs.remove(&id)?;
         self.in_flight -= 1;
-        self.quarantine.end_alone(id);
+        self.quarantine.end_alone(id, self.limit.current(now));
         Some(run)
     }
 
--- /dev/null
+++ b/crates/core/src/gate/tests/admission.rs
@@ -0,0 +1,326 @@
+//! Admission, the queue and the limit under load and noise.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use super::*;
+
+fn roomy() -> ServicePolicy {
+    ServicePolicy {
+        slots: 12,
+        queue_limit: 100,
+        ..policy()
+    }
+}
+
+fn of_class(class: CallClass, deadline_at_ms: u64) -> Arrival<'static> {
+    Arrival {
+        class,
+        ..plain(deadline_at_ms)
+    }
+}
+
+#[test]
+fn queue_goes_by_class_then_deadline() {
+    let mut gate = gate(&roomy());
+    gate.update(
+        Arc::new(ServicePolicy {
+            slots: 1,
+            ..roomy()
+        }),
+        Millis(0),
+    );
+    let running = run_of(gate.arrive(&plain(FAR_MS), Millis(0)));
+    let mut expected = Vec::new();
+    for (class, deadline) in [
+        (CallClass::Background, 10_000),
+        (CallClass::Interactive, 30_000),
+        (CallClass::Interactive, 20_000),
+        (CallClass::Payment, 40_000),
+    ] {
+        expected.insert(
+            0,
+            run_of(gate.arrive(&of_class(class, deadline), Millis(1))),
+        );
+    }
+    let mut served = Vec::new();
+    let mut next = running;
+    for _ in &expected {
+        let wakes = gate.finish(next, answered_plain(), 100, Millis(2));
+        let [Wake::Start(run)] = wakes[..] else {
+            panic!("one start for one end: {wakes:?}");
+        };
+        served.push(run);
+        next = run;
+    }
+    assert_eq!(served, expected);
+}
+
+#[test]
+fn better_class_displaces_the_worst_of_a_lower_one() {
+    // The queue is full of background work when a payment arrives. The last of
+    // the background calls is refused at once, with a time to come back, and
+    // the only one left of its class keeps its place.
+    let mut gate = gate(&policy());
+    run_of(gate.arrive(&plain(FAR_MS), Millis(0)));
+    let [keeps, goes] = [5_000, 6_000]
+        .map(|deadline| run_of(gate.arrive(&of_class(CallClass::Background, deadline), Millis(1))));
+    let payment = of_class(CallClass::Payment, 3_000);
+    assert!(matches!(gate.arrive(&payment, Millis(2)), Verdict::Wait(_)));
+    let wakes = gate.take_wakes();
+    assert_eq!(wakes.len(), 1);
+    assert!(refused(goes, ResultCode::Overloaded, &wakes), "{wakes:?}");
+    let second = gate.arrive(&payment, Millis(3));
+    assert_eq!(code_of(second), ResultCode::Overloaded);
+    assert_eq!(gate.take_wakes(), []);
+    assert!(gate.runs.contains_key(&keeps));
+}
+
+#[test]
+fn call_that_cannot_make_its_deadline_is_refused_at_once() {
+    // The target takes 100 ms. A call with 40 ms left would only fail late; a
+    // call behind a queue that takes longer than its deadline likewise.
+    let mut gate = gate(&policy());
+    for _ in 0..20 {
+        let run = run_of(gate.arrive(&plain(FAR_MS), Millis(0)));
+        gate.finish(run, answered_plain(), 100_000, Millis(0));
+    }
+    run_of(gate.arrive(&plain(FAR_MS), Millis(0)));
+    let short = gate.arrive(&plain(40), Millis(0));
+    assert_eq!(code_of(short), ResultCode::DeadlineTooShort);
+    let behind = gate.arrive(&plain(150), Millis(0));
+    assert_eq!(code_of(behind), ResultCode::Overloaded);
+    let waits = run_of(gate.arrive(&plain(400), Millis(0)));
+    assert_eq!(gate.tick(Millis(200)), []);
+    let wakes = gate.tick(Millis(320));
+    assert!(
+        refused(waits, ResultCode::DeadlineTooShort, &wakes),
+        "{wakes:?}"
+    );
+}
+
+#[test]
+fn target_that_was_slow_once_is_tried_again() {
+    // The target took 10 s a call, far beyond any deadline, and has recovered.
+    // If predictions alone decided, no call would ever show the recovery.
+    let mut gate = gate(&policy());
+    for _ in 0..20 {
+        let run = run_of(gate.arrive(&plain(FAR_MS), Millis(0)));
+        gate.finish(run, answered_plain(), 10_000_000, Millis(0));
+    }
+    let mut tries = 0;
+    while gate.load(Millis(0)).service_time_us > 100_000 {
+        let run = run_of(gate.arrive(&plain(1_000), Millis(0)));
+        gate.finish(run, answered_plain(), 1_000, Millis(0));
+        tries += 1;
+    }
+    assert!(tries < 100, "{tries}");
+}
+
+#[test]
+fn failing_fast_is_not_taken_for_fast() {
+    // A sick target answers 500 in no time. If that counted as service time,
+    // its gate would look like the fastest of all and draw all the load.
+    let mut gate = gate(&policy());
+    for failed in [false, true, true, true] {
+        let run = run_of(gate.arrive(&plain(FAR_MS), Millis(0)));
+        let end = RunEnd::Answered {
+            answer: None,
+            failed,
+        };
+        let service_time_us = if failed { 10 } else { 20_000 };
+        gate.finish(run, end, service_time_us, Millis(0));
+    }
+    assert_eq!(gate.load(Millis(0)).service_time_us, 20_000);
+}
+
+#[test]
+fn cold_target_ramps_and_ramps_again_after_a_crash() {
+    let mut gate = gate(&ServicePolicy {
+        cold_ramp_ms: Millis(10_000),
+        ..roomy()
+    });
+    let limit = |gate: &Gate, now| gate.load(Millis(now)).limit;
+    assert_eq!(limit(&gate, 60_000), 3);
+    gate.arrive(&plain(90_000), Millis(60_000));
+    assert_eq!(limit(&gate, 65_000), 7);
+    assert_eq!(limit(&gate, 70_000), 12);
+    gate.target_crashed(Millis(71_000));
+    assert_eq!(limit(&gate, 71_000), 3);
+}
+
+#[test]
+fn leaving_gate_refuses_new_work_and_finishes_the_rest() {
+    // The VM is leaving. What is running or waiting is finished; new calls hear
+    // at once that nothing ran, also from late duplicates after a return.
+    let mut gate = gate(&policy());
+    let running = run_of(gate.arrive(&plain(FAR_MS), Millis(0)));
+    let waiting = run_of(gate.arrive(&plain(FAR_MS), Millis(0)));
+    gate.set_leaving(true);
+    assert!(gate.load(Millis(0)).leaving);
+    let ticket = ticket(1, TICKET_TTL_MS);
+    let verdict = gate.arrive(&under(&ticket), Millis(1));
+    assert_eq!(code_of(verdict), ResultCode::Leaving);
+    let wakes = gate.finish(running, answered_plain(), 100, Millis(2));
+    assert_eq!(wakes, [Wake::Start(waiting)]);
+    gate.finish(waiting, answered_plain(), 100, Millis(3));
+    assert_eq!(gate.in_hand(), 0);
+    gate.set_leaving(false);
+    let late = gate.arrive(&under(&ticket), Millis(4));
+    assert_eq!(code_of(late), ResultCode::Fenced);
+}
+
+/// What a load of one kind of call has come to.
+#[derive(Debug, Default)]
+struct Outcome {
+    in_time: u32,
+    late: u32,
+    refused: u32,
+    background_in_time: u32,
+    longest_stay_ms: u64,
+    lowest_limit: u32,
+    retry_after_ms: Vec<u64>,
+}
+
+/// A target whose service time depends on the time and the calls in it.
+type Service = fn(now_ms: u64, in_flight: u32) -> u64;
+
+/// Offers `per_s` calls a second for `span_ms`; one in `background_every` is
+/// background work.
+fn offer(per_s: u64, span_ms: u64, background_every: u64, service_ms: Service) -> Outcome {
+    const DEADLINE_MS: u64 = 1_000;
+    let mut gate = gate(&roomy());
+    let mut outcome = Outcome {
+        lowest_limit: u32::MAX,
+        ..Outcome::default()
+    };
+    let mut came: HashMap<RunId, (u64, CallClass)> = HashMap::new();
+    let mut ends = BinaryHeap::new();
+    let mut sent = 0;
+    for now in 0..span_ms {
+        let mut starts = Vec::new();
+        while sent * 1_000 < now * per_s {
+            sent += 1;
+            let class = match sent % background_every {
+                0 => CallClass::Background,
+                _ => CallClass::Payment,
+            };
+            let verdict = gate.arrive(&of_class(class, now + DEADLINE_MS), Millis(now));
+            match verdict {
+                Verdict::Run(run) => {
+                    came.insert(run, (now, class));
+                    starts.push(run);
+                }
+                Verdict::Wait(run) => {
+                    came.insert(run, (now, class));
+                }
+                Verdict::Refuse(refusal) => {
+                    outcome.refused += 1;
+                    let retry_after_ms = refusal.retry_after_ms.expect("come back").0;
+                    outcome.retry_after_ms.push(retry_after_ms);
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+        let mut wakes = gate.take_wakes();
+        while let Some(Reverse((at, started, run))) = ends.peek().copied() {
+            if at > now {
+                break;
+            }
+            ends.pop();
+            let took_us = (now - started) as u32 * 1_000;
+            wakes.extend(gate.finish(run, answered_plain(), took_us, Millis(now)));
+            let (came_at, class) = came.remove(&run).expect("a run that came");
+            outcome.longest_stay_ms = outcome.longest_stay_ms.max(now - came_at);
+            if now >= came_at + DEADLINE_MS {
+                outcome.late += 1;
+                continue;
+            }
+            outcome.in_time += 1;
+            outcome.background_in_time += u32::from(class == CallClass::Background);
+        }
+        wakes.extend(gate.tick(Millis(now)));
+        for wake in wakes {
+            match wake {
+                Wake::Start(run) => starts.push(run),
+                Wake::Refuse(..) => outcome.refused += 1,
+                Wake::Settled(..) => {}
+            }
+        }
+        let load = gate.load(Millis(now));
+        outcome.lowest_limit = outcome.lowest_limit.min(load.limit);
+        for run in starts {
+            let end = now + service_ms(now, load.in_flight);
+            ends.push(Reverse((end, now, run)));
+        }
+    }
+    outcome
+}
+
+#[test]
+fn goodput_holds_at_twice_the_capacity() {
+    // 12 slots of 20 ms serve 600 calls a second; 1,200 come. Without a bound
+    // on the wait every call would spend its deadline in the queue.
+    let peak = offer(600, 10_000, u64::MAX, |_, _| 20);
+    let over = offer(1_200, 10_000, u64::MAX, |_, _| 20);
+    assert!(over.in_time * 100 >= peak.in_time * 97, "{over:?} {peak:?}");
+    assert_eq!(over.late, 0);
+    assert!(over.longest_stay_ms <= 90, "{}", over.longest_stay_ms);
+}
+
+#[test]
+fn background_is_served_beside_a_flood_of_payments() {
+    // Payments alone exceed the capacity for ten seconds. Background work must
+    // still get its fair turn (one in eight when it asks for that much).
+    let over = offer(1_200, 10_000, 5, |_, _| 20);
+    let share = f64::from(over.background_in_time) / f64::from(over.in_time);
+    assert!(share > 0.02, "{share} of {}", over.in_time);
+}
+
+#[test]
+fn noisy_neighbour_does_not_collapse_the_limit() {
+    // A neighbour stalls the host for 50 ms in every 300 ms. The slots are as
+    // good as before; a limit that shrank would refuse what can be served.
+    let stalls = |now, _| 5 + 50_u64.saturating_sub(now % 300);
+    let noisy = offer(1_500, 20_000, u64::MAX, stalls);
+    assert_eq!(noisy.lowest_limit, 12);
+    assert!(noisy.refused * 20 < noisy.in_time, "{}", noisy.refused);
+}
+
+#[test]
+fn limit_shrinks_only_where_that_helps() {
+    // First a target whose work slows each other down beyond four at once, so
+    // that fewer at once serve as much, faster. Then one that has become four
+    // times slower whatever its load: there the limit must come back.
+    let contended = offer(2_000, 20_000, u64::MAX, |now, in_flight| {
+        let crowd = u64::from(in_flight.saturating_sub(4));
+        if now < 2_000 { 5 } else { 5 + crowd * 4 }
+    });
+    assert!(contended.lowest_limit <= 8, "{}", contended.lowest_limit);
+    assert!(contended.lowest_limit >= 3);
+    let slowed = offer(
+        500,
+        20_000,
+        u64::MAX,
+        |now, _| if now < 2_000 { 5 } else { 20 },
+    );
+    assert!(slowed.in_time * 100 >= 500 * 20 * 85, "{}", slowed.in_time);
+}
+
+#[test]
+fn retry_after_grows_with_the_overload_and_is_spread() {
+    let mild = offer(700, 10_000, u64::MAX, |_, _| 20).retry_after_ms;
+    let heavy = offer(6_000, 10_000, u64::MAX, |_, _| 20).retry_after_ms;
+    let mean = |all: &[u64]| all.iter().sum::<u64>() / all.len() as u64;
+    assert!(
+        mean(&heavy) > 4 * mean(&mild),
+        "{} {}",
+        mean(&heavy),
+        mean(&mild)
+    );
+    for retry_after_ms in mild.iter().chain(&heavy) {
+        assert!((50..=10_000).contains(retry_after_ms));
+    }
+    let (low, high) = (heavy.iter().min(), heavy.iter().max());
+    assert!(high > low, "all refused callers would come back together");
+}
--- /dev/null
+++ b/crates/core/src/gate/tests/at_most_once.rs
@@ -0,0 +1,399 @@
+//! A ticketed call starts at most once, and "not run" stays true.
+
+use super::*;
+
+const END: u64 = TICKET_TTL_MS;
+
+#[test]
+fn duplicates_join_or_replay_and_never_start() {
+    // The caller's stream breaks and it sends the same ticket again: once while
+    // the call waits, once while it runs, once after it ended. It must get the
+    // one answer each time, since a second run is a second charge.
+    let mut gate = gate(&policy());
+    let first = run_of(gate.arrive(&plain(FAR_MS), Millis(1)));
+    let ticket = ticket(1, END);
+    let run = run_of(gate.arrive(&under(&ticket), Millis(2)));
+    assert_eq!(gate.arrive(&under(&ticket), Millis(3)), Verdict::Join(run));
+    let wakes = gate.finish(first, answered_plain(), 1_000, Millis(4));
+    assert_eq!(wakes, [Wake::Start(run)]);
+    assert_eq!(gate.arrive(&under(&ticket), Millis(5)), Verdict::Join(run));
+    let wakes = gate.finish(run, answered(10), 1_000, Millis(6));
+    let answer = Settlement::Answered(stored(10));
+    assert_eq!(wakes, [Wake::Settled(run, answer)]);
+    let replay = gate.arrive(&under(&ticket), Millis(7));
+    assert_eq!(replay, Verdict::Replay(stored(10)));
+    assert_eq!(gate.in_hand(), 0);
+}
+
+#[test]
+fn late_duplicate_of_a_refused_call_stays_refused() {
+    // The gate is full and refuses with "not run"; the caller takes a ticket
+    // for another gate and is served there. Then a duplicate of the first send
+    // arrives late, when this gate is idle. It must not start.
+    let mut gate = gate(&policy());
+    let running = run_of(gate.arrive(&plain(FAR_MS), Millis(1)));
+    let waiting = [2, 3].map(|now| run_of(gate.arrive(&plain(FAR_MS), Millis(now))));
+    let ticket = ticket(1, END);
+    let Verdict::Refuse(refusal) = gate.arrive(&under(&ticket), Millis(4)) else {
+        panic!("a full gate must refuse");
+    };
+    assert_eq!(refusal.code, ResultCode::Overloaded);
+    for run in [running, waiting[0], waiting[1]] {
+        gate.finish(run, answered_plain(), 1_000, Millis(5));
+    }
+    assert_eq!(gate.in_hand(), 0);
+    let fenced = Refusal {
+        code: ResultCode::Fenced,
+        ..refusal
+    };
+    let late = gate.arrive(&under(&ticket), Millis(6));
+    assert_eq!(late, Verdict::Refuse(fenced));
+}
+
+#[test]
+fn fence_wins_over_a_late_packet() {
+    // The entry's stream to the gate breaks before it knows whether the request
+    // arrived. It asks, hears "not run" and the caller moves on. The request,
+    // delayed in the network, arrives afterwards.
+    let mut gate = gate(&policy());
+    let ticket = ticket(1, END);
+    let asked = gate.fence(&ticket, Millis(1));
+    assert_eq!(fence_code(asked), ResultCode::Fenced);
+    let late = gate.arrive(&under(&ticket), Millis(2));
+    assert_eq!(code_of(late), ResultCode::Fenced);
+}
+
+#[test]
+fn fence_of_a_waiting_call_tells_all_who_wait() {
+    // The call waits, another send has joined it, and a third party asks. All
+    // of them must hear "not run", and no start may follow.
+    let mut gate = gate(&policy());
+    let first = run_of(gate.arrive(&plain(FAR_MS), Millis(1)));
+    let ticket = ticket(1, END);
+    let run = run_of(gate.arrive(&under(&ticket), Millis(2)));
+    gate.arrive(&under(&ticket), Millis(3));
+    let asked = gate.fence(&ticket, Millis(4));
+    assert_eq!(fence_code(asked), ResultCode::Fenced);
+    let wakes = gate.take_wakes();
+    assert!(refused(run, ResultCode::Fenced, &wakes), "{wakes:?}");
+    assert!(settled(run, ResultCode::Fenced, &wakes), "{wakes:?}");
+    let wakes = gate.finish(first, answered_plain(), 1_000, Millis(5));
+    assert_eq!(wakes, []);
+}
+
+#[test]
+fn fence_of_a_running_call_waits_for_its_end() {
+    // The call has started when the entry asks: "not run" would be a lie, so
+    // the answer is the run, and its end follows.
+    let mut gate = gate(&policy());
+    let ticket = ticket(1, END);
+    let run = run_of(gate.arrive(&under(&ticket), Millis(1)));
+    let asked = gate.fence(&ticket, Millis(2));
+    assert_eq!(asked, FenceAnswer::Running(run));
+    let wakes = gate.finish(run, RunEnd::Broken, 1_000, Millis(3));
+    assert!(settled(run, ResultCode::RunBroken, &wakes), "{wakes:?}");
+    let asked = gate.fence(&ticket, Millis(4));
+    assert_eq!(fence_code(asked), ResultCode::RunBroken);
+}
+
+#[test]
+fn broken_or_cancelled_run_is_unknown_for_good() {
+    // The target's connection breaks in the middle of a payment, or the run is
+    // cancelled. Nobody knows whether it was charged; the gate must neither run
+    // it again nor say that it did not run.
+    let mut gate = gate(&policy());
+    for (key, end) in [(1, RunEnd::Broken), (2, RunEnd::Cancelled)] {
+        let ticket = ticket(key, END);
+        let run = run_of(gate.arrive(&under(&ticket), Millis(1)));
+        gate.finish(run, end, 1_000, Millis(2));
+        let again = gate.arrive(&under(&ticket), Millis(3));
+        assert_eq!(code_of(again), ResultCode::RunBroken);
+    }
+}
+
+#[test]
+fn call_that_the_target_did_not_run_is_fenced() {
+    // The target sheds, or no connection to it can be had: nothing ran, all who
+    // wait hear so, and no late duplicate starts it.
+    let mut gate = gate(&policy());
+    let ends = [
+        (1, RunEnd::NotRun, ResultCode::Overloaded),
+        (2, RunEnd::Unreachable, ResultCode::NoTarget),
+    ];
+    for (key, end, code) in ends {
+        let ticket = ticket(key, END);
+        let run = run_of(gate.arrive(&under(&ticket), Millis(1)));
+        gate.arrive(&under(&ticket), Millis(1));
+        let wakes = gate.finish(run, end, 1_000, Millis(2));
+        assert!(settled(run, code, &wakes), "{wakes:?}");
+        let again = gate.arrive(&under(&ticket), Millis(3));
+        assert_eq!(code_of(again), ResultCode::Fenced);
+    }
+}
+
+#[test]
+fn paused_process_starts_nothing_stale() {
+    // The process is stopped for a minute while calls wait, and wakes with the
+    // end of a run in hand. The callers have given up long ago; starting their
+    // payments now would surprise everyone.
+    let mut gate = gate(&policy());
+    let first = run_of(gate.arrive(&plain(500), Millis(1)));
+    let ticket = ticket(1, END);
+    let arrival = Arrival {
+        deadline_at: Millis(500),
+        ..under(&ticket)
+    };
+    let waiting = run_of(gate.arrive(&arrival, Millis(2)));
+    let wakes = gate.finish(first, answered_plain(), 1_000, Millis(60_000));
+    assert_eq!(wakes.len(), 1);
+    assert!(
+        refused(waiting, ResultCode::DeadlineTooShort, &wakes),
+        "{wakes:?}"
+    );
+    let again = gate.arrive(&under(&ticket), Millis(60_001));
+    assert_eq!(code_of(again), ResultCode::Fenced);
+}
+
+#[test]
+fn thread_with_an_old_time_cannot_revive_a_ticket() {
+    // A thread reads the clock, is paused, and gets the gate's lock after
+    // another thread has seen the ticket expire and its record forgotten. By
+    // its own old time the ticket is valid and unknown.
+    let mut gate = gate(&policy());
+    let ticket = ticket(1, 1_000);
+    let run = run_of(gate.arrive(&under(&ticket), Millis(1)));
+    gate.finish(run, answered(10), 1_000, Millis(2));
+    gate.tick(Millis(1_000));
+    assert_eq!(gate.record_count(), 0);
+    let late = gate.arrive(&under(&ticket), Millis(999));
+    assert_eq!(code_of(late), ResultCode::TicketExpired);
+}
+
+#[test]
+fn another_life_never_runs_the_ticket() {
+    // The process was replaced on the same VM and address. The new life has no
+    // records, so it can neither run the call nor say that it did not run.
+    let policy = policy();
+    let mut gate = gate_of("vm-1", Incarnation(8), &policy);
+    let ticket = ticket(1, END);
+    let verdict = gate.arrive(&under(&ticket), Millis(1));
+    assert_eq!(code_of(verdict), ResultCode::WrongGate);
+    let asked = gate.fence(&ticket, Millis(2));
+    assert_eq!(fence_code(asked), ResultCode::GateLost);
+}
+
+#[test]
+fn expired_ticket_is_answered_from_its_record_only() {
+    // A caller comes back late. While the record is there it gets its answer,
+    // afterwards nobody knows, and a fence must not claim "not run" either.
+    let mut gate = gate(&policy());
+    let ticket = ticket(1, 1_000);
+    let run = run_of(gate.arrive(&under(&ticket), Millis(1)));
+    gate.tick(Millis(5_000));
+    assert_eq!(
+        gate.arrive(&under(&ticket), Millis(5_000)),
+        Verdict::Join(run)
+    );
+    gate.finish(run, answered(10), 1_000, Millis(5_001));
+    let replay = gate.arrive(&under(&ticket), Millis(5_002));
+    assert_eq!(replay, Verdict::Replay(stored(10)));
+    gate.tick(Millis(9_000));
+    let late = gate.arrive(&under(&ticket), Millis(9_001));
+    assert_eq!(code_of(late), ResultCode::TicketExpired);
+    let asked = gate.fence(&ticket, Millis(9_002));
+    assert_eq!(fence_code(asked), ResultCode::GateLost);
+}
+
+#[test]
+fn full_records_refuse_new_keys_and_forget_none() {
+    // Records are full of settled calls whose tickets are valid. Forgetting one
+    // would let its duplicate run; so new keys wait with "not yet" until
+    // records expire.
+    let mut gate = gate(&policy());
+    for key in 0..8 {
+        let run = run_of(gate.arrive(&under(&ticket(key, 1_000)), Millis(1)));
+        gate.finish(run, RunEnd::Broken, 1_000, Millis(2));
+    }
+    let fresh = ticket(100, 2_000);
+    let verdict = gate.arrive(&under(&fresh), Millis(3));
+    assert_eq!(code_of(verdict), ResultCode::RecordsFull);
+    let old = gate.arrive(&under(&ticket(0, 1_000)), Millis(4));
+    assert_eq!(code_of(old), ResultCode::RunBroken);
+    let verdict = gate.arrive(&under(&fresh), Millis(1_000));
+    assert!(matches!(verdict, Verdict::Run(_)), "{verdict:?}");
+}
+
+#[test]
+fn fence_holds_even_when_records_are_full() {
+    // An entry asks about a key that never arrived, and no record can be added.
+    // The floor fences it with all unknown tickets that expire no later; keys
+    // that have a record are not touched.
+    let mut gate = gate(&policy());
+    for key in 0..8 {
+        let run = run_of(gate.arrive(&under(&ticket(key, 1_000)), Millis(1)));
+        gate.finish(run, answered(1), 1_000, Millis(2));
+    }
+    let asked = ticket(100, 2_000);
+    assert_eq!(
+        fence_code(gate.fence(&asked, Millis(3))),
+        ResultCode::Fenced
+    );
+    for now in [4, 1_500] {
+        let late = gate.arrive(&under(&asked), Millis(now));
+        assert_eq!(code_of(late), ResultCode::Fenced, "at {now}");
+    }
+    let earlier = gate.arrive(&under(&ticket(101, 1_900)), Millis(1_500));
+    assert_eq!(code_of(earlier), ResultCode::Fenced);
+    let known = gate.arrive(&under(&ticket(0, 1_000)), Millis(1_500));
+    assert_eq!(known, Verdict::Replay(stored(1)));
+    let later = gate.arrive(&under(&ticket(102, 2_001)), Millis(1_500));
+    assert!(matches!(later, Verdict::Run(_)), "{later:?}");
+}
+
+#[test]
+fn refusals_leave_room_for_calls_that_run() {
+    // In an overload, refused calls come back with a new ticket each time. If
+    // each refusal took a record, no record would be left for calls that could
+    // be served. Beyond half the records the refusal is "not yet".
+    let mut gate = gate(&policy());
+    let running = run_of(gate.arrive(&plain(FAR_MS), Millis(1)));
+    for now in [1, 2] {
+        run_of(gate.arrive(&plain(FAR_MS), Millis(now)));
+    }
+    let mut codes = Vec::new();
+    for key in 0..6 {
+        let verdict = gate.arrive(&under(&ticket(key, END)), Millis(3));
+        codes.push(code_of(verdict));
+    }
+    assert_eq!(codes[..4], [ResultCode::Overloaded; 4]);
+    assert_eq!(codes[4..], [ResultCode::RecordsFull; 2]);
+    gate.finish(running, answered_plain(), 1_000, Millis(4));
+    let verdict = gate.arrive(&under(&ticket(5, END)), Millis(5));
+    assert!(matches!(verdict, Verdict::Wait(_)), "{verdict:?}");
+}
+
+#[test]
+fn answer_that_cannot_be_kept_is_not_run_again() {
+    // The answer is larger than what may be stored, alone or together with
+    // others. The caller's duplicate cannot be answered, but must not run.
+    let mut gate = gate(&policy());
+    for (key, bytes) in [(1, 1_001), (2, 1_000), (3, 1_000), (4, 1)] {
+        let run = run_of(gate.arrive(&under(&ticket(key, END)), Millis(1)));
+        gate.finish(run, answered(bytes), 1_000, Millis(2));
+    }
+    assert_eq!(gate.stored_bytes(), 2_000);
+    for key in [1, 4] {
+        let again = gate.arrive(&under(&ticket(key, END)), Millis(3));
+        assert_eq!(code_of(again), ResultCode::AnswerNotKept);
+    }
+    let kept = gate.arrive(&under(&ticket(2, END)), Millis(3));
+    assert_eq!(kept, Verdict::Replay(stored(1_000)));
+    gate.tick(Millis(END));
+    assert_eq!(gate.stored_bytes(), 0);
+}
+
+#[test]
+fn key_with_another_body_is_refused_and_changes_nothing() {
+    // A caller reuses its key for another payment. The first one's answer must
+    // not be taken for the second's.
+    let mut gate = gate(&policy());
+    let ticket = ticket(1, END);
+    let run = run_of(gate.arrive(&under(&ticket), Millis(1)));
+    let other = Arrival {
+        digest: 43,
+        ..under(&ticket)
+    };
+    let verdict = gate.arrive(&other, Millis(2));
+    assert_eq!(code_of(verdict), ResultCode::KeyReused);
+    gate.finish(run, answered(1), 1_000, Millis(3));
+    let verdict = gate.arrive(&other, Millis(4));
+    assert_eq!(code_of(verdict), ResultCode::KeyReused);
+    let same = gate.arrive(&under(&ticket), Millis(5));
+    assert_eq!(same, Verdict::Replay(stored(1)));
+}
+
+#[test]
+fn second_ticket_refused_from_the_record_stays_refused() {
+    // Two tickets of one key were handed out. The first is fenced; the second,
+    // which expires later, hears "not run" from the same record. When the first
+    // has expired, a late duplicate of the second must still not start.
+    let mut gate = gate(&policy());
+    let (first, second) = (ticket(1, 1_000), ticket(1, 2_000));
+    gate.fence(&first, Millis(1));
+    let verdict = gate.arrive(&under(&second), Millis(2));
+    assert_eq!(code_of(verdict), ResultCode::Fenced);
+    gate.tick(Millis(1_500));
+    let late = gate.arrive(&under(&second), Millis(1_500));
+    assert_eq!(code_of(late), ResultCode::Fenced);
+}
+
+#[test]
+fn second_record_does_not_deny_the_run_under_an_expired_ticket() {
+    // The first ticket ran and its record was forgotten at its expiry. A second
+    // ticket of the same key is fenced. A duplicate of the first must not hear
+    // "not run" from the second's record.
+    let mut gate = gate(&policy());
+    let (first, second) = (ticket(1, 1_000), ticket(1, 3_000));
+    let run = run_of(gate.arrive(&under(&first), Millis(1)));
+    gate.finish(run, answered(1), 1_000, Millis(2));
+    gate.tick(Millis(2_000));
+    gate.fence(&second, Millis(2_001));
+    let late = gate.arrive(&under(&first), Millis(2_002));
+    assert_eq!(code_of(late), ResultCode::TicketExpired);
+    let asked = gate.fence(&first, Millis(2_003));
+    assert_eq!(fence_code(asked), ResultCode::GateLost);
+}
+
+#[test]
+fn ticket_that_expires_absurdly_late_never_runs() {
+    // A damaged writer issues a ticket valid for a day. Its record would be
+    // kept for a day; it is refused, and stays refused when its expiry is near.
+    // A flood of them must not fill the records for a day either.
+    let mut policy = policy();
+    policy.max_records = 1_000;
+    let mut gate = gate(&policy);
+    let day_ms = 86_400_000;
+    let mut codes = Vec::new();
+    for key in 0..65 {
+        let verdict = gate.arrive(&under(&ticket(key, day_ms)), Millis(1));
+        codes.push(code_of(verdict));
+    }
+    assert_eq!(codes[..64], [ResultCode::BadRequest; 64]);
+    assert_eq!(codes[64], ResultCode::RecordsFull);
+    let late = gate.arrive(&under(&ticket(0, day_ms)), Millis(day_ms - 10));
+    assert_eq!(code_of(late), ResultCode::Fenced);
+}
+
+#[test]
+fn held_call_is_dropped_when_its_last_caller_leaves() {
+    // The first caller of a waiting call leaves while another has joined: the
+    // call stays. When that one leaves too, the key is fenced.
+    let mut gate = gate(&policy());
+    let running = run_of(gate.arrive(&plain(FAR_MS), Millis(1)));
+    let ticket = ticket(1, END);
+    let run = run_of(gate.arrive(&under(&ticket), Millis(2)));
+    gate.arrive(&under(&ticket), Millis(3));
+    gate.abandon(run, Millis(4));
+    assert_eq!(gate.in_hand(), 2);
+    gate.abandon(run, Millis(5));
+    assert_eq!(gate.in_hand(), 1);
+    assert_eq!(
+        gate.finish(running, answered_plain(), 1, Millis(6)),
+        Vec::new()
+    );
+    let again = gate.arrive(&under(&ticket), Millis(7));
+    assert_eq!(code_of(again), ResultCode::Fenced);
+}
+
+#[test]
+fn started_call_goes_on_without_its_caller() {
+    // The caller of a running payment disconnects. The run goes on, and its
+    // answer is there when the caller comes back.
+    let mut gate = gate(&policy());
+    let ticket = ticket(1, END);
+    let run = run_of(gate.arrive(&under(&ticket), Millis(1)));
+    assert_eq!(gate.abandon(run, Millis(2)), Vec::new());
+    gate.finish(run, answered(1), 1_000, Millis(3));
+    let again = gate.arrive(&under(&ticket), Millis(4));
+    assert_eq!(again, Verdict::Replay(stored(1)));
+}
--- /dev/null
+++ b/crates/core/src/gate/tests/crash.rs
@@ -0,0 +1,174 @@
+//! Requests that crash targets, and innocents beside them.
+
+use super::*;
+use crate::suspects::Standing;
+
+const BAD: u64 = 666;
+
+fn marked(fingerprint: u64) -> Arrival<'static> {
+    Arrival {
+        fingerprint,
+        ..plain(FAR_MS)
+    }
+}
+
+fn wide() -> ServicePolicy {
+    ServicePolicy {
+        slots: 4,
+        queue_limit: 20,
+        ..policy()
+    }
+}
+
+/// Crashes the target with these calls in flight, and ends them.
+fn crash(gate: &mut Gate, runs: &[RunId], now: Millis) -> CrashReport {
+    let report = gate.target_crashed(now);
+    for run in runs {
+        gate.finish(*run, RunEnd::Broken, 1_000, now);
+    }
+    report
+}
+
+/// A gate at which `BAD` and three innocents were in flight in a crash.
+fn crashed_gate() -> Gate {
+    let mut gate = gate(&wide());
+    let runs = [1, 2, 3, BAD].map(|mark| run_of(gate.arrive(&marked(mark), Millis(1))));
+    crash(&mut gate, &runs, Millis(2));
+    gate
+}
+
+#[test]
+fn bad_request_ends_after_two_crashes_in_the_fleet() {
+    // A request crashes each target that runs it, and its caller sends it again
+    // to one gate after the other. After the first crash it runs alone, after
+    // the second it is refused everywhere.
+    let mut fleet = Suspects::new();
+    let mut crashes = 0;
+    for (vm, at) in [("vm-1", 1_000), ("vm-2", 2_000), ("vm-3", 3_000)] {
+        let now = Millis(at);
+        let mut gate = gate_of(vm, LIFE, &wide());
+        gate.update_suspects(Arc::new(fleet.snapshot()));
+        let innocent = run_of(gate.arrive(&marked(at), now));
+        let bad = match gate.arrive(&marked(BAD), now) {
+            Verdict::Run(run) | Verdict::Wait(run) => run,
+            refused => {
+                assert_eq!(code_of(refused), ResultCode::CrashSuspect);
+                continue;
+            }
+        };
+        let mut runs = vec![innocent, bad];
+        if crashes > 0 {
+            let wakes = gate.finish(innocent, answered_plain(), 1_000, now);
+            assert_eq!(wakes, [Wake::Start(bad)], "alone, after the innocent");
+            runs.remove(0);
+        }
+        crashes += 1;
+        for entry in crash(&mut gate, &runs, now).entries {
+            fleet.merge(&entry, now);
+        }
+    }
+    assert_eq!(crashes, 2);
+    assert_eq!(fleet.standing(BAD), Standing::Convicted);
+    assert_eq!(fleet.standing(2_000), Standing::Clear);
+}
+
+#[test]
+fn innocents_are_cleared_by_running_well() {
+    let mut gate = crashed_gate();
+    let alone = run_of(gate.arrive(&marked(1), Millis(10)));
+    let other = gate.arrive(&marked(77), Millis(11));
+    assert!(
+        matches!(other, Verdict::Wait(_)),
+        "nothing beside a suspect"
+    );
+    let wakes = gate.finish(alone, answered_plain(), 1_000, Millis(12));
+    assert_eq!(wakes, [Wake::Start(run_of(other))]);
+    let cleared = gate.take_cleared();
+    assert_eq!(cleared.len(), 1);
+    assert_eq!(cleared[0].standing, Standing::Clear);
+    let again = gate.arrive(&marked(1), Millis(13));
+    assert!(
+        matches!(again, Verdict::Run(_)),
+        "beside another: {again:?}"
+    );
+}
+
+#[test]
+fn suspect_that_broke_before_the_report_is_convicted() {
+    // The suspect runs alone and its connection breaks. Before the driver knows
+    // that the target is gone, the next calls are started. They met a dead
+    // target and must not be taken for culprits, nor excuse the suspect.
+    let mut gate = crashed_gate();
+    let bad = run_of(gate.arrive(&marked(BAD), Millis(10)));
+    run_of(gate.arrive(&marked(77), Millis(11)));
+    let wakes = gate.finish(bad, RunEnd::Broken, 1_000, Millis(12));
+    assert!(matches!(wakes[..], [Wake::Start(_)]), "{wakes:?}");
+    let report = gate.target_crashed(Millis(12));
+    assert_eq!(report.entries.len(), 1);
+    assert_eq!(report.entries[0].fingerprint, BAD);
+    assert_eq!(report.entries[0].standing, Standing::Convicted);
+    let ticket = ticket(1, TICKET_TTL_MS);
+    let refused = gate.arrive(
+        &Arrival {
+            fingerprint: BAD,
+            ..under(&ticket)
+        },
+        Millis(13),
+    );
+    assert_eq!(code_of(refused), ResultCode::CrashSuspect);
+    let late = gate.arrive(&under(&ticket), Millis(14));
+    assert_eq!(code_of(late), ResultCode::Fenced, "also when it is cleared");
+}
+
+#[test]
+fn second_report_of_one_crash_suspects_nobody() {
+    // Each broken connection makes the driver report the same crash. Counted
+    // twice, an innocent would seem to have been in two.
+    let mut gate = gate(&wide());
+    let runs = [1, 2].map(|mark| run_of(gate.arrive(&marked(mark), Millis(1))));
+    let first = crash(&mut gate, &runs, Millis(2));
+    assert_eq!(first.in_flight, 2);
+    assert_eq!(gate.target_crashed(Millis(3)).entries, []);
+    assert_eq!(gate.own_suspects.standing(1), Standing::Suspect);
+}
+
+#[test]
+fn innocents_are_served_between_suspects() {
+    // Many suspects wait at once, as after the crash of a busy target. Each
+    // empties the target; without turns the innocents would wait for them all.
+    let mut gate = crashed_gate();
+    let first = run_of(gate.arrive(&marked(1), Millis(10)));
+    for mark in [2, 3, BAD] {
+        run_of(gate.arrive(&marked(mark), Millis(11)));
+    }
+    for mark in 100..106 {
+        run_of(gate.arrive(&marked(mark), Millis(12)));
+    }
+    let wakes = gate.finish(first, answered_plain(), 1_000, Millis(13));
+    assert_eq!(wakes.len(), 4, "a full round of innocents: {wakes:?}");
+}
+
+#[test]
+fn long_call_does_not_let_a_suspect_stop_the_target() {
+    // An upload runs for half a minute when a suspect arrives. The target may
+    // stand idle for a moment to run it alone, not for half a minute.
+    let mut gate = crashed_gate();
+    run_of(gate.arrive(&plain(FAR_MS), Millis(10)));
+    let suspect = run_of(gate.arrive(&marked(1), Millis(11)));
+    let innocent = run_of(gate.arrive(&plain(FAR_MS), Millis(12)));
+    assert_eq!(gate.tick(Millis(400)), []);
+    let wakes = gate.tick(Millis(600));
+    assert!(refused(suspect, ResultCode::Overloaded, &wakes));
+    assert!(wakes.contains(&Wake::Start(innocent)), "{wakes:?}");
+}
+
+#[test]
+fn suspect_that_hangs_shares_the_target_again() {
+    let mut gate = crashed_gate();
+    let suspect = run_of(gate.arrive(&marked(1), Millis(10)));
+    let innocent = run_of(gate.arrive(&plain(FAR_MS), Millis(11)));
+    let wakes = gate.tick(Millis(1_100));
+    assert_eq!(wakes, [Wake::Start(innocent)]);
+    gate.finish(suspect, answered_plain(), 1_000, Millis(1_200));
+    assert_eq!(gate.take_cleared(), [], "it did not run alone to its end");
+}
--- /dev/null
+++ b/crates/core/src/gate/tests/interleavings.rs
@@ -0,0 +1,399 @@
+//! Random interleavings against a model: two VMs, one of which is replaced.
+//!
+//! The model counts starts per ticket and remembers every "not run". A failing
+//! case is shrunk by proptest and printed as its list of steps.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use strum::VariantArray;
+
+use super::*;
+
+const MAX_RECORDS: u32 = 6;
+const SLOTS: u32 = 2;
+
+/// One step, decoded from plain numbers so that proptest shrinks it well.
+type Step = (u8, u8, u8);
+
+/// A request under a ticket, as the caller sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Request {
+    ticket: usize,
+    digest: u64,
+}
+
+#[derive(Debug)]
+struct InHand {
+    request: Option<Request>,
+    deadline_at: Millis,
+    running: bool,
+    /// Its end must be told.
+    joined: bool,
+    callers: u32,
+}
+
+/// One life of a gate with what its driver holds.
+struct Life {
+    gate: Gate,
+    vm: &'static str,
+    incarnation: Incarnation,
+    in_hand: BTreeMap<RunId, InHand>,
+}
+
+impl Life {
+    fn new(vm: &'static str, life: u64, now: Millis) -> Self {
+        let policy = ServicePolicy {
+            slots: SLOTS,
+            max_records: MAX_RECORDS,
+            ticket_ttl_ms: Millis(400),
+            ..policy()
+        };
+        let mut gate = gate_of(vm, Incarnation(life), &policy);
+        gate.tick(now);
+        Self {
+            gate,
+            vm,
+            incarnation: Incarnation(life),
+            in_hand: BTreeMap::new(),
+        }
+    }
+}
+
+struct World {
+    now: Millis,
+    lives: Vec<Life>,
+    tickets: Vec<Ticket>,
+    starts: BTreeMap<usize, u32>,
+    /// Requests of which the target did run something.
+    ran: BTreeSet<Request>,
+    not_run: BTreeSet<Request>,
+    /// Tickets fenced whole, whatever the digest.
+    fenced: BTreeSet<usize>,
+}
+
+impl World {
+    fn new() -> Self {
+        let now = Millis(1_000);
+        Self {
+            now,
+            lives: vec![Life::new("vm-1", 1, now), Life::new("vm-2", 2, now)],
+            tickets: Vec::new(),
+            starts: BTreeMap::new(),
+            ran: BTreeSet::new(),
+            not_run: BTreeSet::new(),
+            fenced: BTreeSet::new(),
+        }
+    }
+
+    fn step(&mut self, (action, a, b): Step) {
+        let life = usize::from(a) % self.lives.len();
+        // Some events carry a time read before a pause of their thread.
+        let now = self.now.minus(Millis(u64::from(b % 3 == 0) * 50));
+        match action % 12 {
+            0 => self.issue(life, b),
+            1..=4 => self.send(life, a, b, now),
+            5 => self.send_plain(life, b, now),
+            6 | 7 => self.finish(life, b, now),
+            8 => self.fence(b, now),
+            9 => self.abandon(life, b, now),
+            10 => self.disturb(life, b),
+            _ => self.pass(u64::from(a)),
+        }
+        self.check(life);
+    }
+
+    fn issue(&mut self, life: usize, b: u8) {
+        let life = &self.lives[life];
+        self.tickets.push(Ticket {
+            service: ServiceName::new("cashier"),
+            gate: VmId::new(life.vm),
+            incarnation: life.incarnation,
+            key: CallKey(u128::from(b % 12)),
+            expires_at: self.now + Millis(100 + u64::from(b) * 2),
+        });
+    }
+
+    fn send(&mut self, life: usize, a: u8, b: u8, now: Millis) {
+        if self.tickets.is_empty() {
+            return self.issue(life, b);
+        }
+        let index = usize::from(b) % self.tickets.len();
+        let ticket = self.tickets[index].clone();
+        // Mostly to the right gate, at times astray.
+        let mut life = life;
+        if !a.is_multiple_of(8) {
+            life = self.home(&ticket).unwrap_or(life);
+        }
+        let request = Request {
+            ticket: index,
+            digest: u64::from(a % 16 == 5),
+        };
+        let arrival = Arrival {
+            class: CallClass::VARIANTS[usize::from(a) % 4],
+            deadline_at: self.now + Millis(u64::from(a)),
+            ticket: Some(&ticket),
+            digest: request.digest,
+            fingerprint: u64::from(b % 5),
+        };
+        let verdict = self.lives[life].gate.arrive(&arrival, now);
+        self.take_verdict(life, verdict, Some(request), arrival.deadline_at);
+        self.take_wakes(life, Vec::new());
+    }
+
+    fn send_plain(&mut self, life: usize, b: u8, now: Millis) {
+        let arrival = Arrival {
+            class: CallClass::VARIANTS[usize::from(b) % 4],
+            fingerprint: u64::from(b % 5),
+            ..plain(self.now.0 + u64::from(b))
+        };
+        let verdict = self.lives[life].gate.arrive(&arrival, now);
+        self.take_verdict(life, verdict, None, arrival.deadline_at);
+        self.take_wakes(life, Vec::new());
+    }
+
+    fn finish(&mut self, life: usize, b: u8, now: Millis) {
+        let in_hand = &self.lives[life].in_hand;
+        let mut running = in_hand.iter().filter(|(_, call)| call.running);
+        let Some((run, call)) = running.next() else {
+            return;
+        };
+        let (run, request) = (*run, call.request);
+        let end = match b % 6 {
+            0 => RunEnd::NotRun,
+            1 => RunEnd::Unreachable,
+            2 => RunEnd::Broken,
+            3 => RunEnd::Cancelled,
+            _ => answered(usize::from(b) * 10),
+        };
+        if let (Some(request), false) = (request, b % 6 < 2) {
+            self.ran.insert(request);
+        }
+        let joined = self.lives[life].in_hand[&run].joined;
+        let wakes = self.lives[life].gate.finish(run, end, 5_000, now);
+        let is_settled = |wake: &Wake| matches!(wake, Wake::Settled(id, _) if *id == run);
+        assert!(
+            !joined || wakes.iter().any(is_settled),
+            "joined and not told"
+        );
+        self.take_wakes(life, wakes);
+        self.lives[life].in_hand.remove(&run);
+    }
+
+    fn fence(&mut self, b: u8, now: Millis) {
+        let Some(index) = usize::from(b).checked_rem(self.tickets.len()) else {
+            return;
+        };
+        let ticket = self.tickets[index].clone();
+        let Some(life) = self.home(&ticket) else {
+            return;
+        };
+        match self.lives[life].gate.fence(&ticket, now) {
+            FenceAnswer::Running(run) => {
+                let call = self.lives[life].in_hand.get_mut(&run);
+                let call = call.expect("a running call is in hand");
+                assert!(call.running, "said to run before its start");
+                call.joined = true;
+            }
+            FenceAnswer::Settled(Settlement::Refused(refusal)) => {
+                let certainty = refusal.code.certainty();
+                assert!(matches!(certainty, Certainty::NotRun | Certainty::Unknown));
+                if certainty == Certainty::NotRun {
+                    self.say_fenced(index);
+                }
+            }
+            FenceAnswer::Settled(Settlement::Answered(_)) => {}
+        }
+        self.take_wakes(life, Vec::new());
+    }
+
+    fn abandon(&mut self, life: usize, b: u8, now: Millis) {
+        let in_hand = &mut self.lives[life].in_hand;
+        let Some(nth) = usize::from(b).checked_rem(in_hand.len()) else {
+            return;
+        };
+        let run = *in_hand.keys().nth(nth).expect("within the length");
+        let call = in_hand.get_mut(&run).expect("just found");
+        if call.running {
+            return;
+        }
+        call.callers -= 1;
+        let request = call.request;
+        let is_last = call.callers == 0;
+        if is_last {
+            in_hand.remove(&run);
+        }
+        let wakes = self.lives[life].gate.abandon(run, now);
+        if let (Some(request), true) = (request, is_last) {
+            self.say_not_run(request);
+        }
+        self.take_wakes(life, wakes);
+    }
+
+    fn disturb(&mut self, life: usize, b: u8) {
+        match b % 4 {
+            0 => {
+                let report = self.lives[life].gate.target_crashed(self.now);
+                let mut fleet = Suspects::new();
+                for entry in &report.entries {
+                    fleet.merge(entry, self.now);
+                }
+                for life in &mut self.lives {
+                    life.gate.update_suspects(Arc::new(fleet.snapshot()));
+                }
+            }
+            1 => self.lives[life].gate.set_leaving(b % 8 == 1),
+            2 => {
+                let next = self.lives[life].incarnation.0 + 2;
+                let vm = self.lives[life].vm;
+                self.lives[life] = Life::new(vm, next, self.now);
+            }
+            _ => self.pass(5_000),
+        }
+    }
+
+    fn pass(&mut self, span_ms: u64) {
+        self.now = self.now + Millis(span_ms);
+        for life in 0..self.lives.len() {
+            let wakes = self.lives[life].gate.tick(self.now);
+            self.take_wakes(life, wakes);
+        }
+    }
+
+    fn home(&self, ticket: &Ticket) -> Option<usize> {
+        let is_home = |life: &Life| life.incarnation == ticket.incarnation;
+        self.lives.iter().position(is_home)
+    }
+
+    fn take_verdict(
+        &mut self,
+        life: usize,
+        verdict: Verdict,
+        request: Option<Request>,
+        deadline_at: Millis,
+    ) {
+        match verdict {
+            Verdict::Run(run) | Verdict::Wait(run) => {
+                let call = InHand {
+                    request,
+                    deadline_at,
+                    running: false,
+                    joined: false,
+                    callers: 1,
+                };
+                self.lives[life].in_hand.insert(run, call);
+                if verdict == Verdict::Run(run) {
+                    self.start(life, run);
+                }
+            }
+            Verdict::Join(run) => {
+                let call = self.lives[life].in_hand.get_mut(&run);
+                let call = call.expect("only a call in hand is joined");
+                call.joined = true;
+                call.callers += 1;
+            }
+            Verdict::Replay(_) => {}
+            Verdict::Refuse(refusal) => {
+                let is_not_run = refusal.code.certainty() == Certainty::NotRun;
+                if let (Some(request), true) = (request, is_not_run) {
+                    self.say_not_run(request);
+                }
+            }
+        }
+    }
+
+    fn take_wakes(&mut self, life: usize, mut wakes: Vec<Wake>) {
+        wakes.extend(self.lives[life].gate.take_wakes());
+        for wake in wakes {
+            match wake {
+                Wake::Start(run) => self.start(life, run),
+                Wake::Refuse(run, refusal) => {
+                    let call = self.lives[life].in_hand.remove(&run);
+                    let call = call.expect("only a call in hand is refused");
+                    assert!(!call.running, "refused while running");
+                    assert_eq!(refusal.code.certainty(), Certainty::NotRun);
+                    if let Some(request) = call.request {
+                        self.say_not_run(request);
+                    }
+                }
+                Wake::Settled(..) => {}
+            }
+        }
+    }
+
+    fn start(&mut self, life: usize, run: RunId) {
+        let call = self.lives[life].in_hand.get_mut(&run);
+        let call = call.expect("only a call in hand is started");
+        assert!(!call.running, "started twice");
+        assert!(self.now < call.deadline_at, "started past its deadline");
+        call.running = true;
+        let Some(request) = call.request else {
+            return;
+        };
+        let starts = self.starts.entry(request.ticket).or_default();
+        *starts += 1;
+        assert_eq!(*starts, 1, "a ticket ran twice: {request:?}");
+        assert!(!self.not_run.contains(&request), "ran after 'not run'");
+        assert!(!self.fenced.contains(&request.ticket), "ran after a fence");
+        let home = &self.tickets[request.ticket];
+        assert_eq!(home.incarnation, self.lives[life].incarnation);
+    }
+
+    fn say_not_run(&mut self, request: Request) {
+        assert!(!self.ran.contains(&request), "'not run' after a run");
+        self.not_run.insert(request);
+    }
+
+    fn say_fenced(&mut self, ticket: usize) {
+        for request in &self.ran {
+            assert_ne!(request.ticket, ticket, "'not run' after a run");
+        }
+        self.fenced.insert(ticket);
+    }
+
+    fn check(&self, life: usize) {
+        let life = &self.lives[life];
+        let load = life.gate.load(self.now);
+        let running = life.in_hand.values().filter(|call| call.running).count();
+        assert_eq!(load.in_flight as usize, running);
+        assert_eq!(life.gate.in_hand(), life.in_hand.len());
+        assert!(running <= SLOTS as usize, "over its slots");
+        assert!(life.gate.record_count() <= MAX_RECORDS as usize);
+        assert!(life.gate.stored_bytes() <= 2_000);
+    }
+
+    /// Nothing is lost: every call in hand ends once its run does.
+    fn drain(&mut self) {
+        for life in 0..self.lives.len() {
+            self.lives[life].gate.set_leaving(true);
+            for _ in 0..1_000 {
+                self.finish(life, 4, self.now);
+            }
+        }
+        self.pass(5_000);
+        for life in &self.lives {
+            assert_eq!(life.gate.in_hand(), 0, "not drained");
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn at_most_once_and_not_run_is_true(steps in vec(any::<Step>(), 1..200)) {
+        // Sends, duplicates, fences, leavers, ends, crashes, pauses and a new
+        // life come in any order. A ticket may start once at most, never after
+        // anyone was told "not run", and never past its deadline.
+        let mut world = World::new();
+        for step in steps {
+            world.step(step);
+        }
+        world.drain();
+    }
+}
--- a/crates/core/src/gate/ticketed.rs
+++ b/crates/core/src/gate/ticketed.rs
@@ -65,7 +65,7 @@
             return;
         }
         let fenced = RecordState::Fenced { retry_after_ms };
-        self.records.insert(ticket, digest, fenced);
+        self.records.insert(ticket, digest, fenced, now);
     }
 
     /// Whether the expiry lies so far ahead that no policy can have allowed it.
@@ -125,7 +125,7 @@
                     unreachable!("an admitted call runs or waits");
                 };
                 let live = RecordState::Live(run);
-                self.records.insert(ticket, Some(arrival.digest), live);
+                self.records.insert(ticket, Some(arrival.digest), live, now);
                 verdict
             }
             Err(refusal) => Verdict::Refuse(self.refuse_first(ticket, arrival, refusal, now)),
--- a/crates/core/src/suspects/set.rs
+++ b/crates/core/src/suspects/set.rs
@@ -17,15 +17,14 @@
 }
 
 impl SuspectSet {
-    /// Collects marks that come sorted by fingerprint.
-    pub(crate) fn from_sorted<'a>(marks: impl Iterator<Item = (&'a u64, Mark)>) -> Self {
-        let mut marked = Vec::new();
-        for (fingerprint, mark) in marks {
-            let fingerprint = *fingerprint;
-            marked.push(Marked { fingerprint, mark });
-        }
-        debug_assert!(marked.is_sorted_by_key(|entry| entry.fingerprint));
-        Self { marked }
+    /// Adds the mark of a fingerprint above all those in the set.
+    pub(crate) fn push(&mut self, fingerprint: u64, mark: Mark) {
+        debug_assert!(
+            self.marked
+                .last()
+                .is_none_or(|last| last.fingerprint < fingerprint)
+        );
+        self.marked.push(Marked { fingerprint, mark });
     }
 
     /// What is held against a fingerprint.
@@ -50,6 +49,13 @@
         count
     }
 
+    /// Every fingerprint with its standing, ordered by fingerprint.
+    pub fn iter(&self) -> impl Iterator<Item = (u64, Standing)> + '_ {
+        self.marked
+            .iter()
+            .map(|entry| (entry.fingerprint, entry.mark.standing))
+    }
+
     pub(crate) fn mark(&self, fingerprint: u64) -> Mark {
         let found = self
             .marked
--- a/crates/core/src/suspects/store.rs
+++ b/crates/core/src/suspects/store.rs
@@ -6,6 +6,15 @@
 
 use super::{Mark, NO_FINGERPRINT, Standing, SuspectEntry, SuspectSet};
 
+/// How long an entry that has aged out is still remembered, though no longer
+/// held against anyone.
+///
+/// Each hop between nodes makes an entry look younger by its time on the way.
+/// If it were forgotten at once, an echo from a node that heard it later would
+/// bring it back for a moment, and in a large fleet those moments could follow
+/// each other for ever. Remembered, the older copy wins against every echo.
+const REMEMBERED_AFTER: Millis = Millis::from_secs(60);
+
 /// Fingerprints that one node remembers.
 pub const MAX_SUSPECTS: usize = 1024;
 
@@ -15,9 +24,31 @@
     /// End of life in this node's clock. Kept instead of the time of birth,
     /// which may lie before the clock's origin.
     expires_at: Millis,
+    /// It has aged out, and only serves to outlast its echoes.
+    aged_out: bool,
 }
 
 impl Known {
+    const fn new(mark: Mark, expires_at: Millis) -> Self {
+        Self {
+            mark,
+            expires_at,
+            aged_out: false,
+        }
+    }
+
+    /// What is in force: the version goes on, but nothing is held any more.
+    const fn in_force(&self) -> Mark {
+        if !self.aged_out {
+            return self.mark;
+        }
+        Mark {
+            version: self.mark.version,
+            standing: Standing::Clear,
+            crashes: 0,
+        }
+    }
+
     fn age_ms(&self, now: Millis) -> Millis {
         let left = self.expires_at.since(now);
         self.mark.lifetime().minus(left)
@@ -60,7 +91,7 @@
             }
             let mark = self.mark(*fingerprint).after_crash(alone);
             let expires_at = now + mark.lifetime();
-            if !self.put(*fingerprint, Known { mark, expires_at }) {
+            if !self.put(*fingerprint, Known::new(mark, expires_at)) {
                 continue;
             }
             entries.push(SuspectEntry::new(*fingerprint, mark, Millis::ZERO));
@@ -77,7 +108,7 @@
             return None;
         }
         let expires_at = now + mark.lifetime();
-        self.put(fingerprint, Known { mark, expires_at });
+        self.put(fingerprint, Known::new(mark, expires_at));
         Some(SuspectEntry::new(fingerprint, mark, Millis::ZERO))
     }
 
@@ -91,7 +122,7 @@
         if entry.fingerprint == NO_FINGERPRINT || expires_at <= now {
             return false;
         }
-        let heard = Known { mark, expires_at };
+        let heard = Known::new(mark, expires_at);
         let Some(known) = self.known.get(&entry.fingerprint) else {
             return self.put(entry.fingerprint, heard);
         };
@@ -101,24 +132,37 @@
         self.put(entry.fingerprint, heard)
     }
 
-    /// Forgets what has aged out; true when something changed.
+    /// Ages out what has reached its time; true when a standing changed.
     pub fn tick(&mut self, now: Millis) -> bool {
-        let before = self.known.len();
-        self.known.retain(|_, known| known.expires_at > now);
-        self.known.len() != before
+        let mut changed = false;
+        for known in self.known.values_mut() {
+            if known.aged_out || known.expires_at > now {
+                continue;
+            }
+            known.aged_out = true;
+            changed = true;
+        }
+        self.known
+            .retain(|_, known| known.expires_at + REMEMBERED_AFTER > now);
+        changed
     }
 
     /// What traffic reads.
     #[must_use]
     pub fn snapshot(&self) -> SuspectSet {
-        SuspectSet::from_sorted(self.known.iter().map(|(key, known)| (key, known.mark)))
+        let mut set = SuspectSet::default();
+        for (fingerprint, known) in &self.known {
+            if !known.aged_out {
+                set.push(*fingerprint, known.mark);
+            }
+        }
+        set
     }
 
     /// All that others should hear, in the order of fingerprints.
     pub fn entries(&self, now: Millis) -> impl Iterator<Item = SuspectEntry> + '_ {
-        self.known
-            .iter()
-            .map(move |(key, known)| SuspectEntry::new(*key, known.mark, known.age_ms(now)))
+        let alive = self.known.iter().filter(|(_, known)| !known.aged_out);
+        alive.map(move |(key, known)| SuspectEntry::new(*key, known.mark, known.age_ms(now)))
     }
 
     /// What is held against a fingerprint.
@@ -127,13 +171,13 @@
         self.mark(fingerprint).standing
     }
 
-    /// Fingerprints known, cleared ones included.
+    /// Fingerprints remembered, cleared ones included.
     #[must_use]
     pub fn len(&self) -> usize {
         self.known.len()
     }
 
-    /// Whether no fingerprint is known.
+    /// Whether no fingerprint is remembered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.known.is_empty()
@@ -141,7 +185,7 @@
 
     pub(crate) fn mark(&self, fingerprint: u64) -> Mark {
         match self.known.get(&fingerprint) {
-            Some(known) => known.mark,
+            Some(known) => known.in_force(),
             None => Mark::default(),
         }
     }
@@ -151,7 +195,7 @@
     pub(crate) fn raise(&mut self, fingerprint: u64, mark: Mark, now: Millis) {
         if self.mark(fingerprint) < mark {
             let expires_at = now + mark.lifetime();
-            self.put(fingerprint, Known { mark, expires_at });
+            self.put(fingerprint, Known::new(mark, expires_at));
         }
     }
 
@@ -176,7 +220,7 @@
         let mut least: Option<EvictionRank> = None;
         for (fingerprint, known) in &self.known {
             let rank = EvictionRank {
-                standing: known.mark.standing,
+                standing: known.in_force().standing,
                 expires_at: known.expires_at,
                 fingerprint: *fingerprint,
             };
--- a/crates/core/src/suspects/tests.rs
+++ b/crates/core/src/suspects/tests.rs
@@ -1,1 +1,144 @@
 //! Tests of suspicion and of its spreading.
+
+use proptest::prelude::*;
+
+use super::*;
+use hornbeamhitch_types::prelude::*;
+
+const MINUTE_MS: u64 = 60_000;
+
+fn entry(fingerprint: u64, version: u32, standing: Standing, age_ms: u64) -> SuspectEntry {
+    SuspectEntry {
+        fingerprint,
+        version,
+        standing,
+        crashes: 1,
+        age_ms: Millis(age_ms),
+    }
+}
+
+#[test]
+fn one_crash_suspects_and_a_second_alone_convicts() {
+    let mut suspects = Suspects::new();
+    suspects.observe_crash(&[1, 2, NO_FINGERPRINT], false, Millis(1));
+    suspects.observe_crash(&[3], true, Millis(2));
+    for fingerprint in [1, 2, 3] {
+        assert_eq!(suspects.standing(fingerprint), Standing::Suspect);
+    }
+    assert_eq!(suspects.standing(NO_FINGERPRINT), Standing::Clear);
+    suspects.clear(2, Millis(3));
+    for fingerprint in [1, 2] {
+        suspects.observe_crash(&[fingerprint], true, Millis(4));
+    }
+    assert_eq!(suspects.standing(1), Standing::Convicted);
+    assert_eq!(suspects.standing(2), Standing::Suspect);
+    assert_eq!(suspects.clear(1, Millis(5)), None, "a conviction ages out");
+}
+
+#[test]
+fn crowded_crashes_convict_in_the_end() {
+    // A request that outlasts its time alone is never alone in its crash. It
+    // must not crash targets for ever.
+    let mut suspects = Suspects::new();
+    for crash in 1..=4 {
+        assert_ne!(suspects.standing(1), Standing::Convicted, "{crash}");
+        suspects.observe_crash(&[1, 100 + crash], false, Millis(crash));
+    }
+    assert_eq!(suspects.standing(1), Standing::Convicted);
+}
+
+#[test]
+fn clearance_beats_an_older_suspicion_that_arrives_later() {
+    // One node clears a request; the suspicion from before is still passed
+    // round and reaches others after the clearance, and again.
+    let mut suspects = Suspects::new();
+    assert!(suspects.merge(&entry(1, 2, Standing::Clear, 10), Millis(1)));
+    assert!(!suspects.merge(&entry(1, 1, Standing::Suspect, 500), Millis(2)));
+    assert_eq!(suspects.standing(1), Standing::Clear);
+    assert!(suspects.merge(&entry(1, 3, Standing::Suspect, 0), Millis(3)));
+    assert_eq!(suspects.standing(1), Standing::Suspect);
+}
+
+#[test]
+fn suspicion_ages_out_although_it_is_echoed() {
+    // Two nodes tell each other the same entry over and over, each time a bit
+    // too young by the time on the way. It must still age out, also when an
+    // echo arrives just after one node has dropped it.
+    const ON_THE_WAY: Millis = Millis(20);
+    let mut nodes = [Suspects::new(), Suspects::new()];
+    nodes[0].observe_crash(&[1], false, Millis(0));
+    for step in 0..=60_050 {
+        let now = Millis(step * 10);
+        for (from, to) in [(0, 1), (1, 0)] {
+            let heard: Vec<SuspectEntry> = nodes[from].entries(now).collect();
+            nodes[0].tick(now);
+            nodes[1].tick(now);
+            for entry in &heard {
+                nodes[to].merge(entry, now + ON_THE_WAY);
+            }
+        }
+    }
+    assert_eq!(nodes[0].standing(1), Standing::Clear);
+    assert_eq!(nodes[1].standing(1), Standing::Clear);
+}
+
+#[test]
+fn convictions_outlive_suspicions_and_end() {
+    let mut suspects = Suspects::new();
+    suspects.observe_crash(&[1, 2], false, Millis(0));
+    suspects.observe_crash(&[1], true, Millis(0));
+    suspects.tick(Millis(11 * MINUTE_MS));
+    assert_eq!(suspects.standing(2), Standing::Clear);
+    assert_eq!(suspects.standing(1), Standing::Convicted);
+    assert!(suspects.tick(Millis(30 * MINUTE_MS)));
+    assert_eq!(suspects.standing(1), Standing::Clear);
+    suspects.tick(Millis(31 * MINUTE_MS));
+    assert!(suspects.is_empty());
+}
+
+#[test]
+fn flood_of_suspects_does_not_wash_out_a_conviction() {
+    // Busy targets crash again and again, each time with hundreds of requests
+    // in flight. The convicted request must not be forgotten for them.
+    let mut suspects = Suspects::new();
+    suspects.observe_crash(&[1], true, Millis(0));
+    suspects.observe_crash(&[1], true, Millis(1));
+    for fingerprint in 2..5_000 {
+        suspects.observe_crash(&[fingerprint], false, Millis(fingerprint));
+    }
+    assert_eq!(suspects.len(), MAX_SUSPECTS);
+    assert_eq!(suspects.standing(1), Standing::Convicted);
+    assert_eq!(suspects.standing(2), Standing::Clear, "the oldest goes");
+    assert_eq!(suspects.snapshot().standing(4_999), Standing::Suspect);
+}
+
+fn entries() -> impl Strategy<Value = Vec<SuspectEntry>> {
+    let standing = prop_oneof![
+        Just(Standing::Clear),
+        Just(Standing::Suspect),
+        Just(Standing::Convicted)
+    ];
+    let one = (1..4_u64, 1..4_u32, standing, 0..2_000_000_u64);
+    let one = one.prop_map(|(mark, version, standing, age)| entry(mark, version, standing, age));
+    proptest::collection::vec(one, 0..12)
+}
+
+proptest! {
+    #[test]
+    fn order_and_repetition_of_news_do_not_matter(news in entries(), shuffled in entries()) {
+        // Nodes hear the same news in different orders, some of it twice, and
+        // must come to the same view.
+        let all: Vec<SuspectEntry> = news.iter().chain(&shuffled).copied().collect();
+        let mut one = Suspects::new();
+        let mut other = Suspects::new();
+        for entry in &all {
+            one.merge(entry, Millis(5));
+        }
+        for entry in all.iter().rev().chain(&news) {
+            other.merge(entry, Millis(5));
+        }
+        prop_assert_eq!(one.snapshot(), other.snapshot());
+        let ages = |store: &Suspects| store.entries(Millis(5)).collect::<Vec<_>>();
+        prop_assert_eq!(ages(&one), ages(&other));
+    }
+}
