Test the entry's decisions and mend what the tests showed

They showed three faults: a target that had failed once was shunned for minutes after it healed (0 of 20,000 calls); forty entries still herded in the first moments after a published report; a refusal that says "not yet" or "ticket dead" was taken for one that may have run. Change: facts fade with the square of their age; a published report starts with a tenth of the trust of one on an answer; tests in virtual time.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -10,6 +10,7 @@
 
 mod ejection;
 mod latency;
+mod observe;
 mod outcome;
 mod picker;
 mod retry;
@@ -248,17 +249,17 @@
             return;
         };
         let before = target.standing();
-        target.stats.end_attempt(now);
+        target.stats.end_attempt();
         if let Some(report) = &outcome.load {
             self.hear(pick.target, report, now);
         }
         self.count_for_retry_after(outcome, now);
         self.learn(pick, outcome, now);
-        let policy = Arc::clone(&self.view.policy);
+        let policy = &self.view.policy;
         if self.table.get(pick.target).map(Target::standing) != Some(before) {
-            self.table.rebuild(&policy, now);
+            self.table.rebuild(policy, now);
         }
-        self.table.eject_if_deserved(pick.target, &policy, now);
+        self.table.eject_if_deserved(pick.target, policy, now);
         self.table.release_if_gone(pick.target.0);
     }
 
@@ -352,7 +353,7 @@
     fn start(&mut self, index: TargetIndex, is_trial: bool, now: Millis) -> Pick {
         let mut life = 0;
         if let Some(target) = self.table.get_mut(index) {
-            target.stats.start_attempt(now);
+            target.stats.start_attempt();
             life = target.life;
         }
         Pick {
@@ -449,7 +450,9 @@
             }
             Lesson::Nothing => target.learn_nothing(pick, now),
         }
-        self.table.find_next_trial();
+        if pick.is_trial {
+            self.table.find_next_trial();
+        }
     }
 
     fn refusal(&mut self, code: ResultCode, end: &AttemptEnd, now: Millis) -> Refusal {
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -77,7 +77,10 @@
     #[must_use]
     pub const fn may_have_run(&self) -> bool {
         match self {
-            Self::Refused(refusal) => !matches!(refusal.code.certainty(), Certainty::NotRun),
+            Self::Refused(refusal) => !matches!(
+                refusal.code.certainty(),
+                Certainty::NotRun | Certainty::NotYet | Certainty::TicketDead
+            ),
             Self::Unreachable => false,
             Self::Answered { .. } | Self::Broken | Self::TimedOut | Self::Cancelled => true,
         }
--- a/crates/core/src/entry/retry.rs
+++ b/crates/core/src/entry/retry.rs
@@ -91,7 +91,7 @@
 
 fn unknown_code(call: &CallProgress, end: &AttemptEnd, now: Millis) -> ResultCode {
     if let AttemptEnd::Refused(refusal) = end
-        && refusal.code.certainty() != Certainty::NotRun
+        && end.may_have_run()
     {
         return refusal.code;
     }
--- a/crates/core/src/entry/retry_after.rs
+++ b/crates/core/src/entry/retry_after.rs
@@ -3,7 +3,6 @@
 use rand::RngExt;
 use rand::rngs::Xoshiro256PlusPlus;
 
-use crate::entry::score::fade;
 use crate::prelude::*;
 
 /// Shortest time that a caller is told to stay away.
@@ -64,7 +63,7 @@
     }
 
     fn forget(&mut self, now: Millis) {
-        let left = fade(now.since(self.counted_at), HALF_LIFE_MS);
+        let left = (-(now.since(self.counted_at).0 as f32) / HALF_LIFE_MS).exp2();
         self.attempts *= left;
         self.refusals *= left;
         self.counted_at = self.counted_at.max(now);
--- a/crates/core/src/entry/score.rs
+++ b/crates/core/src/entry/score.rs
@@ -15,23 +15,20 @@
 /// Service times up to this multiple of the typical one count as equal: the
 /// difference is noise, and acting on noise makes entries herd.
 const NORMAL_SLOWNESS: f32 = 1.5;
-/// Silence of this many typical service times while attempts are open means
-/// that the target has stalled.
-const STALL_SERVICE_TIMES: f32 = 4.0;
-/// A stall alone makes a target look no slower than this, because one long
-/// upload on an otherwise idle target looks the same.
-const MAX_STALL_SLOWNESS: f32 = 4.0;
 /// What a certain failure costs, in typical service times.
 const FAILURE_COST_SERVICE_TIMES: f32 = 20.0;
 /// Load that a fresh refusal adds, as a multiple of the target's limit.
 const REFUSED_LOAD_RATIO: f32 = 2.0;
 
-/// How much of a fact is left after `age`: all at 0, half after `half_life_ms`.
+/// How much of a fact is left after `age`: all at 0, half after `half_life_ms`,
+/// a hundredth after ten times that.
 ///
-/// Hyperbolic, because it needs no transcendental function and so gives the
-/// same picks on every machine.
+/// Rational, because it needs no transcendental function and so gives the same
+/// picks on every machine; of second degree, because with a longer tail a
+/// target that failed once is shunned for minutes.
 pub(crate) fn fade(age: Millis, half_life_ms: f32) -> f32 {
-    half_life_ms / (half_life_ms + age.0 as f32)
+    let half_lives = age.0 as f32 / half_life_ms;
+    1.0 / (1.0 + half_lives * half_lives)
 }
 
 /// What a target of the service looks like about which nothing is known.
@@ -93,8 +90,6 @@
     pub(crate) load_ratio: f32,
     /// Service time as a multiple of the typical one.
     pub(crate) relative_service: f32,
-    /// Time since the target last ended an attempt while others are open.
-    pub(crate) stalled: Millis,
     /// Probability that an attempt fails.
     pub(crate) failure: f32,
     /// What is left of a refusal for overload, 0 to 1.
@@ -110,17 +105,14 @@
     pub(crate) fn expected_us(&self, typical: &Typical) -> f32 {
         let service_us = typical.service_us();
         let load = self.load_ratio + self.refused * REFUSED_LOAD_RATIO;
-        let wait_us = service_us * self.slowness(typical) * (1.0 + load / self.ramp);
+        let wait_us = service_us * self.slowness() * (1.0 + load / self.ramp);
         let failure_us = self.failure * FAILURE_COST_SERVICE_TIMES * service_us;
         wait_us + self.round_trip_us + failure_us
     }
 
     /// A target quicker than others gets no credit: an error is quick as well,
     /// and a truly quicker target shows by having less in flight.
-    fn slowness(&self, typical: &Typical) -> f32 {
-        let measured = (self.relative_service / NORMAL_SLOWNESS).max(1.0);
-        let stall_us = self.stalled.0 as f32 * 1_000.0;
-        let stall = stall_us / (typical.service_us() * STALL_SERVICE_TIMES);
-        measured.max(stall.min(MAX_STALL_SLOWNESS))
+    fn slowness(&self) -> f32 {
+        (self.relative_service / NORMAL_SLOWNESS).max(1.0)
     }
 }
--- a/crates/core/src/entry/target.rs
+++ b/crates/core/src/entry/target.rs
@@ -5,7 +5,7 @@
 use crate::entry::Pick;
 use crate::entry::ejection::Health;
 use crate::entry::score::{Belief, Typical};
-use crate::entry::target_stats::TargetStats;
+use crate::entry::target_stats::{ReportSource, TargetStats};
 use crate::prelude::*;
 
 /// A refusal says "leaving" without saying when in the gate's clock; a report
@@ -81,13 +81,19 @@
             self.meet(incarnation, now);
         }
         if let Some(heard) = &view.load {
-            self.hear(&heard.report, heard.heard_at, now);
+            self.hear(&heard.report, heard.heard_at, ReportSource::Published, now);
         }
     }
 
     /// Takes a report; false when it is of another life or older than what is
     /// known.
-    pub(crate) fn hear(&mut self, report: &LoadReport, heard_at: Millis, now: Millis) -> bool {
+    fn hear(
+        &mut self,
+        report: &LoadReport,
+        heard_at: Millis,
+        source: ReportSource,
+        now: Millis,
+    ) -> bool {
         self.meet(report.incarnation, now);
         if self.incarnation != Some(report.incarnation) {
             return false;
@@ -96,7 +102,7 @@
             return false;
         }
         self.hear_leaving(report, heard_at);
-        self.stats.hear(report, heard_at);
+        self.stats.hear(report, heard_at, source);
         true
     }
 
@@ -110,7 +116,7 @@
         if incarnation == self.view_incarnation && incarnation != self.incarnation {
             self.start_life(report.incarnation, now);
         }
-        self.hear(report, now, now)
+        self.hear(report, now, ReportSource::Answer, now)
     }
 
     /// Learns from an answer. Also one that a ticket sent here while the target
--- a/crates/core/src/entry/target_stats.rs
+++ b/crates/core/src/entry/target_stats.rs
@@ -18,15 +18,36 @@
 /// Share of a warm target's work that a cold one starts with.
 const MIN_RAMP: f32 = 0.1;
 
+/// Part of a published report that is believed when it arrives.
+const PUBLISHED_TRUST: f32 = 0.1;
+
+/// How a load report came here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReportSource {
+    /// On an answer to this entry: few others have it.
+    Answer,
+    /// By control messages: every entry has it and is about to act on it, so
+    /// what it shows as empty will not be for long.
+    Published,
+}
+
 /// A load report, and what of it was this entry's own doing.
 #[derive(Clone, Copy, Debug)]
 struct KnownLoad {
     report: LoadReport,
     heard_at: Millis,
     own_in_flight: u32,
+    source: ReportSource,
 }
 
 impl KnownLoad {
+    fn trust(&self) -> f32 {
+        match self.source {
+            ReportSource::Answer => 1.0,
+            ReportSource::Published => PUBLISHED_TRUST,
+        }
+    }
+
     fn ratio(&self) -> f32 {
         let outstanding = self.report.in_flight.saturating_add(self.report.queued);
         outstanding as f32 / self.report.limit.max(1) as f32
@@ -51,8 +72,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct TargetStats {
     in_flight: u32,
-    /// When an attempt last ended, or the first of the open ones started.
-    progress_at: Millis,
     first_seen: Millis,
     load: Option<KnownLoad>,
     own_service_us: Option<Aged>,
@@ -64,7 +83,6 @@
     pub(crate) fn new(now: Millis) -> Self {
         Self {
             in_flight: 0,
-            progress_at: now,
             first_seen: now,
             load: None,
             own_service_us: None,
@@ -109,17 +127,13 @@
         (reported_us > 0).then_some(reported_us as f32)
     }
 
-    pub(crate) fn start_attempt(&mut self, now: Millis) {
-        if self.in_flight == 0 {
-            self.progress_at = now;
-        }
+    pub(crate) fn start_attempt(&mut self) {
         self.in_flight += 1;
     }
 
-    pub(crate) fn end_attempt(&mut self, now: Millis) {
+    pub(crate) fn end_attempt(&mut self) {
         debug_assert!(self.in_flight > 0, "every pick is ended exactly once");
         self.in_flight = self.in_flight.saturating_sub(1);
-        self.progress_at = now;
     }
 
     /// Whether a report was overtaken by another on its way here.
@@ -129,11 +143,12 @@
     }
 
     /// Takes the newest report of the present life.
-    pub(crate) fn hear(&mut self, report: &LoadReport, heard_at: Millis) {
+    pub(crate) fn hear(&mut self, report: &LoadReport, heard_at: Millis, source: ReportSource) {
         self.load = Some(KnownLoad {
             report: *report,
             heard_at,
             own_in_flight: self.in_flight,
+            source,
         });
     }
 
@@ -217,7 +232,7 @@
             return own + typical.load_ratio();
         };
         let age = now.since(known.heard_at);
-        let left = fade(age, typical.load_half_life_ms());
+        let left = fade(age, typical.load_half_life_ms()) * known.trust();
         let others = known.others_ratio() * left + typical.load_ratio() * (1.0 - left);
         own + others
     }
@@ -235,7 +250,6 @@
         Belief {
             load_ratio: self.load_ratio(typical, slots, now),
             relative_service: self.relative_service(typical, now),
-            stalled: self.stalled(now),
             failure: self.failure_rate(now),
             refused: self.refused(typical, now),
             ramp: 1.0,
@@ -276,14 +290,6 @@
         1.0 + (measured_us / typical_us - 1.0) * left
     }
 
-    /// A lower bound on the age of the oldest open attempt.
-    fn stalled(&self, now: Millis) -> Millis {
-        if self.in_flight == 0 {
-            return Millis::ZERO;
-        }
-        now.since(self.progress_at)
-    }
-
     fn refused(&self, typical: &Typical, now: Millis) -> f32 {
         match self.refused_at {
             Some(at) => fade(now.since(at), typical.load_half_life_ms()),
--- /dev/null
+++ b/crates/core/src/entry/tests/picking.rs
@@ -0,0 +1,258 @@
+//! Which targets get work, and how much.
+
+use super::*;
+
+/// Callers would see refusals after a partition: control messages stop, every
+/// target becomes doubtful at the same time, yet all of them still work.
+#[test]
+fn doubtful_targets_serve_when_no_others_are_there() {
+    let mut seen = view(3);
+    for target in &mut seen.targets {
+        target.doubtful = true;
+    }
+    let mut service = service(&seen);
+    let counts = run(&mut service, 0, 300, |_| WORKS);
+    assert!(counts[..3].iter().all(|count| *count > 50), "{counts:?}");
+}
+
+#[test]
+fn a_doubtful_target_gets_nothing_while_others_are_there() {
+    let mut seen = view(3);
+    seen.targets[1].doubtful = true;
+    let mut service = service(&seen);
+    assert_eq!(run(&mut service, 0, 300, |_| WORKS)[1], 0);
+}
+
+/// A call would be refused, or cut when the VM goes: the gate announces on an
+/// answer that it leaves, long before the VM list says so.
+#[test]
+fn a_leaving_target_gets_nothing_from_the_first_word_on() {
+    let mut service = service(&view(3));
+    let leaving = LoadReport {
+        leaving: true,
+        ..report(0, 1, 50)
+    };
+    answer_with_load(&mut service, &leaving, 1);
+    assert_eq!(run(&mut service, 2, 300, |_| WORKS)[0], 0);
+
+    let mut seen = view(3);
+    for (clock_ms, works_again) in [(40, false), (60, true)] {
+        seen.targets[0].load = heard(0, 0, clock_ms);
+        service.update(Arc::new(seen.clone()), Millis(400));
+        let count = run(&mut service, 400, 300, |_| WORKS)[0];
+        assert_eq!(count > 0, works_again, "a report of {clock_ms} ms");
+    }
+}
+
+#[test]
+fn a_refusal_as_leaving_stops_new_work() {
+    let mut service = service(&view(3));
+    end_at(&mut service, 0, refused(ResultCode::Leaving), 1);
+    assert_eq!(run(&mut service, 2, 300, |_| WORKS)[0], 0);
+}
+
+#[test]
+fn a_service_whose_targets_all_leave_is_refused_as_not_run() {
+    let mut seen = view(2);
+    for target in &mut seen.targets {
+        target.leaving = true;
+    }
+    let refusal = pick_excluding(&mut service(&seen), &[], 1).expect_err("none is usable");
+    assert_eq!(refusal.code, ResultCode::NoTarget);
+    assert!(refusal.retry_after_ms.is_some());
+}
+
+/// Callers of a new target wait for its caches: it is empty, so every entry
+/// finds it the best and floods it in its first second.
+#[test]
+fn a_cold_target_gets_a_growing_share() {
+    let mut service = service(&view(2));
+    run(&mut service, 0, 100, |_| WORKS);
+    service.update(Arc::new(view(3)), Millis(20_000));
+    let early = run(&mut service, 20_000, 1_000, |_| WORKS)[2];
+    let middle = run(&mut service, 25_000, 1_000, |_| WORKS)[2];
+    let warm = run(&mut service, 31_000, 1_000, |_| WORKS)[2];
+    assert!((1..=60).contains(&early), "{early} of 1000 when cold");
+    assert!((60..=250).contains(&middle), "{middle} of 1000 half way");
+    assert!((270..=400).contains(&warm), "{warm} of 1000 when warm");
+}
+
+/// The cold ramp also holds under load, when the warm targets are far busier.
+#[test]
+fn a_cold_target_is_not_flooded_because_it_is_empty() {
+    let mut service = service(&view(2));
+    service.update(Arc::new(view(3)), Millis(20_000));
+    for _ in 0..224 {
+        pick(&mut service, 20_000);
+    }
+    let cold = service.in_flight(TargetIndex(2));
+    assert!((1..=12).contains(&cold), "{cold} of 224 at once");
+}
+
+/// A restarted target looks as slow and as broken as its former life did; and
+/// what its former life was asked for must not be held against the new one.
+#[test]
+fn a_new_incarnation_starts_afresh() {
+    let mut service = service(&view(3));
+    let old = pick(&mut service, 1);
+    let number = old.target.0 as usize;
+    let mut seen = view(3);
+    seen.targets[number].incarnation = Some(NEW_LIFE);
+    service.update(Arc::new(seen), Millis(20_000));
+    service.finish(&old, &ended(AttemptEnd::Unreachable), Millis(20_001));
+    assert_eq!(service.ejected_targets(), 0);
+    assert_eq!(service.in_flight(old.target), 0);
+    let share = run(&mut service, 20_002, 1_000, |_| WORKS)[number];
+    assert!((1..=60).contains(&share), "{share} of 1000 when cold again");
+}
+
+/// The control state lags: it names the old life after an answer came from the
+/// new one. A later life with a lower number, after the VM's clock went back,
+/// is known by both agreeing.
+#[test]
+fn the_life_that_answers_counts() {
+    let mut service = service(&view(3));
+    let renewed = LoadReport {
+        incarnation: NEW_LIFE,
+        ..report(0, 0, 5)
+    };
+    answer_with_load(&mut service, &renewed, 1);
+    service.update(Arc::new(view(3)), Millis(2));
+    assert_eq!(service.table.at(0).incarnation, Some(NEW_LIFE));
+    answer_with_load(&mut service, &report(0, 0, 5), 3);
+    assert_eq!(service.table.at(0).incarnation, Some(life(0)));
+}
+
+/// Sends a call every second millisecond for four seconds; target 0 takes
+/// `slow_ms`, the others 20 ms. Returns the calls by target.
+fn run_with_slow_target(slow_ms: u64, reported: bool) -> [u32; 3] {
+    let mut service = service(&view(3));
+    let mut open: Vec<(u64, Pick)> = Vec::new();
+    let mut counts = [0_u32; 3];
+    for now in 0..4_000 {
+        let (due, rest): (Vec<_>, Vec<_>) = open.into_iter().partition(|(at, _)| *at <= now);
+        open = rest;
+        for (_, pick) in due {
+            let mut outcome = ended(WORKS);
+            outcome.latency_us = (now - pick.started_at.0) as u32 * 1_000;
+            outcome.load = reported.then(|| report(pick.target.0 as usize, 1, now));
+            service.finish(&pick, &outcome, Millis(now));
+        }
+        if now % 2 == 0 {
+            let pick = pick(&mut service, now);
+            counts[pick.target.0 as usize] += 1;
+            let took_ms = if pick.target.0 == 0 { slow_ms } else { 20 };
+            open.push((now + took_ms, pick));
+        }
+    }
+    counts
+}
+
+/// A slow target holds its callers although it never fails: it answers, ten
+/// times slower than the others. The same holds when its gate does not see it,
+/// because the slowness lies between entry and gate.
+#[test]
+fn a_slow_target_gets_little_by_score_alone() {
+    for reported in [false, true] {
+        let counts = run_with_slow_target(200, reported);
+        assert!(counts[0] * 10 < counts[1], "{counts:?}");
+        assert!(counts[0] > 0, "{counts:?}");
+    }
+}
+
+/// A paused process keeps its connections and answers nothing, so neither an
+/// error nor a latency is seen until the first deadline passes.
+#[test]
+fn a_target_that_stalls_gets_little_before_anything_times_out() {
+    let counts = run_with_slow_target(60_000, true);
+    assert!(counts[0] <= 20, "{counts:?}");
+}
+
+/// A report on an answer shows this entry's own attempts too; counted twice,
+/// they would drive it away from the target that it uses most.
+#[test]
+fn own_attempts_are_not_counted_twice() {
+    let mut service = service(&view(3));
+    for _ in 0..4 {
+        service.pick_fixed(TargetIndex(0), Millis(1));
+    }
+    answer_with_load(&mut service, &report(0, 10, 2), 2);
+    let ratio = service.table.at(0).stats.others_ratio();
+    assert_eq!(ratio, Some(6.0 / 12.0));
+}
+
+/// A gate that refuses for overload is spared, but not ejected.
+#[test]
+fn a_refusal_for_overload_raises_the_load_and_is_no_failure() {
+    let mut service = service(&view(3));
+    run(&mut service, 0, 50, |_| WORKS);
+    let first = pick(&mut service, 50);
+    service.finish(&first, &ended(refused(ResultCode::Overloaded)), Millis(50));
+    let mut counts = [0; 3];
+    for _ in 0..20 {
+        let pick = pick(&mut service, 51);
+        counts[pick.target.0 as usize] += 1;
+        service.finish(&pick, &ended(WORKS), Millis(51));
+    }
+    assert_eq!(counts[first.target.0 as usize], 0, "{counts:?}");
+    for now in 52..100 {
+        end_at(
+            &mut service,
+            first.target.0,
+            refused(ResultCode::Overloaded),
+            now,
+        );
+    }
+    assert_eq!(service.ejected_targets(), 0);
+}
+
+#[test]
+fn a_near_target_is_preferred_until_it_is_busy() {
+    let mut seen = view(2);
+    seen.targets[1].distance_us = 5_000;
+    let mut service = service(&seen);
+    let mut counts = [0; 2];
+    for _ in 0..40 {
+        counts[pick(&mut service, 1).target.0 as usize] += 1;
+    }
+    assert!(counts[0] > counts[1] && counts[1] > 0, "{counts:?}");
+}
+
+/// Beyond a few targets two are drawn; none is starved and the excluded and
+/// leaving ones are never drawn.
+#[test]
+fn many_targets_share_evenly() {
+    let mut seen = view(500);
+    seen.targets[17].leaving = true;
+    let mut service = service(&seen);
+    let counts = run(&mut service, 0, 50_000, |_| WORKS);
+    assert_eq!(counts[17], 0);
+    let (least, most) = (counts[..500].iter().filter(|count| **count > 0))
+        .fold((u32::MAX, 0), |(least, most), count| {
+            (least.min(*count), most.max(*count))
+        });
+    assert!(least >= 50 && most <= 170, "{least} to {most}");
+    let tried = [TargetIndex(0), TargetIndex(1)];
+    for _ in 0..2_000 {
+        let pick = pick_excluding(&mut service, &tried, 60_000).expect("others are there");
+        assert!(!tried.contains(&pick.target));
+    }
+}
+
+#[test]
+fn an_index_stays_with_its_vm_and_is_reused_only_when_nothing_is_open() {
+    let mut service = service(&view(2));
+    let (index, _) = service.target_on(&VmId::new("vm-001")).expect("known");
+    let open = service.pick_fixed(index, Millis(1));
+    let mut seen = view(3);
+    seen.targets.remove(1);
+    service.update(Arc::new(seen.clone()), Millis(2));
+    assert!(service.target(index).is_none());
+    let (other, _) = service.target_on(&VmId::new("vm-002")).expect("known");
+    assert_ne!(other, index);
+    service.finish(&open, &ended(WORKS), Millis(3));
+    seen.targets.push(target_view(3));
+    service.update(Arc::new(seen), Millis(4));
+    let (reused, found) = service.target_on(&VmId::new("vm-003")).expect("known");
+    assert_eq!((reused, found.vm.as_str()), (index, "vm-003"));
+}
--- /dev/null
+++ b/crates/core/src/entry/tests/tickets.rs
@@ -0,0 +1,144 @@
+//! Which gate a ticket names.
+
+use super::*;
+
+fn known(targets: usize) -> ServiceView {
+    let mut seen = view(targets);
+    for number in 0..targets {
+        seen.targets[number].load = heard(number, 1, 100);
+    }
+    seen
+}
+
+fn gate_of(service: &mut EntryService, key: u128, now: u64) -> VmId {
+    let gate = service.ticket_gate(CallKey(key), Millis(now));
+    gate.expect("a gate is usable").vm
+}
+
+fn key(number: u32) -> u128 {
+    CallKey::from_parts("cashier", "hall-7", &number.to_string()).0
+}
+
+/// A citizen is charged twice: the kiosk lost its ticket, came back through
+/// another entry with the same key, and got a ticket for another gate.
+#[test]
+fn entries_whose_views_agree_name_the_same_gate() {
+    let seen = known(3);
+    let mut one = service(&seen);
+    let mut other = EntryService::new(&EntrySettings { seed: 99 }, Arc::new(seen), Millis(5));
+    run(&mut one, 0, 500, |_| WORKS);
+    let mut by_gate = std::collections::BTreeMap::new();
+    for number in 0..900 {
+        let gate = gate_of(&mut one, key(number), 500);
+        assert_eq!(gate, gate_of(&mut other, key(number), 9_000));
+        *by_gate.entry(gate).or_insert(0) += 1;
+    }
+    assert_eq!(by_gate.len(), 3);
+    assert!(
+        by_gate.values().all(|keys| (240..=360).contains(keys)),
+        "{by_gate:?}"
+    );
+}
+
+#[test]
+fn a_leaving_gate_moves_only_its_own_keys() {
+    let mut seen = known(4);
+    let mut before = service(&seen);
+    seen.targets[2].leaving = true;
+    let mut after = service(&seen);
+    for number in 0..400 {
+        let old = gate_of(&mut before, key(number), 200);
+        let new = gate_of(&mut after, key(number), 200);
+        assert_ne!(new.as_str(), "vm-002");
+        assert!(old == new || old.as_str() == "vm-002");
+    }
+}
+
+/// The gate refuses every ticket as expired, or keeps records for too short a
+/// time: the issuer added the time since the report, by its own clock.
+#[test]
+fn expiry_is_in_the_gates_clock_as_last_heard() {
+    let mut service = service(&known(1));
+    let first = service
+        .ticket_gate(CallKey(1), Millis(60_000))
+        .expect("usable");
+    assert_eq!(first.expires_at, Millis(100 + 120_000));
+    assert_eq!(first.incarnation, life(0));
+
+    for (clock_ms, expected) in [(5_000, 5_000), (3_000, 5_000), (6_000, 6_000)] {
+        answer_with_load(&mut service, &report(0, 0, clock_ms), 60_001);
+        let gate = service
+            .ticket_gate(CallKey(1), Millis(60_002))
+            .expect("usable");
+        assert_eq!(gate.expires_at, Millis(expected + 120_000));
+    }
+}
+
+/// A ticket for a life that is over can never run.
+#[test]
+fn a_new_life_is_named_once_it_was_heard() {
+    let mut seen = known(2);
+    let mut service = service(&seen);
+    seen.targets[0].incarnation = Some(NEW_LIFE);
+    service.update(Arc::new(seen.clone()), Millis(200));
+    for number in 0..50 {
+        assert_eq!(gate_of(&mut service, key(number), 200).as_str(), "vm-001");
+    }
+    let fresh = LoadReport {
+        incarnation: NEW_LIFE,
+        ..report(0, 0, 7)
+    };
+    seen.targets[0].load = Some(HeardLoad {
+        report: fresh,
+        heard_at: Millis(300),
+    });
+    service.update(Arc::new(seen), Millis(300));
+    let mut renewed = 0;
+    for number in 0..50 {
+        let gate = service
+            .ticket_gate(CallKey(key(number)), Millis(300))
+            .expect("usable");
+        if gate.vm.as_str() == "vm-000" {
+            assert_eq!(gate.incarnation, NEW_LIFE);
+            assert_eq!(gate.expires_at, Millis(7 + 120_000));
+            renewed += 1;
+        }
+    }
+    assert!(renewed > 0);
+}
+
+#[test]
+fn without_a_gate_whose_life_is_known_none_is_named() {
+    let mut seen = view(2);
+    seen.targets[0].incarnation = None;
+    seen.targets[1].leaving = true;
+    seen.targets[1].load = heard(1, 0, 100);
+    let refusal = service(&seen)
+        .ticket_gate(CallKey(1), Millis(1))
+        .expect_err("none is usable");
+    assert_eq!(refusal.code, ResultCode::NoTarget);
+}
+
+#[test]
+fn a_gate_far_over_its_limit_or_ejected_is_passed_over_while_others_are_there() {
+    let mut seen = known(2);
+    seen.targets[0].load = heard(0, 30, 100);
+    let mut over = service(&seen);
+    let mut ejected = service(&known(2));
+    end_at(&mut ejected, 0, AttemptEnd::Unreachable, 150);
+    for number in 0..50 {
+        assert_eq!(gate_of(&mut over, key(number), 200).as_str(), "vm-001");
+        assert_eq!(gate_of(&mut ejected, key(number), 200).as_str(), "vm-001");
+    }
+    let keys_of_first = |service: &mut EntryService, now| {
+        let is_first = |number: &u32| gate_of(service, key(*number), now).as_str() == "vm-000";
+        (0..50).filter(is_first).count()
+    };
+    assert!(
+        keys_of_first(&mut over, 9_000) > 10,
+        "the report is too old"
+    );
+    seen.targets[1].load = heard(1, 30, 100);
+    let mut all_over = service(&seen);
+    assert!(keys_of_first(&mut all_over, 200) > 10, "no gate is better");
+}
