--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -46,7 +46,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum OperatorsError {
     /// The address could not be bound.
-    #[error("operators_address {address} cannot be bound: {error}")]
+    #[error("operators_address {address} cannot be bound")]
     Bind {
         /// The address in the settings.
         address: SocketAddr,
