--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -1,7 +1,35 @@
 //! Control state: membership, configuration, dissemination, leaving.
+//!
+//! [`Control`] is one thread's worth of state: a blackboard whose sections
+//! controllers read and write, each with one matter of its own. The driver
+//! hands in events and a tick every 50 ms, and carries out the actions in
+//! their order. Nothing here waits, and no event does work that grows with the
+//! fleet: a node holds its own service, those it calls, and a constant number
+//! of peers.
+//!
+//! `docs/design/configuration.md` and `docs/design/membership.md` give the
+//! ways that were weighed, and figures.
 
+mod acceptance;
 mod api;
+mod board;
+mod config;
+mod dissemination;
+mod document;
+mod heartbeat;
+mod holders;
+mod joining;
+mod leaving;
+mod member;
+mod members;
+mod membership;
+mod probing;
+mod publishing;
+mod pulls;
+mod reading;
+mod rota;
 mod status;
+mod suspicion;
 
 pub use api::{
     CheckedText, ControlAction, ControlEvent, ControlSettings, PlatformRead, RequestId,
@@ -12,12 +40,33 @@
     RefusedText, ServiceStatus,
 };
 
+use std::net::SocketAddr;
+
+use hornbeamhitch_wire::control::{BulkAnswer, BulkRequest, Datagram};
+
 use crate::prelude::*;
+use acceptance::Acceptance;
+use board::{Board, Controller, Dirt, Input};
+use dissemination::Dissemination;
+use heartbeat::Heartbeats;
+use joining::Joining;
+use leaving::Leaving;
+use membership::Membership;
+use probing::Probing;
+use publishing::Publishing;
+use reading::Reading;
+use suspicion::Suspicion;
+
+#[cfg(test)]
+mod tests;
 
 /// The control half of one node.
 pub struct Control {
-    settings: ControlSettings,
+    board: Board,
+    controllers: Vec<Box<dyn Controller>>,
     checker: Box<dyn TextChecker + Send>,
+    /// The last text that this node itself refused; it is not checked again.
+    refused: Option<ConfigVersion>,
 }
 
 impl Control {
@@ -26,20 +75,212 @@
     pub fn new(
         settings: ControlSettings,
         checker: Box<dyn TextChecker + Send>,
-        _now: Millis,
+        now: Millis,
     ) -> Self {
-        Self { settings, checker }
+        let mut board = Board::new(settings, now);
+        board.soil(Dirt::Routes);
+        // The order matters: what is heard is taken in before start-up and
+        // reads are decided upon, and publishing comes last.
+        let controllers: Vec<Box<dyn Controller>> = vec![
+            Box::new(Membership::default()),
+            Box::new(Acceptance),
+            Box::new(Dissemination::new(now)),
+            Box::new(Joining::new(now)),
+            Box::new(Reading::default()),
+            Box::new(Heartbeats::new(now)),
+            Box::new(Leaving::default()),
+            Box::new(Suspicion),
+            Box::new(Probing::new(now)),
+            Box::new(Publishing::default()),
+        ];
+        Self {
+            board,
+            controllers,
+            checker,
+            refused: None,
+        }
     }
 
     /// Takes in an event and says what shall be done, in this order.
-    pub fn handle(&mut self, _event: ControlEvent, _now: Millis) -> Vec<ControlAction> {
-        let _ = (&self.settings, &self.checker);
-        Vec::new()
+    pub fn handle(&mut self, event: ControlEvent, now: Millis) -> Vec<ControlAction> {
+        // A clock that steps back must not make ages negative.
+        self.board.now = self.board.now.max(now);
+        if matches!(event, ControlEvent::Tick) {
+            for controller in &mut self.controllers {
+                controller.on_tick(&mut self.board);
+            }
+            return self.settle();
+        }
+        let Some(input) = self.read(event) else {
+            return Vec::new();
+        };
+        for controller in &mut self.controllers {
+            controller.on_input(&input, &mut self.board);
+        }
+        self.settle()
+    }
+
+    fn settle(&mut self) -> Vec<ControlAction> {
+        for controller in &mut self.controllers {
+            controller.on_settled(&mut self.board);
+        }
+        std::mem::take(&mut self.board.outbox)
+    }
+
+    /// Decodes and checks; `None` for what is dropped.
+    fn read(&mut self, event: ControlEvent) -> Option<Input> {
+        Some(match event {
+            ControlEvent::Tick => return None,
+            ControlEvent::Datagram { bytes, .. } => Input::Datagram(self.read_datagram(&bytes)?),
+            ControlEvent::TextRead { version, text } => self.check_text(version, &text),
+            ControlEvent::TextUnchanged => Input::Unchanged(PlatformRead::Text),
+            ControlEvent::VmsRead {
+                version,
+                service,
+                vms,
+            } => Input::Vms {
+                version,
+                service,
+                vms,
+            },
+            ControlEvent::VmsUnchanged => Input::Unchanged(PlatformRead::Vms),
+            ControlEvent::PlatformFailed(read) => Input::Failed(read),
+            ControlEvent::BulkRequested { request, message } => {
+                let message = self.read_request(&message)?;
+                Input::Request { request, message }
+            }
+            ControlEvent::BulkAnswered { peer, message } => self.read_answer(peer, &message),
+            ControlEvent::BulkFailed { peer } => Input::AnswerFailed(peer),
+            ControlEvent::GateLoad(load) => Input::GateLoad(load),
+            ControlEvent::TargetState { draining, .. } => Input::TargetState { draining },
+            ControlEvent::Heard { vm, load } => Input::Heard { vm, load },
+            ControlEvent::SentTo(service) => Input::SentTo(service),
+            ControlEvent::ReceivedFrom { control } => Input::ReceivedFrom(control),
+            ControlEvent::Interest(service) => Input::Interest(service),
+            ControlEvent::LeaveRequested => Input::LeaveRequested,
+            ControlEvent::Suspicion(entry) => Input::Suspicion(entry),
+        })
+    }
+
+    fn read_datagram(&mut self, bytes: &[u8]) -> Option<Datagram> {
+        let counters = &mut self.board.counters;
+        counters.datagrams_in += 1;
+        counters.datagram_bytes_in += bytes.len() as u64;
+        let Ok(datagram) = Datagram::decode(bytes) else {
+            counters.bad_messages += 1;
+            return None;
+        };
+        let from = &datagram.from;
+        self.is_current(&from.vm, from.incarnation)
+            .then_some(datagram)
+    }
+
+    fn read_request(&mut self, bytes: &[u8]) -> Option<BulkRequest> {
+        let counters = &mut self.board.counters;
+        counters.bulk_bytes_in += bytes.len() as u64;
+        let Ok(message) = BulkRequest::decode(bytes) else {
+            counters.bad_messages += 1;
+            return None;
+        };
+        let from = &message.from;
+        self.is_current(&from.vm, from.incarnation)
+            .then_some(message)
+    }
+
+    /// An answer that cannot be used frees its request like a failure.
+    fn read_answer(&mut self, peer: SocketAddr, bytes: &[u8]) -> Input {
+        let counters = &mut self.board.counters;
+        counters.bulk_bytes_in += bytes.len() as u64;
+        let Ok(message) = BulkAnswer::decode(bytes) else {
+            counters.bad_messages += 1;
+            return Input::AnswerFailed(peer);
+        };
+        if !self.is_current(&message.from.vm, message.from.incarnation) {
+            return Input::AnswerFailed(peer);
+        }
+        Input::Answer {
+            peer,
+            message: Box::new(message),
+        }
+    }
+
+    /// Whether a message is of its sender's latest known life.
+    ///
+    /// A paused process wakes and sends what it believed long ago; by then a
+    /// later life of its VM speaks, and the old word must change nothing.
+    fn is_current(&mut self, vm: &VmId, incarnation: Incarnation) -> bool {
+        let is_stale = self.board.members.is_stale(vm, incarnation)
+            || (*vm == self.board.settings.vm && incarnation <= self.board.settings.incarnation);
+        self.board.counters.stale_messages += u64::from(is_stale);
+        !is_stale
+    }
+
+    /// Checks a text only if it could be taken over.
+    fn check_text(&mut self, version: ConfigVersion, text: &str) -> Input {
+        let in_force = self.board.text_version();
+        let is_needed = version > in_force || (version == in_force && !self.board.text.is_whole());
+        if !is_needed || self.refused == Some(version) {
+            return Input::Text {
+                version,
+                checked: None,
+            };
+        }
+        let checked = self.checker.check(text);
+        if checked.is_err() {
+            self.refused = Some(version);
+        }
+        Input::Text {
+            version,
+            checked: Some(checked),
+        }
     }
 
     /// What operators see.
     #[must_use]
-    pub fn status(&self, _now: Millis) -> ControlStatus {
-        ControlStatus::default()
+    pub fn status(&self, now: Millis) -> ControlStatus {
+        let board = &self.board;
+        let mut services = Vec::new();
+        for service in board.held_services() {
+            services.push(status_of(board, service, now));
+        }
+        ControlStatus {
+            version: (board.text.version() > 0).then(|| board.text_version()),
+            refused: board.refused.clone(),
+            list_version: board.list_version(),
+            joined: board.joined,
+            leaving: board.takes_no_work(),
+            superseded: board.superseded,
+            whole: board.text.is_whole() && board.vms.is_whole(),
+            reading: board.reading,
+            readers: board.rota.status(),
+            platform: board.platform,
+            services,
+            sampled_peers: board.members.sample_size(),
+            suspects: board.suspects.len(),
+            counters: board.counters,
+        }
+    }
+}
+
+fn status_of(board: &Board, service: ServiceName, now: Millis) -> ServiceStatus {
+    let doubtful_after = board.members.doubtful_after(&service);
+    let mut members = Vec::new();
+    for member in board.members.iter() {
+        if member.service != service {
+            continue;
+        }
+        members.push(MemberStatus {
+            vm: member.vm.clone(),
+            data_centre: member.data_centre.clone(),
+            peer: member.peer,
+            incarnation: member.incarnation,
+            state: member.state(now, doubtful_after),
+            silent_ms: member.silent_ms(now),
+        });
+    }
+    ServiceStatus {
+        has_policy: board.config.policy(&service).is_some(),
+        service,
+        members,
     }
 }
--- a/crates/core/src/control/api.rs
+++ b/crates/core/src/control/api.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use hornbeamhitch_wire::control::{ListVersion, ListedVm, SuspectNote};
+use hornbeamhitch_wire::control::{ListVersion, ListedVm};
 use thiserror::Error;
 
 use crate::prelude::*;
+use crate::suspects::SuspectEntry;
 
 /// What a node knows about itself at start.
 #[derive(Clone, Debug)]
@@ -151,7 +152,7 @@
     /// The process was told to shut down gracefully.
     LeaveRequested,
     /// The own gate holds something against a request.
-    Suspicion(SuspectNote),
+    Suspicion(SuspectEntry),
 }
 
 /// What the driver shall do.
--- /dev/null
+++ b/crates/core/src/control/dissemination.rs
@@ -0,0 +1,347 @@
+//! How versions spread from node to node.
+//!
+//! A node that goes up to a newer version announces it at once to a constant
+//! number of peers, and heartbeats repeat the news to whoever missed it. Who
+//! hears of a version that touches none of its slices goes up by the change
+//! note alone; the others pull the slices by bulk, from a peer of their own
+//! service if they can, since such peers hold the same slices, and from a
+//! reader if they must. So the work of a change follows the nodes that it
+//! concerns.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use hornbeamhitch_wire::control::{
+    BulkAnswer, BulkRequest, ChangeNote, Datagram, DatagramBody, KnownVersions, Reply, SliceName,
+    encode_slice,
+};
+use rand::RngExt;
+use rand::seq::IndexedRandom;
+
+use super::api::{ControlAction, RequestId};
+use super::board::{Board, Controller, Input};
+use super::config::is_valid_slice;
+use super::document::Applied;
+use super::members::Recipient;
+use super::pulls::Pull;
+use crate::budget::TokenBucket;
+use crate::prelude::*;
+
+/// Peers to whom a newer version is announced at once.
+const FAN_OUT: usize = 4;
+/// Change notes of each document in one datagram.
+pub(super) const NOTES_TOLD: usize = 4;
+/// A peer that could not help is passed over for this long.
+const PASSED_OVER_FOR: Millis = Millis::from_secs(2);
+/// Pause after a pull that brought nothing; doubles up to the limit.
+const FIRST_PAUSE: Millis = Millis(50);
+const MAX_PAUSE: Millis = Millis::from_secs(5);
+/// Bulk requests answered a second, and at once. It bounds what a reader
+/// spends on others when everybody needs the same slice; those turned away
+/// ask a peer that has been served.
+const ANSWERS_PER_S: f64 = 40.0;
+const ANSWER_BURST: u32 = 80;
+/// Peers named to a node that joins.
+const MEMBERS_FOR_JOINER: usize = 16;
+
+/// What this node lacks.
+#[derive(Clone, Copy, Debug, Default)]
+struct Needs {
+    text_behind: bool,
+    vms_behind: bool,
+    /// A slice is wanted that is not held.
+    slices: bool,
+    /// This node reads the platform and holds only part.
+    whole: bool,
+}
+
+impl Needs {
+    fn of(board: &Board) -> Self {
+        let highest = board.holders.highest(board.now);
+        let text = &board.text;
+        let vms = &board.vms;
+        let text_slice = text.version() > 0
+            && !text.is_whole()
+            && board
+                .wanted_text()
+                .iter()
+                .any(|name| text.slice(name).is_none());
+        let vms_slice = !vms.is_whole()
+            && board
+                .wanted_vms()
+                .iter()
+                .any(|name| vms.slice(name).is_none());
+        Self {
+            text_behind: highest.text > board.text_version(),
+            vms_behind: highest.vms > board.list_version(),
+            slices: text_slice || vms_slice,
+            whole: board.reading && !(text.is_whole() && vms.is_whole()),
+        }
+    }
+
+    const fn any(self) -> bool {
+        self.text_behind || self.vms_behind || self.slices || self.whole
+    }
+}
+
+/// How well a peer suits, the best last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Fit {
+    /// Another service; it may hold the right slices by chance.
+    Other,
+    /// A reader whose versions are not known.
+    Reader,
+    /// It fits.
+    Good,
+}
+
+/// The controller of dissemination.
+#[derive(Debug)]
+pub(super) struct Dissemination {
+    announced: KnownVersions,
+    next_pull_at: Millis,
+    fruitless: u32,
+    passed_over: BTreeMap<SocketAddr, Millis>,
+    answers: TokenBucket,
+}
+
+impl Dissemination {
+    /// Has announced nothing.
+    pub(super) fn new(now: Millis) -> Self {
+        Self {
+            announced: KnownVersions::default(),
+            next_pull_at: Millis::ZERO,
+            fruitless: 0,
+            passed_over: BTreeMap::new(),
+            answers: TokenBucket::new(ANSWERS_PER_S, ANSWER_BURST, now),
+        }
+    }
+
+    fn hear(board: &mut Board, datagram: &Datagram) {
+        board.holders.hear(datagram, board.now);
+        let (text_notes, vms_notes): (&[ChangeNote], &[ChangeNote]) = match &datagram.body {
+            DatagramBody::Heartbeat(heartbeat) => {
+                board.hear_refused(heartbeat.refused.as_ref());
+                (&heartbeat.text_notes, &heartbeat.vms_notes)
+            }
+            DatagramBody::Announce {
+                text_notes,
+                vms_notes,
+            } => (text_notes, vms_notes),
+            _ => return,
+        };
+        if board.text.advance(text_notes) {
+            board.refresh_config();
+        }
+        board.vms.advance(vms_notes);
+    }
+
+    fn answer(&mut self, board: &mut Board, request: RequestId, message: &BulkRequest) {
+        if !self.answers.try_take(board.now) {
+            return;
+        }
+        let is_near = message.from.data_centre == board.settings.data_centre;
+        let is_joining = message.text.version == 0;
+        let now = board.now;
+        let answer = BulkAnswer {
+            from: board.sender(),
+            known: board.known_versions(),
+            text: board.text.reply(&message.text),
+            vms: board.vms.reply(&message.vms),
+            readers: if is_near {
+                board.reader_notes()
+            } else {
+                Vec::new()
+            },
+            refused: board.refused_note(),
+            members: if is_joining {
+                let rng = &mut board.rng;
+                board.members.any_notes(MEMBERS_FOR_JOINER, rng, now)
+            } else {
+                Vec::new()
+            },
+        };
+        let message = answer.encode();
+        board.counters.bulk_answers += 1;
+        board.counters.bulk_bytes_out += message.len() as u64;
+        board
+            .outbox
+            .push(ControlAction::BulkAnswer { request, message });
+    }
+
+    fn take_answer(&mut self, board: &mut Board, peer: SocketAddr, answer: &BulkAnswer) {
+        board.holders.hear_answer(answer, board.now);
+        board.hear_refused(answer.refused.as_ref());
+        let Some(pull) = board.pulls.take(peer) else {
+            return;
+        };
+        let replies = [&answer.text, &answer.vms];
+        if replies.iter().any(|reply| !is_valid_reply(reply)) {
+            board.counters.bad_messages += 1;
+            self.fruitless_pull(board, peer);
+            return;
+        }
+        let text = Self::take_text(board, &pull, &answer.text);
+        let vms = Self::take_vms(board, &pull, &answer.vms);
+        if text == Applied::Advanced || vms == Applied::Advanced {
+            self.fruitless = 0;
+            self.next_pull_at = board.now;
+        }
+        let was_useless = [text, vms].contains(&Applied::Unusable);
+        if was_useless || (text != Applied::Advanced && vms != Applied::Advanced) {
+            self.fruitless_pull(board, peer);
+        }
+    }
+
+    fn take_text(board: &mut Board, pull: &Pull, reply: &Reply) -> Applied {
+        let applied = board.text.apply(&pull.text, pull.text_edits, reply.clone());
+        if applied == Applied::Advanced {
+            board.refresh_config();
+        }
+        applied
+    }
+
+    fn take_vms(board: &mut Board, pull: &Pull, reply: &Reply) -> Applied {
+        let applied = board.vms.apply(&pull.vms, pull.vms_edits, reply.clone());
+        let is_current = reply.version == board.vms.version();
+        if !is_current || applied == Applied::Unusable {
+            return applied;
+        }
+        for name in &reply.gone {
+            if let SliceName::Members(service) = name {
+                let empty = encode_slice(&Vec::<ServiceName>::new());
+                board
+                    .vms
+                    .hold_empty(&SliceName::Members(service.clone()), empty);
+            }
+        }
+        applied
+    }
+
+    fn fruitless_pull(&mut self, board: &mut Board, peer: SocketAddr) {
+        self.passed_over.insert(peer, board.now + PASSED_OVER_FOR);
+        let pause = (FIRST_PAUSE.0 << self.fruitless.min(10)).min(MAX_PAUSE.0);
+        let jitter = board.rng.random_range(pause / 2..=pause);
+        self.next_pull_at = board.now + Millis(jitter);
+        self.fruitless = self.fruitless.saturating_add(1);
+    }
+
+    fn pull_if_needed(&mut self, board: &mut Board) {
+        if !board.pulls.is_empty() || board.now < self.next_pull_at {
+            return;
+        }
+        let needs = Needs::of(board);
+        if !needs.any() {
+            self.fruitless = 0;
+            return;
+        }
+        let now = board.now;
+        self.passed_over.retain(|_, until| *until > now);
+        let Some(peer) = self.choose_peer(board, needs) else {
+            return;
+        };
+        board.pull(peer, board.reading);
+    }
+
+    /// The peer that suits best, at random among equals.
+    fn choose_peer(&self, board: &mut Board, needs: Needs) -> Option<SocketAddr> {
+        let mut ranked: BTreeMap<Fit, Vec<SocketAddr>> = BTreeMap::new();
+        for holder in board.holders.usable(board.now) {
+            if holder.control == board.settings.control {
+                continue;
+            }
+            let known = holder.known;
+            let helps_text = needs.text_behind && known.text > board.text_version();
+            let helps_vms = needs.vms_behind && known.vms > board.list_version();
+            let is_level = known.text >= board.text_version() && known.vms >= board.list_version();
+            let is_whole = known.text_whole && known.vms_whole;
+            let is_kin = holder.service.as_ref() == Some(&board.settings.service);
+            let fit = match () {
+                () if needs.whole && is_whole && is_level => Fit::Good,
+                () if needs.whole && !needs.text_behind && !needs.vms_behind => continue,
+                () if needs.slices && is_level && (is_whole || is_kin) => Fit::Good,
+                () if (helps_text || helps_vms) && (is_whole || is_kin) => Fit::Good,
+                () if helps_text || helps_vms => Fit::Other,
+                () => continue,
+            };
+            ranked.entry(fit).or_default().push(holder.control);
+        }
+        ranked.insert(Fit::Reader, board.rota.whole_holders());
+        for peers in ranked.values_mut().rev() {
+            peers.retain(|peer| !self.passed_over.contains_key(peer));
+            if let Some(peer) = peers.choose(&mut board.rng) {
+                return Some(*peer);
+            }
+        }
+        None
+    }
+
+    fn announce(&mut self, board: &mut Board) {
+        let known = board.known_versions();
+        let is_news = known.text > self.announced.text || known.vms > self.announced.vms;
+        let had_some = self.announced.text.0 > 0 || board.joined;
+        self.announced = known;
+        if !is_news || !had_some {
+            return;
+        }
+        for recipient in announce_to(board) {
+            let body = DatagramBody::Announce {
+                text_notes: board.text.latest_notes(NOTES_TOLD),
+                vms_notes: board.vms.latest_notes(NOTES_TOLD),
+            };
+            board.send(recipient.control, body);
+        }
+    }
+}
+
+/// Peers of the own service, one near and one far, so that news crosses
+/// services and data centres on its first hops.
+fn announce_to(board: &mut Board) -> Vec<Recipient> {
+    let service = board.settings.service.clone();
+    let data_centre = board.settings.data_centre.clone();
+    let rng = &mut board.rng;
+    let members = &board.members;
+    let mut chosen = members.choose(rng, 1, |member| {
+        member.service != service && member.data_centre == data_centre
+    });
+    chosen.extend(members.choose(rng, 1, |member| member.data_centre != data_centre));
+    let rest = FAN_OUT - chosen.len();
+    let taken: Vec<SocketAddr> = chosen.iter().map(|recipient| recipient.control).collect();
+    chosen.extend(members.choose(rng, rest, |member| {
+        member.service == service && !taken.contains(&member.control)
+    }));
+    chosen
+}
+
+fn is_valid_reply(reply: &Reply) -> bool {
+    reply.slices.iter().all(is_valid_slice)
+}
+
+impl Controller for Dissemination {
+    fn on_input(&mut self, input: &Input, board: &mut Board) {
+        match input {
+            Input::Datagram(datagram) => Self::hear(board, datagram),
+            Input::Request { request, message } => self.answer(board, *request, message),
+            Input::Answer { peer, message } => self.take_answer(board, *peer, message),
+            Input::AnswerFailed(peer) => {
+                board.pulls.take(*peer);
+                self.fruitless_pull(board, *peer);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_tick(&mut self, board: &mut Board) {
+        for peer in board.pulls.expire(board.now) {
+            self.fruitless_pull(board, peer);
+        }
+        board.drop_idle_interests();
+    }
+
+    fn on_settled(&mut self, board: &mut Board) {
+        if board.joined {
+            self.pull_if_needed(board);
+        }
+        self.announce(board);
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/document.rs
@@ -0,0 +1,368 @@
+//! A versioned document of which a node holds only the slices it needs.
+//!
+//! The configuration and the VM list are both such documents. The one rule
+//! that everything here serves: the version held never goes down, and all
+//! slices held belong to the version held.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use hornbeamhitch_wire::control::{
+    Ask, ChangeNote, Reply, SliceBytes, SliceClaim, SliceName, digest_of,
+};
+
+/// Change notes kept to be told on.
+const KEPT_NOTES: usize = 8;
+/// A change of more slices gets no note; others then ask for what changed.
+const MAX_CHANGED_IN_NOTE: usize = 12;
+
+/// The content of one slice.
+#[derive(Clone, Debug)]
+pub(super) struct Slice {
+    /// Digest of `bytes`.
+    pub(super) digest: u64,
+    /// Content as `postcard` encodes it.
+    pub(super) bytes: Arc<[u8]>,
+}
+
+/// What became of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Applied {
+    /// Versions or slices were taken over.
+    Advanced,
+    /// It brought nothing new.
+    Nothing,
+    /// It belongs to a version below the one held.
+    Older,
+    /// A slice that is held was missing from it, or what is held has changed
+    /// since the question; nothing was taken over.
+    Unusable,
+}
+
+/// One document as this node holds it.
+#[derive(Debug, Default)]
+pub(super) struct Document {
+    version: u64,
+    slices: BTreeMap<SliceName, Slice>,
+    whole: bool,
+    notes: VecDeque<ChangeNote>,
+    /// Goes up with each change of slices, so that an answer to a question
+    /// about earlier content is recognised.
+    edits: u64,
+}
+
+impl Slice {
+    fn new(bytes: Vec<u8>) -> Self {
+        Self {
+            digest: digest_of(&bytes),
+            bytes: Arc::from(bytes),
+        }
+    }
+}
+
+impl Document {
+    /// The version held; zero for none.
+    pub(super) const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Whether every slice that exists is held.
+    pub(super) const fn is_whole(&self) -> bool {
+        self.whole
+    }
+
+    /// Counts changes of content.
+    pub(super) const fn edits(&self) -> u64 {
+        self.edits
+    }
+
+    /// One slice, if it is held.
+    pub(super) fn slice(&self, name: &SliceName) -> Option<&Slice> {
+        self.slices.get(name)
+    }
+
+    /// All slices held, by name.
+    pub(super) fn slices(&self) -> impl Iterator<Item = (&SliceName, &Slice)> {
+        self.slices.iter()
+    }
+
+    /// The latest change notes, oldest first.
+    pub(super) fn latest_notes(&self, limit: usize) -> Vec<ChangeNote> {
+        let skip = self.notes.len().saturating_sub(limit);
+        self.notes.iter().skip(skip).cloned().collect()
+    }
+
+    /// Takes over a whole document from the platform; false when it is older
+    /// than what is held, or holds nothing that is not held already.
+    pub(super) fn replace(&mut self, version: u64, content: Vec<SliceBytes>) -> bool {
+        if version < self.version || (version == self.version && self.whole) {
+            return false;
+        }
+        let mut slices = BTreeMap::new();
+        for part in content {
+            slices.insert(part.name, Slice::new(part.bytes));
+        }
+        if self.whole {
+            let changed = changed_names(&self.slices, &slices);
+            self.note_change(version, changed);
+        }
+        self.slices = slices;
+        self.version = version;
+        self.whole = true;
+        self.edits += 1;
+        true
+    }
+
+    /// Takes over a single slice from the platform, which only a node that
+    /// holds nothing else may do: slices of two versions must not mix.
+    pub(super) fn replace_only(&mut self, version: u64, part: SliceBytes) -> bool {
+        let holds_others = self.slices.keys().any(|held| *held != part.name);
+        if version <= self.version || holds_others || self.whole {
+            return false;
+        }
+        self.slices.insert(part.name, Slice::new(part.bytes));
+        self.version = version;
+        self.edits += 1;
+        true
+    }
+
+    /// Goes up by notes that touch no slice held; true when the version rose.
+    ///
+    /// A node that holds the whole document must learn of added slices, which
+    /// a note does not carry, so for it only an empty note is enough.
+    pub(super) fn advance(&mut self, notes: &[ChangeNote]) -> bool {
+        let before = self.version;
+        for note in notes {
+            self.keep_note(note);
+            if note.previous != self.version || note.version <= self.version || self.version == 0 {
+                continue;
+            }
+            if self.is_touched_by(note) {
+                continue;
+            }
+            self.version = note.version;
+        }
+        self.version > before
+    }
+
+    fn is_touched_by(&self, note: &ChangeNote) -> bool {
+        if self.whole {
+            return !note.changed.is_empty();
+        }
+        for name in self.slices.keys() {
+            if note.changed.contains(&name.hash()) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// The question that brings this node up to date.
+    pub(super) fn ask(&self, wanted: &BTreeSet<SliceName>, everything: bool) -> Ask {
+        let mut claims = Vec::new();
+        for (name, slice) in &self.slices {
+            claims.push(SliceClaim {
+                name: name.clone(),
+                digest: Some(slice.digest),
+            });
+        }
+        for name in wanted {
+            if self.slices.contains_key(name) {
+                continue;
+            }
+            claims.push(SliceClaim {
+                name: name.clone(),
+                digest: None,
+            });
+        }
+        Ask {
+            version: self.version,
+            claims,
+            everything,
+        }
+    }
+
+    /// Answers a peer's question.
+    pub(super) fn reply(&self, ask: &Ask) -> Reply {
+        let mut reply = Reply {
+            version: self.version,
+            ..Reply::default()
+        };
+        if self.version == 0 || self.version < ask.version {
+            return reply;
+        }
+        let mut claimed = BTreeSet::new();
+        for claim in &ask.claims {
+            claimed.insert(&claim.name);
+            let Some(slice) = self.slices.get(&claim.name) else {
+                let list = if self.whole {
+                    &mut reply.gone
+                } else {
+                    &mut reply.missing
+                };
+                list.push(claim.name.clone());
+                continue;
+            };
+            if claim.digest == Some(slice.digest) {
+                continue;
+            }
+            reply.slices.push(slice_bytes(&claim.name, slice));
+        }
+        reply.notes = self.latest_notes(KEPT_NOTES);
+        if !ask.everything || !self.whole {
+            return reply;
+        }
+        for (name, slice) in &self.slices {
+            if claimed.contains(name) {
+                continue;
+            }
+            reply.slices.push(slice_bytes(name, slice));
+        }
+        reply.whole = true;
+        reply
+    }
+
+    /// Takes over a peer's answer to `ask`, which was put at `asked_at_edits`.
+    pub(super) fn apply(&mut self, ask: &Ask, asked_at_edits: u64, reply: Reply) -> Applied {
+        if reply.version == 0 || reply.version < self.version {
+            return Applied::Older;
+        }
+        if asked_at_edits != self.edits {
+            return Applied::Unusable;
+        }
+        if reply.version == self.version {
+            return self.fill(reply);
+        }
+        for claim in &ask.claims {
+            if claim.digest.is_some() && reply.missing.contains(&claim.name) {
+                return Applied::Unusable;
+            }
+        }
+        let mut slices = self.slices.clone();
+        for part in reply.slices {
+            slices.insert(part.name, Slice::new(part.bytes));
+        }
+        for name in &reply.gone {
+            slices.remove(name);
+        }
+        for note in &reply.notes {
+            self.keep_note(note);
+        }
+        if self.whole && reply.whole {
+            let changed = changed_names(&self.slices, &slices);
+            self.note_change(reply.version, changed);
+        }
+        self.slices = slices;
+        self.version = reply.version;
+        self.whole = reply.whole;
+        self.edits += 1;
+        Applied::Advanced
+    }
+
+    /// Adds slices of the version held.
+    fn fill(&mut self, reply: Reply) -> Applied {
+        let mut changed = false;
+        for part in reply.slices {
+            if self.slices.contains_key(&part.name) {
+                continue;
+            }
+            self.slices.insert(part.name, Slice::new(part.bytes));
+            changed = true;
+        }
+        if reply.whole && !self.whole {
+            self.whole = true;
+            changed = true;
+        }
+        if !changed {
+            return Applied::Nothing;
+        }
+        self.edits += 1;
+        Applied::Advanced
+    }
+
+    /// Holds a slice that is known not to exist as an empty one, so that a
+    /// note which brings it into being is not missed.
+    pub(super) fn hold_empty(&mut self, name: &SliceName, empty: Vec<u8>) {
+        if self.whole || self.slices.contains_key(name) {
+            return;
+        }
+        self.slices.insert(name.clone(), Slice::new(empty));
+        self.edits += 1;
+    }
+
+    /// Forgets slices that are not wanted.
+    pub(super) fn retain(&mut self, wanted: &BTreeSet<SliceName>) {
+        let before = self.slices.len();
+        self.slices.retain(|name, _| wanted.contains(name));
+        if self.slices.len() == before && !self.whole {
+            return;
+        }
+        self.whole = false;
+        self.edits += 1;
+    }
+
+    fn note_change(&mut self, version: u64, changed: Vec<u64>) {
+        if changed.len() > MAX_CHANGED_IN_NOTE || version == self.version {
+            return;
+        }
+        let note = ChangeNote {
+            version,
+            previous: self.version,
+            changed,
+        };
+        self.keep_note(&note);
+    }
+
+    /// Keeps a note in the order of versions, the latest ones only.
+    fn keep_note(&mut self, note: &ChangeNote) {
+        if note.previous >= note.version || note.changed.len() > MAX_CHANGED_IN_NOTE {
+            return;
+        }
+        let key = (note.version, note.previous);
+        let mut place = self.notes.len();
+        for (index, kept) in self.notes.iter().enumerate() {
+            let kept_key = (kept.version, kept.previous);
+            if kept_key == key {
+                return;
+            }
+            if kept_key > key {
+                place = index;
+                break;
+            }
+        }
+        self.notes.insert(place, note.clone());
+        if self.notes.len() > KEPT_NOTES {
+            self.notes.pop_front();
+        }
+    }
+}
+
+fn slice_bytes(name: &SliceName, slice: &Slice) -> SliceBytes {
+    SliceBytes {
+        name: name.clone(),
+        bytes: slice.bytes.to_vec(),
+    }
+}
+
+/// Hashes of the names whose content differs between two whole documents.
+fn changed_names(
+    before: &BTreeMap<SliceName, Slice>,
+    after: &BTreeMap<SliceName, Slice>,
+) -> Vec<u64> {
+    let mut changed = Vec::new();
+    for (name, slice) in after {
+        if before
+            .get(name)
+            .is_some_and(|old| old.digest == slice.digest)
+        {
+            continue;
+        }
+        changed.push(name.hash());
+    }
+    for name in before.keys() {
+        if !after.contains_key(name) {
+            changed.push(name.hash());
+        }
+    }
+    changed
+}
--- /dev/null
+++ b/crates/core/src/control/heartbeat.rs
@@ -0,0 +1,177 @@
+//! Regular messages to a constant number of peers.
+//!
+//! Three go to the own service, two to other services near by, one to another
+//! data centre, and one to a service that this node calls, which is asked to
+//! answer: nobody there would send to this node of its own accord.
+
+use hornbeamhitch_wire::control::{DatagramBody, Heartbeat};
+use rand::RngExt;
+
+use super::board::{Board, Controller, Input};
+use super::dissemination::NOTES_TOLD;
+use super::members::Recipient;
+use crate::budget::TokenBucket;
+use crate::prelude::*;
+
+/// Mean time between two rounds.
+const EVERY: Millis = Millis::from_secs(1);
+/// Spread to either side, so that rounds of many nodes do not coincide.
+const JITTER: Millis = Millis(200);
+/// A new node speaks more often for some seconds, so that it and its peers
+/// know of each other before any of them takes itself for a reader.
+const WARM_UP: Millis = Millis::from_secs(5);
+const WARM_UP_SHARE: u64 = 4;
+/// Receivers a round.
+const TO_OWN_SERVICE: usize = 3;
+const TO_NEAR: usize = 2;
+const TO_FAR: usize = 1;
+const TO_DEPENDENCY: usize = 1;
+/// Statements about members in one heartbeat.
+const MEMBERS_TOLD: usize = 6;
+/// Suspects in one heartbeat.
+const SUSPECTS_TOLD: usize = 4;
+/// Heartbeats answered a second, and at once: many services may depend on one.
+const REPLIES_PER_S: f64 = 3.0;
+const REPLY_BURST: u32 = 6;
+/// With fewer peers than this heard of, near ones are asked to answer as well.
+const FEW_PEERS: usize = 4;
+/// A peer heard of within this time counts as heard.
+const HEARD_WITHIN: Millis = Millis::from_secs(5);
+
+/// The controller of heartbeats.
+#[derive(Debug)]
+pub(super) struct Heartbeats {
+    started_at: Millis,
+    next_at: Millis,
+    replies: TokenBucket,
+}
+
+impl Heartbeats {
+    /// The first round is due at once.
+    pub(super) fn new(now: Millis) -> Self {
+        Self {
+            started_at: now,
+            next_at: now,
+            replies: TokenBucket::new(REPLIES_PER_S, REPLY_BURST, now),
+        }
+    }
+
+    fn round(board: &mut Board) {
+        let service = board.settings.service.clone();
+        let data_centre = board.settings.data_centre.clone();
+        let rng = &mut board.rng;
+        let members = &board.members;
+        let kin = members.choose(rng, TO_OWN_SERVICE, |member| member.service == service);
+        let near = members.choose(rng, TO_NEAR, |member| {
+            member.service != service && member.data_centre == data_centre
+        });
+        let far = members.choose(rng, TO_FAR, |member| member.data_centre != data_centre);
+        let dependencies = members.choose(rng, TO_DEPENDENCY, |member| {
+            member.service != service && members.holds(&member.service)
+        });
+        let is_lonely = Self::heard_peers(board) < FEW_PEERS;
+        let mut sent_to = Vec::new();
+        let groups = [
+            (kin, is_lonely),
+            (near, is_lonely),
+            (far, is_lonely),
+            (dependencies, true),
+        ];
+        for (recipients, wants_reply) in groups {
+            for recipient in recipients {
+                if sent_to.contains(&recipient.control) {
+                    continue;
+                }
+                sent_to.push(recipient.control);
+                Self::send(board, &recipient, wants_reply);
+            }
+        }
+        if sent_to.is_empty() {
+            Self::call_seeds(board);
+        }
+    }
+
+    fn heard_peers(board: &Board) -> usize {
+        let mut count = 0;
+        for member in board.members.iter() {
+            count += usize::from(member.is_fresh(board.now, HEARD_WITHIN));
+        }
+        count
+    }
+
+    fn call_seeds(board: &mut Board) {
+        for control in board.settings.seeds.clone() {
+            if control == board.settings.control {
+                continue;
+            }
+            let recipient = Recipient {
+                control,
+                service: board.settings.service.clone(),
+                data_centre: board.settings.data_centre.clone(),
+            };
+            Self::send(board, &recipient, true);
+        }
+    }
+
+    fn send(board: &mut Board, to: &Recipient, wants_reply: bool) {
+        let is_near = to.data_centre == board.settings.data_centre;
+        let is_kin = to.service == board.settings.service;
+        let now = board.now;
+        let rng = &mut board.rng;
+        let members = board.members.notes_for(&to.service, MEMBERS_TOLD, rng, now);
+        let heartbeat = Heartbeat {
+            wants_reply,
+            text_notes: board.text.latest_notes(NOTES_TOLD),
+            vms_notes: board.vms.latest_notes(NOTES_TOLD),
+            readers: if is_near {
+                board.reader_notes()
+            } else {
+                Vec::new()
+            },
+            suspects: if is_kin {
+                super::suspicion::youngest(&board.suspects, SUSPECTS_TOLD, now)
+            } else {
+                Vec::new()
+            },
+            refused: board.refused_note(),
+            members,
+        };
+        board.send(to.control, DatagramBody::Heartbeat(heartbeat));
+    }
+}
+
+impl Controller for Heartbeats {
+    fn on_input(&mut self, input: &Input, board: &mut Board) {
+        let Input::Datagram(datagram) = input else {
+            return;
+        };
+        let DatagramBody::Heartbeat(heartbeat) = &datagram.body else {
+            return;
+        };
+        if !heartbeat.wants_reply || !self.replies.try_take(board.now) {
+            return;
+        }
+        // The asker depends on this node's service, or knows few peers: either
+        // way it wants to hear of this node's own service.
+        let to = Recipient {
+            control: datagram.from.control,
+            service: board.settings.service.clone(),
+            data_centre: datagram.from.data_centre.clone(),
+        };
+        Self::send(board, &to, false);
+    }
+
+    fn on_tick(&mut self, board: &mut Board) {
+        if board.now < self.next_at {
+            return;
+        }
+        let shortest = EVERY.minus(JITTER).0;
+        let longest = (EVERY + JITTER).0;
+        let mut pause = board.rng.random_range(shortest..=longest);
+        if board.now.since(self.started_at) < WARM_UP {
+            pause /= WARM_UP_SHARE;
+        }
+        self.next_at = board.now + Millis(pause);
+        Self::round(board);
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/holders.rs
@@ -0,0 +1,100 @@
+//! Who was heard lately to hold which versions: the peers to pull from.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use hornbeamhitch_wire::control::{BulkAnswer, Datagram, KnownVersions};
+
+use crate::prelude::*;
+
+/// Peers remembered; the longest silent gives way.
+const MAX_HOLDERS: usize = 64;
+/// Silence after which a peer is no longer asked.
+const HOLDER_SILENT_AFTER: Millis = Millis::from_secs(20);
+
+/// One peer with what it holds.
+#[derive(Clone, Debug)]
+pub(super) struct Holder {
+    pub(super) control: SocketAddr,
+    pub(super) service: Option<ServiceName>,
+    pub(super) known: KnownVersions,
+    incarnation: Incarnation,
+    heard_at: Millis,
+}
+
+/// The peers heard lately.
+#[derive(Debug, Default)]
+pub(super) struct Holders {
+    by_address: BTreeMap<SocketAddr, Holder>,
+}
+
+impl Holders {
+    /// Takes in what the sender of a datagram says it holds.
+    pub(super) fn hear(&mut self, datagram: &Datagram, now: Millis) {
+        let from = &datagram.from;
+        self.put(Holder {
+            control: from.control,
+            service: Some(from.service.clone()),
+            known: datagram.known,
+            incarnation: from.incarnation,
+            heard_at: now,
+        });
+    }
+
+    /// Takes in what the sender of an answer says it holds.
+    pub(super) fn hear_answer(&mut self, answer: &BulkAnswer, now: Millis) {
+        self.put(Holder {
+            control: answer.from.control,
+            service: None,
+            known: answer.known,
+            incarnation: answer.from.incarnation,
+            heard_at: now,
+        });
+    }
+
+    /// The versions of one life only go up, so that a datagram that comes late
+    /// takes nothing back; another life at the address starts anew.
+    fn put(&mut self, heard: Holder) {
+        let Some(holder) = self.by_address.get_mut(&heard.control) else {
+            self.make_room();
+            self.by_address.insert(heard.control, heard);
+            return;
+        };
+        let is_late = holder.incarnation == heard.incarnation
+            && (heard.known.text < holder.known.text || heard.known.vms < holder.known.vms);
+        let service = heard.service.or(holder.service.take());
+        holder.service = service;
+        holder.heard_at = heard.heard_at;
+        holder.incarnation = heard.incarnation;
+        if !is_late {
+            holder.known = heard.known;
+        }
+    }
+
+    fn make_room(&mut self) {
+        if self.by_address.len() < MAX_HOLDERS {
+            return;
+        }
+        let silent = self.by_address.values().min_by_key(|other| other.heard_at);
+        if let Some(victim) = silent.map(|other| other.control) {
+            self.by_address.remove(&victim);
+        }
+    }
+
+    /// Peers that may be asked now.
+    pub(super) fn usable(&self, now: Millis) -> impl Iterator<Item = &Holder> {
+        self.by_address
+            .values()
+            .filter(move |holder| now.since(holder.heard_at) <= HOLDER_SILENT_AFTER)
+    }
+
+    /// The highest versions that peers hold by their own account.
+    pub(super) fn highest(&self, now: Millis) -> KnownVersions {
+        let mut highest = KnownVersions::default();
+        for holder in self.usable(now) {
+            highest.text = highest.text.max(holder.known.text);
+            highest.vms = highest.vms.max(holder.known.vms);
+        }
+        highest
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/joining.rs
@@ -0,0 +1,202 @@
+//! Start-up: a new node asks its peers before it trusts the platform.
+//!
+//! The failure: the platform serves an old text for hours, a node starts, and
+//! would put that text in force while all others follow a newer one. So the
+//! platform is at first only asked for names of peers (its VM list); the text
+//! is read there only after peers have said that they have none, or nobody has
+//! answered for a bounded time. Should the text that is then read be old, the
+//! node still goes up to a newer version as soon as it hears of one.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use hornbeamhitch_wire::control::ListVersion;
+use rand::RngExt;
+
+use super::api::PlatformRead;
+use super::board::{Board, Controller, Input};
+use crate::prelude::*;
+
+/// Peers asked at the same time.
+const ASK_AT_ONCE: usize = 3;
+/// Peers asked in all, in each of the two rounds.
+const MAX_ASKED: usize = 6;
+/// A peer that has not answered for this long gets company.
+const PATIENCE: Millis = Millis(400);
+/// Longest time that a round may take once a peer is known.
+const ROUND: Millis = Millis(1_500);
+/// Pause after a failed read of the VM list; doubles up to the limit.
+const FIRST_BACKOFF: Millis = Millis(250);
+const MAX_BACKOFF: Millis = Millis::from_secs(5);
+
+/// Whom the node turns to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Round {
+    /// Seeds and members of the own service.
+    OwnService,
+    /// Any node: nobody of the own service has answered, as when the service
+    /// is new.
+    Anyone,
+}
+
+/// The controller of start-up.
+#[derive(Debug)]
+pub(super) struct Joining {
+    round: Round,
+    /// When the first peer to ask in this round was known.
+    round_started_at: Option<Millis>,
+    asked: BTreeSet<SocketAddr>,
+    last_asked_at: Millis,
+    answered: usize,
+    failed: usize,
+    /// The VM list was read in this round.
+    list_read: bool,
+    list_in_flight: bool,
+    read_list_at: Millis,
+    list_failures: u32,
+}
+
+impl Joining {
+    /// Nothing asked yet.
+    pub(super) fn new(now: Millis) -> Self {
+        Self {
+            round: Round::OwnService,
+            round_started_at: None,
+            asked: BTreeSet::new(),
+            last_asked_at: Millis::ZERO,
+            answered: 0,
+            failed: 0,
+            list_read: false,
+            list_in_flight: false,
+            read_list_at: now,
+            list_failures: 0,
+        }
+    }
+
+    fn read_list(&mut self, board: &mut Board) {
+        if self.list_read || self.list_in_flight || board.now < self.read_list_at {
+            return;
+        }
+        let service = match self.round {
+            Round::OwnService => Some(board.settings.service.clone()),
+            Round::Anyone => None,
+        };
+        self.list_in_flight = true;
+        board.read_vms(service, ListVersion(0), Millis::ZERO);
+    }
+
+    fn list_failed(&mut self, board: &mut Board) {
+        self.list_in_flight = false;
+        let backoff = FIRST_BACKOFF.0 << self.list_failures.min(8);
+        let backoff = backoff.min(MAX_BACKOFF.0);
+        let spread = board.rng.random_range(backoff / 2..=backoff);
+        self.read_list_at = board.now + Millis(spread);
+        self.list_failures += 1;
+    }
+
+    /// Peers that were not asked yet, those to be preferred first.
+    fn unasked(&self, board: &mut Board) -> Vec<SocketAddr> {
+        let mut found = board.settings.seeds.clone();
+        let own_service = board.settings.service.clone();
+        let own_data_centre = board.settings.data_centre.clone();
+        let rng = &mut board.rng;
+        let members = &board.members;
+        let of_service = members.choose(rng, MAX_ASKED, |member| member.service == own_service);
+        let nearby = members.choose(rng, MAX_ASKED, |member| {
+            member.service != own_service && member.data_centre == own_data_centre
+        });
+        let others = members.choose(rng, MAX_ASKED, |member| {
+            member.service != own_service && member.data_centre != own_data_centre
+        });
+        for recipient in of_service.into_iter().chain(nearby).chain(others) {
+            found.push(recipient.control);
+        }
+        let own = board.settings.control;
+        found.retain(|address| *address != own && !self.asked.contains(address));
+        found
+    }
+
+    /// Peers asked that have not answered yet.
+    fn open(&self) -> usize {
+        self.asked.len().saturating_sub(self.answered + self.failed)
+    }
+
+    fn ask_peers(&mut self, board: &mut Board) {
+        let open = self.open();
+        let is_patient = open > 0 && board.now.since(self.last_asked_at) < PATIENCE;
+        if is_patient || self.asked.len() >= MAX_ASKED {
+            return;
+        }
+        let mut unasked = self.unasked(board);
+        unasked.truncate(ASK_AT_ONCE);
+        for address in unasked {
+            self.round_started_at.get_or_insert(board.now);
+            self.asked.insert(address);
+            self.last_asked_at = board.now;
+            board.pull(address, false);
+        }
+    }
+
+    /// Whether all has been asked that this round allows.
+    fn is_round_over(&self, board: &mut Board) -> bool {
+        if let Some(started_at) = self.round_started_at
+            && board.now.since(started_at) >= ROUND
+        {
+            return true;
+        }
+        let open = self.open();
+        if open > 0 {
+            return false;
+        }
+        if self.asked.len() >= MAX_ASKED {
+            return true;
+        }
+        self.list_read && self.unasked(board).is_empty()
+    }
+
+    fn end_round(&mut self, board: &mut Board) {
+        if self.round == Round::Anyone || self.answered > 0 {
+            board.joined = true;
+            return;
+        }
+        *self = Self::new(board.now);
+        self.round = Round::Anyone;
+    }
+
+    fn step(&mut self, board: &mut Board) {
+        if board.joined {
+            return;
+        }
+        if board.text.version() > 0 {
+            board.joined = true;
+            return;
+        }
+        self.read_list(board);
+        self.ask_peers(board);
+        if self.is_round_over(board) {
+            self.end_round(board);
+        }
+    }
+}
+
+impl Controller for Joining {
+    fn on_input(&mut self, input: &Input, board: &mut Board) {
+        if board.joined {
+            return;
+        }
+        match input {
+            Input::Vms { .. } | Input::Unchanged(PlatformRead::Vms) => {
+                self.list_in_flight = false;
+                self.list_read = true;
+            }
+            Input::Failed(PlatformRead::Vms) => self.list_failed(board),
+            Input::Answer { peer, .. } if self.asked.contains(peer) => self.answered += 1,
+            Input::AnswerFailed(peer) if self.asked.contains(peer) => self.failed += 1,
+            _ => {}
+        }
+    }
+
+    fn on_settled(&mut self, board: &mut Board) {
+        self.step(board);
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/members.rs
@@ -0,0 +1,393 @@
+//! The blackboard's section of peers: members of the services held, and a
+//! bounded sample of others through which news crosses services and data
+//! centres.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use hornbeamhitch_wire::control::{ListVersion, ListedVm, MemberDigest, MemberNote};
+use rand::rngs::Xoshiro256PlusPlus;
+use rand::seq::SliceRandom;
+
+use super::member::{Member, News};
+use crate::prelude::*;
+
+/// Peers of the own data centre kept beside the services held.
+pub(super) const MAX_LOCAL_SAMPLE: usize = 32;
+/// Peers of other data centres kept beside the services held.
+pub(super) const MAX_REMOTE_SAMPLE: usize = 16;
+/// Silence after which a member of a small service is doubtful.
+const DOUBTFUL_AFTER: Millis = Millis::from_secs(5);
+/// Members are heard of in turn: each adds to the silence that is usual.
+const DOUBTFUL_AFTER_PER_MEMBER: Millis = Millis(250);
+/// Silence that lets a member go which a newer VM list no longer names.
+const GONE_AFTER: Millis = Millis::from_secs(10);
+/// Silence that makes a sampled peer give way to a fresh one.
+const SAMPLE_SILENT_AFTER: Millis = Millis::from_secs(20);
+/// Age above which a statement is not passed on.
+const PASS_ON_WITHIN: Millis = Millis::from_secs(20);
+/// How long a change comes before other statements in heartbeats.
+const CHANGE_IS_NEWS: Millis = Millis::from_secs(5);
+
+/// All peers known.
+#[derive(Debug)]
+pub(super) struct Members {
+    own: VmId,
+    own_data_centre: DataCentre,
+    by_vm: BTreeMap<VmId, Member>,
+    held: BTreeSet<ServiceName>,
+    /// Strangers that spoke while the sample was full.
+    turned_away: usize,
+}
+
+impl Members {
+    /// Knows nobody yet; holds the members of its own service.
+    pub(super) fn new(own: VmId, own_data_centre: DataCentre, service: ServiceName) -> Self {
+        Self {
+            own,
+            own_data_centre,
+            by_vm: BTreeMap::new(),
+            held: BTreeSet::from([service]),
+            turned_away: 0,
+        }
+    }
+
+    /// All peers, by VM.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.by_vm.values()
+    }
+
+    /// Peers that speak for themselves and are not known to be replaced.
+    pub(super) fn reachable(&self) -> impl Iterator<Item = &Member> {
+        self.by_vm.values().filter(|member| !member.superseded)
+    }
+
+    /// One peer, to be changed.
+    pub(super) fn get_mut(&mut self, vm: &VmId) -> Option<&mut Member> {
+        self.by_vm.get_mut(vm)
+    }
+
+    /// Whether a message comes from an earlier life than the one known.
+    pub(super) fn is_stale(&self, vm: &VmId, incarnation: Incarnation) -> bool {
+        let known = self.by_vm.get(vm).and_then(|member| member.incarnation);
+        known.is_some_and(|life| incarnation < life)
+    }
+
+    /// Sets the services of which every member is kept.
+    pub(super) fn hold(&mut self, services: &[ServiceName]) {
+        self.held = services.iter().cloned().collect();
+        self.trim_sample();
+    }
+
+    /// Whether all members of a service are kept.
+    pub(super) fn holds(&self, service: &ServiceName) -> bool {
+        self.held.contains(service)
+    }
+
+    /// Silence after which a member of a service counts as doubtful.
+    ///
+    /// Statements about the members of a large service come round more
+    /// slowly, because a node hears of a constant number a second.
+    pub(super) fn doubtful_after(&self, service: &ServiceName) -> Millis {
+        let mut size = 0;
+        for member in self.by_vm.values() {
+            if member.service == *service {
+                size += 1;
+            }
+        }
+        DOUBTFUL_AFTER.max(Millis(size * DOUBTFUL_AFTER_PER_MEMBER.0))
+    }
+
+    /// Takes in a statement that is `age_ms` old.
+    pub(super) fn hear(
+        &mut self,
+        digest: &MemberDigest,
+        age_ms: Millis,
+        version: ListVersion,
+        now: Millis,
+    ) -> News {
+        if digest.vm == self.own {
+            return News::Nothing;
+        }
+        let said_at = now.minus(age_ms);
+        if let Some(member) = self.by_vm.get_mut(&digest.vm) {
+            let news = member.hear(digest, said_at, now);
+            if news == News::Change {
+                self.settle_address(digest.control);
+            }
+            return news;
+        }
+        let is_held = self.holds(&digest.service);
+        if !is_held && age_ms > SAMPLE_SILENT_AFTER {
+            return News::Nothing;
+        }
+        let has_room = is_held || self.make_room(&digest.data_centre, now);
+        if !has_room && !self.give_turn(digest, age_ms) {
+            return News::Nothing;
+        }
+        let mut member = Member::from_digest(digest, version, now);
+        member.hear(digest, said_at, now);
+        self.by_vm.insert(digest.vm.clone(), member);
+        self.settle_address(digest.control);
+        News::Change
+    }
+
+    /// Two processes cannot share an address, so only the latest life there
+    /// counts.
+    ///
+    /// Without this, a VM that was replaced at its address would stay a target
+    /// until the lagging VM list drops it, and its calls would reach a gate
+    /// that refuses them.
+    fn settle_address(&mut self, control: SocketAddr) {
+        let mut latest = None;
+        for member in self.by_vm.values() {
+            if member.control == control {
+                latest = latest.max(member.incarnation);
+            }
+        }
+        for member in self.by_vm.values_mut() {
+            if member.control == control {
+                member.superseded = member.incarnation < latest;
+            }
+        }
+    }
+
+    /// Takes in the VM list of one service; true when something changed.
+    pub(super) fn list(
+        &mut self,
+        service: &ServiceName,
+        entries: &[ListedVm],
+        version: ListVersion,
+        now: Millis,
+    ) -> bool {
+        let mut changed = false;
+        let mut named = BTreeSet::new();
+        for entry in entries {
+            named.insert(&entry.vm);
+            if entry.vm == self.own {
+                continue;
+            }
+            if let Some(member) = self.by_vm.get_mut(&entry.vm) {
+                changed |= member.list(entry, version, now);
+                continue;
+            }
+            let member = Member::from_list(entry, version, now);
+            self.by_vm.insert(entry.vm.clone(), member);
+            changed = true;
+        }
+        for member in self.by_vm.values_mut() {
+            if member.service == *service && !named.contains(&member.vm) {
+                member.listed = false;
+            }
+        }
+        changed
+    }
+
+    /// Adds some of a whole VM list to the sample.
+    pub(super) fn list_sample(&mut self, entry: &ListedVm, version: ListVersion, now: Millis) {
+        if entry.vm == self.own || self.by_vm.contains_key(&entry.vm) {
+            return;
+        }
+        if !self.make_room(&entry.data_centre, now) {
+            return;
+        }
+        let mut member = Member::from_list(entry, version, now);
+        member.listed = false;
+        self.by_vm.insert(entry.vm.clone(), member);
+    }
+
+    /// Lets go of members that a newer VM list no longer names and that have
+    /// fallen silent; true when any went.
+    ///
+    /// Either sign alone is not enough: a partition silences members that are
+    /// alive, and the VM list lags behind members that are new.
+    pub(super) fn remove_gone(&mut self, version: ListVersion, now: Millis) -> bool {
+        let before = self.by_vm.len();
+        let held = &self.held;
+        self.by_vm.retain(|_, member| {
+            let is_named = member.listed || member.known_at_list >= version;
+            !held.contains(&member.service) || is_named || member.is_fresh(now, GONE_AFTER)
+        });
+        self.by_vm.len() != before
+    }
+
+    /// Chooses up to `count` peers at random.
+    pub(super) fn choose(
+        &self,
+        rng: &mut Xoshiro256PlusPlus,
+        count: usize,
+        fits: impl Fn(&Member) -> bool,
+    ) -> Vec<Recipient> {
+        let mut found = Vec::new();
+        for member in self.reachable() {
+            if fits(member) {
+                found.push(Recipient::of(member));
+            }
+        }
+        let (chosen, _) = found.partial_shuffle(rng, count);
+        chosen.to_vec()
+    }
+
+    /// Statements for a peer of `service`: changes first, then any.
+    pub(super) fn notes_for(
+        &self,
+        service: &ServiceName,
+        count: usize,
+        rng: &mut Xoshiro256PlusPlus,
+        now: Millis,
+    ) -> Vec<MemberNote> {
+        let mut news = Vec::new();
+        let mut rest = Vec::new();
+        let mut others = Vec::new();
+        for member in self.reachable() {
+            if !member.is_fresh(now, PASS_ON_WITHIN) {
+                continue;
+            }
+            let list = if member.service != *service {
+                &mut others
+            } else if now.since(member.changed_at) <= CHANGE_IS_NEWS {
+                &mut news
+            } else {
+                &mut rest
+            };
+            list.push(member);
+        }
+        let mut notes = Vec::new();
+        for list in [&mut news, &mut rest, &mut others] {
+            let wanted = count.saturating_sub(notes.len());
+            let (chosen, _) = list.partial_shuffle(rng, wanted);
+            for member in chosen {
+                let (Some(digest), Some(age_ms)) = (member.digest(), member.silent_ms(now)) else {
+                    continue;
+                };
+                notes.push(MemberNote { digest, age_ms });
+            }
+        }
+        notes
+    }
+
+    /// Statements for a node that joins: any, so that it knows peers beyond its
+    /// service.
+    pub(super) fn any_notes(
+        &self,
+        count: usize,
+        rng: &mut Xoshiro256PlusPlus,
+        now: Millis,
+    ) -> Vec<MemberNote> {
+        self.notes_for(&ServiceName::new(""), count, rng, now)
+    }
+
+    /// Peers kept beside the services held.
+    pub(super) fn sample_size(&self) -> usize {
+        let mut size = 0;
+        for member in self.by_vm.values() {
+            if !self.holds(&member.service) {
+                size += 1;
+            }
+        }
+        size
+    }
+
+    /// Makes room in the sample; false when all its places hold fresh peers.
+    fn make_room(&mut self, data_centre: &DataCentre, now: Millis) -> bool {
+        let is_local = *data_centre == self.own_data_centre;
+        let limit = sample_limit(is_local);
+        let mut size = 0;
+        let mut silent: Option<&Member> = None;
+        for member in self.by_vm.values() {
+            let is_local_too = member.data_centre == self.own_data_centre;
+            if self.holds(&member.service) || is_local_too != is_local {
+                continue;
+            }
+            size += 1;
+            if member.is_fresh(now, SAMPLE_SILENT_AFTER) {
+                continue;
+            }
+            if silent.is_none_or(|other| member.heard_at < other.heard_at) {
+                silent = Some(member);
+            }
+        }
+        if size < limit {
+            return true;
+        }
+        let Some(victim) = silent.map(|member| member.vm.clone()) else {
+            return false;
+        };
+        self.by_vm.remove(&victim);
+        true
+    }
+
+    /// Lets every eighth stranger that speaks take a place in a full sample.
+    ///
+    /// A node whose service has no other member is sent nothing by anyone who
+    /// does not sample it; were samples to stay as they are, it would be deaf.
+    fn give_turn(&mut self, digest: &MemberDigest, age_ms: Millis) -> bool {
+        const TURNS: usize = 8;
+        if age_ms > Millis::ZERO {
+            return false;
+        }
+        self.turned_away += 1;
+        if !self.turned_away.is_multiple_of(TURNS) {
+            return false;
+        }
+        let is_local = digest.data_centre == self.own_data_centre;
+        let mut places = Vec::new();
+        for member in self.by_vm.values() {
+            let is_local_too = member.data_centre == self.own_data_centre;
+            if !self.holds(&member.service) && is_local_too == is_local {
+                places.push(&member.vm);
+            }
+        }
+        let turn = self.turned_away / TURNS;
+        let Some(victim) = places.get(turn % places.len().max(1)).copied().cloned() else {
+            return false;
+        };
+        self.by_vm.remove(&victim);
+        true
+    }
+
+    /// Brings the sample back to its limits after a service was let go.
+    fn trim_sample(&mut self) {
+        let mut room = [MAX_REMOTE_SAMPLE, MAX_LOCAL_SAMPLE];
+        let held = &self.held;
+        let own = &self.own_data_centre;
+        self.by_vm.retain(|_, member| {
+            if held.contains(&member.service) {
+                return true;
+            }
+            let places = &mut room[usize::from(member.data_centre == *own)];
+            let stays = *places > 0;
+            *places = places.saturating_sub(1);
+            stays
+        });
+    }
+}
+
+/// A peer to whom something is sent.
+#[derive(Clone, Debug)]
+pub(super) struct Recipient {
+    /// Its address for control messages.
+    pub(super) control: SocketAddr,
+    /// Its service.
+    pub(super) service: ServiceName,
+    /// Where it stands.
+    pub(super) data_centre: DataCentre,
+}
+
+impl Recipient {
+    fn of(member: &Member) -> Self {
+        Self {
+            control: member.control,
+            service: member.service.clone(),
+            data_centre: member.data_centre.clone(),
+        }
+    }
+}
+
+const fn sample_limit(is_local: bool) -> usize {
+    if is_local {
+        MAX_LOCAL_SAMPLE
+    } else {
+        MAX_REMOTE_SAMPLE
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/probing.rs
@@ -0,0 +1,161 @@
+//! Probes of gates, within the measuring budget of the text.
+//!
+//! Only a target that this node may soon send to, and of which nothing recent
+//! is known, is worth a probe. The probe goes to the gate, which knows its
+//! target's load exactly; the target itself is never asked.
+
+use std::collections::BTreeMap;
+
+use hornbeamhitch_wire::control::DatagramBody;
+use rand::RngExt;
+
+use super::board::{Board, Controller, Input};
+use crate::budget::TokenBucket;
+use crate::prelude::*;
+
+/// A service is sent to as long as the last call is no older than this.
+const IN_USE_FOR: Millis = Millis::from_secs(10);
+/// What is older than this is not recent.
+const RECENT: Millis = Millis::from_secs(3);
+/// The same gate is not probed again within this time.
+const PROBED_EVERY: Millis = Millis::from_secs(3);
+/// How often probes are considered.
+const LOOK_EVERY: Millis = Millis(200);
+/// Probes answered a second, and at once.
+const REPLIES_PER_S: f64 = 50.0;
+const REPLY_BURST: u32 = 100;
+
+/// One service that is sent to.
+#[derive(Debug)]
+struct InUse {
+    used_at: Millis,
+    budget: Option<TokenBucket>,
+}
+
+/// The controller of probes.
+#[derive(Debug)]
+pub(super) struct Probing {
+    in_use: BTreeMap<ServiceName, InUse>,
+    looked_at: Millis,
+    replies: TokenBucket,
+}
+
+impl Probing {
+    /// No service is sent to yet.
+    pub(super) fn new(now: Millis) -> Self {
+        Self {
+            in_use: BTreeMap::new(),
+            looked_at: Millis::ZERO,
+            replies: TokenBucket::new(REPLIES_PER_S, REPLY_BURST, now),
+        }
+    }
+
+    fn note_use(&mut self, service: &ServiceName, now: Millis) {
+        if let Some(known) = self.in_use.get_mut(service) {
+            known.used_at = now;
+            return;
+        }
+        let known = InUse {
+            used_at: now,
+            budget: None,
+        };
+        self.in_use.insert(service.clone(), known);
+    }
+
+    /// The budget outlives short idle times, so that coming and going of calls
+    /// never refills it.
+    fn forget_unheld(&mut self, board: &Board) {
+        let held = board.held_services();
+        self.in_use.retain(|service, _| held.contains(service));
+    }
+
+    fn probe_service(known: &mut InUse, board: &mut Board, service: &ServiceName) {
+        let Some(policy) = board.config.policy(service) else {
+            return;
+        };
+        let now = board.now;
+        let rate = policy.budgets.probes_per_s;
+        let burst = policy.budgets.probe_burst;
+        let budget = known
+            .budget
+            .get_or_insert_with(|| TokenBucket::new(rate, burst, now));
+        budget.set_rate(rate, burst, now);
+        if now.since(known.used_at) > IN_USE_FOR {
+            return;
+        }
+        for vm in unknown_targets(board, service) {
+            if !budget.try_take(now) {
+                board.counters.probes_withheld += 1;
+                return;
+            }
+            send_probe(board, &vm);
+        }
+    }
+
+    fn answer(&mut self, input: &Input, board: &mut Board) {
+        let Input::Datagram(datagram) = input else {
+            return;
+        };
+        let DatagramBody::Probe { nonce } = datagram.body else {
+            return;
+        };
+        if !self.replies.try_take(board.now) {
+            return;
+        }
+        board.counters.probes_answered += 1;
+        let body = DatagramBody::ProbeReply { nonce };
+        board.send(datagram.from.control, body);
+    }
+}
+
+/// Targets of which nothing recent is known, the longest silent first.
+fn unknown_targets(board: &Board, service: &ServiceName) -> Vec<VmId> {
+    let now = board.now;
+    let mut found = Vec::new();
+    for member in board.members.reachable() {
+        if member.service != *service || member.leaving() || member.is_fresh(now, RECENT) {
+            continue;
+        }
+        if member
+            .probed_at
+            .is_some_and(|at| now.since(at) < PROBED_EVERY)
+        {
+            continue;
+        }
+        found.push((member.heard_at.max(member.probed_at), member.vm.clone()));
+    }
+    found.sort();
+    found.into_iter().map(|(_, vm)| vm).collect()
+}
+
+fn send_probe(board: &mut Board, vm: &VmId) {
+    let now = board.now;
+    let nonce = board.rng.random();
+    let Some(member) = board.members.get_mut(vm) else {
+        return;
+    };
+    member.probed_at = Some(now);
+    let control = member.control;
+    board.counters.probes_sent += 1;
+    board.send(control, DatagramBody::Probe { nonce });
+}
+
+impl Controller for Probing {
+    fn on_input(&mut self, input: &Input, board: &mut Board) {
+        match input {
+            Input::SentTo(service) => self.note_use(service, board.now),
+            _ => self.answer(input, board),
+        }
+    }
+
+    fn on_tick(&mut self, board: &mut Board) {
+        if board.now.since(self.looked_at) < LOOK_EVERY {
+            return;
+        }
+        self.looked_at = board.now;
+        self.forget_unheld(board);
+        for (service, known) in &mut self.in_use {
+            Self::probe_service(known, board, service);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/publishing.rs
@@ -0,0 +1,148 @@
+//! The route table that traffic reads, rebuilt when something has changed.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::api::ControlAction;
+use super::board::{Board, Controller, Dirt};
+use super::member::Member;
+use super::status::MemberState;
+use crate::prelude::*;
+use crate::suspects::SuspectSet;
+use crate::view::HeardLoad;
+
+/// Load alone is published no more often than this: reports on answers reach
+/// entries directly, and are newer.
+const LOADS_EVERY: Millis = Millis(100);
+
+/// The controller of publishing.
+#[derive(Debug, Default)]
+pub(super) struct Publishing {
+    published_at: Millis,
+    services: BTreeMap<ServiceName, Arc<ServiceView>>,
+    suspects: Arc<SuspectSet>,
+    /// A change that waits for its time.
+    waiting: Dirt,
+}
+
+impl Publishing {
+    fn publish(&mut self, board: &mut Board) {
+        let mut services = BTreeMap::new();
+        for service in board.held_services() {
+            let Some(policy) = board.config.policy(&service) else {
+                continue;
+            };
+            let view = ServiceView {
+                policy: Arc::clone(policy),
+                targets: targets(board, &service),
+            };
+            // An unchanged view keeps its place in memory, so that traffic can
+            // tell by the pointer that there is nothing to take over.
+            let view = match self.services.get(&service) {
+                Some(old) if **old == view => Arc::clone(old),
+                _ => Arc::new(view),
+            };
+            services.insert(service, view);
+        }
+        let suspects = board.suspects.snapshot();
+        if *self.suspects != suspects {
+            self.suspects = Arc::new(suspects);
+        }
+        let table = RouteTable {
+            version: (board.text.version() > 0).then(|| board.text_version()),
+            deployment: board.config.deployment(),
+            services: services.clone(),
+            service_names: board.config.names(),
+            suspects: Arc::clone(&self.suspects),
+        };
+        self.services = services;
+        self.published_at = board.now;
+        board.counters.tables_published += 1;
+        board.outbox.push(ControlAction::Publish(Arc::new(table)));
+    }
+}
+
+impl Controller for Publishing {
+    fn on_settled(&mut self, board: &mut Board) {
+        self.waiting = self.waiting.max(std::mem::take(&mut board.dirt));
+        let is_due = match self.waiting {
+            Dirt::Clean => false,
+            Dirt::Loads => board.now.since(self.published_at) >= LOADS_EVERY,
+            Dirt::Routes => true,
+        };
+        if !is_due {
+            return;
+        }
+        self.waiting = Dirt::Clean;
+        self.publish(board);
+    }
+}
+
+fn targets(board: &Board, service: &ServiceName) -> Vec<TargetView> {
+    let doubtful_after = board.members.doubtful_after(service);
+    let deployment = board.config.deployment();
+    let mut targets = Vec::new();
+    if *service == board.settings.service {
+        targets.push(own_target(board));
+    }
+    for member in board.members.reachable() {
+        if member.service != *service {
+            continue;
+        }
+        let distance_us = distance_us(
+            &deployment,
+            &board.settings.data_centre,
+            &member.data_centre,
+        );
+        let state = member.state(board.now, doubtful_after);
+        targets.push(target(member, state, distance_us));
+    }
+    targets.sort_by(|left, right| left.vm.cmp(&right.vm));
+    targets
+}
+
+fn target(member: &Member, state: MemberState, distance_us: u32) -> TargetView {
+    TargetView {
+        vm: member.vm.clone(),
+        data_centre: member.data_centre.clone(),
+        peer: member.peer,
+        incarnation: member.incarnation,
+        distance_us,
+        leaving: state == MemberState::Leaving,
+        doubtful: state == MemberState::Doubtful,
+        load: member.load,
+    }
+}
+
+fn own_target(board: &Board) -> TargetView {
+    let load = board.own_load.map(|report| HeardLoad {
+        report,
+        heard_at: board.now,
+    });
+    TargetView {
+        vm: board.settings.vm.clone(),
+        data_centre: board.settings.data_centre.clone(),
+        peer: board.settings.peer,
+        incarnation: Some(board.settings.incarnation),
+        distance_us: 0,
+        leaving: board.takes_no_work(),
+        doubtful: false,
+        load,
+    }
+}
+
+/// One-way time between two data centres; within one it counts as none unless
+/// the text says otherwise.
+fn distance_us(deployment: &DeploymentPolicy, from: &DataCentre, to: &DataCentre) -> u32 {
+    for distance in &deployment.distances {
+        let is_forth = distance.from == *from && distance.to == *to;
+        let is_back = distance.from == *to && distance.to == *from;
+        if is_forth || is_back {
+            return distance.one_way_us;
+        }
+    }
+    if from == to {
+        return 0;
+    }
+    deployment.default_distance_us
+}
--- /dev/null
+++ b/crates/core/src/control/reading.rs
@@ -0,0 +1,261 @@
+//! Reads of the platform by the nodes on the rota.
+
+use hornbeamhitch_wire::control::{DatagramBody, ListVersion};
+use rand::RngExt;
+
+use super::api::PlatformRead;
+use super::board::{Board, Controller, Input};
+use super::status::PlatformState;
+use crate::prelude::*;
+
+/// How long the platform may hold a read until something changes.
+const WATCH: Millis = Millis::from_secs(30);
+/// A read that has not ended by then counts as failed.
+const READ_TIMEOUT: Millis = Millis::from_secs(40);
+/// Pause after a failed read; doubles up to the limit, with jitter.
+const FIRST_BACKOFF: Millis = Millis(250);
+const MAX_BACKOFF: Millis = Millis::from_secs(5);
+/// Pause after a watch that ended at once, so that a platform which does not
+/// wait is not asked without pause.
+const PAUSE_AFTER_SHORT_WATCH: Millis = Millis::from_secs(1);
+/// Failures in a row after which others shall take over.
+const FAILURES_TO_TELL: u32 = 2;
+/// A platform that is behind what peers hold for this long counts as stale.
+const STALE_AFTER: Millis = Millis::from_secs(10);
+/// A node starts to read after it was elected for this long, and a random
+/// part of the same again: at a cold start every node elects itself until it
+/// has heard of the others.
+const ELECTED_FOR: Millis = Millis(1_500);
+/// A reader stops after others were elected for this long.
+const DESELECTED_FOR: Millis = Millis::from_secs(5);
+/// What a reader held for others is let go this long after it stopped.
+const KEEP_WHOLE_FOR: Millis = Millis::from_secs(30);
+/// How often unused slices are looked for.
+const PRUNE_EVERY: Millis = Millis::from_secs(10);
+
+/// One of the two things read.
+#[derive(Debug, Default)]
+struct Watch {
+    /// The newest version that the platform itself has shown to this node.
+    /// Reads ask for what is above it, not above what is in force, so that a
+    /// stale platform is recognised.
+    shown: u64,
+    sent_at: Option<Millis>,
+    next_at: Millis,
+    failures: u32,
+}
+
+impl Watch {
+    /// Begins anew; a read still on its way is waited for, so that there is
+    /// never a second one.
+    fn restart(&mut self) {
+        self.shown = 0;
+        self.failures = 0;
+        self.next_at = Millis::ZERO;
+    }
+
+    fn is_due(&self, now: Millis) -> bool {
+        self.sent_at.is_none() && now >= self.next_at
+    }
+
+    fn brought(&mut self, version: u64, now: Millis) {
+        let is_new = version > self.shown;
+        self.shown = self.shown.max(version);
+        self.ended_well(is_new, now);
+    }
+
+    fn ended_well(&mut self, is_new: bool, now: Millis) {
+        let sent_at = self.sent_at.take();
+        self.failures = 0;
+        let was_short = sent_at.is_some_and(|at| now.since(at) < PAUSE_AFTER_SHORT_WATCH);
+        self.next_at = if was_short && !is_new {
+            now + PAUSE_AFTER_SHORT_WATCH
+        } else {
+            now
+        };
+    }
+
+    fn failed(&mut self, jitter: f64, now: Millis) {
+        self.sent_at = None;
+        let backoff = FIRST_BACKOFF.0 << self.failures.min(8);
+        let backoff = backoff.min(MAX_BACKOFF.0) as f64;
+        self.next_at = now + Millis((backoff * jitter) as u64);
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    fn is_overdue(&self, now: Millis) -> bool {
+        self.sent_at.is_some_and(|at| now.since(at) > READ_TIMEOUT)
+    }
+}
+
+/// The controller of the rota and of reads.
+#[derive(Debug, Default)]
+pub(super) struct Reading {
+    text: Watch,
+    vms: Watch,
+    /// Since when the rota says the opposite of what this node does.
+    turning_since: Option<Millis>,
+    /// When to act upon it.
+    turn_at: Millis,
+    /// Since when the platform has been behind.
+    behind_since: Option<Millis>,
+    stopped_at: Millis,
+    pruned_at: Millis,
+}
+
+impl Reading {
+    fn follow_rota(&mut self, board: &mut Board) {
+        board.rota.trim(board.now);
+        let is_able = board.joined && !board.takes_no_work();
+        let elected = is_able && board.rota.elects_self(board.fails_to_read(), board.now);
+        if elected == board.reading {
+            self.turning_since = None;
+            return;
+        }
+        if self.turning_since.is_none() {
+            self.turning_since = Some(board.now);
+            self.turn_at = board.now + Self::delay(elected, board);
+        }
+        if board.now < self.turn_at {
+            return;
+        }
+        self.turning_since = None;
+        board.reading = elected;
+        if elected {
+            self.text.restart();
+            self.vms.restart();
+            self.behind_since = None;
+        } else {
+            self.stopped_at = board.now;
+            board.platform = PlatformState::Unused;
+        }
+    }
+
+    /// How long an election must stand; one who knows nobody need not wait.
+    fn delay(elected: bool, board: &mut Board) -> Millis {
+        if !elected {
+            return DESELECTED_FOR;
+        }
+        if board.members.iter().next().is_none() {
+            return Millis::ZERO;
+        }
+        let jitter = board.rng.random_range(0..=ELECTED_FOR.0);
+        ELECTED_FOR + Millis(jitter)
+    }
+
+    fn read(&mut self, board: &mut Board) {
+        let now = board.now;
+        for watch in [&mut self.text, &mut self.vms] {
+            if watch.is_overdue(now) {
+                watch.failed(board.rng.random_range(0.5..=1.0), now);
+            }
+        }
+        if self.text.is_due(now) {
+            self.text.sent_at = Some(now);
+            board.read_text(ConfigVersion(self.text.shown), WATCH);
+        }
+        if self.vms.is_due(now) {
+            self.vms.sent_at = Some(now);
+            board.read_vms(None, ListVersion(self.vms.shown), WATCH);
+        }
+    }
+
+    fn judge_platform(&mut self, board: &mut Board) {
+        let failures = self.text.failures.max(self.vms.failures);
+        let is_behind =
+            self.text.shown < board.text.version() || self.vms.shown < board.vms.version();
+        if !is_behind {
+            self.behind_since = None;
+        }
+        let behind_since = match (is_behind, self.behind_since) {
+            (true, None) => {
+                self.behind_since = Some(board.now);
+                board.now
+            }
+            (_, since) => since.unwrap_or(board.now),
+        };
+        board.platform = if failures >= FAILURES_TO_TELL {
+            PlatformState::Failing
+        } else if board.now.since(behind_since) > STALE_AFTER {
+            PlatformState::Stale
+        } else {
+            PlatformState::Answering
+        };
+    }
+
+    /// A node off the rota holds only what it needs itself.
+    fn prune(&mut self, board: &mut Board) {
+        if board.now.since(self.pruned_at) < PRUNE_EVERY {
+            return;
+        }
+        self.pruned_at = board.now;
+        if board.reading || !board.joined || board.now.since(self.stopped_at) < KEEP_WHOLE_FOR {
+            return;
+        }
+        let wanted = board.wanted_text();
+        board.text.retain(&wanted);
+        let wanted = board.wanted_vms();
+        board.vms.retain(&wanted);
+    }
+
+    fn watch(&mut self, read: PlatformRead) -> &mut Watch {
+        match read {
+            PlatformRead::Text => &mut self.text,
+            PlatformRead::Vms => &mut self.vms,
+        }
+    }
+}
+
+impl Controller for Reading {
+    fn on_input(&mut self, input: &Input, board: &mut Board) {
+        let now = board.now;
+        match input {
+            Input::Datagram(datagram) => {
+                if datagram.from.data_centre != board.settings.data_centre {
+                    return;
+                }
+                let DatagramBody::Heartbeat(heartbeat) = &datagram.body else {
+                    return;
+                };
+                for note in &heartbeat.readers {
+                    board.rota.hear(note, &board.settings.vm, now);
+                }
+            }
+            Input::Answer { message, .. } => {
+                if message.from.data_centre != board.settings.data_centre {
+                    return;
+                }
+                for note in &message.readers {
+                    board.rota.hear(note, &board.settings.vm, now);
+                }
+            }
+            Input::Text { version, .. } => self.text.brought(version.0, now),
+            Input::Vms {
+                version,
+                service: None,
+                ..
+            } => self.vms.brought(version.0, now),
+            Input::Unchanged(read) => self.watch(*read).ended_well(false, now),
+            Input::Failed(read) => {
+                board.counters.platform_failures += 1;
+                let jitter = board.rng.random_range(0.5..=1.0);
+                self.watch(*read).failed(jitter, now);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_tick(&mut self, board: &mut Board) {
+        self.follow_rota(board);
+        if board.reading {
+            self.judge_platform(board);
+        }
+        self.prune(board);
+    }
+
+    fn on_settled(&mut self, board: &mut Board) {
+        if board.reading {
+            self.read(board);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/tests.rs
@@ -0,0 +1,7 @@
+//! Tests of the control half: failures, figures, and properties.
+
+mod configuration;
+mod figures;
+mod harness;
+mod membership;
+mod properties;
--- /dev/null
+++ b/crates/core/src/control/tests/configuration.rs
@@ -0,0 +1,257 @@
+//! Failures around the configuration.
+
+use super::harness::*;
+use crate::control::*;
+
+/// The platform is down for long, then back with a newer text.
+/// Callers see no change: nodes keep what is in force, at most four a data
+/// centre go on trying, with pauses of up to five seconds, and once the
+/// platform is back the new text is in force everywhere within seconds.
+#[test]
+fn a_platform_that_is_down_costs_nothing_in_force() {
+    let mut fleet = bangkok(2);
+    fleet.platform.down = true;
+    fleet.run(Millis::from_secs(60));
+    assert!(fleet.all_at(5));
+    let readers = fleet.readers();
+    assert!(readers <= 3 * 4, "{readers} readers");
+    let before = fleet.platform.reads;
+    fleet.run(Millis::from_secs(60));
+    let reads = fleet.platform.reads - before;
+    println!("platform down: {readers} readers, {reads} reads in a minute");
+    assert!(reads <= readers as u64 * 2 * 24);
+
+    fleet.platform.down = false;
+    fleet.publish_text(6, TEXT);
+    let took = fleet.run_until(Millis::from_secs(8), "text after the outage", |fleet| {
+        fleet.all_at(6)
+    });
+    println!("platform back: in force after {took}");
+    fleet.run(Millis::from_secs(60));
+    assert!(fleet.readers() <= 3 * 2);
+}
+
+/// The platform serves an old text while a node starts.
+/// The new node asks its peers first and starts with the newer text; it never
+/// puts the old one in force, not for a moment.
+#[test]
+fn a_new_node_beside_a_stale_platform_starts_with_the_newer_text() {
+    let mut fleet = bangkok(3);
+    fleet.publish_text(4, "layouts::2");
+    let entry = fleet.platform.vms[6].clone();
+    fleet.kill(6);
+    let new = fleet.start(&entry);
+    fleet.run_until(Millis::from_secs(5), "the new node", |fleet| {
+        fleet.all_at(5)
+    });
+    let reached: Vec<u64> = fleet.nodes[new].reached.keys().copied().collect();
+    assert_eq!(reached, [5]);
+    fleet.run(Millis::from_secs(60));
+    assert!(fleet.all_at(5));
+}
+
+/// The same, and the new node is the only one of its service.
+/// Nobody of its service can answer, so it must ask others; were it to trust
+/// the platform at once, it would serve by the old text until it hears better.
+#[test]
+fn a_new_service_beside_a_stale_platform_starts_with_the_newer_text() {
+    let mut fleet = bangkok(4);
+    fleet.publish_text(4, "layouts::2");
+    let mut entry = fleet.platform.vms[0].clone();
+    entry.vm = VmId::new("vm-new");
+    entry.service = ServiceName::new("audit");
+    entry.peer = address(500, 7000);
+    entry.control = address(500, 7001);
+    let listed = entry.clone();
+    fleet.publish_vms(|vms| vms.push(listed));
+    let new = fleet.start(&entry);
+    fleet.run_until(Millis::from_secs(5), "the new node", |fleet| {
+        fleet.all_at(5)
+    });
+    let reached: Vec<u64> = fleet.nodes[new].reached.keys().copied().collect();
+    assert_eq!(reached, [5]);
+}
+
+/// The platform is restored from an old copy: version 5 was in force, now it
+/// offers 3 for minutes. Nobody goes back; its readers call it stale. Once it
+/// offers 6, that is in force within seconds.
+#[test]
+fn a_platform_that_went_back_reverts_nobody() {
+    let mut fleet = bangkok(5);
+    fleet.publish_text(3, "layouts::2");
+    // All readers die, so that new ones begin to read the old copy.
+    for index in 0..14 {
+        if !fleet.status(index).reading {
+            continue;
+        }
+        let entry = fleet.platform.vms[index].clone();
+        fleet.kill(index);
+        fleet.start(&entry);
+    }
+    fleet.run(Millis::from_secs(60));
+    assert!(fleet.all_at(5));
+    let mut stale = 0;
+    for node in fleet.alive() {
+        let status = node.control.status(fleet.now);
+        stale += usize::from(status.platform == PlatformState::Stale);
+    }
+    println!("platform went back: {stale} readers call it stale");
+    assert!(stale > 0);
+    assert!(fleet.readers() <= 3 * 4);
+    fleet.publish_text(6, TEXT);
+    let took = fleet.run_until(Millis::from_secs(5), "version 6", |fleet| fleet.all_at(6));
+    println!("platform caught up: in force after {took}");
+}
+
+/// A text with a fault is published, then a good one.
+/// The faulty one is refused whole with its line; the one before stays in
+/// force everywhere; it is not fetched again and again; any node tells why.
+#[test]
+fn a_text_with_a_fault_is_refused_whole() {
+    let mut fleet = bangkok(6);
+    let before = fleet.platform.reads;
+    fleet.publish_text(6, "layouts::2\nbad\ncashier::2");
+    fleet.run(Millis::from_secs(20));
+    assert!(fleet.all_at(5));
+    for node in fleet.alive() {
+        let status = node.control.status(fleet.now);
+        let refused = status.refused.expect("told on by heartbeats");
+        assert_eq!(refused.version, ConfigVersion(6));
+        assert_eq!(refused.reason, "line 2 column 1: not a service");
+        assert!(status.counters.texts_refused <= 1);
+    }
+    let reads = fleet.platform.reads - before;
+    assert!(reads <= 2 * fleet.readers() as u64 * 2, "{reads} reads");
+    fleet.publish_text(7, TEXT);
+    fleet.run_until(Millis::from_secs(5), "version 7", |fleet| fleet.all_at(7));
+    assert_eq!(fleet.status(0).refused, None);
+}
+
+/// A text of one megabyte whose bulk concerns every node goes by TCP; no
+/// datagram grows (the harness checks their length).
+#[test]
+fn a_text_of_a_megabyte_goes_by_bulk() {
+    let mut fleet = bangkok(7);
+    fleet.publish_text(6, &format!("{TEXT}\npad:1000000"));
+    let took = fleet.run_until(Millis::from_secs(5), "the large text", |fleet| {
+        fleet.all_at(6)
+    });
+    println!("1 MB: in force after {took}");
+    for node in fleet.alive() {
+        assert_eq!(node.table.deployment.deployment.len(), 1_000_000);
+    }
+}
+
+/// Two edits in quick succession, the second before the first has spread.
+/// Everyone ends at the second, with its content, whichever came first.
+#[test]
+fn two_quick_edits_end_in_the_second() {
+    let mut fleet = bangkok(8);
+    fleet.publish_text(
+        6,
+        "layouts::9\ncashier:ledger:2\ndarkroom:ledger:2\nledger::2",
+    );
+    fleet.run(Millis(7));
+    fleet.publish_text(
+        7,
+        "layouts::3\ncashier:ledger:2\ndarkroom:ledger:2\nledger::2",
+    );
+    let took = fleet.run_until(Millis::from_secs(5), "version 7", |fleet| fleet.all_at(7));
+    println!("two edits: in force after {took}");
+    for index in 0..5 {
+        let table = &fleet.nodes[index].table;
+        let view = &table.services[&ServiceName::new("layouts")];
+        assert_eq!(view.policy.budgets.probes_per_s, 3.0);
+    }
+}
+
+/// A node that skipped a version holds a slice that was changed and changed
+/// back. Told only which slices differ between the versions that a reader
+/// compared, it could believe its slice to be current. The random edits here
+/// are read by readers that miss some of them, over a lossy network; at the
+/// end every node must hold the content of the last text.
+#[test]
+fn skipped_versions_leave_no_old_content_behind() {
+    let mut fleet = bangkok(9);
+    fleet.network.loss = 0.3;
+    let mut last = [2.0; 4];
+    for version in 6..60 {
+        last[version as usize % 4] = 2.0 + f64::from(u8::from(version % 3 == 0));
+        let [layouts, cashier, darkroom, ledger] = last;
+        let text = format!(
+            "layouts::{layouts}\ncashier:ledger:{cashier}\ndarkroom:ledger:{darkroom}\nledger::{ledger}"
+        );
+        fleet.network.cut_from_platform = [version as usize % 14].into();
+        fleet.publish_text(version, &text);
+        fleet.run(Millis(30 + version * 37 % 400));
+    }
+    fleet.run_until(Millis::from_secs(15), "version 59", |fleet| {
+        fleet.all_at(59)
+    });
+    for node in fleet.alive() {
+        for (service, view) in &node.table.services {
+            let index = ["layouts", "cashier", "darkroom", "ledger"]
+                .iter()
+                .position(|name| *name == service.as_str())
+                .expect("a known service");
+            assert_eq!(view.policy.budgets.probes_per_s, last[index]);
+        }
+    }
+}
+
+/// The readers of a data centre die. Others of it notice their silence, take
+/// over, and the next text is in force everywhere.
+#[test]
+fn the_rota_moves_on_when_readers_die() {
+    let mut fleet = bangkok(10);
+    let mut killed = 0;
+    for index in 0..14 {
+        if fleet.status(index).reading {
+            fleet.kill(index);
+            killed += 1;
+        }
+    }
+    assert!(killed >= 3);
+    let took = fleet.run_until(Millis::from_secs(25), "new readers", |fleet| {
+        fleet.readers() >= 3
+    });
+    println!("rota: {killed} readers dead, replaced after {took}");
+    fleet.run(Millis::from_secs(10));
+    fleet.publish_text(6, TEXT);
+    fleet.run_until(Millis::from_secs(5), "version 6", |fleet| fleet.all_at(6));
+}
+
+/// All readers of one data centre are cut from the platform, others are not.
+/// The cut ones say so, others of the data centre take over.
+#[test]
+fn readers_that_fail_are_relieved() {
+    let mut fleet = bangkok(11);
+    let cut: Vec<usize> = (0..14)
+        .filter(|index| fleet.status(*index).reading)
+        .collect();
+    fleet.network.cut_from_platform = cut.iter().copied().collect();
+    let took = fleet.run_until(Millis::from_secs(60), "others reading", |fleet| {
+        let able = |index: &usize| fleet.status(*index).platform == PlatformState::Answering;
+        (0..14).any(|index| able(&index))
+    });
+    println!("readers cut from the platform: relieved after {took}");
+    assert!(fleet.readers() <= 3 * 4);
+}
+
+/// A call asks an entry for a service that its node does not hold. The slices
+/// are fetched on demand, and let go after ten idle minutes.
+#[test]
+fn a_service_asked_for_on_demand_is_fetched_and_let_go() {
+    let mut fleet = bangkok(12);
+    let darkroom = ServiceName::new("darkroom");
+    let service = darkroom.clone();
+    assert!(!fleet.nodes[0].table.services.contains_key(&darkroom));
+    fleet.event(0, ControlEvent::Interest(darkroom.clone()));
+    let took = fleet.run_until(Millis::from_secs(2), "the service", |fleet| {
+        let view = fleet.nodes[0].table.services.get(&service);
+        view.is_some_and(|view| view.targets.len() == 3)
+    });
+    println!("service on demand: held after {took}");
+    fleet.run(Millis::from_secs(11 * 60));
+    assert!(!fleet.nodes[0].table.services.contains_key(&darkroom));
+}
--- a/crates/wire/src/control/bulk.rs
+++ b/crates/wire/src/control/bulk.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use hornbeamhitch_types::prelude::*;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -124,6 +125,18 @@
     xxh3_64(bytes)
 }
 
+/// Encodes the content of a slice.
+#[must_use]
+pub fn encode_slice<T: Serialize>(content: &T) -> Vec<u8> {
+    postcard::to_stdvec(content).expect("no slice has a field that cannot be encoded")
+}
+
+/// Decodes the content of a slice; `None` when it is malformed.
+#[must_use]
+pub fn decode_slice<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    postcard::from_bytes(bytes).ok()
+}
+
 impl SliceName {
     /// Short form of the name for change notes.
     ///
--- a/crates/wire/src/control/datagram.rs
+++ b/crates/wire/src/control/datagram.rs
@@ -133,12 +133,14 @@
 pub struct SuspectNote {
     /// Fingerprint of the request.
     pub fingerprint: u64,
+    /// Count of observations that led here; more of them win.
+    pub version: u32,
     /// 0 clear, 1 suspect, 2 convicted.
     pub standing: u8,
+    /// Crashes since it was last cleared.
+    pub crashes: u8,
     /// How long ago this was found.
     pub age_ms: Millis,
-    /// Order of findings about one fingerprint; later ones win.
-    pub sequence: u32,
 }
 
 impl RefusedNote {
