Add the programs of the stand-ins and the demonstration of Bangkok

Cause: the users' first command must show a whole deployment at work, and say with its exit status whether anything was lost or run twice.

--- /dev/null
+++ b/crates/standins/src/bin/hornbeamhitch-target-standin.rs
@@ -0,0 +1,42 @@
+//! The target's stand-in as a process, steered over `/admin/`.
+
+use std::path::PathBuf;
+
+use eyre::{Result, WrapErr};
+use gumdrop::Options;
+use hornbeamhitch_standins::target::{TargetConfig, TargetStandin};
+use hornbeamhitch_standins::{logging, program};
+use log::LevelFilter;
+
+#[derive(Debug, Options)]
+struct TargetOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "JSON file with the whole configuration", meta = "FILE")]
+    config: Option<PathBuf>,
+    #[options(help = "address to listen on, in place of the file's", meta = "ADDR")]
+    addr: Option<String>,
+    #[options(help = "name, in place of the file's", meta = "NAME")]
+    name: Option<String>,
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let options = TargetOptions::parse_args_default_or_exit();
+    logging::start(LevelFilter::Info)?;
+    let mut config = match &options.config {
+        Some(path) => program::read_json_file(path)?,
+        None => TargetConfig::default(),
+    };
+    if let Some(addr) = &options.addr {
+        config.addr = addr.parse().wrap_err("--addr")?;
+    }
+    if let Some(name) = options.name {
+        config.name = name;
+    }
+    let target = TargetStandin::start(config).await?;
+    program::announce(target.addr());
+    program::wait_for_end().await?;
+    target.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/commands.rs
@@ -0,0 +1,42 @@
+//! The demonstration's command line; one file for each subcommand.
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use log::LevelFilter;
+
+use crate::logging;
+use crate::prelude::*;
+
+mod bangkok;
+
+#[derive(Debug, Options)]
+struct DemoOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "the Thai Civic Photo Print Office: 14 targets in three data centres")]
+    Bangkok(bangkok::BangkokOptions),
+}
+
+/// Reads the command line and runs the subcommand.
+///
+/// # Errors
+///
+/// Fails when something cannot be started, does not come up or does not end.
+pub async fn run() -> Result<ExitCode> {
+    let options = DemoOptions::parse_args_default_or_exit();
+    logging::start(LevelFilter::Warn)?;
+    match options.command {
+        Some(Command::Bangkok(options)) => bangkok::run(&options).await,
+        None => {
+            eprintln!("{}", DemoOptions::usage());
+            Ok(ExitCode::FAILURE)
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/commands/bangkok.rs
@@ -0,0 +1,85 @@
+//! `bangkok`: mixed traffic through the print office's deployment.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use crate::demo::bangkok::deployment;
+use crate::demo::{Programs, Stage};
+use crate::load::{self, Report};
+use crate::prelude::*;
+use crate::program;
+
+const DEFAULT_TEXT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/bangkok.jsonc");
+/// Bound on the whole demonstration beside the time of its traffic.
+const EXTRA_TIME: Duration = Duration::from_secs(120);
+
+/// Options of `bangkok`.
+#[derive(Debug, Options)]
+pub(super) struct BangkokOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "time over which calls start", default = "10", meta = "N")]
+    seconds: f64,
+    #[options(help = "calls a second", default = "200", meta = "N")]
+    rate: f64,
+    #[options(help = "seed of the traffic", default = "1", meta = "N")]
+    seed: u64,
+    #[options(help = "file for the report as JSON", meta = "FILE")]
+    json: Option<PathBuf>,
+    #[options(
+        help = "the configuration text, in place of the example",
+        meta = "FILE"
+    )]
+    text: Option<PathBuf>,
+}
+
+/// Runs the demonstration; fails when anything was lost or run twice.
+pub(super) async fn run(options: &BangkokOptions) -> Result<ExitCode> {
+    let bound = EXTRA_TIME + Duration::from_secs_f64(options.seconds.max(0.0));
+    let report = tokio::select! {
+        report = tokio::time::timeout(bound, play(options)) => {
+            report.wrap_err("the demonstration took too long")??
+        }
+        end = program::wait_for_end() => {
+            end?;
+            bail!("ended by a signal");
+        }
+    };
+    print!("{}", report.table());
+    if let Some(path) = &options.json {
+        std::fs::write(path, report.json()?)?;
+    }
+    println!("\n{} of {} calls answered", report.answered(), report.calls);
+    if report.is_clean() {
+        println!("nothing lost, nothing run twice, no wrong answer");
+        return Ok(ExitCode::SUCCESS);
+    }
+    println!("FAILED: the books do not agree");
+    Ok(ExitCode::FAILURE)
+}
+
+async fn play(options: &BangkokOptions) -> Result<Report> {
+    let path = options.text.as_deref();
+    let path = path.unwrap_or(Path::new(DEFAULT_TEXT));
+    let text = std::fs::read_to_string(path)
+        .wrap_err_with(|| format!("cannot read the text {}", path.display()))?;
+    let deployment = deployment();
+    println!(
+        "starting the platform, {} targets and as many nodes",
+        deployment.targets().len()
+    );
+    let programs = Programs::beside_this()?;
+    let mut stage = Stage::start(&programs, &deployment, &text).await?;
+    println!("all nodes are ready in {} ms", stage.ready_in().0);
+    let mut plan = deployment.plan(stage.entries());
+    plan.rate_per_s = options.rate;
+    plan.seconds = options.seconds;
+    plan.seed = options.seed;
+    let outcome = load::run(plan).await?;
+    let runs = load::fetch_runs(&stage.target_addrs()).await?;
+    stage.stop().await?;
+    println!("all processes have ended with status 0\n");
+    Ok(outcome.report(Some(&runs)))
+}
--- a/crates/standins/src/load/caller.rs
+++ b/crates/standins/src/load/caller.rs
@@ -12,7 +12,7 @@
 use crate::http_client::{HttpClient, SendFault, WholeAnswer};
 use crate::http_server::header_text;
 use crate::prelude::*;
-use crate::target::echo::{EchoRequest, digest, echo_body};
+use crate::target::echo::{EchoRequest, digest, echo_body, push_filler};
 use crate::target::headers;
 
 use super::answer::{Meaning, What, from_node, from_target};
@@ -54,6 +54,7 @@
 /// Where a call stands.
 struct Progress {
     started_at: Instant,
+    body: Bytes,
     ticket_path: Option<String>,
     /// Counts tickets; for idempotent calls, sends.
     try_number: u64,
@@ -102,6 +103,7 @@
         let entry = usize::try_from(call.entry_draw % entries as u64).unwrap_or(0);
         let mut progress = Progress {
             started_at: Instant::now(),
+            body: body_of(call),
             ticket_path: None,
             try_number: 0,
             clean: true,
@@ -195,7 +197,7 @@
         let wait = meaning.wait.unwrap_or_else(|| backoff(progress.faults + 1));
         match &meaning.what {
             What::Answered => {
-                progress.record.wrong_answer = !is_right(call, answer);
+                progress.record.wrong_answer = !is_right(call, &progress.body, answer);
                 self.keep_next(call, meaning.next_ticket);
                 Step::Done(Verdict::Answered)
             }
@@ -369,7 +371,7 @@
         for (name, value) in &kind.headers {
             request = request.header(name, value);
         }
-        let request = request.body(Full::new(body_of(call)));
+        let request = request.body(Full::new(progress.body.clone()));
         request.expect("method, path and headers of a checked plan are valid")
     }
 }
@@ -433,30 +435,28 @@
 
 /// The body of a call, which no other call has.
 fn body_of(call: &Call<'_>) -> Bytes {
-    if call.kind.body_bytes == 0 && call.kind.body_prefix.is_empty() {
+    let kind = call.kind;
+    if kind.body_bytes == 0 && kind.body_prefix.is_empty() {
         return Bytes::new();
     }
-    let mut body = call.kind.body_prefix.clone();
+    let mut body = kind.body_prefix.clone();
     body.push_str(&call.nonce);
-    while body.len() < call.kind.body_bytes {
-        body.push_str(&digest(body.as_bytes()));
-    }
+    push_filler(&mut body, &call.nonce, kind.body_bytes);
     Bytes::from(body)
 }
 
 /// Whether an answer is whole and the one that this request must bring.
 ///
 /// Only successes of the target echo; its failures have no derived body.
-fn is_right(call: &Call<'_>, answer: &WholeAnswer) -> bool {
+fn is_right(call: &Call<'_>, body: &[u8], answer: &WholeAnswer) -> bool {
     if !answer.status.is_success() {
         return true;
     }
-    let body = body_of(call);
     let expected = echo_body(&EchoRequest {
         nonce: &call.nonce,
         method: &call.kind.method,
         path: &call.kind.path,
-        body: &body,
+        body,
         answer_bytes: call.kind.answer_bytes,
     });
     let announced = header_text(&answer.headers, headers::DIGEST);
--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -11,6 +11,10 @@
 use super::{LoadOutcome, Tally, table};
 
 const SIGNIFICANT_DIGITS: u8 = 3;
+/// Longer latencies are recorded as this.
+const LONGEST_US: u64 = 3_600_000_000;
+
+const ANSWERED: &str = "answered";
 
 /// Quantiles of one group of calls, in microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -40,6 +44,9 @@
     pub elapsed_s: f64,
     /// Calls.
     pub calls: u64,
+    /// Calls that were given up before anything was sent: the tool itself was
+    /// late, or no entry was left.
+    pub never_sent: u64,
     /// Calls by what their callers ended up knowing.
     pub verdicts: Tally,
     /// Last answers by result code.
@@ -59,6 +66,8 @@
     /// Answered calls, from their intended start, by group: `all`,
     /// `class <name>`, `tenant <name>`, `kind <name>`.
     pub latency: BTreeMap<String, LatencySummary>,
+    /// From the intended start to the first send: how late the tool itself was.
+    pub start_lag: LatencySummary,
     /// Answered calls, from their first send.
     pub latency_from_send: LatencySummary,
     /// Calls that were not answered, from their intended start.
@@ -75,6 +84,12 @@
         known.is_some_and(Reconciliation::is_clean)
     }
 
+    /// Calls that were answered.
+    #[must_use]
+    pub fn answered(&self) -> u64 {
+        self.verdicts.get(ANSWERED).copied().unwrap_or(0)
+    }
+
     /// A table for people.
     #[must_use]
     pub fn table(&self) -> String {
@@ -102,7 +117,8 @@
     for (group, histogram) in &sum.groups {
         latency.insert(group.clone(), summary(histogram));
     }
-    let redirects = sum.all_codes.get(&code_name(Some(1100))).copied();
+    let redirect = code_name(Some(ResultCode::TicketNeeded.number()));
+    let redirects = sum.all_codes.get(&redirect).copied();
     Report {
         planned_rate_per_s: outcome.plan.rate_per_s,
         measured_rate_per_s: calls as f64 / elapsed_s.max(f64::MIN_POSITIVE),
@@ -117,6 +133,8 @@
         tickets: sum.tickets,
         broken_sends: sum.broken_sends,
         latency,
+        never_sent: sum.never_sent,
+        start_lag: summary(&sum.start_lag),
         latency_from_send: summary(&sum.from_send),
         latency_unanswered: summary(&sum.unanswered),
         reconciliation,
@@ -131,6 +149,8 @@
     sends: u64,
     tickets: u64,
     broken_sends: u64,
+    never_sent: u64,
+    start_lag: Histogram<u64>,
     groups: BTreeMap<String, Histogram<u64>>,
     from_send: Histogram<u64>,
     unanswered: Histogram<u64>,
@@ -146,6 +166,8 @@
             sends: 0,
             tickets: 0,
             broken_sends: 0,
+            never_sent: 0,
+            start_lag: histogram(),
             groups: BTreeMap::new(),
             from_send: histogram(),
             unanswered: histogram(),
@@ -156,7 +178,7 @@
 impl Sum {
     fn add(&mut self, outcome: &LoadOutcome, record: &CallRecord) {
         let verdict = match record.verdict {
-            Verdict::Answered => "answered",
+            Verdict::Answered => ANSWERED,
             Verdict::NotRun => "not-run",
             Verdict::Unknown => "unknown",
         };
@@ -171,6 +193,9 @@
             let code = (*code != 0).then_some(*code);
             count(&mut self.all_codes, code_name(code));
         }
+        self.never_sent += u64::from(record.sends == 0);
+        let start_lag_us = record.latency_us.saturating_sub(record.from_send_us);
+        self.start_lag.saturating_record(start_lag_us);
         self.sends += u64::from(record.sends);
         self.tickets += u64::from(record.tickets);
         self.broken_sends += u64::from(record.broken_sends);
@@ -210,7 +235,9 @@
 }
 
 fn histogram() -> Histogram<u64> {
-    Histogram::new(SIGNIFICANT_DIGITS).expect("three significant digits are allowed")
+    // A histogram without bounds keeps only what fits its first few buckets.
+    let histogram = Histogram::new_with_bounds(1, LONGEST_US, SIGNIFICANT_DIGITS);
+    histogram.expect("one microsecond to an hour at three digits is allowed")
 }
 
 fn summary(histogram: &Histogram<u64>) -> LatencySummary {
--- a/crates/standins/src/load/table.rs
+++ b/crates/standins/src/load/table.rs
@@ -17,8 +17,8 @@
     );
     let _ = writeln!(
         text,
-        "{} requests, {} resends, {} broken, {} tickets",
-        report.sends, report.resends, report.broken_sends, report.tickets
+        "{} requests, {} resends, {} broken, {} tickets, {} calls never sent",
+        report.sends, report.resends, report.broken_sends, report.tickets, report.never_sent
     );
     tally(&mut text, "what callers know", &report.verdicts);
     tally(&mut text, "last answers by code", &report.final_codes);
@@ -49,6 +49,7 @@
         latency(text, group, summary);
     }
     latency(text, "from the first send", &report.latency_from_send);
+    latency(text, "lag of the tool itself", &report.start_lag);
     latency(text, "not answered", &report.latency_unanswered);
 }
 
--- a/crates/standins/src/target/echo.rs
+++ b/crates/standins/src/target/echo.rs
@@ -9,6 +9,8 @@
 /// Largest body that a request can ask for, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
+const FILLER_CHARS: usize = 16;
+
 /// What an answer is derived from.
 #[derive(Clone, Copy, Debug)]
 pub struct EchoRequest<'a> {
@@ -50,16 +52,25 @@
     };
     let mut text = serde_json::to_string(&head).expect("the head is plain data");
     text.push('\n');
+    let head_bytes = text.len();
     let wanted = request.answer_bytes.min(MAX_ANSWER_BYTES);
-    let mut filler = xxh3_64(request.nonce.as_bytes());
-    while text.len() < wanted {
+    push_filler(&mut text, request.nonce, wanted);
+    text.truncate(wanted.max(head_bytes));
+    Bytes::from(text)
+}
+
+/// Lengthens a text to at least so many bytes, with filler that follows from
+/// the nonce.
+///
+/// Each step hashes only the last one: hashing the whole text again would take
+/// seconds for an upload.
+pub fn push_filler(text: &mut String, nonce: &str, wanted_bytes: usize) {
+    let mut filler = xxh3_64(nonce.as_bytes());
+    text.reserve(wanted_bytes.saturating_sub(text.len()) + FILLER_CHARS);
+    while text.len() < wanted_bytes {
         filler = xxh3_64(&filler.to_le_bytes());
         let _ = write!(text, "{filler:016x}");
     }
-    if wanted > 0 && text.len() > wanted && wanted > text.find('\n').unwrap_or(0) {
-        text.truncate(wanted);
-    }
-    Bytes::from(text)
 }
 
 /// Hash of a body as headers carry it.
--- a/crates/standins/tests/load.rs
+++ b/crates/standins/tests/load.rs
@@ -324,7 +324,13 @@
     assert_eq!(report.calls, 300);
     assert_eq!(report.verdicts["answered"], 300);
     assert_eq!(target.all_runs().len(), 300);
-    assert_eq!(report.latency["all"].count, 300);
+    let all = report.latency["all"];
+    assert_eq!(all.count, 300);
+    assert!(all.p50_us >= 100 && all.p50_us <= all.p99_us, "{all:?}");
+    assert!(
+        all.p99_us <= all.max_us && all.max_us < 10_000_000,
+        "{all:?}"
+    );
     assert!(report.latency["tenant passports"].count < 300);
     assert!(report.json().unwrap().contains("\"p999_us\""));
 }
