--- a/crates/core/src/entry/score.rs
+++ b/crates/core/src/entry/score.rs
@@ -16,7 +16,7 @@
 /// difference is noise, and acting on noise makes entries herd.
 const NORMAL_SLOWNESS: f32 = 1.5;
 /// What a certain failure costs, in typical service times.
-const FAILURE_COST_SERVICE_TIMES: f32 = 20.0;
+const FAILURE_COST_SERVICE_TIMES: f32 = 10.0;
 /// Load that a fresh refusal adds, as a multiple of the target's limit.
 const REFUSED_LOAD_RATIO: f32 = 2.0;
 
--- a/crates/core/src/entry/target_stats.rs
+++ b/crates/core/src/entry/target_stats.rs
@@ -6,8 +6,10 @@
 /// Time after which half of an unusual service time is forgotten, so that a
 /// target that was slow is tried again.
 const SERVICE_HALF_LIFE_MS: f32 = 2_000.0;
-/// Time after which half of the memory of failures is forgotten.
-const FAILURE_HALF_LIFE_MS: f32 = 2_000.0;
+/// Time after which half of the memory of failures is forgotten. Short, because
+/// a healthy target answers 500 to a bad call now and then; a target that keeps
+/// failing is ejected.
+const FAILURE_HALF_LIFE_MS: f32 = 500.0;
 /// Weight of the newest outcome in the failure rate.
 const FAILURE_WEIGHT: f32 = 0.25;
 /// Weight of the newest latency in the service time.
--- a/crates/core/src/entry/tests/picking.rs
+++ b/crates/core/src/entry/tests/picking.rs
@@ -49,6 +49,13 @@
     let mut service = service(&view(3));
     end_at(&mut service, 0, refused(ResultCode::Leaving), 1);
     assert_eq!(run(&mut service, 2, 300, |_| WORKS)[0], 0);
+    let mut seen = view(3);
+    for (heard_at, works_again) in [(500, false), (1_500, true)] {
+        seen.targets[0].load = heard(0, 0, heard_at);
+        service.update(Arc::new(seen.clone()), Millis(2_000));
+        let count = run(&mut service, 2_000, 300, |_| WORKS)[0];
+        assert_eq!(count > 0, works_again, "heard at {heard_at} ms");
+    }
 }
 
 #[test]
@@ -126,10 +133,13 @@
 /// Sends a call every second millisecond for four seconds; target 0 takes
 /// `slow_ms`, the others 20 ms. Returns the calls by target.
 fn run_with_slow_target(slow_ms: u64, reported: bool) -> [u32; 3] {
-    let mut service = service(&view(3));
+    send_evenly(&mut service(&view(3)), 0, slow_ms, reported)
+}
+
+fn send_evenly(service: &mut EntryService, from: u64, slow_ms: u64, reported: bool) -> [u32; 3] {
     let mut open: Vec<(u64, Pick)> = Vec::new();
     let mut counts = [0_u32; 3];
-    for now in 0..4_000 {
+    for now in from..from + 4_000 {
         let (due, rest): (Vec<_>, Vec<_>) = open.into_iter().partition(|(at, _)| *at <= now);
         open = rest;
         for (_, pick) in due {
@@ -139,7 +149,7 @@
             service.finish(&pick, &outcome, Millis(now));
         }
         if now % 2 == 0 {
-            let pick = pick(&mut service, now);
+            let pick = pick(service, now);
             counts[pick.target.0 as usize] += 1;
             let took_ms = if pick.target.0 == 0 { slow_ms } else { 20 };
             open.push((now + took_ms, pick));
@@ -160,6 +170,15 @@
     }
 }
 
+#[test]
+fn a_target_that_was_slow_gets_its_share_back() {
+    let mut service = service(&view(3));
+    send_evenly(&mut service, 0, 200, true);
+    send_evenly(&mut service, 10_000, 20, true);
+    let counts = send_evenly(&mut service, 20_000, 20, true);
+    assert!(counts[0] > 500, "{counts:?}");
+}
+
 /// A paused process keeps its connections and answers nothing, so neither an
 /// error nor a latency is seen until the first deadline passes.
 #[test]
