Ask, check, explain and compare from the operators' command line

Cause: operators steer by editing and reviewing one text; they need its faults and the effect of an edit before they publish it, and afterwards whether nodes agree. One line for each service that an edit of the defaults reaches; equal changes are told once. Bytes that are not UTF-8 are a fault of the text. Pages for operators, held against the table of settings and the exit codes by tests, and a design note. The node's own answer to GET /v1/status is tested here only by canned answers.

--- a/crates/text/src/change.rs
+++ b/crates/text/src/change.rs
@@ -1,9 +1,11 @@
 //! One difference between two texts, with what follows from it.
 
 mod consequence;
+mod grouped;
 
 use std::fmt;
 
+pub use grouped::{GroupedChange, grouped};
 use serde::Serialize;
 
 use crate::prelude::*;
--- a/crates/text/src/fault.rs
+++ b/crates/text/src/fault.rs
@@ -90,6 +90,9 @@
         /// The parser's reason.
         message: String,
     },
+    /// Bytes that are not UTF-8.
+    #[error("the text is not UTF-8 from here on")]
+    NotUtf8,
     /// Brackets within brackets, more than any text needs.
     #[error("nested too deep")]
     TooDeep,
@@ -241,6 +244,7 @@
     pub fn allowed(&self) -> String {
         match self {
             Self::Syntax { .. } => "JSON with // and /* */ comments and trailing commas".to_owned(),
+            Self::NotUtf8 => "text in UTF-8".to_owned(),
             Self::TooDeep => format!("at most {MAX_NESTING} levels"),
             Self::TextTooLong { .. } => format!("at most {MAX_TEXT_BYTES} bytes"),
             Self::UnknownKey { known, .. } => known.join(", "),
--- a/crates/text/src/lib.rs
+++ b/crates/text/src/lib.rs
@@ -45,9 +45,28 @@
 pub use setting::Setting;
 pub use warning::{Warning, WarningKind};
 
+use fault::Place;
 use position::LineIndex;
 use report::Report;
 
+/// Checks a text as it came from a file or the platform.
+///
+/// # Errors
+///
+/// As [`check`]; bytes that are not UTF-8 are a fault.
+pub fn check_bytes(bytes: &[u8]) -> Result<CheckedText, Faults> {
+    let error = match std::str::from_utf8(bytes) {
+        Ok(text) => return check(text),
+        Err(error) => error,
+    };
+    let valid = bytes.get(..error.valid_up_to()).unwrap_or_default();
+    let valid = std::str::from_utf8(valid).unwrap_or_default();
+    let lines = LineIndex::new(valid);
+    let mut report = Report::new(&lines);
+    report.fault(valid.len(), || (Place::default(), FaultKind::NotUtf8));
+    Err(report.into_faults())
+}
+
 /// Checks a whole text and resolves it.
 ///
 /// # Errors
--- a/crates/text/tests/all/differences.rs
+++ b/crates/text/tests/all/differences.rs
@@ -1,6 +1,7 @@
 //! An edit is described in words, with what follows from it.
 
-use hornbeamhitch_text::{Change, Setting, diff};
+use hornbeamhitch_text::change::{Change, grouped};
+use hornbeamhitch_text::{Setting, diff};
 use insta::{assert_json_snapshot, assert_snapshot};
 
 use crate::support::{BANGKOK, LJUBLJANA, checked, edited};
@@ -156,6 +157,25 @@
     assert_snapshot!(words(old, new));
 }
 
+#[test]
+fn equal_changes_of_many_services_are_told_once() {
+    let mut services = String::new();
+    for number in 10..30 {
+        services.push_str(&format!("\"s{number}\": {{}},"));
+    }
+    let text = |slots: u32| {
+        checked(&format!(
+            r#"{{ "deployment": "d", "defaults": {{ "slots": {slots}, "queue_limit": 0 }},
+                 "services": {{ {services} "z": {{ "slots": 3 }} }} }}"#
+        ))
+    };
+    let changes = diff(&text(12), &text(10));
+    assert_eq!(changes.len(), 20);
+    let groups = grouped(&changes);
+    assert_eq!(groups.len(), 1);
+    assert_snapshot!(groups[0].to_string());
+}
+
 #[test]
 fn changes_are_typed() {
     let old = checked(BANGKOK);
--- a/crates/text/tests/all/faults.rs
+++ b/crates/text/tests/all/faults.rs
@@ -1,7 +1,7 @@
 //! Each kind of fault is named with its line, column, place, reason and what
 //! is allowed.
 
-use hornbeamhitch_text::{FaultKind, check};
+use hornbeamhitch_text::{FaultKind, check, check_bytes};
 use insta::assert_snapshot;
 
 use crate::support::faults;
@@ -118,6 +118,17 @@
     assert_snapshot!(found);
 }
 
+#[test]
+fn bytes_that_are_not_utf_8_have_a_position() {
+    let faults = check_bytes(b"{\n  \"deployment\": \"\xff\"\n}").expect_err("not UTF-8");
+    assert_eq!(
+        faults.to_string(),
+        "line 2, column 18: the text is not UTF-8 from here on; allowed: text in UTF-8"
+    );
+    check_bytes(b"{ \"deployment\": \"d\", \"services\": { \"a\": {} } }")
+        .expect("plain bytes are checked as text");
+}
+
 #[test]
 fn columns_count_characters_and_not_bytes() {
     let text = "{ \"deployment\": \"d\", /* กรุงเทพ */ \"sevices\": {} }";
--- a/crates/text/tests/all/main.rs
+++ b/crates/text/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the configuration text through the crate's public interface.
 
 mod differences;
+mod documentation;
 mod examples;
 mod explanations;
 mod faults;
--- /dev/null
+++ b/src/ask.rs
@@ -0,0 +1,111 @@
+//! Asks nodes for their status over their operators' HTTP API.
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, bail, eyre};
+use hornbeamhitch_types::status::{NodeStatus, STATUS_PATH};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Bytes;
+use hyper::{StatusCode, Uri};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use tokio::time::timeout;
+
+/// Largest answer in bytes that is read from a node.
+const MAX_ANSWER_BYTES: usize = 16 * 1_024 * 1_024;
+
+/// Time limits for one node in milliseconds that an operator may set.
+const TIMEOUT_MS: RangeInclusive<u64> = 1..=60_000;
+
+type HttpClient = Client<HttpConnector, Empty<Bytes>>;
+
+/// What one node answered.
+pub(crate) struct Answer {
+    /// The node's address as the operator gave it.
+    pub(crate) node: String,
+    /// Its status, or why there is none.
+    pub(crate) status: Result<NodeStatus>,
+}
+
+/// Asks all nodes side by side, each within the time limit, and returns their
+/// answers in the order of `nodes`. One that fails does not hide the others.
+///
+/// # Errors
+///
+/// An address that cannot be read, or a runtime that cannot be started.
+pub(crate) fn ask_all(nodes: &[String], timeout_ms: u64) -> Result<Vec<Answer>> {
+    if !TIMEOUT_MS.contains(&timeout_ms) {
+        let (min, max) = (TIMEOUT_MS.start(), TIMEOUT_MS.end());
+        bail!("--timeout-ms {timeout_ms} is out of range; allowed: {min} to {max}");
+    }
+    let limit = Duration::from_millis(timeout_ms);
+    if nodes.is_empty() {
+        bail!("no node is given; use --node http://IP:PORT, once for each node");
+    }
+    let mut uris = Vec::new();
+    for node in nodes {
+        uris.push(status_uri(node)?);
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("cannot start the runtime")?;
+    Ok(runtime.block_on(gather(nodes, uris, limit)))
+}
+
+async fn gather(nodes: &[String], uris: Vec<Uri>, limit: Duration) -> Vec<Answer> {
+    let client: HttpClient = Client::builder(TokioExecutor::new()).build_http();
+    let mut running = Vec::new();
+    for uri in uris {
+        running.push(tokio::spawn(ask_in_time(client.clone(), uri, limit)));
+    }
+    let mut answers = Vec::new();
+    for (node, task) in nodes.iter().zip(running) {
+        let status = task.await.unwrap_or_else(|error| Err(error.into()));
+        answers.push(Answer {
+            node: node.clone(),
+            status,
+        });
+    }
+    answers
+}
+
+async fn ask_in_time(client: HttpClient, uri: Uri, limit: Duration) -> Result<NodeStatus> {
+    match timeout(limit, ask(client, uri)).await {
+        Ok(status) => status,
+        Err(_) => Err(eyre!("no answer within {} ms", limit.as_millis())),
+    }
+}
+
+async fn ask(client: HttpClient, uri: Uri) -> Result<NodeStatus> {
+    let answer = client.get(uri).await.wrap_err("cannot be reached")?;
+    let (head, body) = answer.into_parts();
+    if head.status != StatusCode::OK {
+        bail!("answered with HTTP status {}", head.status);
+    }
+    let body = Limited::new(body, MAX_ANSWER_BYTES)
+        .collect()
+        .await
+        .map_err(|error| eyre!("the answer broke off: {error}"))?
+        .to_bytes();
+    serde_json::from_slice(&body).wrap_err("the answer is not a status")
+}
+
+/// Builds the address of the status from `http://IP:PORT` or `IP:PORT`.
+fn status_uri(node: &str) -> Result<Uri> {
+    const SCHEME: &str = "http://";
+    let authority = node
+        .strip_prefix(SCHEME)
+        .unwrap_or(node)
+        .trim_end_matches('/');
+    let uri: Uri = format!("{SCHEME}{authority}{STATUS_PATH}")
+        .parse()
+        .wrap_err_with(|| format!("{node:?} is not a node's address"))?;
+    let plain = uri.path() == STATUS_PATH && uri.query().is_none();
+    if !plain || uri.port_u16().is_none() {
+        bail!("{node:?} is not a node's address, such as http://127.0.0.1:8480");
+    }
+    Ok(uri)
+}
--- /dev/null
+++ b/src/commands/where.rs
@@ -0,0 +1,246 @@
+//! `hornbeamhitch where`: where calls of a service go, as each node sees it.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+
+use eyre::Result;
+use gumdrop::Options;
+use hornbeamhitch_types::id::{ServiceName, VmId};
+use hornbeamhitch_types::status::{ServiceStatus, TargetState};
+use serde::Serialize;
+
+use super::status::report::{age, state, write_errors};
+use super::status::verdict;
+use crate::ask::{Answer, ask_all};
+use crate::exit::Exit;
+use crate::source::write_json;
+use crate::table::Table;
+
+/// Shows where calls of a service go, and whether nodes agree.
+#[derive(Debug, Options)]
+pub(crate) struct Arguments {
+    /// print this help
+    help: bool,
+    /// write JSON
+    #[options(no_short)]
+    json: bool,
+    /// operators' address of a node, http://IP:PORT; may be repeated
+    #[options(short = "n", meta = "ADDRESS")]
+    node: Vec<String>,
+    /// time limit for each node in milliseconds
+    #[options(no_short, meta = "MS", default = "2000")]
+    timeout_ms: u64,
+    /// the service
+    #[options(free, required)]
+    service: String,
+}
+
+/// What all nodes see of a service.
+#[derive(Serialize)]
+struct Views<'a> {
+    service: &'a str,
+    /// Whether the nodes that hold the service see the same targets in the
+    /// same state, and at least one holds it.
+    agree: bool,
+    nodes: Vec<NodeView<'a>>,
+    disagreements: Vec<Disagreement<'a>>,
+}
+
+/// What one node sees of a service.
+#[derive(Serialize)]
+struct NodeView<'a> {
+    node: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    vm: Option<&'a VmId>,
+    /// The node's view; absent where it does not hold the service.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    view: Option<&'a ServiceStatus>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    error: Option<String>,
+}
+
+/// One target that nodes see differently.
+#[derive(Serialize)]
+struct Disagreement<'a> {
+    target: &'a VmId,
+    seen: Vec<Seen<'a>>,
+}
+
+/// How one node sees a target; without a state it does not know it.
+#[derive(Serialize)]
+struct Seen<'a> {
+    by: &'a VmId,
+    state: Option<TargetState>,
+}
+
+pub(crate) fn run(arguments: &Arguments, out: &mut dyn Write) -> Result<Exit> {
+    let answers = ask_all(&arguments.node, arguments.timeout_ms)?;
+    let views = views(&arguments.service, &answers);
+    if arguments.json {
+        write_json(out, &views)?;
+    } else {
+        write(out, &views, &answers)?;
+    }
+    Ok(verdict(&answers, views.agree || no_status(&answers)))
+}
+
+/// With no answer at all, nothing is known of an agreement.
+fn no_status(answers: &[Answer]) -> bool {
+    answers.iter().all(|answer| answer.status.is_err())
+}
+
+fn views<'a>(service: &'a str, answers: &'a [Answer]) -> Views<'a> {
+    let mut nodes = Vec::new();
+    for answer in answers {
+        let (vm, view, error) = match &answer.status {
+            Ok(status) => (Some(&status.vm), find(&status.services, service), None),
+            Err(error) => (None, None, Some(format!("{error:#}"))),
+        };
+        nodes.push(NodeView {
+            node: &answer.node,
+            vm,
+            view,
+            error,
+        });
+    }
+    let disagreements = disagreements(&nodes);
+    let held = nodes.iter().any(|node| node.view.is_some());
+    Views {
+        service,
+        agree: held && disagreements.is_empty(),
+        nodes,
+        disagreements,
+    }
+}
+
+fn find<'a>(services: &'a [ServiceStatus], name: &str) -> Option<&'a ServiceStatus> {
+    services
+        .iter()
+        .find(|service| ServiceName::as_str(&service.name) == name)
+}
+
+/// Targets that not all nodes holding the service see in the same state.
+fn disagreements<'a>(nodes: &[NodeView<'a>]) -> Vec<Disagreement<'a>> {
+    let mut holders = Vec::new();
+    for node in nodes {
+        if let (Some(vm), Some(view)) = (node.vm, node.view) {
+            holders.push((vm, states(view)));
+        }
+    }
+    let mut targets: Vec<&VmId> = Vec::new();
+    for (_, states) in &holders {
+        targets.extend(states.keys());
+    }
+    targets.sort();
+    targets.dedup();
+    let mut disagreements = Vec::new();
+    for target in targets {
+        let mut seen = Vec::new();
+        for (by, states) in &holders {
+            let state = states.get(target).copied();
+            seen.push(Seen { by, state });
+        }
+        if seen.iter().all(|one| one.state == seen[0].state) {
+            continue;
+        }
+        disagreements.push(Disagreement { target, seen });
+    }
+    disagreements
+}
+
+fn states(view: &ServiceStatus) -> BTreeMap<&VmId, TargetState> {
+    let mut states = BTreeMap::new();
+    for target in &view.targets {
+        states.insert(&target.vm, target.state);
+    }
+    states
+}
+
+fn write(out: &mut dyn Write, views: &Views<'_>, answers: &[Answer]) -> Result<()> {
+    let table = targets(views);
+    if !table.is_empty() {
+        writeln!(out, "{table}")?;
+    }
+    for node in &views.nodes {
+        let Some(vm) = node.vm else {
+            continue;
+        };
+        match node.view {
+            None => writeln!(out, "{vm} does not hold {}", views.service)?,
+            Some(view) if view.targets.is_empty() => {
+                writeln!(out, "{vm} knows no target of {}", views.service)?;
+            }
+            Some(_) => {}
+        }
+    }
+    write_errors(out, answers)?;
+    write_verdict(out, views)
+}
+
+fn targets(views: &Views<'_>) -> Table {
+    let mut table = Table::new(&[
+        "NODE",
+        "TARGET",
+        "DATA CENTRE",
+        "PEER",
+        "STATE",
+        "FROM HERE",
+        "RUNNING",
+        "QUEUED",
+        "HEARD",
+    ]);
+    for node in &views.nodes {
+        let (Some(vm), Some(view)) = (node.vm, node.view) else {
+            continue;
+        };
+        for target in &view.targets {
+            let load = target.load;
+            let running = load.map(|load| format!("{}/{}", load.in_flight, load.limit));
+            let queued = load.map(|load| load.queued.to_string());
+            table.row(vec![
+                vm.to_string(),
+                target.vm.to_string(),
+                target.data_centre.to_string(),
+                target.peer.to_string(),
+                state(target.state),
+                target.in_flight.to_string(),
+                running.unwrap_or_else(|| "-".to_owned()),
+                queued.unwrap_or_else(|| "-".to_owned()),
+                age(load.map(|load| load.load_age_ms)),
+            ]);
+        }
+    }
+    table
+}
+
+fn write_verdict(out: &mut dyn Write, views: &Views<'_>) -> Result<()> {
+    let holders = views
+        .nodes
+        .iter()
+        .filter(|node| node.view.is_some())
+        .count();
+    if holders == 0 {
+        writeln!(out, "no node that answered holds {}", views.service)?;
+        return Ok(());
+    }
+    if views.disagreements.is_empty() {
+        writeln!(
+            out,
+            "all nodes that hold {} agree ({holders})",
+            views.service
+        )?;
+        return Ok(());
+    }
+    writeln!(out, "nodes disagree on {}:", views.service)?;
+    for disagreement in &views.disagreements {
+        let mut words = Vec::new();
+        for seen in &disagreement.seen {
+            let state = seen
+                .state
+                .map_or("unknown".to_owned(), |state| state.to_string());
+            words.push(format!("{state} at {}", seen.by));
+        }
+        writeln!(out, "  {}: {}", disagreement.target, words.join(", "))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/exit.rs
@@ -0,0 +1,37 @@
+//! Exit codes of the command line.
+
+use std::process::ExitCode;
+
+use strum::VariantArray;
+
+/// What a run of the command line came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, VariantArray)]
+#[repr(u8)]
+pub(crate) enum Exit {
+    /// Nothing was found wrong.
+    Ok = 0,
+    /// A text has faults, or nodes disagree.
+    Found = 1,
+    /// Wrong arguments, or a file that cannot be read.
+    Usage = 2,
+    /// A node did not answer, and nothing worse was found.
+    Unreachable = 3,
+}
+
+impl Exit {
+    /// What the code means, for `--help`.
+    pub(crate) const fn meaning(self) -> &'static str {
+        match self {
+            Self::Ok => "nothing was found wrong",
+            Self::Found => "a text has faults, or nodes disagree",
+            Self::Usage => "wrong arguments, or a file that cannot be read",
+            Self::Unreachable => "a node did not answer, and nothing worse was found",
+        }
+    }
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
