Let a program embed a node, and end connections without a race

Cause: the daemon could only be run whole, by signals; and a leaving node closed idle connections while a request could be on its way, which its caller sees as a reset. It hides the connection, so neither the idle timeout of the settings nor the last accept could be added. Change: Node::start, status and drain, used by daemon and embedding API; idle timeout and header count are in force; while leaving, each HTTP/1 answer ends its connection; what waits in the backlog is served before the listener closes. Conclusion: the daemon is a thin driver of the same parts that others embed.

--- a/crates/node/src/control_loop.rs
+++ b/crates/node/src/control_loop.rs
@@ -94,10 +94,12 @@
     pub events: (mpsc::Sender<ControlEvent>, mpsc::Receiver<ControlEvent>),
     /// What is shared.
     pub outputs: ControlOutputs,
+    /// Ends the thread when its sender is dropped.
+    pub stop: watch::Receiver<()>,
 }
 
 impl ControlThread {
-    /// Runs until the event channel closes or the process ends.
+    /// Runs until the sender of `stop` is dropped or the process ends.
     ///
     /// # Errors
     ///
@@ -129,6 +131,7 @@
             ticks: 0,
             service,
         };
+        let mut stop = self.stop;
         let mut ticker = tokio::time::interval(TICK);
         ticker.set_missed_tick_behavior(MissedTickBehavior::Skip);
         let mut buffer = vec![0_u8; RECEIVE_BUFFER_BYTES];
@@ -143,6 +146,7 @@
                     // heartbeat is what counts.
                     Err(_) => continue,
                 },
+                _ = stop.changed() => return Ok(()),
                 event = events.recv() => match event {
                     Some(event) => event,
                     None => return Ok(()),
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Putting a node together, running it, and ending it gracefully.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -11,9 +12,14 @@
 };
 use hornbeamhitch_core::gate::GateSettings;
 use hornbeamhitch_core::prelude::*;
+use hornbeamhitch_types::status::NodeStatus;
+use http::{Request, Response};
+use hyper::body::Incoming;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
 
+use crate::body::NodeBody;
 use crate::callers::{CallerServer, EntryBoard};
 use crate::clock::ProcessClock;
 use crate::control_loop::{ControlHandle, ControlOutputs, ControlSockets, ControlThread};
@@ -78,8 +84,8 @@
     }
 }
 
-/// A node that is being served.
-pub struct Node {
+/// The parts of one node.
+struct Parts {
     config: Config,
     clock: ProcessClock,
     incarnation: Incarnation,
@@ -88,6 +94,8 @@
     control: ControlHandle,
     status: Arc<ArcSwap<ControlStatus>>,
     metrics: Arc<Metrics>,
+    /// Dropped, it ends the control thread.
+    stop_control: watch::Sender<()>,
 }
 
 /// Runs a node until SIGTERM or SIGINT, then drains it.
@@ -113,7 +121,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let drain_timeout = config.drain_timeout_ms.to_duration();
-    let running = Running::start(config, sockets)?;
+    let running = Node::serve(config, sockets)?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -131,21 +139,47 @@
     }
 }
 
-struct Running {
-    node: Node,
+/// Tasks that go on beside the servers; they end when this is dropped, so that
+/// a program which embeds a node is rid of it after draining.
+struct Background(Vec<AbortHandle>);
+
+impl Drop for Background {
+    fn drop(&mut self) {
+        for task in &self.0 {
+            task.abort();
+        }
+    }
+}
+
+/// A node that serves, inside the runtime it was started in.
+pub struct Node {
+    parts: Parts,
+    reporter: Arc<Reporter>,
+    background: Background,
     operators: OperatorsServer,
     caller_server: HttpServer,
     peer_server: HttpServer,
 }
 
-impl Running {
-    fn start(config: Config, sockets: Sockets) -> Result<Self> {
-        let node = Node::start(config, sockets.control)?;
+impl Node {
+    /// Binds the addresses, starts the control thread and serves.
+    ///
+    /// # Errors
+    ///
+    /// An address is taken, or a thread cannot be had.
+    pub fn start(config: Config) -> Result<Self> {
+        let sockets = Sockets::bind(&config)?;
+        Self::serve(config, sockets)
+    }
+
+    fn serve(config: Config, sockets: Sockets) -> Result<Self> {
+        let node = Parts::start(config, sockets.control)?;
         let caller_limits = node.limits(node.config.limits.max_connections);
         let peer_limits = node.limits(node.config.limits.max_peer_connections);
         let callers = Arc::clone(&node.callers);
+        let gate = Arc::clone(&node.gate);
         let caller_server = HttpServer::start(sockets.callers, caller_limits, move |request| {
-            Arc::clone(&callers).serve(request)
+            serve_caller(Arc::clone(&callers), Arc::clone(&gate), request)
         })?;
         let gate = Arc::clone(&node.gate);
         let peer_server = HttpServer::start(sockets.peers, peer_limits, move |request| {
@@ -158,9 +192,11 @@
             Arc::clone(&node.metrics),
         )?;
         reporter.listening.store(true, Ordering::Release);
-        tokio::spawn(refresh_gauges(reporter));
-        tokio::spawn(health::watch(Arc::clone(&node.gate), node.clock));
-        tokio::spawn(tick_gate(Arc::clone(&node.gate)));
+        let background = Background(vec![
+            tokio::spawn(refresh_gauges(Arc::clone(&reporter))).abort_handle(),
+            tokio::spawn(health::watch(Arc::clone(&node.gate), node.clock)).abort_handle(),
+            tokio::spawn(tick_gate(Arc::clone(&node.gate))).abort_handle(),
+        ]);
         log::info!(
             "node {} of {} serves callers on {}, incarnation {}",
             node.config.vm,
@@ -169,29 +205,45 @@
             node.incarnation,
         );
         Ok(Self {
-            node,
+            parts: node,
+            reporter,
+            background,
             operators,
             caller_server,
             peer_server,
         })
     }
 
+    /// What operators see of the node.
+    #[must_use]
+    pub fn status(&self) -> NodeStatus {
+        self.reporter.status()
+    }
+
+    /// A configuration is in force and the node is not leaving.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.reporter.is_ready()
+    }
+
     /// Ends gracefully. The order matters: the word of leaving goes out while
     /// everything is still served; then callers' connections end, since their
     /// calls need the peers; the gate goes last, because its answers are owed
     /// to other nodes until nothing is in hand.
-    async fn drain(self) {
-        self.node.gate.start_leaving();
-        self.node.control.leave().await;
+    pub async fn drain(self) {
+        self.parts.gate.start_leaving();
+        self.parts.control.leave().await;
         tokio::time::sleep(LEAVING_NOTICE).await;
         self.caller_server.shut_down().await;
-        self.node.gate.drained().await;
+        self.parts.gate.drained().await;
         self.peer_server.shut_down().await;
         self.operators.close().await;
+        drop(self.background);
+        drop(self.parts.stop_control);
     }
 }
 
-impl Node {
+impl Parts {
     fn start(config: Config, sockets: ControlSockets) -> Result<Self> {
         let clock = ProcessClock::start();
         let metrics = Metrics::new(&config.vm, &config.service, &config.data_centre)?;
@@ -212,7 +264,9 @@
         let routes = Arc::new(ArcSwap::from_pointee(RouteTable::default()));
         let (published, published_seen) = watch::channel(0);
         let status = Arc::new(ArcSwap::from_pointee(ControlStatus::default()));
+        let (stop_control, stop) = watch::channel(());
         let thread = ControlThread {
+            stop,
             settings: control_settings(&config, incarnation, seed),
             checker: Box::new(Checker),
             platform: config.platform_address,
@@ -254,6 +308,7 @@
             control,
             status,
             metrics,
+            stop_control,
         })
     }
 
@@ -276,12 +331,33 @@
         ServerLimits {
             max_connections,
             header_bytes: limits.header_bytes,
+            header_count: limits.header_count,
             head_timeout: limits.head_timeout_ms.to_duration(),
+            idle_timeout: limits.idle_timeout_ms.to_duration(),
             max_streams: limits.streams_per_connection,
         }
     }
 }
 
+/// Serves a caller. While this node leaves, each answer over HTTP/1 ends its
+/// connection, so that active callers move elsewhere between two requests.
+/// Closing connections that look idle would race with a request on its way.
+async fn serve_caller(
+    callers: Arc<CallerServer>,
+    gate: Arc<GateServer>,
+    request: Request<Incoming>,
+) -> std::result::Result<Response<NodeBody>, Infallible> {
+    let is_http1 = request.version() < http::Version::HTTP_2;
+    let mut response = callers.serve(request).await?;
+    if is_http1 && gate.is_shutting_down() {
+        let close = http::HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
 fn control_settings(config: &Config, incarnation: Incarnation, seed: u64) -> ControlSettings {
     ControlSettings {
         vm: config.vm.clone(),
--- a/crates/node/src/gate_server.rs
+++ b/crates/node/src/gate_server.rs
@@ -278,6 +278,12 @@
         self.board.set_leaving(true);
     }
 
+    /// Whether the process was told to end.
+    #[must_use]
+    pub fn is_shutting_down(&self) -> bool {
+        self.shutting_down.load(Ordering::Acquire)
+    }
+
     fn change_target_state(&self, change: impl FnOnce(&mut TargetState)) {
         let mut state = self.target_state.lock();
         let before = (state.draining, state.reachable);
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -2,7 +2,9 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use eyre::{Context, Result};
@@ -11,10 +13,9 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
 use socket2::{Domain, Protocol, Socket, Type};
-use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, watch};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, watch};
 
 use crate::body::NodeBody;
 
@@ -32,8 +33,12 @@
     pub max_connections: usize,
     /// Bytes of one request's head.
     pub header_bytes: usize,
+    /// Headers of one HTTP/1.1 request.
+    pub header_count: usize,
     /// Time in which a head must have arrived.
     pub head_timeout: Duration,
+    /// A connection without a request for this long is closed.
+    pub idle_timeout: Duration,
     /// Concurrent HTTP/2 streams a connection.
     pub max_streams: u32,
 }
@@ -63,7 +68,7 @@
 /// A running HTTP server.
 #[derive(Debug)]
 pub struct HttpServer {
-    stop_accepting: watch::Sender<bool>,
+    stop: watch::Sender<bool>,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -83,18 +88,15 @@
         F: Future<Output = Result<Response<NodeBody>, Infallible>> + Send + 'static,
     {
         let listener = TcpListener::from_std(listener)?;
-        let (stop_accepting, stopped) = watch::channel(false);
+        let (stop, stopped) = watch::channel(false);
         let task = tokio::spawn(accept(listener, limits, serve, stopped));
-        Ok(Self {
-            stop_accepting,
-            task,
-        })
+        Ok(Self { stop, task })
     }
 
     /// Accepts no more, lets every connection finish what it has in flight and
     /// closes it, and waits until all are closed.
     pub async fn shut_down(self) {
-        let _ = self.stop_accepting.send(true);
+        let _ = self.stop.send(true);
         if let Err(error) = self.task.await {
             log::error!("a server ended badly: {error}");
         }
@@ -111,15 +113,20 @@
     F: Future<Output = Result<Response<NodeBody>, Infallible>> + Send + 'static,
 {
     let builder = Arc::new(builder(&limits));
-    let graceful = GracefulShutdown::new();
     let places = Arc::new(Semaphore::new(limits.max_connections));
+    // Every connection holds a sender; the receiver ends with the last one.
+    let (open, mut all_closed) = mpsc::channel::<Infallible>(1);
     loop {
         let accepting = async {
             let place = Arc::clone(&places).acquire_owned().await;
             let place = place.expect("the semaphore is never closed");
             (listener.accept().await, place)
         };
+        // What waits in the backlog is still taken in when the server stops:
+        // closing the listener would reset callers that have connected and sent
+        // a request already. `biased` puts accepting first.
         let (accepted, place) = tokio::select! {
+            biased;
             accepted = accepting => accepted,
             _ = stopped.wait_for(|stopped| *stopped) => break,
         };
@@ -132,19 +139,108 @@
             }
         };
         let _ = stream.set_nodelay(true);
-        let connection = builder
-            .serve_connection(TokioIo::new(stream), service_fn(serve.clone()))
-            .into_owned();
-        let watched = graceful.watch(connection);
+        let connection = Connection {
+            builder: Arc::clone(&builder),
+            idle_timeout: limits.idle_timeout,
+            stopped: stopped.clone(),
+            activity: Arc::new(Activity::default()),
+        };
+        let serve = serve.clone();
+        let open = open.clone();
         tokio::spawn(async move {
-            if let Err(error) = watched.await {
-                log::debug!("a connection ended: {error}");
+            connection.run(stream, serve).await;
+            drop((place, open));
+        });
+    }
+    drop((listener, open));
+    let _ = all_closed.recv().await;
+}
+
+/// Requests of one connection.
+#[derive(Debug, Default)]
+struct Activity {
+    in_flight: AtomicUsize,
+    served: AtomicU64,
+}
+
+impl Activity {
+    fn is_idle_since(&self, served_before: u64) -> bool {
+        let served = self.served.load(Ordering::Acquire);
+        served == served_before && self.in_flight.load(Ordering::Acquire) == 0
+    }
+}
+
+/// Counts a request as in flight until it is dropped.
+struct InFlight(Arc<Activity>);
+
+impl InFlight {
+    fn enter(activity: &Arc<Activity>) -> Self {
+        activity.in_flight.fetch_add(1, Ordering::AcqRel);
+        activity.served.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(activity))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// One connection from its first byte to its last.
+struct Connection {
+    builder: Arc<auto::Builder<TokioExecutor>>,
+    idle_timeout: Duration,
+    stopped: watch::Receiver<bool>,
+    activity: Arc<Activity>,
+}
+
+impl Connection {
+    /// Serves until the peer closes, the connection rests for too long, or the
+    /// server stops. The last two end it gracefully: what is in flight is
+    /// finished, and the peer is told to send nothing more.
+    async fn run<S, F>(self, stream: TcpStream, serve: S)
+    where
+        S: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Result<Response<NodeBody>, Infallible>> + Send + 'static,
+    {
+        let mut stopped = self.stopped;
+        let activity = Arc::clone(&self.activity);
+        let service = service_fn(move |request| {
+            let in_flight = InFlight::enter(&activity);
+            let serving = serve(request);
+            async move {
+                let response = serving.await;
+                drop(in_flight);
+                response
             }
-            drop(place);
         });
+        let builder = Arc::clone(&self.builder);
+        let serving = builder.serve_connection(TokioIo::new(stream), service);
+        let mut serving = pin!(serving);
+        let mut is_ending = false;
+        loop {
+            let served_before = self.activity.served.load(Ordering::Acquire);
+            tokio::select! {
+                ended = serving.as_mut() => {
+                    if let Err(error) = ended {
+                        log::debug!("a connection ended: {error}");
+                    }
+                    return;
+                }
+                _ = stopped.wait_for(|stopped| *stopped), if !is_ending => {
+                    is_ending = true;
+                    serving.as_mut().graceful_shutdown();
+                }
+                () = tokio::time::sleep(self.idle_timeout), if !is_ending => {
+                    if self.activity.is_idle_since(served_before) {
+                        is_ending = true;
+                        serving.as_mut().graceful_shutdown();
+                    }
+                }
+            }
+        }
     }
-    drop(listener);
-    graceful.shutdown().await;
 }
 
 fn builder(limits: &ServerLimits) -> auto::Builder<TokioExecutor> {
@@ -153,6 +249,7 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
+        .max_headers(limits.header_count)
         .max_buf_size(limits.header_bytes);
     builder
         .http2()
