Split the stand-ins' large files and test a lost port

Ruled out: scripts that the fleet's test writes before it runs them (a file just written cannot be run while a process forked meanwhile holds it open), so they lie beside the test; keeping ten seconds until ready (debug nodes took 2 to 4 s on this machine under load, so thirty).

Change: http_server/{answers,control,requests}, fleet/node, load/progress; paths of public items stay. One test more: a node whose port was taken is given new addresses and published three times, then given up.

Conclusion: same behaviour, smaller files; the collision path is covered on a script, not yet on a real node.

--- /dev/null
+++ b/crates/standins/src/http_server/control.rs
@@ -0,0 +1,73 @@
+//! Commands to a running server.
+
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+use crate::prelude::*;
+
+const COMMAND_BOUND: Duration = Duration::from_secs(5);
+const COMMANDS: usize = 16;
+
+/// What a server is told.
+pub(super) enum Command {
+    Reset {
+        down: Duration,
+        done: oneshot::Sender<()>,
+    },
+    Close {
+        done: oneshot::Sender<()>,
+    },
+    Open,
+    Stop {
+        done: oneshot::Sender<()>,
+    },
+}
+
+/// Lets handlers and owners crash, close and stop the server.
+#[derive(Clone)]
+pub struct ServerControl {
+    commands: mpsc::Sender<Command>,
+}
+
+impl ServerControl {
+    /// Resets all connections at once and listens again after `down`.
+    ///
+    /// Returns when the connections are gone. A handler must not wait for it,
+    /// because its own future ends with its connection.
+    pub async fn crash(&self, down: Duration) {
+        self.command(|done| Command::Reset { down, done }).await;
+    }
+
+    /// Resets all connections and refuses new ones.
+    pub async fn close(&self) {
+        self.command(|done| Command::Close { done }).await;
+    }
+
+    /// Listens again on the same port.
+    pub async fn open(&self) {
+        let _ = self.commands.send(Command::Open).await;
+    }
+
+    /// Resets all connections and frees the port.
+    pub async fn stop(&self) {
+        self.command(|done| Command::Stop { done }).await;
+    }
+
+    async fn command(&self, command: impl FnOnce(oneshot::Sender<()>) -> Command) {
+        let (done, obeyed) = oneshot::channel();
+        if self.commands.send(command(done)).await.is_err() {
+            return;
+        }
+        let _ = timeout(COMMAND_BOUND, obeyed).await;
+    }
+}
+
+/// A control and the end to hand to [`super::HttpServer::start`].
+#[must_use]
+pub fn control() -> (ServerControl, ControlEnd) {
+    let (commands, receiver) = mpsc::channel(COMMANDS);
+    (ServerControl { commands }, ControlEnd(receiver))
+}
+
+/// Receives what a [`ServerControl`] commands.
+pub struct ControlEnd(pub(super) mpsc::Receiver<Command>);
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -19,6 +19,7 @@
 
 mod answer;
 mod pace;
+mod progress;
 mod table;
 mod tickets;
 
