Give a payment's deadline in its gate's own clock

Cause: the deadline travelled only as time left, counted anew by the gate when it read the request. A gate that was paused (SIGSTOP) while a payment lay in its socket started it after the caller had been told "unknown": the process test a_gate_that_wakes_late_starts_nothing_that_was_given_up found one run where none was allowed. At most once held; "no start after the deadline" did not.

Ruled out: relying on the entry's withdrawal (RST_STREAM) alone, since it can come behind the wake-up or never, when entry and gate are parted; noticing the pause in the gate by a late tick, which tells nothing of packets that the network held; a wall clock, since no two clocks need agree here.

Change: the entry reckons the gate's clock from its reports, which already carry it, and sends the end of the deadline in that clock as hitch-gate-deadline-at-ms.

Left: a gate never heard from gets the time left only; a suspended VM whose monotonic clock stands still counts its suspension as no time.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod entries;
+mod gate_clocks;
 mod idempotent;
 mod relay;
 mod ticketed;
--- a/crates/node/src/callers/call.rs
+++ b/crates/node/src/callers/call.rs
@@ -118,6 +118,7 @@
         headers.remove(http::header::EXPECT);
         for name in [
             header::TICKET,
+            header::GATE_DEADLINE_AT_MS,
             header::KEY,
             header::LOAD,
             header::FINGERPRINT,
@@ -142,6 +143,17 @@
         self.headers.insert(header::TICKET, value);
     }
 
+    /// Adds the end of the deadline in the gate's clock.
+    ///
+    /// Time left, counted anew by whoever reads it, grows by all the time that
+    /// a request lies in the socket of a paused gate or in a bad network: a
+    /// payment would start long after its caller has given up. A point in the
+    /// gate's own clock does not move.
+    pub fn set_gate_deadline(&mut self, at: Millis) {
+        let value = HeaderValue::from(at.0);
+        self.headers.insert(header::GATE_DEADLINE_AT_MS, value);
+    }
+
     /// The request for one attempt.
     #[must_use]
     pub fn request(
--- a/crates/node/src/callers/entries.rs
+++ b/crates/node/src/callers/entries.rs
@@ -12,6 +12,7 @@
 use hornbeamhitch_core::prelude::*;
 use parking_lot::{Mutex, RwLock};
 
+use super::gate_clocks::GateClocks;
 use crate::clock::ProcessClock;
 
 /// The routes in force, replaced whole by the control thread.
@@ -42,6 +43,7 @@
     /// The view that `service` was last updated with.
     seen: Arc<ServiceView>,
     counts: EntryCounts,
+    clocks: GateClocks,
 }
 
 /// Counts of one service at this entry since the start.
@@ -98,6 +100,17 @@
     pub peer: std::net::SocketAddr,
 }
 
+/// The gate that a ticket names, as this entry knows it.
+#[derive(Debug)]
+pub struct NamedGate {
+    /// The attempt there.
+    pub guard: AttemptGuard,
+    /// The life last heard of on the VM.
+    pub incarnation: Option<Incarnation>,
+    /// What the clock of the ticket's life shows at least, once it was heard.
+    pub clock_ms: Option<Millis>,
+}
+
 impl EntryBoard {
     /// A board without entries.
     #[must_use]
@@ -151,6 +164,7 @@
                     service,
                     seen: Arc::clone(view),
                     counts: EntryCounts::default(),
+                    clocks: GateClocks::default(),
                 }),
             })
         });
@@ -166,6 +180,10 @@
         }
         state.seen = Arc::clone(view);
         state.service.update(Arc::clone(view), self.clock.now());
+        let EntryState {
+            service, clocks, ..
+        } = &mut *state;
+        clocks.retain(|vm| service.target_on(vm).is_some());
     }
 
     /// Chooses a target for one attempt.
@@ -192,16 +210,25 @@
     }
 
     /// Chooses the target on a VM, for a ticketed call.
-    pub fn choose_vm(self: &Arc<Self>, vm: &VmId) -> Option<(AttemptGuard, Option<Incarnation>)> {
+    pub fn choose_gate(self: &Arc<Self>, ticket: &Ticket) -> Option<NamedGate> {
         let now = self.clock.now();
         let mut state = self.state.lock();
+        let vm = &ticket.gate;
         let (index, target) = state.service.target_on(vm)?;
-        let incarnation = target.incarnation;
+        let (incarnation, load) = (target.incarnation, target.load);
+        if let Some(heard) = load {
+            state.clocks.observe(vm, &heard.report, heard.heard_at);
+        }
+        let clock_ms = state.clocks.reading(vm, ticket.incarnation, now);
         let pick = state.service.pick_fixed(index, now);
         state.counts.first_attempts += 1;
         let chosen = chosen(&state.service, pick);
         drop(state);
-        Some((self.guard(chosen), incarnation))
+        Some(NamedGate {
+            guard: self.guard(chosen),
+            incarnation,
+            clock_ms,
+        })
     }
 
     /// Decides what follows a failed attempt.
@@ -251,6 +278,7 @@
             started_at: Instant::now(),
             head_latency_us: None,
             load: None,
+            heard_at: Millis::ZERO,
             ended: false,
         }
     }
@@ -277,6 +305,7 @@
     started_at: Instant,
     head_latency_us: Option<u32>,
     load: Option<LoadReport>,
+    heard_at: Millis,
     ended: bool,
 }
 
@@ -285,6 +314,7 @@
     pub fn note_head(&mut self, load: Option<LoadReport>) {
         self.head_latency_us = Some(self.elapsed_us());
         self.load = load;
+        self.heard_at = self.entry.clock.now();
     }
 
     /// Ends the attempt.
@@ -305,6 +335,9 @@
         let now = self.entry.clock.now();
         let mut state = self.entry.state.lock();
         state.service.finish(&self.target.pick, &outcome, now);
+        if let Some(report) = &self.load {
+            state.clocks.observe(&self.target.vm, report, self.heard_at);
+        }
         state.counts.note_end(self.target.pick.target, &end);
     }
 
--- a/crates/node/src/callers/ticketed.rs
+++ b/crates/node/src/callers/ticketed.rs
@@ -36,24 +36,30 @@
     ticket: &Ticket,
     request: Request<NodeBody>,
 ) -> Response<NodeBody> {
-    let Some((guard, known_life)) = entry.choose_vm(&ticket.gate) else {
+    let Some(gate) = entry.choose_gate(ticket) else {
         return answer::from_refusal(&Refusal::fixed(ResultCode::GateGone));
     };
     // A later life was heard on this VM: the one that the ticket names has
     // ended. An earlier one only means that this node lags behind the ticket.
+    let known_life = gate.incarnation;
     if known_life.is_some_and(|life| life > ticket.incarnation) {
         return answer::from_refusal(&Refusal::fixed(ResultCode::GateGone));
     }
     let (parts, body) = request.into_parts();
     let mut outbound = Outbound::prepare(&parts, &call, &server.entry_header);
     outbound.set_ticket(&ticket.encode());
+    if let Some(clock_ms) = gate.clock_ms {
+        let left_ms = call.deadline_at.since(server.clock.now());
+        outbound.set_gate_deadline(clock_ms + left_ms);
+    }
     let ticketed = TicketedCall {
         server,
         call: &call,
         outbound,
     };
     let deadline = server.clock.to_instant(call.deadline_at);
-    let mut response = match tokio::time::timeout_at(deadline, ticketed.run(guard, body)).await {
+    let mut response = match tokio::time::timeout_at(deadline, ticketed.run(gate.guard, body)).await
+    {
         Ok(response) => response,
         Err(_) => {
             // Whether it runs is known to the gate alone, and only the same
--- a/crates/node/src/gate_server.rs
+++ b/crates/node/src/gate_server.rs
@@ -200,6 +200,7 @@
         headers.insert(http::header::HOST, host);
         headers.remove(header::TICKET);
         headers.remove(header::ENTRY);
+        headers.remove(header::GATE_DEADLINE_AT_MS);
         let left_ms = call.deadline_at.since(self.clock.now());
         headers.insert(header::DEADLINE_MS, HeaderValue::from(left_ms.0));
         headers.insert(header::DEPTH, HeaderValue::from(call.depth));
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -6,6 +6,8 @@
 pub const TENANT: &str = "hitch-tenant";
 /// What is left of the deadline, in whole milliseconds.
 pub const DEADLINE_MS: &str = "hitch-deadline-ms";
+/// End of a ticketed call's deadline, in the clock of the gate that it goes to.
+pub const GATE_DEADLINE_AT_MS: &str = "hitch-gate-deadline-at-ms";
 /// Depth of the call, 0 at the outermost caller.
 pub const DEPTH: &str = "hitch-depth";
 /// Number of the result code.
