Never deny a run because its body has become too large

Cause: a ticket whose payment had run was answered key-reused ("not run") when an edit of the text lowered max_request_bytes below that payment's own body and the caller sent it again. The body is not read to its end, so the gate cannot know that it is another one. Found by a_payment_that_ran_is_not_denied_for_its_size.

Ruled out: replaying the stored answer, since the body may be another; "unknown", since the ticket stays good and brings the answer once the limit is back.

Change: where the key has a record other than "fenced", the answer is bad-request ("not yet"): only this attempt is denied.

--- a/crates/node/src/gate_server/recorded.rs
+++ b/crates/node/src/gate_server/recorded.rs
@@ -75,6 +75,10 @@
 
 /// Refusing as "not run" is only true once the key is fenced: an earlier send
 /// under the ticket may have run, or a late one may yet arrive.
+///
+/// Where the key has run, so may have this very body, before an edit of the
+/// text lowered the limit: it is not read to its end, so nothing tells. Then
+/// only this attempt is denied.
 fn refuse_too_large(server: &GateServer, ticket: &Ticket) -> Response<NodeBody> {
     let is_fenced = match server.board.fence(ticket) {
         KeyState::Settled(Settlement::Refused(refusal)) => {
@@ -85,7 +89,10 @@
     if is_fenced {
         return answer::from_code(ResultCode::TooLarge, "the body is above the limit");
     }
-    answer::from_code(ResultCode::KeyReused, "the key was used with another body")
+    answer::from_code(
+        ResultCode::BadRequest,
+        "the body is above the limit, and its ticket was used before",
+    )
 }
 
 /// Answers an entry that asks about a key.
