Buffer small answers without a length, and never end one by a close

Cause, two faults with answers that state no length: - Over HTTP/1.0 only the close of the connection ends such a body. A target cut a chunked answer of 4,194,304 bytes at half, and the caller was left with 2,097,366 bytes of HTTP/1.0 200 that looked whole (a_caller_of_http_1_0_is_not_given_a_short_body_as_whole). - A small chunked answer was streamed and not buffered, so a cut one broke the caller's connection instead of being retried (a_small_cut_answer_of_a_lookup_is_retried_to_a_whole_one).

Ruled out: refusing HTTP/1.0 altogether, since answers with a length are safe there; breaking the connection by a reset, which the HTTP library cannot be told and which a caller need not notice.

Change: the entry takes in up to buffer_bytes of an answer of unknown length and passes it on whole if it ends there. A longer one is streamed from then on; to HTTP/1.0 it is answered attempts-failed (502) before the first byte. The price: a target that trickles an answer below buffer_bytes is passed on only at its end.

--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -87,6 +87,39 @@
     Ok(rest.freeze())
 }
 
+/// The beginning of a body whose length nobody has told.
+#[derive(Debug)]
+pub enum Beginning {
+    /// It ended within the limit.
+    Whole(Bytes),
+    /// It is longer; the rest is still in the stream.
+    Longer(Bytes),
+}
+
+/// Takes in a body until it ends or exceeds `limit_bytes`.
+///
+/// # Errors
+///
+/// The stream ended early.
+pub async fn begin<B>(body: &mut B, limit_bytes: u64) -> Result<Beginning, CollectError>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+{
+    let limit = usize::try_from(limit_bytes).unwrap_or(usize::MAX);
+    let mut taken = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| CollectError::Cut)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        taken.extend_from_slice(&data);
+        if taken.len() > limit {
+            return Ok(Beginning::Longer(taken.freeze()));
+        }
+    }
+    Ok(Beginning::Whole(taken.freeze()))
+}
+
 /// Reads a body away, up to `limit_bytes`.
 pub async fn discard(body: NodeBody, limit_bytes: u64) {
     let mut body = limit(body, limit_bytes);
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -146,7 +146,9 @@
         request: Request<Incoming>,
     ) -> Result<Response<NodeBody>, Infallible> {
         let _in_flight = InFlight::enter(&self.traffic);
-        Ok(self.dispatch(request.map(body::wrap)).await)
+        let version = request.version();
+        let response = self.dispatch(request.map(body::wrap)).await;
+        Ok(relay::fit_to(version, response))
     }
 
     async fn dispatch(self: &Arc<Self>, request: Request<NodeBody>) -> Response<NodeBody> {
--- a/crates/node/src/callers/relay.rs
+++ b/crates/node/src/callers/relay.rs
@@ -14,7 +14,7 @@
 
 use super::entries::AttemptGuard;
 use crate::answer;
-use crate::body::{self, BodyError, NodeBody};
+use crate::body::{self, Beginning, BodyError, NodeBody};
 
 /// A gate's answer that is ready for the caller.
 #[derive(Debug)]
@@ -43,42 +43,64 @@
     buffer_bytes: u64,
     deadline: tokio::time::Instant,
 ) -> Taken {
-    let (mut head, incoming) = response.into_parts();
+    let (mut head, mut incoming) = response.into_parts();
     let load = answer::text(&head.headers, header::LOAD).and_then(|text| text.parse().ok());
     attempt.note_head(load);
     let code = answer::code_of(&head.headers).unwrap_or(ResultCode::Answered);
     head.headers.remove(header::LOAD);
     answer::strip_hop_by_hop(&mut head.headers);
     let end = end_of(code, &head);
-    let is_small = incoming
-        .size_hint()
-        .exact()
-        .is_some_and(|length| length <= buffer_bytes);
-    if !is_small {
-        let streamed = StreamedAnswer {
+    let body = match beginning(&mut incoming, buffer_bytes).await {
+        Ok(Beginning::Whole(bytes)) => {
+            attempt.end(end);
+            body::full(bytes)
+        }
+        Ok(Beginning::Longer(first)) => StreamedAnswer {
+            first: Some(first).filter(|first| !first.is_empty()),
             inner: incoming,
             attempt: Some(attempt),
             end,
             deadline: Box::pin(tokio::time::sleep_until(deadline)),
-        };
-        return Taken::Answer(Relayed {
-            response: Response::from_parts(head, streamed.boxed_unsync()),
-            code,
-        });
-    }
-    match body::collect(body::wrap(incoming), buffer_bytes).await {
-        Ok(bytes) => {
-            attempt.end(end);
-            Taken::Answer(Relayed {
-                response: Response::from_parts(head, body::full(bytes)),
-                code,
-            })
         }
+        .boxed_unsync(),
         Err(_) => {
             attempt.end(AttemptEnd::Broken);
-            Taken::Cut
+            return Taken::Cut;
         }
+    };
+    Taken::Answer(Relayed {
+        response: Response::from_parts(head, body),
+        code,
+    })
+}
+
+/// Takes in what an entry buffers. A body without a stated length is buffered
+/// like any other: it may be small as well.
+async fn beginning(
+    incoming: &mut Incoming,
+    buffer_bytes: u64,
+) -> Result<Beginning, body::CollectError> {
+    let stated = incoming.size_hint().exact();
+    if stated.is_some_and(|length| length > buffer_bytes) {
+        return Ok(Beginning::Longer(Bytes::new()));
     }
+    body::begin(incoming, buffer_bytes).await
+}
+
+/// Replaces an answer that cannot be passed on in the caller's version.
+///
+/// HTTP/1.0 has no chunks. Without a length only the close of the connection
+/// ends the body, so one that is cut on its way would look whole. A visible
+/// failure is better; it comes before the first byte.
+pub fn fit_to(version: http::Version, response: Response<NodeBody>) -> Response<NodeBody> {
+    let has_length = response.body().size_hint().exact().is_some();
+    if version > http::Version::HTTP_10 || has_length {
+        return response;
+    }
+    answer::from_code(
+        ResultCode::AttemptsFailed,
+        "the answer has no length, and HTTP/1.0 cannot tell its end from a cut",
+    )
 }
 
 fn end_of(code: ResultCode, head: &http::response::Parts) -> AttemptEnd {
@@ -97,6 +119,8 @@
 /// An error of the inner stream is passed on as an error, which makes the HTTP
 /// server break the caller's connection or stream: a visible failure.
 struct StreamedAnswer {
+    /// What was taken in before the answer proved to be long.
+    first: Option<Bytes>,
     inner: Incoming,
     attempt: Option<AttemptGuard>,
     end: AttemptEnd,
@@ -123,6 +147,9 @@
             self.finish(AttemptEnd::TimedOut);
             return Poll::Ready(Some(Err("the deadline passed within the answer".into())));
         }
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
         let frame = ready!(Pin::new(&mut self.inner).poll_frame(context));
         match frame {
             Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
@@ -139,10 +166,13 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
+        self.first.is_none() && self.inner.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
+        match self.first {
+            Some(_) => SizeHint::default(),
+            None => self.inner.size_hint(),
+        }
     }
 }
