Bound bulk transfers by the settings

Ruled out: dropping the two settings; a whole text of 1 MB must pass, and a VM with little memory must be able to say less. Change: the control thread takes both from the settings.

--- a/crates/node/src/control_loop.rs
+++ b/crates/node/src/control_loop.rs
@@ -29,6 +29,7 @@
 use crate::clock::ProcessClock;
 use crate::gate_server::GateBoard;
 use crate::metrics::{Metrics, PlatformRead};
+pub use bulk::BulkLimits;
 use bulk::BulkServer;
 use platform::PlatformClient;
 
@@ -94,6 +95,8 @@
     pub events: (mpsc::Sender<ControlEvent>, mpsc::Receiver<ControlEvent>),
     /// What is shared.
     pub outputs: ControlOutputs,
+    /// Bounds on bulk transfers.
+    pub bulk_limits: BulkLimits,
     /// Ends the thread when its sender is dropped.
     pub stop: watch::Receiver<()>,
 }
@@ -117,7 +120,7 @@
         let socket = UdpSocket::from_std(self.sockets.datagrams)?;
         let listener = TcpListener::from_std(self.sockets.bulk)?;
         let (sender, mut events) = self.events;
-        let bulk = BulkServer::new(sender.clone());
+        let bulk = BulkServer::new(sender.clone(), self.bulk_limits);
         let service = self.settings.service.clone();
         tokio::task::spawn_local(Arc::clone(&bulk).accept(listener));
         let mut driver = Driver {
@@ -129,6 +132,7 @@
             sender,
             outputs: self.outputs,
             ticks: 0,
+            bulk_limits: self.bulk_limits,
             service,
         };
         let mut stop = self.stop;
@@ -170,6 +174,7 @@
     sender: mpsc::Sender<ControlEvent>,
     outputs: ControlOutputs,
     ticks: u32,
+    bulk_limits: BulkLimits,
     /// The service of the own target.
     service: ServiceName,
 }
@@ -229,7 +234,7 @@
                 wait_ms,
             } => self.platform.read_vms(service, after, wait_ms),
             ControlAction::BulkRequest { to, message } => {
-                bulk::ask(to, message, self.sender.clone());
+                bulk::ask(to, message, self.bulk_limits, self.sender.clone());
             }
             ControlAction::BulkAnswer { request, message } => {
                 self.outputs.metrics.bulk_served(message.len());
--- a/crates/node/src/control_loop/bulk.rs
+++ b/crates/node/src/control_loop/bulk.rs
@@ -17,11 +17,25 @@
 
 /// One exchange, from connecting to the last byte.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(3);
-const MAX_CONNECTIONS: usize = 32;
 /// After a failed accept (out of descriptors, say) the next is not tried at
 /// once, or the loop would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Bounds on bulk transfers, from the settings.
+#[derive(Clone, Copy, Debug)]
+pub struct BulkLimits {
+    /// Bytes of one message, either way.
+    pub max_bytes: usize,
+    /// Peers that are served at the same time; further ones wait.
+    pub max_connections: usize,
+}
+
+impl BulkLimits {
+    fn bytes(self) -> usize {
+        self.max_bytes.min(MAX_BULK_BYTES)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Pending {
     next: u64,
@@ -34,14 +48,16 @@
     events: mpsc::Sender<ControlEvent>,
     pending: Mutex<Pending>,
     places: Arc<Semaphore>,
+    limits: BulkLimits,
 }
 
 impl BulkServer {
-    pub(super) fn new(events: mpsc::Sender<ControlEvent>) -> Arc<Self> {
+    pub(super) fn new(events: mpsc::Sender<ControlEvent>, limits: BulkLimits) -> Arc<Self> {
         Arc::new(Self {
             events,
             pending: Mutex::default(),
-            places: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+            places: Arc::new(Semaphore::new(limits.max_connections)),
+            limits,
         })
     }
 
@@ -78,7 +94,7 @@
     }
 
     async fn serve(&self, mut stream: TcpStream) -> Result<()> {
-        let message = read_frame(&mut stream).await?;
+        let message = read_frame(&mut stream, self.limits).await?;
         let (request, answer) = self.register();
         let event = ControlEvent::BulkRequested { request, message };
         let sent = self.events.send(event).await;
@@ -104,9 +120,15 @@
 }
 
 /// Asks a peer; the answer or the failure comes back as an event.
-pub(super) fn ask(peer: SocketAddr, message: Vec<u8>, events: mpsc::Sender<ControlEvent>) {
+pub(super) fn ask(
+    peer: SocketAddr,
+    message: Vec<u8>,
+    limits: BulkLimits,
+    events: mpsc::Sender<ControlEvent>,
+) {
     tokio::task::spawn_local(async move {
-        let exchange = tokio::time::timeout(EXCHANGE_TIMEOUT, exchange(peer, &message)).await;
+        let exchange =
+            tokio::time::timeout(EXCHANGE_TIMEOUT, exchange(peer, &message, limits)).await;
         let event = match exchange {
             Ok(Ok(message)) => ControlEvent::BulkAnswered { peer, message },
             Ok(Err(error)) => {
@@ -119,17 +141,18 @@
     });
 }
 
-async fn exchange(peer: SocketAddr, message: &[u8]) -> Result<Vec<u8>> {
+async fn exchange(peer: SocketAddr, message: &[u8], limits: BulkLimits) -> Result<Vec<u8>> {
     let mut stream = TcpStream::connect(peer).await.wrap_err("cannot connect")?;
     write_frame(&mut stream, message).await?;
-    read_frame(&mut stream).await
+    read_frame(&mut stream, limits).await
 }
 
-async fn read_frame(stream: &mut TcpStream) -> Result<Vec<u8>> {
+async fn read_frame(stream: &mut TcpStream, limits: BulkLimits) -> Result<Vec<u8>> {
+    let limit = limits.bytes();
     let length = stream.read_u32().await.wrap_err("no frame came")?;
     let length = usize::try_from(length).unwrap_or(usize::MAX);
-    if length > MAX_BULK_BYTES {
-        bail!("a frame of {length} bytes is above the limit of {MAX_BULK_BYTES}");
+    if length > limit {
+        bail!("a frame of {length} bytes is above the limit of {limit}");
     }
     // Grown as bytes arrive: a false length must not reserve memory.
     let mut message = Vec::new();
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -22,7 +22,7 @@
 use crate::body::NodeBody;
 use crate::callers::{CallerServer, EntryBoard};
 use crate::clock::ProcessClock;
-use crate::control_loop::{ControlHandle, ControlOutputs, ControlSockets, ControlThread};
+use crate::control_loop::{BulkLimits, ControlHandle, ControlOutputs, ControlSockets, ControlThread};
 use crate::gate_server::{GateBoard, GateServer};
 use crate::health;
 use crate::listener::{self, HttpServer, ServerLimits};
@@ -267,6 +267,10 @@
         let (stop_control, stop) = watch::channel(());
         let thread = ControlThread {
             stop,
+            bulk_limits: BulkLimits {
+                max_bytes: config.limits.bulk_bytes,
+                max_connections: config.limits.bulk_connections,
+            },
             settings: control_settings(&config, incarnation, seed),
             checker: Box::new(Checker),
             platform: config.platform_address,
