End a node although a peer is frozen, and record nothing without a policy

A graceful HTTP/2 end waits for the other side's answer to a ping, and a frozen peer gives none. Separately, a gate without a policy answered a ticketed call "no configuration", which counts as not run, without having fenced anything. Ruled out: a leak of calls in the gate (the status showed none in hand); a shorter drain timeout, which would cut real work. Change: servers ping HTTP/2 connections and give up silent ones after 6 s; a ticketed call or fence before the first policy is answered not-yet.

--- a/crates/node/src/gate_server/board.rs
+++ b/crates/node/src/gate_server/board.rs
@@ -39,10 +39,26 @@
     /// `None` until a configuration names the service.
     gate: Option<Gate>,
     policy: Option<Arc<ServicePolicy>>,
+    /// The target drains, or the process was told to end.
     leaving: bool,
+    /// The control thread knows that this VM takes no new work.
+    told_leaving: bool,
     waiting: Waiting,
 }
 
+impl State {
+    fn takes_no_work(&self) -> bool {
+        self.leaving || self.told_leaving
+    }
+
+    fn pass_on_leaving(&mut self) {
+        let leaving = self.takes_no_work();
+        if let Some(gate) = self.gate.as_mut() {
+            gate.set_leaving(leaving);
+        }
+    }
+}
+
 /// The gate of this node: decisions in, waiting calls released.
 ///
 /// A decision and the registration of the call that waits on it happen under
@@ -106,6 +122,7 @@
                 gate: None,
                 policy: None,
                 leaving: false,
+                told_leaving: false,
                 waiting: Waiting::default(),
             }),
             started: AtomicU64::new(0),
@@ -133,7 +150,7 @@
             return;
         }
         let mut gate = Gate::new(self.settings.clone(), Arc::clone(policy), now);
-        gate.set_leaving(state.leaving);
+        gate.set_leaving(state.takes_no_work());
         state.gate = Some(gate);
     }
 
@@ -183,7 +200,9 @@
         let mut state = self.state.lock();
         let state = &mut *state;
         let Some(gate) = state.gate.as_mut() else {
-            return RecordedAdmission::Refused(no_configuration());
+            // Nothing can be recorded yet, so nothing is fenced, and a late
+            // duplicate may run once there is a policy: never "not run".
+            return RecordedAdmission::Refused(unrecorded());
         };
         let admission = match gate.arrive(arrival, now) {
             Verdict::Run(run) => RecordedAdmission::First {
@@ -209,11 +228,7 @@
         let mut state = self.state.lock();
         let state = &mut *state;
         let Some(gate) = state.gate.as_mut() else {
-            // Nothing can be recorded yet, so nothing is fenced.
-            return KeyState::Settled(Settlement::Refused(Refusal::retry_after(
-                ResultCode::GateUnreachable,
-                NO_CONFIGURATION_RETRY_MS,
-            )));
+            return KeyState::Settled(Settlement::Refused(unrecorded()));
         };
         let key = match gate.fence(ticket, now) {
             FenceAnswer::Settled(settlement) => KeyState::Settled(settlement),
@@ -250,7 +265,7 @@
                 service_time_us: 0,
                 gate_clock_ms: now,
                 incarnation: self.settings.incarnation,
-                leaving: state.leaving,
+                leaving: state.takes_no_work(),
             },
         }
     }
@@ -259,15 +274,24 @@
     pub fn set_leaving(&self, leaving: bool) {
         let mut state = self.state.lock();
         state.leaving = leaving;
-        if let Some(gate) = state.gate.as_mut() {
-            gate.set_leaving(leaving);
-        }
+        state.pass_on_leaving();
+    }
+
+    /// Takes over whether this VM takes no new work by what the control thread
+    /// has heard, such as the platform's VM list.
+    ///
+    /// Announcements alone would leave the promise to the network: an entry
+    /// that misses them sends work here for ever. The gate refuses it.
+    pub fn apply_leaving(&self, leaving: bool) {
+        let mut state = self.state.lock();
+        state.told_leaving = leaving;
+        state.pass_on_leaving();
     }
 
     /// Whether new work is refused.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
-        self.state.lock().leaving
+        self.state.lock().takes_no_work()
     }
 
     /// Calls held or running.
@@ -412,6 +436,10 @@
     }
 }
 
+fn unrecorded() -> Refusal {
+    Refusal::retry_after(ResultCode::GateUnreachable, NO_CONFIGURATION_RETRY_MS)
+}
+
 fn no_configuration() -> Refusal {
     Refusal::retry_after(ResultCode::NoConfiguration, NO_CONFIGURATION_RETRY_MS)
 }
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -23,6 +23,11 @@
 /// After a failed accept (out of descriptors, say) the next is not tried at
 /// once, or the loop would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// A graceful HTTP/2 end waits for the other side's answer to a ping. One that
+/// is frozen or cut off never answers, and the node would hang in its drain
+/// with nothing left to do; after these spans its connection is given up.
+const PING_INTERVAL: Duration = Duration::from_secs(3);
+const PING_TIMEOUT: Duration = Duration::from_secs(3);
 const STREAM_WINDOW_BYTES: u32 = 1 << 20;
 const CONNECTION_WINDOW_BYTES: u32 = 8 << 20;
 
@@ -254,6 +259,8 @@
     builder
         .http2()
         .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
         .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX))
         .max_concurrent_streams(limits.max_streams)
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
--- /dev/null
+++ b/tests/all/frozen_peer.rs
@@ -0,0 +1,48 @@
+//! A peer that is frozen must not hold up another node's graceful end.
+
+use std::time::Duration;
+
+use eyre::Result;
+use hornbeamhitch_types::prelude::*;
+
+use crate::support::caller::{Call, Caller, code_of};
+use crate::support::{CASHIER_TEXT, Deployment, Member};
+
+/// Well below the drain timeout of 30 s, after which the node would give up
+/// with status 4.
+const ENDS_WITHIN: Duration = Duration::from_secs(20);
+
+/// Operators replace a VM while another VM is paused by its host. The paused
+/// node holds an HTTP/2 connection to the leaving one and answers no pings. A
+/// graceful end that waits for that answer lasts until the drain timeout and
+/// reports work in flight although there is none.
+#[tokio::test]
+async fn a_node_ends_while_a_peer_with_an_open_connection_is_frozen() -> Result<()> {
+    let members = vec![
+        Member::new("cashier-1", "cashier"),
+        Member::new("cashier-2", "cashier"),
+    ];
+    let mut deployment = Deployment::start(CASHIER_TEXT, members).await?;
+    let caller = Caller::new();
+    // Sent through the second node until its calls have reached the first.
+    let entry = deployment.entry("cashier-2");
+    for round in 0..200 {
+        let call = Call::price(&format!("lookup-{round}"));
+        let answer = caller.send(entry, &call).await.unwrap();
+        assert_eq!(code_of(&answer), Some(ResultCode::Answered));
+        if !deployment.target("cashier-1").all_runs().is_empty() {
+            break;
+        }
+    }
+    assert!(
+        !deployment.target("cashier-1").all_runs().is_empty(),
+        "the second node never used the first"
+    );
+
+    deployment.fleet.pause("cashier-2")?;
+    deployment.fleet.terminate("cashier-1")?;
+    let status = deployment.fleet.wait_exit("cashier-1", ENDS_WITHIN).await?;
+    assert_eq!(status.code(), Some(0));
+    deployment.fleet.resume("cashier-2")?;
+    Ok(())
+}
