--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests on the real programs, as processes against in-process stand-ins.
 
+mod at_most_once;
 mod command_line;
 mod support;
 mod thin_path;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -5,6 +5,9 @@
 //! and journals can be read without a detour.
 
 pub mod caller;
+pub mod far_entry;
+pub mod payment;
+pub mod relay;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/tests/all/support/caller.rs
+++ b/tests/all/support/caller.rs
@@ -7,6 +7,7 @@
 use eyre::{Result, bail, eyre};
 use hornbeamhitch_standins::http_client::{HttpClient, HttpVersion, SendFault, WholeAnswer};
 use hornbeamhitch_standins::target::echo::{EchoRequest, digest, echo_body};
+use hornbeamhitch_standins::target::headers;
 use hornbeamhitch_types::prelude::*;
 use hornbeamhitch_wire::header;
 use http::{HeaderMap, HeaderValue, Method, Request};
@@ -60,6 +61,12 @@
         self
     }
 
+    /// Gives the call another body.
+    pub fn with_body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
     fn request(&self, entry: SocketAddr, path: &str) -> Result<Request<Full<Bytes>>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
@@ -79,14 +86,20 @@
 
     /// Whether an answer is the whole right one for this call.
     pub fn is_answered_by(&self, answer: &WholeAnswer) -> bool {
-        let expected = echo_body(&EchoRequest {
+        digest(&answer.body) == digest(&self.expected_body())
+    }
+
+    /// The one right body of the answer.
+    pub fn expected_body(&self) -> Bytes {
+        let answer_bytes = self.headers.get(headers::ANSWER_BYTES);
+        let answer_bytes = answer_bytes.and_then(|value| value.to_str().ok()?.parse().ok());
+        echo_body(&EchoRequest {
             nonce: &self.nonce,
             method: self.method.as_str(),
             path: self.target_path(),
             body: &self.body,
-            answer_bytes: 0,
-        });
-        digest(&answer.body) == digest(&expected)
+            answer_bytes: answer_bytes.unwrap_or(0),
+        })
     }
 }
 
@@ -103,6 +116,13 @@
         }
     }
 
+    /// A caller whose requests share one HTTP/2 connection an entry.
+    pub fn over_http2() -> Self {
+        Self {
+            client: HttpClient::new(HttpVersion::Http2),
+        }
+    }
+
     /// Sends a call as it is, without following anything.
     pub async fn send(&self, entry: SocketAddr, call: &Call) -> Result<WholeAnswer, SendFault> {
         self.send_to(entry, call, &call.path).await
@@ -140,3 +160,14 @@
     let number = answer.headers.get(header::CODE)?.to_str().ok()?;
     ResultCode::from_number(number.parse().ok()?)
 }
+
+/// What an answer makes certain.
+pub fn certainty_of(answer: &WholeAnswer) -> Certainty {
+    let code = code_of(answer);
+    let code = code.unwrap_or_else(|| panic!("no code: {} {:?}", answer.status, answer.headers));
+    let said = answer.headers.get(header::CERTAINTY);
+    let said = said.and_then(|value| value.to_str().ok());
+    let expected: &'static str = code.certainty().into();
+    assert_eq!(said, Some(expected), "the certainty goes with its code");
+    code.certainty()
+}
