Pace reads by size, tell leftover processes, and measure the control half

Ruled out: fewer readers (each still reads every version); asking the platform for what peers have brought already (kept only as the check for staleness).

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -131,7 +131,7 @@
     fn read(&mut self, event: ControlEvent) -> Option<Input> {
         Some(match event {
             ControlEvent::Tick => return None,
-            ControlEvent::Datagram { bytes, .. } => Input::Datagram(self.read_datagram(&bytes)?),
+            ControlEvent::Datagram { bytes, .. } => self.read_datagram(&bytes)?,
             ControlEvent::TextRead { version, text } => self.check_text(version, &text),
             ControlEvent::TextUnchanged => Input::Unchanged(PlatformRead::Text),
             ControlEvent::VmsRead {
@@ -162,7 +162,7 @@
         })
     }
 
-    fn read_datagram(&mut self, bytes: &[u8]) -> Option<Datagram> {
+    fn read_datagram(&mut self, bytes: &[u8]) -> Option<Input> {
         let counters = &mut self.board.counters;
         counters.datagrams_in += 1;
         counters.datagram_bytes_in += bytes.len() as u64;
@@ -171,8 +171,13 @@
             return None;
         };
         let from = &datagram.from;
-        self.is_current(&from.vm, from.incarnation)
-            .then_some(datagram)
+        if self.is_current(&from.vm, from.incarnation) {
+            return Some(Input::Datagram(datagram));
+        }
+        Some(Input::FromEarlierLife {
+            vm: datagram.from.vm,
+            control: datagram.from.control,
+        })
     }
 
     fn read_request(&mut self, bytes: &[u8]) -> Option<BulkRequest> {
@@ -219,19 +224,18 @@
     fn check_text(&mut self, version: ConfigVersion, text: &str) -> Input {
         let in_force = self.board.text_version();
         let is_needed = version > in_force || (version == in_force && !self.board.text.is_whole());
-        if !is_needed || self.refused == Some(version) {
-            return Input::Text {
-                version,
-                checked: None,
-            };
-        }
-        let checked = self.checker.check(text);
-        if checked.is_err() {
-            self.refused = Some(version);
+        let mut checked = None;
+        if is_needed && self.refused != Some(version) {
+            let outcome = self.checker.check(text);
+            if outcome.is_err() {
+                self.refused = Some(version);
+            }
+            checked = Some(outcome);
         }
         Input::Text {
             version,
-            checked: Some(checked),
+            size_bytes: text.len(),
+            checked,
         }
     }
 
@@ -241,7 +245,7 @@
         let board = &self.board;
         let mut services = Vec::new();
         for service in board.held_services() {
-            services.push(status_of(board, service, now));
+            services.push(status_of(board, service.clone(), now));
         }
         ControlStatus {
             version: (board.text.version() > 0).then(|| board.text_version()),
--- a/crates/core/src/control/acceptance.rs
+++ b/crates/core/src/control/acceptance.rs
@@ -74,7 +74,9 @@
 impl Controller for Acceptance {
     fn on_input(&mut self, input: &Input, board: &mut Board) {
         match input {
-            Input::Text { version, checked } => {
+            Input::Text {
+                version, checked, ..
+            } => {
                 Self::offer_text(board, *version, checked.as_ref());
             }
             Input::Vms {
--- a/crates/core/src/control/board.rs
+++ b/crates/core/src/control/board.rs
@@ -23,6 +23,7 @@
 use super::status::{ControlCounters, PlatformState, RefusedText};
 use crate::prelude::*;
 use crate::suspects::{SuspectEntry, Suspects};
+use crate::view::HeardLoad;
 
 /// A service asked for on demand is let go after this long without a call.
 const INTEREST_IDLE_AFTER: Millis = Millis::from_secs(10 * 60);
@@ -46,10 +47,16 @@
 pub(super) enum Input {
     /// A peer's datagram, not of an earlier life.
     Datagram(Datagram),
+    /// A datagram of an earlier life than the one known.
+    FromEarlierLife {
+        vm: VmId,
+        control: SocketAddr,
+    },
     /// A text with the outcome of its checks; `None` when it need not be
     /// checked because it is not above what is held or refused.
     Text {
         version: ConfigVersion,
+        size_bytes: usize,
         checked: Option<Result<CheckedText, TextRefusal>>,
     },
     Vms {
@@ -105,6 +112,9 @@
     pub(super) vms: Document,
     pub(super) config: Config,
     pub(super) refused: Option<RefusedText>,
+    /// Services whose policy and members this node holds: its own, those that
+    /// it calls, and those asked for lately. Sorted.
+    held: Vec<ServiceName>,
     /// Services asked for on demand, with the time of the last call.
     interests: BTreeMap<ServiceName, Millis>,
     pub(super) members: Members,
@@ -122,7 +132,7 @@
     pub(super) draining: bool,
     /// A later life of this VM was heard of.
     pub(super) superseded: bool,
-    pub(super) own_load: Option<LoadReport>,
+    pub(super) own_load: Option<HeardLoad>,
     pub(super) suspects: Suspects,
     pub(super) dirt: Dirt,
     pub(super) outbox: Vec<ControlAction>,
@@ -142,6 +152,7 @@
             vms: Document::default(),
             config: Config::default(),
             refused: None,
+            held: vec![service.clone()],
             interests: BTreeMap::new(),
             rota: Rota::new(&vm, data_centre.clone()),
             members: Members::new(vm, data_centre, service),
@@ -250,7 +261,7 @@
             incarnation: self.settings.incarnation,
             clock_ms: self.now,
             leaving: self.takes_no_work(),
-            load: self.own_load.as_ref().map(LoadDigest::of),
+            load: self.own_load.map(|load| LoadDigest::of(&load.report)),
         }
     }
 
@@ -315,9 +326,12 @@
         });
     }
 
-    /// Services whose policy and members this node holds: its own, those that
-    /// it calls, and those asked for lately.
-    pub(super) fn held_services(&self) -> Vec<ServiceName> {
+    /// Services whose policy and members this node holds, sorted.
+    pub(super) fn held_services(&self) -> &[ServiceName] {
+        &self.held
+    }
+
+    fn find_held(&self) -> Vec<ServiceName> {
         let own = &self.settings.service;
         let mut held = BTreeSet::from([own.clone()]);
         if let Some(policy) = self.config.policy(own) {
@@ -330,9 +344,9 @@
     /// Slices of the configuration that this node needs.
     pub(super) fn wanted_text(&self) -> BTreeSet<SliceName> {
         let mut wanted = BTreeSet::from([SliceName::Deployment, SliceName::ServiceNames]);
-        for service in self.held_services() {
-            if !self.config.lacks(&service) {
-                wanted.insert(SliceName::Service(service));
+        for service in &self.held {
+            if !self.config.lacks(service) {
+                wanted.insert(SliceName::Service(service.clone()));
             }
         }
         wanted
@@ -341,8 +355,8 @@
     /// Slices of the VM list that this node needs.
     pub(super) fn wanted_vms(&self) -> BTreeSet<SliceName> {
         let mut wanted = BTreeSet::new();
-        for service in self.held_services() {
-            wanted.insert(SliceName::Members(service));
+        for service in &self.held {
+            wanted.insert(SliceName::Members(service.clone()));
         }
         wanted
     }
@@ -350,13 +364,14 @@
     /// Decodes what changed in the text and follows it up: the services held
     /// depend on the own policy.
     pub(super) fn refresh_config(&mut self) {
-        let held = self.held_services();
-        self.config.refresh(&self.text, &held);
-        let now_held = self.held_services();
-        if now_held != held {
-            self.config.refresh(&self.text, &now_held);
+        self.held = self.find_held();
+        self.config.refresh(&self.text, &self.held);
+        let held = self.find_held();
+        if held != self.held {
+            self.config.refresh(&self.text, &held);
+            self.held = held;
         }
-        self.members.hold(&now_held);
+        self.members.hold(&self.held);
         let in_force = self.text_version();
         if self
             .refused
@@ -374,7 +389,7 @@
             *used_at = self.now;
             return;
         }
-        if self.held_services().contains(service) || self.config.lacks(service) {
+        if self.held.contains(service) || self.config.lacks(service) {
             return;
         }
         if self.interests.len() >= MAX_INTERESTS {
--- a/crates/core/src/control/dissemination.rs
+++ b/crates/core/src/control/dissemination.rs
@@ -60,21 +60,10 @@
         let highest = board.holders.highest(board.now);
         let text = &board.text;
         let vms = &board.vms;
-        let text_slice = text.version() > 0
-            && !text.is_whole()
-            && board
-                .wanted_text()
-                .iter()
-                .any(|name| text.slice(name).is_none());
-        let vms_slice = !vms.is_whole()
-            && board
-                .wanted_vms()
-                .iter()
-                .any(|name| vms.slice(name).is_none());
         Self {
             text_behind: highest.text > board.text_version(),
             vms_behind: highest.vms > board.list_version(),
-            slices: text_slice || vms_slice,
+            slices: lacks_text(board) || lacks_vms(board),
             whole: board.reading && !(text.is_whole() && vms.is_whole()),
         }
     }
@@ -84,6 +73,38 @@
     }
 }
 
+fn lacks_text(board: &Board) -> bool {
+    let text = &board.text;
+    if text.version() == 0 || text.is_whole() {
+        return false;
+    }
+    for name in [SliceName::Deployment, SliceName::ServiceNames] {
+        if text.slice(&name).is_none() {
+            return true;
+        }
+    }
+    for service in board.held_services() {
+        let name = SliceName::Service(service.clone());
+        if !board.config.lacks(service) && text.slice(&name).is_none() {
+            return true;
+        }
+    }
+    false
+}
+
+fn lacks_vms(board: &Board) -> bool {
+    if board.vms.is_whole() {
+        return false;
+    }
+    for service in board.held_services() {
+        let name = SliceName::Members(service.clone());
+        if board.vms.slice(&name).is_none() {
+            return true;
+        }
+    }
+    false
+}
+
 /// How well a peer suits, the best last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Fit {
@@ -117,8 +138,9 @@
         }
     }
 
-    fn hear(board: &mut Board, datagram: &Datagram) {
+    fn hear(&mut self, board: &mut Board, datagram: &Datagram) {
         board.holders.hear(datagram, board.now);
+        self.note_source(board, datagram);
         let (text_notes, vms_notes): (&[ChangeNote], &[ChangeNote]) = match &datagram.body {
             DatagramBody::Heartbeat(heartbeat) => {
                 board.hear_refused(heartbeat.refused.as_ref());
@@ -136,6 +158,22 @@
         board.vms.advance(vms_notes);
     }
 
+    /// A peer that can surely help ends the pause after fruitless pulls.
+    ///
+    /// Without this, a node that asked others too early, before they had the
+    /// version themselves, would sit out a pause of seconds beside a peer that
+    /// has it.
+    fn note_source(&mut self, board: &Board, datagram: &Datagram) {
+        let known = datagram.known;
+        let is_whole = known.text_whole && known.vms_whole;
+        let is_kin = datagram.from.service == board.settings.service;
+        let is_ahead = known.text > board.text_version() || known.vms > board.list_version();
+        let is_passed_over = self.passed_over.contains_key(&datagram.from.control);
+        if is_ahead && (is_whole || is_kin) && !is_passed_over {
+            self.next_pull_at = board.now;
+        }
+    }
+
     fn answer(&mut self, board: &mut Board, request: RequestId, message: &BulkRequest) {
         if !self.answers.try_take(board.now) {
             return;
@@ -320,7 +358,7 @@
 impl Controller for Dissemination {
     fn on_input(&mut self, input: &Input, board: &mut Board) {
         match input {
-            Input::Datagram(datagram) => Self::hear(board, datagram),
+            Input::Datagram(datagram) => self.hear(board, datagram),
             Input::Request { request, message } => self.answer(board, *request, message),
             Input::Answer { peer, message } => self.take_answer(board, *peer, message),
             Input::AnswerFailed(peer) => {
--- a/crates/core/src/control/document.rs
+++ b/crates/core/src/control/document.rs
@@ -11,6 +11,9 @@
     Ask, ChangeNote, Reply, SliceBytes, SliceClaim, SliceName, digest_of,
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Change notes kept to be told on.
 const KEPT_NOTES: usize = 8;
 /// A change of more slices gets no note; others then ask for what changed.
--- /dev/null
+++ b/crates/core/src/control/document/tests.rs
@@ -0,0 +1,149 @@
+//! Tests of the rules that versions and slices follow.
+
+use super::*;
+use hornbeamhitch_types::prelude::*;
+
+fn name(service: &str) -> SliceName {
+    SliceName::Service(ServiceName::new(service))
+}
+
+fn parts(content: &[(&str, u8)]) -> Vec<SliceBytes> {
+    let mut parts = Vec::new();
+    for (service, byte) in content {
+        parts.push(SliceBytes {
+            name: name(service),
+            bytes: vec![*byte],
+        });
+    }
+    parts
+}
+
+fn whole(version: u64, content: &[(&str, u8)]) -> Document {
+    let mut document = Document::default();
+    assert!(document.replace(version, parts(content)));
+    document
+}
+
+/// A node that holds one slice, pulled from a whole holder.
+fn partial(from: &Document, service: &str) -> Document {
+    let mut document = Document::default();
+    let ask = document.ask(&BTreeSet::from([name(service)]), false);
+    let reply = from.reply(&ask);
+    assert_eq!(
+        document.apply(&ask, document.edits(), reply),
+        Applied::Advanced
+    );
+    document
+}
+
+fn byte(document: &Document, service: &str) -> Option<u8> {
+    Some(document.slice(&name(service))?.bytes[0])
+}
+
+#[test]
+fn a_lower_or_equal_version_never_replaces_a_whole_document() {
+    let mut document = whole(5, &[("a", 1)]);
+    assert!(!document.replace(4, parts(&[("a", 2)])));
+    assert!(!document.replace(5, parts(&[("a", 2)])));
+    assert_eq!(byte(&document, "a"), Some(1));
+    assert!(document.replace(6, parts(&[("a", 2)])));
+    assert_eq!((document.version(), byte(&document, "a")), (6, Some(2)));
+}
+
+#[test]
+fn a_note_lifts_only_those_whose_slices_it_does_not_touch() {
+    let mut reader = whole(5, &[("a", 1), ("b", 1)]);
+    let mut of_a = partial(&reader, "a");
+    let mut of_b = partial(&reader, "b");
+    reader.replace(6, parts(&[("a", 2), ("b", 1)]));
+    let notes = reader.latest_notes(4);
+    assert!(!of_a.advance(&notes));
+    assert!(of_b.advance(&notes));
+    assert_eq!((of_a.version(), of_b.version()), (5, 6));
+}
+
+/// Slice `a` is changed in version 6 and changed back in 7. One reader missed
+/// 6 and notes truthfully that 5 and 7 do not differ. A node at 6 that took the
+/// note for its own would keep the content of 6 at version 7.
+#[test]
+fn a_note_from_another_version_proves_nothing() {
+    let mut seen_all = whole(5, &[("a", 1)]);
+    let mut skipped = whole(5, &[("a", 1)]);
+    seen_all.replace(6, parts(&[("a", 2)]));
+    let mut node = partial(&seen_all, "a");
+    skipped.replace(7, parts(&[("a", 1)]));
+    assert!(!node.advance(&skipped.latest_notes(4)));
+    assert_eq!((node.version(), byte(&node, "a")), (6, Some(2)));
+
+    // By bulk it learns of the difference, because contents are compared.
+    let ask = node.ask(&BTreeSet::new(), false);
+    let reply = skipped.reply(&ask);
+    assert_eq!(node.apply(&ask, node.edits(), reply), Applied::Advanced);
+    assert_eq!((node.version(), byte(&node, "a")), (7, Some(1)));
+}
+
+/// A whole holder that went up by a note without the added slice would tell
+/// others that the new service does not exist.
+#[test]
+fn a_whole_holder_does_not_go_up_by_a_note_that_adds_a_slice() {
+    let mut reader = whole(5, &[("a", 1)]);
+    let mut other = whole(5, &[("a", 1)]);
+    reader.replace(6, parts(&[("a", 1), ("b", 1)]));
+    assert!(!other.advance(&reader.latest_notes(4)));
+    reader.replace(7, parts(&[("a", 1), ("b", 1)]));
+    let mut level = whole(6, &[("a", 1), ("b", 1)]);
+    assert!(level.advance(&reader.latest_notes(1)));
+}
+
+#[test]
+fn an_answer_that_lacks_a_held_slice_is_not_taken_over() {
+    let reader = whole(5, &[("a", 1), ("b", 1)]);
+    let mut of_a = partial(&reader, "a");
+    let newer = whole(6, &[("a", 2), ("b", 2)]);
+    let of_b = partial(&newer, "b");
+    let ask = of_a.ask(&BTreeSet::new(), false);
+    let reply = of_b.reply(&ask);
+    assert_eq!(reply.missing, [name("a")]);
+    assert_eq!(of_a.apply(&ask, of_a.edits(), reply), Applied::Unusable);
+    assert_eq!(of_a.version(), 5);
+}
+
+/// Between question and answer the node took over something else. The answer
+/// calls slices unchanged that it compared with earlier content.
+#[test]
+fn an_answer_to_an_outdated_question_is_not_taken_over() {
+    let reader = whole(5, &[("a", 1)]);
+    let mut node = partial(&reader, "a");
+    let same_again = whole(8, &[("a", 1)]);
+    let ask = node.ask(&BTreeSet::new(), false);
+    let asked_at = node.edits();
+    let reply = same_again.reply(&ask);
+    let changed = whole(7, &[("a", 2)]);
+    let between = node.ask(&BTreeSet::new(), false);
+    let edits = node.edits();
+    node.apply(&between, edits, changed.reply(&between));
+    assert_eq!(byte(&node, "a"), Some(2));
+    assert_eq!(node.apply(&ask, asked_at, reply), Applied::Unusable);
+    assert_eq!((node.version(), byte(&node, "a")), (7, Some(2)));
+}
+
+#[test]
+fn a_slice_that_is_gone_is_let_go() {
+    let reader = whole(5, &[("a", 1), ("b", 1)]);
+    let mut node = partial(&reader, "a");
+    let newer = whole(6, &[("b", 1)]);
+    let ask = node.ask(&BTreeSet::new(), false);
+    let reply = newer.reply(&ask);
+    assert_eq!(node.apply(&ask, node.edits(), reply), Applied::Advanced);
+    assert_eq!(byte(&node, "a"), None);
+}
+
+#[test]
+fn notes_kept_are_bounded() {
+    let mut reader = whole(1, &[("a", 0)]);
+    for version in 2..100 {
+        reader.replace(version, parts(&[("a", version as u8)]));
+    }
+    assert_eq!(reader.latest_notes(100).len(), KEPT_NOTES);
+    assert_eq!(reader.latest_notes(1)[0].version, 99);
+}
--- a/crates/core/src/control/heartbeat.rs
+++ b/crates/core/src/control/heartbeat.rs
@@ -4,6 +4,8 @@
 //! data centre, and one to a service that this node calls, which is asked to
 //! answer: nobody there would send to this node of its own accord.
 
+use std::net::SocketAddr;
+
 use hornbeamhitch_wire::control::{DatagramBody, Heartbeat};
 use rand::RngExt;
 
@@ -67,7 +69,7 @@
         });
         let far = members.choose(rng, TO_FAR, |member| member.data_centre != data_centre);
         let dependencies = members.choose(rng, TO_DEPENDENCY, |member| {
-            member.service != service && members.holds(&member.service)
+            member.service != service && member.is_held
         });
         let is_lonely = Self::heard_peers(board) < FEW_PEERS;
         let mut sent_to = Vec::new();
@@ -140,10 +142,35 @@
     }
 }
 
+impl Heartbeats {
+    /// Tells a process that a later life of its VM is known.
+    ///
+    /// A process that was paused while its VM was replaced goes on as if
+    /// nothing had happened, and since its messages are dropped nobody would
+    /// ever tell it. On this word it takes no new work.
+    fn tell_earlier_life(&mut self, board: &mut Board, vm: &VmId, control: SocketAddr) {
+        let Some(note) = board.members.note_of(vm, board.now) else {
+            return;
+        };
+        if !self.replies.try_take(board.now) {
+            return;
+        }
+        let heartbeat = Heartbeat {
+            members: vec![note],
+            ..Heartbeat::default()
+        };
+        board.send(control, DatagramBody::Heartbeat(heartbeat));
+    }
+}
+
 impl Controller for Heartbeats {
     fn on_input(&mut self, input: &Input, board: &mut Board) {
-        let Input::Datagram(datagram) = input else {
-            return;
+        let datagram = match input {
+            Input::Datagram(datagram) => datagram,
+            Input::FromEarlierLife { vm, control } => {
+                return self.tell_earlier_life(board, vm, *control);
+            }
+            _ => return,
         };
         let DatagramBody::Heartbeat(heartbeat) = &datagram.body else {
             return;
--- a/crates/core/src/control/member.rs
+++ b/crates/core/src/control/member.rs
@@ -46,6 +46,8 @@
     pub(super) known_at_list: ListVersion,
     /// A later life of another VM speaks from its address.
     pub(super) superseded: bool,
+    /// All members of its service are kept.
+    pub(super) is_held: bool,
     /// When something other than its load changed last.
     pub(super) changed_at: Millis,
     /// When it was last probed.
@@ -78,6 +80,7 @@
             list_leaving: entry.leaving.then_some(ListLeaving::FirstHeard),
             known_at_list: version,
             superseded: false,
+            is_held: false,
             changed_at: now,
             probed_at: None,
         }
@@ -100,6 +103,7 @@
             list_leaving: None,
             known_at_list: version,
             superseded: false,
+            is_held: false,
             changed_at: now,
             probed_at: None,
         }
--- a/crates/core/src/control/members.rs
+++ b/crates/core/src/control/members.rs
@@ -12,6 +12,9 @@
 use super::member::{Member, News};
 use crate::prelude::*;
 
+#[cfg(test)]
+mod tests;
+
 /// Peers of the own data centre kept beside the services held.
 pub(super) const MAX_LOCAL_SAMPLE: usize = 32;
 /// Peers of other data centres kept beside the services held.
@@ -33,6 +36,7 @@
 #[derive(Debug)]
 pub(super) struct Members {
     own: VmId,
+    own_service: ServiceName,
     own_data_centre: DataCentre,
     by_vm: BTreeMap<VmId, Member>,
     held: BTreeSet<ServiceName>,
@@ -47,7 +51,8 @@
             own,
             own_data_centre,
             by_vm: BTreeMap::new(),
-            held: BTreeSet::from([service]),
+            held: BTreeSet::from([service.clone()]),
+            own_service: service,
             turned_away: 0,
         }
     }
@@ -76,6 +81,9 @@
     /// Sets the services of which every member is kept.
     pub(super) fn hold(&mut self, services: &[ServiceName]) {
         self.held = services.iter().cloned().collect();
+        for member in self.by_vm.values_mut() {
+            member.is_held = self.held.contains(&member.service);
+        }
         self.trim_sample();
     }
 
@@ -112,6 +120,7 @@
         let said_at = now.minus(age_ms);
         if let Some(member) = self.by_vm.get_mut(&digest.vm) {
             let news = member.hear(digest, said_at, now);
+            member.is_held = self.held.contains(&member.service);
             if news == News::Change {
                 self.settle_address(digest.control);
             }
@@ -127,6 +136,7 @@
         }
         let mut member = Member::from_digest(digest, version, now);
         member.hear(digest, said_at, now);
+        member.is_held = is_held;
         self.by_vm.insert(digest.vm.clone(), member);
         self.settle_address(digest.control);
         News::Change
@@ -171,7 +181,8 @@
                 changed |= member.list(entry, version, now);
                 continue;
             }
-            let member = Member::from_list(entry, version, now);
+            let mut member = Member::from_list(entry, version, now);
+            member.is_held = self.held.contains(&entry.service);
             self.by_vm.insert(entry.vm.clone(), member);
             changed = true;
         }
@@ -203,10 +214,9 @@
     /// alive, and the VM list lags behind members that are new.
     pub(super) fn remove_gone(&mut self, version: ListVersion, now: Millis) -> bool {
         let before = self.by_vm.len();
-        let held = &self.held;
         self.by_vm.retain(|_, member| {
             let is_named = member.listed || member.known_at_list >= version;
-            !held.contains(&member.service) || is_named || member.is_fresh(now, GONE_AFTER)
+            !member.is_held || is_named || member.is_fresh(now, GONE_AFTER)
         });
         self.by_vm.len() != before
     }
@@ -229,6 +239,10 @@
     }
 
     /// Statements for a peer of `service`: changes first, then any.
+    ///
+    /// Changes in services that this node calls count as news for peers of its
+    /// own service, which call the same ones; so a leaving that its announcer
+    /// could not tell to all its callers still spreads among them.
     pub(super) fn notes_for(
         &self,
         service: &ServiceName,
@@ -236,6 +250,7 @@
         rng: &mut Xoshiro256PlusPlus,
         now: Millis,
     ) -> Vec<MemberNote> {
+        let is_kin = *service == self.own_service;
         let mut news = Vec::new();
         let mut rest = Vec::new();
         let mut others = Vec::new();
@@ -243,12 +258,14 @@
             if !member.is_fresh(now, PASS_ON_WITHIN) {
                 continue;
             }
-            let list = if member.service != *service {
-                &mut others
-            } else if now.since(member.changed_at) <= CHANGE_IS_NEWS {
+            let is_theirs = member.service == *service;
+            let is_shared = is_theirs || (is_kin && member.is_held);
+            let list = if is_shared && now.since(member.changed_at) <= CHANGE_IS_NEWS {
                 &mut news
-            } else {
+            } else if is_theirs {
                 &mut rest
+            } else {
+                &mut others
             };
             list.push(member);
         }
@@ -257,15 +274,21 @@
             let wanted = count.saturating_sub(notes.len());
             let (chosen, _) = list.partial_shuffle(rng, wanted);
             for member in chosen {
-                let (Some(digest), Some(age_ms)) = (member.digest(), member.silent_ms(now)) else {
-                    continue;
-                };
-                notes.push(MemberNote { digest, age_ms });
+                notes.extend(self.note_of(&member.vm, now));
             }
         }
         notes
     }
 
+    /// The newest statement of one peer.
+    pub(super) fn note_of(&self, vm: &VmId, now: Millis) -> Option<MemberNote> {
+        let member = self.by_vm.get(vm)?;
+        Some(MemberNote {
+            digest: member.digest()?,
+            age_ms: member.silent_ms(now)?,
+        })
+    }
+
     /// Statements for a node that joins: any, so that it knows peers beyond its
     /// service.
     pub(super) fn any_notes(
@@ -281,7 +304,7 @@
     pub(super) fn sample_size(&self) -> usize {
         let mut size = 0;
         for member in self.by_vm.values() {
-            if !self.holds(&member.service) {
+            if !member.is_held {
                 size += 1;
             }
         }
@@ -296,7 +319,7 @@
         let mut silent: Option<&Member> = None;
         for member in self.by_vm.values() {
             let is_local_too = member.data_centre == self.own_data_centre;
-            if self.holds(&member.service) || is_local_too != is_local {
+            if member.is_held || is_local_too != is_local {
                 continue;
             }
             size += 1;
@@ -334,7 +357,7 @@
         let mut places = Vec::new();
         for member in self.by_vm.values() {
             let is_local_too = member.data_centre == self.own_data_centre;
-            if !self.holds(&member.service) && is_local_too == is_local {
+            if !member.is_held && is_local_too == is_local {
                 places.push(&member.vm);
             }
         }
@@ -349,10 +372,9 @@
     /// Brings the sample back to its limits after a service was let go.
     fn trim_sample(&mut self) {
         let mut room = [MAX_REMOTE_SAMPLE, MAX_LOCAL_SAMPLE];
-        let held = &self.held;
         let own = &self.own_data_centre;
         self.by_vm.retain(|_, member| {
-            if held.contains(&member.service) {
+            if member.is_held {
                 return true;
             }
             let places = &mut room[usize::from(member.data_centre == *own)];
--- /dev/null
+++ b/crates/core/src/control/members/tests.rs
@@ -0,0 +1,108 @@
+//! Tests of the section of peers.
+
+use super::*;
+
+fn digest(index: u16, service: &str, data_centre: &str, clock_ms: u64) -> MemberDigest {
+    let [high, low] = index.to_be_bytes();
+    MemberDigest {
+        vm: VmId::new(&format!("vm-{index}")),
+        service: ServiceName::new(service),
+        data_centre: DataCentre::new(data_centre),
+        peer: SocketAddr::from(([10, 0, high, low], 7000)),
+        control: SocketAddr::from(([10, 0, high, low], 7001)),
+        incarnation: Incarnation(1),
+        clock_ms: Millis(clock_ms),
+        leaving: false,
+        load: None,
+    }
+}
+
+fn members() -> Members {
+    Members::new(
+        VmId::new("own"),
+        DataCentre::new("near"),
+        ServiceName::new("held"),
+    )
+}
+
+fn hear(members: &mut Members, digest: &MemberDigest, now: Millis) -> News {
+    members.hear(digest, Millis::ZERO, ListVersion(1), now)
+}
+
+#[test]
+fn strangers_are_sampled_within_bounds_and_new_ones_get_a_turn() {
+    let mut members = members();
+    for index in 0..2_000 {
+        let data_centre = if index % 2 == 0 { "near" } else { "far" };
+        hear(
+            &mut members,
+            &digest(index, "other", data_centre, 1),
+            Millis(1),
+        );
+    }
+    assert_eq!(members.sample_size(), MAX_LOCAL_SAMPLE + MAX_REMOTE_SAMPLE);
+    let mut late = 0;
+    for member in members.iter() {
+        late += usize::from(member.vm.as_str() > "vm-1500");
+    }
+    assert!(late > 0, "no stranger ever got a turn");
+}
+
+#[test]
+fn a_late_word_of_the_same_life_takes_no_leaving_back() {
+    let mut members = members();
+    let live = digest(1, "held", "near", 10);
+    let leaving = MemberDigest {
+        leaving: true,
+        ..digest(1, "held", "near", 20)
+    };
+    assert_eq!(hear(&mut members, &live, Millis(1)), News::Change);
+    assert_eq!(hear(&mut members, &leaving, Millis(2)), News::Change);
+    assert_eq!(hear(&mut members, &live, Millis(3)), News::Nothing);
+    assert!(members.iter().all(Member::leaving));
+}
+
+#[test]
+fn an_earlier_life_is_stale() {
+    let mut members = members();
+    let later = MemberDigest {
+        incarnation: Incarnation(2),
+        ..digest(1, "held", "near", 1)
+    };
+    hear(&mut members, &later, Millis(1));
+    let earlier = digest(1, "held", "near", 1_000);
+    assert_eq!(hear(&mut members, &earlier, Millis(2)), News::Stale);
+    assert!(members.is_stale(&later.vm, Incarnation(1)));
+}
+
+/// Whichever of two names at one address is heard first, only the later life
+/// is a target.
+#[test]
+fn only_the_latest_life_at_an_address_is_reachable() {
+    for order in [[0, 1], [1, 0]] {
+        let mut members = members();
+        let first = digest(1, "held", "near", 1);
+        let second = MemberDigest {
+            vm: VmId::new("vm-later"),
+            incarnation: Incarnation(9),
+            ..first.clone()
+        };
+        let both = [first, second];
+        for index in order {
+            hear(&mut members, &both[index], Millis(1));
+        }
+        let reachable: Vec<&VmId> = members.reachable().map(|member| &member.vm).collect();
+        assert_eq!(reachable, [&VmId::new("vm-later")]);
+    }
+}
+
+/// A list drops a member for a while by mistake, and it is silent because of a
+/// partition, but the list is the one by which it was known: it stays.
+#[test]
+fn silence_without_a_newer_list_removes_nobody() {
+    let mut members = members();
+    hear(&mut members, &digest(1, "held", "near", 1), Millis(1));
+    let long_after = Millis::from_secs(86_400);
+    assert!(!members.remove_gone(ListVersion(1), long_after));
+    assert!(members.remove_gone(ListVersion(2), long_after));
+}
--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -9,9 +9,12 @@
 use super::board::{Board, Controller, Dirt, Input};
 use super::member::News;
 use crate::prelude::*;
+use crate::view::HeardLoad;
 
 /// How often members that are gone are looked for.
 const SWEEP_EVERY: Millis = Millis::from_secs(1);
+/// An unchanged report of the own gate is not taken over for this long.
+const OWN_LOAD_FRESH_FOR: Millis = Millis::from_secs(1);
 /// A sample smaller than this is filled up from a whole VM list.
 const SMALL_SAMPLE: usize = 16;
 /// Services looked at to fill up the sample.
@@ -63,9 +66,29 @@
         }
     }
 
+    /// The own gate reports on each tick; what has not changed is published
+    /// anew only before it looks old.
+    fn take_own_load(board: &mut Board, report: LoadReport) {
+        let now = board.now;
+        if let Some(known) = board.own_load {
+            let unchanged = LoadReport {
+                gate_clock_ms: report.gate_clock_ms,
+                ..known.report
+            };
+            if unchanged == report && now.since(known.heard_at) < OWN_LOAD_FRESH_FOR {
+                return;
+            }
+        }
+        board.own_load = Some(HeardLoad {
+            report,
+            heard_at: now,
+        });
+        board.soil(Dirt::Loads);
+    }
+
     /// Takes in the slices of the VM list that changed.
     fn take_in_list(&mut self, board: &mut Board) {
-        let held = board.held_services();
+        let held = board.held_services().to_vec();
         let is_same = self.taken_in_edits == board.vms.edits() && self.held == held;
         if is_same {
             return;
@@ -160,10 +183,7 @@
                 }
             }
             Input::Heard { vm, load } => Self::hear_load(board, vm, *load),
-            Input::GateLoad(load) => {
-                board.own_load = Some(*load);
-                board.soil(Dirt::Loads);
-            }
+            Input::GateLoad(load) => Self::take_own_load(board, *load),
             Input::Interest(service) | Input::SentTo(service) => board.touch_interest(service),
             _ => {}
         }
--- a/crates/core/src/control/publishing.rs
+++ b/crates/core/src/control/publishing.rs
@@ -9,11 +9,10 @@
 use super::status::MemberState;
 use crate::prelude::*;
 use crate::suspects::SuspectSet;
-use crate::view::HeardLoad;
 
 /// Load alone is published no more often than this: reports on answers reach
 /// entries directly, and are newer.
-const LOADS_EVERY: Millis = Millis(100);
+const LOADS_EVERY: Millis = Millis(200);
 
 /// The controller of publishing.
 #[derive(Debug, Default)]
@@ -26,37 +25,41 @@
 }
 
 impl Publishing {
-    fn publish(&mut self, board: &mut Board) {
+    fn publish(&mut self, board: &mut Board, dirt: Dirt) {
         let mut services = BTreeMap::new();
         for service in board.held_services() {
-            let Some(policy) = board.config.policy(&service) else {
+            let Some(policy) = board.config.policy(service) else {
                 continue;
             };
             let view = ServiceView {
                 policy: Arc::clone(policy),
-                targets: targets(board, &service),
+                targets: targets(board, service),
             };
             // An unchanged view keeps its place in memory, so that traffic can
             // tell by the pointer that there is nothing to take over.
-            let view = match self.services.get(&service) {
+            let view = match self.services.get(service) {
                 Some(old) if **old == view => Arc::clone(old),
                 _ => Arc::new(view),
             };
-            services.insert(service, view);
+            services.insert(service.clone(), view);
         }
         let suspects = board.suspects.snapshot();
         if *self.suspects != suspects {
             self.suspects = Arc::new(suspects);
         }
+        self.published_at = board.now;
+        if dirt == Dirt::Loads && is_same(&services, &self.services) {
+            return;
+        }
         let table = RouteTable {
             version: (board.text.version() > 0).then(|| board.text_version()),
             deployment: board.config.deployment(),
             services: services.clone(),
             service_names: board.config.names(),
             suspects: Arc::clone(&self.suspects),
+            leaving: board.takes_no_work(),
         };
         self.services = services;
-        self.published_at = board.now;
         board.counters.tables_published += 1;
         board.outbox.push(ControlAction::Publish(Arc::new(table)));
     }
@@ -73,9 +76,28 @@
         if !is_due {
             return;
         }
-        self.waiting = Dirt::Clean;
-        self.publish(board);
+        let dirt = std::mem::take(&mut self.waiting);
+        self.publish(board, dirt);
+    }
+}
+
+/// Whether every view is the very one published before.
+fn is_same(
+    services: &BTreeMap<ServiceName, Arc<ServiceView>>,
+    published: &BTreeMap<ServiceName, Arc<ServiceView>>,
+) -> bool {
+    if services.len() != published.len() {
+        return false;
+    }
+    for (service, view) in services {
+        if !published
+            .get(service)
+            .is_some_and(|old| Arc::ptr_eq(old, view))
+        {
+            return false;
+        }
     }
+    true
 }
 
 fn targets(board: &Board, service: &ServiceName) -> Vec<TargetView> {
@@ -115,10 +137,6 @@
 }
 
 fn own_target(board: &Board) -> TargetView {
-    let load = board.own_load.map(|report| HeardLoad {
-        report,
-        heard_at: board.now,
-    });
     TargetView {
         vm: board.settings.vm.clone(),
         data_centre: board.settings.data_centre.clone(),
@@ -127,7 +145,7 @@
         distance_us: 0,
         leaving: board.takes_no_work(),
         doubtful: false,
-        load,
+        load: board.own_load,
     }
 }
 
--- a/crates/core/src/control/reading.rs
+++ b/crates/core/src/control/reading.rs
@@ -20,7 +20,7 @@
 const PAUSE_AFTER_SHORT_WATCH: Millis = Millis::from_secs(1);
 /// Failures in a row after which others shall take over.
 const FAILURES_TO_TELL: u32 = 2;
-/// A platform that is behind what peers hold for this long counts as stale.
+/// A platform that lacks what has been held for this long counts as stale.
 const STALE_AFTER: Millis = Millis::from_secs(10);
 /// A node starts to read after it was elected for this long, and a random
 /// part of the same again: at a cold start every node elects itself until it
@@ -33,16 +33,56 @@
 /// How often unused slices are looked for.
 const PRUNE_EVERY: Millis = Millis::from_secs(10);
 
+/// Bytes a second that reads may bring on average.
+///
+/// The platform only serves whole values. With a change every 1.4 s, a reader
+/// of a text of one megabyte that read each version would take in 0.7 MB/s.
+/// Pausing in proportion to the size costs little time: pauses are spread at
+/// random, so that readers of all data centres soon pause at different moments,
+/// and whoever reads first tells the rest.
+const READ_BYTES_PER_S: u64 = 24_000;
+/// The longest mean of such pauses. One lasts at most half as long again, so a
+/// change is in force within 19 s even where there is a lone reader.
+const MAX_SIZE_PAUSE: Millis = Millis::from_secs(12);
+
+/// Length of one line of the VM list in JSON, about.
+const LISTED_VM_BYTES: usize = 150;
+
+/// What is held of the document that a watch is about.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    version: u64,
+    whole: bool,
+}
+
+impl Held {
+    fn of(board: &Board, read: PlatformRead) -> Self {
+        let document = match read {
+            PlatformRead::Text => &board.text,
+            PlatformRead::Vms => &board.vms,
+        };
+        Self {
+            version: document.version(),
+            whole: document.is_whole(),
+        }
+    }
+}
+
 /// One of the two things read.
 #[derive(Debug, Default)]
 struct Watch {
     /// The newest version that the platform itself has shown to this node.
-    /// Reads ask for what is above it, not above what is in force, so that a
-    /// stale platform is recognised.
     shown: u64,
+    /// The version above which was last asked.
+    asked_after: u64,
     sent_at: Option<Millis>,
     next_at: Millis,
     failures: u32,
+    /// The version last seen to be held, and since when it is.
+    held: u64,
+    held_since: Millis,
+    /// The platform was seen to lack what has long been held.
+    is_behind: bool,
 }
 
 impl Watch {
@@ -52,21 +92,57 @@
         self.shown = 0;
         self.failures = 0;
         self.next_at = Millis::ZERO;
+        self.is_behind = false;
     }
 
     fn is_due(&self, now: Millis) -> bool {
         self.sent_at.is_none() && now >= self.next_at
     }
 
-    fn brought(&mut self, version: u64, now: Millis) {
+    fn note_held(&mut self, held: Held, now: Millis) {
+        if held.version != self.held {
+            self.held = held.version;
+            self.held_since = now;
+        }
+        if self.shown >= held.version {
+            self.is_behind = false;
+        }
+    }
+
+    /// Peers should long have been confirmed by the platform.
+    fn is_settled(&self, now: Millis) -> bool {
+        now.since(self.held_since) > STALE_AFTER
+    }
+
+    /// Starts a read; gives the version above which to ask.
+    ///
+    /// What came from peers need not be read once more, unless it has been
+    /// held for so long that a platform which lacks it must be stale.
+    fn start(&mut self, held: Held, now: Millis) -> u64 {
+        let takes_on_trust = held.whole && !self.is_settled(now);
+        self.asked_after = if takes_on_trust {
+            self.shown.max(held.version)
+        } else {
+            self.shown
+        };
+        self.sent_at = Some(now);
+        self.asked_after
+    }
+
+    /// A read brought a value; the next one waits for `pause`.
+    fn brought(&mut self, version: u64, pause: Millis, held: Held, now: Millis) {
         let is_new = version > self.shown;
         self.shown = self.shown.max(version);
-        self.ended_well(is_new, now);
+        self.ended_well(is_new, held, now);
+        self.next_at = self.next_at.max(now + pause);
     }
 
-    fn ended_well(&mut self, is_new: bool, now: Millis) {
+    fn ended_well(&mut self, is_new: bool, held: Held, now: Millis) {
         let sent_at = self.sent_at.take();
         self.failures = 0;
+        self.note_held(held, now);
+        let lacks_held = self.asked_after < held.version && self.shown < held.version;
+        self.is_behind |= lacks_held && self.is_settled(now);
         let was_short = sent_at.is_some_and(|at| now.since(at) < PAUSE_AFTER_SHORT_WATCH);
         self.next_at = if was_short && !is_new {
             now + PAUSE_AFTER_SHORT_WATCH
@@ -97,8 +173,6 @@
     turning_since: Option<Millis>,
     /// When to act upon it.
     turn_at: Millis,
-    /// Since when the platform has been behind.
-    behind_since: Option<Millis>,
     stopped_at: Millis,
     pruned_at: Millis,
 }
@@ -124,7 +198,6 @@
         if elected {
             self.text.restart();
             self.vms.restart();
-            self.behind_since = None;
         } else {
             self.stopped_at = board.now;
             board.platform = PlatformState::Unused;
@@ -150,33 +223,25 @@
                 watch.failed(board.rng.random_range(0.5..=1.0), now);
             }
         }
+        let text = Held::of(board, PlatformRead::Text);
+        self.text.note_held(text, now);
         if self.text.is_due(now) {
-            self.text.sent_at = Some(now);
-            board.read_text(ConfigVersion(self.text.shown), WATCH);
+            let after = self.text.start(text, now);
+            board.read_text(ConfigVersion(after), WATCH);
         }
+        let vms = Held::of(board, PlatformRead::Vms);
+        self.vms.note_held(vms, now);
         if self.vms.is_due(now) {
-            self.vms.sent_at = Some(now);
-            board.read_vms(None, ListVersion(self.vms.shown), WATCH);
+            let after = self.vms.start(vms, now);
+            board.read_vms(None, ListVersion(after), WATCH);
         }
     }
 
     fn judge_platform(&mut self, board: &mut Board) {
         let failures = self.text.failures.max(self.vms.failures);
-        let is_behind =
-            self.text.shown < board.text.version() || self.vms.shown < board.vms.version();
-        if !is_behind {
-            self.behind_since = None;
-        }
-        let behind_since = match (is_behind, self.behind_since) {
-            (true, None) => {
-                self.behind_since = Some(board.now);
-                board.now
-            }
-            (_, since) => since.unwrap_or(board.now),
-        };
         board.platform = if failures >= FAILURES_TO_TELL {
             PlatformState::Failing
-        } else if board.now.since(behind_since) > STALE_AFTER {
+        } else if self.text.is_behind || self.vms.is_behind {
             PlatformState::Stale
         } else {
             PlatformState::Answering
@@ -206,6 +271,12 @@
     }
 }
 
+fn size_pause(board: &mut Board, size_bytes: usize) -> Millis {
+    let mean = Millis(size_bytes as u64 * 1_000 / READ_BYTES_PER_S).min(MAX_SIZE_PAUSE);
+    let spread = board.rng.random_range(0..=mean.0);
+    Millis(mean.0 / 2 + spread)
+}
+
 impl Controller for Reading {
     fn on_input(&mut self, input: &Input, board: &mut Board) {
         let now = board.now;
@@ -229,13 +300,28 @@
                     board.rota.hear(note, &board.settings.vm, now);
                 }
             }
-            Input::Text { version, .. } => self.text.brought(version.0, now),
+            Input::Text {
+                version,
+                size_bytes,
+                ..
+            } => {
+                let held = Held::of(board, PlatformRead::Text);
+                let pause = size_pause(board, *size_bytes);
+                self.text.brought(version.0, pause, held, now);
+            }
             Input::Vms {
                 version,
                 service: None,
-                ..
-            } => self.vms.brought(version.0, now),
-            Input::Unchanged(read) => self.watch(*read).ended_well(false, now),
+                vms,
+            } => {
+                let held = Held::of(board, PlatformRead::Vms);
+                let pause = size_pause(board, vms.len() * LISTED_VM_BYTES);
+                self.vms.brought(version.0, pause, held, now);
+            }
+            Input::Unchanged(read) => {
+                let held = Held::of(board, *read);
+                self.watch(*read).ended_well(false, held, now);
+            }
             Input::Failed(read) => {
                 board.counters.platform_failures += 1;
                 let jitter = board.rng.random_range(0.5..=1.0);
--- a/crates/core/src/control/rota.rs
+++ b/crates/core/src/control/rota.rs
@@ -18,6 +18,9 @@
 use super::status::ReaderStatus;
 use crate::prelude::*;
 
+#[cfg(test)]
+mod tests;
+
 /// Readers of a data centre while the platform answers them.
 pub(super) const READERS: usize = 2;
 /// Readers of a data centre when the first ones fail. It is the bound on the
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -61,4 +61,8 @@
     pub service_names: Arc<Vec<ServiceName>>,
     /// Requests suspected or convicted of crashing targets.
     pub suspects: Arc<SuspectSet>,
+    /// This node takes no new work: it was told to leave, its target drains,
+    /// the platform takes the VM away, or a later life of the VM was heard of.
+    /// The own gate must refuse new work while this is set.
+    pub leaving: bool,
 }
