Let the gate refuse when the VM list calls its VM leaving

Cause: the list's word reached the core, which took the node off the routes and said so in heartbeats, but not the gate. It went on admitting, and the reports on its answers said "not leaving", against the heartbeats. An entry that missed the announcements (paused, or cut off) sent work there for as long as the list said leaving.

Ruled out: leaving the promise to announcements (three datagrams, any of which may be lost); ending the process on the list's word (the platform takes the VM away, and until then it owes answers).

--- a/crates/node/src/control_loop.rs
+++ b/crates/node/src/control_loop.rs
@@ -255,6 +255,7 @@
             self.outputs.gate.apply_policy(&own.policy);
         }
         self.outputs.gate.apply_suspects(&table.suspects);
+        self.outputs.gate.apply_leaving(table.leaving);
         self.outputs.routes.store(table);
         self.outputs.published.send_modify(|count| *count += 1);
     }
