Keep listening while the target's last runs may call on

A target calls on through its own node; a run longer than the notice found the port closed and failed at its end: the caller of a payment that had half run got 502.

Ruled out: a longer notice (no length is enough for every run); letting targets call another node (they know only their own).

Change: the gate, which admits nothing new, is waited for before the callers' server is shut down, and once more after it.

Conclusion: a run in hand keeps all of its node until it has ended.

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -227,13 +227,15 @@
     }
 
     /// Ends gracefully. The order matters: the word of leaving goes out while
-    /// everything is still served; then callers' connections end, since their
-    /// calls need the peers; the gate goes last, because its answers are owed
-    /// to other nodes until nothing is in hand.
+    /// everything is still served; then the runs in hand end, during which the
+    /// target may call on through this node; then callers' connections, since
+    /// their calls need the peers; the peers go last, because answers are owed
+    /// to them until nothing is in hand.
     pub async fn drain(self) {
         self.parts.gate.start_leaving();
         self.parts.control.leave().await;
         tokio::time::sleep(LEAVING_NOTICE).await;
+        self.parts.gate.drained().await;
         self.caller_server.shut_down().await;
         self.parts.gate.drained().await;
         self.peer_server.shut_down().await;
