Give the lab's baselines budgets and the daemon's own timeouts

Ruled out: a second budget in the lab (two sets of rules would drift apart). Change: the core picks as well for a baseline's first attempt and that attempt is taken back, which earns the budgets; delays follow the constants of control and the daemon (750 ms to connect, 2 s ping, 6 s doubt, 55 ms suspicion).

--- a/crates/lab/src/policy/baseline.rs
+++ b/crates/lab/src/policy/baseline.rs
@@ -73,6 +73,21 @@
         Ok(self.eligible[place])
     }
 
+    /// The core's budgets grow with first attempts that it picks itself. So
+    /// that a baseline may retry and hedge as much as ours, the core picks as
+    /// well, and that attempt is taken back before anything is sent.
+    fn earn_budgets(&mut self, request: &PickRequest<'_>, now: Millis) {
+        let Ok(pick) = self.core.pick(request, now) else {
+            return;
+        };
+        let taken_back = AttemptOutcome {
+            end: AttemptEnd::Cancelled,
+            latency_us: 0,
+            load: None,
+        };
+        self.core.finish(&pick, &taken_back, now);
+    }
+
     fn candidate_mut(&mut self, index: TargetIndex) -> Option<&mut Candidate> {
         self.candidates
             .iter_mut()
@@ -82,11 +97,15 @@
 
 impl Policy for Baseline {
     fn pick(&mut self, request: &PickRequest<'_>, truth: &Truth<'_>) -> Result<Pick, Refusal> {
+        let now = truth.now.floor_millis();
+        if request.exclude.is_empty() {
+            self.earn_budgets(request, now);
+        }
         let chosen = self.choose(request.exclude, truth)?;
         if let Some(candidate) = self.candidate_mut(chosen.index) {
             candidate.own_in_flight += 1;
         }
-        Ok(self.core.pick_fixed(chosen.index, truth.now.floor_millis()))
+        Ok(self.core.pick_fixed(chosen.index, now))
     }
 
     fn pick_ticket_gate(&mut self, _key: CallKey, truth: &Truth<'_>) -> Result<VmId, Refusal> {
--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -15,12 +15,16 @@
 const LEAVING_HEARD: Micros = Micros::from_millis(1_000);
 /// Word of a new life reaches every entry in this time.
 const NEW_LIFE_HEARD: Micros = Micros::from_millis(200);
-/// Silence after which control calls a peer doubtful.
-const DOUBT_AFTER: Micros = Micros::from_millis(2_000);
-/// Time after which a silent open connection counts as broken.
-const KEEP_ALIVE: Micros = Micros::from_millis(500);
-/// Suspicion reaches every gate in this time.
-const SUSPECTS_HEARD: Micros = Micros::from_millis(500);
+/// Silence after which control calls a peer of a small service doubtful.
+const DOUBT_AFTER: Micros = Micros::from_millis(6_000);
+/// Time after which a silent open connection counts as broken; the daemon
+/// pings an open connection and gives up on the answer after this time.
+const KEEP_ALIVE: Micros = Micros::from_millis(2_000);
+/// Word of a peer that is heard again reaches every entry in this time.
+const RETURN_HEARD: Micros = Micros::from_millis(1_000);
+/// Suspicion reaches every gate in this time: control sends it at once, and
+/// traffic reads a new snapshot within a tick.
+const SUSPECTS_HEARD: Micros = Micros::from_millis(55);
 /// Time that a crashed target needs to be up again.
 const RESTART_TIME: Micros = Micros::from_millis(2_000);
 const CRASH_IDENTITY: u64 = 0x0c0f_fee0;
@@ -170,7 +174,7 @@
                 }
             }
         }
-        let at = self.now + KEEP_ALIVE;
+        let at = self.now + RETURN_HEARD;
         self.queue.schedule(at, Event::ViewUpdate);
     }
 }
--- a/crates/lab/src/world/gate_side.rs
+++ b/crates/lab/src/world/gate_side.rs
@@ -12,7 +12,7 @@
 use crate::target::Progress;
 
 /// Time after which an entry gives up on a new connection.
-const CONNECT_TIMEOUT: Micros = Micros::from_millis(250);
+const CONNECT_TIMEOUT: Micros = Micros::from_millis(750);
 /// Fingerprint of the request that crashes targets.
 pub(super) const CRASH_FINGERPRINT: u64 = 0xdead_beef;
 /// What a gate that met a refused connection tells its entry to wait.
