Let a refused key run under a newer ticket

Cause: a caller that was told "not run" comes back with the same idempotency key and gets a ticket for the same gate, whose record refused it as fenced until the first ticket's expiry. An overload of seconds locked a payment out for two minutes. Ruled out: a fresh key in each redirect. It would give up that a second ticket of one key meets the first one's record at the same gate. Change: a fenced record denies tickets that expire no later than those it was fenced under; a newer one is a first arrival. The old ticket stays denied while the new one runs. Random interleavings now use a fixed seed, for the same verdict on every run. Conclusion: "not run" binds the ticket, "at most once" binds the key.

--- a/crates/core/src/gate/fence.rs
+++ b/crates/core/src/gate/fence.rs
@@ -23,6 +23,9 @@
         if self.is_far(ticket, now) && !self.records.covers(ticket) {
             return refused(Refusal::fixed(ResultCode::GateLost));
         }
+        if let Some(denial) = self.records.denial(ticket) {
+            return refused(denial);
+        }
         let Some(record) = self.records.touch(ticket) else {
             return self.fence_unknown(ticket, now);
         };
@@ -32,10 +35,7 @@
             }
             RecordState::AnswerNotKept => refused(Refusal::fixed(ResultCode::AnswerNotKept)),
             RecordState::Unknown => refused(Refusal::fixed(ResultCode::RunBroken)),
-            RecordState::Fenced { retry_after_ms } => refused(Refusal {
-                code: ResultCode::Fenced,
-                retry_after_ms: *retry_after_ms,
-            }),
+            RecordState::Fenced { .. } => self.fence_unknown(ticket, now),
             RecordState::Live(run) => {
                 let run = *run;
                 self.fence_live(run)
--- a/crates/core/src/gate/records.rs
+++ b/crates/core/src/gate/records.rs
@@ -39,7 +39,8 @@
     AnswerNotKept,
     /// It was started and its end was never seen. Never run again.
     Unknown,
-    /// It did not run and never will under any ticket presented so far.
+    /// It did not run and never will under a ticket that expires no later than
+    /// the record's `fenced_through`. A later ticket may still run it.
     Fenced {
         /// When the caller was told to come back.
         retry_after_ms: Option<Millis>,
@@ -54,6 +55,8 @@
     /// Latest expiry of all tickets presented for the key.
     expires_at: Millis,
     created_at: Millis,
+    /// Tickets that expire no later were told, or will be told, "not run".
+    fenced_through: Option<Millis>,
     pub(super) state: RecordState,
 }
 
@@ -95,6 +98,32 @@
         Some(record)
     }
 
+    /// The refusal of a ticket that was fenced, or that is no newer than one
+    /// that was.
+    ///
+    /// A caller that was told "not run" comes back with its own idempotency key
+    /// and a new ticket, which must not meet the old refusal until the old
+    /// ticket has expired: an overload of seconds would lock the call out for
+    /// minutes. Expiry tells the two apart, because a gate's clock only goes
+    /// up. The old ticket stays denied also while the new one runs.
+    pub(super) fn denial(&self, ticket: &Ticket) -> Option<Refusal> {
+        let record = self.by_key.get(&ticket.key)?;
+        if ticket.expires_at <= record.created_at {
+            return None;
+        }
+        if ticket.expires_at > record.fenced_through? {
+            return None;
+        }
+        let retry_after_ms = match &record.state {
+            RecordState::Fenced { retry_after_ms } => *retry_after_ms,
+            _ => None,
+        };
+        Some(Refusal {
+            code: ResultCode::Fenced,
+            retry_after_ms,
+        })
+    }
+
     /// Whether the key's record already lasts as long as this ticket.
     pub(super) fn covers(&self, ticket: &Ticket) -> bool {
         match self.by_key.get(&ticket.key) {
@@ -131,7 +160,8 @@
         true
     }
 
-    /// Adds a record for a key that has none.
+    /// Adds a record for a key that has none, or takes a fenced key up again
+    /// for a ticket newer than those that were fenced.
     pub(super) fn insert(
         &mut self,
         ticket: &Ticket,
@@ -139,14 +169,29 @@
         state: RecordState,
         now: Millis,
     ) {
-        let Entry::Vacant(place) = self.by_key.entry(ticket.key) else {
-            unreachable!("a record is only added for a key that has none");
-        };
+        let fenced_through = is_fenced(&state).then_some(ticket.expires_at);
         self.fenced += usize::from(is_fenced(&state));
+        let place = match self.by_key.entry(ticket.key) {
+            Entry::Vacant(place) => place,
+            Entry::Occupied(mut known) => {
+                let record = known.get_mut();
+                assert!(
+                    is_fenced(&record.state),
+                    "only a key that has not run is taken up again"
+                );
+                self.fenced -= 1;
+                record.digest = digest;
+                record.expires_at = record.expires_at.max(ticket.expires_at);
+                record.fenced_through = record.fenced_through.max(fenced_through);
+                record.state = state;
+                return;
+            }
+        };
         place.insert(Record {
             digest,
             expires_at: ticket.expires_at,
             created_at: now,
+            fenced_through,
             state,
         });
         self.due.push(Reverse(Due {
@@ -162,7 +207,11 @@
         let record = self.by_key.get_mut(&key);
         let record = record.expect("the record of a live run is never forgotten");
         debug_assert!(matches!(record.state, RecordState::Live(_)));
-        self.fenced += usize::from(is_fenced(&state));
+        if is_fenced(&state) {
+            self.fenced += 1;
+            // Whoever presented a ticket for this run is told "not run".
+            record.fenced_through = record.fenced_through.max(Some(record.expires_at));
+        }
         record.state = state;
     }
 
--- a/crates/core/src/gate/tests/interleavings.rs
+++ b/crates/core/src/gate/tests/interleavings.rs
@@ -11,6 +11,7 @@
 
 use super::*;
 
+const SEED: u64 = 20_261_202;
 const MAX_RECORDS: u32 = 6;
 const SLOTS: u32 = 2;
 
@@ -372,6 +373,8 @@
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 2_000,
+        // The same cases on every run; a trial with other seeds edits this line.
+        rng_seed: proptest::test_runner::RngSeed::Fixed(SEED),
         failure_persistence: None,
         ..ProptestConfig::default()
     })]
--- a/crates/core/src/gate/ticketed.rs
+++ b/crates/core/src/gate/ticketed.rs
@@ -96,7 +96,14 @@
 
     /// Answers from the key's record, if there is one.
     fn answer_again(&mut self, ticket: &Ticket, digest: u64) -> Option<Verdict> {
+        if let Some(denial) = self.records.denial(ticket) {
+            return Some(Verdict::Refuse(denial));
+        }
         let record = self.records.touch(ticket)?;
+        if matches!(record.state, RecordState::Fenced { .. }) {
+            // A newer ticket than the fenced ones: as good as a first arrival.
+            return None;
+        }
         if record.digest.is_some_and(|known| known != digest) {
             return Some(refuse(ResultCode::KeyReused));
         }
@@ -167,10 +174,9 @@
             RecordState::Answered(answer) => Verdict::Replay(answer.clone()),
             RecordState::AnswerNotKept => refuse(ResultCode::AnswerNotKept),
             RecordState::Unknown => refuse(ResultCode::RunBroken),
-            RecordState::Fenced { retry_after_ms } => Verdict::Refuse(Refusal {
-                code: ResultCode::Fenced,
-                retry_after_ms: *retry_after_ms,
-            }),
+            RecordState::Fenced { .. } => {
+                unreachable!("a fenced key denies a ticket or is taken up again")
+            }
         })
     }
 }
