Prove on processes that a leaving target gets no new work

Change: tests/all/leaving.rs brings about the target's drain (by header, by health alone, and its end), the VM list's word, and the node's SIGTERM; with the list a minute late, the platform stale, the platform's port closed; and, for each way, with every announcement lost: the entry is paused and its socket full while the gate announces, which the kernel's own count of drops shows. Times and counts come from the targets' journals. Support: callers that keep to the contract until they are told to stop.

Ruled out: an entry whose control address is silent (gates announce to the address that the entry sends along with its calls, so it did hear them); waiting a fixed time after the event (the traffic goes on until the target has had no run for 1.5 s while the others had a hundred).

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,5 +2,6 @@
 
 mod at_most_once;
 mod command_line;
+mod leaving;
 mod support;
 mod thin_path;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -8,6 +8,7 @@
 pub mod far_entry;
 pub mod payment;
 pub mod relay;
+pub mod traffic;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
