Prove on processes that a graceful shutdown cuts off nothing

Change: tests/all/shutdown.rs ends an entry, a gate and a target with calls in flight that outlast the node's notice: slow lookups, payments under tickets, 48 MB that the caller reads slowly, a run that calls on late. All must be answered whole, each must have run once, and the process must end with status 0; with a call that never ends, with status 4 after its drain timeout.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,5 +3,6 @@
 mod at_most_once;
 mod command_line;
 mod leaving;
+mod shutdown;
 mod support;
 mod thin_path;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -8,6 +8,7 @@
 pub mod far_entry;
 pub mod payment;
 pub mod relay;
+pub mod slow_answer;
 pub mod traffic;
 
 use std::collections::BTreeMap;
