Prove on processes that a configuration is in force soon and never goes back

Change: tests/all/configuration.rs edits the text while the platform is down, stale, falls back to an older version, or refuses readers with 429; past a paused node; on both sides of a partition that heals while one side's platform stays stale; with a fault; of 960 KB; and twice in quick succession. Nodes that start anew while the platform is old must take the newer text from their peers. What was in force is read from the nodes' own logs, in order and over all lives, so a version that came back for a moment would be seen. Reads are the platform's own count, with 6 and with 14 nodes.

Ruled out: polling the status alone (it misses what is in force for less than the time between two polls); counting reads from the start (at a cold start every node reads until it has heard of the others; the window begins when two nodes of each data centre watch).

Not shown: the second of two large edits, which waits for the readers' pause by size.

--- /dev/null
+++ b/tests/all/configuration.rs
@@ -0,0 +1,520 @@
+//! A configuration that was accepted is in force everywhere within seconds,
+//! and never gives way to an older one.
+//!
+//! What was in force is read from the nodes' logs, which name each version as
+//! it comes into force; the times are from the edit until every node's status
+//! shows it.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use eyre::{Result, ensure};
+use hornbeamhitch_standins::demo::bangkok;
+use hornbeamhitch_standins::fleet::NodeSpec;
+use hornbeamhitch_standins::http_client::{HttpClient, HttpVersion};
+use hornbeamhitch_standins::platform::OldValues;
+use hornbeamhitch_standins::platform::mood::OldText;
+use hornbeamhitch_standins::target::{TargetConfig, TargetStandin};
+use hornbeamhitch_types::prelude::*;
+use hornbeamhitch_types::status::PlatformState;
+use tokio::task::JoinSet;
+
+use crate::support::caller::{Call, Caller, code_of};
+use crate::support::traffic::Traffic;
+use crate::support::{Deployment, Member, PATIENCE};
+
+/// "Within seconds".
+const SECONDS: Duration = Duration::from_secs(5);
+/// Nodes of each data centre that read the platform.
+const READERS: u64 = 2;
+const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
+
+/// A text whose versions differ in the deadline.
+fn text(deadline_ms: u64) -> String {
+    format!(
+        r#"{{
+  "deployment": "test",
+  "services": {{
+    "cashier": {{
+      "deadline_ms": {deadline_ms},
+      "calls": [
+        {{ "name": "charge", "match": "POST /charge", "idempotent": false }},
+      ],
+    }},
+  }},
+}}"#
+    )
+}
+
+/// Cashiers, spread over three data centres.
+fn members(count: usize) -> Vec<Member> {
+    let mut members = Vec::new();
+    for index in 0..count {
+        let member = Member::new(&format!("cashier-{}", index + 1), "cashier");
+        members.push(member.in_data_centre(DATA_CENTRES[index % DATA_CENTRES.len()]));
+    }
+    members
+}
+
+async fn start(count: usize) -> Result<Deployment> {
+    Deployment::start(&text(10_000), members(count)).await
+}
+
+/// A lookup through each of the nodes is answered.
+async fn assert_serving(deployment: &Deployment, vms: &[String], when: &str) -> Result<()> {
+    for vm in vms {
+        let call = Call::price(&format!("{when}-{vm}"));
+        let answer = Caller::new().send(deployment.entry(vm), &call).await?;
+        assert_eq!(code_of(&answer), Some(ResultCode::Answered), "{when}: {vm}");
+    }
+    Ok(())
+}
+
+/// Waits until a node that reads the platform says this of it.
+async fn wait_platform(deployment: &Deployment, state: PlatformState) -> Result<()> {
+    let give_up = Instant::now() + PATIENCE;
+    loop {
+        for vm in deployment.fleet.names() {
+            if deployment.status(&vm).await?.platform.state == state {
+                return Ok(());
+            }
+        }
+        ensure!(
+            Instant::now() < give_up,
+            "no node sees the platform {state}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn an_edit_is_in_force_on_fourteen_nodes_within_seconds() -> Result<()> {
+    // The operator edits the text of the print office six times, each as soon
+    // as the last is in force everywhere. Readers hear it by their watch, and
+    // all others node to node.
+    let mut members = Vec::new();
+    for spec in bangkok::deployment().targets() {
+        let member = Member::new(&spec.vm, &spec.service);
+        members.push(member.in_data_centre(&spec.data_centre));
+    }
+    let bangkok = include_str!("../../examples/bangkok.jsonc");
+    let deployment = Deployment::start(bangkok, members).await?;
+    let vms = deployment.fleet.names();
+    assert_eq!(vms.len(), 14);
+    let mut times = Vec::new();
+    for edit in 0..6 {
+        let deadline = format!("\"deadline_ms\": {}", 1_600 + edit);
+        let edited = bangkok.replace("\"deadline_ms\": 1500", &deadline);
+        ensure!(edited != bangkok, "the edit changes nothing");
+        let changed_at = Instant::now();
+        let version = deployment.platform.set_text(&edited)?;
+        times.push(deployment.wait_in_force(&vms, version, changed_at).await?);
+    }
+    times.sort();
+    println!(
+        "in force on 14 nodes: median {:?}, all {times:?}",
+        times[times.len() / 2]
+    );
+    assert!(times.iter().all(|time| *time < SECONDS), "{times:?}");
+    deployment.assert_never_back()
+}
+
+/// Reads in a window of edits, once the rota has settled.
+async fn count_reads(nodes: usize, edits: u64) -> Result<u64> {
+    let deployment = start(nodes).await?;
+    let vms = deployment.fleet.names();
+    let readers = READERS * DATA_CENTRES.len() as u64;
+    // Two watches a reader. At a cold start there are more of them, until the
+    // nodes of a data centre have heard of each other.
+    let is_settled = |deployment: &Deployment| deployment.platform.counts().waiting == 2 * readers;
+    deployment
+        .wait_until("two readers a data centre", is_settled)
+        .await?;
+    deployment.platform.reset_counts();
+    for edit in 0..edits {
+        let changed_at = Instant::now();
+        let version = deployment.platform.set_text(&text(12_000 + edit))?;
+        let took = deployment.wait_in_force(&vms, version, changed_at).await?;
+        assert!(took < SECONDS, "{nodes} nodes: {took:?}");
+        deployment
+            .wait_until("readers watch again", is_settled)
+            .await?;
+    }
+    let counts = deployment.platform.counts();
+    println!("{nodes} nodes, {edits} edits: {:?}", counts.by_endpoint);
+    Ok(counts.all.total)
+}
+
+#[tokio::test]
+async fn reads_of_the_platform_follow_data_centres_and_not_nodes() -> Result<()> {
+    // The platform counts every read, a waiting watch as one. In each data
+    // centre two nodes read, so that six nodes and fourteen cost it the same:
+    // one read of the text by each reader for each edit.
+    const EDITS: u64 = 5;
+    let (six, fourteen) = tokio::join!(count_reads(6, EDITS), count_reads(14, EDITS));
+    let (six, fourteen) = (six?, fourteen?);
+    println!("platform reads for {EDITS} edits: {six} by 6 nodes, {fourteen} by 14");
+    let readers = READERS * DATA_CENTRES.len() as u64;
+    // A watch may also end unchanged, or be renewed, once a reader each.
+    let bound = readers * (EDITS + 2);
+    assert!(six <= bound, "{six} reads, above {bound}");
+    assert!(fourteen <= bound, "{fourteen} reads, above {bound}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn an_edit_while_the_platform_is_down_comes_into_force_after_it() -> Result<()> {
+    // The platform's port closes. Callers notice nothing: nodes serve on with
+    // what is in force. An operator edits meanwhile; once the port is open
+    // again, readers that tried at growing intervals find the edit.
+    let deployment = start(5).await?;
+    let vms = deployment.fleet.names();
+    deployment.platform.down().await;
+    wait_platform(&deployment, PlatformState::Unreachable).await?;
+    let version = deployment.platform.set_text(&text(12_000))?;
+    assert_serving(&deployment, &vms, "down").await?;
+    for vm in &vms {
+        assert_eq!(deployment.in_force(vm).await, Some(1), "{vm}");
+    }
+    let up_at = Instant::now();
+    deployment.platform.up().await;
+    let took = deployment.wait_in_force(&vms, version, up_at).await?;
+    println!("in force {took:?} after the platform is back");
+    assert!(took < SECONDS, "{took:?}");
+    deployment.assert_never_back()
+}
+
+#[tokio::test]
+async fn a_stale_platform_holds_up_edits_and_nothing_else() -> Result<()> {
+    // The platform answers, but shows what it had before; its watches hang.
+    // Nodes serve on; the edit comes into force as soon as it is shown.
+    let deployment = start(5).await?;
+    let vms = deployment.fleet.names();
+    deployment.platform.stale().await;
+    let version = deployment.platform.set_text(&text(12_000))?;
+    assert_serving(&deployment, &vms, "stale").await?;
+    for vm in &vms {
+        assert_eq!(deployment.in_force(vm).await, Some(1), "{vm}");
+    }
+    let shown_at = Instant::now();
+    deployment.platform.up().await;
+    let took = deployment.wait_in_force(&vms, version, shown_at).await?;
+    println!("in force {took:?} after the platform shows it");
+    assert!(took < SECONDS, "{took:?}");
+    deployment.assert_never_back()
+}
+
+/// Shows an older text to all readers.
+async fn serve_older(deployment: &Deployment, version: u64, text: &str) {
+    let old = OldValues {
+        text: Some(OldText {
+            version,
+            text: text.to_owned(),
+        }),
+        vms: None,
+    };
+    deployment.platform.serve_older(old).await;
+}
+
+#[tokio::test]
+async fn an_older_version_never_comes_back_and_a_new_node_asks_its_peers() -> Result<()> {
+    // The platform falls back to version 1, and one node after the other is
+    // killed and starts anew, holding nothing. Its first question goes to its
+    // peers, so version 1 is in force on no node for a moment; a VM that was
+    // never there before does the same.
+    let mut deployment = start(4).await?;
+    let vms = deployment.fleet.names();
+    let newest = deployment.platform.set_text_version(&text(12_000), 7)?;
+    deployment
+        .wait_in_force(&vms, newest, Instant::now())
+        .await?;
+    serve_older(&deployment, 1, &text(10_000)).await;
+    for vm in &vms {
+        deployment.fleet.restart(vm)?;
+        deployment.fleet.wait_ready(vm).await?;
+        assert_eq!(deployment.in_force(vm).await, Some(newest), "{vm}");
+    }
+
+    let target = TargetStandin::start(TargetConfig::default()).await?;
+    deployment.fleet.add(NodeSpec {
+        vm: "cashier-9".to_owned(),
+        service: "cashier".to_owned(),
+        data_centre: "a".to_owned(),
+        target: target.addr(),
+    })?;
+    deployment.platform.set_vms(deployment.fleet.vm_entries())?;
+    deployment.fleet.start("cashier-9")?;
+    deployment.fleet.wait_ready("cashier-9").await?;
+    assert_eq!(deployment.versions_in_force("cashier-9")?, [newest]);
+    for vm in &vms {
+        let versions = deployment.versions_in_force(vm)?;
+        let lives: Vec<&u64> = versions.iter().filter(|known| **known == newest).collect();
+        assert_eq!(lives.len(), 2, "{vm}: {versions:?}");
+    }
+    deployment.assert_never_back()
+}
+
+#[tokio::test]
+async fn a_paused_node_wakes_and_goes_up_without_passing_on_what_it_held() -> Result<()> {
+    // A node, and with it half of the readers of its data centre, is stopped
+    // in the middle of its work. Two edits pass. It wakes with version 1 in
+    // force, tells its peers so, and is told better by them.
+    let mut deployment = start(5).await?;
+    let vms = deployment.fleet.names();
+    let sleeper = vms[0].clone();
+    deployment.fleet.pause(&sleeper)?;
+    let awake: Vec<String> = vms[1..].to_vec();
+    for deadline_ms in [12_000, 13_000] {
+        let changed_at = Instant::now();
+        let version = deployment.platform.set_text(&text(deadline_ms))?;
+        let took = deployment
+            .wait_in_force(&awake, version, changed_at)
+            .await?;
+        assert!(took < SECONDS, "{took:?} beside a paused node");
+    }
+    let woken_at = Instant::now();
+    deployment.fleet.resume(&sleeper)?;
+    let took = deployment.wait_in_force(&vms, 3, woken_at).await?;
+    println!("a woken node has the newest text in force after {took:?}");
+    assert!(took < SECONDS, "{took:?}");
+    deployment.assert_never_back()
+}
+
+#[tokio::test]
+async fn a_partition_that_heals_ends_with_the_newer_text_on_both_sides() -> Result<()> {
+    // Each side has a platform, a text and members of its own and serves. The
+    // far side's platform is stale and stays so, even after the sides hear of
+    // each other. Then the far side goes up by what the near side says, and
+    // the near side never takes the far one's older text.
+    let near = Deployment::prepare(members(3)).await?;
+    let far_members = vec![
+        Member::new("far-1", "cashier").in_data_centre("a"),
+        Member::new("far-2", "cashier").in_data_centre("b"),
+    ];
+    let far = Deployment::prepare(far_members).await?;
+    near.platform.set_text_version(&text(12_000), 9)?;
+    far.platform.set_text_version(&text(10_000), 5)?;
+    let (mut near, mut far) = (near, far);
+    near.start_nodes().await?;
+    far.start_nodes().await?;
+    let (near_vms, far_vms) = (near.fleet.names(), far.fleet.names());
+    near.wait_in_force(&near_vms, 9, Instant::now()).await?;
+    far.wait_in_force(&far_vms, 5, Instant::now()).await?;
+    assert_serving(&far, &far_vms, "parted").await?;
+
+    let mut all = near.fleet.vm_entries();
+    all.append(&mut far.fleet.vm_entries());
+    let healed_at = Instant::now();
+    near.platform.set_vms(all.clone())?;
+    far.platform.set_vms(all)?;
+    let took = far.wait_in_force(&far_vms, 9, healed_at).await?;
+    println!("the far side of a partition goes up {took:?} after it heals");
+    assert!(took < SECONDS, "{took:?}");
+    near.wait_in_force(&near_vms, 9, healed_at).await?;
+    near.assert_never_back()?;
+    far.assert_never_back()
+}
+
+#[tokio::test]
+async fn a_text_with_a_fault_is_refused_whole_and_its_reason_is_seen_everywhere() -> Result<()> {
+    // The operator's edit changes two things and has a mistake in a third.
+    // Nothing of it comes into force; every node's status names the version,
+    // the line and the reason. The next good text comes into force as usual.
+    let deployment = start(5).await?;
+    let vms = deployment.fleet.names();
+    let good = text(12_000);
+    let bad = good.replace("\"idempotent\": false", "\"idempotent\": \"no\"");
+    ensure!(bad != good, "the mistake is not in the text");
+    let line = bad
+        .lines()
+        .position(|line| line.contains("\"no\""))
+        .unwrap_or(0)
+        + 1;
+    let refused = deployment.platform.set_text(&bad)?;
+    for vm in &vms {
+        let status = deployment.wait_status(vm, "refuses the text", |status| {
+            let known = status.config.refused.as_ref();
+            known.is_some_and(|known| known.version.0 == refused)
+        });
+        let config = status.await?.config;
+        assert_eq!(config.in_force.map(|version| version.0), Some(1), "{vm}");
+        let reason = config.refused.map(|known| known.reason).unwrap_or_default();
+        let place = format!("line {line}, ");
+        assert!(
+            reason.contains(&place) && reason.contains("idempotent"),
+            "{vm}: {reason}"
+        );
+    }
+    assert_serving(&deployment, &vms, "refused").await?;
+    let changed_at = Instant::now();
+    let version = deployment.platform.set_text(&good)?;
+    let took = deployment.wait_in_force(&vms, version, changed_at).await?;
+    assert!(took < SECONDS, "{took:?}");
+    for vm in &vms {
+        assert!(
+            !deployment.versions_in_force(vm)?.contains(&refused),
+            "{vm}"
+        );
+    }
+    deployment.assert_never_back()
+}
+
+/// Almost a megabyte: as many services as fit.
+fn large_text(deadline_ms: u64) -> String {
+    const LARGE_BYTES: usize = 960_000;
+    let mut large = text(deadline_ms);
+    let end = large.rfind("  },").expect("the text ends its services");
+    let mut services = String::new();
+    let mut number = 0;
+    while end + services.len() < LARGE_BYTES {
+        services.push_str(&format!("    \"extra-{number}\": {{ \"calls\": [\n"));
+        for call in 0..8 {
+            services.push_str(&format!(
+                "      {{ \"name\": \"call-{call}\", \"match\": \"POST /path/number/{call}\", \"idempotent\": false }},\n"
+            ));
+        }
+        services.push_str("    ] },\n");
+        number += 1;
+    }
+    large.insert_str(end, &services);
+    large
+}
+
+#[tokio::test]
+async fn a_text_of_a_megabyte_is_in_force_within_seconds() -> Result<()> {
+    // The operator's text grows to nearly the platform's limit. Readers fetch
+    // it whole, check it and pass on to each node the parts that concern it.
+    let deployment = start(6).await?;
+    let vms = deployment.fleet.names();
+    let large = large_text(12_000);
+    let changed_at = Instant::now();
+    let version = deployment.platform.set_text(&large)?;
+    let took = deployment.wait_in_force(&vms, version, changed_at).await?;
+    println!("a text of {} bytes is in force after {took:?}", large.len());
+    assert!(took < SECONDS, "{took:?}");
+    assert_serving(&deployment, &vms, "large").await?;
+    deployment.assert_never_back()
+}
+
+#[tokio::test]
+async fn two_edits_in_quick_succession_end_with_the_later_one_everywhere() -> Result<()> {
+    // Two operators publish at almost the same moment. Some readers see the
+    // first text and some only the second; announcements of both cross each
+    // other. Every node ends with the second, whatever it saw before.
+    let deployment = start(6).await?;
+    let vms = deployment.fleet.names();
+    let mut newest = 1;
+    for round in 0..5 {
+        let changed_at = Instant::now();
+        let first = deployment.platform.set_text(&text(12_000 + round))?;
+        // From none to enough for the first to be on its way.
+        tokio::time::sleep(Duration::from_millis(round * 3)).await;
+        newest = deployment.platform.set_text(&text(13_000 + round))?;
+        ensure!(newest == first + 1, "versions go up by one");
+        let took = deployment.wait_in_force(&vms, newest, changed_at).await?;
+        println!("two edits {} ms apart: {took:?}", round * 3);
+        assert!(took < SECONDS, "{took:?}");
+    }
+    for vm in &vms {
+        assert_eq!(
+            deployment.versions_in_force(vm)?.last(),
+            Some(&newest),
+            "{vm}"
+        );
+    }
+    deployment.assert_never_back()
+}
+
+/// Readers of the platform beside the nodes, so many that it refuses some.
+struct Crowd {
+    stop: Arc<AtomicBool>,
+    reads: Arc<AtomicU64>,
+    readers: JoinSet<()>,
+}
+
+impl Crowd {
+    const READERS: usize = 24;
+
+    fn start(deployment: &Deployment) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let reads = Arc::new(AtomicU64::new(0));
+        let platform = deployment.platform.addr();
+        let mut readers = JoinSet::new();
+        for _ in 0..Self::READERS {
+            let (stop, reads) = (Arc::clone(&stop), Arc::clone(&reads));
+            readers.spawn(async move {
+                let client = HttpClient::new(HttpVersion::Http1);
+                while !stop.load(Ordering::Relaxed) {
+                    let _ = client.get(platform, "/v1/other").await;
+                    reads.fetch_add(1, Ordering::Relaxed);
+                }
+            });
+        }
+        Self {
+            stop,
+            reads,
+            readers,
+        }
+    }
+
+    async fn leave(mut self) -> u64 {
+        self.stop.store(true, Ordering::Relaxed);
+        while self.readers.join_next().await.is_some() {}
+        self.reads.load(Ordering::Relaxed)
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_platform_that_refuses_readers_holds_up_edits_and_nothing_else() -> Result<()> {
+    // Others read the platform beyond its limit, and it answers `429` to
+    // everybody, the nodes included. Calls are served on; when the crowd has
+    // gone, the edit comes into force.
+    let deployment = start(5).await?;
+    let vms = deployment.fleet.names();
+    let crowd = Crowd::start(&deployment);
+    let refuses = |deployment: &Deployment| deployment.platform.counts().refused > 0;
+    deployment
+        .wait_until("the platform refuses", refuses)
+        .await?;
+    deployment.platform.set_text(&text(12_000))?;
+    let is_refused = |deployment: &Deployment| {
+        let logs = vms.iter().flat_map(|vm| deployment.fleet.logs(vm));
+        let mut lines = logs.flatten();
+        lines.any(|line| line.contains("the platform answered 429"))
+    };
+    let mut edits = 2;
+    let give_up = Instant::now() + PATIENCE;
+    while !is_refused(&deployment) {
+        ensure!(Instant::now() < give_up, "no node was refused");
+        edits += 1;
+        deployment.platform.set_text(&text(12_000 + edits))?;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_serving(&deployment, &vms, "refused").await?;
+    let last = deployment.platform.set_text(&text(19_000))?;
+    let refused = deployment.platform.counts().refused;
+    let reads = crowd.leave().await;
+    let left_at = Instant::now();
+    let took = deployment.wait_in_force(&vms, last, left_at).await?;
+    println!("{reads} reads of others, {refused} refused; in force {took:?} after they left");
+    assert!(took < SECONDS, "{took:?}");
+    deployment.assert_never_back()
+}
+
+#[tokio::test]
+async fn an_edit_under_load_costs_no_call() -> Result<()> {
+    // Limits and deadlines change under running calls, thrice; each call ends
+    // by the rules under which it began.
+    let deployment = start(3).await?;
+    let vms = deployment.fleet.names();
+    let traffic = Traffic::start(&deployment.fleet.entries(), 6);
+    for deadline_ms in [12_000, 13_000, 14_000] {
+        traffic.wait_answered(40).await?;
+        let changed_at = Instant::now();
+        let version = deployment.platform.set_text(&text(deadline_ms))?;
+        deployment.wait_in_force(&vms, version, changed_at).await?;
+    }
+    let served = traffic.stop().await?;
+    assert!(served.failures.is_empty(), "{:#?}", served.failures);
+    deployment.assert_never_back()
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod at_most_once;
 mod command_line;
+mod configuration;
 mod leaving;
 mod shutdown;
 mod support;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod far_entry;
+pub mod in_force;
 pub mod payment;
 pub mod relay;
 pub mod slow_answer;
