Prove on processes that measuring stays within its budget

Change: tests/all/measuring.rs watches one node for four seconds from its start, with a text that allows two probes in that time, before a target that is idle, drains, is ill, fails fast, never answers, hangs up, closes each connection, or vanishes and returns while the text is edited; under broken runs; under good calls of three entries; and before four listed gates that are never heard. The stand-in counts requests, a bare socket counts connections, a datagram socket in a gate's place counts probes between nodes.

Ruled out: the node's own counters; a budget so large that the node's own pace stays below it.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod command_line;
 mod configuration;
 mod leaving;
+mod measuring;
 mod shutdown;
 mod support;
 mod thin_path;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -8,6 +8,7 @@
 pub mod far_entry;
 pub mod in_force;
 pub mod payment;
+pub mod probe_counter;
 pub mod relay;
 pub mod slow_answer;
 pub mod traffic;
