Run a retry after a broken attempt alone, and retry it once

Ruled out: never retrying a broken attempt; the innocents of a crash would all see an error. Waiting before the retry: no wait is right, and it costs the tail. Change: an attempt that follows a broken one carries hitch-suspect; its gate takes the entry's word (Gate::accuse), runs it alone, and a second crash convicts it. A call that broke twice gets no third attempt. Figures: core test with no word spread: 2 crashes, then refused.

--- a/crates/core/src/entry/retry.rs
+++ b/crates/core/src/entry/retry.rs
@@ -26,9 +26,10 @@
     match end {
         AttemptEnd::Refused(refusal) => another_target_may_help(refusal.code),
         AttemptEnd::Unreachable => true,
-        AttemptEnd::Answered { failed: true } | AttemptEnd::Broken | AttemptEnd::TimedOut => {
-            call.idempotent
-        }
+        AttemptEnd::Answered { failed: true } | AttemptEnd::TimedOut => call.idempotent,
+        // Twice broken is more likely the request's doing than the targets';
+        // a third attempt would take down a third target.
+        AttemptEnd::Broken => call.idempotent && !call.may_have_run,
         AttemptEnd::Answered { failed: false } | AttemptEnd::Cancelled => false,
     }
 }
--- a/crates/core/src/gate/crash.rs
+++ b/crates/core/src/gate/crash.rs
@@ -3,7 +3,7 @@
 use super::run::Run;
 use super::{Gate, Phase};
 use crate::prelude::*;
-use crate::suspects::SuspectEntry;
+use crate::suspects::{NO_FINGERPRINT, Standing, SuspectEntry};
 
 /// How long a broken run counts as evidence of a crash that the driver has yet
 /// to report: it takes one refused connection to be sure.
@@ -102,6 +102,25 @@
         }
     }
 
+    /// An entry saw this request's earlier attempt break at another gate. Call
+    /// it before [`Self::arrive`].
+    ///
+    /// Failure answered: a request crashes its target, the entry retries within
+    /// milliseconds, and the word of the crash has not reached the next gate,
+    /// whose target goes down as well, with all that runs there. Suspected on
+    /// the entry's word, the request runs alone, and its second crash convicts
+    /// it. An innocent one waits for an idle moment, runs, and is cleared.
+    pub fn accuse(&mut self, fingerprint: u64, now: Millis) -> Option<SuspectEntry> {
+        let now = self.advance(now);
+        if fingerprint == NO_FINGERPRINT || self.standing(fingerprint) != Standing::Clear {
+            return None;
+        }
+        let heard = self.fleet_suspects.mark(fingerprint);
+        self.own_suspects.raise(fingerprint, heard, now);
+        let entries = self.own_suspects.observe_crash(&[fingerprint], false, now);
+        entries.into_iter().next()
+    }
+
     /// Requests cleared since the last call because they ran alone and the
     /// target lived; for control, which tells the others.
     #[must_use]
--- a/crates/core/src/gate/tests/crash.rs
+++ b/crates/core/src/gate/tests/crash.rs
@@ -204,3 +204,40 @@
     gate.finish(suspect, answered_plain(), 1_000, Millis(1_200));
     assert_eq!(gate.take_cleared(), [], "it did not run alone to its end");
 }
+
+#[test]
+fn retried_request_ends_at_its_second_crash_before_the_word_has_spread() {
+    // A request crashes its target; its entry retries at once elsewhere, where
+    // nobody has heard of the crash. It runs alone there, so that innocents are
+    // spared; when it crashes that target too, it is refused from then on.
+    let mut gate = gate(&wide());
+    let now = Millis(1);
+    let innocent = run_of(gate.arrive(&marked(1), now));
+    assert_eq!(
+        gate.accuse(BAD, now).map(|entry| entry.standing),
+        Some(Standing::Suspect)
+    );
+    let Verdict::Wait(bad) = gate.arrive(&marked(BAD), now) else {
+        panic!("an accused request waits until it can run alone");
+    };
+    let wakes = gate.finish(innocent, answered_plain(), 1_000, Millis(5));
+    assert_eq!(wakes, vec![Wake::Start(bad)]);
+    crash(&mut gate, &[bad], Millis(6));
+    let again = gate.arrive(&marked(BAD), Millis(7));
+    assert_eq!(code_of(again), ResultCode::CrashSuspect);
+}
+
+#[test]
+fn accusation_changes_nothing_for_a_known_or_unnamed_request() {
+    // Word of the crash came first, or the entry named no fingerprint: nothing
+    // is counted a second time, and an innocent is cleared by one good run.
+    let mut gate = crashed_gate();
+    assert_eq!(gate.accuse(BAD, Millis(3)), None);
+    assert_eq!(gate.accuse(0, Millis(3)), None);
+    assert!(gate.accuse(7, Millis(3)).is_some());
+    let run = run_of(gate.arrive(&marked(7), Millis(4)));
+    gate.finish(run, answered_plain(), 1_000, Millis(5));
+    let cleared = gate.take_cleared();
+    assert_eq!(cleared.len(), 1);
+    assert_eq!(cleared[0].standing, Standing::Clear);
+}
--- a/crates/node/src/callers/call.rs
+++ b/crates/node/src/callers/call.rs
@@ -122,6 +122,7 @@
             header::KEY,
             header::LOAD,
             header::FINGERPRINT,
+            header::SUSPECT,
         ] {
             headers.remove(name);
         }
@@ -143,6 +144,12 @@
         self.headers.insert(header::TICKET, value);
     }
 
+    /// Tells the next gate that an earlier attempt broke in its run.
+    pub fn set_suspect(&mut self) {
+        let value = HeaderValue::from_static("1");
+        self.headers.insert(header::SUSPECT, value);
+    }
+
     /// Adds the end of the deadline in the gate's clock.
     ///
     /// Time left, counted anew by whoever reads it, grows by all the time that
--- a/crates/node/src/callers/idempotent.rs
+++ b/crates/node/src/callers/idempotent.rs
@@ -183,6 +183,9 @@
 
     /// Starts the next attempt, or says with what the call ends.
     fn after_failure(&mut self, end: &AttemptEnd) -> Result<AttemptFuture, Refusal> {
+        if *end == AttemptEnd::Broken {
+            self.outbound.set_suspect();
+        }
         let next = self.entry.after_failure(&self.progress, end);
         match next {
             Next::Retry if self.content.is_repeatable() => {
--- a/crates/node/src/gate_server.rs
+++ b/crates/node/src/gate_server.rs
@@ -200,6 +200,7 @@
         headers.insert(http::header::HOST, host);
         headers.remove(header::TICKET);
         headers.remove(header::ENTRY);
+        headers.remove(header::SUSPECT);
         headers.remove(header::GATE_DEADLINE_AT_MS);
         let left_ms = call.deadline_at.since(self.clock.now());
         headers.insert(header::DEADLINE_MS, HeaderValue::from(left_ms.0));
@@ -330,6 +331,14 @@
         }
     }
 
+    /// Takes an entry's word that an earlier attempt of a request broke, and
+    /// spreads it: the gate of that attempt may have gone down with its target.
+    fn accuse(&self, fingerprint: u64) {
+        if let Some(entry) = self.board.accuse(fingerprint) {
+            self.control.suspicion(entry);
+        }
+    }
+
     /// Lets held calls expire, and passes on whom the gate has cleared.
     pub fn tick(&self) {
         self.board.tick();
--- a/crates/node/src/gate_server/board.rs
+++ b/crates/node/src/gate_server/board.rs
@@ -317,6 +317,12 @@
         }
     }
 
+    /// An entry saw an earlier attempt of this request break.
+    pub fn accuse(&self, fingerprint: u64) -> Option<SuspectEntry> {
+        let now = self.clock.now();
+        self.state.lock().gate.as_mut()?.accuse(fingerprint, now)
+    }
+
     /// Requests that were cleared since the last call.
     #[must_use]
     pub fn take_cleared(&self) -> Vec<SuspectEntry> {
--- a/crates/node/src/gate_server/streamed.rs
+++ b/crates/node/src/gate_server/streamed.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use hornbeamhitch_core::gate::{Arrival, RunEnd};
 use hornbeamhitch_core::prelude::*;
+use hornbeamhitch_wire::header;
 use http::{Request, Response};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
@@ -35,6 +36,9 @@
         digest: 0,
         fingerprint: fingerprint(&request),
     };
+    if request.headers().contains_key(header::SUSPECT) {
+        server.accuse(arrival.fingerprint);
+    }
     let permit = match server.board.arrive(&arrival) {
         Admission::Run(permit) => permit,
         Admission::Held(held) => match held.wait().await {
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -36,6 +36,8 @@
 pub const NOT_RUN: &str = "hitch-not-run";
 /// Control address of the entry that sends a call to a gate.
 pub const ENTRY: &str = "hitch-entry";
+/// An entry's word that an earlier attempt of the call broke in its run.
+pub const SUSPECT: &str = "hitch-suspect";
 /// Fingerprint of a request, for crash suspicion.
 pub const FINGERPRINT: &str = "hitch-fingerprint";
 
