--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -9,6 +9,7 @@
 use crate::prelude::*;
 
 mod ejection;
+mod gate_clock;
 mod latency;
 mod observe;
 mod outcome;
@@ -214,8 +215,7 @@
             return Err(self.refuse_pick(is_first, now));
         };
         if is_first {
-            self.retry_budget.count_first_attempt();
-            self.hedge_budget.count_first_attempt();
+            self.count_first_attempt();
         }
         Ok(self.start(target, trial.is_some(), now))
     }
@@ -243,13 +243,23 @@
         self.start(target, false, now)
     }
 
+    /// Earns the retry and hedge budgets the share of one first attempt.
+    ///
+    /// [`Self::pick`] does so itself. [`Self::pick_fixed`] does not, because a
+    /// ticketed call is neither retried nor hedged; a driver that chooses targets
+    /// of idempotent calls in its own way calls this for each first attempt.
+    pub fn count_first_attempt(&mut self) {
+        self.retry_budget.count_first_attempt();
+        self.hedge_budget.count_first_attempt();
+    }
+
     /// Ends an attempt: frees its place and learns from its outcome.
     pub fn finish(&mut self, pick: &Pick, outcome: &AttemptOutcome, now: Millis) {
         let Some(target) = self.table.get_mut(pick.target) else {
             return;
         };
         let before = target.standing();
-        target.stats.end_attempt();
+        target.stats.end_attempt(now);
         if let Some(report) = &outcome.load {
             self.hear(pick.target, report, now);
         }
@@ -353,7 +363,7 @@
     fn start(&mut self, index: TargetIndex, is_trial: bool, now: Millis) -> Pick {
         let mut life = 0;
         if let Some(target) = self.table.get_mut(index) {
-            target.stats.start_attempt();
+            target.stats.start_attempt(now);
             life = target.life;
         }
         Pick {
--- /dev/null
+++ b/crates/core/src/entry/gate_clock.rs
@@ -0,0 +1,43 @@
+//! How old a report was when it arrived.
+
+use crate::prelude::*;
+
+/// Two clocks drift apart by at most a millisecond in this time (200 ppm).
+const MS_PER_DRIFTED_MS: i64 = 5_000;
+
+/// Far beyond any clock, and small enough that sums cannot overflow.
+const FURTHEST_MS: i64 = i64::MAX / 4;
+
+/// The lead of this node's clock over a gate's, from the fastest report.
+///
+/// Failure answered: a report that was delayed on its way looks fresh on
+/// arrival, and is believed although the load has changed since. A report is
+/// older than the fastest one was by as much as its lead exceeds that one's. How
+/// late the fastest one was stays unknown; the network's own delay is small.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct GateClock {
+    least_lead_ms: Option<i64>,
+    measured_at: Millis,
+}
+
+impl GateClock {
+    /// When a report was made, in this node's clock; never after its arrival.
+    pub(crate) fn made_at(&mut self, gate_clock_ms: Millis, heard_at: Millis) -> Millis {
+        let lead_ms = signed(heard_at) - signed(gate_clock_ms);
+        let drift_ms = signed(heard_at.since(self.measured_at)) / MS_PER_DRIFTED_MS;
+        let least_ms = self
+            .least_lead_ms
+            .map_or(lead_ms, |known_ms| known_ms + drift_ms);
+        if lead_ms <= least_ms {
+            self.least_lead_ms = Some(lead_ms);
+            self.measured_at = heard_at;
+            return heard_at;
+        }
+        let late_ms = lead_ms - least_ms;
+        heard_at.minus(Millis(late_ms.unsigned_abs()))
+    }
+}
+
+fn signed(time: Millis) -> i64 {
+    i64::try_from(time.0).map_or(FURTHEST_MS, |ms| ms.min(FURTHEST_MS))
+}
--- a/crates/core/src/entry/picker.rs
+++ b/crates/core/src/entry/picker.rs
@@ -15,7 +15,7 @@
 /// Draws for two targets before giving up on drawing.
 const MAX_DRAWS: usize = 16;
 /// Scores that differ by less than this share count as tied.
-const TIE_SHARE: f32 = 0.1;
+const TIE_SHARE: f32 = 0.03;
 
 /// All that a choice depends on but the tier itself.
 pub(crate) struct Choice<'a> {
--- a/crates/core/src/entry/retry.rs
+++ b/crates/core/src/entry/retry.rs
@@ -26,10 +26,11 @@
     match end {
         AttemptEnd::Refused(refusal) => another_target_may_help(refusal.code),
         AttemptEnd::Unreachable => true,
-        AttemptEnd::Answered { failed: true } | AttemptEnd::TimedOut => call.idempotent,
-        // Twice broken is more likely the request's doing than the targets';
-        // a third attempt would take down a third target.
+        // A request that crashes its target breaks the stream. Sent again each
+        // time, it would take down one target after the other; a second break
+        // is final, one retry is enough for a target that died of itself.
         AttemptEnd::Broken => call.idempotent && !call.may_have_run,
+        AttemptEnd::Answered { failed: true } | AttemptEnd::TimedOut => call.idempotent,
         AttemptEnd::Answered { failed: false } | AttemptEnd::Cancelled => false,
     }
 }
--- a/crates/core/src/entry/score.rs
+++ b/crates/core/src/entry/score.rs
@@ -92,6 +92,8 @@
     pub(crate) relative_service: f32,
     /// Probability that an attempt fails.
     pub(crate) failure: f32,
+    /// Wait because the target has stopped answering.
+    pub(crate) stall_us: f32,
     /// What is left of a refusal for overload, 0 to 1.
     pub(crate) refused: f32,
     /// Share of a warm target that this one may get.
@@ -107,7 +109,7 @@
         let load = self.load_ratio + self.refused * REFUSED_LOAD_RATIO;
         let wait_us = service_us * self.slowness() * (1.0 + load / self.ramp);
         let failure_us = self.failure * FAILURE_COST_SERVICE_TIMES * service_us;
-        wait_us + self.round_trip_us + failure_us
+        wait_us + self.stall_us + self.round_trip_us + failure_us
     }
 
     /// A target quicker than others gets no credit: an error is quick as well,
--- a/crates/core/src/entry/target.rs
+++ b/crates/core/src/entry/target.rs
@@ -213,6 +213,7 @@
         Belief {
             ramp,
             round_trip_us: self.round_trip_us(),
+            stall_us: self.stats.stall_us(typical, self.round_trip_us(), now),
             ..self.stats.belief(typical, slots, now)
         }
     }
--- a/crates/core/src/entry/target_stats.rs
+++ b/crates/core/src/entry/target_stats.rs
@@ -1,5 +1,6 @@
 //! What an entry has learnt about one target in its present life.
 
+use crate::entry::gate_clock::GateClock;
 use crate::entry::score::{Belief, Typical, fade};
 use crate::prelude::*;
 
@@ -17,6 +18,13 @@
 /// The own measurement includes queueing and the network's moods; only beyond
 /// this multiple does it override what the gate measured.
 const OWN_OVER_REPORTED: f32 = 2.0;
+/// A target has stalled when this many answers are overdue.
+const OVERDUE_ANSWERS: f32 = 2.5;
+/// Most that a stall adds, in typical service times, because a long upload on
+/// an otherwise idle target looks the same.
+const MAX_STALL_SERVICE_TIMES: f32 = 4.0;
+/// Rounding of the clock at both ends of a silence.
+const CLOCK_ROUNDING_US: f32 = 1_000.0;
 /// Share of a warm target's work that a cold one starts with.
 const MIN_RAMP: f32 = 0.1;
 
@@ -38,6 +46,8 @@
 struct KnownLoad {
     report: LoadReport,
     heard_at: Millis,
+    /// When the gate made it, as far as its clock tells.
+    made_at: Millis,
     own_in_flight: u32,
     source: ReportSource,
 }
@@ -74,8 +84,11 @@
 #[derive(Clone, Debug)]
 pub(crate) struct TargetStats {
     in_flight: u32,
+    /// When an attempt last ended, or the first of the open ones started.
+    progress_at: Millis,
     first_seen: Millis,
     load: Option<KnownLoad>,
+    clock: GateClock,
     own_service_us: Option<Aged>,
     failure: Aged,
     refused_at: Option<Millis>,
@@ -85,8 +98,10 @@
     pub(crate) fn new(now: Millis) -> Self {
         Self {
             in_flight: 0,
+            progress_at: now,
             first_seen: now,
             load: None,
+            clock: GateClock::default(),
             own_service_us: None,
             failure: Aged {
                 value: 0.0,
@@ -129,11 +144,15 @@
         (reported_us > 0).then_some(reported_us as f32)
     }
 
-    pub(crate) fn start_attempt(&mut self) {
+    pub(crate) fn start_attempt(&mut self, now: Millis) {
+        if self.in_flight == 0 {
+            self.progress_at = now;
+        }
         self.in_flight += 1;
     }
 
-    pub(crate) fn end_attempt(&mut self) {
+    pub(crate) fn end_attempt(&mut self, now: Millis) {
+        self.progress_at = now;
         debug_assert!(self.in_flight > 0, "every pick is ended exactly once");
         self.in_flight = self.in_flight.saturating_sub(1);
     }
@@ -149,6 +168,7 @@
         self.load = Some(KnownLoad {
             report: *report,
             heard_at,
+            made_at: self.clock.made_at(report.gate_clock_ms, heard_at),
             own_in_flight: self.in_flight,
             source,
         });
@@ -233,7 +253,7 @@
         let Some(known) = &self.load else {
             return own + typical.load_ratio();
         };
-        let age = now.since(known.heard_at);
+        let age = now.since(known.made_at);
         let left = fade(age, typical.load_half_life_ms()) * known.trust();
         let others = known.others_ratio() * left + typical.load_ratio() * (1.0 - left);
         own + others
@@ -247,12 +267,31 @@
         }
     }
 
-    /// Everything believed at this moment but for the network and the ramp.
+    /// Wait to be expected because the target has stopped answering.
+    ///
+    /// Failure answered: a noisy neighbour freezes a VM for tens of
+    /// milliseconds; no report tells, and each entry sends on until its own
+    /// attempts have piled up there. Answers should come at the rate of open
+    /// attempts over the service time; once a few are overdue the silence is
+    /// no chance, and it will last about as long as it has lasted.
+    pub(crate) fn stall_us(&self, typical: &Typical, round_trip_us: f32, now: Millis) -> f32 {
+        let silent_us = now.since(self.progress_at).0 as f32 * 1_000.0;
+        let unexplained_us = silent_us - round_trip_us - CLOCK_ROUNDING_US;
+        let overdue = unexplained_us * self.in_flight as f32 / typical.service_us();
+        if overdue < OVERDUE_ANSWERS {
+            return 0.0;
+        }
+        unexplained_us.min(MAX_STALL_SERVICE_TIMES * typical.service_us())
+    }
+
+    /// Everything believed at this moment but for what depends on the network
+    /// and on other targets.
     pub(crate) fn belief(&self, typical: &Typical, slots: u32, now: Millis) -> Belief {
         Belief {
             load_ratio: self.load_ratio(typical, slots, now),
             relative_service: self.relative_service(typical, now),
             failure: self.failure_rate(now),
+            stall_us: 0.0,
             refused: self.refused(typical, now),
             ramp: 1.0,
             round_trip_us: 0.0,
--- a/crates/core/src/entry/tests/picking.rs
+++ b/crates/core/src/entry/tests/picking.rs
@@ -179,12 +179,40 @@
     assert!(counts[0] > 500, "{counts:?}");
 }
 
-/// A paused process keeps its connections and answers nothing, so neither an
-/// error nor a latency is seen until the first deadline passes.
+/// A noisy neighbour freezes a VM. Nothing fails and no report comes; the entry
+/// has only its own open attempts, and the answers that they should have had.
 #[test]
-fn a_target_that_stalls_gets_little_before_anything_times_out() {
-    let counts = run_with_slow_target(60_000, true);
-    assert!(counts[0] <= 20, "{counts:?}");
+fn a_target_that_freezes_is_left_alone_within_its_service_time() {
+    let mut service = service(&view(3));
+    send_evenly(&mut service, 0, 20, true);
+    for _ in 0..3 {
+        for number in 0..3 {
+            service.pick_fixed(TargetIndex(number), Millis(4_000));
+        }
+    }
+    for number in [1, 2] {
+        answer_with_load(&mut service, &report(number, 3, 4_030), 4_030);
+    }
+    for _ in 0..12 {
+        pick(&mut service, 4_030);
+    }
+    assert_eq!(service.in_flight(TargetIndex(0)), 3);
+}
+
+/// A report was held up for 400 ms and looks fresh on arrival. It shows the
+/// target as empty, which it was then.
+#[test]
+fn a_report_delayed_on_its_way_is_believed_less() {
+    let load_by = |delay_ms: u64| {
+        let mut service = service(&view(3));
+        answer_with_load(&mut service, &report(0, 0, 1_000), 1_000);
+        let late = report(0, 12, 2_000 - delay_ms);
+        answer_with_load(&mut service, &late, 2_000);
+        let stats = &service.table.at(0).stats;
+        stats.load_ratio(&service.typical, 12, Millis(2_000))
+    };
+    assert!(load_by(0) > 0.95);
+    assert!(load_by(400) < 0.1);
 }
 
 /// A report on an answer shows this entry's own attempts too; counted twice,
--- a/crates/core/src/entry/tests/retries.rs
+++ b/crates/core/src/entry/tests/retries.rs
@@ -55,6 +55,26 @@
     assert_eq!(given_up(next).code, ResultCode::GateLost);
 }
 
+/// One request crashes each target that runs it. Retried after each break, it
+/// takes down as many targets as it has attempts.
+#[test]
+fn a_call_that_broke_twice_is_not_sent_a_third_time() {
+    let mut service = service(&view(9));
+    let first = service.after_failure(&call(), &AttemptEnd::Broken, Millis(1));
+    assert_eq!(first, Next::Retry);
+    let broke_before = CallProgress {
+        attempts: 2,
+        may_have_run: true,
+        ..call()
+    };
+    let second = service.after_failure(&broke_before, &AttemptEnd::Broken, Millis(1));
+    assert_eq!(given_up(second).code, ResultCode::AttemptsFailed);
+    assert_eq!(
+        service.after_failure(&broke_before, &FAILS, Millis(1)),
+        Next::Retry
+    );
+}
+
 #[test]
 fn refusals_about_the_call_itself_are_final() {
     for code in [
--- a/crates/core/src/entry/tests/tickets.rs
+++ b/crates/core/src/entry/tests/tickets.rs
@@ -122,7 +122,7 @@
 #[test]
 fn a_gate_far_over_its_limit_or_ejected_is_passed_over_while_others_are_there() {
     let mut seen = known(2);
-    seen.targets[0].load = heard(0, 30, 100);
+    seen.targets[0].load = heard(0, 48, 100);
     let mut over = service(&seen);
     let mut ejected = service(&known(2));
     end_at(&mut ejected, 0, AttemptEnd::Unreachable, 150);
@@ -138,7 +138,7 @@
         keys_of_first(&mut over, 9_000) > 10,
         "the report is too old"
     );
-    seen.targets[1].load = heard(1, 30, 100);
+    seen.targets[1].load = heard(1, 48, 100);
     let mut all_over = service(&seen);
     assert!(keys_of_first(&mut all_over, 200) > 10, "no gate is better");
 }
--- a/crates/core/src/entry/ticket_choice.rs
+++ b/crates/core/src/entry/ticket_choice.rs
@@ -5,7 +5,7 @@
 use crate::prelude::*;
 
 /// A first choice whose gate reported this many times its limit is passed over.
-const FAR_OVER_RATIO: f32 = 2.0;
+const FAR_OVER_RATIO: f32 = 4.0;
 /// Reports older than this say nothing about being far over.
 const FAR_OVER_BELIEVED_MS: Millis = Millis(2_000);
 
