Keep the connection that asks whether a target has crashed

Ruled out: taking the question from the probe budget; two crashes in a second would leave the second unseen, and with it the request that caused it. Change: the connection opened by the question serves the next call, which lost its own to the break. Conclusion: a broken run costs one connection, as a call does, and no more.

--- a/crates/node/src/target_client.rs
+++ b/crates/node/src/target_client.rs
@@ -104,12 +104,18 @@
 
     /// Whether the target accepts a connection now. A refusal right after runs
     /// broke tells a crash from a single cut connection.
+    ///
+    /// The connection is kept for the next call, which needs one in place of
+    /// the broken one. Opened for the question alone, each broken run would
+    /// cost the target a connection that no measuring budget bounds.
     pub async fn accepts_connections(&self) -> bool {
-        let connecting = TcpStream::connect(self.address);
-        matches!(
-            tokio::time::timeout(CONNECT_TIMEOUT, connecting).await,
-            Ok(Ok(_))
-        )
+        match self.connect().await {
+            Ok(sender) => {
+                self.rest(InUse { sender });
+                true
+            }
+            Err(_) => false,
+        }
     }
 
     /// The most recently used connection first, so that spare ones age out.
