Prove that a caller gets its whole own answer or sees a failure

Change: tests/all/whole_answers.rs. Forty lookups over one HTTP/2 connection answered in about the reverse order; late answers of calls that were given up; every cut of the stand-in (half, half with reset, chunked, longer length than sent, reset, hang), small and large, of lookups and payments, over HTTP/1.0, 1.1 and 2; a relay that resets the stream between entry and gate within 4 MiB (visible) and within 40 KB (made whole); a raw target that ends its body by a close, and one that sends beyond its stated length; an upload of 4 MiB.

Unproved, as the file's head says: a target that states a shorter length than it meant has declared a short body whole. And bytes beyond the length that arrive only after the next request went out on that connection look like its answer to any HTTP/1.1 client; those that come with the first answer, or while the connection rests, are refused, and the first is shown.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,3 +8,4 @@
 mod shutdown;
 mod support;
 mod thin_path;
+mod whole_answers;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -9,6 +9,7 @@
 pub mod in_force;
 pub mod payment;
 pub mod probe_counter;
+pub mod raw_target;
 pub mod relay;
 pub mod slow_answer;
 pub mod traffic;
--- /dev/null
+++ b/tests/all/whole_answers.rs
@@ -0,0 +1,415 @@
+//! A caller gets the whole answer to its own request, or a visible failure.
+//!
+//! What HTTP/1.1 leaves no way to prove: a target that states a shorter length
+//! than it meant, and stops there, has said a short body is whole. Nobody but
+//! the target knows better; see
+//! [`bytes_beyond_the_stated_length_reach_no_other_call`].
+
+use eyre::Result;
+use hornbeamhitch_standins::fleet::NodeSpec;
+use hornbeamhitch_standins::http_client::SendFault;
+use hornbeamhitch_standins::target::Cut;
+use hornbeamhitch_types::prelude::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+use crate::support::caller::{Call, Caller, certainty_of, code_of};
+use crate::support::far_entry::FarEntry;
+use crate::support::payment::{Payment, assert_at_most_once};
+use crate::support::raw_target::{RawAnswer, RawTarget};
+use crate::support::{Deployment, Member};
+
+/// Every failed call may be retried, so that budgets play no part here.
+const TEXT: &str = r#"{
+  "deployment": "test",
+  "services": {
+    "desk": { "depends_on": ["cashier"] },
+    "cashier": {
+      "slots": 64,
+      "connections": 250,
+      "deadline_ms": 10000,
+      "budgets": { "retry_share": 1.0, "hedge_share": 0 },
+      "ejection": { "consecutive_failures": 100 },
+      "calls": [
+        { "name": "charge", "match": "POST /charge", "idempotent": false, "class": "payment" },
+        { "name": "price", "match": "GET /price", "idempotent": true },
+      ],
+    },
+  },
+}"#;
+
+/// Above what an entry buffers, so that it is streamed.
+const LARGE_BYTES: usize = 4 << 20;
+/// Below what an entry buffers and a record stores.
+const SMALL_BYTES: usize = 40_000;
+const CUTS: [Cut; 5] = [
+    Cut::Half,
+    Cut::HalfReset,
+    Cut::Chunked,
+    Cut::WrongLength,
+    Cut::Reset,
+];
+
+fn members(count: usize) -> Vec<Member> {
+    let mut members = Vec::new();
+    for number in 1..=count {
+        let member = Member::new(&format!("cashier-{number}"), "cashier");
+        members.push(member.with(|target| target.slots = 64));
+    }
+    members
+}
+
+async fn deployment(count: usize) -> Result<Deployment> {
+    Deployment::start(TEXT, members(count)).await
+}
+
+/// Forty lookups share one HTTP/2 connection, the first ones the slowest, so
+/// that answers come back in about the reverse order of their requests and
+/// interleave. Each caller gets the bytes of its own request.
+#[tokio::test]
+async fn answers_out_of_order_reach_their_own_callers() -> Result<()> {
+    const CALLS: usize = 40;
+    let deployment = deployment(3).await?;
+    let entry = deployment.entry("cashier-1");
+    let caller = std::sync::Arc::new(Caller::over_http2());
+    let mut calls = JoinSet::new();
+    for number in 0..CALLS {
+        let call = Call::price(&format!("crossed-{number}"))
+            .with("standin-delay-ms", (CALLS - number) * 10)
+            .with("standin-answer-bytes", number * 7_000);
+        let caller = std::sync::Arc::clone(&caller);
+        calls.spawn(async move {
+            let answer = caller.send(entry, &call).await;
+            (number, call, answer)
+        });
+    }
+    let mut order = Vec::new();
+    while let Some(ended) = calls.join_next().await {
+        let (number, call, answer) = ended?;
+        let answer = answer?;
+        assert_eq!(code_of(&answer), Some(ResultCode::Answered));
+        assert!(call.is_answered_by(&answer), "call {number}");
+        order.push(number);
+    }
+    assert!(!order.is_sorted(), "the answers came in order: {order:?}");
+    Ok(())
+}
+
+/// Lookups are given up at their deadline while the target still works on them,
+/// and it answers late. The next calls over the same nodes, some of them at the
+/// very same time, must not be given those late answers.
+#[tokio::test]
+async fn late_answers_reach_nobody_else() -> Result<()> {
+    let deployment = deployment(1).await?;
+    let entry = deployment.entry("cashier-1");
+    let caller = std::sync::Arc::new(Caller::over_http2());
+    let mut calls = JoinSet::new();
+    for number in 0..30 {
+        let is_late = number % 3 == 0;
+        let mut call = Call::price(&format!("late-{number}"));
+        if is_late {
+            call = call
+                .with("standin-delay-ms", 250)
+                .with("hitch-deadline-ms", 100 + number);
+        } else {
+            call = call.with("standin-delay-ms", 10 * number);
+        }
+        let caller = std::sync::Arc::clone(&caller);
+        calls.spawn(async move { (is_late, caller.send(entry, &call).await, call) });
+    }
+    while let Some(ended) = calls.join_next().await {
+        let (is_late, answer, call) = ended?;
+        let answer = answer?;
+        if is_late {
+            assert_eq!(code_of(&answer), Some(ResultCode::DeadlinePassed));
+            continue;
+        }
+        assert!(call.is_answered_by(&answer), "{}", call.nonce);
+    }
+    Ok(())
+}
+
+/// A target cuts the small answer of a lookup, in each way that a cut can be
+/// seen. The entry has it whole in hand before it passes it on, so it tries
+/// again, and the caller gets the whole answer and notices nothing.
+#[tokio::test]
+async fn a_small_cut_answer_of_a_lookup_is_retried_to_a_whole_one() -> Result<()> {
+    let deployment = deployment(3).await?;
+    for cut in CUTS {
+        let call = Call::price(&format!("retried-{cut}"))
+            .with("standin-cut", cut)
+            .with("standin-cut-below-attempt", 1)
+            .with("standin-answer-bytes", SMALL_BYTES);
+        let entry = deployment.entry("cashier-1");
+        let answer = Caller::new().send(entry, &call).await?;
+        assert_eq!(code_of(&answer), Some(ResultCode::Answered), "{cut}");
+        assert!(call.is_answered_by(&answer), "{cut}");
+        assert_eq!(deployment.runs_of(&call.nonce).len(), 2, "{cut}");
+    }
+    Ok(())
+}
+
+/// A target cuts the small answer of a lookup every time. No attempt brings a
+/// whole one, so the caller is told of the failure, in a whole answer of the
+/// system's own.
+#[tokio::test]
+async fn a_small_answer_that_is_always_cut_is_a_visible_failure() -> Result<()> {
+    let deployment = deployment(3).await?;
+    for cut in CUTS {
+        let call = Call::price(&format!("always-{cut}"))
+            .with("standin-cut", cut)
+            .with("standin-answer-bytes", SMALL_BYTES);
+        let entry = deployment.entry("cashier-1");
+        let answer = Caller::new().send(entry, &call).await?;
+        assert_eq!(certainty_of(&answer), Certainty::Unknown, "{cut}");
+        assert!(answer.status.is_server_error(), "{cut}");
+    }
+    Ok(())
+}
+
+/// A target stops in the middle of a small answer and keeps its connection. The
+/// caller is told so at its deadline.
+#[tokio::test]
+async fn a_small_answer_that_stops_halfway_ends_at_the_deadline() -> Result<()> {
+    let deployment = deployment(1).await?;
+    let call = Call::price("hangs")
+        .with("standin-cut", Cut::Hang)
+        .with("hitch-deadline-ms", 300);
+    let entry = deployment.entry("cashier-1");
+    let answer = Caller::new().send(entry, &call).await?;
+    assert_eq!(code_of(&answer), Some(ResultCode::DeadlinePassed));
+    Ok(())
+}
+
+/// A target cuts a large answer, which is on its way to the caller by then. The
+/// caller's connection or stream breaks: it never sees the end of a body that
+/// has no end.
+#[tokio::test]
+async fn a_large_cut_answer_breaks_visibly() -> Result<()> {
+    let deployment = deployment(3).await?;
+    let entry = deployment.entry("cashier-1");
+    for caller in [Caller::new(), Caller::over_http2()] {
+        for cut in CUTS {
+            let call = Call::price(&format!("large-{cut}"))
+                .with("standin-cut", cut)
+                .with("standin-answer-bytes", LARGE_BYTES);
+            match caller.send(entry, &call).await {
+                Err(fault) => assert_eq!(fault, SendFault::Broken, "{cut}"),
+                Ok(answer) => assert_eq!(certainty_of(&answer), Certainty::Unknown, "{cut}"),
+            }
+        }
+        let call = Call::price("large-whole").with("standin-answer-bytes", LARGE_BYTES);
+        let answer = caller.send(entry, &call).await?;
+        assert!(call.is_answered_by(&answer));
+    }
+    Ok(())
+}
+
+/// A caller of HTTP/1.0 has no chunks: without a length, only the close of the
+/// connection ends its body, and a cut looks like the end. A target sends a
+/// large answer in chunks and cuts it. The caller must not be left with a short
+/// body that looks whole.
+#[tokio::test]
+async fn a_caller_of_http_1_0_is_not_given_a_short_body_as_whole() -> Result<()> {
+    let deployment = deployment(1).await?;
+    let request = format!(
+        "GET /cashier/price/old HTTP/1.0\r\nstandin-nonce: old\r\nstandin-cut: {}\r\n\
+         standin-answer-bytes: {LARGE_BYTES}\r\n\r\n",
+        Cut::Chunked
+    );
+    let mut connection = TcpStream::connect(deployment.entry("cashier-1")).await?;
+    connection.write_all(request.as_bytes()).await?;
+    let mut answer = Vec::new();
+    let read = connection.read_to_end(&mut answer).await;
+    let head_end = answer.windows(4).position(|window| window == b"\r\n\r\n");
+    let head = String::from_utf8_lossy(&answer[..head_end.unwrap_or(0)]).to_lowercase();
+    let is_success = head.starts_with("http/1.0 200") || head.starts_with("http/1.1 200");
+    let has_length = head.contains("content-length:");
+    assert!(
+        read.is_err() || !is_success || has_length,
+        "{} bytes look whole behind {head:?}",
+        answer.len()
+    );
+    Ok(())
+}
+
+/// A target cuts the answer of a payment, in each way. It ran, but nobody has
+/// its answer: the outcome is "unknown" for good, and it is not run again for
+/// the sake of an answer.
+#[tokio::test]
+async fn a_cut_answer_of_a_payment_is_unknown_for_good() -> Result<()> {
+    let deployment = deployment(3).await?;
+    let entry = deployment.entry("cashier-1");
+    for cut in CUTS {
+        let call = Call::charge(&format!("payment-{cut}")).with("standin-cut", cut);
+        let payment = Payment::ticketed(entry, call).await?;
+        for vm in deployment.fleet.names() {
+            let answer = payment.send(deployment.entry(&vm)).await?;
+            assert_eq!(code_of(&answer), Some(ResultCode::RunBroken), "{cut}");
+        }
+        assert_eq!(payment.runs(&deployment).len(), 1, "{cut}");
+    }
+    assert_at_most_once(&deployment);
+    Ok(())
+}
+
+/// The stream between entry and gate is reset in the middle of an answer of
+/// several megabytes, of a lookup and of a payment. The head is with the caller
+/// by then, so its connection breaks. The payment's answer was too large to be
+/// kept, and the same ticket says so.
+#[tokio::test]
+async fn a_large_answer_cut_between_nodes_breaks_visibly() -> Result<()> {
+    let deployment = deployment(1).await?;
+    let far = FarEntry::start(TEXT, &deployment, &["cashier-1"]).await?;
+    let relay = far.relay("cashier-1");
+    for caller in [Caller::new(), Caller::over_http2()] {
+        let call = Call::price("relayed").with("standin-answer-bytes", LARGE_BYTES);
+        relay.cut_after_answering(LARGE_BYTES / 4);
+        let broken = caller.send(far.addr(), &call).await;
+        assert_eq!(broken.map(|answer| answer.status), Err(SendFault::Broken));
+        let answer = caller.send(far.addr(), &call).await?;
+        assert!(call.is_answered_by(&answer));
+    }
+
+    let call = Call::charge("paid").with("standin-answer-bytes", LARGE_BYTES);
+    let payment = Payment::ticketed(far.addr(), call).await?;
+    relay.cut_after_answering(LARGE_BYTES / 4);
+    let broken = payment.send(far.addr()).await;
+    assert_eq!(broken.map(|answer| answer.status), Err(SendFault::Broken));
+    let answer = payment.send(far.addr()).await?;
+    assert_eq!(code_of(&answer), Some(ResultCode::AnswerNotKept));
+    assert_eq!(payment.runs(&deployment).len(), 1);
+    assert_at_most_once(&deployment);
+    Ok(())
+}
+
+/// The stream between entry and gate is reset in the middle of a small answer.
+/// A lookup is tried again elsewhere; a payment's answer is fetched again from
+/// its record. Both callers get the whole answer.
+#[tokio::test]
+async fn a_small_answer_cut_between_nodes_is_made_whole() -> Result<()> {
+    let deployment = deployment(2).await?;
+    let far = FarEntry::start(TEXT, &deployment, &["cashier-1", "cashier-2"]).await?;
+    let relay = far.relay("cashier-1");
+    relay.cut_after_answering(SMALL_BYTES / 2);
+    // Enough at the same time that both gates are picked.
+    let mut lookups = JoinSet::new();
+    for number in 0..16 {
+        let call = Call::price(&format!("lookup-{number}"))
+            .with("standin-answer-bytes", SMALL_BYTES)
+            .with("standin-service-us", 50_000);
+        let entry = far.addr();
+        lookups.spawn(async move { (Caller::new().send(entry, &call).await, call) });
+    }
+    while let Some(ended) = lookups.join_next().await {
+        let (answer, call) = ended?;
+        let answer = answer?;
+        assert_eq!(code_of(&answer), Some(ResultCode::Answered));
+        assert!(call.is_answered_by(&answer));
+    }
+    assert!(relay.has_cut(), "no lookup went through the cut");
+
+    let call = Call::charge("payment").with("standin-answer-bytes", SMALL_BYTES);
+    let payment = Payment::ticketed(far.addr(), call).await?;
+    let relay = far.relay(payment.gate());
+    relay.cut_after_answering(SMALL_BYTES / 2);
+    let answer = payment.send(far.addr()).await?;
+    assert_eq!(code_of(&answer), Some(ResultCode::Replayed));
+    assert!(payment.call.is_answered_by(&answer));
+    assert_eq!(payment.runs(&deployment).len(), 1);
+    assert_at_most_once(&deployment);
+    Ok(())
+}
+
+/// A deployment of one node beside a raw target.
+async fn beside(target: &RawTarget) -> Result<Deployment> {
+    let mut deployment = Deployment::prepare(Vec::new()).await?;
+    deployment.fleet.add(NodeSpec {
+        vm: "cashier-1".to_owned(),
+        service: "cashier".to_owned(),
+        data_centre: "a".to_owned(),
+        target: target.addr,
+    })?;
+    deployment.platform.set_text(TEXT)?;
+    deployment.start_nodes().await?;
+    Ok(deployment)
+}
+
+/// A target gives no length and closes its connection in the middle of the
+/// body. A whole answer of that kind would look the same, so none is passed on:
+/// the caller sees a failure, of lookups and of payments.
+#[tokio::test]
+async fn an_answer_ended_by_a_close_is_not_taken_for_whole() -> Result<()> {
+    let target = RawTarget::start(|_| RawAnswer {
+        bytes: b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\nhalf of".to_vec(),
+        close: true,
+    })
+    .await?;
+    let deployment = beside(&target).await?;
+    let entry = deployment.entry("cashier-1");
+    let answer = Caller::new().send(entry, &Call::price("closed")).await?;
+    assert_eq!(certainty_of(&answer), Certainty::Unknown);
+    let payment = Payment::ticketed(entry, Call::charge("closed")).await?;
+    for _ in 0..2 {
+        let answer = payment.send(entry).await?;
+        assert_eq!(code_of(&answer), Some(ResultCode::RunBroken));
+    }
+    Ok(())
+}
+
+/// A target states a shorter length than it sends. The call itself gets the
+/// stated bytes: HTTP calls that whole, and nobody but the target knows better,
+/// so this cannot be proved otherwise. The bytes beyond, made to look like an
+/// answer of their own, must not become the answer of the next call.
+#[tokio::test]
+async fn bytes_beyond_the_stated_length_reach_no_other_call() -> Result<()> {
+    const EXCESS: &str = "HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nsomeones";
+    let target = RawTarget::start(|path| RawAnswer {
+        bytes: format!(
+            "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{path}{EXCESS}",
+            path.len()
+        )
+        .into_bytes(),
+        close: false,
+    })
+    .await?;
+    let deployment = beside(&target).await?;
+    let entry = deployment.entry("cashier-1");
+    let caller = Caller::new();
+    for number in 0..50 {
+        let call = Call::price(&number.to_string());
+        let answer = caller.send(entry, &call).await?;
+        if code_of(&answer) == Some(ResultCode::Answered) {
+            assert_eq!(answer.body, format!("/price/{number}"));
+        }
+        let call = Call::charge(&number.to_string());
+        let payment = Payment::ticketed(entry, call).await?;
+        let answer = payment.send(entry).await?;
+        if code_of(&answer) == Some(ResultCode::Answered) {
+            assert_eq!(answer.body, "/charge");
+        }
+    }
+    Ok(())
+}
+
+/// An upload of several megabytes arrives whole: the answer is derived from the
+/// digest of what the target has read.
+#[tokio::test]
+async fn a_large_upload_arrives_whole() -> Result<()> {
+    let deployment = deployment(2).await?;
+    let mut body = Vec::with_capacity(LARGE_BYTES);
+    for number in 0..LARGE_BYTES / 4 {
+        body.extend_from_slice(&(number as u32).to_le_bytes());
+    }
+    let entry = deployment.entry("cashier-1");
+    let call = Call::charge("upload").with_body(body);
+    let payment = Payment::ticketed(entry, call).await?;
+    for vm in deployment.fleet.names() {
+        let answer = payment.send(deployment.entry(&vm)).await?;
+        assert_eq!(certainty_of(&answer), Certainty::Answered);
+        assert!(payment.call.is_answered_by(&answer));
+    }
+    assert_at_most_once(&deployment);
+    Ok(())
+}
