Hold every "not run" against the journals, under failures at once

Change: tests/all/not_run.rs. 24 callers overload three targets of two slots; meanwhile targets shed, crash, cut and close, and gates are paused, killed, started again and shut down, each strike after a count of answers. Callers also resend tickets that were refused for good. All answers are noted by ticket; once all nodes have ended, no ticket that was told "not run" has a run, each "answered" has one, and "unknown" has its own code in header and body. A second test runs the load tool's documented callers and its reconciliation. Two entries of at_most_once.rs start side by side.

--- a/tests/all/at_most_once.rs
+++ b/tests/all/at_most_once.rs
@@ -587,8 +587,10 @@
         peer: first.peer,
         ..second
     };
-    let lacking = FarEntry::with_list(TEXT, vec![first]).await?;
-    let mistaken = FarEntry::with_list(TEXT, vec![moved]).await?;
+    let (lacking, mistaken) = tokio::try_join!(
+        FarEntry::with_list(TEXT, vec![first]),
+        FarEntry::with_list(TEXT, vec![moved]),
+    )?;
 
     let answer = payment.send(lacking.addr()).await?;
     assert_eq!(code_of(&answer), Some(ResultCode::GateGone));
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod leaving;
 mod measuring;
+mod not_run;
 mod shutdown;
 mod support;
 mod thin_path;
