Tell the lab's gates of broken attempts, and let faults come together

Cause: an attempt after a broken one now carries hitch-suspect, which the lab's driver did not do; and no case had several faults at once. Change: the driver calls Gate::accuse as the daemon does, and tells control; cases bangkok-together-45 and ljubljana-together-45 (noisy neighbours, a slow target, and another that drains and starts cold).

--- a/crates/lab/src/case/catalogue.rs
+++ b/crates/lab/src/case/catalogue.rs
@@ -9,6 +9,9 @@
 const WARM_UP: Micros = Micros::from_millis(7_000);
 /// Fault cases all last as long, so that a fault weighs the same everywhere.
 const FAULT_RUN: Micros = Micros::from_millis(30_000);
+/// Load of the cases with several faults; what is left of Ljubljana's four
+/// targets while one is slow and one away carries a little over half.
+const TOGETHER_PERCENT: u32 = 45;
 const DEEPEST_CHAIN: usize = 8;
 const CHAIN_NAMES: [&str; DEEPEST_CHAIN] = ["a", "b", "c", "d", "e", "f", "g", "h"];
 
@@ -153,6 +156,30 @@
     );
     crash.callers_resend = true;
     cases.push(crash);
+    let together = vec![
+        at(
+            8_000,
+            Fault::Slow {
+                target: 1,
+                factor: 4.0,
+            },
+        ),
+        at(9_000, Fault::Drain { target: 0 }),
+        at(14_000, Fault::ColdStart { target: 0 }),
+        at(
+            20_000,
+            Fault::Slow {
+                target: 1,
+                factor: 1.0,
+            },
+        ),
+    ];
+    let about = "noisy neighbours, a slow target, and another drains and starts cold";
+    let mut together = faulty(deployment, "together", about, together);
+    together.noisy = true;
+    together.name = format!("{}-together-{TOGETHER_PERCENT}", deployment.name);
+    together.load = f64::from(TOGETHER_PERCENT) / 100.0;
+    cases.push(together);
     let lost = vec![
         at(8_000, Fault::LoseDataCentre { data_centre: 2 }),
         at(20_000, Fault::ReturnDataCentre { data_centre: 2 }),
--- a/crates/lab/src/world/call.rs
+++ b/crates/lab/src/world/call.rs
@@ -36,6 +36,8 @@
     pub(super) attempts: u32,
     /// An attempt of the present try that ended may have run.
     pub(super) may_have_run: bool,
+    /// An attempt of the present try broke; its gate is told with the next one.
+    pub(super) broke: bool,
     pub(super) hedged: bool,
     /// Tries of the caller, the first included.
     pub(super) tries: u32,
--- a/crates/lab/src/world/entry_side.rs
+++ b/crates/lab/src/world/entry_side.rs
@@ -50,6 +50,7 @@
             tried: Vec::new(),
             attempts: 0,
             may_have_run: false,
+            broke: false,
             hedged: false,
             tries: 0,
             ticket: None,
@@ -118,6 +119,7 @@
         call.tried.clear();
         call.attempts = 0;
         call.may_have_run = false;
+        call.broke = false;
         call.hedged = false;
         if !matches!(call.kind, CallKind::FromTarget(_)) {
             call.deadline_at = own_deadline_at;
@@ -238,6 +240,7 @@
         let outcome = outcome.expect("an end that travels has an outcome");
         self.finish_attempt(index, &outcome);
         let call = self.attempt(index).call;
+        self.call_mut(call).broke |= outcome.end == AttemptEnd::Broken;
         if outcome.end == (AttemptEnd::Answered { failed: false }) {
             let held = self.attempt(index).held;
             self.tally.useful_us += held.0;
--- a/crates/lab/src/world/gate_side.rs
+++ b/crates/lab/src/world/gate_side.rs
@@ -75,6 +75,10 @@
         };
         let host = &mut self.services[id.service].hosts[id.target];
         let gate = host.gate.as_mut().expect("checked by the caller");
+        let accused = match call.broke {
+            true => gate.accuse(fingerprint, now),
+            false => None,
+        };
         let verdict = gate.arrive(&arrival, now);
         let wakes = gate.take_wakes();
         match verdict {
@@ -97,6 +101,7 @@
             Verdict::Refuse(refusal) => self.send_end(index, AttemptEnd::Refused(refusal)),
         }
         self.follow(id, wakes);
+        self.tell_suspects(accused.as_slice());
     }
 
     fn start_at_target(&mut self, index: AttemptIndex) {
