--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -259,7 +259,7 @@
             return;
         };
         let before = target.standing();
-        target.stats.end_attempt(now);
+        target.stats.end_attempt();
         if let Some(report) = &outcome.load {
             self.hear(pick.target, report, now);
         }
@@ -363,7 +363,7 @@
     fn start(&mut self, index: TargetIndex, is_trial: bool, now: Millis) -> Pick {
         let mut life = 0;
         if let Some(target) = self.table.get_mut(index) {
-            target.stats.start_attempt(now);
+            target.stats.start_attempt();
             life = target.life;
         }
         Pick {
@@ -410,7 +410,8 @@
             return;
         }
         if let Some(ratio) = target.stats.others_ratio() {
-            self.typical.learn_load(ratio);
+            let own_ratio = target.stats.own_ratio(self.view.policy.slots);
+            self.typical.learn_load(ratio, own_ratio);
         }
     }
 
--- a/crates/core/src/entry/score.rs
+++ b/crates/core/src/entry/score.rs
@@ -9,12 +9,18 @@
 const TYPICAL_WEIGHT: f32 = 1.0 / 32.0;
 /// Knowledge of load is about the calls that ran then; after this many service
 /// times half of it is taken to be gone.
-const LOAD_HALF_LIFE_SERVICE_TIMES: f32 = 2.0;
+const LOAD_HALF_LIFE_SERVICE_TIMES: f32 = 1.0;
 /// Bounds of the half-life of a load report.
 const LOAD_HALF_LIFE_RANGE_MS: (f32, f32) = (10.0, 200.0);
 /// Service times up to this multiple of the typical one count as equal: the
 /// difference is noise, and acting on noise makes entries herd.
 const NORMAL_SLOWNESS: f32 = 1.5;
+/// Up to this share of its limit a target has slots free and nothing waits.
+const FREE_LOAD: f32 = 0.8;
+/// What a call in a slot weighs against one that waits. Counted alike, entries
+/// would leave a half-used target of their own data centre for an emptier one
+/// in another.
+const FREE_LOAD_WEIGHT: f32 = 0.3;
 /// What a certain failure costs, in typical service times.
 const FAILURE_COST_SERVICE_TIMES: f32 = 10.0;
 /// Load that a fresh refusal adds, as a multiple of the target's limit.
@@ -36,6 +42,7 @@
 pub(crate) struct Typical {
     service_us: Option<f32>,
     load_ratio: f32,
+    own_ratio: f32,
     half_life_factor: f32,
 }
 
@@ -44,6 +51,7 @@
         Self {
             service_us: None,
             load_ratio: 0.0,
+            own_ratio: 0.0,
             half_life_factor: 1.0,
         }
     }
@@ -55,9 +63,22 @@
         self.half_life_factor = factor;
     }
 
-    /// Learns how much of its limit others use on some target.
-    pub(crate) fn learn_load(&mut self, load_ratio: f32) {
-        self.load_ratio += (load_ratio - self.load_ratio) * TYPICAL_WEIGHT;
+    /// Learns how much of its limit others use on some target, and how much
+    /// this entry itself.
+    pub(crate) fn learn_load(&mut self, others_ratio: f32, own_ratio: f32) {
+        self.load_ratio += (others_ratio - self.load_ratio) * TYPICAL_WEIGHT;
+        self.own_ratio += (own_ratio - self.own_ratio) * TYPICAL_WEIGHT;
+    }
+
+    /// What others may use of a target's limit, taking own use for a sample.
+    ///
+    /// Failure answered: a noisy neighbour freezes a target. It answers nobody,
+    /// so its last report goes on looking harmless, but attempts pile up there,
+    /// those of others as well as the own ones. `slot` is one attempt as a share
+    /// of the limit; added to both sides, it keeps a single attempt of an entry
+    /// that seldom sends from standing for many.
+    pub(crate) fn sampled_ratio(&self, own_ratio: f32, slot: f32) -> f32 {
+        self.load_ratio * (own_ratio + slot) / (self.own_ratio + slot)
     }
 
     /// Learns the service time of some target.
@@ -70,11 +91,6 @@
         self.service_us.unwrap_or(DEFAULT_SERVICE_US).max(1.0)
     }
 
-    /// What others use of a target's limit when nothing recent is known.
-    pub(crate) fn load_ratio(&self) -> f32 {
-        self.load_ratio
-    }
-
     /// The time after which half of a load report is taken to be gone.
     pub(crate) fn load_half_life_ms(&self) -> f32 {
         let (shortest, longest) = LOAD_HALF_LIFE_RANGE_MS;
@@ -92,11 +108,9 @@
     pub(crate) relative_service: f32,
     /// Probability that an attempt fails.
     pub(crate) failure: f32,
-    /// Wait because the target has stopped answering.
-    pub(crate) stall_us: f32,
     /// What is left of a refusal for overload, 0 to 1.
     pub(crate) refused: f32,
-    /// Share of a warm target that this one may get.
+    /// Part of the limit that a target may use which has not reported yet.
     pub(crate) ramp: f32,
     /// Network time there and back.
     pub(crate) round_trip_us: f32,
@@ -107,9 +121,9 @@
     pub(crate) fn expected_us(&self, typical: &Typical) -> f32 {
         let service_us = typical.service_us();
         let load = self.load_ratio + self.refused * REFUSED_LOAD_RATIO;
-        let wait_us = service_us * self.slowness() * (1.0 + load / self.ramp);
+        let wait_us = service_us * self.slowness() * (1.0 + weigh(load / self.ramp));
         let failure_us = self.failure * FAILURE_COST_SERVICE_TIMES * service_us;
-        wait_us + self.stall_us + self.round_trip_us + failure_us
+        wait_us + self.round_trip_us + failure_us
     }
 
     /// A target quicker than others gets no credit: an error is quick as well,
@@ -118,3 +132,9 @@
         (self.relative_service / NORMAL_SLOWNESS).max(1.0)
     }
 }
+
+/// Load with what is in free slots counted for less.
+fn weigh(load: f32) -> f32 {
+    let free = load.min(FREE_LOAD);
+    free * FREE_LOAD_WEIGHT + (load - free)
+}
--- a/crates/core/src/entry/target.rs
+++ b/crates/core/src/entry/target.rs
@@ -209,11 +209,14 @@
     }
 
     /// Everything believed about an attempt here, `ramp` relative to others.
+    ///
+    /// A gate reports a low limit while its target is cold, which says it all;
+    /// the ramp stands in for the limit until the first report.
     pub(crate) fn belief(&self, typical: &Typical, slots: u32, ramp: f32, now: Millis) -> Belief {
+        let is_limit_known = self.stats.report().is_some();
         Belief {
-            ramp,
+            ramp: if is_limit_known { 1.0 } else { ramp },
             round_trip_us: self.round_trip_us(),
-            stall_us: self.stats.stall_us(typical, self.round_trip_us(), now),
             ..self.stats.belief(typical, slots, now)
         }
     }
--- a/crates/core/src/entry/target_stats.rs
+++ b/crates/core/src/entry/target_stats.rs
@@ -18,13 +18,6 @@
 /// The own measurement includes queueing and the network's moods; only beyond
 /// this multiple does it override what the gate measured.
 const OWN_OVER_REPORTED: f32 = 2.0;
-/// A target has stalled when this many answers are overdue.
-const OVERDUE_ANSWERS: f32 = 2.5;
-/// Most that a stall adds, in typical service times, because a long upload on
-/// an otherwise idle target looks the same.
-const MAX_STALL_SERVICE_TIMES: f32 = 4.0;
-/// Rounding of the clock at both ends of a silence.
-const CLOCK_ROUNDING_US: f32 = 1_000.0;
 /// Share of a warm target's work that a cold one starts with.
 const MIN_RAMP: f32 = 0.1;
 
@@ -84,8 +77,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct TargetStats {
     in_flight: u32,
-    /// When an attempt last ended, or the first of the open ones started.
-    progress_at: Millis,
     first_seen: Millis,
     load: Option<KnownLoad>,
     clock: GateClock,
@@ -98,7 +89,6 @@
     pub(crate) fn new(now: Millis) -> Self {
         Self {
             in_flight: 0,
-            progress_at: now,
             first_seen: now,
             load: None,
             clock: GateClock::default(),
@@ -144,15 +134,11 @@
         (reported_us > 0).then_some(reported_us as f32)
     }
 
-    pub(crate) fn start_attempt(&mut self, now: Millis) {
-        if self.in_flight == 0 {
-            self.progress_at = now;
-        }
+    pub(crate) fn start_attempt(&mut self) {
         self.in_flight += 1;
     }
 
-    pub(crate) fn end_attempt(&mut self, now: Millis) {
-        self.progress_at = now;
+    pub(crate) fn end_attempt(&mut self) {
         debug_assert!(self.in_flight > 0, "every pick is ended exactly once");
         self.in_flight = self.in_flight.saturating_sub(1);
     }
@@ -174,6 +160,11 @@
         });
     }
 
+    /// This entry's open attempts as a multiple of the limit.
+    pub(crate) fn own_ratio(&self, slots: u32) -> f32 {
+        self.in_flight as f32 / self.limit(slots) as f32
+    }
+
     /// Load that others had by the newest report.
     pub(crate) fn others_ratio(&self) -> Option<f32> {
         self.load.map(|known| known.others_ratio())
@@ -245,18 +236,18 @@
     /// exactly, those of others from the report as far as it can be believed.
     ///
     /// Failure answered: many entries hear that one target is empty and all
-    /// send there until the next report. Own sends count at once, and what the
-    /// report says of others fades into the typical load, where all look alike.
+    /// send there until the next report. Own sends count at once, and what is no
+    /// longer believed of the report is filled in from own attempts against the
+    /// usual ones, where targets look alike unless attempts pile up on one.
     pub(crate) fn load_ratio(&self, typical: &Typical, slots: u32, now: Millis) -> f32 {
-        let limit = self.limit(slots);
-        let own = self.in_flight as f32 / limit as f32;
+        let own = self.own_ratio(slots);
+        let sampled = typical.sampled_ratio(own, 1.0 / self.limit(slots) as f32);
         let Some(known) = &self.load else {
-            return own + typical.load_ratio();
+            return own + sampled;
         };
         let age = now.since(known.made_at);
         let left = fade(age, typical.load_half_life_ms()) * known.trust();
-        let others = known.others_ratio() * left + typical.load_ratio() * (1.0 - left);
-        own + others
+        own + known.others_ratio() * left + sampled * (1.0 - left)
     }
 
     /// The gate's limit as last heard, at first the policy's slots.
@@ -267,23 +258,6 @@
         }
     }
 
-    /// Wait to be expected because the target has stopped answering.
-    ///
-    /// Failure answered: a noisy neighbour freezes a VM for tens of
-    /// milliseconds; no report tells, and each entry sends on until its own
-    /// attempts have piled up there. Answers should come at the rate of open
-    /// attempts over the service time; once a few are overdue the silence is
-    /// no chance, and it will last about as long as it has lasted.
-    pub(crate) fn stall_us(&self, typical: &Typical, round_trip_us: f32, now: Millis) -> f32 {
-        let silent_us = now.since(self.progress_at).0 as f32 * 1_000.0;
-        let unexplained_us = silent_us - round_trip_us - CLOCK_ROUNDING_US;
-        let overdue = unexplained_us * self.in_flight as f32 / typical.service_us();
-        if overdue < OVERDUE_ANSWERS {
-            return 0.0;
-        }
-        unexplained_us.min(MAX_STALL_SERVICE_TIMES * typical.service_us())
-    }
-
     /// Everything believed at this moment but for what depends on the network
     /// and on other targets.
     pub(crate) fn belief(&self, typical: &Typical, slots: u32, now: Millis) -> Belief {
@@ -291,7 +265,6 @@
             load_ratio: self.load_ratio(typical, slots, now),
             relative_service: self.relative_service(typical, now),
             failure: self.failure_rate(now),
-            stall_us: 0.0,
             refused: self.refused(typical, now),
             ramp: 1.0,
             round_trip_us: 0.0,
--- a/crates/core/src/entry/tests/picking.rs
+++ b/crates/core/src/entry/tests/picking.rs
@@ -179,24 +179,64 @@
     assert!(counts[0] > 500, "{counts:?}");
 }
 
-/// A noisy neighbour freezes a VM. Nothing fails and no report comes; the entry
-/// has only its own open attempts, and the answers that they should have had.
+/// A paused process keeps its connections and answers nothing, so neither an
+/// error nor a latency is seen until the first deadline passes.
 #[test]
-fn a_target_that_freezes_is_left_alone_within_its_service_time() {
+fn a_target_that_stalls_gets_little_before_anything_times_out() {
+    let counts = run_with_slow_target(60_000, true);
+    assert!(counts[0] <= 20, "{counts:?}");
+}
+
+/// A noisy neighbour freezes a VM. Nothing fails, and the last report, of before,
+/// goes on looking harmless; but where own attempts pile up, so do those of
+/// others, and the target is left alone at once.
+#[test]
+fn a_target_where_own_attempts_pile_up_is_taken_for_full() {
     let mut service = service(&view(3));
-    send_evenly(&mut service, 0, 20, true);
-    for _ in 0..3 {
+    for now in 0..200 {
         for number in 0..3 {
-            service.pick_fixed(TargetIndex(number), Millis(4_000));
+            answer_with_load(&mut service, &report(number, 5, now), now);
         }
     }
-    for number in [1, 2] {
-        answer_with_load(&mut service, &report(number, 3, 4_030), 4_030);
+    for _ in 0..3 {
+        service.pick_fixed(TargetIndex(0), Millis(200));
     }
-    for _ in 0..12 {
-        pick(&mut service, 4_030);
+    for _ in 0..4 {
+        pick(&mut service, 260);
     }
     assert_eq!(service.in_flight(TargetIndex(0)), 3);
+    let stats = &service.table.at(0).stats;
+    assert!(stats.load_ratio(&service.typical, 12, Millis(260)) > 1.0);
+}
+
+/// A call would pay 3 ms on the way to another data centre for nothing: half of
+/// the slots of the near target are free, and a call in a free slot waits for
+/// none of those in the others.
+#[test]
+fn a_half_used_near_target_is_kept() {
+    let mut seen = view(2);
+    seen.targets[1].distance_us = 1_500;
+    let mut service = service(&seen);
+    for now in 0..200 {
+        answer_with_load(&mut service, &report(0, 6, now), now);
+        answer_with_load(&mut service, &report(1, 2, now), now);
+    }
+    let counts = run(&mut service, 200, 200, |_| WORKS);
+    assert!(counts[0] >= 190, "{:?}", &counts[..2]);
+}
+
+/// Reports that come at the same pace stay fresh, also when this node's clock
+/// runs ahead of the gate's by 100 ppm for a day.
+#[test]
+fn drifting_clocks_do_not_make_reports_look_old() {
+    let mut service = service(&view(1));
+    for minute in 0..1_440 {
+        let gate_clock_ms = minute * 60_000;
+        let now = gate_clock_ms + gate_clock_ms / 10_000;
+        answer_with_load(&mut service, &report(0, 12, gate_clock_ms), now);
+        let stats = &service.table.at(0).stats;
+        assert!(stats.load_ratio(&service.typical, 12, Millis(now)) > 0.95);
+    }
 }
 
 /// A report was held up for 400 ms and looks fresh on arrival. It shows the
