Let gates take turns for tickets whose key no caller chose

Cause: tickets were spread by hashing the key, which falls like dice. Conclusion: the usual path (tickets ahead) is balanced, the rare one sticky.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -329,16 +329,39 @@
     ///
     /// Refuses when no gate whose life is known can take new work.
     pub fn ticket_gate(&mut self, key: CallKey, now: Millis) -> Result<TicketGate, Refusal> {
-        if let Some(target) = ticket_choice::choose(&self.table, key, now)
-            && let Some(report) = target.stats.report()
-        {
-            return Ok(TicketGate {
-                vm: target.vm.clone(),
-                incarnation: report.incarnation,
-                expires_at: report.gate_clock_ms + self.view.policy.ticket_ttl_ms,
-            });
-        }
-        Err(self.refuse_pick(true, now))
+        let chosen = ticket_choice::choose_for_key(&self.table, key, now);
+        self.name_gate(chosen, now)
+    }
+
+    /// Chooses the gate for a ticket whose key this entry makes up itself: the
+    /// gates take turns.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when no gate whose life is known can take new work.
+    pub fn ticket_gate_in_turn(&mut self, now: Millis) -> Result<TicketGate, Refusal> {
+        let slots = self.view.policy.slots;
+        let chosen = ticket_choice::choose_in_turn(&self.table, &self.typical, slots, now);
+        self.name_gate(chosen, now)
+    }
+
+    fn name_gate(
+        &mut self,
+        chosen: Option<TargetIndex>,
+        now: Millis,
+    ) -> Result<TicketGate, Refusal> {
+        let Some(index) = chosen else {
+            return Err(self.refuse_pick(true, now));
+        };
+        self.table.count_ticket(index);
+        let target = self.table.at(index.0);
+        let report = target.stats.report();
+        let report = report.expect("only a gate that was heard is chosen");
+        Ok(TicketGate {
+            vm: target.vm.clone(),
+            incarnation: report.incarnation,
+            expires_at: report.gate_clock_ms + self.view.policy.ticket_ttl_ms,
+        })
     }
 
     /// When a refused caller should come back: spread, growing under overload.
--- a/crates/core/src/entry/table.rs
+++ b/crates/core/src/entry/table.rs
@@ -93,6 +93,19 @@
         &self.ready
     }
 
+    /// Counts a ticket for a gate: it is ahead by one, and all fall back evenly.
+    pub(crate) fn count_ticket(&mut self, named: TargetIndex) {
+        let tier = match self.ready.is_empty() {
+            true => &self.doubtful,
+            false => &self.ready,
+        };
+        let share = 1.0 / tier.len().max(1) as f32;
+        for index in tier {
+            self.targets[*index as usize].advance_tickets(-share);
+        }
+        self.targets[named.0 as usize].advance_tickets(1.0);
+    }
+
     /// Whether every target has its full share.
     pub(crate) fn all_warm(&self, now: Millis) -> bool {
         now >= self.warm_at
--- a/crates/core/src/entry/target.rs
+++ b/crates/core/src/entry/target.rs
@@ -33,6 +33,9 @@
     gate_clock_ms: Option<Millis>,
 }
 
+/// A gate that was away must not be named for long stretches to catch up.
+const MAX_TURNS: f32 = 3.0;
+
 /// A target with everything learnt about it.
 #[derive(Clone, Debug)]
 pub(crate) struct Target {
@@ -47,6 +50,8 @@
     pub(crate) distance_us: u32,
     pub(crate) stats: TargetStats,
     pub(crate) health: Health,
+    /// Tickets that this entry has named it for beyond its even share.
+    pub(crate) tickets_ahead: f32,
     view_leaving: bool,
     doubtful: bool,
     heard_leaving: Option<HeardLeaving>,
@@ -64,12 +69,19 @@
             distance_us: view.distance_us,
             stats: TargetStats::new(now),
             health: Health::new(),
+            tickets_ahead: 0.0,
             view_leaving: view.leaving,
             doubtful: view.doubtful,
             heard_leaving: None,
         }
     }
 
+    /// Counts tickets by which it is ahead of its even share.
+    pub(crate) fn advance_tickets(&mut self, tickets: f32) {
+        let ahead = self.tickets_ahead + tickets;
+        self.tickets_ahead = ahead.clamp(-MAX_TURNS, MAX_TURNS);
+    }
+
     /// Takes over what the control state knows.
     pub(crate) fn update(&mut self, view: &TargetView, place: u32, now: Millis) {
         self.view_place = Some(place);
--- a/crates/core/src/entry/tests/tickets.rs
+++ b/crates/core/src/entry/tests/tickets.rs
@@ -142,3 +142,35 @@
     let mut all_over = service(&seen);
     assert!(keys_of_first(&mut all_over, 200) > 10, "no gate is better");
 }
+
+/// Kiosks fetch tickets ahead at a high load. With hashed keys a gate is drawn
+/// too often at times and refuses payments while its neighbour idles; in turn,
+/// no gate is ever ahead by more than a few.
+#[test]
+fn tickets_without_a_callers_key_go_round() {
+    let mut service = service(&known(3));
+    let mut by_gate = std::collections::BTreeMap::new();
+    for number in 1..=900 {
+        let gate = service.ticket_gate_in_turn(Millis(200)).expect("usable");
+        *by_gate.entry(gate.vm).or_insert(0) += 1;
+        let most = by_gate.values().max().copied().unwrap_or(0);
+        assert!(most <= number / 3 + 2, "{by_gate:?} after {number}");
+    }
+    assert_eq!(by_gate.values().sum::<i32>(), 900);
+    assert_eq!(by_gate.len(), 3);
+}
+
+/// A gate with a long queue by its newest report is behind in turn only as far
+/// as the load goes: it is passed over now and then, not shunned by everybody.
+#[test]
+fn load_shifts_turns_without_shunning_a_gate() {
+    let mut seen = known(3);
+    seen.targets[0].load = heard(0, 12, 100);
+    let mut service = service(&seen);
+    let mut loaded = 0;
+    for _ in 0..300 {
+        let gate = service.ticket_gate_in_turn(Millis(101)).expect("usable");
+        loaded += u32::from(gate.vm.as_str() == "vm-000");
+    }
+    assert!((90..=100).contains(&loaded), "{loaded} of 300");
+}
--- a/crates/core/src/entry/ticket_choice.rs
+++ b/crates/core/src/entry/ticket_choice.rs
@@ -1,11 +1,15 @@
 //! Choosing the gate that a new ticket names.
 
+use crate::entry::TargetIndex;
+use crate::entry::score::Typical;
 use crate::entry::table::TargetTable;
 use crate::entry::target::Target;
 use crate::prelude::*;
 
 /// A first choice whose gate reported this many times its limit is passed over.
 const FAR_OVER_RATIO: f32 = 4.0;
+/// Weight of one outstanding call against one ticket ahead.
+const LOAD_TIE_BREAK: f32 = 0.05;
 /// Reports older than this say nothing about being far over.
 const FAR_OVER_BELIEVED_MS: Millis = Millis(2_000);
 
@@ -26,33 +30,76 @@
 /// one is there. Then, and where views differ, a caller that comes back with
 /// the same key but without its ticket can be given a second ticket at another
 /// gate. The strict promise is per ticket; see the design note.
-pub(crate) fn choose(table: &TargetTable, key: CallKey, now: Millis) -> Option<&Target> {
-    let mut best: Option<(Rank, u64, &Target)> = None;
-    for (tier, rank) in [
+pub(crate) fn choose_for_key(
+    table: &TargetTable,
+    key: CallKey,
+    now: Millis,
+) -> Option<TargetIndex> {
+    let mut best: Option<(Rank, u64, u32)> = None;
+    for candidate in candidates(table, now) {
+        let weight = weight(key, table.at(candidate.index));
+        if best.is_some_and(|(known, heaviest, _)| {
+            candidate.rank > known || (candidate.rank == known && weight <= heaviest)
+        }) {
+            continue;
+        }
+        best = Some((candidate.rank, weight, candidate.index));
+    }
+    best.map(|(_, _, index)| TargetIndex(index))
+}
+
+/// Finds the gate for a key that no caller has chosen, so that nobody can come
+/// back with the key alone and nothing is gained by naming the same gate twice.
+///
+/// Failure answered: hashed keys fall like dice, and at 95% load a gate that
+/// was drawn a few times too often refuses payments while its neighbour idles.
+/// Turns are counted instead, with the load as last heard as a tie-break: on
+/// the load alone all entries would flee to the same gate, since what they hear
+/// is older than a payment lasts.
+pub(crate) fn choose_in_turn(
+    table: &TargetTable,
+    typical: &Typical,
+    slots: u32,
+    now: Millis,
+) -> Option<TargetIndex> {
+    let mut best: Option<(Rank, f32, u32)> = None;
+    for candidate in candidates(table, now) {
+        let target = table.at(candidate.index);
+        let load = target.stats.load_ratio(typical, slots, now) * slots as f32;
+        let value = target.tickets_ahead + load * LOAD_TIE_BREAK;
+        if best.is_some_and(|(known, lowest, _)| {
+            candidate.rank > known || (candidate.rank == known && value >= lowest)
+        }) {
+            continue;
+        }
+        best = Some((candidate.rank, value, candidate.index));
+    }
+    best.map(|(_, _, index)| TargetIndex(index))
+}
+
+/// A gate that may be named, and how willingly.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    rank: Rank,
+    index: u32,
+}
+
+fn candidates(table: &TargetTable, now: Millis) -> impl Iterator<Item = Candidate> + '_ {
+    let tiers = [
         (&table.ready, Rank::Usable),
         (&table.doubtful, Rank::Doubtful),
         (&table.ejected, Rank::Ejected),
-    ] {
-        for index in tier {
-            let target = table.at(*index);
-            if target.stats.report().is_none() {
-                continue;
-            }
-            let rank = if rank == Rank::Usable && is_far_over(target, now) {
-                Rank::FarOver
-            } else {
-                rank
-            };
-            let weight = weight(key, target);
-            if best.is_some_and(|(known, heaviest, _)| {
-                rank > known || (rank == known && weight <= heaviest)
-            }) {
-                continue;
-            }
-            best = Some((rank, weight, target));
-        }
-    }
-    best.map(|(_, _, target)| target)
+    ];
+    let all = tiers
+        .into_iter()
+        .flat_map(|(tier, rank)| tier.iter().map(move |index| (*index, rank)));
+    all.filter_map(move |(index, rank)| {
+        let target = table.at(index);
+        target.stats.report()?;
+        let is_far_over = rank == Rank::Usable && is_far_over(target, now);
+        let rank = if is_far_over { Rank::FarOver } else { rank };
+        Some(Candidate { rank, index })
+    })
 }
 
 fn is_far_over(target: &Target, now: Millis) -> bool {
--- a/crates/node/src/callers/entries.rs
+++ b/crates/node/src/callers/entries.rs
@@ -265,6 +265,16 @@
         self.state.lock().service.ticket_gate(key, now)
     }
 
+    /// Chooses the gate for a ticket whose key no caller has chosen.
+    ///
+    /// # Errors
+    ///
+    /// A refusal when no gate can take new work.
+    pub fn ticket_gate_in_turn(&self) -> Result<TicketGate, Refusal> {
+        let now = self.clock.now();
+        self.state.lock().service.ticket_gate_in_turn(now)
+    }
+
     /// When a refused caller should come back.
     pub fn retry_after_ms(&self) -> Millis {
         let now = self.clock.now();
--- a/crates/node/src/callers/tickets.rs
+++ b/crates/node/src/callers/tickets.rs
@@ -45,11 +45,16 @@
     tenant: &str,
     idempotency_key: Option<&str>,
 ) -> Result<Ticket, Refusal> {
-    let key = match idempotency_key {
-        Some(key) => CallKey::from_parts(service.as_str(), tenant, key),
-        None => CallKey(Uuid::new_v4().as_u128()),
+    let (key, gate) = match idempotency_key {
+        Some(key) => {
+            let key = CallKey::from_parts(service.as_str(), tenant, key);
+            (key, entry.ticket_gate(key)?)
+        }
+        None => {
+            let key = CallKey(Uuid::new_v4().as_u128());
+            (key, entry.ticket_gate_in_turn()?)
+        }
     };
-    let gate = entry.ticket_gate(key)?;
     Ok(Ticket {
         service: service.clone(),
         gate: gate.vm,
