Bound what uploads can hold of a node

Cause: body_timeout_ms and buffered_bodies_bytes were checked at start and had no effect; a silent upload held its call until its deadline, and ticketed bodies were bounded only one by one. Ruled out: reserving the largest body for one of unknown length (two would fill the default budget); refusing as overloaded, which says "not run" and would have to fence the key. Change: request bodies break when nothing arrives for body_timeout_ms; memory for ticketed bodies is taken as they arrive and held until their run ends; beyond the budget the answer is records-full, not yet. Servers are put together from structs in place of seven arguments.

--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -21,6 +21,9 @@
     /// It ended before its end.
     #[error("the body was cut")]
     Cut,
+    /// The node holds too much already.
+    #[error("no memory is left for the body")]
+    NoRoom,
 }
 
 /// A body without bytes.
@@ -58,6 +61,19 @@
 /// A body that is too long, or whose stream ends early, is an error: a short
 /// body must never pass for a whole one.
 pub async fn collect(body: NodeBody, limit_bytes: u64) -> Result<Bytes, CollectError> {
+    collect_while(body, limit_bytes, |_| true).await
+}
+
+/// Takes in a whole body as long as there is room for what has come so far.
+///
+/// # Errors
+///
+/// As [`collect`], and [`CollectError::NoRoom`] when `has_room` says no.
+pub async fn collect_while(
+    body: NodeBody,
+    limit_bytes: u64,
+    mut has_room: impl FnMut(usize) -> bool,
+) -> Result<Bytes, CollectError> {
     let limit = usize::try_from(limit_bytes).unwrap_or(usize::MAX);
     let mut body = body;
     let mut first = Bytes::new();
@@ -70,6 +86,9 @@
         if first.len() + rest.len() + data.len() > limit {
             return Err(CollectError::TooLarge);
         }
+        if !has_room(first.len() + rest.len() + data.len()) {
+            return Err(CollectError::NoRoom);
+        }
         // Most bodies are one frame; it is passed on without a copy.
         if first.is_empty() && rest.is_empty() {
             first = data;
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -23,11 +23,12 @@
 pub use entries::{Entry, EntryBoard, EntryCounts, SharedRoutes, TargetCounts};
 
 use crate::answer;
-use crate::body::{self, NodeBody};
+use crate::body::NodeBody;
 use crate::clock::ProcessClock;
 use crate::control_loop::ControlHandle;
 use crate::metrics::{CallSample, Metrics};
 use crate::peers::PeerPool;
+use crate::uploads::UploadLimits;
 use call::{CallerCall, MAX_DEPTH, ServicePath};
 
 /// How long a call waits for a service that this node does not hold yet.
@@ -94,6 +95,25 @@
     }
 }
 
+/// What an entry is put together from.
+#[derive(Debug)]
+pub struct CallerParts {
+    /// Decisions by service.
+    pub board: EntryBoard,
+    /// The process's clock.
+    pub clock: ProcessClock,
+    /// The control thread.
+    pub control: ControlHandle,
+    /// This node's control address, for the gates it sends to.
+    pub control_address: std::net::SocketAddr,
+    /// Ticks with each publication of routes.
+    pub published: watch::Receiver<u64>,
+    /// Counts and histograms.
+    pub metrics: Arc<Metrics>,
+    /// Bounds on uploads.
+    pub uploads: UploadLimits,
+}
+
 /// The entry's side of the daemon.
 #[derive(Debug)]
 pub struct CallerServer {
@@ -104,6 +124,7 @@
     /// Counters.
     pub traffic: Traffic,
     clock: ProcessClock,
+    uploads: UploadLimits,
     control: ControlHandle,
     /// This node's control address, for the gates it sends to.
     entry_header: HeaderValue,
@@ -115,20 +136,23 @@
 impl CallerServer {
     /// An entry over the published routes.
     #[must_use]
-    pub fn new(
-        board: EntryBoard,
-        clock: ProcessClock,
-        control: ControlHandle,
-        control_address: std::net::SocketAddr,
-        published: watch::Receiver<u64>,
-        metrics: Arc<Metrics>,
-    ) -> Self {
+    pub fn new(parts: CallerParts) -> Self {
+        let CallerParts {
+            board,
+            clock,
+            control,
+            control_address,
+            published,
+            metrics,
+            uploads,
+        } = parts;
         let address = control_address.to_string();
         Self {
             board,
             peers: PeerPool::default(),
             traffic: Traffic::default(),
             clock,
+            uploads,
             control,
             entry_header: HeaderValue::from_str(&address).expect("an address is plain ASCII"),
             published,
@@ -147,7 +171,9 @@
     ) -> Result<Response<NodeBody>, Infallible> {
         let _in_flight = InFlight::enter(&self.traffic);
         let version = request.version();
-        let response = self.dispatch(request.map(body::wrap)).await;
+        let response = self
+            .dispatch(request.map(|body| self.uploads.guard(body)))
+            .await;
         Ok(relay::fit_to(version, response))
     }
 
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -20,16 +20,19 @@
 use tokio::task::AbortHandle;
 
 use crate::body::NodeBody;
-use crate::callers::{CallerServer, EntryBoard};
+use crate::callers::{CallerParts, CallerServer, EntryBoard};
 use crate::clock::ProcessClock;
-use crate::control_loop::{BulkLimits, ControlHandle, ControlOutputs, ControlSockets, ControlThread};
-use crate::gate_server::{GateBoard, GateServer};
+use crate::control_loop::{
+    BulkLimits, ControlHandle, ControlOutputs, ControlSockets, ControlThread,
+};
+use crate::gate_server::{GateBoard, GateParts, GateServer};
 use crate::health;
 use crate::listener::{self, HttpServer, ServerLimits};
 use crate::metrics::Metrics;
 use crate::operators::{self, OperatorsServer, OperatorsSource};
 use crate::report::Reporter;
 use crate::settings::Config;
+use crate::uploads::UploadLimits;
 
 /// Events that may wait for the control thread.
 const EVENT_CAPACITY: usize = 4_096;
@@ -288,23 +291,29 @@
             },
         };
         start_control(thread)?;
-        let gate = Arc::new(GateServer::new(
-            config.vm.clone(),
-            config.service.clone(),
+        let uploads = UploadLimits::new(
+            config.limits.body_timeout_ms.to_duration(),
+            config.limits.buffered_bodies_bytes,
+        );
+        let gate = Arc::new(GateServer::new(GateParts {
+            vm: config.vm.clone(),
+            service: config.service.clone(),
             board,
-            config.target_address,
+            target: config.target_address,
             clock,
-            control.clone(),
-            Arc::clone(&metrics),
-        ));
-        let callers = Arc::new(CallerServer::new(
-            EntryBoard::new(routes, clock, seed),
+            control: control.clone(),
+            metrics: Arc::clone(&metrics),
+            uploads: uploads.clone(),
+        }));
+        let callers = Arc::new(CallerServer::new(CallerParts {
+            board: EntryBoard::new(routes, clock, seed),
             clock,
-            control.clone(),
-            config.control_address,
-            published_seen,
-            Arc::clone(&metrics),
-        ));
+            control: control.clone(),
+            control_address: config.control_address,
+            published: published_seen,
+            metrics: Arc::clone(&metrics),
+            uploads,
+        }));
         Ok(Self {
             config,
             clock,
--- a/crates/node/src/gate_server.rs
+++ b/crates/node/src/gate_server.rs
@@ -21,11 +21,12 @@
 pub use board::GateBoard;
 
 use crate::answer;
-use crate::body::{self, NodeBody};
+use crate::body::NodeBody;
 use crate::clock::ProcessClock;
 use crate::control_loop::ControlHandle;
 use crate::metrics::Metrics;
 use crate::target_client::TargetClient;
+use crate::uploads::UploadLimits;
 use call::GateCall;
 
 /// After a target's own shedding, a caller does better elsewhere at once; the
@@ -34,6 +35,27 @@
 /// A target that has answered nothing for this long is asked for its health.
 const HEALTH_SILENCE_MS: Millis = Millis(1_000);
 
+/// What a gate is put together from.
+#[derive(Debug)]
+pub struct GateParts {
+    /// This node's VM.
+    pub vm: VmId,
+    /// The service of the target.
+    pub service: ServiceName,
+    /// The decisions.
+    pub board: Arc<GateBoard>,
+    /// The target's address.
+    pub target: SocketAddr,
+    /// The process's clock.
+    pub clock: ProcessClock,
+    /// The control thread.
+    pub control: ControlHandle,
+    /// Counts and histograms.
+    pub metrics: Arc<Metrics>,
+    /// Bounds on uploads.
+    pub uploads: UploadLimits,
+}
+
 /// The target's own state as the gate has seen it.
 #[derive(Debug)]
 struct TargetState {
@@ -58,6 +80,8 @@
     pub target: TargetClient,
     /// The process's clock.
     clock: ProcessClock,
+    /// Bounds on uploads.
+    uploads: UploadLimits,
     /// The control thread.
     control: ControlHandle,
     /// Counts and histograms.
@@ -77,21 +101,24 @@
 impl GateServer {
     /// A gate in front of the target at `target`.
     #[must_use]
-    pub fn new(
-        vm: VmId,
-        service: ServiceName,
-        board: Arc<GateBoard>,
-        target: SocketAddr,
-        clock: ProcessClock,
-        control: ControlHandle,
-        metrics: Arc<Metrics>,
-    ) -> Self {
+    pub fn new(parts: GateParts) -> Self {
+        let GateParts {
+            vm,
+            service,
+            board,
+            target,
+            clock,
+            control,
+            metrics,
+            uploads,
+        } = parts;
         Self {
             vm,
             service,
             board,
             target: TargetClient::new(target),
             clock,
+            uploads,
             control,
             metrics,
             target_state: Mutex::new(TargetState {
@@ -116,7 +143,9 @@
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> Result<Response<NodeBody>, Infallible> {
-        let mut response = self.dispatch(request.map(body::wrap)).await;
+        let mut response = self
+            .dispatch(request.map(|body| self.uploads.guard(body)))
+            .await;
         if let Some(code) = answer::code_of(response.headers())
             && code.certainty() != Certainty::Answered
         {
--- a/crates/node/src/gate_server/recorded.rs
+++ b/crates/node/src/gate_server/recorded.rs
@@ -14,8 +14,9 @@
 use super::board::{Admission, KeyState, RecordedAdmission, RunPermit};
 use super::call::GateCall;
 use crate::answer;
-use crate::body::{self, NodeBody};
+use crate::body::{self, CollectError, NodeBody};
 use crate::peers::SendFailure;
+use crate::uploads::{HeldUpload, Reservation};
 
 /// How long a run may outlive its caller's deadline. A payment that is under
 /// way is better finished and fetched later than cut and left unknown.
@@ -35,14 +36,17 @@
 ) -> Response<NodeBody> {
     let (parts, body) = request.into_parts();
     let max_bytes = call.policy.max_request_bytes;
-    let body = match body::collect(body, max_bytes).await {
-        Ok(body) => body,
-        Err(body::CollectError::TooLarge) => {
-            return refuse_too_large(server, ticket);
-        }
-        Err(body::CollectError::Cut) => {
+    let HeldUpload { body, reservation } = match server.uploads.hold(body, max_bytes).await {
+        Ok(held) => held,
+        Err(CollectError::TooLarge) => return refuse_too_large(server, ticket),
+        Err(CollectError::Cut) => {
             return answer::from_code(ResultCode::UploadCut, "the upload ended early");
         }
+        // Nothing was recorded, so this is "not yet" and never "not run".
+        Err(CollectError::NoRoom) => {
+            let refusal = server.board.refusal(ResultCode::RecordsFull);
+            return answer::from_refusal(&refusal);
+        }
     };
     let digest = digest(&parts, &body);
     let arrival = Arrival {
@@ -63,6 +67,7 @@
                 ticket: ticket.clone(),
                 parts,
                 body,
+                _reservation: reservation,
             };
             return first(run, place, settled, deadline_at).await;
         }
@@ -176,6 +181,8 @@
     ticket: Ticket,
     parts: Parts,
     body: Bytes,
+    /// Memory for the body, held until the run has ended.
+    _reservation: Reservation,
 }
 
 impl RecordedRun {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod report;
 pub mod settings;
 pub mod target_client;
+pub mod uploads;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -82,7 +82,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Bytes of one request's head (8,192 to 1,048,576). Larger ones are
-    /// refused as `too-large`. Default: 16,384.
+    /// refused by the HTTP library with status 431. Default: 16,384.
     pub header_bytes: usize,
     /// Headers of one request (16 to 1,000). Default: 100.
     pub header_count: usize,
@@ -101,11 +101,12 @@
     /// Idle time after which a connection is closed (1 s to 1 hour). Default: 60 s.
     pub idle_timeout_ms: Millis,
     /// Bytes of bodies that wait whole in the node, all calls together (1 MiB
-    /// to 16 GiB). Further ticketed calls are refused as `overloaded`.
+    /// to 16 GiB). Further ticketed calls are refused as `records-full`.
     /// Default: 64 MiB.
     pub buffered_bodies_bytes: u64,
-    /// Bytes of answers stored for replay (64 KiB to 16 GiB). Beyond them new
-    /// non-idempotent calls are refused as `records-full`. Default: 64 MiB.
+    /// Bytes of answers stored for replay (64 KiB to 16 GiB). Beyond them an
+    /// answer is not kept, and whoever comes back for it is told
+    /// `answer-not-kept`. Default: 64 MiB.
     pub stored_answers_bytes: u64,
     /// Bytes of one bulk transfer between nodes (1 MiB to 64 MiB). Larger ones
     /// are cut off. Default: 4 MiB.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,10 +3,13 @@
 mod at_most_once;
 mod command_line;
 mod configuration;
+mod crash_request;
+mod frozen_peer;
 mod leaving;
 mod measuring;
 mod not_run;
 mod shutdown;
 mod support;
 mod thin_path;
+mod uploads;
 mod whole_answers;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -110,8 +110,18 @@
 
     /// Starts platform and targets; nodes are added but not started.
     pub async fn prepare(members: Vec<Member>) -> Result<Self> {
+        Self::prepare_with(members, |_| ()).await
+    }
+
+    /// The same, with changed settings of all nodes.
+    pub async fn prepare_with(
+        members: Vec<Member>,
+        change: impl FnOnce(&mut FleetConfig),
+    ) -> Result<Self> {
         let platform = PlatformStandin::start(loopback()).await?;
-        let mut fleet = Fleet::new(FleetConfig::new(Path::new(NODE), platform.addr()))?;
+        let mut config = FleetConfig::new(Path::new(NODE), platform.addr());
+        change(&mut config);
+        let mut fleet = Fleet::new(config)?;
         let mut targets = BTreeMap::new();
         for member in members {
             let target = TargetStandin::start(member.target).await?;
