Record what the pages promise, and hedge no suspect

Cause: the author of the operators' pages compared them with the code. Metrics were declared and never recorded (added latency, gate run and wait, lost hedges, refused texts, stale reads); a refused text and a superseded process left no log line; status showed no probes and no age of the platform's last answer; calls refused before a service was found were counted nowhere. A caller that sent a small head and no body was bound by no deadline. Ruled out: taking the promises out of the pages; each names what an alarm needs. Change: all of them are recorded; probes are counted by service in the core; NodeStatus says superseded; names of services and tenants are set with the table; bodies are taken in within the deadline; the entry refuses a convicted request itself and starts no hedge for a suspect (one fingerprint function for entry and gate). Conclusion: left of that list: cut answers are counted by their head; probes at 0 per second never take a drained target back.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -284,6 +284,7 @@
     }
     ServiceStatus {
         has_policy: board.config.policy(&service).is_some(),
+        probes_sent: board.probes_sent.get(&service).copied().unwrap_or(0),
         service,
         members,
     }
--- a/crates/core/src/control/board.rs
+++ b/crates/core/src/control/board.rs
@@ -137,6 +137,8 @@
     pub(super) dirt: Dirt,
     pub(super) outbox: Vec<ControlAction>,
     pub(super) counters: ControlCounters,
+    /// Probes sent since start, by service.
+    pub(super) probes_sent: BTreeMap<ServiceName, u64>,
 }
 
 impl Board {
@@ -169,6 +171,7 @@
             dirt: Dirt::Clean,
             outbox: Vec::new(),
             counters: ControlCounters::default(),
+            probes_sent: BTreeMap::new(),
             settings,
         }
     }
--- a/crates/core/src/control/probing.rs
+++ b/crates/core/src/control/probing.rs
@@ -88,7 +88,7 @@
                 board.counters.probes_withheld += 1;
                 return;
             }
-            send_probe(board, &vm);
+            send_probe(board, service, &vm);
         }
     }
 
@@ -128,7 +128,7 @@
     found.into_iter().map(|(_, vm)| vm).collect()
 }
 
-fn send_probe(board: &mut Board, vm: &VmId) {
+fn send_probe(board: &mut Board, service: &ServiceName, vm: &VmId) {
     let now = board.now;
     let nonce = board.rng.random();
     let Some(member) = board.members.get_mut(vm) else {
@@ -137,6 +137,7 @@
     member.probed_at = Some(now);
     let control = member.control;
     board.counters.probes_sent += 1;
+    *board.probes_sent.entry(service.clone()).or_default() += 1;
     board.send(control, DatagramBody::Probe { nonce });
 }
 
--- a/crates/core/src/control/status.rs
+++ b/crates/core/src/control/status.rs
@@ -85,6 +85,8 @@
     pub service: ServiceName,
     /// A policy is in force for it.
     pub has_policy: bool,
+    /// Probes sent to its gates since start.
+    pub probes_sent: u64,
     /// Members, ordered by VM.
     pub members: Vec<MemberStatus>,
 }
--- a/crates/core/src/gate/admission.rs
+++ b/crates/core/src/gate/admission.rs
@@ -3,7 +3,7 @@
 use super::run::Admission;
 use super::{Arrival, Gate};
 use crate::prelude::*;
-use crate::suspects::{NO_FINGERPRINT, Standing};
+use crate::suspects::{CONVICTED_RETRY_AFTER_MS, NO_FINGERPRINT, Standing};
 
 /// A predicted wait of up to this many service times is accepted ...
 const MAX_WAIT_SERVICE_TIMES: f64 = 3.0;
@@ -15,8 +15,6 @@
 /// A call is hopeless when less is left than this share of what is predicted.
 /// Predictions are averages, and half of all calls are faster than usual.
 const HOPELESS_SHARE: f64 = 0.5;
-/// When the sender of a convicted request may ask again.
-const CONVICTED_RETRY_AFTER: Millis = Millis::from_secs(600);
 
 const US_PER_MS: f64 = 1_000.0;
 
@@ -54,7 +52,7 @@
     }
 
     pub(super) const fn convicted_refusal() -> Refusal {
-        Refusal::retry_after(ResultCode::CrashSuspect, CONVICTED_RETRY_AFTER)
+        Refusal::retry_after(ResultCode::CrashSuspect, CONVICTED_RETRY_AFTER_MS)
     }
 
     /// A refusal for want of room.
--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -7,6 +7,7 @@
 //!
 //! `docs/design/crash-requests.md` gives the rules and the bound on crashes.
 
+use hornbeamhitch_types::clock::Millis;
 use serde::{Deserialize, Serialize};
 use strum::IntoStaticStr;
 
@@ -22,6 +23,9 @@
 pub use set::SuspectSet;
 pub use store::{MAX_SUSPECTS, Suspects};
 
+/// When the sender of a convicted request may ask again.
+pub const CONVICTED_RETRY_AFTER_MS: Millis = Millis::from_secs(600);
+
 /// Fingerprint of a call that has none.
 pub const NO_FINGERPRINT: u64 = 0;
 
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -203,7 +203,7 @@
     ) -> Response<NodeBody> {
         let (entry, view) = match self.find(&to.service).await {
             Ok(found) => found,
-            Err(refusal) => return answer::from_refusal(&refusal),
+            Err(refusal) => return self.refuse_unfound(&to.service, &refusal),
         };
         let (parts, body) = request.into_parts();
         let call = CallerCall::read(&parts, to, Arc::clone(&view.policy), self.clock.now());
@@ -242,10 +242,9 @@
         // An earlier send under this ticket may have run, and only its gate
         // knows. So this entry never says "not run" on its own account here.
         let Ok((entry, view)) = self.find(&to.service).await else {
-            return answer::from_refusal(&Refusal::retry_after(
-                ResultCode::GateUnreachable,
-                NO_CONFIGURATION_RETRY_MS,
-            ));
+            let wait = NO_CONFIGURATION_RETRY_MS;
+            let refusal = Refusal::retry_after(ResultCode::GateUnreachable, wait);
+            return self.refuse_unfound(&to.service, &refusal);
         };
         let (parts, body) = request.into_parts();
         let call = CallerCall::read(&parts, to, Arc::clone(&view.policy), self.clock.now());
@@ -305,6 +304,19 @@
         ))
     }
 
+    /// Refuses a call whose service is not held, and counts it: an outage
+    /// without a configuration must be seen in the metrics as well.
+    fn refuse_unfound(&self, service: &ServiceName, refusal: &Refusal) -> Response<NodeBody> {
+        self.metrics.call_ended(&CallSample {
+            service: service.as_str(),
+            class: CallClass::default(),
+            tenant: "",
+            code: refusal.code,
+            latency_us: 0,
+        });
+        answer::from_refusal(refusal)
+    }
+
     /// Passes a load report on to the control thread.
     fn note_heard(&self, vm: &VmId, headers: &HeaderMap) {
         let Some(load) = answer::text(headers, header::LOAD) else {
--- a/crates/node/src/callers/call.rs
+++ b/crates/node/src/callers/call.rs
@@ -121,7 +121,6 @@
             header::GATE_DEADLINE_AT_MS,
             header::KEY,
             header::LOAD,
-            header::FINGERPRINT,
             header::SUSPECT,
         ] {
             headers.remove(name);
--- a/crates/node/src/callers/entries.rs
+++ b/crates/node/src/callers/entries.rs
@@ -320,11 +320,14 @@
 }
 
 impl AttemptGuard {
-    /// Notes the head of the answer; its time is the attempt's latency.
-    pub fn note_head(&mut self, load: Option<LoadReport>) {
-        self.head_latency_us = Some(self.elapsed_us());
+    /// Notes the head of the answer; its time, returned in microseconds, is the
+    /// attempt's latency.
+    pub fn note_head(&mut self, load: Option<LoadReport>) -> u32 {
+        let latency_us = self.elapsed_us();
+        self.head_latency_us = Some(latency_us);
         self.load = load;
         self.heard_at = self.entry.clock.now();
+        latency_us
     }
 
     /// Ends the attempt.
--- a/crates/node/src/callers/idempotent.rs
+++ b/crates/node/src/callers/idempotent.rs
@@ -3,12 +3,14 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hornbeamhitch_core::entry::{AttemptEnd, CallProgress, Next, TargetIndex};
 use hornbeamhitch_core::prelude::*;
+use hornbeamhitch_core::suspects::{CONVICTED_RETRY_AFTER_MS, Standing};
 use http::request::Parts;
 use http::{Request, Response};
 use http_body::Body;
@@ -19,7 +21,8 @@
 use super::relay::{self, Relayed, Taken};
 use crate::answer;
 use crate::body::{self, NodeBody};
-use crate::metrics::AttemptKind;
+use crate::fingerprint;
+use crate::metrics::{AttemptKind, Side};
 use crate::peers::SendFailure;
 
 /// How one attempt ended, seen from the call.
@@ -44,11 +47,18 @@
 ) -> Response<NodeBody> {
     let deadline = server.clock.to_instant(call.deadline_at);
     let (parts, body) = request.into_parts();
-    let content = match Content::take(body, &call).await {
-        Ok(content) => content,
-        Err(refused) => return refused,
+    let content = match tokio::time::timeout_at(deadline, Content::take(body, &call)).await {
+        Ok(Ok(content)) => content,
+        Ok(Err(refused)) => return refused,
+        Err(_) => return answer::from_code(ResultCode::UploadCut, "the deadline passed within"),
     };
+    let standing = standing_of(&server, &call, &parts);
+    if standing == Standing::Convicted {
+        let refusal = Refusal::retry_after(ResultCode::CrashSuspect, CONVICTED_RETRY_AFTER_MS);
+        return answer::from_refusal(&refusal);
+    }
     let mut run = CallRun::new(server, entry, call, &parts, content);
+    run.may_hedge = standing == Standing::Clear;
     match tokio::time::timeout_at(deadline, run.run()).await {
         Ok(response) => response,
         Err(_) => {
@@ -58,6 +68,17 @@
     }
 }
 
+/// What the fleet holds against the request, as far as this node has heard.
+fn standing_of(server: &CallerServer, call: &CallerCall, parts: &Parts) -> Standing {
+    let routes = server.board.routes();
+    if routes.suspects.is_empty() {
+        return Standing::Clear;
+    }
+    let path = &call.to.path_and_query;
+    let fingerprint = fingerprint::of_request(&parts.method, path, &parts.headers);
+    routes.suspects.standing(fingerprint)
+}
+
 /// The request's body: in hand and good for many attempts, or a stream that
 /// is good for one.
 enum Content {
@@ -109,6 +130,10 @@
     outbound: Outbound,
     content: Content,
     tried: Vec<TargetIndex>,
+    started_at: Instant,
+    /// Not for a suspect: it waits until it can run alone, so its hedge would
+    /// only take a second target down.
+    may_hedge: bool,
     progress: CallProgress,
 }
 
@@ -124,6 +149,8 @@
             outbound: Outbound::prepare(parts, &call, &server.entry_header),
             content,
             tried: Vec::new(),
+            started_at: Instant::now(),
+            may_hedge: true,
             progress: CallProgress {
                 idempotent: call.idempotent,
                 attempts: 0,
@@ -163,7 +190,10 @@
                 ));
             };
             let (end, fallback) = match ended {
-                Ended::Answer(relayed) => return relayed.response,
+                Ended::Answer(relayed) => {
+                    self.note_answer(&relayed, attempts.len());
+                    return relayed.response;
+                }
                 Ended::Failed { end, answer } => (end, answer),
             };
             let ran_before = self.progress.may_have_run;
@@ -237,8 +267,23 @@
         answer::from_refusal(&refusal)
     }
 
+    /// Counts what this node added to the call, and hedges that lost.
+    fn note_answer(&self, relayed: &Relayed, losers: usize) {
+        let service = self.call.to.service.as_str();
+        for _ in 0..losers {
+            self.server.metrics.loser_cancelled(service);
+        }
+        if self.progress.attempts != 1 {
+            return;
+        }
+        let total_us = self.started_at.elapsed().as_micros();
+        let total_us = u64::try_from(total_us).unwrap_or(u64::MAX);
+        let added_us = total_us.saturating_sub(relayed.waited_us.into());
+        self.server.metrics.added(Side::Entry, added_us);
+    }
+
     fn hedge_timer(&self) -> Option<Pin<Box<tokio::time::Sleep>>> {
-        if !self.content.is_repeatable() {
+        if !self.content.is_repeatable() || !self.may_hedge {
             return None;
         }
         let delay = self.entry.hedge_delay_ms(&self.progress)?;
--- a/crates/node/src/callers/relay.rs
+++ b/crates/node/src/callers/relay.rs
@@ -23,6 +23,8 @@
     pub response: Response<NodeBody>,
     /// Result code that the gate wrote.
     pub code: ResultCode,
+    /// Time from sending to the head of the gate's answer, in microseconds.
+    pub waited_us: u32,
 }
 
 /// How a gate's answer was taken in.
@@ -45,7 +47,7 @@
 ) -> Taken {
     let (mut head, mut incoming) = response.into_parts();
     let load = answer::text(&head.headers, header::LOAD).and_then(|text| text.parse().ok());
-    attempt.note_head(load);
+    let waited_us = attempt.note_head(load);
     let code = answer::code_of(&head.headers).unwrap_or(ResultCode::Answered);
     head.headers.remove(header::LOAD);
     answer::strip_hop_by_hop(&mut head.headers);
@@ -71,6 +73,7 @@
     Taken::Answer(Relayed {
         response: Response::from_parts(head, body),
         code,
+        waited_us,
     })
 }
 
--- a/crates/node/src/callers/ticketed.rs
+++ b/crates/node/src/callers/ticketed.rs
@@ -147,6 +147,7 @@
         Some(Relayed {
             response: Response::from_parts(head, body::full(bytes)),
             code,
+            waited_us: 0,
         })
     }
 
--- a/crates/node/src/control_loop.rs
+++ b/crates/node/src/control_loop.rs
@@ -11,6 +11,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
@@ -37,6 +38,9 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Operators see a status at most this old.
 const STATUS_TICKS: u32 = 4;
+/// Label of probes to gates, which are counted over all services; health checks
+/// of the own target carry the service's name.
+const PROBED_GATES: &str = "other";
 /// Larger than any datagram of this build, to see that one was too long.
 const RECEIVE_BUFFER_BYTES: usize = 2_048;
 
@@ -53,6 +57,28 @@
     pub gate: Arc<GateBoard>,
     /// Counts what control costs.
     pub metrics: Arc<Metrics>,
+    /// When the platform last answered.
+    pub platform_answered: Arc<LastAnswer>,
+}
+
+/// When the platform last answered, in the process's clock.
+#[derive(Debug, Default)]
+pub struct LastAnswer(AtomicU64);
+
+impl LastAnswer {
+    /// The time, or `None` before the first answer.
+    #[must_use]
+    pub fn at(&self) -> Option<Millis> {
+        match self.0.load(Ordering::Relaxed) {
+            0 => None,
+            at_ms => Some(Millis(at_ms)),
+        }
+    }
+
+    fn note(&self, now: Millis) {
+        // Zero stands for never; the first millisecond of a life is no loss.
+        self.0.store(now.0.max(1), Ordering::Relaxed);
+    }
 }
 
 /// Sockets that are bound before the thread starts, so that a taken address
@@ -186,10 +212,34 @@
         self.ticks = self.ticks.wrapping_add(1);
         if self.ticks.is_multiple_of(STATUS_TICKS) {
             let status = self.control.status(self.clock.now());
+            self.tell_changes(&status);
             self.outputs.status.store(Arc::new(status));
         }
     }
 
+    /// Logs and counts what an operator must hear of: a text that was refused,
+    /// and that this process is a leftover of an earlier life.
+    fn tell_changes(&mut self, status: &ControlStatus) {
+        let before = self.outputs.status.load();
+        if let Some(refused) = &status.refused
+            && before.refused.as_ref() != Some(refused)
+        {
+            log::error!(
+                "text {} is refused whole: {}",
+                refused.version,
+                refused.reason
+            );
+            self.outputs.metrics.config_refused(refused.version);
+        }
+        if status.superseded && !before.superseded {
+            log::error!("a later life of this VM was heard of; this process takes no new work");
+        }
+        let probes = status.counters.probes_sent;
+        for _ in before.counters.probes_sent..probes {
+            self.outputs.metrics.probe_sent(PROBED_GATES);
+        }
+    }
+
     fn handle(&mut self, event: ControlEvent) {
         let started_at = Instant::now();
         self.count(&event);
@@ -207,11 +257,22 @@
         match event {
             ControlEvent::Datagram { bytes, .. } => metrics.datagram_received(bytes.len()),
             ControlEvent::BulkAnswered { message, .. } => metrics.bulk_pulled(message.len()),
-            ControlEvent::TextRead { .. } | ControlEvent::VmsRead { .. } => {
+            ControlEvent::TextRead { version, .. } => {
+                let in_force = self.outputs.routes.load().version;
+                let is_stale = in_force.is_some_and(|known| *version < known);
+                metrics.platform_read(match is_stale {
+                    true => PlatformRead::Stale,
+                    false => PlatformRead::Changed,
+                });
+                self.outputs.platform_answered.note(self.clock.now());
+            }
+            ControlEvent::VmsRead { .. } => {
                 metrics.platform_read(PlatformRead::Changed);
+                self.outputs.platform_answered.note(self.clock.now());
             }
             ControlEvent::TextUnchanged | ControlEvent::VmsUnchanged => {
                 metrics.platform_read(PlatformRead::Unchanged);
+                self.outputs.platform_answered.note(self.clock.now());
             }
             ControlEvent::PlatformFailed(_) => metrics.platform_read(PlatformRead::Failed),
             _ => {}
@@ -255,6 +316,10 @@
             self.outputs.gate.apply_policy(&own.policy);
         }
         self.outputs.gate.apply_suspects(&table.suspects);
+        let tenants = &table.deployment.tenants;
+        self.outputs
+            .metrics
+            .set_names(&table.service_names, tenants);
         self.outputs.gate.apply_leaving(table.leaving);
         self.outputs.routes.store(table);
         self.outputs.published.send_modify(|count| *count += 1);
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -23,7 +23,7 @@
 use crate::callers::{CallerParts, CallerServer, EntryBoard};
 use crate::clock::ProcessClock;
 use crate::control_loop::{
-    BulkLimits, ControlHandle, ControlOutputs, ControlSockets, ControlThread,
+    BulkLimits, ControlHandle, ControlOutputs, ControlSockets, ControlThread, LastAnswer,
 };
 use crate::gate_server::{GateBoard, GateParts, GateServer};
 use crate::health;
@@ -97,6 +97,7 @@
     control: ControlHandle,
     status: Arc<ArcSwap<ControlStatus>>,
     metrics: Arc<Metrics>,
+    platform_answered: Arc<LastAnswer>,
     /// Dropped, it ends the control thread.
     stop_control: watch::Sender<()>,
 }
@@ -265,11 +266,13 @@
                 max_stored_bytes: config.limits.stored_answers_bytes,
             },
             clock,
+            Arc::clone(&metrics),
         ));
         let routes = Arc::new(ArcSwap::from_pointee(RouteTable::default()));
         let (published, published_seen) = watch::channel(0);
         let status = Arc::new(ArcSwap::from_pointee(ControlStatus::default()));
         let (stop_control, stop) = watch::channel(());
+        let platform_answered = Arc::new(LastAnswer::default());
         let thread = ControlThread {
             stop,
             bulk_limits: BulkLimits {
@@ -288,6 +291,7 @@
                 status: Arc::clone(&status),
                 gate: Arc::clone(&board),
                 metrics: Arc::clone(&metrics),
+                platform_answered: Arc::clone(&platform_answered),
             },
         };
         start_control(thread)?;
@@ -323,6 +327,7 @@
             control,
             status,
             metrics,
+            platform_answered,
             stop_control,
         })
     }
@@ -336,6 +341,7 @@
             callers: Arc::clone(&self.callers),
             control: Arc::clone(&self.status),
             metrics: Arc::clone(&self.metrics),
+            platform_answered: Arc::clone(&self.platform_answered),
             listening: AtomicBool::new(false),
             seen: parking_lot::Mutex::default(),
         })
--- a/crates/node/src/gate_server.rs
+++ b/crates/node/src/gate_server.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use hornbeamhitch_core::prelude::*;
 use hornbeamhitch_wire::header;
@@ -24,7 +25,7 @@
 use crate::body::NodeBody;
 use crate::clock::ProcessClock;
 use crate::control_loop::ControlHandle;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, Side};
 use crate::target_client::TargetClient;
 use crate::uploads::UploadLimits;
 use call::GateCall;
@@ -368,6 +369,13 @@
         }
     }
 
+    /// Counts what the gate added to a call, its queue included.
+    fn note_added(&self, arrived_at: Instant, run: Duration) {
+        let added = arrived_at.elapsed().saturating_sub(run);
+        let added_us = u64::try_from(added.as_micros()).unwrap_or(u64::MAX);
+        self.metrics.added(Side::Gate, added_us);
+    }
+
     /// Lets held calls expire, and passes on whom the gate has cleared.
     pub fn tick(&self) {
         self.board.tick();
--- a/crates/node/src/gate_server/board.rs
+++ b/crates/node/src/gate_server/board.rs
@@ -15,6 +15,7 @@
 use tokio::sync::oneshot;
 
 use crate::clock::ProcessClock;
+use crate::metrics::Metrics;
 
 /// Nobody can come back sooner with success than a configuration spreads.
 const NO_CONFIGURATION_RETRY_MS: Millis = Millis(500);
@@ -71,6 +72,7 @@
     state: Mutex<State>,
     started: AtomicU64,
     refused: AtomicU64,
+    metrics: Arc<Metrics>,
 }
 
 /// What becomes of a call that streams through the gate.
@@ -114,7 +116,7 @@
 impl GateBoard {
     /// A gate that refuses everything until a policy is known.
     #[must_use]
-    pub fn new(settings: GateSettings, clock: ProcessClock) -> Self {
+    pub fn new(settings: GateSettings, clock: ProcessClock, metrics: Arc<Metrics>) -> Self {
         Self {
             settings,
             clock,
@@ -127,6 +129,7 @@
             }),
             started: AtomicU64::new(0),
             refused: AtomicU64::new(0),
+            metrics,
         }
     }
 
@@ -182,8 +185,10 @@
             return Admission::Refused(no_configuration());
         };
         let admission = match gate.arrive(arrival, now) {
-            Verdict::Run(run) => Admission::Run(self.permit(run)),
-            Verdict::Wait(run) => Admission::Held(self.hold(&mut state.waiting, run)),
+            Verdict::Run(run) => Admission::Run(self.permit(run, arrival.class)),
+            Verdict::Wait(run) => {
+                Admission::Held(self.hold(&mut state.waiting, run, arrival.class))
+            }
             Verdict::Refuse(refusal) => Admission::Refused(self.refuse(refusal)),
             Verdict::Join(_) | Verdict::Replay(_) => {
                 unreachable!("only ticketed calls have records")
@@ -207,11 +212,11 @@
         let admission = match gate.arrive(arrival, now) {
             Verdict::Run(run) => RecordedAdmission::First {
                 settled: state.waiting.join(run),
-                place: Admission::Run(self.permit(run)),
+                place: Admission::Run(self.permit(run, arrival.class)),
             },
             Verdict::Wait(run) => RecordedAdmission::First {
                 settled: state.waiting.join(run),
-                place: Admission::Held(self.hold(&mut state.waiting, run)),
+                place: Admission::Held(self.hold(&mut state.waiting, run, arrival.class)),
             },
             Verdict::Join(run) => RecordedAdmission::Joined(state.waiting.join(run)),
             Verdict::Replay(answer) => RecordedAdmission::Replay(answer),
@@ -358,22 +363,25 @@
         refusal
     }
 
-    fn permit(self: &Arc<Self>, run: RunId) -> RunPermit {
+    fn permit(self: &Arc<Self>, run: RunId, class: CallClass) -> RunPermit {
         self.started.fetch_add(1, Ordering::Relaxed);
         RunPermit {
             board: Arc::clone(self),
             run,
+            class,
             started_at: Instant::now(),
             ended: false,
         }
     }
 
-    fn hold(self: &Arc<Self>, waiting: &mut Waiting, run: RunId) -> HeldCall {
+    fn hold(self: &Arc<Self>, waiting: &mut Waiting, run: RunId, class: CallClass) -> HeldCall {
         let (sender, release) = oneshot::channel();
         waiting.held.insert(run, sender);
         HeldCall {
             board: Arc::clone(self),
             run,
+            class,
+            held_at: Instant::now(),
             release,
             resolved: false,
         }
@@ -458,6 +466,7 @@
 pub struct RunPermit {
     board: Arc<GateBoard>,
     run: RunId,
+    class: CallClass,
     started_at: Instant,
     ended: bool,
 }
@@ -475,6 +484,10 @@
         self.ended = true;
         let elapsed_us = self.started_at.elapsed().as_micros();
         let service_time_us = u32::try_from(elapsed_us).unwrap_or(u32::MAX);
+        if matches!(end, RunEnd::Answered { .. }) {
+            let metrics = &self.board.metrics;
+            metrics.gate_ran(self.class, service_time_us.into());
+        }
         self.board.finish(self.run, end, service_time_us);
     }
 }
@@ -490,6 +503,8 @@
 pub struct HeldCall {
     board: Arc<GateBoard>,
     run: RunId,
+    class: CallClass,
+    held_at: Instant,
     release: oneshot::Receiver<Release>,
     resolved: bool,
 }
@@ -504,7 +519,12 @@
         let released = (&mut self.release).await;
         self.resolved = true;
         match released {
-            Ok(Release::Start) => Ok(self.board.permit(self.run)),
+            Ok(Release::Start) => {
+                let waited_us = self.held_at.elapsed().as_micros();
+                let waited_us = u64::try_from(waited_us).unwrap_or(u64::MAX);
+                self.board.metrics.gate_waited(self.class, waited_us);
+                Ok(self.board.permit(self.run, self.class))
+            }
             Ok(Release::Refused(refusal)) => Err(refusal),
             Err(_) => Err(Refusal::fixed(ResultCode::Fenced)),
         }
@@ -519,7 +539,7 @@
             return;
         }
         match self.release.try_recv() {
-            Ok(Release::Start) => self.board.permit(self.run).end(RunEnd::NotRun),
+            Ok(Release::Start) => self.board.permit(self.run, self.class).end(RunEnd::NotRun),
             Ok(Release::Refused(_)) => {}
             Err(_) => self.board.abandon(self.run),
         }
--- a/crates/node/src/gate_server/call.rs
+++ b/crates/node/src/gate_server/call.rs
@@ -1,6 +1,7 @@
 //! A call as it arrives at the gate from an entry.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use hornbeamhitch_core::prelude::*;
 use hornbeamhitch_wire::header;
@@ -15,6 +16,8 @@
     pub policy: Arc<ServicePolicy>,
     /// Rank and histogram label.
     pub class: CallClass,
+    /// When it arrived, for the measure of what the gate adds.
+    pub arrived_at: Instant,
     /// When it must have ended, in this process's clock.
     pub deadline_at: Millis,
     /// Depth, 0 at the outermost caller.
@@ -36,6 +39,7 @@
         let left_ms = answer::number(headers, header::DEADLINE_MS).map_or(default_ms, Millis);
         let fixed_at = answer::number(headers, header::GATE_DEADLINE_AT_MS).map(Millis);
         Self {
+            arrived_at: Instant::now(),
             class,
             deadline_at: fixed_at.unwrap_or(Millis::MAX).min(now + left_ms),
             depth: answer::number(headers, header::DEPTH).unwrap_or(0),
--- a/crates/node/src/gate_server/streamed.rs
+++ b/crates/node/src/gate_server/streamed.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Instant;
 
 use bytes::Bytes;
 use hornbeamhitch_core::gate::{Arrival, RunEnd};
@@ -13,13 +14,13 @@
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use xxhash_rust::xxh3::Xxh3;
 
 use super::GateServer;
 use super::board::{Admission, RunPermit};
 use super::call::GateCall;
 use crate::answer;
 use crate::body::{BodyError, NodeBody};
+use crate::fingerprint;
 use crate::peers::SendFailure;
 use crate::target_client::InUse;
 
@@ -34,7 +35,7 @@
         deadline_at: call.deadline_at,
         ticket: None,
         digest: 0,
-        fingerprint: fingerprint(&request),
+        fingerprint: fingerprint_of(&request),
     };
     if request.headers().contains_key(header::SUSPECT) {
         server.accuse(arrival.fingerprint);
@@ -65,6 +66,7 @@
 ) -> Response<NodeBody> {
     let (parts, body) = request.into_parts();
     let request = server.request_for_target(call, None, parts, body);
+    let sent_at = Instant::now();
     let (response, connection) = match server.target.send(request, false).await {
         Ok(answered) => answered,
         Err(SendFailure::NotSent(reason)) => {
@@ -80,6 +82,7 @@
             return answer::from_code(ResultCode::RunBroken, "the target broke the connection");
         }
     };
+    server.note_added(call.arrived_at, sent_at.elapsed());
     server.note_target_state(response.headers());
     if super::is_not_run(response.status(), response.headers()) {
         permit.end(RunEnd::NotRun);
@@ -188,16 +191,8 @@
     }
 }
 
-/// Method, path and length: what two sends of one idempotent request share.
-fn fingerprint(request: &Request<NodeBody>) -> u64 {
-    let mut hash = Xxh3::new();
-    hash.update(request.method().as_str().as_bytes());
-    hash.update(b"\0");
-    hash.update(request.uri().path().as_bytes());
-    hash.update(b"\0");
-    hash.update(request.uri().query().unwrap_or_default().as_bytes());
-    hash.update(b"\0");
-    let length = request.headers().get(http::header::CONTENT_LENGTH);
-    hash.update(length.map_or(&b""[..], http::HeaderValue::as_bytes));
-    hash.digest()
+fn fingerprint_of(request: &Request<NodeBody>) -> u64 {
+    let path = request.uri().path_and_query();
+    let path = path.map_or("/", |path| path.as_str());
+    fingerprint::of_request(request.method(), path, request.headers())
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 pub mod control_loop;
 pub mod daemon;
+pub mod fingerprint;
 pub mod gate_server;
 pub mod health;
 pub mod listener;
--- a/crates/node/src/operators/tests.rs
+++ b/crates/node/src/operators/tests.rs
@@ -31,6 +31,7 @@
             incarnation: Incarnation(u64::MAX),
             uptime_ms: Millis(5),
             leaving: false,
+            superseded: false,
             config: ConfigStatus::default(),
             platform: PlatformStatus::default(),
             services: vec![ServiceStatus {
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -17,6 +17,7 @@
 
 use crate::callers::{CallerServer, EntryCounts};
 use crate::clock::ProcessClock;
+use crate::control_loop::LastAnswer;
 use crate::gate_server::GateServer;
 use crate::metrics::{GateLevels, MemberLevels, Metrics};
 use crate::operators::OperatorsSource;
@@ -38,6 +39,8 @@
     pub control: Arc<ArcSwap<ControlStatus>>,
     /// Gauges to refresh.
     pub metrics: Arc<Metrics>,
+    /// When the platform last answered this node.
+    pub platform_answered: Arc<LastAnswer>,
     /// Set once all listeners are up.
     pub listening: AtomicBool,
     /// When the configuration in force, or a refused one, was first seen.
@@ -78,9 +81,10 @@
             incarnation: self.incarnation,
             uptime_ms: self.clock.now(),
             leaving: self.gate.board.is_leaving(),
+            superseded: control.superseded,
             config: self.config_status(&control, &routes),
-            platform: platform_status(&control),
-            services: self.services(&routes),
+            platform: self.platform_status(&control),
+            services: self.services(&control, &routes),
             gate: self.gate_status(),
             suspects: suspects(&routes),
             control: counters(&control),
@@ -118,7 +122,9 @@
             }
         }
         self.metrics.members(&levels);
-        for service in self.services(&routes) {
+        // Notes since when the versions have been in force, before anybody asks.
+        let _ = self.config_status(&control, &routes);
+        for service in self.services(&control, &routes) {
             self.refresh_targets(&service);
         }
         let suspects = suspects(&routes);
@@ -170,7 +176,7 @@
         }
     }
 
-    fn services(&self, routes: &RouteTable) -> Vec<ServiceStatus> {
+    fn services(&self, control: &ControlStatus, routes: &RouteTable) -> Vec<ServiceStatus> {
         let mut by_name = HashMap::new();
         let now = self.clock.now();
         self.callers.board.visit(|name, entry, counts| {
@@ -178,14 +184,44 @@
         });
         let mut services = Vec::new();
         for (name, view) in &routes.services {
-            services.push(match by_name.remove(name) {
+            let mut status = match by_name.remove(name) {
                 Some(status) => status,
                 None => untouched(name, view, now),
-            });
+            };
+            status.budgets.probes_sent = self.probes_sent(control, name);
+            services.push(status);
         }
         services
     }
 
+    fn probes_sent(&self, control: &ControlStatus, name: &ServiceName) -> u64 {
+        let mut probes = 0;
+        for service in &control.services {
+            if service.service == *name {
+                probes = service.probes_sent;
+            }
+        }
+        if *name == self.config.service {
+            probes += self.gate.probes();
+        }
+        probes
+    }
+
+    fn platform_status(&self, control: &ControlStatus) -> PlatformStatus {
+        let state = match control.platform {
+            CorePlatform::Unused => PlatformState::Relayed,
+            CorePlatform::Answering => PlatformState::Reading,
+            CorePlatform::Stale => PlatformState::Stale,
+            CorePlatform::Failing => PlatformState::Unreachable,
+        };
+        let answered_at = self.platform_answered.at();
+        PlatformStatus {
+            state,
+            last_read_age_ms: answered_at.map(|at| self.clock.now().since(at)),
+            reads: control.counters.platform_reads,
+        }
+    }
+
     fn gate_status(&self) -> GateStatus {
         let load = self.gate.board.load();
         self.gate.board.inspect(|gate| {
@@ -274,20 +310,6 @@
     }
 }
 
-fn platform_status(control: &ControlStatus) -> PlatformStatus {
-    let state = match control.platform {
-        CorePlatform::Unused => PlatformState::Relayed,
-        CorePlatform::Answering => PlatformState::Reading,
-        CorePlatform::Stale => PlatformState::Stale,
-        CorePlatform::Failing => PlatformState::Unreachable,
-    };
-    PlatformStatus {
-        state,
-        last_read_age_ms: None,
-        reads: control.counters.platform_reads,
-    }
-}
-
 fn suspects(routes: &RouteTable) -> SuspectStatus {
     let mut status = SuspectStatus::default();
     for (fingerprint, standing) in routes.suspects.iter() {
@@ -310,8 +332,8 @@
     ControlCounters {
         datagrams_sent: counters.datagrams_out,
         datagrams_received: counters.datagrams_in,
-        sent_bytes: counters.datagram_bytes_out + counters.bulk_bytes_out,
-        received_bytes: counters.datagram_bytes_in + counters.bulk_bytes_in,
+        sent_bytes: counters.datagram_bytes_out,
+        received_bytes: counters.datagram_bytes_in,
         bulk_pulls: counters.bulk_pulls,
         bulk_bytes: counters.bulk_bytes_in,
     }
--- a/crates/types/src/status.rs
+++ b/crates/types/src/status.rs
@@ -42,6 +42,10 @@
     pub uptime_ms: Millis,
     /// The node or its target is leaving and takes no new work.
     pub leaving: bool,
+    /// A later life of this VM was heard of: this process is a leftover, which
+    /// takes no new work.
+    #[serde(default)]
+    pub superseded: bool,
     /// The configuration in force and the last one refused.
     pub config: ConfigStatus,
     /// Reads of the platform's configuration service.
@@ -213,7 +217,8 @@
 /// What a node spent of a service's budgets since it started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct BudgetStatus {
-    /// Probes sent.
+    /// Probes sent to its gates; on a node of this service, also the health
+    /// checks of its own target.
     pub probes_sent: u64,
     /// Retries sent.
     pub retries_spent: u64,
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -38,8 +38,6 @@
 pub const ENTRY: &str = "hitch-entry";
 /// An entry's word that an earlier attempt of the call broke in its run.
 pub const SUSPECT: &str = "hitch-suspect";
-/// Fingerprint of a request, for crash suspicion.
-pub const FINGERPRINT: &str = "hitch-fingerprint";
 
 /// Everything below this path belongs to the system.
 pub const RESERVED_PREFIX: &str = "/.hitch/";
--- a/tests/all/command_line.rs
+++ b/tests/all/command_line.rs
@@ -260,6 +260,7 @@
         "incarnation": "0190a1b2c3d4e5f6",
         "uptime_ms": 3_723_000,
         "leaving": false,
+        "superseded": false,
         "config": { "in_force": version, "in_force_age_ms": 65_000, "refused": null },
         "platform": { "state": "reading", "last_read_age_ms": 120, "reads": 33 },
         "services": [{
