Hold a fleet's ports until its nodes start, and hand none out twice

Reserved ports were free again at once. Two fleets that started at the same time could get the same one, and a target's stand-in could take one before its node did.

Ruled out: longer waits (the state never mends itself: nodes take strangers of the same names, heard at a shared control address, for their peers); ports outside the kernel's range (house rule: they come from the kernel).

Change: a reservation holds its sockets, bound but not listening, until the node is started; no address is handed out twice in a process; and a node counts as ready only when the status under its address names its VM, since a stand-in answers 200 to everything.

Conclusion: the likely cause is removed; that it was the only one is not proved.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitStatus};
 
+use hornbeamhitch_types::status::{NodeStatus, STATUS_PATH};
 use tokio::time::{Instant, sleep};
 
 use crate::http_client::{HttpClient, HttpVersion};
@@ -18,10 +19,11 @@
 pub mod settings;
 pub mod temp_dir;
 
-pub use node::{NodeAddresses, NodeSpec};
+pub use node::{NodeAddresses, NodeSpec, ReservedAddresses};
 pub use process::{ChildProcess, Signal};
 pub use settings::NodeSettings;
 
+use ports::HeldPort;
 use settings::LogSettings;
 use temp_dir::TempDir;
 
@@ -66,6 +68,8 @@
 struct Node {
     spec: NodeSpec,
     addresses: NodeAddresses,
+    /// Its ports, until it is started for the first time.
+    held_ports: Vec<HeldPort>,
     settings_file: PathBuf,
     process: Option<ChildProcess>,
     /// Log lines of earlier lives on the same addresses.
@@ -108,11 +112,13 @@
             self.nodes.len() < MAX_PROCESSES,
             "a fleet has at most {MAX_PROCESSES} nodes"
         );
-        let addresses = NodeAddresses::reserve()?;
+        let reserved = ReservedAddresses::take()?;
+        let addresses = reserved.addresses;
         let settings_file = self.dir.path().join(format!("{}.json", spec.vm));
         let node = Node {
             spec,
             addresses,
+            held_ports: reserved.ports,
             settings_file,
             process: None,
             earlier_logs: Vec::new(),
@@ -205,6 +211,7 @@
         }
         let mut command = Command::new(&binary);
         command.arg("--settings").arg(&node.settings_file);
+        node.held_ports.clear();
         node.process = Some(ChildProcess::spawn(vm, &mut command)?);
         Ok(())
     }
@@ -237,13 +244,21 @@
 
     /// Whether a node says that a configuration is in force.
     ///
+    /// The answer must be the node's own: a stand-in that took its port would
+    /// say yes to everything, and the node's end would go unseen.
+    ///
     /// # Errors
     ///
     /// Fails when there is no such node.
     pub async fn is_ready(&self, vm: &str) -> Result<bool> {
         let operators = self.node(vm)?.addresses.operators;
-        let answer = self.client.get(operators, "/v1/ready").await;
-        Ok(answer.is_ok_and(|answer| answer.status == StatusCode::OK))
+        let ready = self.client.get(operators, "/v1/ready").await;
+        if !ready.is_ok_and(|answer| answer.status == StatusCode::OK) {
+            return Ok(false);
+        }
+        let status = self.client.get(operators, STATUS_PATH).await;
+        let status = status.and_then(|answer| answer.json::<NodeStatus>());
+        Ok(status.is_ok_and(|status| status.vm.as_str() == vm))
     }
 
     /// Starts all nodes added so far and waits until all are ready.
@@ -289,8 +304,10 @@
     }
 
     fn renew_addresses(&mut self, vm: &str) -> Result<()> {
-        let addresses = NodeAddresses::reserve()?;
-        self.node_mut(vm)?.addresses = addresses;
+        let reserved = ReservedAddresses::take()?;
+        let node = self.node_mut(vm)?;
+        node.addresses = reserved.addresses;
+        node.held_ports = reserved.ports;
         self.write_settings(self.node(vm)?)
     }
 
--- a/crates/standins/src/fleet/node.rs
+++ b/crates/standins/src/fleet/node.rs
@@ -2,7 +2,7 @@
 
 use crate::prelude::*;
 
-use super::ports;
+use super::ports::{self, HeldPort};
 
 const PORTS_PER_NODE: usize = 4;
 
@@ -32,22 +32,32 @@
     pub operators: SocketAddr,
 }
 
-impl NodeAddresses {
+/// Addresses that nobody else gets until their ports are let go.
+#[derive(Debug)]
+pub struct ReservedAddresses {
+    /// The addresses.
+    pub addresses: NodeAddresses,
+    /// Their ports, to be dropped when the node is started.
+    pub ports: Vec<HeldPort>,
+}
+
+impl ReservedAddresses {
     /// Takes free ports for all four.
     ///
     /// # Errors
     ///
     /// Fails when the kernel has no more ports.
-    pub fn reserve() -> Result<Self> {
-        let addrs = ports::reserve(PORTS_PER_NODE)?;
-        let [callers, peer, control, operators] = addrs[..] else {
-            bail!("asked for {PORTS_PER_NODE} ports and got {}", addrs.len());
+    pub fn take() -> Result<Self> {
+        let ports = ports::reserve(PORTS_PER_NODE)?;
+        let [callers, peer, control, operators] = &ports[..] else {
+            bail!("asked for {PORTS_PER_NODE} ports and got {}", ports.len());
+        };
+        let addresses = NodeAddresses {
+            callers: callers.addr(),
+            peer: peer.addr(),
+            control: control.addr(),
+            operators: operators.addr(),
         };
-        Ok(Self {
-            callers,
-            peer,
-            control,
-            operators,
-        })
+        Ok(Self { addresses, ports })
     }
 }
--- a/crates/standins/src/fleet/ports.rs
+++ b/crates/standins/src/fleet/ports.rs
@@ -1,34 +1,89 @@
 //! Free ports from the kernel.
 
-use std::net::{Ipv4Addr, TcpListener, UdpSocket};
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, UdpSocket};
+
+use tokio::net::TcpSocket;
 
 use crate::prelude::*;
 
 const TRIES: usize = 200;
+/// Beyond this many, ports of fleets that have long ended are handed out again.
+const MAX_HANDED_OUT: usize = 12_000;
+
+/// Addresses that this process has handed out.
+static HANDED_OUT: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+
+/// A port that is kept from everybody else until this value is dropped.
+///
+/// Nothing listens on it meanwhile: connections to it are refused.
+#[derive(Debug)]
+pub struct HeldPort {
+    addr: SocketAddr,
+    _tcp: TcpSocket,
+    _udp: UdpSocket,
+}
+
+impl HeldPort {
+    fn take() -> Result<Option<Self>> {
+        let tcp = TcpSocket::new_v4()?;
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        tcp.bind(any).wrap_err("no TCP port")?;
+        let addr = tcp.local_addr()?;
+        let Ok(udp) = UdpSocket::bind(addr) else {
+            return Ok(None);
+        };
+        Ok(Some(Self {
+            addr,
+            _tcp: tcp,
+            _udp: udp,
+        }))
+    }
 
-/// Finds loopback addresses that are free for both TCP and UDP.
+    /// The address.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+/// Finds loopback addresses that are free for both TCP and UDP, and holds them.
 ///
-/// All are held until the last is found, so that they differ; then they are
-/// released. Another process can take one before it is used: whoever binds it
-/// must be ready for that.
+/// Between the end of the hold and the node's own binding another process can
+/// take one: whoever binds it must be ready for that.
+///
+/// No address is handed out twice. Otherwise two fleets that start at the same
+/// time could get the same one: nodes of the one, told of it by their VM list,
+/// would send their heartbeats to a node of the other, which would take the
+/// strangers, whose VMs have the same names, for its own peers.
 ///
 /// # Errors
 ///
 /// Fails when the kernel has no more ports.
-pub fn reserve(count: usize) -> Result<Vec<SocketAddr>> {
+pub fn reserve(count: usize) -> Result<Vec<HeldPort>> {
+    let mut passed_over = Vec::new();
     let mut held = Vec::new();
-    let mut addrs = Vec::new();
     for _ in 0..TRIES + count {
-        if addrs.len() == count {
-            return Ok(addrs);
+        if held.len() == count {
+            return Ok(held);
         }
-        let tcp = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).wrap_err("no TCP port")?;
-        let addr = tcp.local_addr()?;
-        let Ok(udp) = UdpSocket::bind(addr) else {
+        let Some(port) = HeldPort::take()? else {
             continue;
         };
-        held.push((tcp, udp));
-        addrs.push(addr);
+        if is_new(port.addr) {
+            held.push(port);
+        } else {
+            // Held as well, or the kernel would offer it again.
+            passed_over.push(port);
+        }
     }
     bail!("no {count} ports that are free for TCP and UDP");
 }
+
+fn is_new(addr: SocketAddr) -> bool {
+    let mut handed_out = HANDED_OUT.lock();
+    if handed_out.len() >= MAX_HANDED_OUT {
+        handed_out.clear();
+    }
+    handed_out.insert(addr)
+}
