--- a/tests/all/shutdown.rs
+++ b/tests/all/shutdown.rs
@@ -4,6 +4,7 @@
 //! node still listens: slow lookups, payments under tickets, a large answer
 //! that its caller reads slowly, and a run that calls on.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -370,6 +371,22 @@
     Ok(wave.len())
 }
 
+/// Fails when a run was cut off, ran again, or missed the call that it made on
+/// its part.
+fn assert_none_cut_off(runs: &[RunRecord]) {
+    let mut seen = BTreeSet::new();
+    for run in runs {
+        assert_eq!(run.end, RunEnd::Finished, "{run:?}");
+        assert!(seen.insert(&run.marks.nonce), "a second run: {run:?}");
+        let nonce = run.marks.nonce.clone().unwrap_or_default();
+        let called: Vec<&RunRecord> = runs
+            .iter()
+            .filter(|other| other.marks.nonce == Some(format!("{nonce}+")))
+            .collect();
+        assert_eq!(run.status, Some(200), "{run:?} called {called:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn a_rolling_restart_of_bangkok_under_load_fails_no_call() -> Result<()> {
     // Every node of the print office is replaced under load, one of each
@@ -391,6 +408,7 @@
     stop.send(true)?;
     let outcomes = loading.await??;
     let runs = all_runs(&deployment);
+    assert_none_cut_off(&runs);
     let (mut calls, mut resends, mut broken) = (0, 0, 0);
     for outcome in &outcomes {
         let report = outcome.report(Some(&runs));
@@ -408,9 +426,6 @@
         let replayed = report.all_codes.get(&ResultCode::Replayed.to_string());
         assert_eq!(replayed, None, "answers were cut off");
     }
-    for run in &runs {
-        assert_eq!(run.end, RunEnd::Finished, "{run:?}");
-    }
     println!(
         "rolling restart: {restarted} nodes in {:?}, {calls} calls, none failed; {resends} resends, {broken} sends without an answer",
         began_at.elapsed()
