Drop an import that the module above has brought in since

Cause: suspects.rs imports the clock type now, its tests did so themselves. Ruled out: nothing. Change: one line. Conclusion: none.

--- a/crates/core/src/suspects/tests.rs
+++ b/crates/core/src/suspects/tests.rs
@@ -3,7 +3,6 @@
 use proptest::prelude::*;
 
 use super::*;
-use hornbeamhitch_types::prelude::*;
 
 const MINUTE_MS: u64 = 60_000;
 
