Keep a shared service from being drowned by its callers' questions

Cause: each node asks one target of the services it calls for a heartbeat a second, and its near and far heartbeats and announcements went to members of called services as to anyone else. Each caller knows the few targets of a shared service, so what such a target receives grew with its callers: the one control stream that followed the fleet.

Ruled out: shorter questions alone (a constant factor); limiting answers (they were limited to three a second already, questions were not); a fixed lower rate (small deployments need the news); a hint from the target how soon to come back (one more message a question).

Change: a question that stays unanswered doubles the pause before the next one to that service, up to 60 s, spread by half; each word heard of the service halves it, so callers follow the three answers a second and recover as soon as members speak. Near and far messages go to members of called services only where there are too few others.

--- a/crates/core/src/control/dissemination.rs
+++ b/crates/core/src/control/dissemination.rs
@@ -339,10 +339,11 @@
     let data_centre = board.settings.data_centre.clone();
     let rng = &mut board.rng;
     let members = &board.members;
-    let mut chosen = members.choose(rng, 1, |member| {
+    let mut chosen = members.choose_uncalled_first(rng, 1, |member| {
         member.service != service && member.data_centre == data_centre
     });
-    chosen.extend(members.choose(rng, 1, |member| member.data_centre != data_centre));
+    chosen
+        .extend(members.choose_uncalled_first(rng, 1, |member| member.data_centre != data_centre));
     let rest = FAN_OUT - chosen.len();
     let taken: Vec<SocketAddr> = chosen.iter().map(|recipient| recipient.control).collect();
     chosen.extend(members.choose(rng, rest, |member| {
--- a/crates/core/src/control/heartbeat.rs
+++ b/crates/core/src/control/heartbeat.rs
@@ -2,7 +2,8 @@
 //!
 //! Three go to the own service, two to other services near by, one to another
 //! data centre, and one to a service that this node calls, which is asked to
-//! answer: nobody there would send to this node of its own accord.
+//! answer: nobody there would send to this node of its own accord. How often
+//! it is asked depends on whether it answers; see [`asking`].
 
 use std::net::SocketAddr;
 
@@ -14,6 +15,9 @@
 use super::members::Recipient;
 use crate::budget::TokenBucket;
 use crate::prelude::*;
+use asking::Asking;
+
+mod asking;
 
 /// Mean time between two rounds.
 const EVERY: Millis = Millis::from_secs(1);
@@ -46,6 +50,7 @@
     started_at: Millis,
     next_at: Millis,
     replies: TokenBucket,
+    asking: Asking,
 }
 
 impl Heartbeats {
@@ -55,44 +60,55 @@
             started_at: now,
             next_at: now,
             replies: TokenBucket::new(REPLIES_PER_S, REPLY_BURST, now),
+            asking: Asking::default(),
         }
     }
 
-    fn round(board: &mut Board) {
+    fn round(&mut self, board: &mut Board) {
         let service = board.settings.service.clone();
         let data_centre = board.settings.data_centre.clone();
         let rng = &mut board.rng;
         let members = &board.members;
         let kin = members.choose(rng, TO_OWN_SERVICE, |member| member.service == service);
-        let near = members.choose(rng, TO_NEAR, |member| {
+        let near = members.choose_uncalled_first(rng, TO_NEAR, |member| {
             member.service != service && member.data_centre == data_centre
         });
-        let far = members.choose(rng, TO_FAR, |member| member.data_centre != data_centre);
+        let far =
+            members.choose_uncalled_first(rng, TO_FAR, |member| member.data_centre != data_centre);
+        let asking = &self.asking;
+        let now = board.now;
         let dependencies = members.choose(rng, TO_DEPENDENCY, |member| {
-            member.service != service && member.is_held
+            member.service != service && member.is_held && asking.is_due(&member.service, now)
         });
         let is_lonely = Self::heard_peers(board) < FEW_PEERS;
         let mut sent_to = Vec::new();
-        let groups = [
-            (kin, is_lonely),
-            (near, is_lonely),
-            (far, is_lonely),
-            (dependencies, true),
-        ];
-        for (recipients, wants_reply) in groups {
+        for recipients in [kin, near, far] {
             for recipient in recipients {
                 if sent_to.contains(&recipient.control) {
                     continue;
                 }
                 sent_to.push(recipient.control);
-                Self::send(board, &recipient, wants_reply);
+                Self::send(board, &recipient, is_lonely);
             }
         }
+        for recipient in dependencies {
+            if sent_to.contains(&recipient.control) {
+                continue;
+            }
+            sent_to.push(recipient.control);
+            self.ask(board, &recipient);
+        }
         if sent_to.is_empty() {
             Self::call_seeds(board);
         }
     }
 
+    fn ask(&mut self, board: &mut Board, to: &Recipient) {
+        let spread = board.rng.random_range(0.5..=1.5);
+        self.asking.note_question(&to.service, spread, board.now);
+        Self::send(board, to, true);
+    }
+
     fn heard_peers(board: &Board) -> usize {
         let mut count = 0;
         for member in board.members.iter() {
@@ -175,6 +191,7 @@
         let DatagramBody::Heartbeat(heartbeat) = &datagram.body else {
             return;
         };
+        self.asking.note_heard(&datagram.from.service, board.now);
         if !heartbeat.wants_reply || !self.replies.try_take(board.now) {
             return;
         }
@@ -199,6 +216,7 @@
             pause /= WARM_UP_SHARE;
         }
         self.next_at = board.now + Millis(pause);
-        Self::round(board);
+        self.asking.retain(board.held_services());
+        self.round(board);
     }
 }
--- a/crates/core/src/control/members.rs
+++ b/crates/core/src/control/members.rs
@@ -238,6 +238,26 @@
         chosen.to_vec()
     }
 
+    /// Chooses like [`Self::choose`], members of called services only where
+    /// there are too few others.
+    ///
+    /// All callers of a service know its few members, and each of them would
+    /// send to them far more often than to anyone else.
+    pub(super) fn choose_uncalled_first(
+        &self,
+        rng: &mut Xoshiro256PlusPlus,
+        count: usize,
+        fits: impl Fn(&Member) -> bool,
+    ) -> Vec<Recipient> {
+        let is_called = |member: &Member| member.is_held && member.service != self.own_service;
+        let mut chosen = self.choose(rng, count, |member| fits(member) && !is_called(member));
+        let rest = count - chosen.len();
+        if rest > 0 {
+            chosen.extend(self.choose(rng, rest, |member| fits(member) && is_called(member)));
+        }
+        chosen
+    }
+
     /// Statements for a peer of `service`: changes first, then any.
     ///
     /// Changes in services that this node calls count as news for peers of its
--- a/crates/core/src/control/tests/figures.rs
+++ b/crates/core/src/control/tests/figures.rs
@@ -240,3 +240,37 @@
     let services = equal_services(4, 25);
     report(&measure(&services, 6, Millis::from_secs(20)), 6);
 }
+
+/// Eighty nodes call a service of three. What each of the three receives does
+/// not follow the callers: nobody is sent 27 questions a second of which it
+/// answers three.
+#[test]
+fn a_shared_service_is_not_drowned_by_its_callers() {
+    let mut services = equal_services(8, 10);
+    services.push(("shared", 3));
+    let mut text = String::from("shared::2\n");
+    for (name, _) in &services[..8] {
+        text.push_str(&format!("{name}:shared:2\n"));
+    }
+    let mut fleet = Fleet::new(&services, 3, 43);
+    fleet.publish_text(1, &text);
+    fleet.start_all();
+    fleet.run(Millis::from_secs(30));
+    let seconds = 30;
+    let received = |fleet: &Fleet, index: usize| fleet.status(index).counters.datagrams_in;
+    let shared = fleet.nodes.len() - 3;
+    let before: u64 = (shared..shared + 3)
+        .map(|index| received(&fleet, index))
+        .sum();
+    fleet.run(Millis::from_secs(seconds));
+    let after: u64 = (shared..shared + 3)
+        .map(|index| received(&fleet, index))
+        .sum();
+    let datagrams_per_s = (after - before) as f64 / (3 * seconds) as f64;
+    println!("shared service: {datagrams_per_s:.1} datagrams/s received by each of three");
+    assert!(datagrams_per_s <= 18.0);
+    for node in fleet.alive() {
+        let targets = &node.table.services["shared"].targets;
+        assert_eq!(targets.len(), 3);
+    }
+}
