Let a convicted request keep the time that its gate gave

Cause: the gate tells the caller of a convicted request to stay away for ten minutes; the entry cut every time to its own longest, ten seconds. Ruled out: a higher limit for all codes; under overload ten seconds are the most that a waiting citizen can be told. Change: the time of crash-suspect is passed on as it is. Conclusion: both ways of refusing a convicted request now say the same.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -499,6 +499,11 @@
         }
         let own = self.retry_after_ms(now);
         let longest = told.unwrap_or(Millis::ZERO).max(own);
+        // A conviction lasts for minutes, and its gate says so; shortened, the
+        // caller would come back dozens of times in vain.
+        if code == ResultCode::CrashSuspect {
+            return Refusal::retry_after(code, longest);
+        }
         Refusal::retry_after(code, longest.min(MAX_RETRY_AFTER_MS))
     }
 
--- a/crates/core/src/entry/tests/retries.rs
+++ b/crates/core/src/entry/tests/retries.rs
@@ -301,3 +301,21 @@
         assert_eq!(given.retry_after_ms, Some(Millis(expected)));
     }
 }
+
+/// A convicted request's caller is told to stay away for minutes. Were that cut
+/// to the usual longest time, it would come back dozens of times in vain.
+#[test]
+fn a_convicted_request_keeps_the_time_that_its_gate_gave() {
+    let told = Refusal::retry_after(ResultCode::CrashSuspect, Millis::from_secs(600));
+    let end = AttemptEnd::Refused(told);
+    let refusal = given_up(service(&view(3)).after_failure(&call(), &end, Millis(1)));
+    assert_eq!(refusal, told);
+    let long = Refusal::retry_after(ResultCode::Overloaded, Millis::from_secs(600));
+    let end = AttemptEnd::Refused(long);
+    let single = CallProgress {
+        attempts: 3,
+        ..call()
+    };
+    let refusal = given_up(service(&view(3)).after_failure(&single, &end, Millis(1)));
+    assert_eq!(refusal.retry_after_ms, Some(MAX_RETRY_AFTER_MS));
+}
