Measure what nodes add to a call, against a direct one, in one run

Nothing measured it: two runs one after the other on a shared machine compare moments of the machine. Ruled out: the load tool, whose calls hop between tasks and whose lag is in its latencies; a pacer on the runtime's timers, whose grain is a millisecond; all routes at the same time, which measures their quarrel over the processor. Change: hornbeamhitch-overhead measures direct, one VM and two VMs in turn in slices; differences are taken within a round. Each connection has a thread of its own; the generator's own lag is measured, printed and left out of latencies.

--- /dev/null
+++ b/crates/standins/src/bin/hornbeamhitch-overhead.rs
@@ -0,0 +1,11 @@
+//! What nodes add to a call, against a direct call to the same target.
+
+use std::process::ExitCode;
+
+use eyre::Result;
+use hornbeamhitch_standins::commands;
+
+#[tokio::main]
+async fn main() -> Result<ExitCode> {
+    commands::overhead::run().await
+}
--- a/crates/standins/src/commands.rs
+++ b/crates/standins/src/commands.rs
@@ -8,6 +8,8 @@
 use crate::logging;
 use crate::prelude::*;
 
+pub mod overhead;
+
 mod bangkok;
 
 #[derive(Debug, Options)]
--- /dev/null
+++ b/crates/standins/src/commands/overhead.rs
@@ -0,0 +1,85 @@
+//! The command line of `hornbeamhitch-overhead`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use log::LevelFilter;
+
+use crate::demo::Programs;
+use crate::logging;
+use crate::overhead::{self, Plan, bounds};
+use crate::prelude::*;
+use crate::program;
+
+/// Bound on the whole run.
+const MAX_TIME: Duration = Duration::from_secs(900);
+
+#[derive(Debug, Options)]
+struct OverheadOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "calls a second of each series", default = "1000", meta = "N")]
+    rate: f64,
+    #[options(help = "time measured for each series", default = "10", meta = "N")]
+    seconds: f64,
+    #[options(help = "slices of that time", default = "5", meta = "N")]
+    rounds: u32,
+    #[options(
+        help = "end of the search for the rate at which p99 doubles; 0 leaves it out",
+        default = "20000",
+        meta = "N"
+    )]
+    max_rate: f64,
+    #[options(help = "directory of the other programs", meta = "DIR")]
+    programs: Option<PathBuf>,
+    #[options(help = "file for the report as JSON", meta = "FILE")]
+    json: Option<PathBuf>,
+    #[options(help = "end with status 1 when a bound on a ratio is broken")]
+    check: bool,
+}
+
+/// Reads the command line and measures.
+///
+/// # Errors
+///
+/// Fails when something cannot be started, does not come up or does not end.
+pub async fn run() -> Result<ExitCode> {
+    let options = OverheadOptions::parse_args_default_or_exit();
+    logging::start(LevelFilter::Warn)?;
+    let programs = match &options.programs {
+        Some(dir) => Programs::in_dir(dir)?,
+        None => Programs::beside_this()?,
+    };
+    let plan = Plan {
+        rate_per_s: options.rate,
+        seconds: options.seconds,
+        rounds: options.rounds,
+        max_rate_per_s: options.max_rate,
+        ..Plan::default()
+    };
+    let report = tokio::select! {
+        report = tokio::time::timeout(MAX_TIME, overhead::run(plan, &programs)) => {
+            report.wrap_err("the measurement took too long")??
+        }
+        end = program::wait_for_end() => {
+            end?;
+            bail!("ended by a signal");
+        }
+    };
+    print!("{}", report.table());
+    if let Some(path) = &options.json {
+        std::fs::write(path, report.json()?)?;
+    }
+    if !options.check {
+        return Ok(ExitCode::SUCCESS);
+    }
+    let broken = bounds::broken(&report);
+    for bound in &broken {
+        println!("BROKEN: {bound}");
+    }
+    match broken.is_empty() {
+        true => Ok(ExitCode::SUCCESS),
+        false => Ok(ExitCode::FAILURE),
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod http_server;
 pub mod load;
 pub mod logging;
+pub mod overhead;
 pub mod platform;
 pub mod prelude;
 pub mod program;
--- /dev/null
+++ b/crates/standins/src/overhead/bench.rs
@@ -0,0 +1,196 @@
+//! The processes that are measured: two targets, each with its node.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::demo::deployment::ServiceSpec;
+use crate::demo::{Deployment, Programs, Stage};
+use crate::http_client::{HttpClient, HttpVersion};
+use crate::prelude::*;
+use crate::target::ServiceTime;
+
+use super::open_loop::{CallTemplate, Offer, OpenLoop, Outcome};
+use super::process_time::{ProcessTime, resident_bytes};
+use super::series::{CallType, Route, Series};
+
+/// The service whose target is called.
+const SERVICE: &str = "cashier";
+/// Another service, whose node is the entry on the second VM.
+const OTHER_SERVICE: &str = "ledger";
+const MEASURED_VM: &str = "cashier-1";
+const OTHER_VM: &str = "ledger-1";
+const LOOKUP_PATH: &str = "/prices/passport";
+const PAYMENT_PATH: &str = "/charge";
+const PAYMENT_BYTES: usize = 200;
+const SLOTS: u32 = 12;
+/// Most tickets that one request fetches.
+const TICKET_BATCH: usize = 32;
+
+/// Records outlive their calls, and a run makes more calls than a gate keeps
+/// records by default.
+const TEXT: &str = r#"{
+  "deployment": "overhead",
+  "data_centres": ["dc-1"],
+  "defaults": { "slots": 12, "connections": 250, "max_records": 1000000 },
+  "services": {
+    "cashier": {
+      "calls": [
+        { "name": "charge", "match": "POST /charge", "idempotent": false, "class": "payment" },
+      ],
+    },
+    "ledger": {},
+  },
+}"#;
+
+/// Tickets as a node hands them out.
+#[derive(Deserialize)]
+struct Tickets {
+    tickets: Vec<String>,
+}
+
+/// The running processes, and callers on each route.
+pub struct Bench {
+    stage: Stage,
+    callers: BTreeMap<Route, OpenLoop>,
+    addrs: BTreeMap<Route, SocketAddr>,
+    client: HttpClient,
+}
+
+impl Bench {
+    /// Starts all processes and waits until the nodes are ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not come up.
+    pub async fn start(programs: &Programs, connections: usize) -> Result<Self> {
+        let mut stage = Stage::start(programs, &deployment(), TEXT).await?;
+        let target = stage.target_addrs()[0];
+        let own_entry = stage.fleet().addresses(MEASURED_VM)?.callers;
+        let other_entry = stage.fleet().addresses(OTHER_VM)?.callers;
+        let addrs = BTreeMap::from([
+            (Route::Direct, target),
+            (Route::OneVm, own_entry),
+            (Route::TwoVms, other_entry),
+        ]);
+        let mut callers = BTreeMap::new();
+        for (route, addr) in &addrs {
+            callers.insert(*route, OpenLoop::new(*addr, connections)?);
+        }
+        Ok(Self {
+            stage,
+            callers,
+            addrs,
+            client: HttpClient::new(HttpVersion::Http1),
+        })
+    }
+
+    /// Makes the calls of an offer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when tickets or connections cannot be had.
+    pub async fn offer(&mut self, series: Series, offer: &Offer) -> Result<Outcome> {
+        let template = self.template(series, offer).await?;
+        let callers = self.callers.get_mut(&series.route);
+        let callers = callers.ok_or_else(|| eyre!("no callers for {series}"))?;
+        // Blocks this thread; it is the only task of the program by now.
+        tokio::task::block_in_place(|| callers.run(offer, &template))
+    }
+
+    async fn template(&self, series: Series, offer: &Offer) -> Result<CallTemplate> {
+        let path = match series.call {
+            CallType::Lookup => LOOKUP_PATH,
+            CallType::Payment => PAYMENT_PATH,
+        };
+        let path = match series.route {
+            Route::Direct => path.to_owned(),
+            Route::OneVm | Route::TwoVms => format!("/{SERVICE}{path}"),
+        };
+        let mut template = CallTemplate {
+            method: Method::GET,
+            own_paths: Mutex::default(),
+            path,
+            body: Bytes::new(),
+        };
+        if series.call == CallType::Payment {
+            template.method = Method::POST;
+            template.body = Bytes::from(vec![b'x'; PAYMENT_BYTES]);
+        }
+        if series.is_ticketed() {
+            let paths = self.ticketed_paths(series.route, offer.max_calls(), &template.path);
+            template.own_paths = Mutex::new(paths.await?);
+        }
+        Ok(template)
+    }
+
+    async fn ticketed_paths(
+        &self,
+        route: Route,
+        count: usize,
+        path: &str,
+    ) -> Result<VecDeque<String>> {
+        let mut paths = VecDeque::new();
+        let request = format!("{}{SERVICE}?count={TICKET_BATCH}", header::TICKETS_PREFIX);
+        while paths.len() < count {
+            let answer = self.client.post(self.addrs[&route], &request, Bytes::new());
+            let batch: Tickets = answer.await?.json()?;
+            for ticket in batch.tickets {
+                paths.push_back(format!("{}{ticket}{path}", header::TICKETED_PREFIX));
+            }
+        }
+        Ok(paths)
+    }
+
+    /// Processor time of each node since its start, by VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a node has ended.
+    pub fn processor_times(&mut self) -> Result<BTreeMap<String, ProcessTime>> {
+        let mut times = BTreeMap::new();
+        for vm in [MEASURED_VM, OTHER_VM] {
+            let id = self.stage.fleet().process_id(vm)?;
+            times.insert(vm.to_owned(), ProcessTime::read(id)?);
+        }
+        Ok(times)
+    }
+
+    /// Memory of each node, by VM, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a node has ended.
+    pub fn resident_bytes(&mut self) -> Result<BTreeMap<String, u64>> {
+        let mut bytes = BTreeMap::new();
+        for vm in [MEASURED_VM, OTHER_VM] {
+            let id = self.stage.fleet().process_id(vm)?;
+            bytes.insert(vm.to_owned(), resident_bytes(id)?);
+        }
+        Ok(bytes)
+    }
+
+    /// Ends all processes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one does not end in time or not with status 0.
+    pub async fn stop(mut self) -> Result<()> {
+        // Kept connections would be waited for.
+        let callers = std::mem::take(&mut self.callers);
+        tokio::task::block_in_place(|| drop(callers));
+        self.stage.stop().await
+    }
+}
+
+fn deployment() -> Deployment {
+    let service = |name: &str| ServiceSpec {
+        name: name.to_owned(),
+        targets: 1,
+        slots: SLOTS,
+        service_time: ServiceTime::Fixed { us: 0 },
+    };
+    Deployment {
+        data_centres: vec!["dc-1".to_owned()],
+        services: vec![service(SERVICE), service(OTHER_SERVICE)],
+        kinds: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/overhead/bounds.rs
@@ -0,0 +1,46 @@
+//! Bounds on ratios within one run.
+//!
+//! They are wide, because a machine under other work stretches the longer
+//! routes more than the direct call; what breaks them is a fault in the path,
+//! such as a lock held over I/O or a timer per call.
+
+use super::report::Report;
+use super::series::{Route, Series};
+
+/// Two nodes are crossed by four more connections than a direct call.
+const MAX_P50_RATIO_TWO_VMS: f64 = 20.0;
+const MAX_P50_RATIO_ONE_VM: f64 = 20.0;
+
+/// Names every bound that a run breaks.
+#[must_use]
+pub fn broken(report: &Report) -> Vec<String> {
+    let mut broken = Vec::new();
+    for one in &report.series {
+        for (reason, count) in &one.failures {
+            broken.push(format!("{}: {count} calls failed: {reason}", one.series));
+        }
+        broken.extend(broken_ratio(report, one.series));
+    }
+    broken
+}
+
+fn broken_ratio(report: &Report, series: Series) -> Option<String> {
+    let max_ratio = match series.route {
+        Route::Direct => return None,
+        Route::OneVm => MAX_P50_RATIO_ONE_VM,
+        Route::TwoVms => MAX_P50_RATIO_TWO_VMS,
+    };
+    let direct = Series {
+        route: Route::Direct,
+        ..series
+    };
+    let direct_us = report.of(direct)?.median().p50_us;
+    let added_us = report.added(series)?.median.p50_us;
+    let ratio = added_us / direct_us;
+    if ratio <= max_ratio {
+        return None;
+    }
+    Some(format!(
+        "{series}: adds {ratio:.1} times the direct p50, allowed {max_ratio}"
+    ))
+}
--- /dev/null
+++ b/crates/standins/src/overhead/doubling.rs
@@ -0,0 +1,122 @@
+//! The rate at which the p99 of a series doubles.
+
+use crate::prelude::*;
+
+use super::Plan;
+use super::bench::Bench;
+use super::open_loop::Offer;
+use super::quantiles::Quantiles;
+use super::report::SeriesReport;
+use super::series::Series;
+
+const SLICE: Duration = Duration::from_secs(1);
+const SLICES: u64 = 3;
+const FACTOR: f64 = 2.0;
+/// Halvings of the interval between the last rate that holds and the first
+/// that does not.
+const REFINEMENTS: u32 = 2;
+/// A generator whose own lag is above this share of the p99 measures itself.
+const MAX_LAG_SHARE: f64 = 0.5;
+
+/// One rate that was tried.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Step {
+    /// Calls a second.
+    pub rate_per_s: f64,
+    /// Median p99 of the slices, in microseconds.
+    pub p99_us: f64,
+    /// Median p99 of the generator's own lag, in microseconds.
+    pub lag_p99_us: f64,
+    /// Calls that failed.
+    pub failures: u64,
+}
+
+/// What the search has found for one series.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Doubling {
+    /// The series.
+    pub series: Series,
+    /// Median p99 at the plan's rate, in microseconds.
+    pub base_p99_us: f64,
+    /// Highest rate that was tried without doubling it.
+    pub holds_at_per_s: f64,
+    /// Lowest rate that doubled it; none up to the search's end.
+    pub doubles_at_per_s: Option<f64>,
+    /// All steps in their order.
+    pub steps: Vec<Step>,
+}
+
+impl Doubling {
+    /// Doubles the rate until the p99 has doubled, then halves the interval.
+    ///
+    /// # Errors
+    ///
+    /// Fails when calls cannot be made at all.
+    pub(super) async fn search(
+        plan: &Plan,
+        bench: &mut Bench,
+        base: &SeriesReport,
+    ) -> Result<Self> {
+        let mut found = Self {
+            series: base.series,
+            base_p99_us: base.median().p99_us,
+            holds_at_per_s: plan.rate_per_s,
+            doubles_at_per_s: None,
+            steps: Vec::new(),
+        };
+        while found.doubles_at_per_s.is_none() && found.holds_at_per_s < plan.max_rate_per_s {
+            let rate_per_s = (found.holds_at_per_s * 2.0).min(plan.max_rate_per_s);
+            found.probe(plan, bench, rate_per_s).await?;
+        }
+        for _ in 0..REFINEMENTS {
+            let Some(too_much) = found.doubles_at_per_s else {
+                break;
+            };
+            let rate_per_s = f64::midpoint(found.holds_at_per_s, too_much);
+            found.probe(plan, bench, rate_per_s).await?;
+        }
+        Ok(found)
+    }
+
+    async fn probe(&mut self, plan: &Plan, bench: &mut Bench, rate_per_s: f64) -> Result<()> {
+        let mut latencies = Vec::new();
+        let mut lags = Vec::new();
+        let mut failures = 0;
+        for slice in 0..SLICES {
+            let offer = Offer {
+                rate_per_s,
+                span: SLICE,
+                seed: plan.seed + slice,
+            };
+            let outcome = bench.offer(self.series, &offer).await?;
+            latencies.push(Quantiles::of(&outcome.latency));
+            lags.push(Quantiles::of(&outcome.lag));
+            failures += outcome.failures.values().sum::<u64>();
+        }
+        let step = Step {
+            rate_per_s,
+            p99_us: Quantiles::median(&latencies).p99_us,
+            lag_p99_us: Quantiles::median(&lags).p99_us,
+            failures,
+        };
+        self.steps.push(step);
+        if failures == 0 && step.p99_us < FACTOR * self.base_p99_us {
+            self.holds_at_per_s = rate_per_s;
+        } else {
+            self.doubles_at_per_s = Some(rate_per_s);
+        }
+        Ok(())
+    }
+
+    /// Whether the generator itself was late in the step that doubled.
+    #[must_use]
+    pub fn is_limited_by_generator(&self) -> bool {
+        let Some(rate_per_s) = self.doubles_at_per_s else {
+            return false;
+        };
+        let mut steps = self.steps.iter();
+        steps.any(|step| {
+            step.rate_per_s == rate_per_s && step.lag_p99_us > MAX_LAG_SHARE * step.p99_us
+        })
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/overhead.rs
@@ -0,0 +1,106 @@
+//! What `hornbeamhitch-overhead` makes of its measurements.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hornbeamhitch_standins::overhead::report::{Report, SeriesReport};
+use hornbeamhitch_standins::overhead::{Offer, Plan, Quantiles, Series, bounds};
+
+fn quantiles(p50_us: f64) -> Quantiles {
+    Quantiles {
+        p50_us,
+        p99_us: 2.0 * p50_us,
+        p999_us: 3.0 * p50_us,
+    }
+}
+
+/// A report in which each round of a series has the p50 that `p50_us` gives.
+fn report(p50_us: impl Fn(Series, u32) -> f64) -> Report {
+    let plan = Plan::default();
+    let mut all = Vec::new();
+    for series in Series::all() {
+        let rounds = (0..plan.rounds).map(|round| quantiles(p50_us(series, round)));
+        all.push(SeriesReport {
+            rounds: rounds.collect(),
+            ..SeriesReport::new(series)
+        });
+    }
+    Report {
+        plan,
+        load_average_before: 0.0,
+        load_average_after: 0.0,
+        idle: Vec::new(),
+        series: all,
+        doublings: Vec::new(),
+        resident_bytes_after: BTreeMap::new(),
+    }
+}
+
+#[test]
+fn differences_are_taken_within_a_round() {
+    // The machine grows slower from round to round; what the nodes add stays.
+    let report = report(|series, round| {
+        let slow_us = 100.0 * f64::from(round + 1);
+        match series.is_through_nodes() {
+            true => slow_us + 50.0,
+            false => slow_us,
+        }
+    });
+    for series in Series::all() {
+        let added = report.added(series).expect("the series is in the report");
+        let expected_us = if series.is_through_nodes() { 50.0 } else { 0.0 };
+        assert!((added.median.p50_us - expected_us).abs() < 1e-9, "{series}");
+        assert!((added.best.p50_us - expected_us).abs() < 1e-9, "{series}");
+    }
+    assert!(bounds::broken(&report).is_empty());
+}
+
+#[test]
+fn a_ratio_above_its_bound_and_failed_calls_are_named() {
+    let mut report = report(|series, _| match series.is_through_nodes() {
+        true => 10_000.0,
+        false => 100.0,
+    });
+    report.series[0]
+        .failures
+        .insert("503, code 1101".to_owned(), 3);
+    let broken = bounds::broken(&report);
+    assert_eq!(broken.len(), 5, "{broken:?}");
+    assert!(broken[0].contains("3 calls failed"), "{broken:?}");
+}
+
+#[test]
+fn a_plan_outside_its_bounds_is_refused() {
+    assert!(Plan::default().check().is_ok());
+    let plans = [
+        Plan {
+            rate_per_s: 20_001.0,
+            ..Plan::default()
+        },
+        Plan {
+            seconds: 61.0,
+            ..Plan::default()
+        },
+        Plan {
+            rounds: 0,
+            ..Plan::default()
+        },
+        Plan {
+            connections: 129,
+            ..Plan::default()
+        },
+    ];
+    for plan in plans {
+        assert!(plan.check().is_err(), "{plan:?}");
+    }
+}
+
+#[test]
+fn an_offer_provides_for_more_calls_than_its_mean() {
+    let offer = Offer {
+        rate_per_s: 1_000.0,
+        span: Duration::from_secs(2),
+        seed: 1,
+    };
+    assert!((2_200..2_400).contains(&offer.max_calls()));
+}
