Keep the control messages of two deployments apart

Cause: control messages named no deployment. A list that still names an address which now belongs to another fleet merged the two, and the one with the lower text version took over the other's text for good. Change: a setting "deployment"; a hash of it stands before every datagram and bulk frame, and others' messages are dropped with a log line.

--- a/crates/node/src/control_loop.rs
+++ b/crates/node/src/control_loop.rs
@@ -6,6 +6,7 @@
 //! publishes; neither side waits for the other.
 
 mod bulk;
+mod fleet_tag;
 mod handle;
 mod platform;
 
@@ -32,6 +33,7 @@
 use crate::metrics::{Metrics, PlatformRead};
 pub use bulk::BulkLimits;
 use bulk::BulkServer;
+pub use fleet_tag::FleetTag;
 use platform::PlatformClient;
 
 /// The core expects a tick about this often.
@@ -162,15 +164,22 @@
             service,
         };
         let mut stop = self.stop;
+        let fleet = self.bulk_limits.fleet;
         let mut ticker = tokio::time::interval(TICK);
         ticker.set_missed_tick_behavior(MissedTickBehavior::Skip);
         let mut buffer = vec![0_u8; RECEIVE_BUFFER_BYTES];
         loop {
             let event = tokio::select! {
                 received = driver.socket.recv_from(&mut buffer) => match received {
-                    Ok((length, from)) => ControlEvent::Datagram {
-                        from,
-                        bytes: buffer[..length].to_vec(),
+                    Ok((length, from)) => match fleet.take_off(&buffer[..length]) {
+                        Some(message) => ControlEvent::Datagram {
+                            from,
+                            bytes: message.to_vec(),
+                        },
+                        None => {
+                            log::warn!("{from} sends messages of another deployment");
+                            continue;
+                        }
                     },
                     // Loopback reports a closed peer here; the sender's next
                     // heartbeat is what counts.
@@ -283,8 +292,9 @@
         match action {
             // A full socket buffer drops the datagram, as any network may.
             ControlAction::SendDatagram { to, bytes } => {
-                self.outputs.metrics.datagram_sent(bytes.len());
-                let _ = self.socket.try_send_to(&bytes, to);
+                let tagged = self.bulk_limits.fleet.put_before(&bytes);
+                self.outputs.metrics.datagram_sent(tagged.len());
+                let _ = self.socket.try_send_to(&tagged, to);
             }
             ControlAction::ReadText { after, wait_ms } => {
                 self.platform.read_text(after, wait_ms);
--- a/crates/node/src/control_loop/bulk.rs
+++ b/crates/node/src/control_loop/bulk.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eyre::{Context, Result, bail};
+use eyre::{Context, Result, bail, eyre};
 use hornbeamhitch_core::control::{ControlEvent, RequestId};
 use hornbeamhitch_wire::control::MAX_BULK_BYTES;
 use parking_lot::Mutex;
@@ -15,17 +15,21 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
+use super::fleet_tag::FleetTag;
+
 /// One exchange, from connecting to the last byte.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(3);
 /// After a failed accept (out of descriptors, say) the next is not tried at
 /// once, or the loop would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Bounds on bulk transfers, from the settings.
+/// What bulk transfers keep to, from the settings.
 #[derive(Clone, Copy, Debug)]
 pub struct BulkLimits {
     /// Bytes of one message, either way.
     pub max_bytes: usize,
+    /// Keeps other deployments' messages out.
+    pub fleet: FleetTag,
     /// Peers that are served at the same time; further ones wait.
     pub max_connections: usize,
 }
@@ -106,7 +110,7 @@
         let message = answered
             .wrap_err("the core took too long")?
             .wrap_err("the core did not answer")?;
-        write_frame(&mut stream, &message).await
+        write_frame(&mut stream, &message, self.limits).await
     }
 
     fn register(&self) -> (RequestId, oneshot::Receiver<Vec<u8>>) {
@@ -143,7 +147,7 @@
 
 async fn exchange(peer: SocketAddr, message: &[u8], limits: BulkLimits) -> Result<Vec<u8>> {
     let mut stream = TcpStream::connect(peer).await.wrap_err("cannot connect")?;
-    write_frame(&mut stream, message).await?;
+    write_frame(&mut stream, message, limits).await?;
     read_frame(&mut stream, limits).await
 }
 
@@ -161,13 +165,16 @@
     if message.len() != length {
         bail!("a frame of {length} bytes ended after {}", message.len());
     }
-    Ok(message)
+    let own = limits.fleet.take_off(&message);
+    let own = own.ok_or_else(|| eyre!("a message of another deployment"))?;
+    Ok(own.to_vec())
 }
 
-async fn write_frame(stream: &mut TcpStream, message: &[u8]) -> Result<()> {
+async fn write_frame(stream: &mut TcpStream, message: &[u8], limits: BulkLimits) -> Result<()> {
+    let message = limits.fleet.put_before(message);
     let length = u32::try_from(message.len()).wrap_err("the message is too long for a frame")?;
     stream.write_u32(length).await?;
-    stream.write_all(message).await?;
+    stream.write_all(&message).await?;
     stream.flush().await?;
     Ok(())
 }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -23,7 +23,7 @@
 use crate::callers::{CallerParts, CallerServer, EntryBoard};
 use crate::clock::ProcessClock;
 use crate::control_loop::{
-    BulkLimits, ControlHandle, ControlOutputs, ControlSockets, ControlThread, LastAnswer,
+    BulkLimits, ControlHandle, ControlOutputs, ControlSockets, ControlThread, FleetTag, LastAnswer,
 };
 use crate::gate_server::{GateBoard, GateParts, GateServer};
 use crate::health;
@@ -277,6 +277,7 @@
             stop,
             bulk_limits: BulkLimits {
                 max_bytes: config.limits.bulk_bytes,
+                fleet: FleetTag::of(&config.deployment),
                 max_connections: config.limits.bulk_connections,
             },
             settings: control_settings(&config, incarnation, seed),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -43,6 +43,10 @@
 /// consequence of each choice.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Config {
+    /// The deployment that the node belongs to. Nodes of two deployments ignore
+    /// each other, also when an address has passed from one to the other.
+    /// Default: `default`.
+    pub deployment: String,
     /// The VM's name as the platform's VM list has it. Required.
     pub vm: VmId,
     /// The service of the target beside this node. Required.
@@ -159,6 +163,7 @@
 
 /// Settings of which some may be missing because their values were refused.
 struct Draft {
+    deployment: String,
     vm: Option<String>,
     service: Option<String>,
     data_centre: Option<String>,
@@ -178,6 +183,7 @@
 impl Draft {
     fn build(self) -> Option<Config> {
         Some(Config {
+            deployment: self.deployment,
             vm: VmId::new(&self.vm?),
             service: ServiceName::new(&self.service?),
             data_centre: DataCentre::new(&self.data_centre?),
@@ -197,7 +203,9 @@
 }
 
 fn read_config(root: &mut Section<'_>) -> Draft {
+    let deployment = root.optional::<String, Name>("deployment");
     Draft {
+        deployment: deployment.unwrap_or_else(|| DEFAULT_DEPLOYMENT.to_owned()),
         vm: root.required::<_, Name>("vm"),
         service: root.required::<_, Name>("service"),
         data_centre: root.required::<_, Name>("data_centre"),
@@ -239,6 +247,8 @@
     }
 }
 
+const DEFAULT_DEPLOYMENT: &str = "default";
+
 const KIB: u64 = 1024;
 const MIB: u64 = 1024 * KIB;
 const GIB: u64 = 1024 * MIB;
--- /dev/null
+++ b/tests/all/deployments.rs
@@ -0,0 +1,67 @@
+//! Nodes of two deployments that can reach one another.
+
+use eyre::Result;
+use hornbeamhitch_standins::platform::{VmEntry, VmState};
+use hornbeamhitch_types::prelude::*;
+use serde_json::json;
+
+use crate::support::{CASHIER_TEXT, Deployment, Member};
+
+const HIGH_VERSION: u64 = 50;
+const NOTICED: &str = "another deployment";
+
+async fn start(name: &str, vm: &str, version: u64) -> Result<Deployment> {
+    let members = vec![Member::new(vm, "cashier")];
+    let mut deployment = Deployment::prepare_with(members, |config| {
+        let name = json!(name);
+        config.more_settings.insert("deployment".to_owned(), name);
+    })
+    .await?;
+    deployment
+        .platform
+        .set_text_version(CASHIER_TEXT, version)?;
+    deployment.start_nodes().await?;
+    Ok(deployment)
+}
+
+async fn in_force(deployment: &Deployment, vm: &str) -> Result<Option<ConfigVersion>> {
+    Ok(deployment.status(vm).await?.config.in_force)
+}
+
+/// A VM's address passes from one deployment to another while a lagging list
+/// still names it. Its old fleet greets the stranger there. The stranger's text
+/// has a far higher version; taken over, it could never be taken back. Both
+/// must go on with their own text and their own members.
+#[tokio::test]
+async fn a_fleet_that_lists_an_address_of_another_keeps_its_own_text() -> Result<()> {
+    let other = start("insurers", "izplacila-1", HIGH_VERSION).await?;
+    let own = start("print-office", "cashier-1", 1).await?;
+    let stranger = other.fleet.addresses("izplacila-1")?;
+    let mut listed = own.fleet.vm_entries();
+    listed.push(VmEntry {
+        vm: "cashier-2".to_owned(),
+        data_centre: "a".to_owned(),
+        service: "cashier".to_owned(),
+        state: VmState::Live,
+        peer: stranger.peer,
+        control: stranger.control,
+    });
+    own.platform.set_vms(listed)?;
+    let noticed = |_: &Deployment| {
+        let logs = other.fleet.logs("izplacila-1").unwrap_or_default();
+        logs.iter().filter(|line| line.contains(NOTICED)).count() >= 3
+    };
+    own.wait_until("the stranger hears three greetings", noticed)
+        .await?;
+
+    assert_eq!(in_force(&own, "cashier-1").await?, Some(ConfigVersion(1)));
+    let expected = Some(ConfigVersion(HIGH_VERSION));
+    assert_eq!(in_force(&other, "izplacila-1").await?, expected);
+    let heard = other.status("izplacila-1").await?;
+    for service in &heard.services {
+        let strangers = service.targets.iter();
+        let strangers = strangers.filter(|target| target.vm.as_str() == "cashier-1");
+        assert_eq!(strangers.count(), 0, "{service:?}");
+    }
+    Ok(())
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod command_line;
 mod configuration;
 mod crash_request;
+mod deployments;
 mod frozen_peer;
 mod leaving;
 mod measuring;
