Learn a gate's clock from its answers only

Cause: took the clock of a gate also from heartbeats. Their loads were read from the gate up to a heartbeat before they were sent, so its clock seemed slower, and the first payment of an entry to a gate was refused as deadline-too-short although it had time enough. The refusal was true, but needless.

Ruled out: some slack in the deadline, as the lag is up to a heartbeat; carrying the age of the load in heartbeats, since answers bring the clock anyway.

Change: only reports on answers are taken. The price: the first payment that an entry sends to a gate carries the time left alone, as before.

a_gates_clock_is_learned_from_its_answers_only fails with the old form.

--- a/crates/node/src/callers/entries.rs
+++ b/crates/node/src/callers/entries.rs
@@ -107,7 +107,8 @@
     pub guard: AttemptGuard,
     /// The life last heard of on the VM.
     pub incarnation: Option<Incarnation>,
-    /// What the clock of the ticket's life shows at least, once it was heard.
+    /// What the clock of the ticket's life shows at least, once that gate has
+    /// answered this entry.
     pub clock_ms: Option<Millis>,
 }
 
@@ -215,10 +216,7 @@
         let mut state = self.state.lock();
         let vm = &ticket.gate;
         let (index, target) = state.service.target_on(vm)?;
-        let (incarnation, load) = (target.incarnation, target.load);
-        if let Some(heard) = load {
-            state.clocks.observe(vm, &heard.report, heard.heard_at);
-        }
+        let incarnation = target.incarnation;
         let clock_ms = state.clocks.reading(vm, ticket.incarnation, now);
         let pick = state.service.pick_fixed(index, now);
         state.counts.first_attempts += 1;
@@ -364,3 +362,6 @@
         self.finish(AttemptEnd::Cancelled);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/callers/gate_clocks.rs
+++ b/crates/node/src/callers/gate_clocks.rs
@@ -1,4 +1,8 @@
-//! Reckoning on the clocks of gates from their reports.
+//! Reckoning on the clocks of gates from the reports on their answers.
+//!
+//! The reports in heartbeats are not taken. They were read from the gate up to
+//! a heartbeat before they were sent, and would make its clock seem slower by
+//! that: an entry that had nothing else refused payments that had time enough.
 
 use std::collections::HashMap;
 
