--- a/crates/lab/src/case.rs
+++ b/crates/lab/src/case.rs
@@ -69,6 +69,15 @@
     },
 }
 
+/// Who makes the key of a call that may not run twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyMaker {
+    /// The entry: its gates take turns.
+    Entry,
+    /// The caller: the same key must name the same gate again.
+    Caller,
+}
+
 /// A fault and its time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FaultAt {
@@ -97,8 +106,9 @@
     pub noisy: bool,
     /// Reports on answers are 10 to 500 ms old.
     pub stale_reports: bool,
-    /// Calls are not idempotent and go by tickets.
-    pub ticketed: bool,
+    /// Who makes the keys of calls that go by tickets; `None` for idempotent
+    /// calls.
+    pub ticket_keys: Option<KeyMaker>,
     /// Refused or failed callers come back, as documented.
     pub callers_resend: bool,
     /// Length of the run.
--- a/crates/lab/src/case/catalogue.rs
+++ b/crates/lab/src/case/catalogue.rs
@@ -1,6 +1,6 @@
 //! Every case by name, for both deployments of the brief.
 
-use super::{Case, Fault, FaultAt, ServiceSpec};
+use super::{Case, Fault, FaultAt, KeyMaker, ServiceSpec};
 use crate::time::Micros;
 
 /// Calls that a steady case measures; enough for a p99.9 of a hundred calls.
@@ -12,6 +12,8 @@
 /// Load of the cases with several faults; what is left of Ljubljana's four
 /// targets while one is slow and one away carries a little over half.
 const TOGETHER_PERCENT: u32 = 45;
+/// Shorter, because every call is eight.
+const CHAIN_RUN: Micros = Micros::from_millis(17_000);
 const DEEPEST_CHAIN: usize = 8;
 const CHAIN_NAMES: [&str; DEEPEST_CHAIN] = ["a", "b", "c", "d", "e", "f", "g", "h"];
 
@@ -68,9 +70,13 @@
     for percent in [50, 80, 95] {
         let mut case = steady(deployment, &deployment.payments, "tickets", percent);
         case.about = "calls that may not run twice, by tickets";
-        case.ticketed = true;
+        case.ticket_keys = Some(KeyMaker::Entry);
         cases.push(case);
     }
+    let mut keyed = steady(deployment, &deployment.payments, "keyed", 80);
+    keyed.about = "the same, with keys that callers make";
+    keyed.ticket_keys = Some(KeyMaker::Caller);
+    cases.push(keyed);
     for percent in [50, 80, 95] {
         let mut case = steady(deployment, &deployment.lookups, "noisy", percent);
         case.about = "each target freezes for 5-50 ms about once a second";
@@ -202,7 +208,7 @@
                 .push(service(name, 3, deployment.small.slots, 2_000.0));
         }
         case.nodes = 3 * DEEPEST_CHAIN;
-        case.duration = FAULT_RUN;
+        case.duration = CHAIN_RUN;
         cases.push(case);
     }
 }
@@ -217,7 +223,7 @@
         work_sigma: 0.5,
         noisy: false,
         stale_reports: false,
-        ticketed: false,
+        ticket_keys: None,
         callers_resend: false,
         duration: Micros::ZERO,
         warm_up: WARM_UP,
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -98,7 +98,16 @@
     fn pick(&mut self, request: &PickRequest<'_>, truth: &Truth<'_>) -> Result<Pick, Refusal>;
 
     /// Chooses the only target that may run a ticketed call.
-    fn pick_ticket_gate(&mut self, key: CallKey, truth: &Truth<'_>) -> Result<VmId, Refusal>;
+    fn pick_ticket_gate(
+        &mut self,
+        key: CallKey,
+        maker: KeyMaker,
+        truth: &Truth<'_>,
+    ) -> Result<VmId, Refusal>;
+
+    /// Whether a hedge would find a free slot, for all that this policy knows
+    /// beyond the core's own judgement.
+    fn has_room(&self, truth: &Truth<'_>) -> bool;
 
     /// Ends an attempt.
     fn finish(&mut self, pick: &Pick, outcome: &AttemptOutcome, now: Millis);
--- a/crates/lab/src/policy/baseline.rs
+++ b/crates/lab/src/policy/baseline.rs
@@ -108,11 +108,20 @@
         Ok(self.core.pick_fixed(chosen.index, now))
     }
 
-    fn pick_ticket_gate(&mut self, _key: CallKey, truth: &Truth<'_>) -> Result<VmId, Refusal> {
+    fn pick_ticket_gate(
+        &mut self,
+        _key: CallKey,
+        _maker: KeyMaker,
+        truth: &Truth<'_>,
+    ) -> Result<VmId, Refusal> {
         let chosen = self.choose(&[], truth)?;
         Ok(self.view.targets[chosen.host].vm.clone())
     }
 
+    fn has_room(&self, truth: &Truth<'_>) -> bool {
+        self.chooser.has_room(truth)
+    }
+
     fn finish(&mut self, pick: &Pick, outcome: &AttemptOutcome, now: Millis) {
         if let Some(candidate) = self.candidate_mut(pick.target) {
             candidate.own_in_flight = candidate.own_in_flight.saturating_sub(1);
--- a/crates/lab/src/policy/choosers.rs
+++ b/crates/lab/src/policy/choosers.rs
@@ -10,6 +10,11 @@
 pub(super) trait Chooser: std::fmt::Debug {
     /// The place of the chosen candidate.
     fn choose(&mut self, candidates: &[Candidate], truth: &Truth<'_>) -> usize;
+
+    /// Whether some target has a free slot; those who cannot tell say yes.
+    fn has_room(&self, _truth: &Truth<'_>) -> bool {
+        true
+    }
 }
 
 pub(super) fn random(seed: u64) -> Box<dyn Chooser> {
@@ -140,4 +145,8 @@
         }
         best
     }
+
+    fn has_room(&self, truth: &Truth<'_>) -> bool {
+        truth.hosts.iter().any(|host| host.has_free_slot(truth.now))
+    }
 }
--- a/crates/lab/src/policy/core_policy.rs
+++ b/crates/lab/src/policy/core_policy.rs
@@ -24,11 +24,24 @@
         self.core.pick(request, truth.now.floor_millis())
     }
 
-    fn pick_ticket_gate(&mut self, key: CallKey, truth: &Truth<'_>) -> Result<VmId, Refusal> {
-        let gate = self.core.ticket_gate(key, truth.now.floor_millis())?;
+    fn pick_ticket_gate(
+        &mut self,
+        key: CallKey,
+        maker: KeyMaker,
+        truth: &Truth<'_>,
+    ) -> Result<VmId, Refusal> {
+        let now = truth.now.floor_millis();
+        let gate = match maker {
+            KeyMaker::Entry => self.core.ticket_gate_in_turn(now)?,
+            KeyMaker::Caller => self.core.ticket_gate(key, now)?,
+        };
         Ok(gate.vm)
     }
 
+    fn has_room(&self, _truth: &Truth<'_>) -> bool {
+        true
+    }
+
     fn finish(&mut self, pick: &Pick, outcome: &AttemptOutcome, now: Millis) {
         self.core.finish(pick, outcome, now);
     }
--- a/crates/lab/src/prelude.rs
+++ b/crates/lab/src/prelude.rs
@@ -1,6 +1,6 @@
 //! The types that most modules of the lab need.
 
-pub use crate::case::{Case, Fault, FaultAt};
+pub use crate::case::{Case, Fault, FaultAt, KeyMaker};
 pub use crate::time::Micros;
 pub use hornbeamhitch_core::entry::{
     AttemptEnd, AttemptOutcome, CallProgress, Next, Pick, PickRequest, TargetIndex,
--- a/crates/lab/src/world/call.rs
+++ b/crates/lab/src/world/call.rs
@@ -5,6 +5,9 @@
 use crate::event::{AttemptIndex, CallIndex, HostId};
 use crate::prelude::*;
 
+/// Fingerprint of the request that crashes targets.
+const CRASH_FINGERPRINT: u64 = 0xdead_beef;
+
 /// What a call is, beside its place in the chain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CallKind {
@@ -45,6 +48,14 @@
 }
 
 impl Call {
+    /// What suspicion knows the call by.
+    pub(super) const fn fingerprint(&self) -> u64 {
+        match self.kind {
+            CallKind::Crashing => CRASH_FINGERPRINT,
+            CallKind::FromCaller | CallKind::FromTarget(_) => self.identity,
+        }
+    }
+
     pub(super) fn progress(&self, idempotent: bool) -> CallProgress {
         CallProgress {
             idempotent,
