--- a/crates/node/src/gate_server/board.rs
+++ b/crates/node/src/gate_server/board.rs
@@ -1,13 +1,13 @@
 //! The gate's decisions behind one lock, and the calls that wait on them.
 
-use std::collections::HashMap;
+mod permit;
+mod waiting;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
 
 use hornbeamhitch_core::gate::{
     Arrival, FenceAnswer, Gate, GateSettings, RunEnd, RunId, Settlement, StoredAnswer, Verdict,
-    Wake,
 };
 use hornbeamhitch_core::prelude::*;
 use hornbeamhitch_core::suspects::{SuspectEntry, SuspectSet};
@@ -16,25 +16,12 @@
 
 use crate::clock::ProcessClock;
 use crate::metrics::Metrics;
+pub use permit::{HeldCall, RunPermit};
+use waiting::{Waiting, release};
 
 /// Nobody can come back sooner with success than a configuration spreads.
 const NO_CONFIGURATION_RETRY_MS: Millis = Millis(500);
 
-/// What a held call is told.
-#[derive(Debug)]
-enum Release {
-    Start,
-    Refused(Refusal),
-}
-
-#[derive(Debug, Default)]
-struct Waiting {
-    /// Calls in the gate's queue, by run.
-    held: HashMap<RunId, oneshot::Sender<Release>>,
-    /// Arrivals that wait for a key's settlement, by run.
-    joined: HashMap<RunId, Vec<oneshot::Sender<Settlement>>>,
-}
-
 #[derive(Debug)]
 struct State {
     /// `None` until a configuration names the service.
@@ -365,26 +352,13 @@
 
     fn permit(self: &Arc<Self>, run: RunId, class: CallClass) -> RunPermit {
         self.started.fetch_add(1, Ordering::Relaxed);
-        RunPermit {
-            board: Arc::clone(self),
-            run,
-            class,
-            started_at: Instant::now(),
-            ended: false,
-        }
+        RunPermit::new(self, run, class)
     }
 
     fn hold(self: &Arc<Self>, waiting: &mut Waiting, run: RunId, class: CallClass) -> HeldCall {
         let (sender, release) = oneshot::channel();
         waiting.held.insert(run, sender);
-        HeldCall {
-            board: Arc::clone(self),
-            run,
-            class,
-            held_at: Instant::now(),
-            release,
-            resolved: false,
-        }
+        HeldCall::new(self, run, class, release)
     }
 
     fn finish(&self, run: RunId, end: RunEnd, service_time_us: u32) {
@@ -411,45 +385,6 @@
     }
 }
 
-impl Waiting {
-    fn join(&mut self, run: RunId) -> oneshot::Receiver<Settlement> {
-        let (sender, settled) = oneshot::channel();
-        self.joined.entry(run).or_default().push(sender);
-        settled
-    }
-
-    fn settle(&mut self, run: RunId, settlement: &Settlement) {
-        for joined in self.joined.remove(&run).unwrap_or_default() {
-            // Whoever no longer listens has left; nothing is owed to it.
-            let _ = joined.send(settlement.clone());
-        }
-    }
-}
-
-/// Hands out releases. A start whose call has left in the same moment is ended
-/// at once, which may free further calls, hence the loop.
-fn release(gate: &mut Gate, waiting: &mut Waiting, wakes: Vec<Wake>, now: Millis) {
-    let mut pending = wakes;
-    while let Some(wake) = pending.pop() {
-        match wake {
-            Wake::Start(run) => {
-                let held = waiting.held.remove(&run);
-                let is_taken = held.is_some_and(|call| call.send(Release::Start).is_ok());
-                if !is_taken {
-                    pending.extend(gate.finish(run, RunEnd::NotRun, 0, now));
-                }
-            }
-            Wake::Refuse(run, refusal) => {
-                if let Some(call) = waiting.held.remove(&run) {
-                    let _ = call.send(Release::Refused(refusal));
-                }
-                waiting.settle(run, &Settlement::Refused(refusal));
-            }
-            Wake::Settled(run, settlement) => waiting.settle(run, &settlement),
-        }
-    }
-}
-
 fn unrecorded() -> Refusal {
     Refusal::retry_after(ResultCode::GateUnreachable, NO_CONFIGURATION_RETRY_MS)
 }
@@ -457,91 +392,3 @@
 fn no_configuration() -> Refusal {
     Refusal::retry_after(ResultCode::NoConfiguration, NO_CONFIGURATION_RETRY_MS)
 }
-
-/// The right to run one call in the target.
-///
-/// Ending it is the only way to free the place; dropping it counts as a
-/// cancellation, so a caller that leaves can never leak a slot.
-#[derive(Debug)]
-pub struct RunPermit {
-    board: Arc<GateBoard>,
-    run: RunId,
-    class: CallClass,
-    started_at: Instant,
-    ended: bool,
-}
-
-impl RunPermit {
-    /// Ends the run.
-    pub fn end(mut self, end: RunEnd) {
-        self.finish(end);
-    }
-
-    fn finish(&mut self, end: RunEnd) {
-        if self.ended {
-            return;
-        }
-        self.ended = true;
-        let elapsed_us = self.started_at.elapsed().as_micros();
-        let service_time_us = u32::try_from(elapsed_us).unwrap_or(u32::MAX);
-        if matches!(end, RunEnd::Answered { .. }) {
-            let metrics = &self.board.metrics;
-            metrics.gate_ran(self.class, service_time_us.into());
-        }
-        self.board.finish(self.run, end, service_time_us);
-    }
-}
-
-impl Drop for RunPermit {
-    fn drop(&mut self) {
-        self.finish(RunEnd::Cancelled);
-    }
-}
-
-/// A call in the gate's queue.
-#[derive(Debug)]
-pub struct HeldCall {
-    board: Arc<GateBoard>,
-    run: RunId,
-    class: CallClass,
-    held_at: Instant,
-    release: oneshot::Receiver<Release>,
-    resolved: bool,
-}
-
-impl HeldCall {
-    /// Waits for a place.
-    ///
-    /// # Errors
-    ///
-    /// The gate's refusal, when none can be had in time.
-    pub async fn wait(mut self) -> Result<RunPermit, Refusal> {
-        let released = (&mut self.release).await;
-        self.resolved = true;
-        match released {
-            Ok(Release::Start) => {
-                let waited_us = self.held_at.elapsed().as_micros();
-                let waited_us = u64::try_from(waited_us).unwrap_or(u64::MAX);
-                self.board.metrics.gate_waited(self.class, waited_us);
-                Ok(self.board.permit(self.run, self.class))
-            }
-            Ok(Release::Refused(refusal)) => Err(refusal),
-            Err(_) => Err(Refusal::fixed(ResultCode::Fenced)),
-        }
-    }
-}
-
-impl Drop for HeldCall {
-    /// The caller left. If its start was emitted in the same moment, the place
-    /// must be given back; else the call is taken out of the queue.
-    fn drop(&mut self) {
-        if self.resolved {
-            return;
-        }
-        match self.release.try_recv() {
-            Ok(Release::Start) => self.board.permit(self.run, self.class).end(RunEnd::NotRun),
-            Ok(Release::Refused(_)) => {}
-            Err(_) => self.board.abandon(self.run),
-        }
-    }
-}
--- /dev/null
+++ b/crates/node/src/gate_server/board/waiting.rs
@@ -0,0 +1,61 @@
+//! Calls that wait on the gate's decisions, and their release.
+
+use std::collections::HashMap;
+
+use hornbeamhitch_core::gate::{Gate, RunEnd, RunId, Settlement, Wake};
+use hornbeamhitch_core::prelude::*;
+use tokio::sync::oneshot;
+
+/// What a held call is told.
+#[derive(Debug)]
+pub(super) enum Release {
+    Start,
+    Refused(Refusal),
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Waiting {
+    /// Calls in the gate's queue, by run.
+    pub(super) held: HashMap<RunId, oneshot::Sender<Release>>,
+    /// Arrivals that wait for a key's settlement, by run.
+    joined: HashMap<RunId, Vec<oneshot::Sender<Settlement>>>,
+}
+
+impl Waiting {
+    pub(super) fn join(&mut self, run: RunId) -> oneshot::Receiver<Settlement> {
+        let (sender, settled) = oneshot::channel();
+        self.joined.entry(run).or_default().push(sender);
+        settled
+    }
+
+    pub(super) fn settle(&mut self, run: RunId, settlement: &Settlement) {
+        for joined in self.joined.remove(&run).unwrap_or_default() {
+            // Whoever no longer listens has left; nothing is owed to it.
+            let _ = joined.send(settlement.clone());
+        }
+    }
+}
+
+/// Hands out releases. A start whose call has left in the same moment is ended
+/// at once, which may free further calls, hence the loop.
+pub(super) fn release(gate: &mut Gate, waiting: &mut Waiting, wakes: Vec<Wake>, now: Millis) {
+    let mut pending = wakes;
+    while let Some(wake) = pending.pop() {
+        match wake {
+            Wake::Start(run) => {
+                let held = waiting.held.remove(&run);
+                let is_taken = held.is_some_and(|call| call.send(Release::Start).is_ok());
+                if !is_taken {
+                    pending.extend(gate.finish(run, RunEnd::NotRun, 0, now));
+                }
+            }
+            Wake::Refuse(run, refusal) => {
+                if let Some(call) = waiting.held.remove(&run) {
+                    let _ = call.send(Release::Refused(refusal));
+                }
+                waiting.settle(run, &Settlement::Refused(refusal));
+            }
+            Wake::Settled(run, settlement) => waiting.settle(run, &settlement),
+        }
+    }
+}
