--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod far_entry;
 pub mod in_force;
+pub mod pause;
 pub mod payment;
 pub mod probe_counter;
 pub mod raw_target;
--- /dev/null
+++ b/tests/all/support/pause.rs
@@ -0,0 +1,39 @@
+//! Pausing a node, and knowing that it stands still.
+
+use std::path::Path;
+use std::time::Instant;
+
+use eyre::{Result, bail};
+
+use super::{Deployment, PATIENCE, POLL};
+
+/// Pauses a node and waits until every one of its threads has stopped.
+///
+/// A stop signal is only queued when its sender goes on: on a busy machine the
+/// process may still answer a request or two.
+pub async fn pause(deployment: &mut Deployment, vm: &str) -> Result<()> {
+    deployment.fleet.pause(vm)?;
+    let process = deployment.fleet.process_id(vm)?;
+    let give_up = Instant::now() + PATIENCE;
+    while Instant::now() < give_up {
+        if has_stopped(process)? {
+            return Ok(());
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    bail!("{vm} never stopped")
+}
+
+fn has_stopped(process: u32) -> Result<bool> {
+    for task in Path::new(&format!("/proc/{process}/task")).read_dir()? {
+        let stat = std::fs::read_to_string(task?.path().join("stat"))?;
+        // The state stands behind the name, which is in parentheses.
+        let Some((_, rest)) = stat.rsplit_once(") ") else {
+            return Ok(false);
+        };
+        if !rest.starts_with('T') {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
