Measure what a node costs against what it knows

Ruled out: the core's own test harness (only built for its tests); resident size of many instances in one process (allocator noise hides some kB); wall time on a shared machine (the thread's own clock is read instead).

Change: `hornbeamhitch-lab capacity` runs up to 1,220 real control halves with the real text checker against a fake network and platform in virtual time, and measures readers, losses in the VM list, checks of texts, entries and gates. Memory is counted by allocation-counter, which the lab's tests had already; cpu-time reads the thread's clock. tests/capacity.rs holds exact counts.

Conclusion: the figures for docs/CAPACITY.md come from this command.

--- /dev/null
+++ b/crates/lab/src/capacity/control.rs
@@ -0,0 +1,205 @@
+//! The control half of one node against its service and its dependencies.
+
+use serde::Serialize;
+
+use crate::capacity::fleet::{Calls, Fleet, Spent};
+use crate::capacity::layout::Layout;
+use crate::capacity::memory::held_bytes;
+use crate::prelude::*;
+
+const COLD_START_LIMIT: Millis = Millis::from_secs(60);
+/// One change of the text: 60,000 a day are one in 1.44 s.
+const EDIT_EVERY: Millis = Millis(1_440);
+/// A node other than those that read the platform is watched: this many are
+/// tried.
+const MEMBERS_TRIED: usize = 40;
+
+/// What is run.
+#[derive(Clone, Debug)]
+pub struct ControlCase {
+    /// Name in tables.
+    pub name: String,
+    /// The deployment; a node of its first service is measured.
+    pub layout: Layout,
+    /// What nodes do with the services that they depend on.
+    pub calls: Calls,
+    /// Whether the text changes as on an ordinary day.
+    pub edited: bool,
+    /// Time before the measurement.
+    pub settle_s: u64,
+    /// Time measured.
+    pub measure_s: u64,
+}
+
+/// What one node costs a second.
+#[derive(Clone, Debug, Serialize)]
+pub struct ControlFigures {
+    /// The case.
+    pub name: String,
+    /// Nodes of the run.
+    pub nodes: usize,
+    /// Targets that the node knows of, its own included.
+    pub known_targets: usize,
+    /// Those of them that are doubtful.
+    pub doubtful_targets: usize,
+    /// Datagrams sent.
+    pub datagrams_out_per_s: f64,
+    /// Datagrams received.
+    pub datagrams_in_per_s: f64,
+    /// Bytes sent, bulk included.
+    pub bytes_out_per_s: f64,
+    /// Bytes received, bulk included.
+    pub bytes_in_per_s: f64,
+    /// Bulk requests sent.
+    pub pulls_per_s: f64,
+    /// Probes sent.
+    pub probes_per_s: f64,
+    /// Route tables published.
+    pub tables_per_s: f64,
+    /// Processor time, in microseconds.
+    pub processor_us_per_s: f64,
+    /// Memory that control and route table hold.
+    pub memory_bytes: u64,
+}
+
+impl ControlFigures {
+    /// Bytes in both directions.
+    #[must_use]
+    pub fn bytes_per_s(&self) -> f64 {
+        self.bytes_out_per_s + self.bytes_in_per_s
+    }
+}
+
+/// Runs a case.
+#[must_use]
+pub fn measure(case: &ControlCase) -> ControlFigures {
+    let mut fleet = Fleet::start(&case.layout, case.calls);
+    fleet.run_until(COLD_START_LIMIT, |fleet| fleet.all_at(1));
+    fleet.give_loads();
+    fleet.run(Millis::from_secs(case.settle_s));
+    let index = ordinary_member(&fleet);
+    fleet.watch(index);
+    let before = fleet.spent(index);
+    let measured = Millis::from_secs(case.measure_s);
+    if case.edited {
+        run_with_edits(&mut fleet, &case.layout, measured);
+    } else {
+        fleet.run(measured);
+    }
+    let after = fleet.spent(index);
+    let (mut known_targets, mut doubtful_targets) = (0, 0);
+    for view in fleet.node(index).table().services.values() {
+        known_targets += view.targets.len();
+        let doubtful = view.targets.iter().filter(|target| target.doubtful);
+        doubtful_targets += doubtful.count();
+    }
+    let mut figures = rates(&before, &after, case.measure_s as f64);
+    figures.name.clone_from(&case.name);
+    figures.nodes = fleet.alive().len();
+    figures.known_targets = known_targets;
+    figures.doubtful_targets = doubtful_targets;
+    figures.memory_bytes = held_bytes(fleet.take_out(index));
+    figures
+}
+
+fn run_with_edits(fleet: &mut Fleet, layout: &Layout, span: Millis) {
+    let end = fleet.now() + span;
+    let mut edits = 0;
+    while fleet.now() < end {
+        edits += 1;
+        fleet.publish_text(&layout.text(edits));
+        fleet.run(EDIT_EVERY.min(end.minus(fleet.now())));
+    }
+}
+
+/// The first member of the first service that does not read the platform.
+fn ordinary_member(fleet: &Fleet) -> usize {
+    for index in 0..MEMBERS_TRIED.min(fleet.alive().len()) {
+        if !fleet.status(index).reading {
+            return index;
+        }
+    }
+    0
+}
+
+/// What was spent between two looks, a second.
+#[must_use]
+pub fn rates(before: &Spent, after: &Spent, seconds: f64) -> ControlFigures {
+    let (old, new) = (&before.counters, &after.counters);
+    let rate = |old: u64, new: u64| (new - old) as f64 / seconds;
+    let platform = rate(before.platform_bytes, after.platform_bytes);
+    ControlFigures {
+        name: String::new(),
+        nodes: 0,
+        known_targets: 0,
+        doubtful_targets: 0,
+        datagrams_out_per_s: rate(old.datagrams_out, new.datagrams_out),
+        datagrams_in_per_s: rate(old.datagrams_in, new.datagrams_in),
+        bytes_out_per_s: rate(
+            old.datagram_bytes_out + old.bulk_bytes_out,
+            new.datagram_bytes_out + new.bulk_bytes_out,
+        ),
+        bytes_in_per_s: platform
+            + rate(
+                old.datagram_bytes_in + old.bulk_bytes_in,
+                new.datagram_bytes_in + new.bulk_bytes_in,
+            ),
+        pulls_per_s: rate(old.bulk_pulls, new.bulk_pulls),
+        probes_per_s: rate(old.probes_sent, new.probes_sent),
+        tables_per_s: rate(old.tables_published, new.tables_published),
+        processor_us_per_s: rate(before.processor_ns, after.processor_ns) / 1e3,
+        memory_bytes: 0,
+    }
+}
+
+/// The cases of the full measurement.
+#[must_use]
+pub fn cases(quick: bool) -> Vec<ControlCase> {
+    let mut cases = Vec::new();
+    let sizes: &[usize] = if quick {
+        &[3, 50]
+    } else {
+        &[3, 10, 50, 100, 200, 500]
+    };
+    let callees: &[usize] = if quick { &[0, 5] } else { &[0, 5, 20] };
+    for count in callees {
+        for targets in sizes {
+            cases.push(ControlCase {
+                name: format!("service of {targets}, {count} callees of 36"),
+                layout: Layout::caller_and_callees(*targets, *count, 36),
+                calls: Calls::None,
+                edited: false,
+                settle_s: 20,
+                measure_s: 30,
+            });
+        }
+    }
+    for (targets, count) in [(50, 5), (50, 20), (500, 20)] {
+        if quick && targets * count > 250 {
+            continue;
+        }
+        cases.push(ControlCase {
+            name: format!("the same with calls and edits, {targets} and {count}"),
+            layout: Layout::caller_and_callees(targets, count, 36),
+            calls: Calls::EveryTarget,
+            edited: true,
+            settle_s: 20,
+            measure_s: 30,
+        });
+    }
+    let callers: &[usize] = if quick { &[1, 5] } else { &[1, 5, 10, 30] };
+    for count in callers {
+        for calls in [Calls::None, Calls::Seldom] {
+            let word = if calls == Calls::None { "" } else { ", seldom" };
+            cases.push(ControlCase {
+                name: format!("service of 3, called by {count} of 36{word}"),
+                layout: Layout::callers_of_one(3, *count, 36),
+                calls,
+                edited: false,
+                settle_s: 20,
+                measure_s: 30,
+            });
+        }
+    }
+    cases
+}
--- /dev/null
+++ b/crates/lab/src/capacity/fleet.rs
@@ -0,0 +1,569 @@
+//! Many control halves in virtual time, with a fake network and platform.
+//!
+//! The control halves are the real ones, and texts are checked by the real
+//! checker. Datagrams take one to three milliseconds and none is lost.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use hornbeamhitch_core::control::{
+    CheckedText, Control, ControlAction, ControlCounters, ControlEvent, ControlSettings,
+    ControlStatus, PlatformRead, RequestId, TextChecker, TextRefusal,
+};
+use hornbeamhitch_wire::control::{ListVersion, ListedVm};
+use rand::rngs::Xoshiro256PlusPlus;
+use rand::{RngExt, SeedableRng};
+
+use crate::capacity::layout::{Layout, index_at};
+use crate::capacity::stopwatch::Stopwatch;
+use crate::prelude::*;
+
+const SEED: u64 = 42;
+const TICK: Millis = Millis(50);
+/// The daemon takes a status for operators this often.
+const STATUS_TICKS: u64 = 4;
+const DATAGRAM_DELAY_MS: std::ops::RangeInclusive<u64> = 1..=3;
+const BULK_DELAY: Millis = Millis(2);
+const PLATFORM_DELAY: Millis = Millis(5);
+const SECOND: Millis = Millis(1_000);
+/// Length of a line of the VM list in JSON; see `docs/contributing/architecture.md`.
+const LISTED_VM_JSON_BYTES: u64 = 150;
+
+struct Checker;
+
+impl TextChecker for Checker {
+    fn check(&self, text: &str) -> Result<CheckedText, TextRefusal> {
+        match hornbeamhitch_text::check(text) {
+            Ok(checked) => Ok(CheckedText {
+                deployment: checked.deployment,
+                services: checked.services,
+            }),
+            Err(faults) => Err(TextRefusal {
+                reason: faults.to_string(),
+            }),
+        }
+    }
+}
+
+/// What one node has sent, received and spent so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Spent {
+    /// The counters of its control half.
+    pub counters: ControlCounters,
+    /// Bodies that its reads of the platform have brought.
+    pub platform_bytes: u64,
+    /// Processor time of the control half; only of the watched node.
+    pub processor_ns: u64,
+}
+
+/// One node.
+pub struct Node {
+    settings: ControlSettings,
+    control: Control,
+    table: Arc<RouteTable>,
+    calls: Vec<ServiceName>,
+    platform_bytes: u64,
+    ticks: u64,
+    alive: bool,
+    /// Reached this version of the text at that time.
+    reached: BTreeMap<u64, Millis>,
+}
+
+impl Node {
+    /// The route table published last.
+    #[must_use]
+    pub fn table(&self) -> &RouteTable {
+        &self.table
+    }
+}
+
+/// What nodes do with the services that they depend on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Calls {
+    /// Nothing.
+    None,
+    /// Each node calls every target once a second and hears of its load.
+    EveryTarget,
+    /// Each node calls so seldom that it hears of no target by answers.
+    Seldom,
+}
+
+struct Watch {
+    node: usize,
+    read: PlatformRead,
+    service: Option<ServiceName>,
+    after: u64,
+    until: Millis,
+}
+
+enum Occurrence {
+    Tick,
+    /// The calls of one second.
+    Calls,
+    Event(ControlEvent),
+    Asked(usize, Vec<u8>),
+}
+
+/// All nodes with the network and the platform between them.
+pub struct Fleet {
+    now: Millis,
+    nodes: Vec<Option<Node>>,
+    vms: Vec<ListedVm>,
+    list_version: u64,
+    text: (u64, Arc<str>),
+    watches: Vec<Watch>,
+    platform_reads: u64,
+    queue: BTreeMap<(Millis, u64), (usize, Occurrence)>,
+    sequence: u64,
+    rng: Xoshiro256PlusPlus,
+    watched: usize,
+    stopwatch: Stopwatch,
+    calls: Calls,
+}
+
+impl Fleet {
+    /// Starts a node on each VM of a layout.
+    #[must_use]
+    pub fn start(layout: &Layout, calls: Calls) -> Self {
+        let mut fleet = Self {
+            now: Millis(1_000),
+            nodes: Vec::new(),
+            vms: layout.vms(),
+            list_version: 1,
+            text: (1, Arc::from(layout.text(0))),
+            watches: Vec::new(),
+            platform_reads: 0,
+            queue: BTreeMap::new(),
+            sequence: 0,
+            rng: Xoshiro256PlusPlus::seed_from_u64(SEED),
+            watched: 0,
+            stopwatch: Stopwatch::default(),
+            calls,
+        };
+        for place in 0..fleet.vms.len() {
+            fleet.start_node(layout, place);
+        }
+        fleet
+    }
+
+    fn start_node(&mut self, layout: &Layout, index: usize) {
+        let entry = &self.vms[index];
+        let settings = ControlSettings {
+            vm: entry.vm.clone(),
+            service: entry.service.clone(),
+            data_centre: entry.data_centre.clone(),
+            peer: entry.peer,
+            control: entry.control,
+            incarnation: Incarnation::compose(1_760_000_000_000 + index as u64, 7),
+            seed: self.rng.random(),
+            seeds: Vec::new(),
+        };
+        let own = entry.service.as_str();
+        let mut calls = Vec::new();
+        for shape in &layout.services {
+            if shape.name != own {
+                continue;
+            }
+            for callee in &shape.depends_on {
+                calls.push(ServiceName::new(&layout.services[*callee].name));
+            }
+        }
+        self.nodes.push(Some(Node {
+            control: Control::new(settings.clone(), Box::new(Checker), self.now),
+            settings,
+            table: Arc::default(),
+            calls,
+            platform_bytes: 0,
+            ticks: 0,
+            alive: true,
+            reached: BTreeMap::new(),
+        }));
+        let offset = Millis(self.rng.random_range(0..TICK.0));
+        self.push(self.now + offset, index, Occurrence::Tick);
+        if self.calls != Calls::None {
+            let offset = Millis(self.rng.random_range(0..SECOND.0));
+            self.push(self.now + offset, index, Occurrence::Calls);
+        }
+    }
+
+    /// The present virtual time.
+    #[must_use]
+    pub const fn now(&self) -> Millis {
+        self.now
+    }
+
+    /// Reads of the platform so far, a waiting watch as one.
+    #[must_use]
+    pub const fn platform_reads(&self) -> u64 {
+        self.platform_reads
+    }
+
+    /// Measures the processor time of this node from now on.
+    pub fn watch(&mut self, index: usize) {
+        self.watched = index;
+        self.stopwatch = Stopwatch::default();
+    }
+
+    /// One node, while it is there.
+    #[must_use]
+    pub fn node(&self, index: usize) -> &Node {
+        self.nodes[index]
+            .as_ref()
+            .expect("the node was not taken out")
+    }
+
+    /// The status of one node.
+    #[must_use]
+    pub fn status(&self, index: usize) -> ControlStatus {
+        self.node(index).control.status(self.now)
+    }
+
+    /// What one node has spent.
+    #[must_use]
+    pub fn spent(&self, index: usize) -> Spent {
+        Spent {
+            counters: self.status(index).counters,
+            platform_bytes: self.node(index).platform_bytes,
+            processor_ns: if index == self.watched {
+                self.stopwatch.spent_ns()
+            } else {
+                0
+            },
+        }
+    }
+
+    /// Nodes that are alive.
+    #[must_use]
+    pub fn alive(&self) -> Vec<usize> {
+        let mut alive = Vec::new();
+        for (index, node) in self.nodes.iter().enumerate() {
+            if node.as_ref().is_some_and(|node| node.alive) {
+                alive.push(index);
+            }
+        }
+        alive
+    }
+
+    /// Nodes that read the platform.
+    #[must_use]
+    pub fn readers(&self) -> Vec<usize> {
+        let mut readers = self.alive();
+        readers.retain(|index| self.status(*index).reading);
+        readers
+    }
+
+    /// Takes a node out, so that what it holds can be weighed.
+    pub fn take_out(&mut self, index: usize) -> Node {
+        self.nodes[index]
+            .take()
+            .expect("the node was not taken out")
+    }
+
+    /// Publishes a newer text; gives its version.
+    pub fn publish_text(&mut self, text: &str) -> u64 {
+        self.text = (self.text.0 + 1, Arc::from(text));
+        self.wake_watches();
+        self.text.0
+    }
+
+    /// Publishes a newer VM list.
+    pub fn publish_vms(&mut self, change: impl FnOnce(&mut Vec<ListedVm>)) {
+        change(&mut self.vms);
+        self.list_version += 1;
+        self.wake_watches();
+    }
+
+    /// Ends nodes without a word.
+    pub fn kill(&mut self, index: usize) {
+        if let Some(node) = &mut self.nodes[index] {
+            node.alive = false;
+        }
+    }
+
+    /// Whether all nodes have this version of the text in force.
+    #[must_use]
+    pub fn all_at(&self, version: u64) -> bool {
+        let version = Some(ConfigVersion(version));
+        let mut nodes = self.nodes.iter().flatten();
+        nodes.all(|node| !node.alive || node.table.version >= version)
+    }
+
+    /// When each node reached a version.
+    #[must_use]
+    pub fn reached(&self, version: u64) -> Vec<Millis> {
+        let mut times = Vec::new();
+        for node in self.nodes.iter().flatten() {
+            if !node.alive {
+                continue;
+            }
+            if let Some((_, at)) = node.reached.range(version..).next() {
+                times.push(*at);
+            }
+        }
+        times
+    }
+
+    /// Gives every gate a load, which makes every statement longer.
+    pub fn give_loads(&mut self) {
+        for index in self.alive() {
+            let load = self.load_of(index);
+            self.push(
+                self.now,
+                index,
+                Occurrence::Event(ControlEvent::GateLoad(load)),
+            );
+        }
+    }
+
+    /// Runs for a span of virtual time.
+    pub fn run(&mut self, span: Millis) {
+        let end = self.now + span;
+        while let Some(entry) = self.queue.first_entry() {
+            let (at, _) = *entry.key();
+            if at > end {
+                break;
+            }
+            let (index, occurrence) = entry.remove();
+            self.now = self.now.max(at);
+            self.end_watches();
+            self.step(index, occurrence);
+        }
+        self.now = end;
+    }
+
+    /// Runs until the condition holds; gives the time that it took.
+    ///
+    /// # Panics
+    ///
+    /// It does not hold within the limit.
+    pub fn run_until(&mut self, limit: Millis, holds: impl Fn(&Self) -> bool) -> Millis {
+        let start = self.now;
+        while !holds(self) {
+            assert!(self.now.since(start) < limit, "not within {limit}");
+            self.run(TICK);
+        }
+        self.now.since(start)
+    }
+
+    fn load_of(&self, index: usize) -> LoadReport {
+        LoadReport {
+            in_flight: 200,
+            queued: 20,
+            limit: 250,
+            service_time_us: 20_000,
+            gate_clock_ms: self.now,
+            incarnation: self.node(index).settings.incarnation,
+            leaving: false,
+        }
+    }
+
+    fn push(&mut self, at: Millis, index: usize, occurrence: Occurrence) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), (index, occurrence));
+    }
+
+    fn step(&mut self, index: usize, occurrence: Occurrence) {
+        if !self.nodes[index].as_ref().is_some_and(|node| node.alive) {
+            return;
+        }
+        match occurrence {
+            Occurrence::Tick => self.tick(index),
+            Occurrence::Calls => self.call(index),
+            Occurrence::Event(event) => {
+                self.handle(index, event);
+            }
+            Occurrence::Asked(asker, message) => self.answer(index, asker, message),
+        }
+    }
+
+    /// As the daemon does: the gate's load, the tick, now and then a status.
+    fn tick(&mut self, index: usize) {
+        self.push(self.now + TICK, index, Occurrence::Tick);
+        let load = self.load_of(index);
+        self.handle(index, ControlEvent::GateLoad(load));
+        self.handle(index, ControlEvent::Tick);
+        let now = self.now;
+        let is_watched = index == self.watched;
+        let node = self.nodes[index].as_mut().expect("it was just there");
+        node.ticks += 1;
+        if is_watched && node.ticks.is_multiple_of(STATUS_TICKS) {
+            self.stopwatch.time(|| drop(node.control.status(now)));
+        }
+    }
+
+    fn call(&mut self, index: usize) {
+        self.push(self.now + SECOND, index, Occurrence::Calls);
+        let table = Arc::clone(&self.node(index).table);
+        for service in self.node(index).calls.clone() {
+            self.handle(index, ControlEvent::SentTo(service.clone()));
+            let view = table.services.get(&service);
+            let Some(view) = view.filter(|_| self.calls == Calls::EveryTarget) else {
+                continue;
+            };
+            for target in &view.targets {
+                let callee = index_at(target.peer);
+                if self.nodes[callee].as_ref().is_some_and(|node| node.alive) {
+                    let load = self.load_of(callee);
+                    let vm = target.vm.clone();
+                    self.handle(index, ControlEvent::Heard { vm, load });
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, index: usize, asker: usize, message: Vec<u8>) {
+        let request = RequestId(self.sequence);
+        let peer = self.node(index).settings.control;
+        let event = match self.handle(index, ControlEvent::BulkRequested { request, message }) {
+            Some(message) => ControlEvent::BulkAnswered { peer, message },
+            None => ControlEvent::BulkFailed { peer },
+        };
+        self.push(self.now + BULK_DELAY, asker, Occurrence::Event(event));
+    }
+
+    /// Hands an event to a node and carries out its actions; gives the answer
+    /// to a bulk request.
+    fn handle(&mut self, index: usize, event: ControlEvent) -> Option<Vec<u8>> {
+        let now = self.now;
+        let node = self.nodes[index].as_mut().expect("the node is alive");
+        let actions = if index == self.watched {
+            self.stopwatch.time(|| node.control.handle(event, now))
+        } else {
+            node.control.handle(event, now)
+        };
+        let mut answer = None;
+        for action in actions {
+            match action {
+                ControlAction::SendDatagram { to, bytes } => self.send(index, index_at(to), bytes),
+                ControlAction::ReadText { after, wait_ms } => {
+                    self.read(index, PlatformRead::Text, None, after.0, wait_ms);
+                }
+                ControlAction::ReadVms {
+                    service,
+                    after,
+                    wait_ms,
+                } => self.read(index, PlatformRead::Vms, service, after.0, wait_ms),
+                ControlAction::BulkRequest { to, message } => {
+                    self.ask(index, index_at(to), message);
+                }
+                ControlAction::BulkAnswer { message, .. } => answer = Some(message),
+                ControlAction::Publish(table) => self.take_table(index, table),
+            }
+        }
+        answer
+    }
+
+    fn take_table(&mut self, index: usize, table: Arc<RouteTable>) {
+        let now = self.now;
+        let node = self.nodes[index].as_mut().expect("the node is alive");
+        if let Some(version) = table.version {
+            node.reached.entry(version.0).or_insert(now);
+        }
+        node.table = table;
+    }
+
+    fn send(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
+        let from = self.vms_control(from);
+        let delay = Millis(self.rng.random_range(DATAGRAM_DELAY_MS));
+        let event = ControlEvent::Datagram { from, bytes };
+        self.push(self.now + delay, to, Occurrence::Event(event));
+    }
+
+    fn vms_control(&self, index: usize) -> std::net::SocketAddr {
+        self.node(index).settings.control
+    }
+
+    fn ask(&mut self, from: usize, to: usize, message: Vec<u8>) {
+        let at = self.now + BULK_DELAY;
+        if self.nodes[to].as_ref().is_some_and(|node| node.alive) {
+            self.push(at, to, Occurrence::Asked(from, message));
+            return;
+        }
+        let peer = self.node(to).settings.control;
+        self.push(
+            at,
+            from,
+            Occurrence::Event(ControlEvent::BulkFailed { peer }),
+        );
+    }
+
+    fn read(
+        &mut self,
+        node: usize,
+        read: PlatformRead,
+        service: Option<ServiceName>,
+        after: u64,
+        wait_ms: Millis,
+    ) {
+        self.platform_reads += 1;
+        self.watches.push(Watch {
+            node,
+            read,
+            service,
+            after,
+            until: self.now + wait_ms,
+        });
+        self.wake_watches();
+        self.end_watches();
+    }
+
+    /// Ends watches whose value has come.
+    fn wake_watches(&mut self) {
+        for watch in std::mem::take(&mut self.watches) {
+            let Some((event, bytes)) = self.news_for(&watch) else {
+                self.watches.push(watch);
+                continue;
+            };
+            if let Some(node) = &mut self.nodes[watch.node] {
+                node.platform_bytes += bytes;
+            }
+            let at = self.now + PLATFORM_DELAY;
+            self.push(at, watch.node, Occurrence::Event(event));
+        }
+    }
+
+    /// Ends watches whose time is over.
+    fn end_watches(&mut self) {
+        let now = self.now;
+        if !self.watches.iter().any(|watch| watch.until <= now) {
+            return;
+        }
+        for watch in std::mem::take(&mut self.watches) {
+            if watch.until > now {
+                self.watches.push(watch);
+                continue;
+            }
+            let event = match watch.read {
+                PlatformRead::Text => ControlEvent::TextUnchanged,
+                PlatformRead::Vms => ControlEvent::VmsUnchanged,
+            };
+            let at = now + PLATFORM_DELAY;
+            self.push(at, watch.node, Occurrence::Event(event));
+        }
+    }
+
+    fn news_for(&self, watch: &Watch) -> Option<(ControlEvent, u64)> {
+        if watch.read == PlatformRead::Text {
+            let (version, text) = &self.text;
+            let event = ControlEvent::TextRead {
+                version: ConfigVersion(*version),
+                text: Arc::clone(text),
+            };
+            return (*version > watch.after).then_some((event, text.len() as u64));
+        }
+        if self.list_version <= watch.after {
+            return None;
+        }
+        let mut vms = self.vms.clone();
+        if let Some(service) = &watch.service {
+            vms.retain(|entry| entry.service == *service);
+        }
+        let bytes = vms.len() as u64 * LISTED_VM_JSON_BYTES;
+        let event = ControlEvent::VmsRead {
+            version: ListVersion(self.list_version),
+            service: watch.service.clone(),
+            vms,
+        };
+        Some((event, bytes))
+    }
+}
--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -2,6 +2,7 @@
 
 use gumdrop::Options;
 
+pub mod capacity;
 pub mod check;
 pub mod list;
 pub mod run;
@@ -29,4 +30,7 @@
     /// Hold runs against the committed bounds.
     #[options(help = "hold runs against the committed bounds")]
     Check(check::CheckArguments),
+    /// Measure what a node costs against what it knows.
+    #[options(help = "measure what a node costs against what it knows")]
+    Capacity(capacity::CapacityArguments),
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,10 +9,12 @@
 //! - [`case`] lists the experiments;
 //! - [`policy`] has the ways of picking that are compared;
 //! - [`world`] is the event loop;
+//! - [`capacity`] measures what a node costs against what it knows;
 //! - [`report`], [`plot`] and [`bounds`] turn runs into tables, pictures and a
 //!   verdict.
 
 pub mod bounds;
+pub mod capacity;
 pub mod case;
 pub mod commands;
 pub mod fixture;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use hornbeamhitch_lab::commands::{Arguments, Command, check, list, run};
+use hornbeamhitch_lab::commands::{Arguments, Command, capacity, check, list, run};
 
 fn main() -> eyre::Result<ExitCode> {
     let arguments = Arguments::parse_args_default_or_exit();
@@ -14,6 +14,7 @@
         }
         Some(Command::List(arguments)) => list::list(&arguments),
         Some(Command::Run(arguments)) => run::run(&arguments)?,
+        Some(Command::Capacity(arguments)) => capacity::capacity(&arguments)?,
         Some(Command::Check(arguments)) => {
             if !check::check(&arguments)? {
                 return Ok(ExitCode::FAILURE);
