Take the deployment's tag off before probes are counted

Ruled out: a fault of probing; the core's count was right. Change: the test takes the tag off as a node does; what it asserts is unchanged.

--- a/tests/all/measuring.rs
+++ b/tests/all/measuring.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use eyre::{Result, ensure};
+use hornbeamhitch_node::control_loop::FleetTag;
 use hornbeamhitch_standins::fleet::{Fleet, FleetConfig, NodeSpec};
 use hornbeamhitch_standins::platform::{PlatformStandin, VmEntry, VmState};
 use hornbeamhitch_standins::target::{HealthSays, Mood, TargetConfig, TargetStandin};
@@ -19,6 +20,8 @@
 use crate::support::traffic::Traffic;
 use crate::support::{Deployment, Member, loopback};
 
+/// The deployment of nodes whose settings name none.
+const DEPLOYMENT: &str = "default";
 const PROBES_PER_S: f64 = 0.25;
 const PROBE_BURST: u64 = 1;
 /// Long enough for a node without a budget to spend twice as much.
@@ -271,9 +274,10 @@
         let (mut probes, mut others) = (0, 0);
         let mut buffer = [0; 4_096];
         while let Ok(length) = self.socket.recv(&mut buffer) {
-            let datagram = Datagram::decode(&buffer[..length]);
-            match datagram.map(|datagram| datagram.body) {
-                Ok(DatagramBody::Probe { .. }) => probes += 1,
+            let own = FleetTag::of(DEPLOYMENT).take_off(&buffer[..length]);
+            let datagram = own.map(Datagram::decode);
+            match datagram.map(|datagram| datagram.map(|datagram| datagram.body)) {
+                Some(Ok(DatagramBody::Probe { .. })) => probes += 1,
                 _ => others += 1,
             }
         }
