--- a/crates/wire/src/load.rs
+++ b/crates/wire/src/load.rs
@@ -62,7 +62,15 @@
         if count != FIELDS {
             return Err(malformed("too few fields"));
         }
-        let [in_flight, queued, limit, service_time_us, clock, incarnation, leaving] = fields;
+        let [
+            in_flight,
+            queued,
+            limit,
+            service_time_us,
+            clock,
+            incarnation,
+            leaving,
+        ] = fields;
         Ok(Self {
             in_flight: narrow(in_flight),
             queued: narrow(queued),
