--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -539,8 +539,7 @@
         let (before, after) = tier.split_at(start);
         for index in after.iter().chain(before).take(ROOM_DRAWS) {
             let stats = &self.table.at(*index).stats;
-            let slots = self.view.policy.slots;
-            let load = stats.cautious_load_ratio(&self.typical, slots, now);
+            let load = stats.load_ratio(&self.typical, self.view.policy.slots, now);
             if load < BUSY_RATIO {
                 return true;
             }
--- a/crates/core/src/entry/score.rs
+++ b/crates/core/src/entry/score.rs
@@ -70,11 +70,6 @@
         self.own_ratio += (own_ratio - self.own_ratio) * TYPICAL_WEIGHT;
     }
 
-    /// What others use of a target's limit on average.
-    pub(crate) fn load_ratio(&self) -> f32 {
-        self.load_ratio
-    }
-
     /// What others may use of a target's limit, taking own use for a sample.
     ///
     /// Failure answered: a noisy neighbour freezes a target. It answers nobody,
--- a/crates/core/src/entry/target_stats.rs
+++ b/crates/core/src/entry/target_stats.rs
@@ -240,35 +240,14 @@
     /// longer believed of the report is filled in from own attempts against the
     /// usual ones, where targets look alike unless attempts pile up on one.
     pub(crate) fn load_ratio(&self, typical: &Typical, slots: u32, now: Millis) -> f32 {
-        let sampled = self.sampled_ratio(typical, slots);
-        self.load_ratio_with(sampled, typical, slots, now)
-    }
-
-    /// The same for one who is about to add load that nobody asked for: few own
-    /// attempts there are no sign of room.
-    ///
-    /// Failure answered: at 95% load an entry with nothing in flight at a target
-    /// took it for free and hedged, and the hedges overloaded it.
-    pub(crate) fn cautious_load_ratio(&self, typical: &Typical, slots: u32, now: Millis) -> f32 {
-        let sampled = self.sampled_ratio(typical, slots);
-        self.load_ratio_with(sampled.max(typical.load_ratio()), typical, slots, now)
-    }
-
-    fn sampled_ratio(&self, typical: &Typical, slots: u32) -> f32 {
-        let slot = 1.0 / self.limit(slots) as f32;
-        typical.sampled_ratio(self.own_ratio(slots), slot)
-    }
-
-    /// Own attempts, and others' load with `unknown` in place of what is no
-    /// longer believed of the report.
-    fn load_ratio_with(&self, unknown: f32, typical: &Typical, slots: u32, now: Millis) -> f32 {
         let own = self.own_ratio(slots);
+        let sampled = typical.sampled_ratio(own, 1.0 / self.limit(slots) as f32);
         let Some(known) = &self.load else {
-            return own + unknown;
+            return own + sampled;
         };
         let age = now.since(known.made_at);
         let left = fade(age, typical.load_half_life_ms()) * known.trust();
-        own + known.others_ratio() * left + unknown * (1.0 - left)
+        own + known.others_ratio() * left + sampled * (1.0 - left)
     }
 
     /// The gate's limit as last heard, at first the policy's slots.
