Let a holder of all slices ask only others that hold all

Cause: a reader, and a node that stopped to read within the last 30 s, holds every slice. A change touches it always, and its question names every slice. It asked members of its own service as readily as readers; those hold a few slices and can't bring it up. While the text changed, such a node stayed behind for up to 46 s, and each vain question cost some 25 kB.

Ruled out: dropping the slices at once when reading stops (the rota may turn back within seconds, and others pull from the node meanwhile).

Change: who holds a whole document asks whole holders only.

--- a/crates/core/src/control/dissemination.rs
+++ b/crates/core/src/control/dissemination.rs
@@ -27,6 +27,9 @@
 use crate::budget::TokenBucket;
 use crate::prelude::*;
 
+#[cfg(test)]
+mod tests;
+
 /// Peers to whom a newer version is announced at once.
 const FAN_OUT: usize = 4;
 /// Change notes of each document in one datagram.
@@ -73,6 +76,16 @@
     }
 }
 
+/// Whether this node holds a whole document: it reads the platform, or did so
+/// until lately.
+///
+/// Its question names every slice, and a peer that holds a few leaves it
+/// unanswered. When members of the own service were asked all the same, a node
+/// that had just stopped to read stayed behind for 46 s while the text changed.
+fn holds_whole(board: &Board) -> bool {
+    board.text.is_whole() || board.vms.is_whole()
+}
+
 fn lacks_text(board: &Board) -> bool {
     let text = &board.text;
     if text.version() == 0 || text.is_whole() {
@@ -167,9 +180,10 @@
         let known = datagram.known;
         let is_whole = known.text_whole && known.vms_whole;
         let is_kin = datagram.from.service == board.settings.service;
+        let can_answer = is_whole || (is_kin && !holds_whole(board));
         let is_ahead = known.text > board.text_version() || known.vms > board.list_version();
         let is_passed_over = self.passed_over.contains_key(&datagram.from.control);
-        if is_ahead && (is_whole || is_kin) && !is_passed_over {
+        if is_ahead && can_answer && !is_passed_over {
             self.next_pull_at = board.now;
         }
     }
@@ -294,12 +308,14 @@
             let is_level = known.text >= board.text_version() && known.vms >= board.list_version();
             let is_whole = known.text_whole && known.vms_whole;
             let is_kin = holder.service.as_ref() == Some(&board.settings.service);
+            let is_partial = !holds_whole(board);
+            let can_answer = is_whole || (is_kin && is_partial);
             let fit = match () {
                 () if needs.whole && is_whole && is_level => Fit::Good,
                 () if needs.whole && !needs.text_behind && !needs.vms_behind => continue,
-                () if needs.slices && is_level && (is_whole || is_kin) => Fit::Good,
-                () if (helps_text || helps_vms) && (is_whole || is_kin) => Fit::Good,
-                () if helps_text || helps_vms => Fit::Other,
+                () if needs.slices && is_level && can_answer => Fit::Good,
+                () if (helps_text || helps_vms) && can_answer => Fit::Good,
+                () if (helps_text || helps_vms) && is_partial => Fit::Other,
                 () => continue,
             };
             ranked.entry(fit).or_default().push(holder.control);
--- /dev/null
+++ b/crates/core/src/control/dissemination/tests.rs
@@ -0,0 +1,110 @@
+use hornbeamhitch_wire::control::{ListVersion, MemberDigest, SliceBytes};
+
+use super::*;
+use crate::control::api::ControlSettings;
+
+const NOW: Millis = Millis::from_secs(10);
+
+fn address(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], 7_001))
+}
+
+fn board() -> Board {
+    let settings = ControlSettings {
+        vm: VmId::new("vm-1"),
+        service: ServiceName::new("ledger"),
+        data_centre: DataCentre::new("dc-1"),
+        peer: address(1),
+        control: address(1),
+        incarnation: Incarnation(1),
+        seed: 1,
+        seeds: Vec::new(),
+    };
+    let mut board = Board::new(settings, NOW);
+    board.joined = true;
+    board
+}
+
+/// A datagram of a node that holds version 2, all of it or its own slices.
+fn news_from(host: u8, service: &str, is_whole: bool) -> Datagram {
+    Datagram {
+        from: MemberDigest {
+            vm: VmId::new(&format!("vm-{host}")),
+            service: ServiceName::new(service),
+            data_centre: DataCentre::new("dc-1"),
+            peer: address(host),
+            control: address(host),
+            incarnation: Incarnation(1),
+            clock_ms: NOW,
+            leaving: false,
+            load: None,
+        },
+        known: KnownVersions {
+            text: ConfigVersion(2),
+            vms: ListVersion(0),
+            text_whole: is_whole,
+            vms_whole: is_whole,
+        },
+        body: DatagramBody::Leaving,
+    }
+}
+
+fn slices() -> Vec<SliceBytes> {
+    let mut slices = Vec::new();
+    for service in ["ledger", "cashier"] {
+        slices.push(SliceBytes {
+            name: SliceName::Service(ServiceName::new(service)),
+            bytes: vec![1],
+        });
+    }
+    slices
+}
+
+/// A node has just stopped to read and still holds every slice; the text goes
+/// on changing. It asks a reader, and not a member of its own service, which
+/// holds a few slices and would leave it behind for as long as it keeps the
+/// rest.
+#[test]
+fn a_holder_of_all_slices_asks_another_such_holder() {
+    let mut board = board();
+    assert!(board.text.replace(1, slices()));
+    board.holders.hear(&news_from(2, "ledger", false), NOW);
+    board.holders.hear(&news_from(3, "darkroom", true), NOW);
+    let dissemination = Dissemination::new(NOW);
+    for _ in 0..32 {
+        let needs = Needs::of(&board);
+        let peer = dissemination.choose_peer(&mut board, needs);
+        assert_eq!(peer, Some(address(3)));
+    }
+}
+
+/// With nobody else to ask it waits for the platform or for a reader, and does
+/// not send a question that names every slice in vain.
+#[test]
+fn a_holder_of_all_slices_asks_no_holder_of_a_few() {
+    let mut board = board();
+    assert!(board.text.replace(1, slices()));
+    board.holders.hear(&news_from(2, "ledger", false), NOW);
+    board.holders.hear(&news_from(4, "darkroom", false), NOW);
+    let needs = Needs::of(&board);
+    let dissemination = Dissemination::new(NOW);
+    assert_eq!(dissemination.choose_peer(&mut board, needs), None);
+}
+
+/// An ordinary node asks members of its own service and readers alike.
+#[test]
+fn a_holder_of_a_few_slices_asks_its_own_service_too() {
+    let mut board = board();
+    board.holders.hear(&news_from(2, "ledger", false), NOW);
+    board.holders.hear(&news_from(3, "darkroom", true), NOW);
+    let dissemination = Dissemination::new(NOW);
+    let mut asked = std::collections::BTreeSet::new();
+    for _ in 0..64 {
+        let needs = Needs::of(&board);
+        asked.extend(dissemination.choose_peer(&mut board, needs));
+    }
+    assert_eq!(
+        asked.into_iter().collect::<Vec<_>>(),
+        [address(2), address(3)]
+    );
+}
