--- a/crates/lab/src/capacity/layout.rs
+++ b/crates/lab/src/capacity/layout.rs
@@ -26,7 +26,8 @@
 pub struct Layout {
     /// The services; VMs are numbered in this order.
     pub services: Vec<ServiceShape>,
-    /// Data centres, over which the VMs of each service are spread in turn.
+    /// Data centres, over which the VMs of each service are spread in turn;
+    /// where a service has too few VMs for all, the services take turns too.
     pub data_centres: usize,
     /// Characters of comment in each service, so that a text gets the length
     /// of a real one.
@@ -91,9 +92,11 @@
         for service in &self.services {
             for place in 0..service.targets {
                 let index = vms.len();
+                let is_everywhere = service.targets >= self.data_centres;
+                let turn = if is_everywhere { place } else { index };
                 vms.push(ListedVm {
                     vm: VmId::new(&format!("vm-{index:05}")),
-                    data_centre: DataCentre::new(&format!("dc-{:02}", place % self.data_centres)),
+                    data_centre: DataCentre::new(&format!("dc-{:02}", turn % self.data_centres)),
                     service: ServiceName::new(&service.name),
                     leaving: false,
                     peer: address(index, PEER_PORT),
