Add the frames of a link between an entry and a gate

One TCP connection carries many calls; spans count from the frame's arrival, so no two clocks need agree. A gate says Hello with its incarnation first, so that an entry can tell a restarted gate from the one that may have run its call. Weighed: the HTTP/2 of the present node. Its streams cannot say 'started' before the answer, which the entry needs for hedging and for what may be repeated.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod control;
 pub mod header;
+pub mod link;
 pub mod load;
 pub mod prelude;
 pub mod ticket;
