Add the decisions of the routed path

The platform's callers have no tickets and name a host and a path, so the product grows routes by host and longest prefix, exact splits, an order of targets, the patience of a call, and admission that starts no run in a slow spell of the target's VM while a fast moment can still be had.

--- /dev/null
+++ b/crates/dispatch/src/admission.rs
@@ -0,0 +1,249 @@
+//! When a gate starts a call in its target.
+
+use std::collections::BTreeMap;
+
+use crate::prelude::*;
+
+#[cfg(test)]
+mod tests;
+
+/// A reading of the target's speed is good for this long. Neighbours on the
+/// same host change it many times a second, so an older one says nothing.
+const READING_FRESH_MS: Millis = Millis(10);
+/// While calls wait for a slow spell to end, the speed is read this often.
+const READING_INTERVAL_MS: Millis = Millis(15);
+/// Up to this share of the usual run time, in percent, a target counts as fast.
+const FAST_PERCENT: u32 = 150;
+/// Slots of a target up to which all but one are used; larger ones keep a
+/// fifth free, because targets slow down when nearly full.
+const SMALL_TARGET_SLOTS: u32 = 8;
+/// Slots taken for granted before the target's entry is known.
+const UNKNOWN_SLOTS: u32 = 4;
+/// A target that refused a connection is left alone for this long.
+const DOWN_FOR_MS: Millis = Millis(150);
+
+/// How fast a target's VM was at a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SpeedReading {
+    /// Time that work takes, in percent of the usual.
+    pub slowness_percent: u32,
+    /// When it was read.
+    pub read_at: Millis,
+}
+
+/// A call as a gate decides about it; times are in the gate's clock.
+#[derive(Clone, Copy, Debug)]
+pub struct GateCall {
+    /// Rank of its route; 0 goes first.
+    pub priority: u8,
+    /// Mean run time of its route at usual speed.
+    pub work_ms: Millis,
+    /// It may wait here until then.
+    pub hold_until: Millis,
+    /// From then on it takes a slow target too.
+    pub slow_from: Millis,
+    /// It must have ended by then.
+    pub deadline_at: Millis,
+}
+
+/// Why a gate does not take a call; in every case it has not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Refused {
+    /// The gate takes no new work.
+    Leaving,
+    /// The target cannot be reached.
+    Down,
+    /// The target is in a slow spell.
+    Slow,
+    /// No slot is free soon enough.
+    Busy,
+    /// The deadline would pass first.
+    Late,
+}
+
+/// What to do with a call now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Send it to the target.
+    Start,
+    /// Read the target's speed and ask again.
+    ReadSpeed,
+    /// Ask again when a slot has come free, or at this time.
+    Wait(Millis),
+    /// Refuse it.
+    Refuse(Refused),
+}
+
+/// A call's place in the line of a gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    priority: u8,
+    number: u64,
+}
+
+/// Admission of one gate.
+#[derive(Debug)]
+pub struct Admission {
+    slots: u32,
+    in_flight: u32,
+    /// Calls in line with their mean run times.
+    line: BTreeMap<Place, Millis>,
+    last_number: u64,
+    speed: Option<SpeedReading>,
+    leaving: bool,
+    down_until: Millis,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Self {
+            slots: UNKNOWN_SLOTS,
+            in_flight: 0,
+            line: BTreeMap::new(),
+            last_number: 0,
+            speed: None,
+            leaving: false,
+            down_until: Millis::ZERO,
+        }
+    }
+}
+
+impl Admission {
+    /// Takes over how many requests the target runs at once.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots.max(1);
+    }
+
+    /// From now on (or no longer) refuses new work.
+    pub const fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+    }
+
+    /// Whether new work is refused.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Calls running in the target.
+    #[must_use]
+    pub const fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Calls in line.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.line.len()
+    }
+
+    /// Takes in a reading of the target's speed.
+    pub fn note_speed(&mut self, reading: SpeedReading) {
+        let is_newer = self
+            .speed
+            .is_none_or(|known| reading.read_at >= known.read_at);
+        if is_newer {
+            self.speed = Some(reading);
+        }
+    }
+
+    /// The last reading, if it still says something.
+    #[must_use]
+    pub fn fresh_speed(&self, now: Millis) -> Option<SpeedReading> {
+        let reading = self.speed?;
+        (now.since(reading.read_at) <= READING_FRESH_MS).then_some(reading)
+    }
+
+    /// The target refused a connection.
+    pub fn note_down(&mut self, now: Millis) {
+        self.down_until = now + DOWN_FOR_MS;
+    }
+
+    /// Puts a call in line.
+    pub fn enlist(&mut self, call: &GateCall) -> Place {
+        self.last_number += 1;
+        let place = Place {
+            priority: call.priority,
+            number: self.last_number,
+        };
+        self.line.insert(place, call.work_ms);
+        place
+    }
+
+    /// Takes a call out of the line without starting it.
+    pub fn withdraw(&mut self, place: Place) {
+        self.line.remove(&place);
+    }
+
+    /// Takes a call out of the line and counts it as running.
+    pub fn start(&mut self, place: Place) {
+        self.line.remove(&place);
+        self.in_flight += 1;
+    }
+
+    /// A run has ended, in whatever way.
+    pub fn finish(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Decides about a call in line.
+    #[must_use]
+    pub fn decide(&self, place: Place, call: &GateCall, now: Millis) -> Verdict {
+        if self.leaving {
+            return Verdict::Refuse(Refused::Leaving);
+        }
+        if now < self.down_until {
+            return Verdict::Refuse(Refused::Down);
+        }
+        if now + call.work_ms > call.deadline_at && self.in_flight > 0 || now >= call.deadline_at {
+            return Verdict::Refuse(Refused::Late);
+        }
+        let takes_slow = now >= call.slow_from;
+        let limit = self.limit(takes_slow);
+        let ahead = self.line.range(..place).count() as u32;
+        let room = limit.saturating_sub(self.in_flight);
+        if ahead >= room {
+            return self.wait_for_room(call, ahead - room, limit, now);
+        }
+        let Some(speed) = self.fresh_speed(now) else {
+            return Verdict::ReadSpeed;
+        };
+        if speed.slowness_percent <= FAST_PERCENT {
+            return Verdict::Start;
+        }
+        let slow_run = Millis(call.work_ms.0 * u64::from(speed.slowness_percent) / 100);
+        if takes_slow && now + slow_run <= call.deadline_at {
+            return Verdict::Start;
+        }
+        if now >= call.hold_until {
+            return Verdict::Refuse(Refused::Slow);
+        }
+        Verdict::Wait((speed.read_at + READING_INTERVAL_MS).min(call.hold_until))
+    }
+
+    /// Slots that may be used. Those above are left free while a call can
+    /// still be served well elsewhere: the last ones slow down all others.
+    fn limit(&self, takes_slow: bool) -> u32 {
+        if takes_slow {
+            return self.slots;
+        }
+        if self.slots <= SMALL_TARGET_SLOTS {
+            return self.slots.saturating_sub(1).max(1);
+        }
+        self.slots * 4 / 5
+    }
+
+    /// A call that would wait longer than it may is told at once.
+    fn wait_for_room(&self, call: &GateCall, behind: u32, limit: u32, now: Millis) -> Verdict {
+        let mut work_ms = call.work_ms.0;
+        for ahead in self.line.values() {
+            work_ms = work_ms.max(ahead.0);
+        }
+        let wait = Millis(work_ms * u64::from(behind + 1) / u64::from(limit.max(1)));
+        if now + wait > call.hold_until {
+            return Verdict::Refuse(Refused::Busy);
+        }
+        Verdict::Wait(call.hold_until)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,18 @@
+//! Decisions of the routed path, without sockets, threads or wall clocks.
+//!
+//! A caller's request is matched to a route ([`routes`]) and to one of its
+//! destinations ([`split`]); the entry orders the targets that may run it
+//! ([`order`]) from what it knows of them ([`members`], [`failures`]) and
+//! decides how long each may hold it ([`patience`]); the gate of a target
+//! decides when it starts ([`admission`]).
+
+pub mod admission;
+pub mod failures;
+pub mod members;
+pub mod order;
+pub mod patience;
+pub mod prelude;
+pub mod retry_budget;
+pub mod routes;
+pub mod split;
+pub mod work;
--- /dev/null
+++ b/crates/dispatch/src/members.rs
@@ -0,0 +1,255 @@
+//! The targets that the platform lists, and what becomes of entries that lapse.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+
+use crate::prelude::*;
+
+#[cfg(test)]
+mod tests;
+
+/// Entries that lapsed with the store's trouble are back within about this
+/// time when their target lives; one still missing is gone.
+const LAPSE_GRACE_MS: Millis = Millis(2_000);
+/// A removal this soon after trouble with the store may be a lapse.
+const TROUBLE_SHADOW_MS: Millis = Millis(1_000);
+
+/// A target that is gone is remembered this long: far beyond the time in which
+/// an entry that slept may still send to it.
+const REMEMBERED_MS: Millis = Millis::from_secs(60);
+
+/// One life of a target; a restarted target has another id.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TargetId(Arc<str>);
+
+impl TargetId {
+    /// Wraps an id as the platform writes it.
+    #[must_use]
+    pub fn new(id: &str) -> Self {
+        Self(Arc::from(id))
+    }
+
+    /// The id itself.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for TargetId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// One target as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// This life of the target.
+    pub id: TargetId,
+    /// Its service.
+    pub service: ServiceName,
+    /// Its own address, reachable from its VM only.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// It takes no new work and will end.
+    pub draining: bool,
+}
+
+impl Member {
+    /// The VM's address, where the target's gate listens.
+    #[must_use]
+    pub const fn vm_ip(&self) -> IpAddr {
+        self.address.ip()
+    }
+}
+
+/// Targets by service, as traffic reads them.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    by_id: BTreeMap<TargetId, Arc<Member>>,
+    by_service: HashMap<ServiceName, Vec<Arc<Member>>>,
+    left: Arc<BTreeMap<TargetId, Millis>>,
+}
+
+impl Members {
+    /// Targets of a service that take new work, in the order of their ids.
+    #[must_use]
+    pub fn open(&self, service: &ServiceName) -> &[Arc<Member>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// A target by its id.
+    #[must_use]
+    pub fn get(&self, id: &TargetId) -> Option<&Arc<Member>> {
+        self.by_id.get(id)
+    }
+
+    /// The newest listed target at an address.
+    #[must_use]
+    pub fn at(&self, address: SocketAddr) -> Option<&Arc<Member>> {
+        let mut found = None;
+        for member in self.by_id.values() {
+            if member.address != address {
+                continue;
+            }
+            if found.is_none() || !member.draining {
+                found = Some(member);
+            }
+        }
+        found
+    }
+
+    /// Whether the target was listed once and is gone.
+    #[must_use]
+    pub fn has_left(&self, id: &TargetId) -> bool {
+        self.left.contains_key(id)
+    }
+
+    /// Whether a target is listed on the VM with this address.
+    #[must_use]
+    pub fn has_vm(&self, ip: IpAddr) -> bool {
+        self.by_id.values().any(|member| member.vm_ip() == ip)
+    }
+
+    /// Targets known, draining ones included.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Whether no target is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+}
+
+/// Follows the platform's list on the control thread.
+#[derive(Debug, Default)]
+pub struct MemberTracker {
+    known: BTreeMap<TargetId, Tracked>,
+    /// Targets that are gone, and since when. Ids are never used again.
+    left: BTreeMap<TargetId, Millis>,
+    troubled_at: Option<Millis>,
+}
+
+#[derive(Debug)]
+struct Tracked {
+    member: Arc<Member>,
+    /// The entry is missing, perhaps only because the store was away; it
+    /// counts until this time.
+    missing_until: Option<Millis>,
+}
+
+impl MemberTracker {
+    /// An entry was written.
+    pub fn upsert(&mut self, member: Member) {
+        let tracked = Tracked {
+            member: Arc::new(member),
+            missing_until: None,
+        };
+        self.left.remove(&tracked.member.id);
+        self.known.insert(tracked.member.id.clone(), tracked);
+    }
+
+    /// An entry was removed.
+    ///
+    /// Failure answered: a store that was away comes back without the entries
+    /// of targets whose reports it missed. Taken at its word, a whole service
+    /// would be without targets for seconds although all of them serve. A
+    /// removal in or right after trouble therefore waits for the entry's
+    /// return; a removal in calm times counts at once.
+    pub fn remove(&mut self, id: &TargetId, now: Millis) {
+        let in_trouble = self.is_troubled(now);
+        let Some(tracked) = self.known.get_mut(id) else {
+            return;
+        };
+        if !in_trouble || tracked.member.draining {
+            self.known.remove(id);
+            self.left.insert(id.clone(), now);
+            return;
+        }
+        if tracked.missing_until.is_none() {
+            tracked.missing_until = Some(now + LAPSE_GRACE_MS);
+        }
+    }
+
+    /// Takes over a complete listing: what is not in it was removed.
+    pub fn replace(&mut self, listed: Vec<Member>, now: Millis) {
+        let ids: std::collections::BTreeSet<TargetId> =
+            listed.iter().map(|member| member.id.clone()).collect();
+        let missing: Vec<TargetId> = self
+            .known
+            .keys()
+            .filter(|id| !ids.contains(*id))
+            .cloned()
+            .collect();
+        for member in listed {
+            self.upsert(member);
+        }
+        for id in missing {
+            self.remove(&id, now);
+        }
+    }
+
+    /// The store could not be read just now.
+    pub fn note_trouble(&mut self, now: Millis) {
+        self.troubled_at = Some(now);
+    }
+
+    /// Drops entries that stayed missing; true when any did.
+    pub fn expire(&mut self, now: Millis) -> bool {
+        self.left
+            .retain(|_, since| now.since(*since) < REMEMBERED_MS);
+        let mut expired = Vec::new();
+        for (id, tracked) in &self.known {
+            if tracked.missing_until.is_some_and(|until| now >= until) {
+                expired.push(id.clone());
+            }
+        }
+        for id in &expired {
+            self.known.remove(id);
+            self.left.insert(id.clone(), now);
+        }
+        !expired.is_empty()
+    }
+
+    /// When [`Self::expire`] next has something to do.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Millis> {
+        self.known
+            .values()
+            .filter_map(|tracked| tracked.missing_until)
+            .min()
+    }
+
+    /// The targets as traffic reads them.
+    #[must_use]
+    pub fn snapshot(&self) -> Members {
+        let mut members = Members {
+            left: Arc::new(self.left.clone()),
+            ..Members::default()
+        };
+        for tracked in self.known.values() {
+            let member = &tracked.member;
+            members.by_id.insert(member.id.clone(), Arc::clone(member));
+            if member.draining {
+                continue;
+            }
+            let open = members.by_service.entry(member.service.clone());
+            open.or_default().push(Arc::clone(member));
+        }
+        members
+    }
+
+    fn is_troubled(&self, now: Millis) -> bool {
+        self.troubled_at
+            .is_some_and(|at| now.since(at) < TROUBLE_SHADOW_MS)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/patience.rs
@@ -0,0 +1,75 @@
+//! How long a call may wait for a target in good shape.
+
+use crate::prelude::*;
+use crate::work::WorkEstimate;
+
+#[cfg(test)]
+mod tests;
+
+/// Run times spread: a call that has this many mean run times left before its
+/// objective makes it nine times in ten.
+const RUN_MARGIN: f64 = 1.45;
+/// Time from the caller to the entry and back that counts against the
+/// objective, as callers see it: two ways of 8 ms.
+const CALLER_ROUND_TRIP_MS: Millis = Millis(16);
+/// A target in a slow spell takes about this many times as long.
+const SLOW_SPELL_PERCENT: u32 = 500;
+/// When no target has room (in contrast to being slow), a caller learns it
+/// after this part of the objective at the latest: it may come back in time.
+const BUSY_HOLD_PART: u64 = 8;
+/// Requests above this size wait for a near target as long as they can ...
+const HEAVY_BYTES: f64 = 20_000.0;
+/// ... and those below this size are not worth waiting for it at all. Between
+/// data centres, bytes cost; a light request costs less than a late one.
+const LIGHT_BYTES: f64 = 3_000.0;
+
+/// The points in time that steer one call, in the entry's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// Until then a near target in a slow spell is waited for before far ones
+    /// are asked.
+    pub near_until: Millis,
+    /// Until then only targets of usual speed are taken: the objective can
+    /// still be met.
+    pub fast_until: Millis,
+    /// From then on a slow target is better than none; [`Millis::MAX`] when a
+    /// slow run would not end before the deadline.
+    pub slow_from: Millis,
+    /// A call that finds no room anywhere is refused from then on.
+    pub busy_until: Millis,
+    /// No run that starts later ends before the deadline.
+    pub last_start: Millis,
+}
+
+impl Patience {
+    /// Plans a call that arrived at `arrived` and must end by `deadline_at`.
+    #[must_use]
+    pub fn plan(
+        route: &Route,
+        work: &WorkEstimate,
+        request_bytes: usize,
+        arrived: Millis,
+        deadline_at: Millis,
+    ) -> Self {
+        let margin = Millis((work.run_ms * RUN_MARGIN) as u64);
+        let objective_at = arrived + route.objective_ms.minus(CALLER_ROUND_TRIP_MS);
+        let fast_until = Millis(objective_at.0.saturating_sub(margin.0)).max(arrived);
+        let spare = fast_until.since(arrived);
+        let bytes = work.answer_bytes + request_bytes as f64;
+        let near_share = ((bytes - LIGHT_BYTES) / (HEAVY_BYTES - LIGHT_BYTES)).clamp(0.0, 1.0);
+        let near_until = arrived + Millis((spare.0 as f64 * near_share) as u64);
+        let last_start = Millis(deadline_at.0.saturating_sub(work.run_at(100).0)).max(arrived);
+        let slow_start = deadline_at.0.checked_sub(work.run_at(SLOW_SPELL_PERCENT).0);
+        let slow_from = match slow_start {
+            Some(at) if at >= arrived.0 => Millis(at).max(fast_until).min(last_start),
+            _ => Millis::MAX,
+        };
+        Self {
+            near_until,
+            fast_until,
+            slow_from,
+            busy_until: fast_until.max(arrived + Millis(route.objective_ms.0 / BUSY_HOLD_PART)),
+            last_start,
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/retry_budget.rs
@@ -0,0 +1,78 @@
+//! An entry's part of the retry budget that all entries share.
+
+use crate::prelude::*;
+
+#[cfg(test)]
+mod tests;
+
+/// The limit on extra arrivals at a service, over all entries together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryLimit {
+    /// Extra arrivals as a share of the requests for the service.
+    pub ratio: f64,
+    /// Extra arrivals beyond that share.
+    pub slack: f64,
+    /// Any span of this length is held to it.
+    pub window_ms: Millis,
+}
+
+/// Share of the limit that entries use by themselves. The rest is for the
+/// calls that a repeated run makes in its turn, and which nobody sees coming.
+const USED_SHARE: f64 = 0.7;
+
+/// One entry's tokens for one service.
+///
+/// No entry sees the sum. Each keeps to its own part: the ratio of the requests
+/// that it sends itself, and an equal part of the slack. The parts then add up
+/// to no more than the whole in every window, whoever fails.
+#[derive(Debug)]
+pub struct RetryBudget {
+    tokens: f64,
+    refilled_at: Millis,
+}
+
+impl RetryBudget {
+    /// A budget with its part of the slack in hand.
+    #[must_use]
+    pub fn new(limit: &RetryLimit, entries: usize, now: Millis) -> Self {
+        Self {
+            tokens: slack_part(limit, entries),
+            refilled_at: now,
+        }
+    }
+
+    /// Counts a first attempt.
+    pub fn count_first(&mut self, limit: &RetryLimit, entries: usize) {
+        let cap = slack_part(limit, entries).max(1.0) + 1.0;
+        self.tokens = (self.tokens + limit.ratio * USED_SHARE).min(cap.max(self.tokens));
+    }
+
+    /// Takes one extra arrival; false when none is left.
+    pub fn try_take(&mut self, limit: &RetryLimit, entries: usize, now: Millis) -> bool {
+        self.refill(limit, entries, now);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Gives back a token that led to no arrival.
+    pub fn give_back(&mut self) {
+        self.tokens += 1.0;
+    }
+
+    fn refill(&mut self, limit: &RetryLimit, entries: usize, now: Millis) {
+        let part = slack_part(limit, entries);
+        let elapsed = now.since(self.refilled_at).0 as f64 / limit.window_ms.0.max(1) as f64;
+        self.refilled_at = self.refilled_at.max(now);
+        // Half the slack is in hand at first and half comes over a window, so
+        // that no window sees more than the whole.
+        let gained = part * elapsed;
+        self.tokens = (self.tokens + gained).min(self.tokens.max(part));
+    }
+}
+
+fn slack_part(limit: &RetryLimit, entries: usize) -> f64 {
+    limit.slack * USED_SHARE / 2.0 / entries.max(1) as f64
+}
