--- /dev/null
+++ b/crates/edge/src/callers.rs
@@ -0,0 +1,76 @@
+//! Callers' connections: requests read as they come, answers in their order.
+
+mod connection;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+
+use crate::entry::Entry;
+use crate::sockets;
+use connection::Connection;
+
+/// After a failed accept (out of descriptors, say) the next is not tried at
+/// once, or the loop would spin.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// How far a node has come in leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Leaving {
+    /// It serves.
+    Not,
+    /// It serves on, and each answer ends its connection, so that callers move
+    /// to other nodes between two requests.
+    Announced,
+    /// Connections that rest are closed, the others after their last answer.
+    Closing,
+}
+
+/// Accepts callers until the node closes, then waits for their connections.
+#[derive(Debug)]
+pub struct CallerServer {
+    /// Finds a target for each request.
+    pub entry: Arc<Entry>,
+    /// How far the node has come in leaving.
+    pub leaving: watch::Receiver<Leaving>,
+}
+
+impl CallerServer {
+    /// Serves until every connection has ended after [`Leaving::Closing`].
+    pub async fn serve(self, listener: TcpListener) {
+        let Self { entry, mut leaving } = self;
+        // Every connection holds a sender; the receiver ends with the last.
+        let (open, mut all_closed) = mpsc::channel::<()>(1);
+        loop {
+            // What waits in the backlog is still taken in when the node closes:
+            // closing the listener would reset callers that have sent already.
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                _ = leaving.wait_for(|leaving| *leaving == Leaving::Closing) => break,
+            };
+            let stream = match accepted {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log::warn!("cannot accept a caller: {error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            sockets::prepare(&stream);
+            let connection = Connection {
+                entry: Arc::clone(&entry),
+                leaving: leaving.clone(),
+            };
+            let open = open.clone();
+            tokio::spawn(async move {
+                connection.serve(stream).await;
+                drop(open);
+            });
+        }
+        drop((listener, open));
+        let _ = all_closed.recv().await;
+    }
+}
--- /dev/null
+++ b/crates/edge/src/config.rs
@@ -0,0 +1,45 @@
+//! Settings of one node on the routed path.
+
+use std::net::SocketAddr;
+
+use hornbeamhitch_dispatch::retry_budget::RetryLimit;
+
+use crate::prelude::*;
+
+/// What a node knows of itself at start.
+#[derive(Clone, Debug)]
+pub struct EdgeConfig {
+    /// The VM's name, for logs and metrics.
+    pub vm: VmId,
+    /// Service of the target on this VM.
+    pub service: ServiceName,
+    /// Where the VM stands.
+    pub data_centre: DataCentre,
+    /// Where callers on this VM send.
+    pub callers_address: SocketAddr,
+    /// Where the gates of other VMs listen as well, on the same port.
+    pub links_address: SocketAddr,
+    /// Where readiness is asked for.
+    pub readiness_address: SocketAddr,
+    /// Path of the readiness question.
+    pub readiness_path: &'static str,
+    /// Where metrics are served.
+    pub metrics_address: SocketAddr,
+    /// The target on this VM.
+    pub target_address: SocketAddr,
+    /// Span from SIGTERM to SIGKILL.
+    pub grace_ms: Millis,
+    /// What may change while the process runs.
+    pub tunables: Tunables,
+}
+
+/// Settings that a reload may change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tunables {
+    /// Limit on extra arrivals at a service, over all entries together.
+    pub retry_limit: RetryLimit,
+}
+
+/// Reads the tunables anew; `None` when the settings are at fault, which its
+/// implementer has logged.
+pub type Reload = Box<dyn Fn() -> Option<Tunables> + Send>;
--- /dev/null
+++ b/crates/edge/src/daemon.rs
@@ -0,0 +1,265 @@
+//! One node on the routed path as a process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use arc_swap::ArcSwap;
+use eyre::{Result, WrapErr};
+use hornbeamhitch_node::listener::bind_std;
+use hornbeamhitch_node::metrics::Metrics;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::callers::{CallerServer, Leaving};
+use crate::config::{EdgeConfig, Reload};
+use crate::directory::{Directory, DirectoryWriter};
+use crate::entry::{Entry, EntryParts};
+use crate::gate::{Gate, GateParts};
+use crate::link::LinkServer;
+use crate::prelude::*;
+use crate::source::Source;
+use crate::status::StatusServer;
+use crate::target::TargetClient;
+
+/// Settings may change without a signal; they are looked at this often.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
+/// What belongs to targets and routes that are gone is dropped this often.
+const FORGET_INTERVAL: Duration = Duration::from_secs(2);
+/// Part of the grace for which a leaving node goes on serving new requests: the
+/// platform asks for readiness once a second, and two misses turn callers away.
+const ANNOUNCE_PERCENT: u64 = 40;
+/// Part of the grace after which a leaving node ends whatever is in hand.
+const END_PERCENT: u64 = 85;
+
+/// What a node takes from its deployment.
+pub struct Deployment {
+    /// Settings.
+    pub config: EdgeConfig,
+    /// Names of header fields.
+    pub dialect: Arc<dyn Dialect>,
+    /// Where configuration and targets come from.
+    pub source: Box<dyn Source>,
+    /// Reads changed settings.
+    pub reload: Reload,
+}
+
+struct Sockets {
+    callers: std::net::TcpListener,
+    links: std::net::TcpListener,
+    readiness: std::net::TcpListener,
+    metrics: std::net::TcpListener,
+}
+
+impl Sockets {
+    fn bind(config: &EdgeConfig) -> Result<Self> {
+        Ok(Self {
+            callers: bind_std(config.callers_address)?,
+            links: bind_std(config.links_address)?,
+            readiness: bind_std(config.readiness_address)?,
+            metrics: bind_std(config.metrics_address)?,
+        })
+    }
+}
+
+/// Runs a node until SIGTERM or SIGINT, then lets it leave.
+///
+/// # Errors
+///
+/// An address is taken, or a thread cannot be had.
+pub fn run(deployment: Deployment) -> Result<()> {
+    let sockets = Sockets::bind(&deployment.config)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("cannot build the traffic runtime")?;
+    runtime.block_on(serve(deployment, sockets))
+}
+
+async fn serve(deployment: Deployment, sockets: Sockets) -> Result<()> {
+    let mut signals = Signals::listen()?;
+    let Deployment {
+        config,
+        dialect,
+        source,
+        reload,
+    } = deployment;
+    let clock = ProcessClock::start();
+    let incarnation = new_incarnation();
+    let metrics = Metrics::new(&config.vm, &config.service, &config.data_centre)?;
+    let metrics = Arc::new(metrics);
+    let directory: SharedDirectory = Arc::new(ArcSwap::from_pointee(Directory::default()));
+    start_control(source, DirectoryWriter::new(Arc::clone(&directory), clock))?;
+    let gate = Arc::new(Gate::new(GateParts {
+        service: config.service.clone(),
+        target: TargetClient::new(config.target_address, Arc::clone(&dialect), clock),
+        directory: Arc::clone(&directory),
+        dialect: Arc::clone(&dialect),
+        clock,
+        target_address: config.target_address,
+    }));
+    let entry = Arc::new(Entry::new(EntryParts {
+        service: config.service.clone(),
+        data_centre: config.data_centre.clone(),
+        gate_port: config.links_address.port(),
+        target_address: config.target_address,
+        gate: Arc::clone(&gate),
+        directory: Arc::clone(&directory),
+        dialect,
+        clock,
+        incarnation,
+        metrics: Arc::clone(&metrics),
+        retry_limit: config.tunables.retry_limit,
+        seed: rand::random(),
+    }));
+    let (announce, leaving) = watch::channel(Leaving::Not);
+    let status = StatusServer {
+        directory,
+        leaving: leaving.clone(),
+        readiness_path: config.readiness_path,
+        metrics,
+    };
+    let links = LinkServer {
+        gate: Arc::clone(&gate),
+        incarnation,
+    };
+    let callers = CallerServer {
+        entry: Arc::clone(&entry),
+        leaving,
+    };
+    tokio::spawn(links.accept(listen(sockets.links)?));
+    tokio::spawn(status.clone().accept(listen(sockets.readiness)?));
+    tokio::spawn(status.accept(listen(sockets.metrics)?));
+    let serving = tokio::spawn(callers.serve(listen(sockets.callers)?));
+    log_start(&config, incarnation);
+    until_told_to_end(&mut signals, &entry, &reload, &config).await;
+    log::info!("leaving: callers are turned away, work in hand is finished");
+    leave(&config, &announce, &gate, serving).await;
+    Ok(())
+}
+
+/// Follows reloads until the process is told to end.
+async fn until_told_to_end(
+    signals: &mut Signals,
+    entry: &Entry,
+    reload: &Reload,
+    config: &EdgeConfig,
+) {
+    let mut tunables = config.tunables.clone();
+    let mut look = tokio::time::interval(RELOAD_INTERVAL);
+    let mut forget = tokio::time::interval(FORGET_INTERVAL);
+    loop {
+        tokio::select! {
+            _ = signals.terminate.recv() => return,
+            _ = signals.interrupt.recv() => return,
+            _ = signals.hangup.recv() => log::info!("settings are read anew at a signal"),
+            _ = look.tick() => {}
+            _ = forget.tick() => {
+                entry.forget_departed();
+                continue;
+            }
+        }
+        let Some(read) = reload() else {
+            continue;
+        };
+        if read != tunables {
+            log::info!("changed settings are in force: {read:?}");
+            entry.set_retry_limit(read.retry_limit);
+            tunables = read;
+        }
+    }
+}
+
+/// Ends gracefully. The order matters: readiness says no while everything is
+/// still served, so that callers move; the gate refuses new work at once,
+/// because entries have other gates; then connections at rest are closed and
+/// the others after their last answer; what runs in the target comes last.
+async fn leave(
+    config: &EdgeConfig,
+    announce: &watch::Sender<Leaving>,
+    gate: &Arc<Gate>,
+    serving: tokio::task::JoinHandle<()>,
+) {
+    let started = tokio::time::Instant::now();
+    let share = |percent: u64| Duration::from_millis(config.grace_ms.0 * percent / 100);
+    let _ = announce.send(Leaving::Announced);
+    gate.leave();
+    tokio::time::sleep(share(ANNOUNCE_PERCENT)).await;
+    let _ = announce.send(Leaving::Closing);
+    let finishing = async {
+        if let Err(error) = serving.await {
+            log::error!("serving callers ended badly: {error}");
+        }
+        gate.drained().await;
+    };
+    match tokio::time::timeout_at(started + share(END_PERCENT), finishing).await {
+        Ok(()) => log::info!("everything in hand was finished"),
+        Err(_) => log::warn!("the grace is over with work in hand"),
+    }
+}
+
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn listen() -> Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
+/// A node whose control thread has ended would serve on facts that grow old for
+/// ever, so the process ends with it and is started anew.
+fn start_control(source: Box<dyn Source>, writer: DirectoryWriter) -> Result<()> {
+    const EXIT_CONTROL_ENDED: i32 = 3;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("cannot build the control runtime")?;
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            let following =
+                std::panic::AssertUnwindSafe(|| runtime.block_on(source.follow(writer)));
+            if std::panic::catch_unwind(following).is_err() {
+                log::error!("the control thread panicked");
+            } else {
+                log::error!("the control thread ended");
+            }
+            std::process::exit(EXIT_CONTROL_ENDED);
+        })
+        .wrap_err("cannot start the control thread")?;
+    Ok(())
+}
+
+fn listen(socket: std::net::TcpListener) -> Result<TcpListener> {
+    Ok(TcpListener::from_std(socket)?)
+}
+
+fn log_start(config: &EdgeConfig, incarnation: Incarnation) {
+    let addresses: [SocketAddr; 3] = [
+        config.callers_address,
+        config.links_address,
+        config.target_address,
+    ];
+    log::info!(
+        service = config.service.as_str(), data_centre = config.data_centre.as_str(),
+        incarnation = incarnation.0;
+        "serving callers on {}, links on {}, the target on {}",
+        addresses[0], addresses[1], addresses[2]
+    );
+}
+
+fn new_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let wall_clock_ms = since_epoch.map_or(0, |span| span.as_millis());
+    let wall_clock_ms = u64::try_from(wall_clock_ms).unwrap_or(u64::MAX);
+    Incarnation::compose(wall_clock_ms, rand::random())
+}
--- /dev/null
+++ b/crates/edge/src/gate.rs
@@ -0,0 +1,444 @@
+//! The gate: starts calls in this VM's target, one copy of each at most.
+
+mod records;
+mod speed;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hornbeamhitch_dispatch::admission::{Admission, GateCall, Place, Refused, Verdict};
+use parking_lot::Mutex;
+use tokio::sync::{Notify, watch};
+
+use crate::http1;
+use crate::prelude::*;
+use crate::target::{Exchange, ExchangeFault, TargetAnswer, TargetClient, is_success};
+use records::{Fencing, Records};
+use speed::SpeedProbe;
+
+/// A call as it reaches the gate.
+#[derive(Clone, Debug)]
+pub struct GateRequest {
+    /// What to decide by.
+    pub terms: CallTerms,
+    /// The request.
+    pub head: CallHead,
+    /// Its whole body.
+    pub body: Bytes,
+}
+
+/// What becomes of a call, told to the entry.
+#[derive(Clone, Debug)]
+pub enum GateEvent {
+    /// It was sent to the target.
+    Started {
+        /// Time that work took there just before, in percent of the usual.
+        slowness_percent: u32,
+    },
+    /// The target's whole answer. Nothing follows.
+    Answered {
+        /// Its head.
+        head: AnswerHead,
+        /// Its body.
+        body: Bytes,
+    },
+    /// It ended without an answer. Nothing follows.
+    Ended(CallEnd),
+}
+
+impl GateEvent {
+    /// Whether nothing follows.
+    #[must_use]
+    pub const fn is_last(&self) -> bool {
+        !matches!(self, Self::Started { .. })
+    }
+}
+
+/// Takes the events of one call.
+pub type EventSink = Box<dyn Fn(GateEvent) + Send + Sync>;
+
+/// Keeps a call wanted; dropped, the call is cancelled. One that may run only
+/// once and has started goes on.
+#[derive(Debug)]
+pub struct Wanted(#[expect(dead_code, reason = "its drop is the signal")] watch::Sender<()>);
+
+/// What a gate is put together from.
+#[derive(Debug)]
+pub struct GateParts {
+    /// Service of the target.
+    pub service: ServiceName,
+    /// Connections to the target.
+    pub target: TargetClient,
+    /// Facts in force.
+    pub directory: SharedDirectory,
+    /// Names of header fields.
+    pub dialect: Arc<dyn Dialect>,
+    /// The process's clock.
+    pub clock: ProcessClock,
+    /// The target's address.
+    pub target_address: std::net::SocketAddr,
+}
+
+/// The gate of this VM's target.
+#[derive(Debug)]
+pub struct Gate {
+    service: ServiceName,
+    target: TargetClient,
+    target_address: std::net::SocketAddr,
+    directory: SharedDirectory,
+    dialect: Arc<dyn Dialect>,
+    clock: ProcessClock,
+    state: Mutex<GateState>,
+    /// A slot came free, or the line or the speed changed.
+    changed: Notify,
+    speed: SpeedProbe,
+}
+
+#[derive(Debug, Default)]
+struct GateState {
+    admission: Admission,
+    records: Records,
+}
+
+/// Frees a slot when a run has ended, in whatever way.
+struct Slot<'a>(&'a Gate);
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.0.state.lock().admission.finish();
+        self.0.changed.notify_waiters();
+    }
+}
+
+/// Takes a call out of the line when its caller leaves.
+struct InLine<'a> {
+    gate: &'a Gate,
+    place: Option<Place>,
+}
+
+impl InLine<'_> {
+    fn start(&mut self) {
+        if let Some(place) = self.place.take() {
+            self.gate.state.lock().admission.start(place);
+        }
+    }
+}
+
+impl Drop for InLine<'_> {
+    fn drop(&mut self) {
+        let Some(place) = self.place.take() else {
+            return;
+        };
+        self.gate.state.lock().admission.withdraw(place);
+        self.gate.changed.notify_waiters();
+    }
+}
+
+impl Gate {
+    /// A gate in front of the target.
+    #[must_use]
+    pub fn new(parts: GateParts) -> Self {
+        Self {
+            service: parts.service,
+            target: parts.target,
+            target_address: parts.target_address,
+            directory: parts.directory,
+            dialect: parts.dialect,
+            clock: parts.clock,
+            state: Mutex::default(),
+            changed: Notify::new(),
+            speed: SpeedProbe::default(),
+        }
+    }
+
+    /// Takes in a call; what becomes of it goes to `sink`.
+    pub fn submit(self: &Arc<Self>, request: GateRequest, sink: EventSink) -> Wanted {
+        let (wanted, left) = watch::channel(());
+        let gate = Arc::clone(self);
+        tokio::spawn(async move { gate.serve(request, &sink, left).await });
+        Wanted(wanted)
+    }
+
+    /// What became of a key? One that has not started never will.
+    pub fn fence(&self, key: CallKey, sink: EventSink) {
+        let now = self.clock.now();
+        let sink = Arc::new(sink);
+        let fencing = self.state.lock().records.fence(key, &sink, now);
+        match fencing {
+            Fencing::NeverStarts => sink(GateEvent::Ended(CallEnd::Fenced)),
+            Fencing::Ended(event) => sink(event),
+            Fencing::Running => {}
+        }
+    }
+
+    /// From now on refuses new work; what runs is finished.
+    pub fn leave(&self) {
+        self.state.lock().admission.set_leaving(true);
+        self.changed.notify_waiters();
+    }
+
+    /// Whether nothing waits or runs.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let state = self.state.lock();
+        state.admission.in_flight() == 0 && state.admission.waiting() == 0
+    }
+
+    /// Calls running in the target and calls in line.
+    #[must_use]
+    pub fn load(&self) -> (u32, usize) {
+        let state = self.state.lock();
+        (state.admission.in_flight(), state.admission.waiting())
+    }
+
+    async fn serve(&self, request: GateRequest, sink: &EventSink, mut left: watch::Receiver<()>) {
+        let terms = &request.terms;
+        let arrived = self.clock.now();
+        let call = GateCall {
+            priority: terms.priority,
+            work_ms: terms.work_ms,
+            hold_until: arrived + terms.hold_ms,
+            slow_from: arrived + terms.slow_after_ms,
+            deadline_at: arrived + terms.deadline_ms,
+        };
+        let mut in_line = InLine {
+            gate: self,
+            place: Some(self.enlist(&call)),
+        };
+        let admitted = tokio::select! {
+            admitted = self.admit(&call, &mut in_line, terms) => admitted,
+            _ = left.changed() => return,
+        };
+        let slowness_percent = match admitted {
+            Ok(slowness_percent) => slowness_percent,
+            Err(end) => return sink(GateEvent::Ended(end)),
+        };
+        let slot = Slot(self);
+        sink(GateEvent::Started { slowness_percent });
+        if terms.idempotent {
+            tokio::select! {
+                event = self.run(&request, call.deadline_at) => sink(event),
+                _ = left.changed() => {}
+            }
+            return;
+        }
+        let event = self.run(&request, call.deadline_at).await;
+        drop(slot);
+        let now = self.clock.now();
+        let watchers = self.state.lock().records.end(terms.key, event.clone(), now);
+        for watcher in watchers {
+            watcher(event.clone());
+        }
+        sink(event);
+    }
+
+    fn enlist(&self, call: &GateCall) -> Place {
+        let slots = self.own_slots();
+        let mut state = self.state.lock();
+        if let Some(slots) = slots {
+            state.admission.set_slots(slots);
+        }
+        state.admission.enlist(call)
+    }
+
+    fn own_slots(&self) -> Option<u32> {
+        let directory = self.directory.load();
+        let member = directory.members.at(self.target_address)?;
+        Some(member.slots)
+    }
+
+    /// Waits until the call may start, and starts it. Returns how slow the
+    /// target was.
+    async fn admit(
+        &self,
+        call: &GateCall,
+        in_line: &mut InLine<'_>,
+        terms: &CallTerms,
+    ) -> Result<u32, CallEnd> {
+        let place = in_line.place.expect("the call was just enlisted");
+        loop {
+            if self.takes_no_more(terms) {
+                return Err(CallEnd::Leaving);
+            }
+            let mut changed = std::pin::pin!(self.changed.notified());
+            // Registered before the decision, so that a slot which comes free
+            // in between is not missed.
+            changed.as_mut().enable();
+            let now = self.clock.now();
+            let verdict = self.state.lock().admission.decide(place, call, now);
+            match verdict {
+                Verdict::Start => return self.start(in_line, terms, now),
+                Verdict::Refuse(refused) => return Err(end_of(refused)),
+                Verdict::ReadSpeed => self.read_speed().await,
+                Verdict::Wait(until) => {
+                    let until = self.clock.to_instant(until.max(now + Millis(1)));
+                    tokio::select! {
+                        () = changed => {}
+                        () = tokio::time::sleep_until(until) => {}
+                    }
+                }
+            }
+        }
+    }
+
+    /// Failure answered: a target that has left the list, or drains, gets work
+    /// from entries that have not heard of it. The gate reads the list too, and
+    /// nothing reaches the target but through it.
+    fn takes_no_more(&self, terms: &CallTerms) -> bool {
+        let directory = self.directory.load();
+        let id = TargetId::new(&terms.target_id);
+        match directory.members.get(&id) {
+            Some(member) => member.draining,
+            None => directory.members.has_left(&id),
+        }
+    }
+
+    fn start(
+        &self,
+        in_line: &mut InLine<'_>,
+        terms: &CallTerms,
+        now: Millis,
+    ) -> Result<u32, CallEnd> {
+        if !terms.idempotent {
+            let forget_at = now + terms.deadline_ms;
+            if !self.state.lock().records.start(terms.key, forget_at) {
+                return Err(CallEnd::Fenced);
+            }
+        }
+        in_line.start();
+        let state = self.state.lock();
+        let speed = state.admission.fresh_speed(now);
+        Ok(speed.map_or(100, |speed| speed.slowness_percent))
+    }
+
+    async fn read_speed(&self) {
+        let directory = self.directory.load();
+        let routes = directory.routes.as_ref();
+        let path = routes.and_then(|routes| routes.health_path(&self.service));
+        let reading = self
+            .speed
+            .read(&self.target, &*self.dialect, path, self.clock);
+        let reading = reading.await;
+        let mut state = self.state.lock();
+        match reading {
+            Ok(reading) => state.admission.note_speed(reading),
+            Err(speed::TargetDown) => state.admission.note_down(self.clock.now()),
+        }
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    async fn run(&self, request: &GateRequest, deadline_at: Millis) -> GateEvent {
+        let started = self.clock.now();
+        let exchange = self.exchange_for(request, deadline_at.since(started));
+        let deadline = self.clock.to_instant(deadline_at);
+        let exchanging = self.target.exchange(&exchange);
+        match tokio::time::timeout_at(deadline, exchanging).await {
+            Err(_) => GateEvent::Ended(CallEnd::TimedOut),
+            Ok(Ok(answer)) => self.judge(request, answer, started),
+            Ok(Err(ExchangeFault::Unreachable)) => {
+                self.state.lock().admission.note_down(self.clock.now());
+                GateEvent::Ended(CallEnd::Down)
+            }
+            Ok(Err(ExchangeFault::Broken(reason))) => {
+                let id = &request.terms.request_id;
+                log::warn!(request = id.as_str(), reason; "a run broke in the target");
+                GateEvent::Ended(CallEnd::Broken)
+            }
+        }
+    }
+
+    /// The request as the target is to see it.
+    fn exchange_for(&self, request: &GateRequest, left_ms: Millis) -> Exchange {
+        let names = self.dialect.names();
+        let mut fields = request.head.fields.clone();
+        for (name, value) in [
+            (names.deadline_ms, left_ms.0.to_string()),
+            (names.expected_target, request.terms.target_id.clone()),
+        ] {
+            fields.push(HeaderField {
+                name: name.to_owned(),
+                value: Bytes::from(value),
+            });
+        }
+        let CallHead { method, path, .. } = &request.head;
+        Exchange {
+            method: method.clone(),
+            request_id: Some(request.terms.request_id.clone()),
+            bytes: http1::request_bytes(method, path, &fields, &request.body).freeze(),
+        }
+    }
+
+    /// Tells an answer from a statement that nothing ran, and from a success
+    /// that is none.
+    fn judge(&self, request: &GateRequest, answer: TargetAnswer, started: Millis) -> GateEvent {
+        let names = self.dialect.names();
+        let now = self.clock.now();
+        let TargetAnswer { head, body } = answer;
+        if let Some(load) = http1::field(&head.fields, names.load) {
+            self.note_load(load, now);
+        }
+        if head.status == MISDIRECTED {
+            return GateEvent::Ended(CallEnd::Misdirected);
+        }
+        if http1::field(&head.fields, names.not_run).is_some() {
+            return GateEvent::Ended(CallEnd::Shed);
+        }
+        let has_digest = http1::field(&head.fields, names.digest).is_some();
+        let is_encoded = http1::field(&head.fields, "content-encoding").is_some();
+        if is_success(head.status) && (!has_digest || is_encoded) {
+            let id = &request.terms.request_id;
+            log::warn!(request = id.as_str(), has_digest, is_encoded; "a success that is none");
+            return GateEvent::Ended(CallEnd::Broken);
+        }
+        let mut fields = head.fields;
+        http1::strip_hop_by_hop(&mut fields);
+        fields.retain(|field| !field.name.eq_ignore_ascii_case(names.load));
+        GateEvent::Answered {
+            head: AnswerHead {
+                status: head.status,
+                fields,
+                run_ms: now.since(started),
+            },
+            body,
+        }
+    }
+
+    fn note_load(&self, value: &str, now: Millis) {
+        let Some(load) = self.dialect.load(value) else {
+            log::debug!("a load report is malformed: {value}");
+            return;
+        };
+        let Some(slowness_percent) = load.slowness_percent else {
+            return;
+        };
+        let reading = hornbeamhitch_dispatch::admission::SpeedReading {
+            slowness_percent,
+            read_at: now,
+        };
+        self.state.lock().admission.note_speed(reading);
+    }
+
+    /// Waits until nothing waits or runs.
+    pub async fn drained(&self) {
+        /// Runs end without a signal to wait for, so look again soon.
+        const LOOK_AGAIN: Duration = Duration::from_millis(20);
+        while !self.is_idle() {
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+}
+
+/// Status of a target that is not the expected one.
+const MISDIRECTED: u16 = 421;
+
+const fn end_of(refused: Refused) -> CallEnd {
+    match refused {
+        Refused::Leaving => CallEnd::Leaving,
+        Refused::Down => CallEnd::Down,
+        Refused::Slow => CallEnd::Slow,
+        Refused::Busy => CallEnd::Busy,
+        Refused::Late => CallEnd::Late,
+    }
+}
--- /dev/null
+++ b/crates/edge/src/gate/speed.rs
@@ -0,0 +1,92 @@
+//! Reading how fast the target's VM is now.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use hornbeamhitch_dispatch::admission::SpeedReading;
+
+use crate::http1;
+use crate::prelude::*;
+use crate::target::{Exchange, ExchangeFault, TargetClient};
+
+/// A target that does not tell its speed counts as usual.
+const USUAL_PERCENT: u32 = 100;
+/// The health endpoint answers over loopback in about a millisecond; one that
+/// takes this long says nothing in time, and calls no longer wait for it.
+const READ_TIMEOUT: Duration = Duration::from_millis(40);
+
+/// The target refused the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct TargetDown;
+
+/// Reads the speed, one question at a time for all calls that wait for it.
+#[derive(Debug, Default)]
+pub(super) struct SpeedProbe {
+    one_at_a_time: tokio::sync::Mutex<Option<SpeedReading>>,
+    /// The target answers without telling its load, so asking is of no use.
+    tells_nothing: AtomicBool,
+    sent: AtomicU64,
+}
+
+impl SpeedProbe {
+    /// The target's speed now. Callers that wait for the same question share
+    /// its answer.
+    pub(super) async fn read(
+        &self,
+        target: &TargetClient,
+        dialect: &dyn Dialect,
+        path: Option<&str>,
+        clock: ProcessClock,
+    ) -> Result<SpeedReading, TargetDown> {
+        let asked_at = clock.now();
+        let mut last = self.one_at_a_time.lock().await;
+        if let Some(reading) = *last
+            && reading.read_at >= asked_at
+        {
+            return Ok(reading);
+        }
+        let percent = match path {
+            Some(path) if !self.tells_nothing.load(Ordering::Relaxed) => {
+                self.ask(target, dialect, path).await?
+            }
+            _ => USUAL_PERCENT,
+        };
+        let reading = SpeedReading {
+            slowness_percent: percent,
+            read_at: clock.now(),
+        };
+        *last = Some(reading);
+        Ok(reading)
+    }
+
+    async fn ask(
+        &self,
+        target: &TargetClient,
+        dialect: &dyn Dialect,
+        path: &str,
+    ) -> Result<u32, TargetDown> {
+        self.sent.fetch_add(1, Ordering::Relaxed);
+        let host = HeaderField {
+            name: "Host".to_owned(),
+            value: "target".into(),
+        };
+        let exchange = Exchange {
+            method: "GET".to_owned(),
+            request_id: None,
+            bytes: http1::request_bytes("GET", path, &[host], &[]).freeze(),
+        };
+        let answer = match tokio::time::timeout(READ_TIMEOUT, target.exchange(&exchange)).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(ExchangeFault::Unreachable)) => return Err(TargetDown),
+            // An endpoint that breaks or hangs says nothing of the speed; the
+            // calls themselves will show whether the target works.
+            Ok(Err(ExchangeFault::Broken(_))) | Err(_) => return Ok(USUAL_PERCENT),
+        };
+        let load = http1::field(&answer.head.fields, dialect.names().load);
+        let Some(load) = load.and_then(|value| dialect.load(value)) else {
+            self.tells_nothing.store(true, Ordering::Relaxed);
+            return Ok(USUAL_PERCENT);
+        };
+        Ok(load.slowness_percent.unwrap_or(USUAL_PERCENT))
+    }
+}
--- /dev/null
+++ b/crates/edge/src/http1/head.rs
@@ -0,0 +1,298 @@
+//! Heads of requests and responses.
+
+use bytes::Bytes;
+use hornbeamhitch_wire::link::HeaderField;
+
+use super::body::Framing;
+
+/// Header fields of one head.
+const MAX_FIELDS: usize = 128;
+
+/// Header fields that concern one connection only.
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+
+/// Why a head cannot be served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum HeadFault {
+    /// It is no head of HTTP/1, or its framing can be read in two ways.
+    #[error("malformed head: {0}")]
+    Malformed(&'static str),
+    /// It exceeds the limit on heads.
+    #[error("the head is too large")]
+    TooLarge,
+}
+
+/// Head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// HTTP/1.1, not 1.0.
+    pub is_http11: bool,
+    /// Header fields in their order.
+    pub fields: Vec<HeaderField>,
+}
+
+/// Head of a response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Status.
+    pub status: u16,
+    /// HTTP/1.1, not 1.0.
+    pub is_http11: bool,
+    /// Header fields in their order.
+    pub fields: Vec<HeaderField>,
+}
+
+/// The value of the first field of this name, when it is text.
+#[must_use]
+pub fn field<'a>(fields: &'a [HeaderField], name: &str) -> Option<&'a str> {
+    for field in fields {
+        if field.name.eq_ignore_ascii_case(name) {
+            return std::str::from_utf8(&field.value).ok().map(str::trim);
+        }
+    }
+    None
+}
+
+/// Whether a field that lists tokens holds this one.
+#[must_use]
+pub fn has_token(fields: &[HeaderField], name: &str, token: &str) -> bool {
+    for field in fields {
+        if !field.name.eq_ignore_ascii_case(name) {
+            continue;
+        }
+        let Ok(value) = std::str::from_utf8(&field.value) else {
+            continue;
+        };
+        for part in value.split(',') {
+            if part.trim().eq_ignore_ascii_case(token) {
+                return true;
+            }
+        }
+    }
+    false
+}
+
+/// Removes the fields that concern one connection only, those that the
+/// `Connection` field names included. The length goes too: each hop states it
+/// anew for the body that it has in hand.
+pub fn strip_hop_by_hop(fields: &mut Vec<HeaderField>) {
+    let mut named = Vec::new();
+    for field in fields.iter() {
+        if !field.name.eq_ignore_ascii_case("connection") {
+            continue;
+        }
+        let Ok(value) = std::str::from_utf8(&field.value) else {
+            continue;
+        };
+        for token in value.split(',') {
+            named.push(token.trim().to_ascii_lowercase());
+        }
+    }
+    fields.retain(|field| {
+        let name = field.name.to_ascii_lowercase();
+        !HOP_BY_HOP.contains(&name.as_str()) && !named.contains(&name)
+    });
+}
+
+fn to_fields(headers: &[httparse::Header<'_>]) -> Vec<HeaderField> {
+    let mut fields = Vec::with_capacity(headers.len());
+    for header in headers {
+        fields.push(HeaderField {
+            name: header.name.to_owned(),
+            value: Bytes::copy_from_slice(header.value),
+        });
+    }
+    fields
+}
+
+/// Where a line ends and the next begins with white space, some readers see
+/// one field and others two; `httparse` accepts it in some modes only.
+fn has_folded_line(bytes: &[u8]) -> bool {
+    bytes
+        .windows(2)
+        .any(|pair| pair[0] == b'\n' && (pair[1] == b' ' || pair[1] == b'\t'))
+}
+
+impl RequestHead {
+    /// Parses a head at the start of `bytes`; `None` when more bytes are
+    /// needed. With it comes the head's length.
+    ///
+    /// # Errors
+    ///
+    /// The head is malformed.
+    pub fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, HeadFault> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut request = httparse::Request::new(&mut headers);
+        let length = match request.parse(bytes) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(httparse::Error::TooManyHeaders) => return Err(HeadFault::TooLarge),
+            Err(_) => return Err(HeadFault::Malformed("not a request of HTTP/1")),
+        };
+        if has_folded_line(&bytes[..length]) {
+            return Err(HeadFault::Malformed("a header field is folded"));
+        }
+        let path = request.path.unwrap_or_default();
+        if !path.starts_with('/') {
+            return Err(HeadFault::Malformed("the target is not a path"));
+        }
+        let head = Self {
+            method: request.method.unwrap_or_default().to_owned(),
+            path: path.to_owned(),
+            is_http11: request.version == Some(1),
+            fields: to_fields(request.headers),
+        };
+        head.check_host()?;
+        Ok(Some((head, length)))
+    }
+
+    /// How the body is framed.
+    ///
+    /// Failure answered: a length and chunks together, or two lengths, let two
+    /// readers disagree where the request ends, and the rest is taken for a
+    /// request that nobody sent. Such a request is refused whole.
+    ///
+    /// # Errors
+    ///
+    /// The framing is ambiguous.
+    pub fn framing(&self) -> Result<Framing, HeadFault> {
+        let codings = self.values("transfer-encoding");
+        let lengths = self.values("content-length");
+        match (codings.as_slice(), lengths.as_slice()) {
+            ([], []) => Ok(Framing::Length(0)),
+            ([], [length]) => parse_length(length).map(Framing::Length),
+            ([coding], []) if self.is_http11 && coding.eq_ignore_ascii_case(b"chunked") => {
+                Ok(Framing::Chunked)
+            }
+            ([], _) => Err(HeadFault::Malformed("more than one length")),
+            (_, []) => Err(HeadFault::Malformed("an unknown transfer coding")),
+            _ => Err(HeadFault::Malformed("a length beside a transfer coding")),
+        }
+    }
+
+    /// Whether the caller wants the connection kept after the answer.
+    #[must_use]
+    pub fn keeps_connection(&self) -> bool {
+        if has_token(&self.fields, "connection", "close") {
+            return false;
+        }
+        self.is_http11 || has_token(&self.fields, "connection", "keep-alive")
+    }
+
+    /// Whether the caller waits for leave to send its body.
+    #[must_use]
+    pub fn expects_continue(&self) -> bool {
+        has_token(&self.fields, "expect", "100-continue")
+    }
+
+    /// The path without its query.
+    #[must_use]
+    pub fn path_only(&self) -> &str {
+        self.path.split('?').next().unwrap_or(&self.path)
+    }
+
+    fn values(&self, name: &str) -> Vec<&[u8]> {
+        let mut found = Vec::new();
+        for field in &self.fields {
+            if field.name.eq_ignore_ascii_case(name) {
+                found.push(field.value.trim_ascii());
+            }
+        }
+        found
+    }
+
+    fn check_host(&self) -> Result<(), HeadFault> {
+        match self.values("host").as_slice() {
+            [_] => Ok(()),
+            [] if !self.is_http11 => Ok(()),
+            _ => Err(HeadFault::Malformed("not exactly one host")),
+        }
+    }
+}
+
+impl ResponseHead {
+    /// Parses a head at the start of `bytes`; `None` when more bytes are
+    /// needed. With it comes the head's length.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no response.
+    pub fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, HeadFault> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut response = httparse::Response::new(&mut headers);
+        let length = match response.parse(bytes) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(httparse::Error::TooManyHeaders) => return Err(HeadFault::TooLarge),
+            Err(_) => return Err(HeadFault::Malformed("not a response of HTTP/1")),
+        };
+        let head = Self {
+            status: response.code.unwrap_or_default(),
+            is_http11: response.version == Some(1),
+            fields: to_fields(response.headers),
+        };
+        Ok(Some((head, length)))
+    }
+
+    /// How the body is framed, given the method of the request.
+    ///
+    /// # Errors
+    ///
+    /// The framing is ambiguous.
+    pub fn framing(&self, method: &str) -> Result<Framing, HeadFault> {
+        if method == "HEAD" || matches!(self.status, 100..=199 | 204 | 304) {
+            return Ok(Framing::Length(0));
+        }
+        let mut length = None;
+        let mut coding = None;
+        for field in &self.fields {
+            if field.name.eq_ignore_ascii_case("content-length") {
+                let stated = parse_length(field.value.trim_ascii())?;
+                if length.is_some_and(|known| known != stated) {
+                    return Err(HeadFault::Malformed("two different lengths"));
+                }
+                length = Some(stated);
+            } else if field.name.eq_ignore_ascii_case("transfer-encoding") {
+                coding = Some(field.value.trim_ascii());
+            }
+        }
+        match (coding, length) {
+            (Some(coding), None) if coding.eq_ignore_ascii_case(b"chunked") => Ok(Framing::Chunked),
+            (Some(_), _) => Err(HeadFault::Malformed("an unclear transfer coding")),
+            (None, Some(length)) => Ok(Framing::Length(length)),
+            (None, None) => Ok(Framing::UntilClose),
+        }
+    }
+
+    /// Whether the sender keeps the connection after this response.
+    #[must_use]
+    pub fn keeps_connection(&self) -> bool {
+        if has_token(&self.fields, "connection", "close") {
+            return false;
+        }
+        self.is_http11 || has_token(&self.fields, "connection", "keep-alive")
+    }
+}
+
+/// Digits only: a sign or a list would be read differently elsewhere.
+fn parse_length(value: &[u8]) -> Result<u64, HeadFault> {
+    if value.is_empty() || !value.iter().all(u8::is_ascii_digit) {
+        return Err(HeadFault::Malformed("the length is no number"));
+    }
+    let text = std::str::from_utf8(value).map_err(|_| HeadFault::Malformed("length"))?;
+    text.parse()
+        .map_err(|_| HeadFault::Malformed("the length is too large"))
+}
--- /dev/null
+++ b/crates/edge/src/http1/write.rs
@@ -0,0 +1,84 @@
+//! Heads and bodies as bytes.
+
+use bytes::{BufMut, BytesMut};
+use hornbeamhitch_wire::link::HeaderField;
+
+/// A request with its length stated.
+#[must_use]
+pub fn request_bytes(method: &str, path: &str, fields: &[HeaderField], body: &[u8]) -> BytesMut {
+    let mut bytes = BytesMut::with_capacity(512 + body.len());
+    bytes.put_slice(method.as_bytes());
+    bytes.put_u8(b' ');
+    bytes.put_slice(path.as_bytes());
+    bytes.put_slice(b" HTTP/1.1\r\n");
+    put_fields(&mut bytes, fields);
+    let may_lack_length = matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS");
+    if !body.is_empty() || !may_lack_length {
+        put_length(&mut bytes, body.len());
+    }
+    bytes.put_slice(b"\r\n");
+    bytes.put_slice(body);
+    bytes
+}
+
+/// A response with its length stated; `closes` says that the connection ends.
+#[must_use]
+pub fn response_bytes(
+    status: u16,
+    fields: &[HeaderField],
+    body: Option<&[u8]>,
+    closes: bool,
+) -> BytesMut {
+    let mut bytes = BytesMut::with_capacity(512 + body.map_or(0, <[u8]>::len));
+    bytes.put_slice(b"HTTP/1.1 ");
+    bytes.put_slice(status.to_string().as_bytes());
+    bytes.put_u8(b' ');
+    bytes.put_slice(reason(status).as_bytes());
+    bytes.put_slice(b"\r\n");
+    put_fields(&mut bytes, fields);
+    if let Some(body) = body
+        && !matches!(status, 204 | 304)
+    {
+        put_length(&mut bytes, body.len());
+    }
+    if closes {
+        bytes.put_slice(b"Connection: close\r\n");
+    }
+    bytes.put_slice(b"\r\n");
+    bytes.put_slice(body.unwrap_or_default());
+    bytes
+}
+
+fn put_fields(bytes: &mut BytesMut, fields: &[HeaderField]) {
+    for field in fields {
+        bytes.put_slice(field.name.as_bytes());
+        bytes.put_slice(b": ");
+        bytes.put_slice(&field.value);
+        bytes.put_slice(b"\r\n");
+    }
+}
+
+fn put_length(bytes: &mut BytesMut, length: usize) {
+    bytes.put_slice(b"Content-Length: ");
+    bytes.put_slice(length.to_string().as_bytes());
+    bytes.put_slice(b"\r\n");
+}
+
+/// Nobody reads the words, but a status line without any is refused by some.
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        204 => "No Content",
+        400 => "Bad Request",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/crates/edge/src/link.rs
@@ -0,0 +1,8 @@
+//! Links between nodes: one TCP connection that carries many calls.
+
+mod client;
+mod framed;
+mod server;
+
+pub use client::{Asked, LinkEvent, LinkPool};
+pub use server::LinkServer;
--- /dev/null
+++ b/crates/edge/src/link/server.rs
@@ -0,0 +1,179 @@
+//! The gate's end of links.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hornbeamhitch_wire::link::{CallHead, CallId, CallTerms, ToEntry, ToGate};
+use parking_lot::Mutex;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+use super::framed::{FrameReader, LinkFault, PartialBody, next_part, write_frames};
+use crate::gate::{EventSink, Gate, GateEvent, GateRequest, Wanted};
+use crate::prelude::*;
+use crate::sockets;
+
+type Answers = mpsc::UnboundedSender<ToEntry>;
+/// Calls in hand on one link; dropping one cancels it.
+type InHand = Arc<Mutex<HashMap<CallId, Wanted>>>;
+
+/// Accepts links for a gate.
+#[derive(Debug)]
+pub struct LinkServer {
+    /// The gate.
+    pub gate: Arc<Gate>,
+    /// This life of the process.
+    pub incarnation: Incarnation,
+}
+
+/// A call whose body is not whole yet.
+struct Arriving {
+    terms: CallTerms,
+    head: CallHead,
+    body: PartialBody,
+}
+
+impl LinkServer {
+    /// Accepts links for as long as the process lives.
+    pub async fn accept(self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => self.serve(stream),
+                Err(error) => {
+                    log::warn!("cannot accept a link: {error}");
+                    tokio::time::sleep(crate::callers::ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        sockets::prepare(&stream);
+        let (reader, writer) = stream.into_split();
+        let (answers, to_write) = mpsc::unbounded_channel();
+        let hello = ToEntry::Hello {
+            incarnation: self.incarnation,
+        };
+        let _ = answers.send(hello);
+        let link = Link {
+            gate: Arc::clone(&self.gate),
+            answers,
+            in_hand: InHand::default(),
+            arriving: HashMap::new(),
+        };
+        tokio::spawn(async move {
+            let ended = tokio::select! {
+                ended = link.read(FrameReader::new(reader)) => ended,
+                ended = write_frames(writer, to_write) => ended,
+            };
+            if let Err(fault) = ended {
+                log::debug!("a link ended: {fault}");
+            }
+        });
+    }
+}
+
+struct Link {
+    gate: Arc<Gate>,
+    answers: Answers,
+    in_hand: InHand,
+    arriving: HashMap<CallId, Arriving>,
+}
+
+impl Link {
+    /// Reads until the link ends, which cancels what is in hand.
+    async fn read(mut self, mut reader: FrameReader) -> Result<(), LinkFault> {
+        loop {
+            match reader.next().await? {
+                ToGate::Call {
+                    id,
+                    terms,
+                    head,
+                    body_bytes,
+                    part,
+                } => {
+                    let mut body = PartialBody::new(body_bytes);
+                    body.push(&part);
+                    let arriving = Arriving { terms, head, body };
+                    self.arriving.insert(id, arriving);
+                    self.submit_whole(id);
+                }
+                ToGate::Body { id, part } => {
+                    if let Some(arriving) = self.arriving.get_mut(&id) {
+                        arriving.body.push(&part);
+                    }
+                    self.submit_whole(id);
+                }
+                ToGate::Cancel { id } => {
+                    self.arriving.remove(&id);
+                    self.in_hand.lock().remove(&id);
+                }
+                ToGate::Fence { id, key } => {
+                    let sink = answer_sink(id, self.answers.clone(), InHand::default());
+                    self.gate.fence(key, sink);
+                }
+                ToGate::Ping => {
+                    let _ = self.answers.send(ToEntry::Pong);
+                }
+            }
+        }
+    }
+
+    fn submit_whole(&mut self, id: CallId) {
+        let is_whole = self
+            .arriving
+            .get(&id)
+            .is_some_and(|arriving| arriving.body.is_whole());
+        if !is_whole {
+            return;
+        }
+        let Some(arriving) = self.arriving.remove(&id) else {
+            return;
+        };
+        let request = GateRequest {
+            terms: arriving.terms,
+            head: arriving.head,
+            body: arriving.body.into_bytes(),
+        };
+        let sink = answer_sink(id, self.answers.clone(), Arc::clone(&self.in_hand));
+        let wanted = self.gate.submit(request, sink);
+        self.in_hand.lock().insert(id, wanted);
+    }
+}
+
+/// Sends a call's events as frames. The link may be gone by then; its entry
+/// asks about what matters to it over another.
+fn answer_sink(id: CallId, answers: Answers, in_hand: InHand) -> EventSink {
+    Box::new(move |event| {
+        if event.is_last() {
+            in_hand.lock().remove(&id);
+        }
+        match event {
+            GateEvent::Started { slowness_percent } => {
+                let _ = answers.send(ToEntry::Started {
+                    id,
+                    slowness_percent,
+                });
+            }
+            GateEvent::Answered { head, body } => send_answer(id, &answers, head, body),
+            GateEvent::Ended(end) => {
+                let _ = answers.send(ToEntry::Ended { id, end });
+            }
+        }
+    })
+}
+
+fn send_answer(id: CallId, answers: &Answers, head: AnswerHead, body: Bytes) {
+    let mut body = body;
+    let _ = answers.send(ToEntry::Answered {
+        id,
+        head,
+        body_bytes: body.len() as u64,
+        part: next_part(&mut body),
+    });
+    while !body.is_empty() {
+        let part = next_part(&mut body);
+        let _ = answers.send(ToEntry::Body { id, part });
+    }
+}
--- /dev/null
+++ b/crates/edge/src/status.rs
@@ -0,0 +1,87 @@
+//! Readiness and metrics over HTTP.
+
+use std::sync::Arc;
+
+use hornbeamhitch_node::metrics::Metrics;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::callers::{ACCEPT_PAUSE, Leaving};
+use crate::http1::{self, HttpReader};
+use crate::prelude::*;
+use crate::sockets;
+
+/// Longest head of a question.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers who asks whether the node is ready, and who collects its metrics.
+#[derive(Clone, Debug)]
+pub struct StatusServer {
+    /// Facts in force.
+    pub directory: SharedDirectory,
+    /// How far the node has come in leaving.
+    pub leaving: watch::Receiver<Leaving>,
+    /// Path of the readiness question.
+    pub readiness_path: &'static str,
+    /// Counts and histograms.
+    pub metrics: Arc<Metrics>,
+}
+
+impl StatusServer {
+    /// Serves for as long as the process lives.
+    pub async fn accept(self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    sockets::prepare(&stream);
+                    tokio::spawn(self.clone().serve(stream));
+                }
+                Err(error) => {
+                    log::warn!("cannot accept a question about status: {error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// A configuration is in force, and the node is not leaving.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.directory.load().routes.is_some() && *self.leaving.borrow() == Leaving::Not
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        let (reader, mut writer) = stream.into_split();
+        let mut reader = HttpReader::new(reader);
+        while let Ok(head) = reader.request_head(MAX_HEAD_BYTES).await {
+            let (status, body) = self.answer(head.path_only());
+            let closes = !head.keeps_connection();
+            let bytes = http1::response_bytes(status, &[], Some(body.as_bytes()), closes);
+            if writer.write_all(&bytes).await.is_err() || closes {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, path: &str) -> (u16, String) {
+        if path == self.readiness_path {
+            return match self.is_ready() {
+                true => (200, "ready\n".to_owned()),
+                false => (503, "not ready\n".to_owned()),
+            };
+        }
+        if path != METRICS_PATH {
+            return (404, "nothing here\n".to_owned());
+        }
+        match self.metrics.render() {
+            Ok(text) => (200, text),
+            Err(error) => {
+                log::error!("metrics cannot be written: {error}");
+                (500, format!("{error}\n"))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/target.rs
@@ -0,0 +1,260 @@
+//! HTTP/1.1 connections to this VM's target.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+use crate::http1::{self, Framing, HttpReader, ReadFault, ResponseHead};
+use crate::prelude::*;
+use crate::sockets;
+
+/// The target is on the same VM, so a connection takes microseconds unless its
+/// queue of new connections is full.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest head of an answer.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Answers are taken in whole, so that a cut one is never passed on; a longer
+/// one than this ends as broken.
+pub const MAX_ANSWER_BYTES: u64 = 32 * 1024 * 1024;
+/// How long a connection rests when the target states no timeout.
+const UNSTATED_REST_MS: Millis = Millis(4_000);
+/// Part of the stated timeout for which a connection is used again. At the end
+/// of it, a request and the target's close would cross on their way.
+const REST_PERCENT: u64 = 70;
+/// Answers to other requests that are skipped in front of the expected one.
+const MAX_FOREIGN_ANSWERS: u32 = 3;
+
+/// Why an exchange brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExchangeFault {
+    /// No connection could be had; nothing was sent.
+    Unreachable,
+    /// The request was sent, at least in part.
+    Broken(&'static str),
+}
+
+/// A request as bytes, with what its answer is recognised by.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    /// Method.
+    pub method: String,
+    /// Id that the answer must echo; `None` for a health check.
+    pub request_id: Option<String>,
+    /// Head and body.
+    pub bytes: Bytes,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct TargetAnswer {
+    /// Its head as it came.
+    pub head: ResponseHead,
+    /// Its body.
+    pub body: Bytes,
+}
+
+#[derive(Debug)]
+struct Connection {
+    reader: HttpReader<OwnedReadHalf>,
+    writer: OwnedWriteHalf,
+}
+
+#[derive(Debug)]
+struct Resting {
+    connection: Connection,
+    until: Millis,
+}
+
+/// Connections to the one target of this VM.
+#[derive(Debug)]
+pub struct TargetClient {
+    address: SocketAddr,
+    dialect: Arc<dyn Dialect>,
+    clock: ProcessClock,
+    resting: Mutex<Vec<Resting>>,
+}
+
+impl TargetClient {
+    /// A client without connections.
+    #[must_use]
+    pub fn new(address: SocketAddr, dialect: Arc<dyn Dialect>, clock: ProcessClock) -> Self {
+        Self {
+            address,
+            dialect,
+            clock,
+            resting: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// Sends a request and takes in the whole answer. Dropping the future
+    /// closes the connection, which stops the target's work on the request.
+    ///
+    /// # Errors
+    ///
+    /// The fault says whether anything was sent.
+    pub async fn exchange(&self, exchange: &Exchange) -> Result<TargetAnswer, ExchangeFault> {
+        let mut connection = match self.take_rested() {
+            Some(connection) => connection,
+            None => self.connect().await?,
+        };
+        let (answer, is_reusable) = connection.exchange(exchange, &*self.dialect).await?;
+        if is_reusable {
+            self.rest(connection, &answer.head);
+        }
+        Ok(answer)
+    }
+
+    /// The most recently used first, so that spare ones age out.
+    fn take_rested(&self) -> Option<Connection> {
+        let now = self.clock.now();
+        let mut resting = self.resting.lock();
+        resting.retain(|kept| now < kept.until);
+        while let Some(kept) = resting.pop() {
+            if kept.connection.is_quiet() {
+                return Some(kept.connection);
+            }
+        }
+        None
+    }
+
+    fn rest(&self, connection: Connection, head: &ResponseHead) {
+        let rest_ms = match stated_timeout(head) {
+            Some(stated) => Millis(stated.0 * REST_PERCENT / 100),
+            None => UNSTATED_REST_MS,
+        };
+        self.resting.lock().push(Resting {
+            connection,
+            until: self.clock.now() + rest_ms,
+        });
+    }
+
+    async fn connect(&self) -> Result<Connection, ExchangeFault> {
+        match sockets::connect(self.address, CONNECT_TIMEOUT).await {
+            Ok(stream) => {
+                let (reader, writer) = stream.into_split();
+                Ok(Connection {
+                    reader: HttpReader::new(reader),
+                    writer,
+                })
+            }
+            Err(error) => {
+                log::debug!("the target cannot be reached: {error}");
+                Err(ExchangeFault::Unreachable)
+            }
+        }
+    }
+}
+
+impl Connection {
+    fn is_quiet(&self) -> bool {
+        !self.reader.has_rest() && sockets::is_quiet(self.reader.get_ref().as_ref())
+    }
+
+    /// With the answer comes whether the connection may carry another request.
+    ///
+    /// A target may answer before it has read a long body. Its answer counts,
+    /// but the rest of the body is still due on the connection, so it is closed.
+    async fn exchange(
+        &mut self,
+        exchange: &Exchange,
+        dialect: &dyn Dialect,
+    ) -> Result<(TargetAnswer, bool), ExchangeFault> {
+        let (answer, framing, is_written) = self.write_and_read(exchange, dialect).await?;
+        let is_reusable = is_written
+            && framing != Framing::UntilClose
+            && answer.head.keeps_connection()
+            && self.is_quiet();
+        Ok((answer, is_reusable))
+    }
+
+    /// With the answer comes whether the whole request was written by then.
+    async fn write_and_read(
+        &mut self,
+        exchange: &Exchange,
+        dialect: &dyn Dialect,
+    ) -> Result<(TargetAnswer, Framing, bool), ExchangeFault> {
+        let Self { reader, writer } = self;
+        let mut writing = std::pin::pin!(writer.write_all(&exchange.bytes));
+        let mut reading = std::pin::pin!(read_answer(reader, exchange, dialect));
+        let mut is_written = false;
+        loop {
+            tokio::select! {
+                biased;
+                written = &mut writing, if !is_written => {
+                    // Even when writing fails, an early answer may be there.
+                    is_written = true;
+                    if let Err(error) = written {
+                        log::debug!("writing to the target failed: {error}");
+                    }
+                }
+                read = &mut reading => {
+                    let (answer, framing) = read?;
+                    return Ok((answer, framing, is_written));
+                }
+            }
+        }
+    }
+}
+
+/// Reads the answer to this request. A late second answer to an earlier one may
+/// stand in front of it on a kept connection; its id tells, and it is skipped.
+async fn read_answer(
+    reader: &mut HttpReader<OwnedReadHalf>,
+    exchange: &Exchange,
+    dialect: &dyn Dialect,
+) -> Result<(TargetAnswer, Framing), ExchangeFault> {
+    for _ in 0..=MAX_FOREIGN_ANSWERS {
+        let head = reader.response_head(MAX_HEAD_BYTES).await.map_err(broken)?;
+        let framing = head
+            .framing(&exchange.method)
+            .map_err(|_| ExchangeFault::Broken("unclear framing"))?;
+        let body = reader.body(framing, MAX_ANSWER_BYTES).await;
+        let body = body.map_err(broken)?;
+        let echoed = http1::field(&head.fields, dialect.names().request_id);
+        let is_foreign = match (&exchange.request_id, echoed) {
+            (Some(expected), Some(echoed)) => expected != echoed,
+            (Some(_), None) => is_success(head.status),
+            (None, echoed) => echoed.is_some(),
+        };
+        if !is_foreign {
+            return Ok((TargetAnswer { head, body }, framing));
+        }
+        log::warn!("an answer to another request was skipped");
+    }
+    Err(ExchangeFault::Broken("only answers to other requests"))
+}
+
+/// Whether a status tells of success.
+#[must_use]
+pub const fn is_success(status: u16) -> bool {
+    status >= 200 && status < 300
+}
+
+fn broken(fault: ReadFault) -> ExchangeFault {
+    ExchangeFault::Broken(match fault {
+        ReadFault::Closed => "closed without an answer",
+        ReadFault::Cut => "cut within the answer",
+        ReadFault::Head(_) => "no answer in the protocol",
+        ReadFault::BodyTooLarge => "the answer is too large",
+        ReadFault::Io(_) => "the connection failed",
+    })
+}
+
+/// The timeout that a `Keep-Alive: timeout=N` field states.
+fn stated_timeout(head: &ResponseHead) -> Option<Millis> {
+    let value = http1::field(&head.fields, "keep-alive")?;
+    for part in value.split(',') {
+        let Some((name, seconds)) = part.split_once('=') else {
+            continue;
+        };
+        if name.trim().eq_ignore_ascii_case("timeout") {
+            return seconds.trim().parse().ok().map(Millis::from_secs);
+        }
+    }
+    None
+}
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -1,4 +1,4 @@
-//! The log: JSON lines on standard error.
+//! The log: JSON lines on standard error or standard output.
 //!
 //! `fern` decides by level and target, then each line passes two safeguards
 //! for the traffic threads. A place in the code that writes too often is
@@ -74,7 +74,24 @@
 ///
 /// When a logger is in place already or no thread can be had.
 pub fn start(settings: &LogSettings, vm: &VmId) -> Result<LogHandle, LogsError> {
-    let (level, logger, handle) = build(settings, vm, Box::new(io::stderr()))?;
+    install(settings, vm, Box::new(io::stderr()))
+}
+
+/// The same on standard output, where some platforms collect logs.
+///
+/// # Errors
+///
+/// As [`start`].
+pub fn start_on_stdout(settings: &LogSettings, vm: &VmId) -> Result<LogHandle, LogsError> {
+    install(settings, vm, Box::new(io::stdout()))
+}
+
+fn install(
+    settings: &LogSettings,
+    vm: &VmId,
+    sink: Box<dyn Write + Send>,
+) -> Result<LogHandle, LogsError> {
+    let (level, logger, handle) = build(settings, vm, sink)?;
     log::set_boxed_logger(logger)?;
     log::set_max_level(level);
     std::panic::set_hook(Box::new(|panic| log::error!(target: "panic", "{panic}")));
