Send no call on that may have run, unless it is idempotent

Cause: a 500 of the target went the way of every failed attempt, into another attempt, for payments and uploads as well. Ruled out: links and fences; the log of the first case shows two runs that both ended with 500 answers of targets.

--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -456,7 +456,10 @@
             return None;
         }
         self.hedge_at = None;
-        let may_go_on = self.arrivals < self.route.max_attempts && now < self.patience.last_start;
+        // Failure answered: a target runs a payment and answers 500, or its
+        // answer breaks. Sent on, the payment would run a second time.
+        let may_repeat = self.route.kind.is_idempotent() || !self.may_have_run;
+        let may_go_on = may_repeat && self.arrivals < self.route.max_attempts && now < self.patience.last_start;
         if may_go_on && self.take_token(now) {
             // The rest of the round was ordered before this failure.
             self.round.clear();
