--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -172,9 +172,10 @@
 }
 
 /// Ends gracefully. The order matters: readiness says no while everything is
-/// still served, so that callers move; the gate refuses new work at once,
-/// because entries have other gates; then connections at rest are closed and
-/// the others after their last answer; what runs in the target comes last.
+/// still served, so that callers move; the gate goes on as well, because its
+/// target may stay, and would stand idle for as long as this takes; then the
+/// gate refuses new work, connections at rest are closed and the others after
+/// their last answer; what runs in the target comes last.
 async fn leave(
     config: &EdgeConfig,
     announce: &watch::Sender<Leaving>,
@@ -184,9 +185,9 @@
     let started = tokio::time::Instant::now();
     let share = |percent: u64| Duration::from_millis(config.grace_ms.0 * percent / 100);
     let _ = announce.send(Leaving::Announced);
-    gate.leave();
     tokio::time::sleep(share(ANNOUNCE_PERCENT)).await;
     let _ = announce.send(Leaving::Closing);
+    gate.leave();
     let finishing = async {
         if let Err(error) = serving.await {
             log::error!("serving callers ended badly: {error}");
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -13,9 +13,9 @@
 use super::answer::Given;
 use super::progress::{self, Attempt, Progress};
 use super::{CallerRequest, Entry};
-use crate::gate::{GateEvent, GateRequest};
+use crate::gate::GateEvent;
 use crate::http1;
-use crate::link::LinkEvent;
+use crate::link::{LinkEvent, OutgoingCall};
 use crate::prelude::*;
 use crate::target::is_success;
 
@@ -252,7 +252,7 @@
             Millis::MAX => Millis::MAX,
             at => at.since(now),
         };
-        let request = GateRequest {
+        let call = OutgoingCall {
             terms: CallTerms {
                 target_id: candidate.member.id.as_str().to_owned(),
                 request_id: self.request_id.clone(),
@@ -268,7 +268,7 @@
             body: self.body.clone(),
         };
         let number = self.attempts.len();
-        let hold = progress::open(self.entry, candidate, request, number, &self.sender);
+        let hold = progress::open(self.entry, candidate, call, number, &self.sender);
         self.attempts.push(Attempt {
             member: Arc::clone(&candidate.member),
             key,
@@ -311,6 +311,8 @@
 
     fn gate_said(&mut self, number: usize, event: GateEvent) -> Option<Given> {
         match event {
+            // The link has sent it.
+            GateEvent::WantsBody => None,
             GateEvent::Started { slowness_percent } => {
                 self.note_start(number, slowness_percent);
                 None
--- a/crates/edge/src/entry/progress.rs
+++ b/crates/edge/src/entry/progress.rs
@@ -7,8 +7,8 @@
 use tokio::sync::mpsc;
 
 use super::Entry;
-use crate::gate::{EventSink, GateRequest, Wanted};
-use crate::link::{Asked, LinkEvent};
+use crate::gate::{CallBody, EventSink, GateRequest, Wanted};
+use crate::link::{Asked, LinkEvent, OutgoingCall};
 use crate::prelude::*;
 
 /// An event of an attempt, with the attempt's number within its call.
@@ -43,7 +43,7 @@
 pub(super) fn open(
     entry: &Entry,
     candidate: &Candidate,
-    request: GateRequest,
+    call: OutgoingCall,
     attempt: usize,
     events: &mpsc::UnboundedSender<Progress>,
 ) -> Hold {
@@ -54,13 +54,18 @@
             let event = LinkEvent::Gate(event, incarnation);
             let _ = events.send(Progress { attempt, event });
         });
+        let request = GateRequest {
+            terms: call.terms,
+            head: call.head,
+            body: CallBody::Whole(call.body),
+        };
         return Hold::Local(entry.gate.submit(request, sink));
     }
     let gate = gate_address(entry, &candidate.member);
     let sink = Box::new(move |event| {
         let _ = events.send(Progress { attempt, event });
     });
-    Hold::Link(entry.links.call(gate, request, sink))
+    Hold::Link(entry.links.call(gate, call, sink))
 }
 
 /// Asks the gate of an attempt what became of it.
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hornbeamhitch_dispatch::admission::{Admission, GateCall, Place, Refused, Verdict};
 use parking_lot::Mutex;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, oneshot, watch};
 
 use crate::http1;
 use crate::prelude::*;
@@ -18,19 +18,30 @@
 use speed::SpeedProbe;
 
 /// A call as it reaches the gate.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct GateRequest {
     /// What to decide by.
     pub terms: CallTerms,
     /// The request.
     pub head: CallHead,
-    /// Its whole body.
-    pub body: Bytes,
+    /// Its body.
+    pub body: CallBody,
+}
+
+/// The body of a call at the gate.
+#[derive(Debug)]
+pub enum CallBody {
+    /// In hand.
+    Whole(Bytes),
+    /// Comes once [`GateEvent::WantsBody`] was told.
+    Later(oneshot::Receiver<Bytes>),
 }
 
 /// What becomes of a call, told to the entry.
 #[derive(Clone, Debug)]
 pub enum GateEvent {
+    /// It has a slot, and its body is wanted.
+    WantsBody,
     /// It was sent to the target.
     Started {
         /// Time that work took there just before, in percent of the usual.
@@ -51,7 +62,7 @@
     /// Whether nothing follows.
     #[must_use]
     pub const fn is_last(&self) -> bool {
-        !matches!(self, Self::Started { .. })
+        matches!(self, Self::Answered { .. } | Self::Ended(_))
     }
 }
 
@@ -101,6 +112,14 @@
     records: Records,
 }
 
+/// A call that runs.
+struct Run<'a> {
+    terms: &'a CallTerms,
+    head: &'a CallHead,
+    body: &'a [u8],
+    deadline_at: Millis,
+}
+
 /// Frees a slot when a run has ended, in whatever way.
 struct Slot<'a>(&'a Gate);
 
@@ -193,7 +212,7 @@
     }
 
     async fn serve(&self, request: GateRequest, sink: &EventSink, mut left: watch::Receiver<()>) {
-        let terms = &request.terms;
+        let GateRequest { terms, head, body } = request;
         let arrived = self.clock.now();
         let call = GateCall {
             priority: terms.priority,
@@ -206,24 +225,38 @@
             gate: self,
             place: Some(self.enlist(&call)),
         };
+        let admitting = async {
+            let slowness_percent = self.admit(&call, &mut in_line, &terms).await?;
+            let slot = Slot(self);
+            let body = self.whole_body(body, sink, call.deadline_at).await?;
+            Ok((slowness_percent, slot, body))
+        };
         let admitted = tokio::select! {
-            admitted = self.admit(&call, &mut in_line, terms) => admitted,
+            admitted = admitting => admitted,
             _ = left.changed() => return,
         };
-        let slowness_percent = match admitted {
-            Ok(slowness_percent) => slowness_percent,
+        let (slowness_percent, slot, body) = match admitted {
+            Ok(admitted) => admitted,
             Err(end) => return sink(GateEvent::Ended(end)),
         };
-        let slot = Slot(self);
+        if !terms.idempotent && !self.record_start(&terms) {
+            return sink(GateEvent::Ended(CallEnd::Fenced));
+        }
         sink(GateEvent::Started { slowness_percent });
+        let run = Run {
+            terms: &terms,
+            head: &head,
+            body: &body,
+            deadline_at: call.deadline_at,
+        };
         if terms.idempotent {
             tokio::select! {
-                event = self.run(&request, call.deadline_at) => sink(event),
+                event = self.run(&run) => sink(event),
                 _ = left.changed() => {}
             }
             return;
         }
-        let event = self.run(&request, call.deadline_at).await;
+        let event = self.run(&run).await;
         drop(slot);
         let now = self.clock.now();
         let watchers = self.state.lock().records.end(terms.key, event.clone(), now);
@@ -268,7 +301,7 @@
             let now = self.clock.now();
             let verdict = self.state.lock().admission.decide(place, call, now);
             match verdict {
-                Verdict::Start => return self.start(in_line, terms, now),
+                Verdict::Start => return Ok(self.take_slot(in_line, now)),
                 Verdict::Refuse(refused) => return Err(end_of(refused)),
                 Verdict::ReadSpeed => self.read_speed().await,
                 Verdict::Wait(until) => {
@@ -294,22 +327,38 @@
         }
     }
 
-    fn start(
-        &self,
-        in_line: &mut InLine<'_>,
-        terms: &CallTerms,
-        now: Millis,
-    ) -> Result<u32, CallEnd> {
-        if !terms.idempotent {
-            let forget_at = now + terms.deadline_ms;
-            if !self.state.lock().records.start(terms.key, forget_at) {
-                return Err(CallEnd::Fenced);
-            }
-        }
+    fn take_slot(&self, in_line: &mut InLine<'_>, now: Millis) -> u32 {
         in_line.start();
         let state = self.state.lock();
         let speed = state.admission.fresh_speed(now);
-        Ok(speed.map_or(100, |speed| speed.slowness_percent))
+        speed.map_or(100, |speed| speed.slowness_percent)
+    }
+
+    /// Fetches a body that was kept back.
+    async fn whole_body(
+        &self,
+        body: CallBody,
+        sink: &EventSink,
+        deadline_at: Millis,
+    ) -> Result<Bytes, CallEnd> {
+        let coming = match body {
+            CallBody::Whole(body) => return Ok(body),
+            CallBody::Later(coming) => coming,
+        };
+        sink(GateEvent::WantsBody);
+        let deadline = self.clock.to_instant(deadline_at);
+        match tokio::time::timeout_at(deadline, coming).await {
+            Ok(Ok(body)) => Ok(body),
+            // The link has ended, or nothing is left of the deadline.
+            Ok(Err(_)) | Err(_) => Err(CallEnd::Late),
+        }
+    }
+
+    /// Notes that a call which may run only once starts; false when it was
+    /// fenced meanwhile.
+    fn record_start(&self, terms: &CallTerms) -> bool {
+        let forget_at = self.clock.now() + terms.deadline_ms;
+        self.state.lock().records.start(terms.key, forget_at)
     }
 
     async fn read_speed(&self) {
@@ -329,20 +378,20 @@
         self.changed.notify_waiters();
     }
 
-    async fn run(&self, request: &GateRequest, deadline_at: Millis) -> GateEvent {
+    async fn run(&self, run: &Run<'_>) -> GateEvent {
         let started = self.clock.now();
-        let exchange = self.exchange_for(request, deadline_at.since(started));
-        let deadline = self.clock.to_instant(deadline_at);
+        let exchange = self.exchange_for(run, run.deadline_at.since(started));
+        let deadline = self.clock.to_instant(run.deadline_at);
         let exchanging = self.target.exchange(&exchange);
         match tokio::time::timeout_at(deadline, exchanging).await {
             Err(_) => GateEvent::Ended(CallEnd::TimedOut),
-            Ok(Ok(answer)) => self.judge(request, answer, started),
+            Ok(Ok(answer)) => self.judge(run.terms, answer, started),
             Ok(Err(ExchangeFault::Unreachable)) => {
                 self.state.lock().admission.note_down(self.clock.now());
                 GateEvent::Ended(CallEnd::Down)
             }
             Ok(Err(ExchangeFault::Broken(reason))) => {
-                let id = &request.terms.request_id;
+                let id = &run.terms.request_id;
                 log::warn!(request = id.as_str(), reason; "a run broke in the target");
                 GateEvent::Ended(CallEnd::Broken)
             }
@@ -350,29 +399,29 @@
     }
 
     /// The request as the target is to see it.
-    fn exchange_for(&self, request: &GateRequest, left_ms: Millis) -> Exchange {
+    fn exchange_for(&self, run: &Run<'_>, left_ms: Millis) -> Exchange {
         let names = self.dialect.names();
-        let mut fields = request.head.fields.clone();
+        let mut fields = run.head.fields.clone();
         for (name, value) in [
             (names.deadline_ms, left_ms.0.to_string()),
-            (names.expected_target, request.terms.target_id.clone()),
+            (names.expected_target, run.terms.target_id.clone()),
         ] {
             fields.push(HeaderField {
                 name: name.to_owned(),
                 value: Bytes::from(value),
             });
         }
-        let CallHead { method, path, .. } = &request.head;
+        let CallHead { method, path, .. } = run.head;
         Exchange {
             method: method.clone(),
-            request_id: Some(request.terms.request_id.clone()),
-            bytes: http1::request_bytes(method, path, &fields, &request.body).freeze(),
+            request_id: Some(run.terms.request_id.clone()),
+            bytes: http1::request_bytes(method, path, &fields, run.body).freeze(),
         }
     }
 
     /// Tells an answer from a statement that nothing ran, and from a success
     /// that is none.
-    fn judge(&self, request: &GateRequest, answer: TargetAnswer, started: Millis) -> GateEvent {
+    fn judge(&self, terms: &CallTerms, answer: TargetAnswer, started: Millis) -> GateEvent {
         let names = self.dialect.names();
         let now = self.clock.now();
         let TargetAnswer { head, body } = answer;
@@ -388,7 +437,7 @@
         let has_digest = http1::field(&head.fields, names.digest).is_some();
         let is_encoded = http1::field(&head.fields, "content-encoding").is_some();
         if is_success(head.status) && (!has_digest || is_encoded) {
-            let id = &request.terms.request_id;
+            let id = &terms.request_id;
             log::warn!(request = id.as_str(), has_digest, is_encoded; "a success that is none");
             return GateEvent::Ended(CallEnd::Broken);
         }
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -4,5 +4,5 @@
 mod framed;
 mod server;
 
-pub use client::{Asked, LinkEvent, LinkPool};
+pub use client::{Asked, LinkEvent, LinkPool, OutgoingCall};
 pub use server::LinkServer;
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -7,14 +7,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hornbeamhitch_wire::link::{CallId, ToEntry, ToGate};
+use hornbeamhitch_wire::link::{CallId, INLINE_BODY_BYTES, ToEntry, ToGate};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 use super::framed::{FrameReader, LinkFault, PartialBody, next_part, write_frames};
-use crate::gate::{GateEvent, GateRequest};
+use crate::gate::GateEvent;
 use crate::prelude::*;
 use crate::sockets;
 
@@ -70,16 +70,27 @@
     link: tokio::sync::Mutex<Option<Arc<Link>>>,
 }
 
+/// A call as it is sent to a gate.
+#[derive(Clone, Debug)]
+pub struct OutgoingCall {
+    /// What the gate decides by.
+    pub terms: CallTerms,
+    /// The request.
+    pub head: CallHead,
+    /// Its whole body.
+    pub body: Bytes,
+}
+
 /// What is sent over a link.
 enum Question {
-    Call(Box<GateRequest>),
+    Call(Box<OutgoingCall>),
     Fence(CallKey),
 }
 
 impl LinkPool {
     /// Sends a call to a gate.
-    pub fn call(self: &Arc<Self>, gate: SocketAddr, request: GateRequest, sink: LinkSink) -> Asked {
-        self.ask(gate, Question::Call(Box::new(request)), sink)
+    pub fn call(self: &Arc<Self>, gate: SocketAddr, call: OutgoingCall, sink: LinkSink) -> Asked {
+        self.ask(gate, Question::Call(Box::new(call)), sink)
     }
 
     /// Asks a gate about a key, which fences it.
@@ -142,6 +153,8 @@
 
 struct OpenCall {
     sink: LinkSink,
+    /// Kept back until the gate wants it.
+    body: Bytes,
     answer: Option<(AnswerHead, PartialBody)>,
 }
 
@@ -191,26 +204,17 @@
 
     fn send(&self, question: Question, sink: LinkSink) -> CallId {
         let id = CallId(self.last_id.fetch_add(1, Ordering::Relaxed) + 1);
-        let open = OpenCall { sink, answer: None };
+        let (frame, kept_back) = match question {
+            Question::Fence(key) => (ToGate::Fence { id, key }, Bytes::new()),
+            Question::Call(call) => call_frame(id, *call),
+        };
+        let open = OpenCall {
+            sink,
+            body: kept_back,
+            answer: None,
+        };
         self.calls.lock().insert(id, open);
-        match question {
-            Question::Fence(key) => self.push(ToGate::Fence { id, key }),
-            Question::Call(request) => {
-                let GateRequest { terms, head, body } = *request;
-                let mut body = body;
-                self.push(ToGate::Call {
-                    id,
-                    terms,
-                    head,
-                    body_bytes: body.len() as u64,
-                    part: next_part(&mut body),
-                });
-                while !body.is_empty() {
-                    let part = next_part(&mut body);
-                    self.push(ToGate::Body { id, part });
-                }
-            }
-        }
+        self.push(frame);
         self.asked.notify_one();
         if self.is_dead() {
             // It ended while the call was put in; nobody else tells its sink.
@@ -264,6 +268,7 @@
     fn take(&self, frame: ToEntry) {
         match frame {
             ToEntry::Hello { .. } | ToEntry::Pong => {}
+            ToEntry::WantsBody { id } => self.send_body(id),
             ToEntry::Started {
                 id,
                 slowness_percent,
@@ -294,6 +299,17 @@
         }
     }
 
+    fn send_body(&self, id: CallId) {
+        let mut body = match self.calls.lock().get_mut(&id) {
+            Some(open) => std::mem::take(&mut open.body),
+            None => return,
+        };
+        while !body.is_empty() {
+            let part = next_part(&mut body);
+            self.push(ToGate::Body { id, part });
+        }
+    }
+
     fn push_part(&self, id: CallId, part: &Bytes) {
         let mut calls = self.calls.lock();
         let answer = calls.get_mut(&id).and_then(|open| open.answer.as_mut());
@@ -337,3 +353,22 @@
         }
     }
 }
+
+/// The frame of a call, and the body that is kept back from it.
+fn call_frame(id: CallId, call: OutgoingCall) -> (ToGate, Bytes) {
+    let OutgoingCall { terms, head, body } = call;
+    let body_bytes = body.len() as u64;
+    let (inline, kept_back) = if body.len() <= INLINE_BODY_BYTES {
+        (body, Bytes::new())
+    } else {
+        (Bytes::new(), body)
+    };
+    let frame = ToGate::Call {
+        id,
+        terms,
+        head,
+        body_bytes,
+        body: inline,
+    };
+    (frame, kept_back)
+}
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hornbeamhitch_wire::link::{CallHead, CallId, CallTerms, ToEntry, ToGate};
+use hornbeamhitch_wire::link::{CallId, ToEntry, ToGate};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use super::framed::{FrameReader, LinkFault, PartialBody, next_part, write_frames};
-use crate::gate::{EventSink, Gate, GateEvent, GateRequest, Wanted};
+use crate::gate::{CallBody, EventSink, Gate, GateEvent, GateRequest, Wanted};
 use crate::prelude::*;
 use crate::sockets;
 
@@ -27,11 +27,10 @@
     pub incarnation: Incarnation,
 }
 
-/// A call whose body is not whole yet.
+/// A body that was kept back until the gate wants it.
 struct Arriving {
-    terms: CallTerms,
-    head: CallHead,
     body: PartialBody,
+    whole: oneshot::Sender<Bytes>,
 }
 
 impl LinkServer {
@@ -91,20 +90,12 @@
                     terms,
                     head,
                     body_bytes,
-                    part,
+                    body,
                 } => {
-                    let mut body = PartialBody::new(body_bytes);
-                    body.push(&part);
-                    let arriving = Arriving { terms, head, body };
-                    self.arriving.insert(id, arriving);
-                    self.submit_whole(id);
-                }
-                ToGate::Body { id, part } => {
-                    if let Some(arriving) = self.arriving.get_mut(&id) {
-                        arriving.body.push(&part);
-                    }
-                    self.submit_whole(id);
+                    let body = self.take_body(id, body_bytes, body);
+                    self.submit(id, GateRequest { terms, head, body });
                 }
+                ToGate::Body { id, part } => self.take_part(id, &part),
                 ToGate::Cancel { id } => {
                     self.arriving.remove(&id);
                     self.in_hand.lock().remove(&id);
@@ -120,22 +111,32 @@
         }
     }
 
-    fn submit_whole(&mut self, id: CallId) {
-        let is_whole = self
-            .arriving
-            .get(&id)
-            .is_some_and(|arriving| arriving.body.is_whole());
-        if !is_whole {
-            return;
+    fn take_body(&mut self, id: CallId, body_bytes: u64, body: Bytes) -> CallBody {
+        if body.len() as u64 >= body_bytes {
+            return CallBody::Whole(body);
         }
-        let Some(arriving) = self.arriving.remove(&id) else {
+        let (whole, coming) = oneshot::channel();
+        self.arriving.retain(|_, arriving| !arriving.whole.is_closed());
+        let body = PartialBody::new(body_bytes);
+        self.arriving.insert(id, Arriving { body, whole });
+        CallBody::Later(coming)
+    }
+
+    fn take_part(&mut self, id: CallId, part: &Bytes) {
+        let Some(arriving) = self.arriving.get_mut(&id) else {
             return;
         };
-        let request = GateRequest {
-            terms: arriving.terms,
-            head: arriving.head,
-            body: arriving.body.into_bytes(),
-        };
+        arriving.body.push(part);
+        if !arriving.body.is_whole() {
+            return;
+        }
+        if let Some(Arriving { body, whole }) = self.arriving.remove(&id) {
+            // A call that was withdrawn meanwhile needs no body.
+            let _ = whole.send(body.into_bytes());
+        }
+    }
+
+    fn submit(&mut self, id: CallId, request: GateRequest) {
         let sink = answer_sink(id, self.answers.clone(), Arc::clone(&self.in_hand));
         let wanted = self.gate.submit(request, sink);
         self.in_hand.lock().insert(id, wanted);
@@ -150,6 +151,9 @@
             in_hand.lock().remove(&id);
         }
         match event {
+            GateEvent::WantsBody => {
+                let _ = answers.send(ToEntry::WantsBody { id });
+            }
             GateEvent::Started { slowness_percent } => {
                 let _ = answers.send(ToEntry::Started {
                     id,
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -12,6 +12,10 @@
 
 /// Bytes of a body that travel in one frame.
 pub const BODY_PART_BYTES: usize = 32 * 1024;
+/// A body up to this size travels with its call. A longer one is kept back until
+/// the gate has a slot for the call: most gates that are asked refuse, and
+/// between data centres each byte that was sent for nothing costs.
+pub const INLINE_BODY_BYTES: usize = 1024;
 /// A longer frame is an error: a head of 64 KiB, one body part and room for
 /// the fields.
 pub const MAX_FRAME_BYTES: usize = 256 * 1024;
@@ -123,7 +127,8 @@
 /// From an entry to a gate.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToGate {
-    /// A call; `body_bytes` in all, the first part of them here.
+    /// A call with its body, or with nothing of a body that is kept back until
+    /// [`ToEntry::WantsBody`].
     Call {
         /// Its number on this link.
         id: CallId,
@@ -133,10 +138,10 @@
         head: CallHead,
         /// Bytes of the whole body.
         body_bytes: u64,
-        /// The first part.
-        part: Bytes,
+        /// The whole body, or nothing.
+        body: Bytes,
     },
-    /// A further part of a call's body.
+    /// A part of a body that the gate has asked for.
     Body {
         /// The call.
         id: CallId,
@@ -169,6 +174,11 @@
         /// Which life.
         incarnation: Incarnation,
     },
+    /// The call has a slot; its body is wanted now.
+    WantsBody {
+        /// The call.
+        id: CallId,
+    },
     /// The call was sent to the target.
     Started {
         /// The call.
