--- a/crates/dispatch/src/admission/tests.rs
+++ b/crates/dispatch/src/admission/tests.rs
@@ -1,1 +1,172 @@
-//! Tests.
+//! Admission at a gate in virtual time.
+
+use super::*;
+
+fn call(hold_ms: u64, slow_from_ms: u64) -> GateCall {
+    GateCall {
+        priority: 1,
+        work_ms: Millis(100),
+        hold_until: Millis(hold_ms),
+        slow_from: Millis(slow_from_ms),
+        deadline_at: Millis(2_000),
+    }
+}
+
+fn gate(slots: u32) -> Admission {
+    let mut admission = Admission::default();
+    admission.set_slots(slots);
+    admission
+}
+
+fn read(admission: &mut Admission, slowness_percent: u32, at: u64) {
+    admission.note_speed(SpeedReading {
+        slowness_percent,
+        read_at: Millis(at),
+    });
+}
+
+#[test]
+fn a_fast_target_with_room_starts_the_call() {
+    let mut admission = gate(12);
+    let call = call(0, 2_000);
+    let place = admission.enlist(&call);
+    assert_eq!(
+        admission.decide(place, &call, Millis(0)),
+        Verdict::ReadSpeed
+    );
+    read(&mut admission, 100, 0);
+    assert_eq!(admission.decide(place, &call, Millis(0)), Verdict::Start);
+}
+
+/// The caller's lookup meets a target whose host a neighbour has slowed five
+/// times. Started now it would take half a second, whatever comes later; a
+/// moment later, or elsewhere, it takes a tenth.
+#[test]
+fn no_run_starts_in_a_slow_spell_while_it_can_wait() {
+    let mut admission = gate(12);
+    let call = call(100, 2_000);
+    let place = admission.enlist(&call);
+    read(&mut admission, 500, 0);
+    let verdict = admission.decide(place, &call, Millis(0));
+    assert_eq!(verdict, Verdict::Wait(READING_INTERVAL_MS));
+    // An old reading says nothing: the speed is read again.
+    assert_eq!(
+        admission.decide(place, &call, Millis(15)),
+        Verdict::ReadSpeed
+    );
+    read(&mut admission, 100, 16);
+    assert_eq!(admission.decide(place, &call, Millis(16)), Verdict::Start);
+}
+
+#[test]
+fn a_call_that_may_not_wait_is_sent_elsewhere_from_a_slow_target() {
+    let mut admission = gate(12);
+    let call = call(0, 2_000);
+    let place = admission.enlist(&call);
+    read(&mut admission, 500, 0);
+    let verdict = admission.decide(place, &call, Millis(0));
+    assert_eq!(verdict, Verdict::Refuse(Refused::Slow));
+}
+
+#[test]
+fn late_in_its_time_a_call_takes_a_slow_target_if_it_ends_in_time() {
+    let mut admission = gate(12);
+    let in_time = call(0, 0);
+    let place = admission.enlist(&in_time);
+    read(&mut admission, 500, 0);
+    assert_eq!(admission.decide(place, &in_time, Millis(0)), Verdict::Start);
+    let too_late = GateCall {
+        deadline_at: Millis(400),
+        ..in_time
+    };
+    let verdict = admission.decide(place, &too_late, Millis(0));
+    assert_eq!(verdict, Verdict::Refuse(Refused::Slow));
+}
+
+/// A target that hangs when it is full never answers what it cannot queue, nor
+/// anything else on that connection. The gate never sends it more than it runs.
+#[test]
+fn no_more_runs_than_slots_are_ever_started() {
+    let mut admission = gate(12);
+    for _ in 0..40 {
+        let call = call(0, 0);
+        let place = admission.enlist(&call);
+        read(&mut admission, 100, 0);
+        match admission.decide(place, &call, Millis(0)) {
+            Verdict::Start => admission.start(place),
+            _ => admission.withdraw(place),
+        }
+    }
+    assert_eq!(admission.in_flight(), 12);
+}
+
+/// A target slows down when its last slots are used. While a call could still
+/// be served well elsewhere, they are left free.
+#[test]
+fn the_last_slots_are_for_calls_that_cannot_choose() {
+    let mut admission = gate(12);
+    read(&mut admission, 100, 0);
+    for _ in 0..9 {
+        let place = admission.enlist(&call(0, 2_000));
+        admission.start(place);
+    }
+    let choosy = call(0, 2_000);
+    let place = admission.enlist(&choosy);
+    let verdict = admission.decide(place, &choosy, Millis(0));
+    assert_eq!(verdict, Verdict::Refuse(Refused::Busy));
+    let pressed = call(0, 0);
+    assert_eq!(admission.decide(place, &pressed, Millis(0)), Verdict::Start);
+}
+
+#[test]
+fn a_more_urgent_call_goes_first() {
+    let mut admission = gate(2);
+    read(&mut admission, 100, 0);
+    let runs = admission.enlist(&call(1_000, 2_000));
+    admission.start(runs);
+    let lookup = call(1_000, 2_000);
+    let payment = GateCall {
+        priority: 0,
+        ..lookup
+    };
+    let lookup_place = admission.enlist(&lookup);
+    let payment_place = admission.enlist(&payment);
+    admission.finish();
+    let verdict = admission.decide(lookup_place, &lookup, Millis(0));
+    assert!(matches!(verdict, Verdict::Wait(_)), "{verdict:?}");
+    let verdict = admission.decide(payment_place, &payment, Millis(0));
+    assert_eq!(verdict, Verdict::Start);
+}
+
+#[test]
+fn a_call_that_would_wait_too_long_learns_it_at_once() {
+    let mut admission = gate(2);
+    read(&mut admission, 100, 0);
+    let runs = admission.enlist(&call(1_000, 2_000));
+    admission.start(runs);
+    let waits = call(150, 2_000);
+    let place = admission.enlist(&waits);
+    assert!(matches!(
+        admission.decide(place, &waits, Millis(0)),
+        Verdict::Wait(_)
+    ));
+    let behind = call(150, 2_000);
+    let place = admission.enlist(&behind);
+    let verdict = admission.decide(place, &behind, Millis(0));
+    assert_eq!(verdict, Verdict::Refuse(Refused::Busy));
+}
+
+#[test]
+fn a_leaving_gate_and_a_dead_target_refuse() {
+    let mut admission = gate(2);
+    let call = call(1_000, 2_000);
+    let place = admission.enlist(&call);
+    admission.note_down(Millis(0));
+    let verdict = admission.decide(place, &call, Millis(10));
+    assert_eq!(verdict, Verdict::Refuse(Refused::Down));
+    let verdict = admission.decide(place, &call, DOWN_FOR_MS);
+    assert_eq!(verdict, Verdict::ReadSpeed);
+    admission.set_leaving(true);
+    let verdict = admission.decide(place, &call, DOWN_FOR_MS);
+    assert_eq!(verdict, Verdict::Refuse(Refused::Leaving));
+}
--- a/crates/dispatch/src/members/tests.rs
+++ b/crates/dispatch/src/members/tests.rs
@@ -1,1 +1,79 @@
-//! Tests.
+//! Following the platform's list.
+
+use super::*;
+
+fn member(id: &str, address: &str) -> Member {
+    Member {
+        id: TargetId::new(id),
+        service: ServiceName::new("cashier"),
+        address: address.parse().expect("an address"),
+        data_centre: DataCentre::new("dusit"),
+        slots: 12,
+        draining: false,
+    }
+}
+
+fn open_ids(tracker: &MemberTracker) -> Vec<String> {
+    let members = tracker.snapshot();
+    let open = members.open(&ServiceName::new("cashier"));
+    open.iter().map(|member| member.id.to_string()).collect()
+}
+
+#[test]
+fn a_target_that_leaves_in_calm_times_is_gone_at_once() {
+    let mut tracker = MemberTracker::default();
+    tracker.upsert(member("i-1", "10.0.0.1:80"));
+    tracker.remove(&TargetId::new("i-1"), Millis(10));
+    assert!(open_ids(&tracker).is_empty());
+    assert!(tracker.snapshot().has_left(&TargetId::new("i-1")));
+}
+
+#[test]
+fn a_draining_target_is_known_and_not_open() {
+    let mut tracker = MemberTracker::default();
+    let mut leaving = member("i-1", "10.0.0.1:80");
+    leaving.draining = true;
+    tracker.upsert(leaving);
+    assert!(open_ids(&tracker).is_empty());
+    let snapshot = tracker.snapshot();
+    let known = snapshot.get(&TargetId::new("i-1"));
+    assert!(known.is_some_and(|member| member.draining));
+}
+
+/// The store was away for some seconds and comes back without the entries of
+/// targets whose reports it missed. They serve all the while; callers must not
+/// be told that there is no target.
+#[test]
+fn entries_that_lapsed_with_the_store_count_for_two_more_seconds() {
+    let mut tracker = MemberTracker::default();
+    tracker.upsert(member("i-1", "10.0.0.1:80"));
+    tracker.upsert(member("i-2", "10.0.0.2:80"));
+    tracker.note_trouble(Millis(5_000));
+    tracker.replace(vec![member("i-1", "10.0.0.1:80")], Millis(5_100));
+    assert_eq!(open_ids(&tracker), ["i-1", "i-2"]);
+    assert!(!tracker.expire(Millis(7_099)));
+    assert!(tracker.expire(Millis(7_100)));
+    assert_eq!(open_ids(&tracker), ["i-1"]);
+}
+
+#[test]
+fn an_entry_that_comes_back_stays() {
+    let mut tracker = MemberTracker::default();
+    tracker.upsert(member("i-1", "10.0.0.1:80"));
+    tracker.note_trouble(Millis(5_000));
+    tracker.remove(&TargetId::new("i-1"), Millis(5_100));
+    tracker.upsert(member("i-1", "10.0.0.1:80"));
+    assert!(!tracker.expire(Millis(60_000)));
+    assert_eq!(open_ids(&tracker), ["i-1"]);
+}
+
+#[test]
+fn a_draining_target_that_vanishes_in_trouble_is_gone() {
+    let mut tracker = MemberTracker::default();
+    let mut leaving = member("i-1", "10.0.0.1:80");
+    leaving.draining = true;
+    tracker.upsert(leaving);
+    tracker.note_trouble(Millis(100));
+    tracker.remove(&TargetId::new("i-1"), Millis(200));
+    assert!(tracker.snapshot().is_empty());
+}
--- a/crates/dispatch/src/order/tests.rs
+++ b/crates/dispatch/src/order/tests.rs
@@ -1,1 +1,81 @@
-//! Tests.
+//! Orders of asking.
+
+use rand::SeedableRng;
+use rand::rngs::Xoshiro256PlusPlus;
+
+use super::*;
+
+fn members() -> Vec<Arc<Member>> {
+    let mut members = Vec::new();
+    for (number, data_centre) in ["far", "near", "far", "near"].iter().enumerate() {
+        members.push(Arc::new(Member {
+            id: TargetId::new(&format!("i-{number}")),
+            service: ServiceName::new("s"),
+            address: format!("10.0.0.{number}:80").parse().expect("an address"),
+            data_centre: DataCentre::new(data_centre),
+            slots: 12,
+            draining: false,
+        }));
+    }
+    members
+}
+
+fn orders(failures: &Failures, tried: &[TargetId]) -> Vec<Vec<Candidate>> {
+    let open = members();
+    let data_centre = DataCentre::new("near");
+    let view = View {
+        open: &open,
+        data_centre: &data_centre,
+        failures,
+        tried,
+        now: Millis(100),
+    };
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(1);
+    (0..480).map(|_| candidates(&view, &mut rng)).collect()
+}
+
+#[test]
+fn near_targets_go_first_and_share_the_work() {
+    let mut first_is_one = 0;
+    for order in orders(&Failures::default(), &[]) {
+        assert_eq!(order.len(), 4);
+        assert!(order[0].is_near && order[1].is_near);
+        first_is_one += u32::from(order[0].member.id.as_str() == "i-1");
+    }
+    assert!((180..=300).contains(&first_is_one), "{first_is_one}");
+}
+
+#[test]
+fn a_target_that_failed_goes_last_but_for_a_rare_trial() {
+    let mut failures = Failures::default();
+    let ill = TargetId::new("i-1");
+    failures.note_failure(&ill, Millis(50));
+    failures.note_failure(&ill, Millis(60));
+    let mut first = 0;
+    let mut last = 0;
+    for order in orders(&failures, &[]) {
+        first += u32::from(order[0].member.id == ill);
+        last += u32::from(order[3].member.id == ill);
+    }
+    assert!((8..=40).contains(&first), "{first} trials of 480");
+    assert_eq!(first + last, 480);
+}
+
+#[test]
+fn tried_and_unreachable_targets_are_left_out() {
+    let mut failures = Failures::default();
+    failures.note_unreachable(&TargetId::new("i-3"), Millis(50));
+    for order in orders(&failures, &[TargetId::new("i-1")]) {
+        assert_eq!(order.len(), 2);
+        assert!(order.iter().all(|candidate| !candidate.is_near));
+    }
+}
+
+#[test]
+fn when_all_are_unreachable_they_are_asked_all_the_same() {
+    let mut failures = Failures::default();
+    for member in members() {
+        failures.note_unreachable(&member.id, Millis(50));
+    }
+    assert!(orders(&failures, &[]).iter().all(|order| order.len() == 4));
+}
--- a/crates/dispatch/src/patience/tests.rs
+++ b/crates/dispatch/src/patience/tests.rs
@@ -1,1 +1,40 @@
-//! Tests.
+//! Points in time of a call.
+
+use super::*;
+use crate::routes::tests::route;
+
+fn plan(request_bytes: usize, deadline_ms: u64) -> Patience {
+    let route = route("r", "/", &[("s", 1)]);
+    let work = WorkEstimate {
+        run_ms: 90.0,
+        answer_bytes: 1_500.0,
+    };
+    let arrived = Millis(1_000);
+    Patience::plan(
+        &route,
+        &work,
+        request_bytes,
+        arrived,
+        arrived + Millis(deadline_ms),
+    )
+}
+
+#[test]
+fn a_fast_target_is_waited_for_while_the_objective_can_be_met() {
+    let plan = plan(0, 800);
+    // 300 of objective, 16 of the caller's way, 130 of run with its margin.
+    assert_eq!(plan.fast_until, Millis(1_154));
+    assert_eq!(plan.last_start, Millis(1_710));
+    assert_eq!(plan.slow_from, Millis(1_350));
+}
+
+#[test]
+fn light_requests_go_to_a_far_target_at_once_and_heavy_ones_wait() {
+    assert_eq!(plan(0, 800).near_until, Millis(1_000));
+    assert_eq!(plan(60_000, 800).near_until, Millis(1_154));
+}
+
+#[test]
+fn a_slow_run_that_cannot_end_in_time_is_never_started() {
+    assert_eq!(plan(0, 400).slow_from, Millis::MAX);
+}
--- a/crates/dispatch/src/routes.rs
+++ b/crates/dispatch/src/routes.rs
@@ -6,7 +6,7 @@
 use crate::prelude::*;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 /// What may be repeated on a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr, strum::EnumString)]
--- a/crates/dispatch/src/split.rs
+++ b/crates/dispatch/src/split.rs
@@ -31,6 +31,9 @@
 }
 
 const ONE_REQUEST: i64 = 1_000_000;
+/// A new split starts at one of this many points of its sequence. Weights are
+/// commonly percentages, whose sequence is no longer than this.
+const PHASES: u32 = 100;
 
 impl Splitter {
     /// A splitter with nothing owed.
@@ -77,15 +80,8 @@
             destinations: route.destinations.clone(),
             owed: vec![0; route.destinations.len()],
         };
-        let draw = rng.random_range(0..ONE_REQUEST);
-        let mut reached = 0;
-        for part in 0..fresh.owed.len() {
-            reached += fresh.gain(part);
-            fresh.owed[part] = fresh.gain(part);
-            if draw < reached {
-                fresh.owed[part] -= ONE_REQUEST / 2;
-                break;
-            }
+        for _ in 0..rng.random_range(0..PHASES) {
+            fresh.next();
         }
         fresh
     }
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -175,7 +175,6 @@
                 service: service.clone(),
                 request_id: request_id.clone(),
                 deadline_at: arrived + deadline_ms,
-                config_version: routes.version(),
                 request,
             },
         );
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -42,7 +42,6 @@
     pub(super) service: ServiceName,
     pub(super) request_id: String,
     pub(super) deadline_at: Millis,
-    pub(super) config_version: u64,
     pub(super) request: CallerRequest,
 }
 
@@ -59,7 +58,6 @@
     route: Arc<Route>,
     service: ServiceName,
     request_id: String,
-    config_version: u64,
     head: CallHead,
     body: Bytes,
     deadline_at: Millis,
@@ -108,7 +106,6 @@
             route: parts.route,
             service: parts.service,
             request_id: parts.request_id,
-            config_version: parts.config_version,
             deadline_at: parts.deadline_at,
             attempts: Vec::new(),
             tried: Vec::new(),
@@ -461,7 +458,8 @@
         // Failure answered: a target runs a payment and answers 500, or its
         // answer breaks. Sent on, the payment would run a second time.
         let may_repeat = self.route.kind.is_idempotent() || !self.may_have_run;
-        let may_go_on = may_repeat && self.arrivals < self.route.max_attempts && now < self.patience.last_start;
+        let may_go_on =
+            may_repeat && self.arrivals < self.route.max_attempts && now < self.patience.last_start;
         if may_go_on && self.take_token(now) {
             // The rest of the round was ordered before this failure.
             self.round.clear();
@@ -564,11 +562,6 @@
         }
         self.refuse()
     }
-
-    /// Version of the configuration under which the call was routed.
-    pub(super) const fn config_version(&self) -> u64 {
-        self.config_version
-    }
 }
 
 /// The request as targets are to see it, but for what the gate adds.
--- a/crates/edge/src/http1/tests.rs
+++ b/crates/edge/src/http1/tests.rs
@@ -1,1 +1,155 @@
-//! Tests.
+//! Framing of HTTP/1.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, ReadBuf};
+
+use super::*;
+
+/// Hands out bytes one at a time, so that every split of the input is met.
+struct Drip(Vec<u8>, usize);
+
+impl AsyncRead for Drip {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if let Some(byte) = self.0.get(self.1).copied() {
+            buffer.put_slice(&[byte]);
+            self.1 += 1;
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+fn reader(text: &str) -> HttpReader<Drip> {
+    HttpReader::new(Drip(text.as_bytes().to_vec(), 0))
+}
+
+async fn framing_of(fields: &str) -> Result<Framing, ReadFault> {
+    let text = format!("POST /a HTTP/1.1\r\nHost: h\r\n{fields}\r\n");
+    let head = reader(&text).request_head(4_096).await?;
+    Ok(head.framing()?)
+}
+
+#[tokio::test]
+async fn framing_that_can_be_read_in_two_ways_is_refused() {
+    for fields in [
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 3\r\nContent-Length: 3\r\n",
+        "Content-Length: 3, 3\r\n",
+        "Content-Length: +3\r\n",
+        "Content-Length: \r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding : chunked\r\n",
+        "X-A: b\r\n c\r\n",
+        "Host: other\r\n",
+    ] {
+        assert!(framing_of(fields).await.is_err(), "{fields:?}");
+    }
+}
+
+#[tokio::test]
+async fn plain_framing_is_understood() {
+    for (fields, expected) in [
+        ("", Framing::Length(0)),
+        ("Content-Length: 12\r\n", Framing::Length(12)),
+        ("Transfer-Encoding: Chunked\r\n", Framing::Chunked),
+    ] {
+        assert_eq!(framing_of(fields).await.expect(fields), expected);
+    }
+}
+
+#[tokio::test]
+async fn targets_that_are_no_path_are_refused() {
+    for target in ["http://h/a", "*", "h:80"] {
+        let text = format!("GET {target} HTTP/1.1\r\nHost: h\r\n\r\n");
+        assert!(reader(&text).request_head(4_096).await.is_err(), "{target}");
+    }
+}
+
+#[tokio::test]
+async fn chunks_are_joined_and_the_next_request_begins_behind_them() {
+    let text = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n\
+                3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: t\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n";
+    let mut reader = reader(text);
+    let head = reader.request_head(4_096).await.expect("a head");
+    let framing = head.framing().expect("framing");
+    let body = reader.body(framing, 100).await.expect("a body");
+    assert_eq!(&body[..], b"abcde");
+    let next = reader.request_head(4_096).await.expect("the next head");
+    assert_eq!(next.path, "/b");
+}
+
+#[tokio::test]
+async fn malformed_chunks_are_refused() {
+    for body in [
+        "x\r\n",
+        "3\nabc\r\n",
+        "3\r\nabcd\r\n",
+        "-1\r\n",
+        "\r\n",
+        "0x3\r\nabc\r\n",
+    ] {
+        let result = reader(body).body(Framing::Chunked, 100).await;
+        assert!(
+            matches!(result, Err(ReadFault::Head(_))),
+            "{body:?}: {result:?}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn limits_hold_for_heads_and_bodies() {
+    let long = format!("GET /{} HTTP/1.1\r\nHost: h\r\n\r\n", "a".repeat(300));
+    let result = reader(&long).request_head(200).await;
+    assert!(matches!(result, Err(ReadFault::Head(HeadFault::TooLarge))));
+    let result = reader("abc").body(Framing::Length(101), 100).await;
+    assert!(matches!(result, Err(ReadFault::BodyTooLarge)));
+    let result = reader("80\r\n").body(Framing::Chunked, 100).await;
+    assert!(result.is_err());
+}
+
+/// A target's answer breaks off. It must not look complete.
+#[tokio::test]
+async fn a_cut_body_is_a_fault_and_a_close_ends_only_what_has_no_length() {
+    let result = reader("ab").body(Framing::Length(3), 100).await;
+    assert!(matches!(result, Err(ReadFault::Cut)));
+    let result = reader("3\r\nab").body(Framing::Chunked, 100).await;
+    assert!(matches!(result, Err(ReadFault::Cut)));
+    let whole = reader("ab").body(Framing::UntilClose, 100).await;
+    assert_eq!(&whole.expect("a whole body")[..], b"ab");
+}
+
+#[tokio::test]
+async fn interim_responses_are_skipped() {
+    let text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n";
+    let head = reader(text).response_head(4_096).await.expect("a head");
+    assert_eq!(head.status, 204);
+    assert_eq!(head.framing("GET").expect("framing"), Framing::Length(0));
+}
+
+#[test]
+fn fields_of_one_connection_are_removed() {
+    let mut fields = Vec::new();
+    for (name, value) in [
+        ("Connection", "keep-alive, X-Private"),
+        ("x-private", "1"),
+        ("Keep-Alive", "timeout=5"),
+        ("Transfer-Encoding", "chunked"),
+        ("Content-Length", "3"),
+        ("X-Kept", "yes"),
+    ] {
+        fields.push(hornbeamhitch_wire::link::HeaderField {
+            name: name.to_owned(),
+            value: value.into(),
+        });
+    }
+    strip_hop_by_hop(&mut fields);
+    let names: Vec<&str> = fields.iter().map(|field| field.name.as_str()).collect();
+    assert_eq!(names, ["X-Kept"]);
+}
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -46,9 +46,13 @@
 #[derive(Debug)]
 pub struct Asked {
     task: AbortHandle,
-    sent: Arc<Mutex<Option<(Arc<Link>, CallId)>>>,
+    sent: SentPlace,
 }
 
+/// Where a question went, once it was sent. The task that sends it fills this
+/// without a pause in between, so a drop meets it either unsent or filled.
+type SentPlace = Arc<Mutex<Option<(Arc<Link>, CallId)>>>;
+
 impl Drop for Asked {
     fn drop(&mut self) {
         self.task.abort();
@@ -99,7 +103,7 @@
     }
 
     fn ask(self: &Arc<Self>, gate: SocketAddr, question: Question, sink: LinkSink) -> Asked {
-        let sent = Arc::new(Mutex::new(None));
+        let sent = SentPlace::default();
         let pool = Arc::clone(self);
         let place = Arc::clone(&sent);
         let task = tokio::spawn(async move {
@@ -171,9 +175,8 @@
         let mut reader = FrameReader::new(reader);
         // A paused gate accepts, in its kernel, and says nothing.
         let hello = tokio::time::timeout(CONNECT_TIMEOUT, reader.next()).await;
-        let incarnation = match hello.map_err(std::io::Error::from)?? {
-            ToEntry::Hello { incarnation } => incarnation,
-            _ => return Err(LinkFault::Closed),
+        let ToEntry::Hello { incarnation } = hello.map_err(std::io::Error::from)?? else {
+            return Err(LinkFault::Closed);
         };
         let (frames, to_write) = mpsc::unbounded_channel();
         let link = Arc::new(Self {
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -116,7 +116,8 @@
             return CallBody::Whole(body);
         }
         let (whole, coming) = oneshot::channel();
-        self.arriving.retain(|_, arriving| !arriving.whole.is_closed());
+        self.arriving
+            .retain(|_, arriving| !arriving.whole.is_closed());
         let body = PartialBody::new(body_bytes);
         self.arriving.insert(id, Arriving { body, whole });
         CallBody::Later(coming)
--- /dev/null
+++ b/crates/edge/tests/all/links.rs
@@ -0,0 +1,185 @@
+//! Links between nodes, with the gate's end played by the tests.
+
+use std::net::SocketAddr;
+
+use bytes::{Bytes, BytesMut};
+use hornbeamhitch_edge::prelude::*;
+use hornbeamhitch_wire::link::{self, ToEntry, ToGate};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::support::caller::Caller;
+use crate::support::{DIGEST, fleet, member, set_directory};
+
+/// The gate's end of one link.
+struct GateEnd {
+    stream: TcpStream,
+    buffer: BytesMut,
+    read_bytes: usize,
+}
+
+impl GateEnd {
+    async fn accept(listener: &TcpListener, incarnation: u64) -> Self {
+        let (stream, _) = listener.accept().await.expect("a link");
+        let mut end = Self {
+            stream,
+            buffer: BytesMut::new(),
+            read_bytes: 0,
+        };
+        let incarnation = Incarnation(incarnation);
+        end.send(&ToEntry::Hello { incarnation }).await;
+        end
+    }
+
+    async fn send(&mut self, frame: &ToEntry) {
+        let mut bytes = BytesMut::new();
+        link::encode(frame, &mut bytes).expect("a frame");
+        self.stream.write_all(&bytes).await.expect("written");
+    }
+
+    /// The next frame but for questions whether this end is there.
+    async fn next(&mut self) -> ToGate {
+        loop {
+            match link::decode(&mut self.buffer).expect("a frame") {
+                Some(ToGate::Ping) => self.send(&ToEntry::Pong).await,
+                Some(frame) => return frame,
+                None => {
+                    let count = self.stream.read_buf(&mut self.buffer).await.expect("read");
+                    assert!(count > 0, "the entry has closed the link");
+                    self.read_bytes += count;
+                }
+            }
+        }
+    }
+}
+
+/// A fleet whose only target of the service stands behind a gate of the test.
+async fn with_own_gate() -> (crate::support::Fleet, TcpListener) {
+    let fleet = fleet(&["other", "none"]).await;
+    let ip = "127.200.0.1";
+    let port = fleet.gate_port;
+    let listener = TcpListener::bind((ip, port))
+        .await
+        .expect("the gate's port");
+    let target: SocketAddr = format!("{ip}:1").parse().expect("an address");
+    set_directory(&fleet.directory, "s", vec![member(9, "s", target)]);
+    (fleet, listener)
+}
+
+fn answer(id: link::CallId, request_id: &str) -> ToEntry {
+    ToEntry::Answered {
+        id,
+        head: AnswerHead {
+            status: 200,
+            fields: vec![HeaderField {
+                name: DIGEST.to_owned(),
+                value: Bytes::from(format!("d-{request_id}")),
+            }],
+            run_ms: Millis(10),
+        },
+        body_bytes: 2,
+        part: Bytes::from_static(b"ok"),
+    }
+}
+
+/// Most gates that are asked refuse. An upload that travelled to each of them
+/// would fill the lines between data centres for nothing.
+#[tokio::test]
+async fn a_large_body_travels_only_when_the_gate_wants_it() {
+    let (fleet, listener) = with_own_gate().await;
+    let mut caller = Caller::connect(fleet.vms[0].callers).await;
+    let body = "b".repeat(60_000);
+    caller.send("POST", "/pay/x", "id-1", &body).await;
+    let mut gate = GateEnd::accept(&listener, 1).await;
+    for _ in 0..3 {
+        let ToGate::Call { id, body, .. } = gate.next().await else {
+            panic!("a call was expected");
+        };
+        assert!(body.is_empty());
+        let end = CallEnd::Slow;
+        gate.send(&ToEntry::Ended { id, end }).await;
+    }
+    assert!(gate.read_bytes < 4_000, "{} bytes", gate.read_bytes);
+    let ToGate::Call { id, body_bytes, .. } = gate.next().await else {
+        panic!("a call was expected");
+    };
+    gate.send(&ToEntry::WantsBody { id }).await;
+    let mut got = 0;
+    while got < body_bytes {
+        let ToGate::Body { part, .. } = gate.next().await else {
+            panic!("a part of the body was expected");
+        };
+        got += part.len() as u64;
+    }
+    assert_eq!(got, 60_000);
+    gate.send(&answer(id, "id-1")).await;
+    assert_eq!(caller.answer().await.expect("an answer").status(), 200);
+}
+
+/// The link breaks while a payment is at its gate, which says nothing more of
+/// it. The entry asks the gate over a new link and passes on what it learns.
+#[tokio::test]
+async fn a_payment_whose_link_broke_is_asked_about() {
+    for (has_run, status) in [(true, 200), (false, 200)] {
+        let (fleet, listener) = with_own_gate().await;
+        let mut caller = Caller::connect(fleet.vms[0].callers).await;
+        caller.send("POST", "/pay/x", "id-1", "").await;
+        let mut gate = GateEnd::accept(&listener, 1).await;
+        let ToGate::Call { terms, .. } = gate.next().await else {
+            panic!("a call was expected");
+        };
+        drop(gate);
+        let mut gate = GateEnd::accept(&listener, 1).await;
+        let ToGate::Fence { id, key } = gate.next().await else {
+            panic!("a question about the key was expected");
+        };
+        assert_eq!(key, terms.key);
+        if has_run {
+            gate.send(&answer(id, "id-1")).await;
+        } else {
+            // Fenced: it did not run and never will, so it may go on.
+            let end = CallEnd::Fenced;
+            gate.send(&ToEntry::Ended { id, end }).await;
+            let ToGate::Call { id, terms, .. } = gate.next().await else {
+                panic!("the payment was to be sent again");
+            };
+            assert_ne!(terms.key, key);
+            gate.send(&answer(id, "id-1")).await;
+        }
+        assert_eq!(caller.answer().await.expect("an answer").status(), status);
+    }
+}
+
+/// The gate's process ends while a payment is there, and a new one takes its
+/// place. The new one knows nothing of the payment, so it must not be believed
+/// that nothing ran.
+#[tokio::test]
+async fn a_new_life_of_a_gate_cannot_say_that_nothing_ran() {
+    let (fleet, listener) = with_own_gate().await;
+    let mut caller = Caller::connect(fleet.vms[0].callers).await;
+    caller.send("POST", "/pay/x", "id-1", "").await;
+    let mut gate = GateEnd::accept(&listener, 1).await;
+    assert!(matches!(gate.next().await, ToGate::Call { .. }));
+    drop(gate);
+    let mut gate = GateEnd::accept(&listener, 2).await;
+    let ToGate::Fence { id, .. } = gate.next().await else {
+        panic!("a question about the key was expected");
+    };
+    let end = CallEnd::Fenced;
+    gate.send(&ToEntry::Ended { id, end }).await;
+    assert_eq!(caller.answer().await.expect("an answer").status(), 502);
+}
+
+/// The gate's VM goes dark in the middle of a payment: the link stays open and
+/// silent. The caller learns long before its deadline that nobody can tell.
+#[tokio::test]
+async fn a_silent_gate_is_given_up_before_the_deadline() {
+    let (fleet, listener) = with_own_gate().await;
+    let mut caller = Caller::connect(fleet.vms[0].callers).await;
+    caller.send("POST", "/pay/x", "id-1", "").await;
+    let mut gate = GateEnd::accept(&listener, 1).await;
+    assert!(matches!(gate.next().await, ToGate::Call { .. }));
+    drop(listener);
+    let answer = caller.answer().await.expect("an answer");
+    assert_eq!(answer.status(), 502);
+}
--- /dev/null
+++ b/crates/edge/tests/all/main.rs
@@ -0,0 +1,10 @@
+//! The routed path from a caller's socket to a target's, in one process: real
+//! sockets on loopback, targets played by the tests.
+
+mod answers;
+mod at_most_once;
+mod callers;
+mod giving_up;
+mod links;
+mod routing;
+mod support;
--- /dev/null
+++ b/crates/edge/tests/all/support.rs
@@ -0,0 +1,236 @@
+//! A small fleet in one process.
+
+pub mod caller;
+pub mod target;
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
+
+use arc_swap::ArcSwap;
+use hornbeamhitch_dispatch::retry_budget::RetryLimit;
+use hornbeamhitch_dispatch::routes::Destination;
+use hornbeamhitch_edge::callers::{CallerServer, Leaving};
+use hornbeamhitch_edge::dialect::TargetLoad;
+use hornbeamhitch_edge::directory::Directory;
+use hornbeamhitch_edge::entry::{Entry, EntryParts};
+use hornbeamhitch_edge::gate::{Gate, GateParts};
+use hornbeamhitch_edge::link::LinkServer;
+use hornbeamhitch_edge::prelude::*;
+use hornbeamhitch_edge::target::TargetClient;
+use hornbeamhitch_node::metrics::Metrics;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use target::FakeTarget;
+
+/// Header names of the tests' own making: the product knows none by heart.
+#[derive(Debug)]
+pub struct TestDialect;
+
+pub const REQUEST_ID: &str = "T-Id";
+pub const DEADLINE_MS: &str = "T-Left";
+pub const DIGEST: &str = "T-Digest";
+pub const EXPECTED_TARGET: &str = "T-Life";
+pub const LOAD: &str = "T-Load";
+pub const NOT_RUN: &str = "T-Not-Run";
+pub const CALLER_SERVICE: &str = "T-From";
+
+impl Dialect for TestDialect {
+    fn names(&self) -> &HeaderNames {
+        const NAMES: HeaderNames = HeaderNames {
+            request_id: REQUEST_ID,
+            deadline_ms: DEADLINE_MS,
+            digest: DIGEST,
+            expected_target: EXPECTED_TARGET,
+            load: LOAD,
+            not_run: NOT_RUN,
+            caller_service: CALLER_SERVICE,
+        };
+        &NAMES
+    }
+
+    /// The slowness alone.
+    fn load(&self, value: &str) -> Option<TargetLoad> {
+        Some(TargetLoad {
+            running: 0,
+            waiting: 0,
+            slots: 4,
+            slowness_percent: Some(value.parse().ok()?),
+        })
+    }
+}
+
+/// One VM with its target, gate and entry.
+pub struct Vm {
+    pub target: FakeTarget,
+    pub callers: SocketAddr,
+    pub leaving: watch::Sender<Leaving>,
+}
+
+/// VMs that know of each other.
+pub struct Fleet {
+    pub vms: Vec<Vm>,
+    pub directory: SharedDirectory,
+    pub gate_port: u16,
+}
+
+/// Starts a VM for each service; callers' routes go to the first service.
+pub async fn fleet(services: &[&str]) -> Fleet {
+    let directory: SharedDirectory = Arc::new(ArcSwap::from_pointee(Directory::default()));
+    let (gate_port, mut listeners) = same_port(services.len()).await;
+    let mut vms = Vec::new();
+    let mut members = Vec::new();
+    for (number, service) in services.iter().enumerate() {
+        let (ip, listener) = listeners.remove(0);
+        let target = FakeTarget::start(ip, &format!("life-{number}")).await;
+        members.push(member(number, service, target.address));
+        vms.push(start_vm(service, target, listener, &directory, gate_port).await);
+    }
+    set_directory(&directory, services[0], members);
+    Fleet {
+        vms,
+        directory,
+        gate_port,
+    }
+}
+
+pub fn member(number: usize, service: &str, address: SocketAddr) -> Member {
+    Member {
+        id: TargetId::new(&format!("life-{number}")),
+        service: ServiceName::new(service),
+        address,
+        data_centre: DataCentre::new("here"),
+        slots: 4,
+        draining: false,
+    }
+}
+
+/// Routes: `/read/`, `/pay/` and `/short/` of the host `h` go to the service.
+pub fn set_directory(directory: &SharedDirectory, service: &str, members: Vec<Member>) {
+    let mut tracker = hornbeamhitch_dispatch::members::MemberTracker::default();
+    for member in members {
+        tracker.upsert(member);
+    }
+    let mut routes = RouteSet::new(1, CallerLimits::default());
+    routes.add(
+        "h",
+        route("read", "/read/", CallKind::Idempotent, service, 2_000),
+    );
+    routes.add(
+        "h",
+        route("pay", "/pay/", CallKind::NonIdempotent, service, 2_000),
+    );
+    routes.add(
+        "h",
+        route("short", "/short/", CallKind::Idempotent, service, 300),
+    );
+    routes.set_health_path(ServiceName::new(service), "/health");
+    directory.store(Arc::new(Directory {
+        routes: Some(Arc::new(routes)),
+        members: Arc::new(tracker.snapshot()),
+    }));
+}
+
+pub fn route(name: &str, prefix: &str, kind: CallKind, service: &str, timeout_ms: u64) -> Route {
+    Route {
+        name: name.to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        objective_ms: Millis(500),
+        priority: 1,
+        destinations: vec![Destination {
+            service: ServiceName::new(service),
+            weight: 1,
+        }],
+        timeout_ms: Millis(timeout_ms),
+        max_attempts: 2,
+    }
+}
+
+/// Gates listen at one port on every VM, so a port is sought that is free on as
+/// many loopback addresses.
+async fn same_port(count: usize) -> (u16, Vec<(IpAddr, TcpListener)>) {
+    static NEXT_NET: AtomicU16 = AtomicU16::new(1);
+    loop {
+        let net = NEXT_NET.fetch_add(1, Ordering::Relaxed);
+        let [high, low] = net.to_be_bytes();
+        let ip = |number: usize| {
+            let last = u8::try_from(number + 1).expect("a small fleet");
+            IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, last))
+        };
+        let first = TcpListener::bind((ip(0), 0)).await.expect("a free port");
+        let port = first.local_addr().expect("an address").port();
+        let mut listeners = vec![(ip(0), first)];
+        for number in 1..count {
+            match TcpListener::bind((ip(number), port)).await {
+                Ok(listener) => listeners.push((ip(number), listener)),
+                Err(_) => break,
+            }
+        }
+        if listeners.len() == count {
+            return (port, listeners);
+        }
+    }
+}
+
+async fn start_vm(
+    service: &str,
+    target: FakeTarget,
+    links: TcpListener,
+    directory: &SharedDirectory,
+    gate_port: u16,
+) -> Vm {
+    let clock = ProcessClock::start();
+    let service = ServiceName::new(service);
+    let dialect: Arc<dyn Dialect> = Arc::new(TestDialect);
+    let data_centre = DataCentre::new("here");
+    let metrics = Metrics::new(&VmId::new("vm"), &service, &data_centre).expect("metrics");
+    let gate = Arc::new(Gate::new(GateParts {
+        service: service.clone(),
+        target: TargetClient::new(target.address, Arc::clone(&dialect), clock),
+        directory: Arc::clone(directory),
+        dialect: Arc::clone(&dialect),
+        clock,
+        target_address: target.address,
+    }));
+    let incarnation = Incarnation(rand::random());
+    let entry = Arc::new(Entry::new(EntryParts {
+        service: service.clone(),
+        data_centre,
+        gate_port,
+        target_address: target.address,
+        gate: Arc::clone(&gate),
+        directory: Arc::clone(directory),
+        dialect,
+        clock,
+        incarnation,
+        metrics: Arc::new(metrics),
+        retry_limit: RetryLimit {
+            ratio: 0.2,
+            slack: 64.0,
+            window_ms: Millis(10_000),
+        },
+        seed: 1,
+    }));
+    let server = LinkServer {
+        gate: Arc::clone(&gate),
+        incarnation,
+    };
+    tokio::spawn(server.accept(links));
+    let listener = TcpListener::bind((target.address.ip(), 0))
+        .await
+        .expect("a free port");
+    let callers = listener.local_addr().expect("an address");
+    let (leaving, left) = watch::channel(Leaving::Not);
+    let server = CallerServer {
+        entry: Arc::clone(&entry),
+        leaving: left,
+    };
+    tokio::spawn(server.serve(listener));
+    Vm {
+        target,
+        callers,
+        leaving,
+    }
+}
--- /dev/null
+++ b/crates/edge/tests/all/support/target.rs
@@ -0,0 +1,215 @@
+//! A target that does what the path of a request asks for.
+//!
+//! The last segment of the path names its behaviour; see [`Behaviour`].
+
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use hornbeamhitch_edge::http1::{self, Framing, HttpReader, RequestHead};
+use parking_lot::Mutex;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{DIGEST, LOAD, NOT_RUN, REQUEST_ID};
+
+/// What the target remembers of a request that it ran.
+#[derive(Clone, Debug)]
+pub struct Ran {
+    pub head: RequestHead,
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug, Default)]
+struct Journal {
+    ran: Mutex<Vec<Ran>>,
+    /// Connections that closed within a run.
+    cancelled: AtomicU32,
+    connections: AtomicU32,
+    slowness_percent: AtomicU32,
+    /// The behaviour for all requests that name none.
+    usual: Mutex<String>,
+}
+
+/// A target on loopback.
+#[derive(Clone, Debug)]
+pub struct FakeTarget {
+    pub address: SocketAddr,
+    journal: Arc<Journal>,
+}
+
+impl FakeTarget {
+    pub async fn start(ip: IpAddr, life: &str) -> Self {
+        let listener = TcpListener::bind((ip, 0)).await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let journal = Arc::new(Journal::default());
+        journal.slowness_percent.store(100, Ordering::Relaxed);
+        *journal.usual.lock() = "ok".to_owned();
+        let accepted = Arc::clone(&journal);
+        let life = life.to_owned();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                accepted.connections.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(serve(stream, Arc::clone(&accepted), life.clone()));
+            }
+        });
+        Self { address, journal }
+    }
+
+    /// Requests that ran, in their order.
+    pub fn ran(&self) -> Vec<Ran> {
+        self.journal.ran.lock().clone()
+    }
+
+    /// How often a request ran.
+    pub fn runs_of(&self, request_id: &str) -> usize {
+        let ran = self.journal.ran.lock();
+        ran.iter()
+            .filter(|ran| http1::field(&ran.head.fields, REQUEST_ID) == Some(request_id))
+            .count()
+    }
+
+    pub fn cancelled(&self) -> u32 {
+        self.journal.cancelled.load(Ordering::Relaxed)
+    }
+
+    pub fn connections(&self) -> u32 {
+        self.journal.connections.load(Ordering::Relaxed)
+    }
+
+    pub fn set_slowness(&self, percent: u32) {
+        self.journal
+            .slowness_percent
+            .store(percent, Ordering::Relaxed);
+    }
+
+    /// What requests without a behaviour of their own meet.
+    pub fn set_usual(&self, behaviour: &str) {
+        *self.journal.usual.lock() = behaviour.to_owned();
+    }
+}
+
+async fn serve(stream: TcpStream, journal: Arc<Journal>, life: String) {
+    let (reader, mut writer) = stream.into_split();
+    let mut reader = HttpReader::new(reader);
+    while let Ok(head) = reader.request_head(64 * 1024).await {
+        if !answer(&mut reader, &mut writer, head, &journal, &life).await {
+            return;
+        }
+    }
+}
+
+/// Plays one request; false when the connection ends.
+async fn answer(
+    reader: &mut HttpReader<OwnedReadHalf>,
+    writer: &mut OwnedWriteHalf,
+    head: RequestHead,
+    journal: &Journal,
+    life: &str,
+) -> bool {
+    let load = journal.slowness_percent.load(Ordering::Relaxed);
+    if head.path == "/health" {
+        let text = format!("HTTP/1.1 200 OK\r\n{LOAD}: {load}\r\nContent-Length: 0\r\n\r\n");
+        return writer.write_all(text.as_bytes()).await.is_ok();
+    }
+    let id = http1::field(&head.fields, REQUEST_ID)
+        .unwrap_or_default()
+        .to_owned();
+    let expected = http1::field(&head.fields, super::EXPECTED_TARGET);
+    if expected.is_some_and(|expected| expected != life) {
+        let text = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+        return writer.write_all(text.as_bytes()).await.is_ok();
+    }
+    let named = head.path.rsplit('/').next().unwrap_or_default().to_owned();
+    let behaviour = match named.as_str() {
+        "" => journal.usual.lock().clone(),
+        named => named.to_owned(),
+    };
+    let good = |body: &str| {
+        let length = body.len();
+        format!(
+            "HTTP/1.1 200 OK\r\n{REQUEST_ID}: {id}\r\n{DIGEST}: d-{id}\r\n{LOAD}: {load}\r\n\
+             X-Own: kept\r\nContent-Length: {length}\r\n\r\n{body}"
+        )
+    };
+    if behaviour == "shed" {
+        let text = format!("HTTP/1.1 503 Busy\r\n{NOT_RUN}: 1\r\nContent-Length: 0\r\n\r\n");
+        let framing = head.framing().unwrap_or(Framing::Length(0));
+        let _ = reader.body(framing, u64::MAX).await;
+        return writer.write_all(text.as_bytes()).await.is_ok();
+    }
+    if behaviour == "early" {
+        journal.ran.lock().push(Ran {
+            head,
+            body: Vec::new(),
+        });
+        return writer.write_all(good("early").as_bytes()).await.is_ok();
+    }
+    let framing = head.framing().unwrap_or(Framing::Length(0));
+    let Ok(body) = reader.body(framing, u64::MAX).await else {
+        return false;
+    };
+    journal.ran.lock().push(Ran {
+        head,
+        body: body.to_vec(),
+    });
+    let text = match behaviour.as_str() {
+        "fail" => format!(
+            "HTTP/1.1 500 Failed\r\n{REQUEST_ID}: {id}\r\n{DIGEST}: d-{id}\r\nContent-Length: 4\r\n\r\nfail"
+        ),
+        "full" => format!("HTTP/1.1 503 Full\r\n{REQUEST_ID}: {id}\r\nContent-Length: 0\r\n\r\n"),
+        "break" => return false,
+        "cut" => {
+            let text = good("a whole body");
+            let _ = writer.write_all(&text.as_bytes()[..text.len() - 4]).await;
+            return false;
+        }
+        "garbage" => "this is no answer\r\n\r\n".to_owned(),
+        "twice" => format!("{}{}", good("first"), good("second")),
+        "foreign" => format!("{}{}", good("mine").replace(&id, "another"), good("mine")),
+        "unsigned" => good("unsigned").replace(DIGEST, "T-Other"),
+        "until-close" => {
+            let text = good("open").replace("Content-Length: 4\r\n", "");
+            let _ = writer.write_all(text.as_bytes()).await;
+            return false;
+        }
+        "hang" => {
+            // Whoever sent it closes; nothing else is to come.
+            let _ = reader.wait_for_bytes().await;
+            journal.cancelled.fetch_add(1, Ordering::Relaxed);
+            return false;
+        }
+        "slow" => {
+            tokio::time::sleep(Duration::from_millis(120)).await;
+            good("slow")
+        }
+        _ => good(&format!("served {}", body.len())),
+    };
+    writer.write_all(text.as_bytes()).await.is_ok()
+}
+
+/// Waits until something holds; the runtime's clock bounds it.
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_secs(10), waiting).await;
+    assert!(waited.is_ok(), "waited in vain: {what}");
+}
+
+/// Runs by request id over several targets.
+pub fn runs(targets: &[&FakeTarget]) -> HashMap<String, usize> {
+    let mut runs = HashMap::new();
+    for target in targets {
+        for ran in target.ran() {
+            let id = http1::field(&ran.head.fields, REQUEST_ID).unwrap_or_default();
+            *runs.entry(id.to_owned()).or_default() += 1;
+        }
+    }
+    runs
+}
