Sharpen three tests that their safeguards' absence did not fail

Seen with each safeguard switched off: the skipped foreign answer had the same body as the right one, the early target closed instead of reading on, and the restarted gate was silent to a second send. Each now fails without its safeguard.

--- a/crates/edge/tests/all/links.rs
+++ b/crates/edge/tests/all/links.rs
@@ -167,7 +167,10 @@
     };
     let end = CallEnd::Fenced;
     gate.send(&ToEntry::Ended { id, end }).await;
-    assert_eq!(caller.answer().await.expect("an answer").status(), 502);
+    tokio::select! {
+        answer = caller.answer() => assert_eq!(answer.expect("an answer").status(), 502),
+        frame = gate.next() => panic!("the payment was sent again: {frame:?}"),
+    }
 }
 
 /// The gate's VM goes dark in the middle of a payment: the link stays open and
--- a/crates/edge/tests/all/support/target.rs
+++ b/crates/edge/tests/all/support/target.rs
@@ -141,15 +141,19 @@
         let _ = reader.body(framing, u64::MAX).await;
         return writer.write_all(text.as_bytes()).await.is_ok();
     }
+    let head_framing = head.framing().unwrap_or(Framing::Length(0));
     if behaviour == "early" {
         journal.ran.lock().push(Ran {
             head,
             body: Vec::new(),
         });
-        return writer.write_all(good("early").as_bytes()).await.is_ok();
+        // It answers at once and reads the body later, on the same connection.
+        let framing = head_framing;
+        let is_written = writer.write_all(good("early").as_bytes()).await.is_ok();
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        return is_written && reader.body(framing, u64::MAX).await.is_ok();
     }
-    let framing = head.framing().unwrap_or(Framing::Length(0));
-    let Ok(body) = reader.body(framing, u64::MAX).await else {
+    let Ok(body) = reader.body(head_framing, u64::MAX).await else {
         return false;
     };
     journal.ran.lock().push(Ran {
@@ -169,7 +173,7 @@
         }
         "garbage" => "this is no answer\r\n\r\n".to_owned(),
         "twice" => format!("{}{}", good("first"), good("second")),
-        "foreign" => format!("{}{}", good("mine").replace(&id, "another"), good("mine")),
+        "foreign" => format!("{}{}", good("theirs").replace(&id, "another"), good("mine")),
         "unsigned" => good("unsigned").replace(DIGEST, "T-Other"),
         "until-close" => {
             let text = good("open").replace("Content-Length: 4\r\n", "");
