--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -14,6 +14,11 @@
 const READING_INTERVAL_MS: Millis = Millis(15);
 /// Up to this share of the usual run time, in percent, a target counts as fast.
 const FAST_PERCENT: u32 = 150;
+/// Up to this share a target is moderately slow, as one is for some seconds
+/// after its start. It is taken where nothing is lost by it: where the call
+/// still meets its objective, or misses it at usual speed as well. After all
+/// targets of a service were restarted at once there is nothing faster.
+const MODERATE_PERCENT: u32 = 250;
 /// Slots of a target up to which all but one are used; larger ones keep a
 /// fifth free, because targets slow down when nearly full.
 const SMALL_TARGET_SLOTS: u32 = 8;
@@ -40,6 +45,8 @@
     pub work_ms: Millis,
     /// It may wait here until then.
     pub hold_until: Millis,
+    /// Its caller is served well if it ends by then.
+    pub objective_at: Millis,
     /// From then on it takes a slow target too.
     pub slow_from: Millis,
     /// It must have ended by then.
@@ -75,10 +82,16 @@
     Refuse(Refused),
 }
 
-/// A call's place in the line of a gate.
+/// A call's place in the line of a gate: by rank, then the shorter work first,
+/// then by arrival.
+///
+/// Short work first, because it is mostly what targets ask of each other while
+/// they hold a slot for their own caller. Behind a line of long uploads such a
+/// call misses its deadline, and the work that waits for it is lost as well.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Place {
     priority: u8,
+    work_ms: Millis,
     number: u64,
 }
 
@@ -165,6 +178,7 @@
         self.last_number += 1;
         let place = Place {
             priority: call.priority,
+            work_ms: call.work_ms,
             number: self.last_number,
         };
         self.line.insert(place, call.work_ms);
@@ -209,11 +223,7 @@
         let Some(speed) = self.fresh_speed(now) else {
             return Verdict::ReadSpeed;
         };
-        if speed.slowness_percent <= FAST_PERCENT {
-            return Verdict::Start;
-        }
-        let slow_run = Millis(call.work_ms.0 * u64::from(speed.slowness_percent) / 100);
-        if takes_slow && now + slow_run <= call.deadline_at {
+        if is_good_enough(call, speed.slowness_percent, now) {
             return Verdict::Start;
         }
         if now >= call.hold_until {
@@ -247,3 +257,20 @@
         Verdict::Wait(call.hold_until)
     }
 }
+
+/// Whether a call should start at this speed.
+fn is_good_enough(call: &GateCall, slowness_percent: u32, now: Millis) -> bool {
+    if slowness_percent <= FAST_PERCENT {
+        return true;
+    }
+    let ends_at = now + Millis(call.work_ms.0 * u64::from(slowness_percent) / 100);
+    if ends_at > call.deadline_at {
+        return false;
+    }
+    if now >= call.slow_from {
+        return true;
+    }
+    let meets_objective = ends_at <= call.objective_at;
+    let misses_it_anyway = now + call.work_ms > call.objective_at;
+    slowness_percent <= MODERATE_PERCENT && (meets_objective || misses_it_anyway)
+}
--- a/crates/dispatch/src/admission/tests.rs
+++ b/crates/dispatch/src/admission/tests.rs
@@ -7,6 +7,7 @@
         priority: 1,
         work_ms: Millis(100),
         hold_until: Millis(hold_ms),
+        objective_at: Millis(300),
         slow_from: Millis(slow_from_ms),
         deadline_at: Millis(2_000),
     }
@@ -58,6 +59,26 @@
     assert_eq!(admission.decide(place, &call, Millis(16)), Verdict::Start);
 }
 
+/// All VMs lost power and are back. Every target is cold for some seconds and
+/// takes twice as long; nothing faster is to be had, and the objective is still
+/// met. Refused as slow, all callers would be sent away until the cold is over.
+#[test]
+fn a_cold_target_is_taken_where_the_objective_is_still_met() {
+    let mut admission = gate(12);
+    let lookup = call(0, 2_000);
+    let place = admission.enlist(&lookup);
+    read(&mut admission, 200, 0);
+    assert_eq!(admission.decide(place, &lookup, Millis(0)), Verdict::Start);
+    // At 150 a cold run misses the objective and a usual one would meet it.
+    read(&mut admission, 200, 150);
+    let verdict = admission.decide(place, &lookup, Millis(150));
+    assert_eq!(verdict, Verdict::Refuse(Refused::Slow));
+    // At 250 neither meets it, so waiting for a faster moment buys nothing.
+    read(&mut admission, 200, 250);
+    let verdict = admission.decide(place, &lookup, Millis(250));
+    assert_eq!(verdict, Verdict::Start);
+}
+
 #[test]
 fn a_call_that_may_not_wait_is_sent_elsewhere_from_a_slow_target() {
     let mut admission = gate(12);
@@ -138,6 +159,28 @@
     assert_eq!(verdict, Verdict::Start);
 }
 
+/// Uploads wait in line at a target, and another target asks it for a record
+/// on behalf of a payment. The payment holds a slot there all the while.
+#[test]
+fn short_work_of_the_same_rank_goes_first() {
+    let mut admission = gate(2);
+    read(&mut admission, 100, 0);
+    let runs = admission.enlist(&call(1_000, 2_000));
+    admission.start(runs);
+    let upload = call(1_000, 2_000);
+    let record = GateCall {
+        work_ms: Millis(20),
+        ..upload
+    };
+    let upload_place = admission.enlist(&upload);
+    let record_place = admission.enlist(&record);
+    admission.finish();
+    let verdict = admission.decide(upload_place, &upload, Millis(0));
+    assert!(matches!(verdict, Verdict::Wait(_)), "{verdict:?}");
+    let verdict = admission.decide(record_place, &record, Millis(0));
+    assert_eq!(verdict, Verdict::Start);
+}
+
 #[test]
 fn a_call_that_would_wait_too_long_learns_it_at_once() {
     let mut admission = gate(2);
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -59,6 +59,8 @@
     pub slots: u32,
     /// It takes no new work and will end.
     pub draining: bool,
+    /// Order in which targets were first listed; later ones have higher numbers.
+    pub listed_at: u64,
 }
 
 impl Member {
@@ -229,6 +231,21 @@
             .min()
     }
 
+    /// The latest life at each address.
+    ///
+    /// Failure answered: a target that crashed is listed for seconds beside its
+    /// next life at the same address, and every second call would be sent to
+    /// the one that is no more.
+    fn latest_lives(&self) -> HashMap<SocketAddr, u64> {
+        let mut latest = HashMap::new();
+        for tracked in self.known.values() {
+            let member = &tracked.member;
+            let known = latest.entry(member.address).or_insert(member.listed_at);
+            *known = member.listed_at.max(*known);
+        }
+        latest
+    }
+
     /// The targets as traffic reads them.
     #[must_use]
     pub fn snapshot(&self) -> Members {
@@ -236,10 +253,11 @@
             left: Arc::new(self.left.clone()),
             ..Members::default()
         };
+        let latest = self.latest_lives();
         for tracked in self.known.values() {
             let member = &tracked.member;
             members.by_id.insert(member.id.clone(), Arc::clone(member));
-            if member.draining {
+            if member.draining || latest[&member.address] != member.listed_at {
                 continue;
             }
             let open = members.by_service.entry(member.service.clone());
--- a/crates/dispatch/src/members/tests.rs
+++ b/crates/dispatch/src/members/tests.rs
@@ -10,6 +10,7 @@
         data_centre: DataCentre::new("dusit"),
         slots: 12,
         draining: false,
+        listed_at: 1,
     }
 }
 
@@ -67,6 +68,20 @@
     assert_eq!(open_ids(&tracker), ["i-1"]);
 }
 
+/// A target crashes and starts again at its address. Its entry lapses only
+/// seconds after the new one has come.
+#[test]
+fn of_two_lives_at_an_address_only_the_later_is_open() {
+    let mut tracker = MemberTracker::default();
+    tracker.upsert(member("i-9", "10.0.0.1:80"));
+    let later = Member {
+        listed_at: 2,
+        ..member("i-1", "10.0.0.1:80")
+    };
+    tracker.upsert(later);
+    assert_eq!(open_ids(&tracker), ["i-1"]);
+}
+
 #[test]
 fn a_draining_target_that_vanishes_in_trouble_is_gone() {
     let mut tracker = MemberTracker::default();
--- a/crates/dispatch/src/order/tests.rs
+++ b/crates/dispatch/src/order/tests.rs
@@ -15,6 +15,7 @@
             data_centre: DataCentre::new(data_centre),
             slots: 12,
             draining: false,
+            listed_at: 1,
         }));
     }
     members
--- a/crates/dispatch/src/patience.rs
+++ b/crates/dispatch/src/patience.rs
@@ -32,6 +32,8 @@
     /// Until then only targets of usual speed are taken: the objective can
     /// still be met.
     pub fast_until: Millis,
+    /// A run that ends by then meets the objective.
+    pub objective_at: Millis,
     /// From then on a slow target is better than none; [`Millis::MAX`] when a
     /// slow run would not end before the deadline.
     pub slow_from: Millis,
@@ -67,6 +69,7 @@
         Self {
             near_until,
             fast_until,
+            objective_at,
             slow_from,
             busy_until: fast_until.max(arrived + Millis(route.objective_ms.0 / BUSY_HOLD_PART)),
             last_start,
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -22,8 +22,11 @@
 /// In later rounds one gate holds the call in its line for this long, so that a
 /// slot or a fast moment there is not missed; then the others are asked again.
 const ROUND_HOLD_MS: Millis = Millis(30);
-/// Least time between two rounds of asking, or refusals would come in a storm.
+/// Least time between the first two rounds of asking; each further one waits
+/// longer, or refusals would come in a storm when all targets are full.
 const ROUND_PAUSE_MS: Millis = Millis(12);
+/// Longest time between two rounds: a slow spell lasts a few of these.
+const LONGEST_ROUND_PAUSE_MS: Millis = Millis(48);
 /// A run that has taken this many times what was expected is taken for stuck,
 /// and an idempotent call is sent to a second target beside it.
 const STUCK_AFTER_RUNS: f64 = 2.5;
@@ -184,7 +187,8 @@
             if self.is_hopeless(now) {
                 return Step::End(self.refuse());
             }
-            let next_at = self.round_began + ROUND_PAUSE_MS;
+            let pause_ms = ROUND_PAUSE_MS.0 * u64::from(self.rounds);
+            let next_at = self.round_began + Millis(pause_ms).min(LONGEST_ROUND_PAUSE_MS);
             if now < next_at {
                 return Step::Pause(next_at);
             }
@@ -258,6 +262,7 @@
                 priority: self.route.priority,
                 work_ms: self.work.run_at(100),
                 hold_ms,
+                objective_ms: self.patience.objective_at.since(now),
                 slow_after_ms,
                 deadline_ms: self.deadline_at.since(now),
             },
@@ -389,7 +394,7 @@
         let had_started = self.attempts[number].started.is_some();
         let target = self.close(number);
         self.last_end = Some(end);
-        if end == CallEnd::Down {
+        if matches!(end, CallEnd::Down | CallEnd::Misdirected) {
             let mut state = self.entry.state.lock();
             state.failures.note_unreachable(&target, now);
         }
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -3,6 +3,7 @@
 mod records;
 mod speed;
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -110,6 +111,8 @@
 struct GateState {
     admission: Admission,
     records: Records,
+    /// Lives of the target that it no longer is.
+    ended_lives: VecDeque<TargetId>,
 }
 
 /// A call that runs.
@@ -218,6 +221,7 @@
             priority: terms.priority,
             work_ms: terms.work_ms,
             hold_until: arrived + terms.hold_ms,
+            objective_at: arrived + terms.objective_ms,
             slow_from: arrived + terms.slow_after_ms,
             deadline_at: arrived + terms.deadline_ms,
         };
@@ -321,6 +325,9 @@
     fn takes_no_more(&self, terms: &CallTerms) -> bool {
         let directory = self.directory.load();
         let id = TargetId::new(&terms.target_id);
+        if self.state.lock().ended_lives.contains(&id) {
+            return true;
+        }
         match directory.members.get(&id) {
             Some(member) => member.draining,
             None => directory.members.has_left(&id),
@@ -429,6 +436,7 @@
             self.note_load(load, now);
         }
         if head.status == MISDIRECTED {
+            self.note_ended_life(&terms.target_id);
             return GateEvent::Ended(CallEnd::Misdirected);
         }
         if http1::field(&head.fields, names.not_run).is_some() {
@@ -454,6 +462,19 @@
         }
     }
 
+    /// The target's address belongs to another life of it. Further calls for the
+    /// ended one are refused here: each that reached the target would count
+    /// against the retry budget.
+    fn note_ended_life(&self, id: &str) {
+        /// Lives that end within the time until all entries have heard of it.
+        const MAX_ENDED_LIVES: usize = 16;
+        let lives = &mut self.state.lock().ended_lives;
+        if lives.len() >= MAX_ENDED_LIVES {
+            lives.pop_front();
+        }
+        lives.push_back(TargetId::new(id));
+    }
+
     fn note_load(&self, value: &str, now: Millis) {
         let Some(load) = self.dialect.load(value) else {
             log::debug!("a load report is malformed: {value}");
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -63,6 +63,8 @@
     pub work_ms: Millis,
     /// It may wait at the gate this long.
     pub hold_ms: Millis,
+    /// Its caller is served well if it ends within this span.
+    pub objective_ms: Millis,
     /// After this span a slow target is better than none.
     pub slow_after_ms: Millis,
     /// It must have ended within this span.
