--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -82,8 +82,11 @@
     Refuse(Refused),
 }
 
-/// A call's place in the line of a gate: by rank, then the shorter work first,
-/// then by arrival.
+/// A call's place in the line of a gate: by rank, then those that can still meet
+/// their objective, then the shorter work, then by arrival.
+///
+/// A call that is late already loses little by waiting longer, and one that is
+/// not would become late behind it: in an overload all would be late.
 ///
 /// Short work first, because it is mostly what targets ask of each other while
 /// they hold a slot for their own caller. Behind a line of long uploads such a
@@ -91,6 +94,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Place {
     priority: u8,
+    is_late: bool,
     work_ms: Millis,
     number: u64,
 }
@@ -174,10 +178,11 @@
     }
 
     /// Puts a call in line.
-    pub fn enlist(&mut self, call: &GateCall) -> Place {
+    pub fn enlist(&mut self, call: &GateCall, now: Millis) -> Place {
         self.last_number += 1;
         let place = Place {
             priority: call.priority,
+            is_late: now + call.work_ms > call.objective_at,
             work_ms: call.work_ms,
             number: self.last_number,
         };
--- a/crates/dispatch/src/admission/tests.rs
+++ b/crates/dispatch/src/admission/tests.rs
@@ -30,7 +30,7 @@
 fn a_fast_target_with_room_starts_the_call() {
     let mut admission = gate(12);
     let call = call(0, 2_000);
-    let place = admission.enlist(&call);
+    let place = admission.enlist(&call, Millis(0));
     assert_eq!(
         admission.decide(place, &call, Millis(0)),
         Verdict::ReadSpeed
@@ -46,7 +46,7 @@
 fn no_run_starts_in_a_slow_spell_while_it_can_wait() {
     let mut admission = gate(12);
     let call = call(100, 2_000);
-    let place = admission.enlist(&call);
+    let place = admission.enlist(&call, Millis(0));
     read(&mut admission, 500, 0);
     let verdict = admission.decide(place, &call, Millis(0));
     assert_eq!(verdict, Verdict::Wait(READING_INTERVAL_MS));
@@ -66,7 +66,7 @@
 fn a_cold_target_is_taken_where_the_objective_is_still_met() {
     let mut admission = gate(12);
     let lookup = call(0, 2_000);
-    let place = admission.enlist(&lookup);
+    let place = admission.enlist(&lookup, Millis(0));
     read(&mut admission, 200, 0);
     assert_eq!(admission.decide(place, &lookup, Millis(0)), Verdict::Start);
     // At 150 a cold run misses the objective and a usual one would meet it.
@@ -83,7 +83,7 @@
 fn a_call_that_may_not_wait_is_sent_elsewhere_from_a_slow_target() {
     let mut admission = gate(12);
     let call = call(0, 2_000);
-    let place = admission.enlist(&call);
+    let place = admission.enlist(&call, Millis(0));
     read(&mut admission, 500, 0);
     let verdict = admission.decide(place, &call, Millis(0));
     assert_eq!(verdict, Verdict::Refuse(Refused::Slow));
@@ -93,7 +93,7 @@
 fn late_in_its_time_a_call_takes_a_slow_target_if_it_ends_in_time() {
     let mut admission = gate(12);
     let in_time = call(0, 0);
-    let place = admission.enlist(&in_time);
+    let place = admission.enlist(&in_time, Millis(0));
     read(&mut admission, 500, 0);
     assert_eq!(admission.decide(place, &in_time, Millis(0)), Verdict::Start);
     let too_late = GateCall {
@@ -111,7 +111,7 @@
     let mut admission = gate(12);
     for _ in 0..40 {
         let call = call(0, 0);
-        let place = admission.enlist(&call);
+        let place = admission.enlist(&call, Millis(0));
         read(&mut admission, 100, 0);
         match admission.decide(place, &call, Millis(0)) {
             Verdict::Start => admission.start(place),
@@ -128,11 +128,11 @@
     let mut admission = gate(12);
     read(&mut admission, 100, 0);
     for _ in 0..9 {
-        let place = admission.enlist(&call(0, 2_000));
+        let place = admission.enlist(&call(0, 2_000), Millis(0));
         admission.start(place);
     }
     let choosy = call(0, 2_000);
-    let place = admission.enlist(&choosy);
+    let place = admission.enlist(&choosy, Millis(0));
     let verdict = admission.decide(place, &choosy, Millis(0));
     assert_eq!(verdict, Verdict::Refuse(Refused::Busy));
     let pressed = call(0, 0);
@@ -143,15 +143,15 @@
 fn a_more_urgent_call_goes_first() {
     let mut admission = gate(2);
     read(&mut admission, 100, 0);
-    let runs = admission.enlist(&call(1_000, 2_000));
+    let runs = admission.enlist(&call(1_000, 2_000), Millis(0));
     admission.start(runs);
     let lookup = call(1_000, 2_000);
     let payment = GateCall {
         priority: 0,
         ..lookup
     };
-    let lookup_place = admission.enlist(&lookup);
-    let payment_place = admission.enlist(&payment);
+    let lookup_place = admission.enlist(&lookup, Millis(0));
+    let payment_place = admission.enlist(&payment, Millis(0));
     admission.finish();
     let verdict = admission.decide(lookup_place, &lookup, Millis(0));
     assert!(matches!(verdict, Verdict::Wait(_)), "{verdict:?}");
@@ -159,21 +159,42 @@
     assert_eq!(verdict, Verdict::Start);
 }
 
+/// More lookups come than a target can run. One that is late already waits
+/// behind one that is not: the other way round both would be late.
+#[test]
+fn a_call_that_is_late_already_goes_last() {
+    let mut admission = gate(2);
+    read(&mut admission, 100, 0);
+    let lookup = call(1_000, 2_000);
+    let runs = admission.enlist(&lookup, Millis(0));
+    admission.start(runs);
+    let late = GateCall {
+        objective_at: Millis(50),
+        ..lookup
+    };
+    let late_place = admission.enlist(&late, Millis(0));
+    let place = admission.enlist(&lookup, Millis(0));
+    admission.finish();
+    let verdict = admission.decide(late_place, &late, Millis(0));
+    assert!(matches!(verdict, Verdict::Wait(_)), "{verdict:?}");
+    assert_eq!(admission.decide(place, &lookup, Millis(0)), Verdict::Start);
+}
+
 /// Uploads wait in line at a target, and another target asks it for a record
 /// on behalf of a payment. The payment holds a slot there all the while.
 #[test]
 fn short_work_of_the_same_rank_goes_first() {
     let mut admission = gate(2);
     read(&mut admission, 100, 0);
-    let runs = admission.enlist(&call(1_000, 2_000));
+    let runs = admission.enlist(&call(1_000, 2_000), Millis(0));
     admission.start(runs);
     let upload = call(1_000, 2_000);
     let record = GateCall {
         work_ms: Millis(20),
         ..upload
     };
-    let upload_place = admission.enlist(&upload);
-    let record_place = admission.enlist(&record);
+    let upload_place = admission.enlist(&upload, Millis(0));
+    let record_place = admission.enlist(&record, Millis(0));
     admission.finish();
     let verdict = admission.decide(upload_place, &upload, Millis(0));
     assert!(matches!(verdict, Verdict::Wait(_)), "{verdict:?}");
@@ -185,16 +206,16 @@
 fn a_call_that_would_wait_too_long_learns_it_at_once() {
     let mut admission = gate(2);
     read(&mut admission, 100, 0);
-    let runs = admission.enlist(&call(1_000, 2_000));
+    let runs = admission.enlist(&call(1_000, 2_000), Millis(0));
     admission.start(runs);
     let waits = call(150, 2_000);
-    let place = admission.enlist(&waits);
+    let place = admission.enlist(&waits, Millis(0));
     assert!(matches!(
         admission.decide(place, &waits, Millis(0)),
         Verdict::Wait(_)
     ));
     let behind = call(150, 2_000);
-    let place = admission.enlist(&behind);
+    let place = admission.enlist(&behind, Millis(0));
     let verdict = admission.decide(place, &behind, Millis(0));
     assert_eq!(verdict, Verdict::Refuse(Refused::Busy));
 }
@@ -203,7 +224,7 @@
 fn a_leaving_gate_and_a_dead_target_refuse() {
     let mut admission = gate(2);
     let call = call(1_000, 2_000);
-    let place = admission.enlist(&call);
+    let place = admission.enlist(&call, Millis(0));
     admission.note_down(Millis(0));
     let verdict = admission.decide(place, &call, Millis(10));
     assert_eq!(verdict, Verdict::Refuse(Refused::Down));
--- a/crates/dispatch/src/patience.rs
+++ b/crates/dispatch/src/patience.rs
@@ -15,8 +15,18 @@
 /// A target in a slow spell takes about this many times as long.
 const SLOW_SPELL_PERCENT: u32 = 500;
 /// When no target has room (in contrast to being slow), a caller learns it
-/// after this part of the objective at the latest: it may come back in time.
+/// after this part of the objective or, where a usual run would still meet it,
+/// when none would any more: it may come back in time.
 const BUSY_HOLD_PART: u64 = 8;
+/// Work that fits this often into the time that it has is short. Short work
+/// finds a slot soon even in an overload, since it goes first and takes little
+/// from others; mostly it is what a target asks of another one for a caller of
+/// its own, and sent away it would cost that whole request ...
+const SHORT_WORK_PARTS: f64 = 10.0;
+/// ... so it stays in line for this part of its time. For long work the same
+/// was tried and reverted: in an overload its callers were served late instead
+/// of being sent away and served in time.
+const SHORT_BUSY_PERCENT: u64 = 70;
 /// Requests above this size wait for a near target as long as they can ...
 const HEAVY_BYTES: f64 = 20_000.0;
 /// ... and those below this size are not worth waiting for it at all. Between
@@ -66,12 +76,19 @@
             Some(at) if at >= arrived.0 => Millis(at).max(fast_until).min(last_start),
             _ => Millis::MAX,
         };
+        let time_ms = deadline_at.since(arrived).0;
+        let is_short = work.run_ms * SHORT_WORK_PARTS <= time_ms as f64;
+        let busy_for = match is_short {
+            true => time_ms * SHORT_BUSY_PERCENT / 100,
+            false => route.objective_ms.0 / BUSY_HOLD_PART,
+        };
+        let busy_until = arrived + Millis(busy_for);
         Self {
             near_until,
             fast_until,
             objective_at,
             slow_from,
-            busy_until: fast_until.max(arrived + Millis(route.objective_ms.0 / BUSY_HOLD_PART)),
+            busy_until: busy_until.max(fast_until).min(last_start),
             last_start,
         }
     }
--- a/crates/dispatch/src/patience/tests.rs
+++ b/crates/dispatch/src/patience/tests.rs
@@ -38,3 +38,18 @@
 fn a_slow_run_that_cannot_end_in_time_is_never_started() {
     assert_eq!(plan(0, 400).slow_from, Millis::MAX);
 }
+
+/// No target has room. A lookup learns it while it can still come back in time;
+/// a short question of one target to another stays in line, since the work that
+/// waits for it would be lost.
+#[test]
+fn short_work_stays_in_line_and_long_work_is_told_early() {
+    assert_eq!(plan(0, 800).busy_until, Millis(1_154));
+    let route = route("r", "/", &[("s", 1)]);
+    let work = WorkEstimate {
+        run_ms: 20.0,
+        answer_bytes: 500.0,
+    };
+    let plan = Patience::plan(&route, &work, 0, Millis(1_000), Millis(1_250));
+    assert_eq!(plan.busy_until, Millis(1_175));
+}
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -276,7 +276,7 @@
         if let Some(slots) = slots {
             state.admission.set_slots(slots);
         }
-        state.admission.enlist(call)
+        state.admission.enlist(call, self.clock.now())
     }
 
     fn own_slots(&self) -> Option<u32> {
