--- a/crates/dispatch/src/patience/tests.rs
+++ b/crates/dispatch/src/patience/tests.rs
@@ -45,7 +45,8 @@
 #[test]
 fn short_work_stays_in_line_and_long_work_is_told_early() {
     assert_eq!(plan(0, 800).busy_until, Millis(1_154));
-    let route = route("r", "/", &[("s", 1)]);
+    let mut route = route("r", "/", &[("s", 1)]);
+    route.objective_ms = Millis(100);
     let work = WorkEstimate {
         run_ms: 20.0,
         answer_bytes: 500.0,
