Write down a call's way, and tell its story from several logs

Entry lines name route, service, configuration version, code, time and what each asked target said; gate lines name how slow the target was, the wait, the run and its end. Successes and failures are written by different places, so that the bound on lines never lets successes crowd out failures. hornbeamhitch trace puts the lines of one request in order and says which are missing.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -4,6 +4,7 @@
 mod call;
 mod progress;
 mod state;
+mod trail;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -22,6 +23,7 @@
 use answer::Given;
 use call::CallRun;
 use state::EntryState;
+use trail::Trail;
 
 /// A node without a configuration asks to come back after this span: a store
 /// that is reached answers within milliseconds.
@@ -152,17 +154,17 @@
         let directory = self.directory.load_full();
         let Some(routes) = directory.routes.as_ref() else {
             let given = Given::refused(ResultCode::NoConfiguration, NO_CONFIGURATION_RETRY_MS);
-            return self.record("", "", CallClass::default(), arrived, given);
+            return self.record(&Ended::unrouted(&request, self), given);
         };
         let host = http1::field(&request.head.fields, "host").unwrap_or_default();
         let Some(route) = routes.find(host, request.head.path_only()) else {
             let given = Given::fixed(ResultCode::UnknownService);
-            return self.record("", "", CallClass::default(), arrived, given);
+            return self.record(&Ended::unrouted(&request, self), given);
         };
         let names = self.dialect.names();
         let Some(request_id) = http1::field(&request.head.fields, names.request_id) else {
             let given = Given::fixed(ResultCode::BadRequest);
-            return self.record("", "", CallClass::default(), arrived, given);
+            return self.record(&Ended::unrouted(&request, self), given);
         };
         let request_id = request_id.to_owned();
         let service = self.state.lock().splitter.choose(route);
@@ -178,9 +180,17 @@
                 request,
             },
         );
-        let class = class_of(route);
-        let given = run.serve().await;
-        self.record(&request_id, service.as_str(), class, arrived, given)
+        let (given, trail) = run.serve().await;
+        let ended = Ended {
+            request_id,
+            service: service.as_str(),
+            route: &route.name,
+            class: class_of(route),
+            config_version: routes.version(),
+            arrived,
+            trail,
+        };
+        self.record(&ended, given)
     }
 
     /// What the caller says that it will wait.
@@ -197,37 +207,73 @@
     }
 
     /// Writes down how a call ended.
-    fn record(
-        &self,
-        request_id: &str,
-        service: &str,
-        class: CallClass,
-        arrived: Millis,
-        given: Given,
-    ) -> CallerAnswer {
-        let took_ms = self.clock.now().since(arrived);
+    ///
+    /// Answers and failures have a line each in the code, so that the bound on
+    /// the lines of one place never lets successes crowd out failures.
+    fn record(&self, ended: &Ended<'_>, given: Given) -> CallerAnswer {
+        let took_ms = self.clock.now().since(ended.arrived).0;
         self.metrics.call_ended(&CallSample {
-            service,
-            class,
+            service: ended.service,
+            class: ended.class,
             tenant: "",
             code: given.code,
-            latency_us: took_ms.0 * 1_000,
+            latency_us: took_ms * 1_000,
         });
+        let request = ended.request_id.as_str();
+        let route = ended.route;
+        let service = ended.service;
+        let config = ended.config_version;
+        let tried = ended.trail.as_str();
         let code = given.code.number();
         let status = given.answer.status;
-        if given.code == ResultCode::Answered {
-            log::info!(request = request_id, service, code, status, took_ms = took_ms.0; "answered");
-        } else {
-            let reason = given.reason;
-            log::warn!(
-                request = request_id, service, code, status, took_ms = took_ms.0, reason;
-                "not served: {}", given.code
-            );
+        if given.code == ResultCode::Answered && status < SERVER_FAULT {
+            log::info!(request, route, service, config, code, status, took_ms, tried; "answered");
+            return given.answer;
         }
+        let reason = given.reason;
+        log::warn!(
+            request, route, service, config, code, status, took_ms, tried, reason;
+            "not served: {}", given.code
+        );
         given.answer
     }
 }
 
+/// Statuses from here on are failures of whoever answers.
+const SERVER_FAULT: u16 = 500;
+
+/// A call that has ended, as it is written down.
+struct Ended<'a> {
+    request_id: String,
+    service: &'a str,
+    route: &'a str,
+    class: CallClass,
+    config_version: u64,
+    arrived: Millis,
+    trail: Trail,
+}
+
+impl Ended<'_> {
+    /// A call that was sent nowhere.
+    fn unrouted(request: &CallerRequest, entry: &Entry) -> Self {
+        let names = entry.dialect.names();
+        let id = http1::field(&request.head.fields, names.request_id);
+        let directory = entry.directory.load();
+        Self {
+            request_id: id.unwrap_or_default().to_owned(),
+            service: "",
+            route: "",
+            class: CallClass::default(),
+            config_version: directory
+                .routes
+                .as_ref()
+                .map_or(0, |routes| routes.version()),
+            arrived: request.arrived,
+            trail: Trail::default(),
+        }
+    }
+}
+
 /// Rank of a route's calls in histograms.
 fn class_of(route: &Route) -> CallClass {
     match route.kind {
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -12,6 +12,7 @@
 
 use super::answer::Given;
 use super::progress::{self, Attempt, Progress};
+use super::trail::Trail;
 use super::{CallerRequest, Entry};
 use crate::gate::GateEvent;
 use crate::http1;
@@ -87,6 +88,8 @@
     /// A failed answer of a target, in case nothing better comes.
     failed_answer: Option<(AnswerHead, Bytes)>,
     hedge_at: Option<Millis>,
+    /// Targets that were asked and what came of it, for the log.
+    trail: Trail,
 }
 
 impl<'a> CallRun<'a> {
@@ -121,12 +124,14 @@
             last_end: None,
             failed_answer: None,
             hedge_at: None,
+            trail: Trail::default(),
             entry,
         }
     }
 
     /// Serves the call until its answer is known or its deadline has passed.
-    pub(super) async fn serve(mut self) -> Given {
+    /// With it comes what was asked on the way.
+    pub(super) async fn serve(mut self) -> (Given, Trail) {
         let deadline = self.entry.clock.to_instant(self.deadline_at);
         let given = match tokio::time::timeout_at(deadline, self.drive()).await {
             Ok(given) => given,
@@ -137,7 +142,7 @@
             state.return_retry(&self.service);
         }
         drop(state);
-        given
+        (given, self.trail)
     }
 
     async fn drive(&mut self) -> Given {
@@ -291,6 +296,7 @@
             LinkEvent::Unreachable => {
                 let now = self.entry.now();
                 let target = self.close(number);
+                self.trail.push(&target, "unreachable");
                 self.entry
                     .state
                     .lock()
@@ -360,6 +366,7 @@
         let now = self.entry.now();
         let started = self.attempts[number].started;
         let target = self.close(number);
+        self.trail.push(&target, &head.status.to_string());
         let mut state = self.entry.state.lock();
         if is_success(head.status) || head.status < 500 {
             state.failures.note_success(&target, now);
@@ -393,6 +400,7 @@
         let now = self.entry.now();
         let had_started = self.attempts[number].started.is_some();
         let target = self.close(number);
+        self.trail.push(&target, end.into());
         self.last_end = Some(end);
         if matches!(end, CallEnd::Down | CallEnd::Misdirected) {
             let mut state = self.entry.state.lock();
@@ -424,6 +432,7 @@
     fn outcome_unknown(&mut self, number: usize, end: CallEnd) -> Option<Given> {
         let now = self.entry.now();
         let target = self.close(number);
+        self.trail.push(&target, end.into());
         self.entry.state.lock().failures.note_failure(&target, now);
         self.may_have_run = true;
         self.last_end = Some(end);
@@ -445,6 +454,7 @@
             return self.outcome_unknown(number, CallEnd::Broken);
         }
         let attempt = &self.attempts[number];
+        self.trail.push(&attempt.member.id, "link-lost");
         let asking = progress::ask(self.entry, attempt, number, &self.sender);
         let attempt = &mut self.attempts[number];
         attempt.lost_to = Some(incarnation);
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -247,6 +247,8 @@
             return sink(GateEvent::Ended(CallEnd::Fenced));
         }
         sink(GateEvent::Started { slowness_percent });
+        let started = self.clock.now();
+        let waited_ms = started.since(arrived).0;
         let run = Run {
             terms: &terms,
             head: &head,
@@ -254,13 +256,18 @@
             deadline_at: call.deadline_at,
         };
         if terms.idempotent {
-            tokio::select! {
-                event = self.run(&run) => sink(event),
-                _ = left.changed() => {}
+            let event = tokio::select! {
+                event = self.run(&run) => Some(event),
+                _ = left.changed() => None,
+            };
+            self.log_run(&terms, slowness_percent, waited_ms, started, event.as_ref());
+            if let Some(event) = event {
+                sink(event);
             }
             return;
         }
         let event = self.run(&run).await;
+        self.log_run(&terms, slowness_percent, waited_ms, started, Some(&event));
         drop(slot);
         let now = self.clock.now();
         let watchers = self.state.lock().records.end(terms.key, event.clone(), now);
@@ -385,6 +392,40 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes down a run, or that it was cancelled.
+    fn log_run(
+        &self,
+        terms: &CallTerms,
+        slowness_percent: u32,
+        waited_ms: u64,
+        started: Millis,
+        event: Option<&GateEvent>,
+    ) {
+        let request = terms.request_id.as_str();
+        let target_id = terms.target_id.as_str();
+        let ran_ms = self.clock.now().since(started).0;
+        match event {
+            Some(GateEvent::Answered { head, .. }) if head.status < 500 => log::info!(
+                request, target_id, slowness_percent, waited_ms, ran_ms, status = head.status;
+                "ran"
+            ),
+            Some(GateEvent::Answered { head, .. }) => log::warn!(
+                request, target_id, slowness_percent, waited_ms, ran_ms, status = head.status;
+                "ran and failed"
+            ),
+            Some(GateEvent::Ended(end)) => log::warn!(
+                request, target_id, slowness_percent, waited_ms, ran_ms,
+                end = <&'static str>::from(*end);
+                "ended without an answer"
+            ),
+            Some(GateEvent::WantsBody | GateEvent::Started { .. }) => {}
+            None => log::info!(
+                request, target_id, slowness_percent, waited_ms, ran_ms;
+                "cancelled: its caller has left or another attempt won"
+            ),
+        }
+    }
+
     async fn run(&self, run: &Run<'_>) -> GateEvent {
         let started = self.clock.now();
         let exchange = self.exchange_for(run, run.deadline_at.since(started));
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -5,6 +5,7 @@
 mod diff;
 mod explain;
 mod status;
+mod trace;
 mod r#where;
 
 use std::io::Write;
@@ -39,6 +40,8 @@
     Where(r#where::Arguments),
     /// explain a numbered result code
     Code(code::Arguments),
+    /// tell one request's story from the logs of several nodes
+    Trace(trace::Arguments),
 }
 
 /// Runs what the arguments ask for.
@@ -57,6 +60,7 @@
         Command::Status(arguments) => status::run(arguments, out),
         Command::Where(arguments) => r#where::run(arguments, out),
         Command::Code(arguments) => code::run(arguments, out),
+        Command::Trace(arguments) => trace::run(arguments, out),
     }
 }
 
--- /dev/null
+++ b/src/commands/trace.rs
@@ -0,0 +1,188 @@
+//! `hornbeamhitch trace`: tells one request's story from the logs of nodes.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, Write};
+use std::path::Path;
+
+use eyre::{Context, Result};
+use gumdrop::Options;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::exit::Exit;
+use crate::source::write_json;
+
+/// Fields of a line that are shown apart from the others.
+const OWN_FIELDS: [&str; 6] = ["time_ms", "level", "target", "vm", "message", "request"];
+
+/// Tells one request's story.
+#[derive(Debug, Options)]
+pub(crate) struct Arguments {
+    /// print this help
+    help: bool,
+    /// write JSON
+    #[options(no_short)]
+    json: bool,
+    /// the request's id, then log files; without files the standard input is read
+    #[options(free, required)]
+    request: String,
+    /// log files
+    #[options(free)]
+    files: Vec<String>,
+}
+
+/// A line of a node's log.
+#[derive(Clone, Debug, Deserialize)]
+struct LogLine {
+    time_ms: u64,
+    level: String,
+    vm: String,
+    message: String,
+    #[serde(flatten)]
+    fields: BTreeMap<String, Value>,
+}
+
+/// One step of the story.
+#[derive(Debug, Serialize)]
+struct Step {
+    time_ms: u64,
+    vm: String,
+    level: String,
+    message: String,
+    fields: BTreeMap<String, Value>,
+}
+
+/// The story with what is missing from it.
+#[derive(Debug, Default, Serialize)]
+struct Story {
+    request: String,
+    steps: Vec<Step>,
+    missing: Vec<String>,
+    /// Lines that were no JSON of a node.
+    unread_lines: u64,
+}
+
+pub(crate) fn run(arguments: &Arguments, out: &mut dyn Write) -> Result<Exit> {
+    let mut story = Story {
+        request: arguments.request.clone(),
+        ..Story::default()
+    };
+    if arguments.files.is_empty() {
+        story.read(io::stdin().lock())?;
+    }
+    for name in &arguments.files {
+        let file =
+            File::open(Path::new(name)).wrap_err_with(|| format!("{name} cannot be read"))?;
+        story.read(BufReader::new(file))?;
+    }
+    story.steps.sort_by_key(|step| step.time_ms);
+    story.name_missing();
+    if arguments.json {
+        write_json(out, &story)?;
+    } else {
+        story.write(out)?;
+    }
+    Ok(match story.steps.is_empty() {
+        true => Exit::Found,
+        false => Exit::Ok,
+    })
+}
+
+impl Story {
+    /// Collects the request's lines. What stands before a line's JSON, as some
+    /// collectors put it there, is skipped.
+    fn read(&mut self, lines: impl BufRead) -> Result<()> {
+        for line in lines.split(b'\n') {
+            let line = line?;
+            let line = String::from_utf8_lossy(&line);
+            if line.trim().is_empty() {
+                continue;
+            }
+            let json = line.find('{').map(|start| &line[start..]);
+            let Some(Ok(read)) = json.map(serde_json::from_str::<LogLine>) else {
+                self.unread_lines += 1;
+                continue;
+            };
+            if read.fields.get("request").and_then(Value::as_str) == Some(&self.request) {
+                self.steps.push(Step::of(read));
+            }
+        }
+        Ok(())
+    }
+
+    fn name_missing(&mut self) {
+        if self.steps.is_empty() {
+            let reason = "no line names the request: its entry's log is not among the files, or \
+                          lines were left out (see hitch_log_lines_suppressed_total)";
+            self.missing.push(reason.to_owned());
+            return;
+        }
+        let is_entry = |step: &&Step| step.fields.contains_key("code");
+        let Some(entry) = self.steps.iter().find(is_entry) else {
+            let reason = "no line of the entry: its log is not among the files, it ended before \
+                          the request did, or the line was left out";
+            self.missing.push(reason.to_owned());
+            return;
+        };
+        let tried = entry.fields.get("tried").and_then(Value::as_str);
+        let mut missing = Vec::new();
+        for step in tried.unwrap_or_default().split(' ') {
+            let Some((target, end)) = step.split_once('=') else {
+                continue;
+            };
+            let was_reached = end.parse::<u16>().is_ok() || matches!(end, "broken" | "timed-out");
+            let has_line = self
+                .steps
+                .iter()
+                .any(|step| step.fields.get("target_id").and_then(Value::as_str) == Some(target));
+            if was_reached && !has_line {
+                missing.push(format!(
+                    "no line of the gate of {target}, which ended it as {end}: its log is not \
+                     among the files, or the line was left out"
+                ));
+            }
+        }
+        self.missing.append(&mut missing);
+    }
+
+    fn write(&self, out: &mut dyn Write) -> Result<()> {
+        writeln!(out, "request {}", self.request)?;
+        let first_ms = self.steps.first().map_or(0, |step| step.time_ms);
+        for step in &self.steps {
+            let after_ms = step.time_ms - first_ms;
+            writeln!(
+                out,
+                "  +{after_ms} ms  {}  {}: {}",
+                step.vm, step.level, step.message
+            )?;
+            for (name, value) in &step.fields {
+                let text = value
+                    .as_str()
+                    .map_or_else(|| value.to_string(), str::to_owned);
+                writeln!(out, "           {name} = {text}")?;
+            }
+        }
+        for reason in &self.missing {
+            writeln!(out, "  missing: {reason}")?;
+        }
+        if self.unread_lines > 0 {
+            writeln!(out, "  {} lines were no log of a node", self.unread_lines)?;
+        }
+        Ok(())
+    }
+}
+
+impl Step {
+    fn of(line: LogLine) -> Self {
+        let mut fields = line.fields;
+        fields.retain(|name, _| !OWN_FIELDS.contains(&name.as_str()));
+        Self {
+            time_ms: line.time_ms,
+            vm: line.vm,
+            level: line.level,
+            message: line.message,
+            fields,
+        }
+    }
+}
--- a/tests/all/command_line.rs
+++ b/tests/all/command_line.rs
@@ -211,7 +211,9 @@
 #[test]
 fn each_command_has_help_that_names_the_exit_codes() {
     let mut shown = run(&["--help"]).out;
-    for command in ["check", "explain", "diff", "status", "where", "code"] {
+    for command in [
+        "check", "explain", "diff", "status", "where", "code", "trace",
+    ] {
         let help = run(&[command, "--help"]);
         assert_eq!(help.exit, OK, "{command}");
         assert!(help.out.contains("Exit codes:"), "{command}");
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,5 +12,6 @@
 mod shutdown;
 mod support;
 mod thin_path;
+mod trace;
 mod uploads;
 mod whole_answers;
