Stop requests that crash their targets, on every node

The users' callers send such a request again to any node. A gate whose run breaks and whose target then refuses a connection suspects what ran there; the marks are core's Suspects, unchanged, and travel over the open links both ways. A conviction (a second crash alone, or the fourth in company) is refused at entry and gate with 503: it has not run. Any good run clears a suspect, because requests of many callers share method, path and body here. Weighed and left out: to keep suspects from a second target at all; each plain crash of a target would then fail every lookup that ran there.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::prelude::*;
 use crate::source::Source;
 use crate::status::StatusServer;
+use crate::suspicion::Suspicion;
 use crate::target::TargetClient;
 
 /// Settings may change without a signal; they are looked at this often.
@@ -91,6 +92,7 @@
     let metrics = Arc::new(metrics);
     let directory: SharedDirectory = Arc::new(ArcSwap::from_pointee(Directory::default()));
     start_control(source, DirectoryWriter::new(Arc::clone(&directory), clock))?;
+    let suspicion = Arc::new(Suspicion::new(clock));
     let gate = Arc::new(Gate::new(GateParts {
         service: config.service.clone(),
         target: TargetClient::new(config.target_address, Arc::clone(&dialect), clock),
@@ -98,6 +100,7 @@
         dialect: Arc::clone(&dialect),
         clock,
         target_address: config.target_address,
+        suspicion: Arc::clone(&suspicion),
     }));
     let entry = Arc::new(Entry::new(EntryParts {
         service: config.service.clone(),
@@ -110,6 +113,7 @@
         clock,
         incarnation,
         metrics: Arc::clone(&metrics),
+        suspicion: Arc::clone(&suspicion),
         retry_limit: config.tunables.retry_limit,
         seed: rand::random(),
     }));
@@ -123,6 +127,7 @@
     let links = LinkServer {
         gate: Arc::clone(&gate),
         incarnation,
+        suspicion,
     };
     let callers = CallerServer {
         entry: Arc::clone(&entry),
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use bytes::Bytes;
+use hornbeamhitch_core::suspects::CONVICTED_RETRY_AFTER_MS;
 use hornbeamhitch_dispatch::retry_budget::RetryLimit;
 use hornbeamhitch_node::metrics::{CallSample, Metrics};
 use hornbeamhitch_types::prelude::CallClass;
@@ -19,6 +20,7 @@
 use crate::http1::{self, RequestHead};
 use crate::link::LinkPool;
 use crate::prelude::*;
+use crate::suspicion::{self, Suspicion};
 pub use answer::CallerAnswer;
 use answer::Given;
 use call::CallRun;
@@ -65,6 +67,8 @@
     pub incarnation: Incarnation,
     /// Counts and histograms.
     pub metrics: Arc<Metrics>,
+    /// What is held against requests.
+    pub suspicion: Arc<Suspicion>,
     /// Limit on extra arrivals at a service.
     pub retry_limit: RetryLimit,
     /// Seed of all chance.
@@ -85,6 +89,7 @@
     clock: ProcessClock,
     incarnation: Incarnation,
     metrics: Arc<Metrics>,
+    suspicion: Arc<Suspicion>,
     state: Mutex<EntryState>,
     last_key: AtomicU64,
 }
@@ -99,12 +104,13 @@
             gate_port: parts.gate_port,
             target_address: parts.target_address,
             gate: parts.gate,
-            links: Arc::default(),
+            links: Arc::new(LinkPool::new(Arc::clone(&parts.suspicion))),
             directory: parts.directory,
             dialect: parts.dialect,
             clock: parts.clock,
             incarnation: parts.incarnation,
             metrics: parts.metrics,
+            suspicion: parts.suspicion,
             state: Mutex::new(EntryState::new(parts.seed, parts.retry_limit)),
             last_key: AtomicU64::new(0),
         }
@@ -167,6 +173,12 @@
             return self.record(&Ended::unrouted(&request, self), given);
         };
         let request_id = request_id.to_owned();
+        let CallerRequest { head, body, .. } = &request;
+        let fingerprint = suspicion::fingerprint(&head.method, &head.path, body, &self.service);
+        if self.suspicion.is_convicted(fingerprint) {
+            let given = Given::refused(ResultCode::CrashSuspect, CONVICTED_RETRY_AFTER_MS);
+            return self.record(&Ended::unrouted(&request, self), given);
+        }
         let service = self.state.lock().splitter.choose(route);
         let asked_ms = self.asked_deadline_ms(&request.head);
         let deadline_ms = asked_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
@@ -176,6 +188,7 @@
                 route: Arc::clone(route),
                 service: service.clone(),
                 request_id: request_id.clone(),
+                fingerprint,
                 deadline_at: arrived + deadline_ms,
                 request,
             },
--- a/crates/edge/src/entry/answer.rs
+++ b/crates/edge/src/entry/answer.rs
@@ -30,6 +30,9 @@
     }
 }
 
+/// Status of a refusal: not run, and never will be.
+const NOT_RUN_STATUS: u16 = 503;
+
 /// An answer with what led to it.
 #[derive(Clone, Debug)]
 pub(super) struct Given {
@@ -66,6 +69,9 @@
     /// seconds with a fraction, because here a second is an age.
     pub(super) fn refused(code: ResultCode, retry_after_ms: Millis) -> Self {
         let mut given = Self::fixed(code);
+        // Whatever the code means elsewhere: to these callers 503 says that the
+        // request has not run, and that it may come back.
+        given.answer.status = NOT_RUN_STATUS;
         let seconds = format!("{:.3}", retry_after_ms.0 as f64 / 1_000.0);
         given.answer.fields.push(HeaderField {
             name: "Retry-After".to_owned(),
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -45,6 +45,7 @@
     pub(super) route: Arc<Route>,
     pub(super) service: ServiceName,
     pub(super) request_id: String,
+    pub(super) fingerprint: u64,
     pub(super) deadline_at: Millis,
     pub(super) request: CallerRequest,
 }
@@ -62,6 +63,7 @@
     route: Arc<Route>,
     service: ServiceName,
     request_id: String,
+    fingerprint: u64,
     head: CallHead,
     body: Bytes,
     deadline_at: Millis,
@@ -112,6 +114,7 @@
             route: parts.route,
             service: parts.service,
             request_id: parts.request_id,
+            fingerprint: parts.fingerprint,
             deadline_at: parts.deadline_at,
             attempts: Vec::new(),
             tried: Vec::new(),
@@ -263,6 +266,7 @@
                 target_id: candidate.member.id.as_str().to_owned(),
                 request_id: self.request_id.clone(),
                 key,
+                fingerprint: self.fingerprint,
                 idempotent: self.route.kind.is_idempotent(),
                 priority: self.route.priority,
                 work_ms: self.work.run_at(100),
@@ -554,6 +558,7 @@
         let code = match self.last_end {
             None | Some(CallEnd::Down) => ResultCode::NoTarget,
             Some(CallEnd::Leaving) => ResultCode::Leaving,
+            Some(CallEnd::Convicted) => ResultCode::CrashSuspect,
             Some(_) => ResultCode::Overloaded,
         };
         let drawn_ms = self.entry.state.lock().rng.random_range(RETRY_AFTER_MS);
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -14,6 +14,7 @@
 
 use crate::http1;
 use crate::prelude::*;
+use crate::suspicion::Suspicion;
 use crate::target::{Exchange, ExchangeFault, TargetAnswer, TargetClient, is_success};
 use records::{Fencing, Records};
 use speed::SpeedProbe;
@@ -90,6 +91,8 @@
     pub clock: ProcessClock,
     /// The target's address.
     pub target_address: std::net::SocketAddr,
+    /// What is held against requests.
+    pub suspicion: Arc<Suspicion>,
 }
 
 /// The gate of this VM's target.
@@ -105,10 +108,13 @@
     /// A slot came free, or the line or the speed changed.
     changed: Notify,
     speed: SpeedProbe,
+    suspicion: Arc<Suspicion>,
 }
 
 #[derive(Debug, Default)]
 struct GateState {
+    /// Fingerprints of the calls that run in the target.
+    running: Vec<u64>,
     admission: Admission,
     records: Records,
     /// Lives of the target that it no longer is.
@@ -133,6 +139,32 @@
     }
 }
 
+/// Counts a call as running until it is dropped.
+struct Running<'a> {
+    gate: &'a Gate,
+    fingerprint: u64,
+}
+
+impl<'a> Running<'a> {
+    fn enter(gate: &'a Gate, fingerprint: u64) -> Self {
+        gate.state.lock().running.push(fingerprint);
+        Self { gate, fingerprint }
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        let mut state = self.gate.state.lock();
+        let place = state
+            .running
+            .iter()
+            .position(|known| *known == self.fingerprint);
+        if let Some(place) = place {
+            state.running.swap_remove(place);
+        }
+    }
+}
+
 /// Takes a call out of the line when its caller leaves.
 struct InLine<'a> {
     gate: &'a Gate,
@@ -171,6 +203,7 @@
             state: Mutex::default(),
             changed: Notify::new(),
             speed: SpeedProbe::default(),
+            suspicion: parts.suspicion,
         }
     }
 
@@ -305,6 +338,9 @@
             if self.takes_no_more(terms) {
                 return Err(CallEnd::Leaving);
             }
+            if self.suspicion.is_convicted(terms.fingerprint) {
+                return Err(CallEnd::Convicted);
+            }
             let mut changed = std::pin::pin!(self.changed.notified());
             // Registered before the decision, so that a slot which comes free
             // in between is not missed.
@@ -426,7 +462,36 @@
         }
     }
 
+    /// Runs a call, and learns whether it crashes its target.
     async fn run(&self, run: &Run<'_>) -> GateEvent {
+        let fingerprint = run.terms.fingerprint;
+        let _running = Running::enter(self, fingerprint);
+        let event = self.run_in_target(run).await;
+        match &event {
+            GateEvent::Answered { head, .. } if is_success(head.status) => {
+                self.suspicion.ran_well(fingerprint);
+            }
+            GateEvent::Ended(CallEnd::Broken) => self.look_for_crash().await,
+            _ => {}
+        }
+        event
+    }
+
+    /// A run broke. When the target also refuses a connection it has crashed,
+    /// and whatever ran is suspected. Called while the broken run still counts
+    /// as running, so that all runs of one crash are suspected together.
+    async fn look_for_crash(&self) {
+        if self.target.accepts_connections().await {
+            return;
+        }
+        let mut state = self.state.lock();
+        state.admission.note_down(self.clock.now());
+        let running = std::mem::take(&mut state.running);
+        drop(state);
+        self.suspicion.observe_crash(&running);
+    }
+
+    async fn run_in_target(&self, run: &Run<'_>) -> GateEvent {
         let started = self.clock.now();
         let exchange = self.exchange_for(run, run.deadline_at.since(started));
         let deadline = self.clock.to_instant(run.deadline_at);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod sockets;
 pub mod source;
 pub mod status;
+pub mod suspicion;
 pub mod target;
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -13,10 +13,11 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use super::framed::{FrameReader, LinkFault, PartialBody, next_part, write_frames};
+use super::framed::{FrameReader, LinkFault, PartialBody, next_part, pass_on, write_frames};
 use crate::gate::GateEvent;
 use crate::prelude::*;
 use crate::sockets;
+use crate::suspicion::Suspicion;
 
 /// Data centres of one region are milliseconds apart; a VM that does not answer
 /// in this time is dark or its queue of connections is full.
@@ -63,8 +64,9 @@
 }
 
 /// Links by the gate's address, opened on need and kept.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LinkPool {
+    suspicion: Arc<Suspicion>,
     links: Mutex<HashMap<SocketAddr, Arc<LinkSlot>>>,
 }
 
@@ -92,6 +94,15 @@
 }
 
 impl LinkPool {
+    /// A pool without links.
+    #[must_use]
+    pub fn new(suspicion: Arc<Suspicion>) -> Self {
+        Self {
+            suspicion,
+            links: Mutex::default(),
+        }
+    }
+
     /// Sends a call to a gate.
     pub fn call(self: &Arc<Self>, gate: SocketAddr, call: OutgoingCall, sink: LinkSink) -> Asked {
         self.ask(gate, Question::Call(Box::new(call)), sink)
@@ -137,7 +148,7 @@
         {
             return Ok(Arc::clone(link));
         }
-        let link = Link::open(gate).await?;
+        let link = Link::open(gate, &self.suspicion).await?;
         *kept = Some(Arc::clone(&link));
         Ok(link)
     }
@@ -147,6 +158,7 @@
 #[derive(Debug)]
 struct Link {
     incarnation: Incarnation,
+    suspicion: Arc<Suspicion>,
     frames: mpsc::UnboundedSender<ToGate>,
     calls: Mutex<HashMap<CallId, OpenCall>>,
     last_id: AtomicU64,
@@ -169,7 +181,7 @@
 }
 
 impl Link {
-    async fn open(gate: SocketAddr) -> Result<Arc<Self>, LinkFault> {
+    async fn open(gate: SocketAddr, suspicion: &Arc<Suspicion>) -> Result<Arc<Self>, LinkFault> {
         let stream = sockets::connect(gate, CONNECT_TIMEOUT).await?;
         let (reader, writer) = stream.into_split();
         let mut reader = FrameReader::new(reader);
@@ -181,17 +193,24 @@
         let (frames, to_write) = mpsc::unbounded_channel();
         let link = Arc::new(Self {
             incarnation,
+            suspicion: Arc::clone(suspicion),
             frames,
             calls: Mutex::default(),
             last_id: AtomicU64::new(0),
             dead: AtomicBool::new(false),
             asked: tokio::sync::Notify::new(),
         });
+        let (known, news) = suspicion.follow();
+        for notice in known {
+            link.push(ToGate::Suspect(notice));
+        }
+        let telling = pass_on(news, link.frames.clone(), ToGate::Suspect);
         let driven = Arc::clone(&link);
         tokio::spawn(async move {
             let ended = tokio::select! {
                 ended = driven.read(reader) => ended,
                 ended = write_frames(writer, to_write) => ended,
+                () = telling => Ok(()),
             };
             if let Err(fault) = ended {
                 log::info!("the link to {gate} ended: {fault}");
@@ -271,6 +290,7 @@
     fn take(&self, frame: ToEntry) {
         match frame {
             ToEntry::Hello { .. } | ToEntry::Pong => {}
+            ToEntry::Suspect(notice) => self.suspicion.hear(&notice),
             ToEntry::WantsBody { id } => self.send_body(id),
             ToEntry::Started {
                 id,
--- a/crates/edge/src/link/framed.rs
+++ b/crates/edge/src/link/framed.rs
@@ -2,12 +2,12 @@
 
 use bytes::{Bytes, BytesMut};
 use hornbeamhitch_wire::WireError;
-use hornbeamhitch_wire::link::{self, BODY_PART_BYTES};
+use hornbeamhitch_wire::link::{self, BODY_PART_BYTES, SuspectNotice};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::mpsc;
+use tokio::sync::{broadcast, mpsc};
 
 const READ_BYTES: usize = 32 * 1024;
 /// Frames that wait are written together up to about this many bytes.
@@ -73,6 +73,26 @@
     Ok(())
 }
 
+/// Sends each notice as a frame; ends when the link's frames are read no more.
+pub(super) async fn pass_on<T>(
+    mut news: broadcast::Receiver<SuspectNotice>,
+    frames: mpsc::UnboundedSender<T>,
+    frame: fn(SuspectNotice) -> T,
+) {
+    loop {
+        match news.recv().await {
+            Ok(notice) => {
+                if frames.send(frame(notice)).is_err() {
+                    return;
+                }
+            }
+            // Missed notices reach the other side over other links.
+            Err(broadcast::error::RecvError::Lagged(_)) => {}
+            Err(broadcast::error::RecvError::Closed) => return,
+        }
+    }
+}
+
 /// Takes the next part of a body.
 pub(super) fn next_part(body: &mut Bytes) -> Bytes {
     body.split_to(body.len().min(BODY_PART_BYTES))
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -9,10 +9,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 
-use super::framed::{FrameReader, LinkFault, PartialBody, next_part, write_frames};
+use super::framed::{FrameReader, LinkFault, PartialBody, next_part, pass_on, write_frames};
 use crate::gate::{CallBody, EventSink, Gate, GateEvent, GateRequest, Wanted};
 use crate::prelude::*;
 use crate::sockets;
+use crate::suspicion::Suspicion;
 
 type Answers = mpsc::UnboundedSender<ToEntry>;
 /// Calls in hand on one link; dropping one cancels it.
@@ -25,6 +26,8 @@
     pub gate: Arc<Gate>,
     /// This life of the process.
     pub incarnation: Incarnation,
+    /// What is held against requests.
+    pub suspicion: Arc<Suspicion>,
 }
 
 /// A body that was kept back until the gate wants it.
@@ -55,8 +58,14 @@
             incarnation: self.incarnation,
         };
         let _ = answers.send(hello);
+        let (known, news) = self.suspicion.follow();
+        for notice in known {
+            let _ = answers.send(ToEntry::Suspect(notice));
+        }
+        let telling = pass_on(news, answers.clone(), ToEntry::Suspect);
         let link = Link {
             gate: Arc::clone(&self.gate),
+            suspicion: Arc::clone(&self.suspicion),
             answers,
             in_hand: InHand::default(),
             arriving: HashMap::new(),
@@ -65,6 +74,7 @@
             let ended = tokio::select! {
                 ended = link.read(FrameReader::new(reader)) => ended,
                 ended = write_frames(writer, to_write) => ended,
+                () = telling => Ok(()),
             };
             if let Err(fault) = ended {
                 log::debug!("a link ended: {fault}");
@@ -75,6 +85,7 @@
 
 struct Link {
     gate: Arc<Gate>,
+    suspicion: Arc<Suspicion>,
     answers: Answers,
     in_hand: InHand,
     arriving: HashMap<CallId, Arriving>,
@@ -104,6 +115,7 @@
                     let sink = answer_sink(id, self.answers.clone(), InHand::default());
                     self.gate.fence(key, sink);
                 }
+                ToGate::Suspect(notice) => self.suspicion.hear(&notice),
                 ToGate::Ping => {
                     let _ = self.answers.send(ToEntry::Pong);
                 }
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -109,6 +109,19 @@
         Ok(answer)
     }
 
+    /// Whether the target accepts a connection now. The connection is kept for
+    /// the next request: it is needed in place of the broken one.
+    pub async fn accepts_connections(&self) -> bool {
+        match self.connect().await {
+            Ok(connection) => {
+                let until = self.clock.now() + UNSTATED_REST_MS;
+                self.resting.lock().push(Resting { connection, until });
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
     /// The most recently used first, so that spare ones age out.
     fn take_rested(&self) -> Option<Connection> {
         let now = self.clock.now();
--- /dev/null
+++ b/crates/edge/tests/all/crash_request.rs
@@ -0,0 +1,77 @@
+//! Requests that crash the targets that run them.
+
+use crate::support::caller::ask;
+use crate::support::fleet;
+use crate::support::target::until;
+
+/// A lookup crashes each target that runs it, and its caller sends it again and
+/// again, to whatever node. Four targets at most go down; then every node
+/// refuses it at once, also one that met no crash itself, and lookups of others
+/// are served by the targets that are left.
+#[tokio::test]
+async fn a_request_that_crashes_targets_is_stopped_everywhere() {
+    let fleet = fleet(&["s"; 7]).await;
+    for vm in &fleet.vms {
+        // Links between all, as usual traffic opens them.
+        for number in 0..12 {
+            ask(vm.callers, "GET", "/read/ok", &format!("warm-{number}")).await;
+        }
+    }
+    for number in 0..6 {
+        let caller = fleet.vms[number % 3].callers;
+        let answer = ask(caller, "GET", "/read/crash", &format!("id-{number}")).await;
+        assert!(answer.status() >= 500);
+    }
+    let crashed = || {
+        let targets = fleet.vms.iter();
+        targets.filter(|vm| vm.target.has_crashed()).count()
+    };
+    assert!(
+        (1..=4).contains(&crashed()),
+        "{} targets crashed",
+        crashed()
+    );
+    let before = crashed();
+    for vm in &fleet.vms {
+        let answer = ask(vm.callers, "GET", "/read/crash", "id-last").await;
+        assert_eq!(answer.status(), 503);
+        assert!(answer.body.contains("crash-suspect"), "{}", answer.body);
+    }
+    assert_eq!(crashed(), before);
+    let answer = ask(fleet.vms[6].callers, "GET", "/read/ok", "id-other").await;
+    assert_eq!(answer.status(), 200);
+}
+
+/// A target crashes for reasons of its own while lookups run. They are suspected
+/// and run well elsewhere, which clears them: nobody is refused for it.
+#[tokio::test]
+async fn lookups_that_were_only_there_are_not_held_responsible() {
+    let fleet = fleet(&["s", "s"]).await;
+    let callers = fleet.vms[1].callers;
+    let waiting = tokio::spawn(async move {
+        let mut answers = Vec::new();
+        for number in 0..4 {
+            let path = format!("/read/slow?{number}");
+            answers.push(
+                ask(callers, "GET", &path, &format!("id-{number}"))
+                    .await
+                    .status(),
+            );
+        }
+        answers
+    });
+    until("some lookup ran", || {
+        fleet.vms.iter().any(|vm| !vm.target.ran().is_empty())
+    })
+    .await;
+    ask(fleet.vms[0].callers, "GET", "/read/crash", "id-crash").await;
+    let answers = waiting.await.expect("no panic");
+    for (number, status) in answers.iter().enumerate() {
+        if *status == 200 {
+            continue;
+        }
+        let path = format!("/read/slow?{number}");
+        let again = ask(callers, "GET", &path, "id-again").await;
+        assert!(!again.body.contains("crash-suspect"), "{}", again.body);
+    }
+}
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod at_most_once;
 mod callers;
+mod crash_request;
 mod giving_up;
 mod links;
 mod routing;
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -17,6 +17,7 @@
 use hornbeamhitch_edge::gate::{Gate, GateParts};
 use hornbeamhitch_edge::link::LinkServer;
 use hornbeamhitch_edge::prelude::*;
+use hornbeamhitch_edge::suspicion::Suspicion;
 use hornbeamhitch_edge::target::TargetClient;
 use hornbeamhitch_node::metrics::Metrics;
 use tokio::net::TcpListener;
@@ -187,6 +188,7 @@
     let dialect: Arc<dyn Dialect> = Arc::new(TestDialect);
     let data_centre = DataCentre::new("here");
     let metrics = Metrics::new(&VmId::new("vm"), &service, &data_centre).expect("metrics");
+    let suspicion = Arc::new(Suspicion::new(clock));
     let gate = Arc::new(Gate::new(GateParts {
         service: service.clone(),
         target: TargetClient::new(target.address, Arc::clone(&dialect), clock),
@@ -194,6 +196,7 @@
         dialect: Arc::clone(&dialect),
         clock,
         target_address: target.address,
+        suspicion: Arc::clone(&suspicion),
     }));
     let incarnation = Incarnation(rand::random());
     let entry = Arc::new(Entry::new(EntryParts {
@@ -207,6 +210,7 @@
         clock,
         incarnation,
         metrics: Arc::new(metrics),
+        suspicion: Arc::clone(&suspicion),
         retry_limit: RetryLimit {
             ratio: 0.2,
             slack: 64.0,
@@ -217,6 +221,7 @@
     let server = LinkServer {
         gate: Arc::clone(&gate),
         incarnation,
+        suspicion,
     };
     tokio::spawn(server.accept(links));
     let listener = TcpListener::bind((target.address.ip(), 0))
--- a/crates/edge/tests/all/support/target.rs
+++ b/crates/edge/tests/all/support/target.rs
@@ -26,6 +26,8 @@
 #[derive(Debug, Default)]
 struct Journal {
     ran: Mutex<Vec<Ran>>,
+    /// A request has crashed the target.
+    crashed: tokio::sync::Notify,
     /// Connections that closed within a run.
     cancelled: AtomicU32,
     connections: AtomicU32,
@@ -39,6 +41,8 @@
 pub struct FakeTarget {
     pub address: SocketAddr,
     journal: Arc<Journal>,
+    /// The accepting task; aborted, connections are refused.
+    accepting: Arc<tokio::task::JoinHandle<()>>,
 }
 
 impl FakeTarget {
@@ -50,13 +54,30 @@
         *journal.usual.lock() = "ok".to_owned();
         let accepted = Arc::clone(&journal);
         let life = life.to_owned();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+        let accepting = tokio::spawn(async move {
+            let mut served = tokio::task::JoinSet::new();
+            loop {
+                // A target that crashes closes its listener and its connections
+                // together, and is back after some seconds.
+                let crashed = accepted.crashed.notified();
+                let (stream, _) = tokio::select! {
+                    stream = listener.accept() => stream.expect("accepted"),
+                    () = crashed => return,
+                };
                 accepted.connections.fetch_add(1, Ordering::Relaxed);
-                tokio::spawn(serve(stream, Arc::clone(&accepted), life.clone()));
+                served.spawn(serve(stream, Arc::clone(&accepted), life.clone()));
             }
         });
-        Self { address, journal }
+        Self {
+            address,
+            journal,
+            accepting: Arc::new(accepting),
+        }
+    }
+
+    /// Whether a request has crashed it.
+    pub fn has_crashed(&self) -> bool {
+        self.accepting.is_finished()
     }
 
     /// Requests that ran, in their order.
@@ -166,6 +187,10 @@
         ),
         "full" => format!("HTTP/1.1 503 Full\r\n{REQUEST_ID}: {id}\r\nContent-Length: 0\r\n\r\n"),
         "break" => return false,
+        "crash" => {
+            journal.crashed.notify_one();
+            return std::future::pending().await;
+        }
         "cut" => {
             let text = good("a whole body");
             let _ = writer.write_all(&text.as_bytes()[..text.len() - 4]).await;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -55,6 +55,8 @@
     pub request_id: String,
     /// Fleet-wide key of this send; a gate runs a key at most once.
     pub key: CallKey,
+    /// Hash of what the request has in common with its next sending.
+    pub fingerprint: u64,
     /// Running it more than once is harmless.
     pub idempotent: bool,
     /// Rank of its route; 0 goes first.
@@ -82,6 +84,21 @@
     pub run_ms: Millis,
 }
 
+/// What one node tells others about a request that may crash targets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectNotice {
+    /// Hash of what the request has in common with its next sending.
+    pub fingerprint: u64,
+    /// Count of observations that led here; a higher one overrides.
+    pub version: u32,
+    /// `clear`, `suspect` or `convicted`.
+    pub standing: String,
+    /// Crashes since it last ran well.
+    pub crashes: u8,
+    /// Time since the observation.
+    pub age_ms: Millis,
+}
+
 /// Why a call ended at the gate without an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -96,6 +113,8 @@
     Busy,
     /// The deadline would pass first. Not run.
     Late,
+    /// The request crashed targets before and is refused everywhere. Not run.
+    Convicted,
     /// The target stated that it did not run the request.
     Shed,
     /// Another life of a target has the address. Not run.
@@ -164,6 +183,8 @@
         /// The key.
         key: CallKey,
     },
+    /// Something was learnt about a request that may crash targets.
+    Suspect(SuspectNotice),
     /// Are you there?
     Ping,
 }
@@ -213,6 +234,8 @@
         /// How.
         end: CallEnd,
     },
+    /// Something was learnt about a request that may crash targets.
+    Suspect(SuspectNotice),
     /// I am.
     Pong,
 }
