--- a/crates/edge/src/suspicion.rs
+++ b/crates/edge/src/suspicion.rs
@@ -8,6 +8,9 @@
 
 use crate::prelude::*;
 
+#[cfg(test)]
+mod tests;
+
 /// Notices that wait for a link to send them; a link that lags further has been
 /// told most, and hears the rest from others.
 const WAITING_NOTICES: usize = 256;
--- /dev/null
+++ b/crates/edge/src/suspicion/tests.rs
@@ -0,0 +1,74 @@
+//! What is held against requests, in virtual order.
+
+use super::*;
+
+fn two_nodes() -> (Suspicion, Suspicion) {
+    let clock = ProcessClock::start();
+    (Suspicion::new(clock), Suspicion::new(clock))
+}
+
+/// Passes on all that a node has to tell.
+fn tell_all(from: &Suspicion, to: &Suspicion) {
+    for notice in from.follow().0 {
+        to.hear(&notice);
+    }
+}
+
+/// Targets crash again and again for reasons of their own, and a common lookup
+/// is in flight each time. It runs well in between, so nobody refuses it.
+#[test]
+fn a_request_that_runs_well_in_between_is_never_convicted() {
+    let (node, _) = two_nodes();
+    for _ in 0..10 {
+        node.observe_crash(&[7, 8]);
+        node.ran_well(7);
+    }
+    assert!(!node.is_convicted(7));
+    assert!(node.is_convicted(8));
+}
+
+#[test]
+fn a_second_crash_alone_convicts_on_every_node() {
+    let (one, other) = two_nodes();
+    one.observe_crash(&[7]);
+    tell_all(&one, &other);
+    assert!(!other.is_convicted(7));
+    other.observe_crash(&[7]);
+    tell_all(&other, &one);
+    assert!(one.is_convicted(7) && other.is_convicted(7));
+    // No good run of a request that happens to look alike lifts it.
+    one.ran_well(7);
+    assert!(one.is_convicted(7));
+}
+
+#[test]
+fn a_notice_that_says_nothing_known_is_dropped() {
+    let (node, _) = two_nodes();
+    let mut notice = SuspectNotice {
+        fingerprint: 7,
+        version: 1,
+        standing: "unheard-of".to_owned(),
+        crashes: 9,
+        age_ms: Millis::ZERO,
+    };
+    node.hear(&notice);
+    assert!(!node.is_convicted(7));
+    notice.standing = "convicted".to_owned();
+    node.hear(&notice);
+    assert!(node.is_convicted(7));
+}
+
+#[test]
+fn fingerprints_part_requests_by_what_comes_again() {
+    let service = ServiceName::new("s");
+    let base = fingerprint("GET", "/a", b"", &service);
+    assert_eq!(base, fingerprint("GET", "/a", b"", &service));
+    for other in [
+        fingerprint("POST", "/a", b"", &service),
+        fingerprint("GET", "/b", b"", &service),
+        fingerprint("GET", "/a", b"x", &service),
+        fingerprint("GET", "/a", b"", &ServiceName::new("t")),
+    ] {
+        assert_ne!(base, other);
+    }
+}
