Count sends of unknown outcome as attempts; tell when a node is cut off

Cause: behind a cut in one direction calls reach gates and nothing comes back; an attempt counted only once its gate had said that it started. Ruled out: hedges (the three sends follow each other by link losses). Each send whose outcome is unknown counts now; the test fails without (4 sends of 2). Also: a node that reaches no other VM for 0.6 s and has missed three says that it is not ready, and looks for others twice a second.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod order;
 pub mod patience;
 pub mod prelude;
+pub mod reach;
 pub mod retry_budget;
 pub mod routes;
 pub mod split;
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -1,6 +1,6 @@
 //! The targets that the platform lists, and what becomes of entries that lapse.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -119,6 +119,12 @@
         self.by_id.values().any(|member| member.vm_ip() == ip)
     }
 
+    /// VMs that have a listed target.
+    #[must_use]
+    pub fn vms(&self) -> BTreeSet<IpAddr> {
+        self.by_id.values().map(|member| member.vm_ip()).collect()
+    }
+
     /// Targets known, draining ones included.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -184,8 +190,7 @@
 
     /// Takes over a complete listing: what is not in it was removed.
     pub fn replace(&mut self, listed: Vec<Member>, now: Millis) {
-        let ids: std::collections::BTreeSet<TargetId> =
-            listed.iter().map(|member| member.id.clone()).collect();
+        let ids: BTreeSet<TargetId> = listed.iter().map(|member| member.id.clone()).collect();
         let missing: Vec<TargetId> = self
             .known
             .keys()
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -28,6 +28,8 @@
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 /// What belongs to targets and routes that are gone is dropped this often.
 const FORGET_INTERVAL: Duration = Duration::from_secs(2);
+/// A node that is cut off looks this often whether it still is.
+const REACH_INTERVAL: Duration = Duration::from_millis(500);
 /// Part of the grace for which a leaving node goes on serving new requests: the
 /// platform asks for readiness once a second, and two misses turn callers away.
 const ANNOUNCE_PERCENT: u64 = 40;
@@ -120,6 +122,7 @@
     let (announce, leaving) = watch::channel(Leaving::Not);
     let status = StatusServer {
         directory,
+        entry: Arc::clone(&entry),
         leaving: leaving.clone(),
         readiness_path: config.readiness_path,
         metrics,
@@ -137,6 +140,7 @@
     tokio::spawn(status.clone().accept(listen(sockets.readiness)?));
     tokio::spawn(status.accept(listen(sockets.metrics)?));
     let serving = tokio::spawn(callers.serve(listen(sockets.callers)?));
+    tokio::spawn(look_for_others(Arc::clone(&entry)));
     log_start(&config, incarnation);
     until_told_to_end(&mut signals, &entry, &reload, &config).await;
     log::info!("leaving: callers are turned away, work in hand is finished");
@@ -144,6 +148,15 @@
     Ok(())
 }
 
+/// Looks for other VMs while this one seems cut off.
+async fn look_for_others(entry: Arc<Entry>) {
+    let mut interval = tokio::time::interval(REACH_INTERVAL);
+    loop {
+        interval.tick().await;
+        entry.look_for_others().await;
+    }
+}
+
 /// Follows reloads until the process is told to end.
 async fn until_told_to_end(
     signals: &mut Signals,
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -15,6 +15,7 @@
 use hornbeamhitch_node::metrics::{CallSample, Metrics};
 use hornbeamhitch_types::prelude::CallClass;
 use parking_lot::Mutex;
+use rand::RngExt;
 
 use crate::gate::Gate;
 use crate::http1::{self, RequestHead};
@@ -154,6 +155,37 @@
             .retain(|gate| gate.port() == port && members.has_vm(gate.ip()));
     }
 
+    /// Whether this node reaches no other VM any more.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        let others = self.other_vms().len();
+        self.state.lock().reach.is_cut_off(others, self.clock.now())
+    }
+
+    /// Asks another VM whether it is there, while this node seems cut off: its
+    /// callers are sent elsewhere, so no call would show that it is back.
+    pub async fn look_for_others(&self) {
+        if !self.is_cut_off() {
+            return;
+        }
+        let others = self.other_vms();
+        if others.is_empty() {
+            return;
+        }
+        let vm = self.state.lock().rng.random_range(0..others.len());
+        let gate = std::net::SocketAddr::new(others[vm], self.gate_port);
+        if self.links.is_reached(gate).await {
+            log::info!("another VM is reached again");
+            self.state.lock().reach.note_reached(self.clock.now());
+        }
+    }
+
+    fn other_vms(&self) -> Vec<std::net::IpAddr> {
+        let mut vms = self.directory.load().members.vms();
+        vms.remove(&self.target_address.ip());
+        vms.into_iter().collect()
+    }
+
     /// Answers one request.
     pub async fn serve(self: &Arc<Self>, request: CallerRequest) -> CallerAnswer {
         let arrived = request.arrived;
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -293,6 +293,7 @@
     fn take(&mut self, progress: Progress) -> Option<Given> {
         let number = progress.attempt;
         self.attempts[number].hold.as_ref()?;
+        self.note_reach(number, &progress.event);
         match progress.event {
             LinkEvent::Unreachable if self.attempts[number].lost_to.is_some() => {
                 self.outcome_unknown(number, CallEnd::Broken)
@@ -321,6 +322,21 @@
         }
     }
 
+    /// Learns from each word, or want of one, whether other VMs are reached.
+    fn note_reach(&self, number: usize, event: &LinkEvent) {
+        let member = &self.attempts[number].member;
+        if member.address == self.entry.target_address {
+            return;
+        }
+        let mut state = self.entry.state.lock();
+        match event {
+            LinkEvent::Gate(..) => state.reach.note_reached(self.entry.now()),
+            LinkEvent::Unreachable | LinkEvent::Lost(_) => {
+                state.reach.note_unreachable(member.vm_ip());
+            }
+        }
+    }
+
     fn gate_said(&mut self, number: usize, event: GateEvent) -> Option<Given> {
         match event {
             // The link has sent it.
@@ -435,9 +451,16 @@
     /// The request may have run, and nobody can tell.
     fn outcome_unknown(&mut self, number: usize, end: CallEnd) -> Option<Given> {
         let now = self.entry.now();
+        let was_counted = self.attempts[number].started.is_some();
         let target = self.close(number);
         self.trail.push(&target, end.into());
         self.entry.state.lock().failures.note_failure(&target, now);
+        // Failure answered: behind a cut in one direction, calls reach gates and
+        // nothing comes back. Counted only when a gate says that it started, a
+        // lookup would run at one target more for each such gate.
+        if !was_counted {
+            self.count_arrival(target);
+        }
         self.may_have_run = true;
         self.last_end = Some(end);
         if self.route.kind.is_idempotent() {
--- a/crates/edge/src/entry/state.rs
+++ b/crates/edge/src/entry/state.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use hornbeamhitch_dispatch::failures::Failures;
+use hornbeamhitch_dispatch::reach::Reach;
 use hornbeamhitch_dispatch::retry_budget::{RetryBudget, RetryLimit};
 use hornbeamhitch_dispatch::split::Splitter;
 use hornbeamhitch_dispatch::work::WorkBook;
@@ -19,6 +20,7 @@
     pub(super) failures: Failures,
     pub(super) work: WorkBook,
     pub(super) rng: Xoshiro256PlusPlus,
+    pub(super) reach: Reach,
     retry_limit: RetryLimit,
     budgets: HashMap<ServiceName, RetryBudget>,
 }
@@ -30,6 +32,7 @@
             failures: Failures::default(),
             work: WorkBook::default(),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            reach: Reach::default(),
             retry_limit,
             budgets: HashMap::new(),
         }
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Whether a link to a gate can be had now.
+    pub async fn is_reached(&self, gate: SocketAddr) -> bool {
+        self.link(gate).await.is_ok()
+    }
+
     /// Drops links to gates that are no longer listed.
     pub fn retain(&self, known: impl Fn(&SocketAddr) -> bool) {
         self.links.lock().retain(|address, _| known(address));
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 
 use crate::callers::{ACCEPT_PAUSE, Leaving};
+use crate::entry::Entry;
 use crate::http1::{self, HttpReader};
 use crate::prelude::*;
 use crate::sockets;
@@ -22,6 +23,8 @@
 pub struct StatusServer {
     /// Facts in force.
     pub directory: SharedDirectory,
+    /// The entry, which knows whether it reaches others.
+    pub entry: Arc<Entry>,
     /// How far the node has come in leaving.
     pub leaving: watch::Receiver<Leaving>,
     /// Path of the readiness question.
@@ -47,10 +50,12 @@
         }
     }
 
-    /// A configuration is in force, and the node is not leaving.
+    /// A configuration is in force, and the node is neither leaving nor cut off
+    /// from all others.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.directory.load().routes.is_some() && *self.leaving.borrow() == Leaving::Not
+        let is_leaving = *self.leaving.borrow() != Leaving::Not;
+        self.directory.load().routes.is_some() && !is_leaving && !self.entry.is_cut_off()
     }
 
     async fn serve(self, stream: TcpStream) {
--- a/crates/edge/tests/all/links.rs
+++ b/crates/edge/tests/all/links.rs
@@ -1,6 +1,8 @@
 //! Links between nodes, with the gate's end played by the tests.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use bytes::{Bytes, BytesMut};
 use hornbeamhitch_edge::prelude::*;
@@ -186,3 +188,33 @@
     let answer = caller.answer().await.expect("an answer");
     assert_eq!(answer.status(), 502);
 }
+
+/// Gates take a lookup and nothing more is heard of them, as behind a cut that
+/// lets packets through one way only. Each may have run it, so no more of them
+/// are asked than the route allows targets.
+#[tokio::test]
+async fn a_send_of_unknown_outcome_counts_as_one_of_the_routes_attempts() {
+    let fleet = fleet(&["other", "none"]).await;
+    let port = fleet.gate_port;
+    let calls = Arc::new(AtomicU32::new(0));
+    let mut members = Vec::new();
+    for number in 1..=4 {
+        let ip = format!("127.201.0.{number}");
+        let listener = TcpListener::bind((ip.as_str(), port))
+            .await
+            .expect("the gate's port");
+        let calls = Arc::clone(&calls);
+        tokio::spawn(async move {
+            let mut gate = GateEnd::accept(&listener, 1).await;
+            assert!(matches!(gate.next().await, ToGate::Call { .. }));
+            calls.fetch_add(1, Ordering::Relaxed);
+        });
+        let target: SocketAddr = format!("{ip}:1").parse().expect("an address");
+        members.push(member(number, "s", target));
+    }
+    set_directory(&fleet.directory, "s", members);
+    let mut caller = Caller::connect(fleet.vms[0].callers).await;
+    let answer = caller.ask("GET", "/read/x", "id-1").await;
+    assert_eq!(answer.status(), 502);
+    assert_eq!(calls.load(Ordering::Relaxed), 2);
+}
