Let a node that knows nothing hear what is in force from another

A gate without a configuration asks whoever opens a link to it after 0.4 s, and takes the answer only where it knows nothing; versions only rise, and what the store says replaces it. Weighed: to ask seeds; the settings name none.

--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -5,6 +5,8 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::prelude::*;
 
 #[cfg(test)]
@@ -21,7 +23,8 @@
 const REMEMBERED_MS: Millis = Millis::from_secs(60);
 
 /// One life of a target; a restarted target has another id.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct TargetId(Arc<str>);
 
 impl TargetId {
@@ -45,7 +48,7 @@
 }
 
 /// One target as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// This life of the target.
     pub id: TargetId,
@@ -119,6 +122,11 @@
         self.by_id.values().any(|member| member.vm_ip() == ip)
     }
 
+    /// Every target known.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Member>> {
+        self.by_id.values()
+    }
+
     /// VMs that have a listed target.
     #[must_use]
     pub fn vms(&self) -> BTreeSet<IpAddr> {
--- a/crates/dispatch/src/routes.rs
+++ b/crates/dispatch/src/routes.rs
@@ -3,13 +3,25 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::prelude::*;
 
 #[cfg(test)]
 pub(crate) mod tests;
 
 /// What may be repeated on a route.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr, strum::EnumString)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    strum::IntoStaticStr,
+    strum::EnumString,
+    Serialize,
+    Deserialize,
+)]
 #[strum(serialize_all = "kebab-case")]
 pub enum CallKind {
     /// Running it more than once is harmless.
@@ -29,7 +41,7 @@
 }
 
 /// One part of a route's traffic.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Destination {
     /// The service that runs the requests of this part.
     pub service: ServiceName,
@@ -38,7 +50,7 @@
 }
 
 /// Where requests under one path prefix of a host go.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Name of the route in the configuration.
     pub name: String,
@@ -59,7 +71,7 @@
 }
 
 /// Bounds on what a caller may send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Bytes of a request's head.
     pub header_bytes: usize,
@@ -85,7 +97,7 @@
 }
 
 /// All routes of one configuration version.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteSet {
     version: u64,
     limits: CallerLimits,
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -120,6 +120,12 @@
         seed: rand::random(),
     }));
     let (announce, leaving) = watch::channel(Leaving::Not);
+    let links = LinkServer {
+        gate: Arc::clone(&gate),
+        incarnation,
+        suspicion,
+        directory: Arc::clone(&directory),
+    };
     let status = StatusServer {
         directory,
         entry: Arc::clone(&entry),
@@ -127,11 +133,6 @@
         readiness_path: config.readiness_path,
         metrics,
     };
-    let links = LinkServer {
-        gate: Arc::clone(&gate),
-        incarnation,
-        suspicion,
-    };
     let callers = CallerServer {
         entry: Arc::clone(&entry),
         leaving,
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use bytes::Bytes;
 use hornbeamhitch_dispatch::members::MemberTracker;
+use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
 
@@ -16,6 +18,66 @@
     pub members: Arc<Members>,
 }
 
+/// What one node tells another that knows nothing.
+#[derive(Serialize, Deserialize)]
+struct Facts {
+    routes: RouteSet,
+    members: Vec<Member>,
+}
+
+impl Directory {
+    /// What is known, for a node that knows nothing; `None` without routes.
+    #[must_use]
+    pub fn to_facts(&self) -> Option<Bytes> {
+        let facts = Facts {
+            routes: self.routes.as_deref()?.clone(),
+            members: self
+                .members
+                .iter()
+                .map(|member| (**member).clone())
+                .collect(),
+        };
+        match postcard::to_stdvec(&facts) {
+            Ok(encoded) => Some(Bytes::from(encoded)),
+            Err(error) => {
+                log::error!("facts cannot be written: {error}");
+                None
+            }
+        }
+    }
+}
+
+/// Takes over another node's facts where nothing is known.
+///
+/// Failure answered: nodes are restarted while the store is away, and refuse
+/// everything until it returns, although every node beside them knows all that
+/// they lack. What is read from the store later replaces it; versions only rise.
+pub fn adopt_facts(directory: &SharedDirectory, encoded: &[u8]) {
+    let facts: Facts = match postcard::from_bytes(encoded) {
+        Ok(facts) => facts,
+        Err(error) => {
+            log::warn!("another node's facts cannot be read: {error}");
+            return;
+        }
+    };
+    let mut tracker = MemberTracker::default();
+    for member in facts.members {
+        tracker.upsert(member);
+    }
+    let version = facts.routes.version();
+    let adopted = Arc::new(Directory {
+        routes: Some(Arc::new(facts.routes)),
+        members: Arc::new(tracker.snapshot()),
+    });
+    let before = directory.rcu(|known| match known.routes {
+        Some(_) => Arc::clone(known),
+        None => Arc::clone(&adopted),
+    });
+    if before.routes.is_none() {
+        log::info!(version; "configuration in force, heard from another node");
+    }
+}
+
 /// The directory as traffic reads it.
 pub type SharedDirectory = Arc<ArcSwap<Directory>>;
 
@@ -51,10 +113,11 @@
             return;
         }
         log::info!(version = routes.version(), before = in_force; "configuration in force");
-        self.directory.store(Arc::new(Directory {
-            routes: Some(Arc::new(routes)),
-            members: Arc::clone(&directory.members),
-        }));
+        let routes = Arc::new(routes);
+        self.directory.rcu(|known| Directory {
+            routes: Some(Arc::clone(&routes)),
+            members: Arc::clone(&known.members),
+        });
     }
 
     /// A target's entry was written.
@@ -87,13 +150,12 @@
 
     /// Shows the changes to traffic.
     pub fn publish_members(&self) {
-        let directory = self.directory.load();
-        let members = self.tracker.snapshot();
+        let members = Arc::new(self.tracker.snapshot());
         log::info!(targets = members.len(); "targets in force");
-        self.directory.store(Arc::new(Directory {
-            routes: directory.routes.clone(),
-            members: Arc::new(members),
-        }));
+        self.directory.rcu(|known| Directory {
+            routes: known.routes.clone(),
+            members: Arc::clone(&members),
+        });
     }
 
     /// Version of the configuration in force.
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -105,7 +105,10 @@
             gate_port: parts.gate_port,
             target_address: parts.target_address,
             gate: parts.gate,
-            links: Arc::new(LinkPool::new(Arc::clone(&parts.suspicion))),
+            links: Arc::new(LinkPool::new(
+                Arc::clone(&parts.suspicion),
+                Arc::clone(&parts.directory),
+            )),
             directory: parts.directory,
             dialect: parts.dialect,
             clock: parts.clock,
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -67,6 +67,7 @@
 #[derive(Debug)]
 pub struct LinkPool {
     suspicion: Arc<Suspicion>,
+    directory: SharedDirectory,
     links: Mutex<HashMap<SocketAddr, Arc<LinkSlot>>>,
 }
 
@@ -96,9 +97,10 @@
 impl LinkPool {
     /// A pool without links.
     #[must_use]
-    pub fn new(suspicion: Arc<Suspicion>) -> Self {
+    pub fn new(suspicion: Arc<Suspicion>, directory: SharedDirectory) -> Self {
         Self {
             suspicion,
+            directory,
             links: Mutex::default(),
         }
     }
@@ -153,7 +155,7 @@
         {
             return Ok(Arc::clone(link));
         }
-        let link = Link::open(gate, &self.suspicion).await?;
+        let link = Link::open(gate, &self.suspicion, &self.directory).await?;
         *kept = Some(Arc::clone(&link));
         Ok(link)
     }
@@ -164,6 +166,7 @@
 struct Link {
     incarnation: Incarnation,
     suspicion: Arc<Suspicion>,
+    directory: SharedDirectory,
     frames: mpsc::UnboundedSender<ToGate>,
     calls: Mutex<HashMap<CallId, OpenCall>>,
     last_id: AtomicU64,
@@ -186,7 +189,11 @@
 }
 
 impl Link {
-    async fn open(gate: SocketAddr, suspicion: &Arc<Suspicion>) -> Result<Arc<Self>, LinkFault> {
+    async fn open(
+        gate: SocketAddr,
+        suspicion: &Arc<Suspicion>,
+        directory: &SharedDirectory,
+    ) -> Result<Arc<Self>, LinkFault> {
         let stream = sockets::connect(gate, CONNECT_TIMEOUT).await?;
         let (reader, writer) = stream.into_split();
         let mut reader = FrameReader::new(reader);
@@ -199,6 +206,7 @@
         let link = Arc::new(Self {
             incarnation,
             suspicion: Arc::clone(suspicion),
+            directory: Arc::clone(directory),
             frames,
             calls: Mutex::default(),
             last_id: AtomicU64::new(0),
@@ -296,6 +304,11 @@
         match frame {
             ToEntry::Hello { .. } | ToEntry::Pong => {}
             ToEntry::Suspect(notice) => self.suspicion.hear(&notice),
+            ToEntry::WantsFacts => {
+                if let Some(encoded) = self.directory.load().to_facts() {
+                    self.push(ToGate::Facts(encoded));
+                }
+            }
             ToEntry::WantsBody { id } => self.send_body(id),
             ToEntry::Started {
                 id,
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hornbeamhitch_wire::link::{CallId, ToEntry, ToGate};
@@ -10,6 +11,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::framed::{FrameReader, LinkFault, PartialBody, next_part, pass_on, write_frames};
+use crate::directory::adopt_facts;
 use crate::gate::{CallBody, EventSink, Gate, GateEvent, GateRequest, Wanted};
 use crate::prelude::*;
 use crate::sockets;
@@ -28,8 +30,14 @@
     pub incarnation: Incarnation,
     /// What is held against requests.
     pub suspicion: Arc<Suspicion>,
+    /// Facts in force.
+    pub directory: SharedDirectory,
 }
 
+/// A node that has just started reads the store within this time, if it can be
+/// read; after that it asks whoever opens a link, and again as often.
+const ASK_FOR_FACTS_AFTER: Duration = Duration::from_millis(400);
+
 /// A body that was kept back until the gate wants it.
 struct Arriving {
     body: PartialBody,
@@ -63,8 +71,10 @@
             let _ = answers.send(ToEntry::Suspect(notice));
         }
         let telling = pass_on(news, answers.clone(), ToEntry::Suspect);
+        let asking = ask_for_facts(Arc::clone(&self.directory), answers.clone());
         let link = Link {
             gate: Arc::clone(&self.gate),
+            directory: Arc::clone(&self.directory),
             suspicion: Arc::clone(&self.suspicion),
             answers,
             in_hand: InHand::default(),
@@ -75,6 +85,7 @@
                 ended = link.read(FrameReader::new(reader)) => ended,
                 ended = write_frames(writer, to_write) => ended,
                 () = telling => Ok(()),
+                () = asking => Ok(()),
             };
             if let Err(fault) = ended {
                 log::debug!("a link ended: {fault}");
@@ -83,8 +94,23 @@
     }
 }
 
+/// Asks the other side for facts while this node knows none; never ends while
+/// the link lives.
+async fn ask_for_facts(directory: SharedDirectory, answers: Answers) {
+    loop {
+        tokio::time::sleep(ASK_FOR_FACTS_AFTER).await;
+        if directory.load().routes.is_some() {
+            std::future::pending::<()>().await;
+        }
+        if answers.send(ToEntry::WantsFacts).is_err() {
+            return;
+        }
+    }
+}
+
 struct Link {
     gate: Arc<Gate>,
+    directory: SharedDirectory,
     suspicion: Arc<Suspicion>,
     answers: Answers,
     in_hand: InHand,
@@ -116,6 +142,7 @@
                     self.gate.fence(key, sink);
                 }
                 ToGate::Suspect(notice) => self.suspicion.hear(&notice),
+                ToGate::Facts(encoded) => adopt_facts(&self.directory, &encoded),
                 ToGate::Ping => {
                     let _ = self.answers.send(ToEntry::Pong);
                 }
--- a/crates/edge/tests/all/links.rs
+++ b/crates/edge/tests/all/links.rs
@@ -10,8 +10,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::support::caller::Caller;
-use crate::support::{DIGEST, fleet, member, set_directory};
+use crate::support::caller::{Caller, ask};
+use crate::support::target::{FakeTarget, until};
+use crate::support::{DIGEST, fleet, member, set_directory, start_vm};
 
 /// The gate's end of one link.
 struct GateEnd {
@@ -218,3 +219,48 @@
     assert_eq!(answer.status(), 502);
     assert_eq!(calls.load(Ordering::Relaxed), 2);
 }
+
+/// A node was restarted while the store is away. It knows nothing and would
+/// refuse everything until the store returns; a node that opens a link to it
+/// tells what is in force.
+#[tokio::test]
+async fn a_node_that_knows_nothing_hears_it_from_another() {
+    let fleet = fleet(&["s", "s"]).await;
+    let ip = "127.202.0.1".parse().expect("an address");
+    let links = TcpListener::bind((ip, fleet.gate_port))
+        .await
+        .expect("the gate's port");
+    let target = FakeTarget::start(ip, "life-9").await;
+    let unknowing: SharedDirectory = Arc::default();
+    let address = target.address;
+    let vm = start_vm("s", target, links, &unknowing, fleet.gate_port).await;
+    assert_eq!(
+        ask(vm.callers, "GET", "/read/x", "id-1").await.status(),
+        503
+    );
+
+    // It is listed, so that others send to it.
+    let mut members = vec![member(9, "s", address)];
+    for (number, known) in fleet.vms.iter().enumerate() {
+        members.push(member(number, "s", known.target.address));
+    }
+    set_directory(&fleet.directory, "s", members);
+    for number in 0..40 {
+        ask(
+            fleet.vms[0].callers,
+            "GET",
+            "/read/x",
+            &format!("id-{number}"),
+        )
+        .await;
+    }
+    until("the node has heard the configuration", || {
+        unknowing.load().routes.is_some()
+    })
+    .await;
+    assert_eq!(unknowing.load().members.len(), 3);
+    assert_eq!(
+        ask(vm.callers, "GET", "/read/x", "id-2").await.status(),
+        200
+    );
+}
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -176,7 +176,7 @@
     }
 }
 
-async fn start_vm(
+pub async fn start_vm(
     service: &str,
     target: FakeTarget,
     links: TcpListener,
@@ -222,6 +222,7 @@
         gate: Arc::clone(&gate),
         incarnation,
         suspicion,
+        directory: Arc::clone(directory),
     };
     tokio::spawn(server.accept(links));
     let listener = TcpListener::bind((target.address.ip(), 0))
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -185,6 +185,8 @@
     },
     /// Something was learnt about a request that may crash targets.
     Suspect(SuspectNotice),
+    /// What the entry knows of routes and targets, for a gate that asked.
+    Facts(Bytes),
     /// Are you there?
     Ping,
 }
@@ -236,6 +238,8 @@
     },
     /// Something was learnt about a request that may crash targets.
     Suspect(SuspectNotice),
+    /// This node knows no configuration and cannot read any.
+    WantsFacts,
     /// I am.
     Pong,
 }
