--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -228,7 +228,16 @@
                 request,
             },
         );
+        let mut leaving = CallerLeaves {
+            request_id: &request_id,
+            service: service.as_str(),
+            arrived,
+            clock: self.clock,
+            is_answered: false,
+        };
         let (given, trail) = run.serve().await;
+        leaving.is_answered = true;
+        drop(leaving);
         let ended = Ended {
             request_id,
             service: service.as_str(),
@@ -287,6 +296,28 @@
     }
 }
 
+/// Writes down that a caller left before its answer: its call is dropped then,
+/// and would leave no line of this node.
+struct CallerLeaves<'a> {
+    request_id: &'a str,
+    service: &'a str,
+    arrived: Millis,
+    clock: ProcessClock,
+    is_answered: bool,
+}
+
+impl Drop for CallerLeaves<'_> {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        let request = self.request_id;
+        let service = self.service;
+        let took_ms = self.clock.now().since(self.arrived).0;
+        log::info!(request, service, took_ms; "its caller left before the answer");
+    }
+}
+
 /// Statuses from here on are failures of whoever answers.
 const SERVER_FAULT: u16 = 500;
 
--- a/src/commands/trace.rs
+++ b/src/commands/trace.rs
@@ -118,7 +118,9 @@
             self.missing.push(reason.to_owned());
             return;
         }
-        let is_entry = |step: &&Step| step.fields.contains_key("code");
+        let is_entry = |step: &&Step| {
+            step.fields.contains_key("code") || step.message.starts_with("its caller left")
+        };
         let Some(entry) = self.steps.iter().find(is_entry) else {
             let reason = "no line of the entry: its log is not among the files, it ended before \
                           the request did, or the line was left out";
