Send what may run only once on no connection that rested

A quarter of a second of rest is allowed now, then a new connection (1 ms of a slot). The test fails without. Also: at a deadline the entry's line names attempts still open.

--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -594,6 +594,14 @@
     fn at_deadline(&mut self) -> Given {
         let now = self.entry.now();
         self.note_losers(now);
+        for attempt in &self.attempts {
+            let state = match (&attempt.hold, attempt.started) {
+                (None, _) => continue,
+                (Some(_), Some(_)) => "still-running",
+                (Some(_), None) => "still-waiting",
+            };
+            self.trail.push(&attempt.member.id, state);
+        }
         if let Some((head, body)) = self.failed_answer.take() {
             return self.pass_on(head, body);
         }
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -528,6 +528,7 @@
         Exchange {
             method: method.clone(),
             request_id: Some(run.terms.request_id.clone()),
+            may_repeat: run.terms.idempotent,
             bytes: http1::request_bytes(method, path, &fields, run.body).freeze(),
         }
     }
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -26,6 +26,11 @@
 /// Part of the stated timeout for which a connection is used again. At the end
 /// of it, a request and the target's close would cross on their way.
 const REST_PERCENT: u64 = 70;
+/// What may run only once takes only connections that rested this briefly. A
+/// target may drop one that rests without notice, and what is sent on it next is
+/// reset: a payment would end as "nobody can tell" though nothing ran. A new
+/// connection costs the target about a millisecond.
+const MAX_REST_ONCE_MS: Millis = Millis(250);
 /// Answers to other requests that are skipped in front of the expected one.
 const MAX_FOREIGN_ANSWERS: u32 = 3;
 
@@ -45,6 +50,8 @@
     pub method: String,
     /// Id that the answer must echo; `None` for a health check.
     pub request_id: Option<String>,
+    /// Running it more than once is harmless.
+    pub may_repeat: bool,
     /// Head and body.
     pub bytes: Bytes,
 }
@@ -67,6 +74,7 @@
 #[derive(Debug)]
 struct Resting {
     connection: Connection,
+    since: Millis,
     until: Millis,
 }
 
@@ -98,7 +106,7 @@
     ///
     /// The fault says whether anything was sent.
     pub async fn exchange(&self, exchange: &Exchange) -> Result<TargetAnswer, ExchangeFault> {
-        let mut connection = match self.take_rested() {
+        let mut connection = match self.take_rested(exchange.may_repeat) {
             Some(connection) => connection,
             None => self.connect().await?,
         };
@@ -114,8 +122,7 @@
     pub async fn accepts_connections(&self) -> bool {
         match self.connect().await {
             Ok(connection) => {
-                let until = self.clock.now() + UNSTATED_REST_MS;
-                self.resting.lock().push(Resting { connection, until });
+                self.put_to_rest(connection, UNSTATED_REST_MS);
                 true
             }
             Err(_) => false,
@@ -123,10 +130,14 @@
     }
 
     /// The most recently used first, so that spare ones age out.
-    fn take_rested(&self) -> Option<Connection> {
+    fn take_rested(&self, may_repeat: bool) -> Option<Connection> {
         let now = self.clock.now();
         let mut resting = self.resting.lock();
         resting.retain(|kept| now < kept.until);
+        let newest = resting.last()?;
+        if !may_repeat && now.since(newest.since) > MAX_REST_ONCE_MS {
+            return None;
+        }
         while let Some(kept) = resting.pop() {
             if kept.connection.is_quiet() {
                 return Some(kept.connection);
@@ -140,9 +151,15 @@
             Some(stated) => Millis(stated.0 * REST_PERCENT / 100),
             None => UNSTATED_REST_MS,
         };
+        self.put_to_rest(connection, rest_ms);
+    }
+
+    fn put_to_rest(&self, connection: Connection, rest_ms: Millis) {
+        let since = self.clock.now();
         self.resting.lock().push(Resting {
             connection,
-            until: self.clock.now() + rest_ms,
+            since,
+            until: since + rest_ms,
         });
     }
 
--- a/crates/edge/tests/all/at_most_once.rs
+++ b/crates/edge/tests/all/at_most_once.rs
@@ -1,5 +1,7 @@
 //! What may run only once.
 
+use std::time::Duration;
+
 use crate::support::caller::ask;
 use crate::support::fleet;
 use crate::support::target::runs;
@@ -58,3 +60,19 @@
     let answer = ask(fleet.vms[0].callers, "POST", "/pay/full", "id-1").await;
     assert_eq!(answer.status(), 502);
 }
+
+/// A target forgets a connection that rested for a while, and resets what comes
+/// next on it. The payment did not run, but nobody could tell; so it is sent on
+/// a connection of its own.
+#[tokio::test]
+async fn a_payment_is_not_sent_on_a_connection_that_rested() {
+    let fleet = fleet(&["s"]).await;
+    let target = &fleet.vms[0].target;
+    // Longer than the gate lets a payment's connection rest.
+    target.forget_idle_after(Duration::from_millis(260));
+    ask(fleet.vms[0].callers, "GET", "/read/ok", "id-1").await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let answer = ask(fleet.vms[0].callers, "POST", "/pay/ok", "id-2").await;
+    assert_eq!(answer.status(), 200);
+    assert_eq!(target.runs_of("id-2"), 1);
+}
--- a/crates/edge/tests/all/support/target.rs
+++ b/crates/edge/tests/all/support/target.rs
@@ -32,6 +32,9 @@
     cancelled: AtomicU32,
     connections: AtomicU32,
     slowness_percent: AtomicU32,
+    /// Connections that rest longer than this many milliseconds reset whatever
+    /// comes next; 0 for never.
+    forgets_after_ms: AtomicU32,
     /// The behaviour for all requests that name none.
     usual: Mutex<String>,
 }
@@ -107,6 +110,12 @@
             .store(percent, Ordering::Relaxed);
     }
 
+    /// From now on forgets connections that rest for this long, without notice.
+    pub fn forget_idle_after(&self, span: Duration) {
+        let ms = u32::try_from(span.as_millis()).expect("a short span");
+        self.journal.forgets_after_ms.store(ms, Ordering::Relaxed);
+    }
+
     /// What requests without a behaviour of their own meet.
     pub fn set_usual(&self, behaviour: &str) {
         *self.journal.usual.lock() = behaviour.to_owned();
@@ -116,10 +125,17 @@
 async fn serve(stream: TcpStream, journal: Arc<Journal>, life: String) {
     let (reader, mut writer) = stream.into_split();
     let mut reader = HttpReader::new(reader);
+    let mut rests_since = std::time::Instant::now();
     while let Ok(head) = reader.request_head(64 * 1024).await {
+        let forgets_after_ms = journal.forgets_after_ms.load(Ordering::Relaxed);
+        let rested_ms = rests_since.elapsed().as_millis();
+        if forgets_after_ms > 0 && rested_ms > u128::from(forgets_after_ms) {
+            return;
+        }
         if !answer(&mut reader, &mut writer, head, &journal, &life).await {
             return;
         }
+        rests_since = std::time::Instant::now();
     }
 }
 
