Make the test of rested connections reach its case

Seen with the safeguard off: the gate's question for the speed took the only rested connection. Three rest now; the test fails without the safeguard.

--- a/crates/edge/tests/all/at_most_once.rs
+++ b/crates/edge/tests/all/at_most_once.rs
@@ -70,9 +70,20 @@
     let target = &fleet.vms[0].target;
     // Longer than the gate lets a payment's connection rest.
     target.forget_idle_after(Duration::from_millis(260));
-    ask(fleet.vms[0].callers, "GET", "/read/ok", "id-1").await;
+    // Three connections rest; the gate's question for the speed takes one.
+    let callers = fleet.vms[0].callers;
+    let (one, two, three) = tokio::join!(
+        ask(callers, "GET", "/read/slow", "id-1"),
+        ask(callers, "GET", "/read/slow", "id-2"),
+        ask(callers, "GET", "/read/slow", "id-3"),
+    );
+    assert!(
+        [one, two, three]
+            .iter()
+            .all(|answer| answer.status() == 200)
+    );
     tokio::time::sleep(Duration::from_millis(400)).await;
-    let answer = ask(fleet.vms[0].callers, "POST", "/pay/ok", "id-2").await;
+    let answer = ask(callers, "POST", "/pay/ok", "id-4").await;
     assert_eq!(answer.status(), 200);
-    assert_eq!(target.runs_of("id-2"), 1);
+    assert_eq!(target.runs_of("id-4"), 1);
 }
