Make the sleeping entry's test stand on a stopped process and a full socket

It failed once beside other work ("nothing was lost"). Cause: the test sent its flood when the stop signal was queued, not when every thread had stopped, so on a busy machine the node still read the flood and the announcements found room. It waits for the stop as its neighbours do, and for a drop before it goes on. Six of six beside ten busy loops. Ruled out: the product; the lines below the premise never ran.

--- a/tests/all/leaving.rs
+++ b/tests/all/leaving.rs
@@ -18,6 +18,7 @@
 
 use crate::support::caller::{Call, Caller, code_of};
 use crate::support::far_entry::FarEntry;
+use crate::support::pause::pause;
 use crate::support::payment::{Payment, Sending};
 use crate::support::traffic::Traffic;
 use crate::support::{Deployment, Member, PATIENCE};
@@ -410,9 +411,13 @@
     let entry = deployment.entry(DESK);
     send_some(entry, "before").await?;
     let leaver = favourite(&deployment);
-    deployment.fleet.pause(DESK)?;
+    // The premise by construction: every thread of the entry has stopped, and
+    // its socket is so full that it drops what comes.
+    pause(&mut deployment, DESK).await?;
     let control = deployment.fleet.addresses(DESK)?.control;
+    let lost_while_awake = lost_datagrams(control)?;
     flood(control)?;
+    wait_lost(control, lost_while_awake + 1).await?;
     let lost_before = lost_datagrams(control)?;
     Way::Drain.begin(&mut deployment, &leaver).await?;
     let runs = deployment.target(&leaver).all_runs().len();
