--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -422,7 +422,9 @@
         let target = self.close(number);
         self.trail.push(&target, end.into());
         self.last_end = Some(end);
-        if matches!(end, CallEnd::Down | CallEnd::Misdirected) {
+        // Asked again at once, each of these would say the same.
+        let is_gone = matches!(end, CallEnd::Down | CallEnd::Leaving | CallEnd::Misdirected);
+        if is_gone {
             let mut state = self.entry.state.lock();
             state.failures.note_unreachable(&target, now);
         }
