--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -1,43 +1,32 @@
 //! One call on its way through the gates.
 
+mod asking;
+mod ending;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hornbeamhitch_dispatch::order::{self, Candidate, View};
+use hornbeamhitch_dispatch::order::Candidate;
 use hornbeamhitch_dispatch::patience::Patience;
 use hornbeamhitch_dispatch::work::WorkEstimate;
-use rand::RngExt;
 use tokio::sync::mpsc;
 
 use super::answer::Given;
-use super::progress::{self, Attempt, Progress};
+use super::progress::{Attempt, Progress};
 use super::trail::Trail;
 use super::{CallerRequest, Entry};
 use crate::gate::GateEvent;
 use crate::http1;
-use crate::link::{LinkEvent, OutgoingCall};
+use crate::link::LinkEvent;
 use crate::prelude::*;
-use crate::target::is_success;
+use asking::Step;
 
-/// In later rounds one gate holds the call in its line for this long, so that a
-/// slot or a fast moment there is not missed; then the others are asked again.
-const ROUND_HOLD_MS: Millis = Millis(30);
-/// Least time between the first two rounds of asking; each further one waits
-/// longer, or refusals would come in a storm when all targets are full.
-const ROUND_PAUSE_MS: Millis = Millis(12);
-/// Longest time between two rounds: a slow spell lasts a few of these.
-const LONGEST_ROUND_PAUSE_MS: Millis = Millis(48);
 /// A run that has taken this many times what was expected is taken for stuck,
 /// and an idempotent call is sent to a second target beside it.
 const STUCK_AFTER_RUNS: f64 = 2.5;
 /// Short runs are given at least this long: a lost packet takes as much.
 const STUCK_AFTER_LEAST_MS: Millis = Millis(60);
-/// When no gate takes a hedge, it is offered again after this span.
-const HEDGE_AGAIN_MS: Millis = Millis(25);
-/// Bounds of the time to stay away after a refusal. Slow spells and lines last
-/// about this long; the spread keeps callers from coming back in step.
-const RETRY_AFTER_MS: std::ops::Range<u64> = 60..260;
 
 /// What a call is made of.
 #[derive(Debug)]
@@ -50,13 +39,6 @@
     pub(super) request: CallerRequest,
 }
 
-/// What to do while no attempt is open.
-enum Step {
-    Send(Candidate, Millis),
-    Pause(Millis),
-    End(Given),
-}
-
 /// One call until its answer is known.
 pub(super) struct CallRun<'a> {
     entry: &'a Arc<Entry>,
@@ -181,114 +163,6 @@
         self.attempts.iter().any(|attempt| attempt.hold.is_some())
     }
 
-    /// Decides whom to ask next while no attempt is open.
-    fn next_step(&mut self) -> Step {
-        let now = self.entry.now();
-        if now >= self.patience.last_start && self.rounds > 0 {
-            return Step::End(self.refuse());
-        }
-        if let Some(candidate) = self.round.pop_front() {
-            let hold_ms = self.hold_for(&candidate, now);
-            return Step::Send(candidate, hold_ms);
-        }
-        if self.rounds > 0 {
-            if self.is_hopeless(now) {
-                return Step::End(self.refuse());
-            }
-            let pause_ms = ROUND_PAUSE_MS.0 * u64::from(self.rounds);
-            let next_at = self.round_began + Millis(pause_ms).min(LONGEST_ROUND_PAUSE_MS);
-            if now < next_at {
-                return Step::Pause(next_at);
-            }
-        }
-        self.round = self.candidates(now).into();
-        self.rounds += 1;
-        self.round_began = now;
-        match self.round.pop_front() {
-            Some(candidate) => {
-                let hold_ms = self.hold_for(&candidate, now);
-                Step::Send(candidate, hold_ms)
-            }
-            None => Step::End(self.refuse()),
-        }
-    }
-
-    /// A call is refused early when the trouble is want of room and not a slow
-    /// spell: a line does not get shorter by waiting beside it, and the caller
-    /// can come back in time.
-    fn is_hopeless(&self, now: Millis) -> bool {
-        self.last_end != Some(CallEnd::Slow) && now >= self.patience.busy_until
-    }
-
-    fn candidates(&self, now: Millis) -> Vec<Candidate> {
-        let directory = self.entry.directory.load();
-        let mut state = self.entry.state.lock();
-        let super::state::EntryState { failures, rng, .. } = &mut *state;
-        let view = View {
-            open: directory.members.open(&self.service),
-            data_centre: &self.entry.data_centre,
-            failures,
-            tried: &self.tried,
-            now,
-        };
-        order::candidates(&view, rng)
-    }
-
-    /// How long a gate may hold the call. In the first round, the last near
-    /// gate holds it while that is worth more than asking a far one.
-    fn hold_for(&self, candidate: &Candidate, now: Millis) -> Millis {
-        let left_ms = self.patience.last_start.since(now);
-        if self.rounds > 1 {
-            let is_first = self.round_began == now;
-            let hold_ms = if is_first {
-                ROUND_HOLD_MS
-            } else {
-                Millis::ZERO
-            };
-            return hold_ms.min(left_ms);
-        }
-        let more_near = self.round.iter().any(|other| other.is_near);
-        if candidate.is_near && !candidate.is_avoided && !more_near {
-            return self.patience.near_until.since(now).min(left_ms);
-        }
-        Millis::ZERO
-    }
-
-    fn send(&mut self, candidate: &Candidate, hold_ms: Millis) {
-        let now = self.entry.now();
-        let key = self.entry.next_key();
-        let slow_after_ms = match self.patience.slow_from {
-            Millis::MAX => Millis::MAX,
-            at => at.since(now),
-        };
-        let call = OutgoingCall {
-            terms: CallTerms {
-                target_id: candidate.member.id.as_str().to_owned(),
-                request_id: self.request_id.clone(),
-                key,
-                fingerprint: self.fingerprint,
-                idempotent: self.route.kind.is_idempotent(),
-                priority: self.route.priority,
-                work_ms: self.work.run_at(100),
-                hold_ms,
-                objective_ms: self.patience.objective_at.since(now),
-                slow_after_ms,
-                deadline_ms: self.deadline_at.since(now),
-            },
-            head: self.head.clone(),
-            body: self.body.clone(),
-        };
-        let number = self.attempts.len();
-        let hold = progress::open(self.entry, candidate, call, number, &self.sender);
-        self.attempts.push(Attempt {
-            member: Arc::clone(&candidate.member),
-            key,
-            started: None,
-            lost_to: None,
-            hold: Some(hold),
-        });
-    }
-
     /// Takes in what was heard of an attempt; with an answer the call ends.
     fn take(&mut self, progress: Progress) -> Option<Given> {
         let number = progress.attempt;
@@ -382,237 +256,11 @@
         self.entry.directory.load().members.len()
     }
 
-    fn take_answer(&mut self, number: usize, head: AnswerHead, body: Bytes) -> Option<Given> {
-        let now = self.entry.now();
-        let started = self.attempts[number].started;
-        let target = self.close(number);
-        self.trail.push(&target, &head.status.to_string());
-        let mut state = self.entry.state.lock();
-        if is_success(head.status) || head.status < 500 {
-            state.failures.note_success(&target, now);
-            let slowness = started.map_or(100, |(_, slowness)| slowness);
-            if is_success(head.status) {
-                let bytes = body.len();
-                state.work.learn(&self.route, head.run_ms, slowness, bytes);
-            }
-            drop(state);
-            self.note_losers(now);
-            return Some(self.pass_on(head, body));
-        }
-        state.failures.note_failure(&target, now);
-        drop(state);
-        self.may_have_run = true;
-        self.failed_answer = Some((head, body));
-        self.fail_over("the target failed")
-    }
-
-    /// The target's own answer for the caller. A status that promises "not run"
-    /// is only true with the target's statement, which this one lacks.
-    fn pass_on(&self, head: AnswerHead, body: Bytes) -> Given {
-        let promises_not_run = matches!(head.status, 408 | 421 | 429 | 503);
-        if promises_not_run && !self.route.kind.is_idempotent() {
-            return Given::fixed(ResultCode::RunBroken).because("the target's status is no proof");
-        }
-        Given::answered(head, body)
-    }
-
-    fn take_refusal(&mut self, number: usize, end: CallEnd) -> Option<Given> {
-        let now = self.entry.now();
-        let had_started = self.attempts[number].started.is_some();
-        let target = self.close(number);
-        self.trail.push(&target, end.into());
-        self.last_end = Some(end);
-        if matches!(end, CallEnd::Down | CallEnd::Misdirected) {
-            let mut state = self.entry.state.lock();
-            state.failures.note_unreachable(&target, now);
-        }
-        if !end.reached_target() {
-            if had_started {
-                // Counted as an arrival when it started, but no connection
-                // could be had.
-                self.arrivals = self.arrivals.saturating_sub(1);
-            }
-            self.offer_hedge_again(now);
-            return None;
-        }
-        if end == CallEnd::Shed {
-            self.entry.state.lock().failures.note_failure(&target, now);
-        }
-        self.fail_over("the target did not run it")
-    }
-
-    /// A hedge that no gate took is offered again while the first attempt runs.
-    fn offer_hedge_again(&mut self, now: Millis) {
-        if self.has_open() && self.route.kind.is_idempotent() {
-            self.hedge_at = Some(now + HEDGE_AGAIN_MS);
-        }
-    }
-
-    /// The request may have run, and nobody can tell.
-    fn outcome_unknown(&mut self, number: usize, end: CallEnd) -> Option<Given> {
-        let now = self.entry.now();
-        let was_counted = self.attempts[number].started.is_some();
-        let target = self.close(number);
-        self.trail.push(&target, end.into());
-        self.entry.state.lock().failures.note_failure(&target, now);
-        // Failure answered: behind a cut in one direction, calls reach gates and
-        // nothing comes back. Counted only when a gate says that it started, a
-        // lookup would run at one target more for each such gate.
-        if !was_counted {
-            self.count_arrival(target);
-        }
-        self.may_have_run = true;
-        self.last_end = Some(end);
-        if self.route.kind.is_idempotent() {
-            return self.fail_over("the run broke");
-        }
-        let code = match end {
-            CallEnd::TimedOut => ResultCode::DeadlinePassed,
-            _ => ResultCode::RunBroken,
-        };
-        Some(Given::fixed(code).because("the run broke"))
-    }
-
-    /// The link broke under an attempt. What may run only once is asked about:
-    /// sent again it might run twice, and given up its caller learns nothing.
-    fn link_lost(&mut self, number: usize, incarnation: Incarnation) -> Option<Given> {
-        let is_first_loss = self.attempts[number].lost_to.is_none();
-        if self.route.kind.is_idempotent() || !is_first_loss {
-            return self.outcome_unknown(number, CallEnd::Broken);
-        }
-        let attempt = &self.attempts[number];
-        self.trail.push(&attempt.member.id, "link-lost");
-        let asking = progress::ask(self.entry, attempt, number, &self.sender);
-        let attempt = &mut self.attempts[number];
-        attempt.lost_to = Some(incarnation);
-        attempt.hold = Some(asking);
-        None
-    }
-
-    /// After an attempt that reached a target: goes on elsewhere when the
-    /// route, the deadline and the budget allow, else ends the call.
-    fn fail_over(&mut self, reason: &'static str) -> Option<Given> {
-        let now = self.entry.now();
-        if self.has_open() {
-            return None;
-        }
-        self.hedge_at = None;
-        // Failure answered: a target runs a payment and answers 500, or its
-        // answer breaks. Sent on, the payment would run a second time.
-        let may_repeat = self.route.kind.is_idempotent() || !self.may_have_run;
-        let may_go_on =
-            may_repeat && self.arrivals < self.route.max_attempts && now < self.patience.last_start;
-        if may_go_on && self.take_token(now) {
-            // The rest of the round was ordered before this failure.
-            self.round.clear();
-            self.rounds = 0;
-            log::debug!(request = self.request_id.as_str(), reason; "tried again elsewhere");
-            return None;
-        }
-        Some(self.refuse().because(reason))
-    }
-
-    fn take_token(&mut self, now: Millis) -> bool {
-        if self.tokens > 0 {
-            return true;
-        }
-        let entries = self.entries();
-        let mut state = self.entry.state.lock();
-        let is_allowed = state.try_retry(&self.service, entries, now);
-        self.tokens += u32::from(is_allowed);
-        is_allowed
-    }
-
-    /// Sends the call to a second target beside one that seems stuck.
-    fn hedge(&mut self) {
-        self.hedge_at = None;
-        let now = self.entry.now();
-        let open = self
-            .attempts
-            .iter()
-            .filter(|attempt| attempt.hold.is_some());
-        if open.count() != 1 || self.arrivals >= self.route.max_attempts {
-            return;
-        }
-        if now >= self.patience.last_start {
-            return;
-        }
-        let Some(candidate) = self.candidates(now).into_iter().next() else {
-            return;
-        };
-        if candidate.is_avoided || !self.take_token(now) {
-            return;
-        }
-        self.send(&candidate, Millis::ZERO);
-    }
-
-    /// Holds it against the targets of attempts that another one overtook.
-    fn note_losers(&self, now: Millis) {
-        let mut state = self.entry.state.lock();
-        for attempt in &self.attempts {
-            if attempt.hold.is_none() {
-                continue;
-            }
-            let Some((started, slowness)) = attempt.started else {
-                continue;
-            };
-            let expected_ms = self.work.run_at(slowness).0 as f64 * STUCK_AFTER_RUNS;
-            if now.since(started).0 as f64 > expected_ms {
-                state.failures.note_failure(&attempt.member.id, now);
-            }
-        }
-    }
-
     fn close(&mut self, number: usize) -> TargetId {
         let attempt = &mut self.attempts[number];
         attempt.hold = None;
         attempt.member.id.clone()
     }
-
-    /// The final answer when no target served the call.
-    fn refuse(&mut self) -> Given {
-        let reason = self.last_end.map_or("no target", <&'static str>::from);
-        if let Some((head, body)) = self.failed_answer.take() {
-            return self.pass_on(head, body);
-        }
-        if self.may_have_run {
-            return Given::fixed(ResultCode::AttemptsFailed).because(reason);
-        }
-        let code = match self.last_end {
-            None | Some(CallEnd::Down) => ResultCode::NoTarget,
-            Some(CallEnd::Leaving) => ResultCode::Leaving,
-            Some(CallEnd::Convicted) => ResultCode::CrashSuspect,
-            Some(_) => ResultCode::Overloaded,
-        };
-        let drawn_ms = self.entry.state.lock().rng.random_range(RETRY_AFTER_MS);
-        let left_ms = self.deadline_at.since(self.entry.now());
-        let wait = Millis(drawn_ms.min(left_ms.0 / 3));
-        Given::refused(code, wait).because(reason)
-    }
-
-    /// What the caller is told when its time is up.
-    fn at_deadline(&mut self) -> Given {
-        let now = self.entry.now();
-        self.note_losers(now);
-        for attempt in &self.attempts {
-            let state = match (&attempt.hold, attempt.started) {
-                (None, _) => continue,
-                (Some(_), Some(_)) => "still-running",
-                (Some(_), None) => "still-waiting",
-            };
-            self.trail.push(&attempt.member.id, state);
-        }
-        if let Some((head, body)) = self.failed_answer.take() {
-            return self.pass_on(head, body);
-        }
-        if self.has_open() || self.may_have_run {
-            let reason = self
-                .last_end
-                .map_or("no answer in time", <&'static str>::from);
-            return Given::fixed(ResultCode::DeadlinePassed).because(reason);
-        }
-        self.refuse()
-    }
 }
 
 /// The request as targets are to see it, but for what the gate adds.
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -1,6 +1,8 @@
 //! The gate: starts calls in this VM's target, one copy of each at most.
 
+mod places;
 mod records;
+mod run;
 mod speed;
 
 use std::collections::VecDeque;
@@ -12,11 +14,12 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot, watch};
 
-use crate::http1;
 use crate::prelude::*;
 use crate::suspicion::Suspicion;
-use crate::target::{Exchange, ExchangeFault, TargetAnswer, TargetClient, is_success};
+use crate::target::TargetClient;
+use places::{InLine, Slot};
 use records::{Fencing, Records};
+use run::Run;
 use speed::SpeedProbe;
 
 /// A call as it reaches the gate.
@@ -121,74 +124,6 @@
     ended_lives: VecDeque<TargetId>,
 }
 
-/// A call that runs.
-struct Run<'a> {
-    terms: &'a CallTerms,
-    head: &'a CallHead,
-    body: &'a [u8],
-    deadline_at: Millis,
-}
-
-/// Frees a slot when a run has ended, in whatever way.
-struct Slot<'a>(&'a Gate);
-
-impl Drop for Slot<'_> {
-    fn drop(&mut self) {
-        self.0.state.lock().admission.finish();
-        self.0.changed.notify_waiters();
-    }
-}
-
-/// Counts a call as running until it is dropped.
-struct Running<'a> {
-    gate: &'a Gate,
-    fingerprint: u64,
-}
-
-impl<'a> Running<'a> {
-    fn enter(gate: &'a Gate, fingerprint: u64) -> Self {
-        gate.state.lock().running.push(fingerprint);
-        Self { gate, fingerprint }
-    }
-}
-
-impl Drop for Running<'_> {
-    fn drop(&mut self) {
-        let mut state = self.gate.state.lock();
-        let place = state
-            .running
-            .iter()
-            .position(|known| *known == self.fingerprint);
-        if let Some(place) = place {
-            state.running.swap_remove(place);
-        }
-    }
-}
-
-/// Takes a call out of the line when its caller leaves.
-struct InLine<'a> {
-    gate: &'a Gate,
-    place: Option<Place>,
-}
-
-impl InLine<'_> {
-    fn start(&mut self) {
-        if let Some(place) = self.place.take() {
-            self.gate.state.lock().admission.start(place);
-        }
-    }
-}
-
-impl Drop for InLine<'_> {
-    fn drop(&mut self) {
-        let Some(place) = self.place.take() else {
-            return;
-        };
-        self.gate.state.lock().admission.withdraw(place);
-        self.gate.changed.notify_waiters();
-    }
-}
-
 impl Gate {
     /// A gate in front of the target.
     #[must_use]
@@ -428,175 +363,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Writes down a run, or that it was cancelled.
-    fn log_run(
-        &self,
-        terms: &CallTerms,
-        slowness_percent: u32,
-        waited_ms: u64,
-        started: Millis,
-        event: Option<&GateEvent>,
-    ) {
-        let request = terms.request_id.as_str();
-        let target_id = terms.target_id.as_str();
-        let ran_ms = self.clock.now().since(started).0;
-        match event {
-            Some(GateEvent::Answered { head, .. }) if head.status < 500 => log::info!(
-                request, target_id, slowness_percent, waited_ms, ran_ms, status = head.status;
-                "ran"
-            ),
-            Some(GateEvent::Answered { head, .. }) => log::warn!(
-                request, target_id, slowness_percent, waited_ms, ran_ms, status = head.status;
-                "ran and failed"
-            ),
-            Some(GateEvent::Ended(end)) => log::warn!(
-                request, target_id, slowness_percent, waited_ms, ran_ms,
-                end = <&'static str>::from(*end);
-                "ended without an answer"
-            ),
-            Some(GateEvent::WantsBody | GateEvent::Started { .. }) => {}
-            None => log::info!(
-                request, target_id, slowness_percent, waited_ms, ran_ms;
-                "cancelled: its caller has left or another attempt won"
-            ),
-        }
-    }
-
-    /// Runs a call, and learns whether it crashes its target.
-    async fn run(&self, run: &Run<'_>) -> GateEvent {
-        let fingerprint = run.terms.fingerprint;
-        let _running = Running::enter(self, fingerprint);
-        let event = self.run_in_target(run).await;
-        match &event {
-            GateEvent::Answered { head, .. } if is_success(head.status) => {
-                self.suspicion.ran_well(fingerprint);
-            }
-            GateEvent::Ended(CallEnd::Broken) => self.look_for_crash().await,
-            _ => {}
-        }
-        event
-    }
-
-    /// A run broke. When the target also refuses a connection it has crashed,
-    /// and whatever ran is suspected. Called while the broken run still counts
-    /// as running, so that all runs of one crash are suspected together.
-    async fn look_for_crash(&self) {
-        if self.target.accepts_connections().await {
-            return;
-        }
-        let mut state = self.state.lock();
-        state.admission.note_down(self.clock.now());
-        let running = std::mem::take(&mut state.running);
-        drop(state);
-        self.suspicion.observe_crash(&running);
-    }
-
-    async fn run_in_target(&self, run: &Run<'_>) -> GateEvent {
-        let started = self.clock.now();
-        let exchange = self.exchange_for(run, run.deadline_at.since(started));
-        let deadline = self.clock.to_instant(run.deadline_at);
-        let exchanging = self.target.exchange(&exchange);
-        match tokio::time::timeout_at(deadline, exchanging).await {
-            Err(_) => GateEvent::Ended(CallEnd::TimedOut),
-            Ok(Ok(answer)) => self.judge(run.terms, answer, started),
-            Ok(Err(ExchangeFault::Unreachable)) => {
-                self.state.lock().admission.note_down(self.clock.now());
-                GateEvent::Ended(CallEnd::Down)
-            }
-            Ok(Err(ExchangeFault::Broken(reason))) => {
-                let id = &run.terms.request_id;
-                log::warn!(request = id.as_str(), reason; "a run broke in the target");
-                GateEvent::Ended(CallEnd::Broken)
-            }
-        }
-    }
-
-    /// The request as the target is to see it.
-    fn exchange_for(&self, run: &Run<'_>, left_ms: Millis) -> Exchange {
-        let names = self.dialect.names();
-        let mut fields = run.head.fields.clone();
-        for (name, value) in [
-            (names.deadline_ms, left_ms.0.to_string()),
-            (names.expected_target, run.terms.target_id.clone()),
-        ] {
-            fields.push(HeaderField {
-                name: name.to_owned(),
-                value: Bytes::from(value),
-            });
-        }
-        let CallHead { method, path, .. } = run.head;
-        Exchange {
-            method: method.clone(),
-            request_id: Some(run.terms.request_id.clone()),
-            may_repeat: run.terms.idempotent,
-            bytes: http1::request_bytes(method, path, &fields, run.body).freeze(),
-        }
-    }
-
-    /// Tells an answer from a statement that nothing ran, and from a success
-    /// that is none.
-    fn judge(&self, terms: &CallTerms, answer: TargetAnswer, started: Millis) -> GateEvent {
-        let names = self.dialect.names();
-        let now = self.clock.now();
-        let TargetAnswer { head, body } = answer;
-        if let Some(load) = http1::field(&head.fields, names.load) {
-            self.note_load(load, now);
-        }
-        if head.status == MISDIRECTED {
-            self.note_ended_life(&terms.target_id);
-            return GateEvent::Ended(CallEnd::Misdirected);
-        }
-        if http1::field(&head.fields, names.not_run).is_some() {
-            return GateEvent::Ended(CallEnd::Shed);
-        }
-        let has_digest = http1::field(&head.fields, names.digest).is_some();
-        let is_encoded = http1::field(&head.fields, "content-encoding").is_some();
-        if is_success(head.status) && (!has_digest || is_encoded) {
-            let id = &terms.request_id;
-            log::warn!(request = id.as_str(), has_digest, is_encoded; "a success that is none");
-            return GateEvent::Ended(CallEnd::Broken);
-        }
-        let mut fields = head.fields;
-        http1::strip_hop_by_hop(&mut fields);
-        fields.retain(|field| !field.name.eq_ignore_ascii_case(names.load));
-        GateEvent::Answered {
-            head: AnswerHead {
-                status: head.status,
-                fields,
-                run_ms: now.since(started),
-            },
-            body,
-        }
-    }
-
-    /// The target's address belongs to another life of it. Further calls for the
-    /// ended one are refused here: each that reached the target would count
-    /// against the retry budget.
-    fn note_ended_life(&self, id: &str) {
-        /// Lives that end within the time until all entries have heard of it.
-        const MAX_ENDED_LIVES: usize = 16;
-        let lives = &mut self.state.lock().ended_lives;
-        if lives.len() >= MAX_ENDED_LIVES {
-            lives.pop_front();
-        }
-        lives.push_back(TargetId::new(id));
-    }
-
-    fn note_load(&self, value: &str, now: Millis) {
-        let Some(load) = self.dialect.load(value) else {
-            log::debug!("a load report is malformed: {value}");
-            return;
-        };
-        let Some(slowness_percent) = load.slowness_percent else {
-            return;
-        };
-        let reading = hornbeamhitch_dispatch::admission::SpeedReading {
-            slowness_percent,
-            read_at: now,
-        };
-        self.state.lock().admission.note_speed(reading);
-    }
-
     /// Waits until nothing waits or runs.
     pub async fn drained(&self) {
         /// Runs end without a signal to wait for, so look again soon.
@@ -607,9 +373,6 @@
     }
 }
 
-/// Status of a target that is not the expected one.
-const MISDIRECTED: u16 = 421;
-
 const fn end_of(refused: Refused) -> CallEnd {
     match refused {
         Refused::Leaving => CallEnd::Leaving,
