Bound the bodies that callers can make a node hold

Bodies lie whole in the entry until their answer is known, up to 64 MB each by the configuration and 32 a connection; the process of 160 to 260 MB would be killed with everything in hand. The older path's reservations (uploads) are used: a quarter of the memory, grown as a body arrives; beyond it 503, not run.

--- a/crates/edge/src/callers/connection.rs
+++ b/crates/edge/src/callers/connection.rs
@@ -169,7 +169,12 @@
             return Err(Stop::CallerLeft);
         }
         let body_timeout = self.entry.body_timeout_ms(&head).to_duration();
-        let reading = self.reader.body(framing, limits.body_bytes);
+        let mut reservation = self.entry.reserve_body();
+        let reading = self
+            .reader
+            .body_within(framing, limits.body_bytes, |bytes| {
+                reservation.grow_to(bytes)
+            });
         let body = match tokio::time::timeout(body_timeout, reading).await {
             Ok(Ok(body)) => body,
             Ok(Err(fault)) => return Err(self.refuse(&fault).await),
@@ -197,6 +202,7 @@
                 head,
                 body,
                 arrived,
+                reservation,
             },
             sender,
         );
@@ -218,6 +224,7 @@
             ReadFault::Head(HeadFault::TooLarge) => CallerAnswer::plain(431, "head too large"),
             ReadFault::Head(fault) => CallerAnswer::plain(400, &fault.to_string()),
             ReadFault::BodyTooLarge => CallerAnswer::plain(413, "body too large"),
+            ReadFault::NoRoom => self.entry.no_room(),
         };
         log::info!("a request was refused: {fault}");
         self.answer_and_stop(answer).await
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -27,6 +27,8 @@
     pub metrics_address: SocketAddr,
     /// The target on this VM.
     pub target_address: SocketAddr,
+    /// Bytes of callers' bodies that the node holds at once.
+    pub buffered_bytes: u64,
     /// Span from SIGTERM to SIGKILL.
     pub grace_ms: Millis,
     /// What may change while the process runs.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -8,6 +8,7 @@
 use eyre::{Result, WrapErr};
 use hornbeamhitch_node::listener::bind_std;
 use hornbeamhitch_node::metrics::Metrics;
+use hornbeamhitch_node::uploads::UploadLimits;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -24,6 +25,9 @@
 use crate::suspicion::Suspicion;
 use crate::target::TargetClient;
 
+/// A body that falls silent for this long is given up; its caller's deadline
+/// ends it sooner in nearly all cases.
+const BODY_SILENCE: Duration = Duration::from_secs(15);
 /// Settings may change without a signal; they are looked at this often.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 /// What belongs to targets and routes that are gone is dropped this often.
@@ -117,6 +121,7 @@
         metrics: Arc::clone(&metrics),
         suspicion: Arc::clone(&suspicion),
         retry_limit: config.tunables.retry_limit,
+        uploads: UploadLimits::new(BODY_SILENCE, config.buffered_bytes),
         seed: rand::random(),
     }));
     let (announce, leaving) = watch::channel(Leaving::Not);
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -13,6 +13,7 @@
 use hornbeamhitch_core::suspects::CONVICTED_RETRY_AFTER_MS;
 use hornbeamhitch_dispatch::retry_budget::RetryLimit;
 use hornbeamhitch_node::metrics::{CallSample, Metrics};
+use hornbeamhitch_node::uploads::{Reservation, UploadLimits};
 use hornbeamhitch_types::prelude::CallClass;
 use parking_lot::Mutex;
 use rand::RngExt;
@@ -31,6 +32,8 @@
 /// A node without a configuration asks to come back after this span: a store
 /// that is reached answers within milliseconds.
 const NO_CONFIGURATION_RETRY_MS: Millis = Millis(300);
+/// Bodies that fill a node's memory belong to calls that end within a second.
+const NO_ROOM_RETRY_MS: Millis = Millis(500);
 /// Longest time that a caller may ask for.
 const MAX_DEADLINE_MS: Millis = Millis::from_secs(600);
 
@@ -43,6 +46,8 @@
     pub body: Bytes,
     /// When its head was read.
     pub arrived: Millis,
+    /// Memory for its body, held until its answer is known.
+    pub reservation: Reservation,
 }
 
 /// What an entry is put together from.
@@ -72,6 +77,8 @@
     pub suspicion: Arc<Suspicion>,
     /// Limit on extra arrivals at a service.
     pub retry_limit: RetryLimit,
+    /// Bounds on bodies.
+    pub uploads: UploadLimits,
     /// Seed of all chance.
     pub seed: u64,
 }
@@ -91,6 +98,7 @@
     incarnation: Incarnation,
     metrics: Arc<Metrics>,
     suspicion: Arc<Suspicion>,
+    uploads: UploadLimits,
     state: Mutex<EntryState>,
     last_key: AtomicU64,
 }
@@ -115,6 +123,7 @@
             incarnation: parts.incarnation,
             metrics: parts.metrics,
             suspicion: parts.suspicion,
+            uploads: parts.uploads,
             state: Mutex::new(EntryState::new(parts.seed, parts.retry_limit)),
             last_key: AtomicU64::new(0),
         }
@@ -134,6 +143,18 @@
         routes.map_or_else(CallerLimits::default, |routes| *routes.limits())
     }
 
+    /// Memory for a body, to be grown as it arrives.
+    #[must_use]
+    pub fn reserve_body(&self) -> Reservation {
+        self.uploads.reserve()
+    }
+
+    /// The answer where no memory is left for a body: it has not run.
+    #[must_use]
+    pub fn no_room(&self) -> CallerAnswer {
+        Given::refused(ResultCode::Overloaded, NO_ROOM_RETRY_MS).answer
+    }
+
     /// How long a body may take: as long as its caller waits at all.
     #[must_use]
     pub fn body_timeout_ms(&self, head: &RequestHead) -> Millis {
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -10,6 +10,7 @@
 use hornbeamhitch_dispatch::order::Candidate;
 use hornbeamhitch_dispatch::patience::Patience;
 use hornbeamhitch_dispatch::work::WorkEstimate;
+use hornbeamhitch_node::uploads::Reservation;
 use tokio::sync::mpsc;
 
 use super::answer::Given;
@@ -48,6 +49,8 @@
     fingerprint: u64,
     head: CallHead,
     body: Bytes,
+    /// Memory for the body, held as long as the call.
+    _reservation: Reservation,
     deadline_at: Millis,
     work: WorkEstimate,
     patience: Patience,
@@ -82,6 +85,7 @@
             head,
             body,
             arrived,
+            reservation,
         } = parts.request;
         let work = entry.state.lock().work.estimate(&parts.route);
         let patience = Patience::plan(&parts.route, &work, body.len(), arrived, parts.deadline_at);
@@ -89,6 +93,7 @@
         Self {
             head: outgoing_head(entry, head),
             body,
+            _reservation: reservation,
             work,
             patience,
             events,
--- a/crates/edge/src/http1/stream.rs
+++ b/crates/edge/src/http1/stream.rs
@@ -23,6 +23,9 @@
     /// The body exceeds its limit.
     #[error("the body is above the limit")]
     BodyTooLarge,
+    /// Too many bodies are held already.
+    #[error("no memory is left for the body")]
+    NoRoom,
     /// The connection failed.
     #[error("the connection failed: {0}")]
     Io(#[from] std::io::Error),
@@ -116,6 +119,20 @@
     ///
     /// The body is cut, above the limit, or its framing is at fault.
     pub async fn body(&mut self, framing: Framing, max_bytes: u64) -> Result<Bytes, ReadFault> {
+        self.body_within(framing, max_bytes, |_| true).await
+    }
+
+    /// The same while `has_room` says of its length so far that it can be held.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::body`], or there is no room.
+    pub async fn body_within(
+        &mut self,
+        framing: Framing,
+        max_bytes: u64,
+        mut has_room: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes, ReadFault> {
         if let Framing::Length(length) = framing
             && length > max_bytes
         {
@@ -128,6 +145,9 @@
             if body.len() as u64 > max_bytes {
                 return Err(ReadFault::BodyTooLarge);
             }
+            if !has_room(body.len()) {
+                return Err(ReadFault::NoRoom);
+            }
             if step == Step::Done {
                 return Ok(body.freeze());
             }
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -270,7 +270,7 @@
         ReadFault::Closed => "closed without an answer",
         ReadFault::Cut => "cut within the answer",
         ReadFault::Head(_) => "no answer in the protocol",
-        ReadFault::BodyTooLarge => "the answer is too large",
+        ReadFault::BodyTooLarge | ReadFault::NoRoom => "the answer is too large",
         ReadFault::Io(_) => "the connection failed",
     })
 }
--- a/crates/edge/tests/all/callers.rs
+++ b/crates/edge/tests/all/callers.rs
@@ -3,7 +3,8 @@
 use hornbeamhitch_edge::callers::Leaving;
 
 use crate::support::caller::Caller;
-use crate::support::{REQUEST_ID, fleet};
+use crate::support::target::until;
+use crate::support::{BUFFERED_BYTES, REQUEST_ID, fleet};
 
 /// The node was told to end while a caller's request is on its way. It is
 /// served, and its answer says that the connection ends; what the caller sent
@@ -80,3 +81,30 @@
     let ran = fleet.vms[0].target.ran();
     assert!(hornbeamhitch_edge::http1::field(&ran[0].head.fields, "Expect").is_none());
 }
+
+/// Callers send more bodies at once than the node has memory for. One is told
+/// at once that it has not run and when to come back; the node lives, and serves
+/// again as soon as the others are done.
+#[tokio::test]
+async fn bodies_beyond_the_nodes_memory_are_refused_and_not_run() {
+    let fleet = fleet(&["s"]).await;
+    let vm = &fleet.vms[0];
+    let half = "b".repeat(usize::try_from(BUFFERED_BYTES).expect("a small budget") / 2 + 1);
+    let mut first = Caller::connect(vm.callers).await;
+    first.send("POST", "/pay/slow", "id-1", &half).await;
+    until("the first body is at the target", || {
+        vm.target.runs_of("id-1") == 1
+    })
+    .await;
+    let mut second = Caller::connect(vm.callers).await;
+    // The node stops reading in the middle, so the rest may find it closed.
+    second.try_send("POST", "/pay/slow", "id-2", &half).await;
+    let refused = second.answer().await.expect("an answer");
+    assert_eq!(refused.status(), 503);
+    assert!(refused.field("Retry-After").is_some());
+    assert_eq!(first.answer().await.expect("an answer").status(), 200);
+    let mut third = Caller::connect(vm.callers).await;
+    third.send("POST", "/pay/ok", "id-3", &half).await;
+    assert_eq!(third.answer().await.expect("an answer").status(), 200);
+    assert_eq!(vm.target.runs_of("id-2"), 0);
+}
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -6,6 +6,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use hornbeamhitch_dispatch::retry_budget::RetryLimit;
@@ -20,6 +21,7 @@
 use hornbeamhitch_edge::suspicion::Suspicion;
 use hornbeamhitch_edge::target::TargetClient;
 use hornbeamhitch_node::metrics::Metrics;
+use hornbeamhitch_node::uploads::UploadLimits;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -62,6 +64,9 @@
     }
 }
 
+/// Callers' bodies that a node holds at once.
+pub const BUFFERED_BYTES: u64 = 16 * 1024 * 1024;
+
 /// One VM with its target, gate and entry.
 pub struct Vm {
     pub target: FakeTarget,
@@ -211,6 +216,7 @@
         incarnation,
         metrics: Arc::new(metrics),
         suspicion: Arc::clone(&suspicion),
+        uploads: UploadLimits::new(Duration::from_secs(5), BUFFERED_BYTES),
         retry_limit: RetryLimit {
             ratio: 0.2,
             slack: 64.0,
--- a/crates/edge/tests/all/support/caller.rs
+++ b/crates/edge/tests/all/support/caller.rs
@@ -50,12 +50,15 @@
 
     /// Sends a request for host `h`, which waits for two seconds.
     pub async fn send(&mut self, method: &str, path: &str, id: &str, body: &str) {
-        let length = body.len();
-        let text = format!(
-            "{method} {path} HTTP/1.1\r\nHost: h\r\n{REQUEST_ID}: {id}\r\n{DEADLINE_MS}: 2000\r\n\
-             X-Sent: by caller\r\nContent-Length: {length}\r\n\r\n{body}"
-        );
-        self.send_raw(&text).await;
+        self.send_raw(&request(method, path, id, body)).await;
+    }
+
+    /// The same as far as the node reads it.
+    pub async fn try_send(&mut self, method: &str, path: &str, id: &str, body: &str) {
+        let text = request(method, path, id, body);
+        if let Err(error) = self.writer.write_all(text.as_bytes()).await {
+            println!("the node stopped reading: {error}");
+        }
     }
 
     pub async fn answer(&mut self) -> Result<Answer, ReadFault> {
@@ -75,6 +78,14 @@
     }
 }
 
+fn request(method: &str, path: &str, id: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: h\r\n{REQUEST_ID}: {id}\r\n{DEADLINE_MS}: 2000\r\n\
+         X-Sent: by caller\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
 /// One request on a connection of its own.
 pub async fn ask(address: SocketAddr, method: &str, path: &str, id: &str) -> Answer {
     Caller::connect(address).await.ask(method, path, id).await
--- a/crates/node/src/uploads.rs
+++ b/crates/node/src/uploads.rs
@@ -35,7 +35,7 @@
 
 impl Reservation {
     /// Grows the share to `bytes`; false when too much is held already.
-    fn grow_to(&mut self, bytes: usize) -> bool {
+    pub fn grow_to(&mut self, bytes: usize) -> bool {
         let wanted = bytes.div_ceil(BLOCK_BYTES);
         let missing = wanted.saturating_sub(self.blocks.num_permits());
         let Ok(missing) = u32::try_from(missing) else {
@@ -72,6 +72,15 @@
         }
     }
 
+    /// An empty share of the budget, to be grown as a body arrives.
+    #[must_use]
+    pub fn reserve(&self) -> Reservation {
+        let budget = Arc::clone(&self.buffered);
+        let blocks = Arc::clone(&budget).try_acquire_many_owned(0);
+        let blocks = blocks.expect("the budget is never closed, and nothing is asked of it yet");
+        Reservation { blocks, budget }
+    }
+
     /// A body that breaks when nothing of it arrives for too long.
     ///
     /// Failure answered: an uploader that is cut off from the network without a
@@ -97,10 +106,7 @@
     ///
     /// The body is too large or cut, or too much is held already.
     pub async fn hold(&self, body: NodeBody, limit_bytes: u64) -> Result<HeldUpload, CollectError> {
-        let budget = Arc::clone(&self.buffered);
-        let blocks = Arc::clone(&budget).try_acquire_many_owned(0);
-        let blocks = blocks.map_err(|_| CollectError::NoRoom)?;
-        let mut reservation = Reservation { blocks, budget };
+        let mut reservation = self.reserve();
         let body = body::collect_while(body, limit_bytes, |bytes| reservation.grow_to(bytes));
         let body = body.await?;
         Ok(HeldUpload { body, reservation })
