Let the text name routes by host and path prefix

What the routed path gained is now part of our own text: read, checked with every fault named, resolved to the set that nodes route by, explained with the services it leads to, and compared with what follows from an edit. A node that takes routes from the text is not part of this.

--- a/crates/text/src/change.rs
+++ b/crates/text/src/change.rs
@@ -8,6 +8,7 @@
 pub use grouped::{GroupedChange, grouped};
 use serde::Serialize;
 
+use crate::checked::HostRoute;
 use crate::prelude::*;
 
 /// One difference between two checked texts.
@@ -124,6 +125,27 @@
         /// What changed.
         change: CallChange,
     },
+    /// A route was added.
+    RouteAdded {
+        /// The route.
+        route: HostRoute,
+    },
+    /// A route was removed.
+    RouteRemoved {
+        /// The route.
+        route: HostRoute,
+    },
+    /// A value of a route changed.
+    Route {
+        /// Host and prefix.
+        under: String,
+        /// Which value.
+        field: &'static str,
+        /// Value before.
+        old: String,
+        /// Value after.
+        new: String,
+    },
     /// Calls count as idempotent or no longer do, for whatever reason: their
     /// entry changed, came or went, or another one covers them now.
     Idempotence {
@@ -245,6 +267,17 @@
                 call,
                 change,
             } => write!(f, "{service}: call {call}: {change}"),
+            Self::RouteAdded { route } => {
+                let to = route.destinations();
+                write!(f, "route {} to {to} is added", route.under())
+            }
+            Self::RouteRemoved { route } => write!(f, "route {} is removed", route.under()),
+            Self::Route {
+                under,
+                field,
+                old,
+                new,
+            } => write!(f, "route {under}: {field} {old} -> {new}"),
             Self::Idempotence {
                 service,
                 calls,
--- a/crates/text/src/change/consequence.rs
+++ b/crates/text/src/change/consequence.rs
@@ -27,6 +27,11 @@
             setting, old, new, ..
         } => setting_changed(*setting, *old, *new),
         Change::CallAdded { .. } | Change::CallRemoved { .. } => return None,
+        Change::RouteAdded { .. } => return None,
+        Change::RouteRemoved { .. } => {
+            "a shorter prefix of the host takes its requests, else they end with 404".to_owned()
+        }
+        Change::Route { field, new, .. } => return route_changed(field, new),
         Change::Idempotence { new: true, .. } => {
             "such calls may run more than once: they may be retried and hedged".to_owned()
         }
@@ -38,6 +43,17 @@
     Some(consequence)
 }
 
+fn route_changed(field: &str, new: &str) -> Option<String> {
+    let consequence = match (field, new) {
+        ("to", _) => "requests are shared out anew; none moves to a part that has more room",
+        ("idempotent", "true") => "its requests may run more than once",
+        ("idempotent", _) => "each of its requests runs at most once",
+        ("timeout_ms", _) => "requests in hand keep the time that they began with",
+        _ => return None,
+    };
+    Some(consequence.to_owned())
+}
+
 fn added(depends_on: &[ServiceName]) -> String {
     if depends_on.is_empty() {
         return "its calls are taken; it depends on no service".to_owned();
--- a/crates/text/src/checked.rs
+++ b/crates/text/src/checked.rs
@@ -1,5 +1,6 @@
 //! A text that passed its checks.
 
+use hornbeamhitch_dispatch::routes::{CallerLimits, Route, RouteSet};
 use serde::Serialize;
 use strum::EnumCount;
 
@@ -18,6 +19,8 @@
     pub data_centres: Vec<DataCentre>,
     /// The services, ordered by name.
     pub services: Vec<ServicePolicy>,
+    /// Routes by host and path prefix, ordered by both.
+    pub routes: Vec<HostRoute>,
     /// What is allowed but probably not meant.
     pub warnings: Vec<Warning>,
     /// Where the values of `services` come from, in the same order.
@@ -32,6 +35,16 @@
         Some(&self.services[index])
     }
 
+    /// The routes as a set that nodes route by, under a version.
+    #[must_use]
+    pub fn route_set(&self, version: u64) -> RouteSet {
+        let mut routes = RouteSet::new(version, CallerLimits::default());
+        for one in &self.routes {
+            routes.add(&one.host, one.route.clone());
+        }
+        routes
+    }
+
     pub(crate) fn service_index(&self, name: &str) -> Option<usize> {
         self.services
             .binary_search_by(|service| service.service.as_str().cmp(name))
@@ -52,6 +65,35 @@
     }
 }
 
+/// A route under its host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct HostRoute {
+    /// The host in lower case.
+    pub host: String,
+    /// Line on which the route begins.
+    pub line: u32,
+    /// What the nodes route by.
+    pub route: Route,
+}
+
+impl HostRoute {
+    /// Host and prefix, as reports name a route.
+    #[must_use]
+    pub fn under(&self) -> String {
+        format!("{}{}", self.host, self.route.prefix)
+    }
+
+    /// The parts with their weights, as reports show them.
+    #[must_use]
+    pub fn destinations(&self) -> String {
+        let mut parts = Vec::new();
+        for part in &self.route.destinations {
+            parts.push(format!("{} {}", part.service, part.weight));
+        }
+        parts.join(", ")
+    }
+}
+
 /// Where a resolved value comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(tag = "from", rename_all = "kebab-case")]
--- a/crates/text/src/diff.rs
+++ b/crates/text/src/diff.rs
@@ -6,7 +6,7 @@
 use strum::VariantArray;
 
 use crate::change::{CallChange, Change, pattern};
-use crate::checked::CheckedText;
+use crate::checked::{CheckedText, HostRoute};
 use crate::prelude::*;
 
 /// What an edit changes, deployment first, then service by service.
@@ -26,9 +26,53 @@
             (None, None) => {}
         }
     }
+    diff_routes(old, new, &mut changes);
     changes
 }
 
+fn diff_routes(old: &CheckedText, new: &CheckedText, changes: &mut Vec<Change>) {
+    let order =
+        |a: &HostRoute, b: &HostRoute| (&a.host, &a.route.prefix).cmp(&(&b.host, &b.route.prefix));
+    for pair in paired(&old.routes, &new.routes, order) {
+        match pair {
+            (Some(before), Some(after)) => diff_route(before, after, changes),
+            (Some(before), None) => changes.push(Change::RouteRemoved {
+                route: before.clone(),
+            }),
+            (None, Some(after)) => changes.push(Change::RouteAdded {
+                route: after.clone(),
+            }),
+            (None, None) => {}
+        }
+    }
+}
+
+fn diff_route(before: &HostRoute, after: &HostRoute, changes: &mut Vec<Change>) {
+    let values = |one: &HostRoute| {
+        let route = &one.route;
+        [
+            ("name", route.name.clone()),
+            ("to", one.destinations()),
+            ("idempotent", route.kind.is_idempotent().to_string()),
+            ("timeout_ms", route.timeout_ms.0.to_string()),
+            ("objective_ms", route.objective_ms.0.to_string()),
+            ("attempts", route.max_attempts.to_string()),
+            ("priority", route.priority.to_string()),
+        ]
+    };
+    for ((field, old), (_, new)) in values(before).into_iter().zip(values(after)) {
+        if old == new {
+            continue;
+        }
+        changes.push(Change::Route {
+            under: after.under(),
+            field,
+            old,
+            new,
+        });
+    }
+}
+
 fn service_order(a: &ServicePolicy, b: &ServicePolicy) -> Ordering {
     a.service.cmp(&b.service)
 }
--- a/crates/text/src/draft.rs
+++ b/crates/text/src/draft.rs
@@ -22,6 +22,30 @@
     pub(crate) tenants: Vec<Located<&'v str>>,
     pub(crate) defaults: ServiceDraft<'v>,
     pub(crate) services: Vec<NamedService<'v>>,
+    pub(crate) routes: Vec<RouteDraft<'v>>,
+}
+
+/// One route of a host.
+#[derive(Debug)]
+pub(crate) struct RouteDraft<'v> {
+    /// Its place in the list as written.
+    pub(crate) index: usize,
+    pub(crate) name: Located<&'v str>,
+    pub(crate) host: Located<&'v str>,
+    pub(crate) prefix: Located<&'v str>,
+    pub(crate) to: Vec<DestinationDraft<'v>>,
+    pub(crate) idempotent: bool,
+    pub(crate) timeout_ms: f64,
+    pub(crate) objective_ms: f64,
+    pub(crate) attempts: f64,
+    pub(crate) priority: f64,
+}
+
+/// One part of a route.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DestinationDraft<'v> {
+    pub(crate) service: Located<&'v str>,
+    pub(crate) weight: f64,
 }
 
 /// One distance between two data centres.
--- a/crates/text/src/explain.rs
+++ b/crates/text/src/explain.rs
@@ -40,6 +40,13 @@
             deadline_origin: source.deadline_ms,
         });
     }
+    let mut routes = Vec::new();
+    for one in &text.routes {
+        let parts = &one.route.destinations;
+        if parts.iter().any(|part| part.service == policy.service) {
+            routes.push(one.clone());
+        }
+    }
     Ok(Explanation {
         service: policy.service.clone(),
         line: sources.line,
@@ -49,5 +56,6 @@
         settings,
         calls_origin: sources.calls_origin,
         calls,
+        routes,
     })
 }
--- a/crates/text/src/explanation.rs
+++ b/crates/text/src/explanation.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::checked::HostRoute;
 pub use crate::checked::{Followed, Origin};
 use crate::fault::meant;
 use crate::prelude::*;
@@ -30,6 +31,9 @@
     /// The named calls, in the order in which they are tried for one length of
     /// path.
     pub calls: Vec<ExplainedCall>,
+    /// Routes by host and prefix that lead to it.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub routes: Vec<HostRoute>,
 }
 
 /// One number and its origin.
@@ -128,6 +132,27 @@
             let deadline_ms = call.deadline_ms.0.to_string();
             row(f, "  deadline_ms", &deadline_ms, &explained.deadline_origin)?;
         }
+        for one in &self.routes {
+            let route = &one.route;
+            writeln!(
+                f,
+                "  route {}: {}, line {}",
+                route.name,
+                one.under(),
+                one.line
+            )?;
+            let idempotent = route.kind.is_idempotent();
+            for (key, value) in [
+                ("  to", one.destinations()),
+                ("  idempotent", idempotent.to_string()),
+                ("  timeout_ms", route.timeout_ms.0.to_string()),
+                ("  objective_ms", route.objective_ms.0.to_string()),
+                ("  attempts", route.max_attempts.to_string()),
+                ("  priority", route.priority.to_string()),
+            ] {
+                writeln!(f, "  {key:KEY_WIDTH$} {value}")?;
+            }
+        }
         Ok(())
     }
 }
--- a/crates/text/src/fault.rs
+++ b/crates/text/src/fault.rs
@@ -214,6 +214,38 @@
         /// The match, shortened.
         pattern: String,
     },
+    /// A host that no request can name.
+    #[error("{} is no host", quoted(host))]
+    InvalidHost {
+        /// The host, shortened.
+        host: String,
+    },
+    /// A prefix that is no whole part of a path.
+    #[error("{} is no prefix of paths", quoted(prefix))]
+    InvalidPrefix {
+        /// The prefix, shortened.
+        prefix: String,
+    },
+    /// A route to a service that the text does not list.
+    #[error(
+        "route {route} leads to {}, which is not a service of this text{}",
+        quoted(service),
+        meant(nearest.as_deref())
+    )]
+    UnknownDestination {
+        /// Name of the route.
+        route: String,
+        /// The service, shortened.
+        service: String,
+        /// The service that it resembles.
+        nearest: Option<String>,
+    },
+    /// A route whose parts have no weight at all.
+    #[error("route {route} leads nowhere")]
+    NoDestination {
+        /// Name of the route.
+        route: String,
+    },
     /// A distance from or to a data centre that the text does not list.
     #[error("unknown data centre {}{}", quoted(data_centre), meant(nearest.as_deref()))]
     UnknownDataCentre {
@@ -268,6 +300,15 @@
                  that begins with / and has no ? or #, such as \"POST /charge\""
                     .to_owned()
             }
+            Self::InvalidHost { .. } => {
+                "1 to 253 lower-case letters, digits, '-' and '.', without a port".to_owned()
+            }
+            Self::InvalidPrefix { .. } => {
+                "a path of visible ASCII characters that begins and ends with / and has no ? or #"
+                    .to_owned()
+            }
+            Self::UnknownDestination { .. } => "names of services of this text".to_owned(),
+            Self::NoDestination { .. } => "at least one service with a weight above 0".to_owned(),
             Self::UnknownDataCentre { .. } => "names listed in data_centres".to_owned(),
             Self::EjectionOrder { .. } => "base_ejection_ms of at most max_ejection_ms".to_owned(),
         }
--- a/crates/text/src/keys.rs
+++ b/crates/text/src/keys.rs
@@ -20,7 +20,7 @@
     };
 }
 
-keys!(TextKey, DistanceKey, CallEntryKey, Setting);
+keys!(TextKey, DistanceKey, CallEntryKey, RouteKey, Setting);
 
 /// Keys of the whole text.
 #[derive(Clone, Copy, IntoStaticStr, VariantArray)]
@@ -33,6 +33,22 @@
     Tenants,
     Defaults,
     Services,
+    Routes,
+}
+
+/// Keys of one route.
+#[derive(Clone, Copy, IntoStaticStr, VariantArray)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum RouteKey {
+    Name,
+    Host,
+    Prefix,
+    To,
+    Idempotent,
+    TimeoutMs,
+    ObjectiveMs,
+    Attempts,
+    Priority,
 }
 
 /// Keys of one distance.
--- a/crates/text/src/lib.rs
+++ b/crates/text/src/lib.rs
@@ -35,7 +35,7 @@
 mod syntax;
 
 pub use change::Change;
-pub use checked::CheckedText;
+pub use checked::{CheckedText, HostRoute};
 pub use diff::diff;
 pub use explain::explain;
 pub use explanation::{Explanation, UnknownService};
--- a/crates/text/src/limits.rs
+++ b/crates/text/src/limits.rs
@@ -17,6 +17,12 @@
 /// A list in `defaults` is copied to each service that inherits it. Without a
 /// bound on the copies, a few kilobytes of text could fill a node's memory.
 pub(crate) const MAX_RESOLVED_ENTRIES: usize = 200_000;
+/// Routes of one text.
+pub(crate) const MAX_ROUTES: usize = 4_096;
+/// Services to which one route may be split.
+pub(crate) const MAX_DESTINATIONS: usize = 64;
+/// Characters of a host, as DNS allows them.
+pub(crate) const MAX_HOST_CHARS: usize = 253;
 /// Tenants of one text; each has histograms of its own.
 pub(crate) const MAX_TENANTS: usize = 256;
 /// Data centres of one text.
--- a/crates/text/src/read.rs
+++ b/crates/text/src/read.rs
@@ -1,6 +1,7 @@
 //! Reads the whole text into a draft.
 
 mod call;
+mod route;
 mod service;
 
 use std::collections::HashMap;
@@ -40,6 +41,7 @@
         &[TextKey::Deployment, TextKey::Services],
     );
     check_distances(&draft, report);
+    route::check_destinations(&draft, report);
     draft
 }
 
@@ -71,6 +73,7 @@
         }
         TextKey::Defaults => draft.defaults = service::read(reader, value),
         TextKey::Services => draft.services = services(reader, value),
+        TextKey::Routes => draft.routes = route::read_all(reader, value),
     }
 }
 
--- a/crates/text/src/read/call.rs
+++ b/crates/text/src/read/call.rs
@@ -122,7 +122,7 @@
     fits && method.bytes().all(|b| b.is_ascii_uppercase())
 }
 
-fn is_path_prefix(path: &str) -> bool {
+pub(super) fn is_path_prefix(path: &str) -> bool {
     if !path.starts_with('/') || path.len() > MAX_PATH_CHARS {
         return false;
     }
--- /dev/null
+++ b/crates/text/src/read/route.rs
@@ -0,0 +1,199 @@
+//! Reads the routes by host and path prefix.
+
+use std::collections::HashMap;
+
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Ranged;
+use strum::VariantArray;
+
+use super::call::is_path_prefix;
+use super::report_missing;
+use crate::draft::{DestinationDraft, Located, RouteDraft, TextDraft};
+use crate::fault::{FaultKind, Place};
+use crate::keys::{Key, RouteKey};
+use crate::limits::{MAX_DESTINATIONS, MAX_HOST_CHARS, MAX_ROUTES};
+use crate::name::{NameKind, shortened};
+use crate::nearest::nearest;
+use crate::reader::Reader;
+use crate::report::Report;
+use crate::setting::{Range, Setting};
+
+/// Share of a part; only its relation to the others counts.
+const WEIGHT: Range = Range::whole(0, 1_000_000);
+/// Targets to which one request may be sent.
+const ATTEMPTS: Range = Range::whole(1, 16);
+/// Ranks of routes that share a target.
+const PRIORITY: Range = Range::whole(0, 255);
+
+/// Without it, one more target is tried.
+const DEFAULT_ATTEMPTS: f64 = 2.0;
+/// Without it, a route ranks in the middle of the few that are common.
+const DEFAULT_PRIORITY: f64 = 1.0;
+
+/// Reads the list of routes; a faulty one is left out.
+pub(super) fn read_all<'v>(
+    reader: &mut Reader<'_, '_, '_, 'v>,
+    value: &'v Value<'v>,
+) -> Vec<RouteDraft<'v>> {
+    let mut routes = Vec::new();
+    let Some(array) = reader.array(value, MAX_ROUTES) else {
+        return routes;
+    };
+    let mut seen_names = HashMap::new();
+    let mut seen_prefixes = HashMap::new();
+    for (index, element) in array.elements.iter().enumerate() {
+        let Some(route) = reader.at(index, |reader| read(reader, index, element)) else {
+            continue;
+        };
+        let under = format!("{}{}", route.host.value, route.prefix.value);
+        let entry = Located {
+            value: under.as_str(),
+            offset: route.prefix.offset,
+        };
+        if reader.is_repeated(&mut seen_names, route.name) {
+            continue;
+        }
+        if reader.is_repeated(&mut seen_prefixes, entry) {
+            continue;
+        }
+        routes.push(route);
+    }
+    routes
+}
+
+fn read<'v>(
+    reader: &mut Reader<'_, '_, '_, 'v>,
+    index: usize,
+    value: &'v Value<'v>,
+) -> Option<RouteDraft<'v>> {
+    let object = reader.object(value)?;
+    let (mut name, mut host, mut prefix, mut to) = (None, None, None, None);
+    let (mut idempotent, mut timeout_ms, mut objective_ms) = (None, None, None);
+    let (mut attempts, mut priority) = (None, None);
+    let deadline = Setting::DeadlineMs.range();
+    for (key, prop) in reader.entries(object, RouteKey::VARIANTS) {
+        let value = &prop.value;
+        reader.under(key.name(), |reader| match key {
+            RouteKey::Name => name = reader.name(value, NameKind::Call),
+            RouteKey::Host => host = read_host(reader, value),
+            RouteKey::Prefix => prefix = read_prefix(reader, value),
+            RouteKey::To => to = Some(destinations(reader, value)),
+            RouteKey::Idempotent => idempotent = reader.boolean(value),
+            RouteKey::TimeoutMs => timeout_ms = reader.number(value, deadline),
+            RouteKey::ObjectiveMs => objective_ms = reader.number(value, deadline),
+            RouteKey::Attempts => attempts = reader.number(value, ATTEMPTS),
+            RouteKey::Priority => priority = reader.number(value, PRIORITY),
+        });
+    }
+    let required = [
+        RouteKey::Name,
+        RouteKey::Host,
+        RouteKey::Prefix,
+        RouteKey::To,
+    ];
+    report_missing(reader, object, &required);
+    let timeout_ms = timeout_ms.map_or(Setting::DeadlineMs.built_in(), |found| found.value);
+    Some(RouteDraft {
+        index,
+        name: name?,
+        host: host?,
+        prefix: prefix?,
+        to: to?,
+        // The strict reading without a word: what may not be repeated is not.
+        idempotent: idempotent.is_some_and(|found| found.value),
+        timeout_ms,
+        objective_ms: objective_ms.map_or(timeout_ms, |found| found.value),
+        attempts: attempts.map_or(DEFAULT_ATTEMPTS, |found| found.value),
+        priority: priority.map_or(DEFAULT_PRIORITY, |found| found.value),
+    })
+}
+
+fn destinations<'v>(
+    reader: &mut Reader<'_, '_, '_, 'v>,
+    value: &'v Value<'v>,
+) -> Vec<DestinationDraft<'v>> {
+    let mut destinations = Vec::new();
+    let Some(object) = reader.object(value) else {
+        return destinations;
+    };
+    let count = object.properties.len();
+    if count > MAX_DESTINATIONS {
+        let limit = MAX_DESTINATIONS;
+        reader.fault(object.start(), || FaultKind::TooMany { count, limit });
+        return destinations;
+    }
+    for prop in reader.distinct(object) {
+        let service = Located {
+            value: prop.name.as_str(),
+            offset: prop.start(),
+        };
+        let weight = reader.under(service.value, |reader| reader.number(&prop.value, WEIGHT));
+        let Some(weight) = weight.map(|found| found.value) else {
+            continue;
+        };
+        destinations.push(DestinationDraft { service, weight });
+    }
+    destinations
+}
+
+fn read_host<'v>(
+    reader: &mut Reader<'_, '_, '_, 'v>,
+    value: &'v Value<'v>,
+) -> Option<Located<&'v str>> {
+    let written = reader.string(value)?;
+    let fits = (1..=MAX_HOST_CHARS).contains(&written.value.len());
+    let is_host = written
+        .value
+        .bytes()
+        .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || matches!(b, b'-' | b'.'));
+    if fits && is_host {
+        return Some(written);
+    }
+    reader.fault(written.offset, || FaultKind::InvalidHost {
+        host: shortened(written.value),
+    });
+    None
+}
+
+fn read_prefix<'v>(
+    reader: &mut Reader<'_, '_, '_, 'v>,
+    value: &'v Value<'v>,
+) -> Option<Located<&'v str>> {
+    let written = reader.string(value)?;
+    if is_path_prefix(written.value) && written.value.ends_with('/') {
+        return Some(written);
+    }
+    reader.fault(written.offset, || FaultKind::InvalidPrefix {
+        prefix: shortened(written.value),
+    });
+    None
+}
+
+/// Reports routes that lead to no service of the text.
+pub(super) fn check_destinations(draft: &TextDraft<'_>, report: &mut Report<'_, '_>) {
+    let known: Vec<&str> = draft.services.iter().map(|one| one.name.value).collect();
+    for route in &draft.routes {
+        let place = Place(format!("routes[{}].to", route.index));
+        let name = route.name.value;
+        if route.to.iter().all(|part| part.weight == 0.0) {
+            report.fault(route.name.offset, || {
+                let route = name.to_owned();
+                (place.clone(), FaultKind::NoDestination { route })
+            });
+        }
+        for part in &route.to {
+            let service = part.service.value;
+            if known.contains(&service) {
+                continue;
+            }
+            report.fault(part.service.offset, || {
+                let kind = FaultKind::UnknownDestination {
+                    route: name.to_owned(),
+                    service: shortened(service),
+                    nearest: nearest(service, known.iter().copied()).map(str::to_owned),
+                };
+                (place.clone(), kind)
+            });
+        }
+    }
+}
--- a/crates/text/src/resolve.rs
+++ b/crates/text/src/resolve.rs
@@ -1,8 +1,9 @@
 //! From a draft to the policies that the nodes run by.
 
+use hornbeamhitch_dispatch::routes::{CallKind, Destination, Route};
 use strum::{EnumCount, VariantArray};
 
-use crate::checked::{CallSources, CheckedText, Followed, Origin, ServiceSources};
+use crate::checked::{CallSources, CheckedText, Followed, HostRoute, Origin, ServiceSources};
 use crate::draft::{CallDraft, Located, NamedService, TextDraft};
 use crate::fault::Place;
 use crate::limits::MAX_RESOLVED_ENTRIES;
@@ -31,6 +32,7 @@
         deployment: deployment(draft),
         data_centres: sorted_data_centres(draft),
         services,
+        routes: routes(draft, lines),
         warnings: Vec::new(),
         sources,
     }
@@ -83,6 +85,39 @@
     }
 }
 
+fn routes(draft: &TextDraft<'_>, lines: &LineIndex<'_>) -> Vec<HostRoute> {
+    let mut routes = Vec::new();
+    for written in &draft.routes {
+        let mut destinations = Vec::new();
+        for part in &written.to {
+            destinations.push(Destination {
+                service: ServiceName::new(part.service.value),
+                weight: to_u32(part.weight),
+            });
+        }
+        let kind = match written.idempotent {
+            true => CallKind::Idempotent,
+            false => CallKind::NonIdempotent,
+        };
+        routes.push(HostRoute {
+            host: written.host.value.to_owned(),
+            line: lines.line(written.name.offset),
+            route: Route {
+                name: written.name.value.to_owned(),
+                prefix: written.prefix.value.to_owned(),
+                kind,
+                objective_ms: to_millis(written.objective_ms),
+                priority: u8::try_from(to_u32(written.priority)).unwrap_or(u8::MAX),
+                destinations,
+                timeout_ms: to_millis(written.timeout_ms),
+                max_attempts: to_u32(written.attempts),
+            },
+        });
+    }
+    routes.sort_by(|a, b| (&a.host, &a.route.prefix).cmp(&(&b.host, &b.route.prefix)));
+    routes
+}
+
 fn sorted_data_centres(draft: &TextDraft<'_>) -> Vec<DataCentre> {
     let mut data_centres = Vec::new();
     for name in &draft.data_centres {
--- a/crates/text/tests/all/main.rs
+++ b/crates/text/tests/all/main.rs
@@ -7,5 +7,6 @@
 mod faults;
 mod hostile;
 mod properties;
+mod routes;
 mod support;
 mod warnings;
