--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -127,12 +127,7 @@
             Ok(given) => given,
             Err(_) => self.at_deadline(),
         };
-        let mut state = self.entry.state.lock();
-        for _ in 0..self.tokens {
-            state.return_retry(&self.service);
-        }
-        drop(state);
-        (given, self.trail)
+        (given, std::mem::take(&mut self.trail))
     }
 
     async fn drive(&mut self) -> Given {
@@ -268,6 +263,18 @@
     }
 }
 
+/// Tokens that led to no arrival go back, also when the caller has left and the
+/// call is dropped midway: an entry whose callers give up often would run out of
+/// retries that it never used.
+impl Drop for CallRun<'_> {
+    fn drop(&mut self) {
+        let mut state = self.entry.state.lock();
+        for _ in 0..self.tokens {
+            state.return_retry(&self.service);
+        }
+    }
+}
+
 /// The request as targets are to see it, but for what the gate adds.
 fn outgoing_head(entry: &Entry, head: http1::RequestHead) -> CallHead {
     let names = entry.dialect.names();
