Count what gates and entries do, and let a caller's leaving go first

The metrics of the routed path had calls only; attempts by kind, runs, waits, refusals, probes and levels are counted now, under the services that the configuration names. Also: a gate that wakes with a call and its withdrawal both in hand chose between them by chance; the withdrawal goes first.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -143,6 +143,12 @@
         self.leaving
     }
 
+    /// Requests that the target runs at once.
+    #[must_use]
+    pub const fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Calls running in the target.
     #[must_use]
     pub const fn in_flight(&self) -> u32 {
--- a/crates/dispatch/src/routes.rs
+++ b/crates/dispatch/src/routes.rs
@@ -160,6 +160,11 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Services that have a health endpoint here.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.health_paths.keys()
+    }
+
     /// Every route, for reports.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.hosts.values().flatten()
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -1,5 +1,6 @@
 //! One node on the routed path as a process.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -7,8 +8,9 @@
 use arc_swap::ArcSwap;
 use eyre::{Result, WrapErr};
 use hornbeamhitch_node::listener::bind_std;
-use hornbeamhitch_node::metrics::Metrics;
+use hornbeamhitch_node::metrics::{MemberLevels, Metrics};
 use hornbeamhitch_node::uploads::UploadLimits;
+use hornbeamhitch_types::prelude::ConfigVersion;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -32,6 +34,8 @@
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 /// What belongs to targets and routes that are gone is dropped this often.
 const FORGET_INTERVAL: Duration = Duration::from_secs(2);
+/// Gauges are read anew this often; whoever collects them asks less often.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 /// A node that is cut off looks this often whether it still is.
 const REACH_INTERVAL: Duration = Duration::from_millis(500);
 /// Part of the grace for which a leaving node goes on serving new requests: the
@@ -107,6 +111,7 @@
         clock,
         target_address: config.target_address,
         suspicion: Arc::clone(&suspicion),
+        metrics: Arc::clone(&metrics),
     }));
     let entry = Arc::new(Entry::new(EntryParts {
         service: config.service.clone(),
@@ -124,6 +129,8 @@
         uploads: UploadLimits::new(BODY_SILENCE, config.buffered_bytes),
         seed: rand::random(),
     }));
+    let gauges_directory = Arc::clone(&directory);
+    let gauges_metrics = Arc::clone(&metrics);
     let (announce, leaving) = watch::channel(Leaving::Not);
     let links = LinkServer {
         gate: Arc::clone(&gate),
@@ -147,6 +154,11 @@
     tokio::spawn(status.accept(listen(sockets.metrics)?));
     let serving = tokio::spawn(callers.serve(listen(sockets.callers)?));
     tokio::spawn(look_for_others(Arc::clone(&entry)));
+    tokio::spawn(refresh_gauges(Gauges {
+        gate: Arc::clone(&gate),
+        directory: gauges_directory,
+        metrics: gauges_metrics,
+    }));
     log_start(&config, incarnation);
     until_told_to_end(&mut signals, &entry, &reload, &config).await;
     log::info!("leaving: callers are turned away, work in hand is finished");
@@ -163,6 +175,48 @@
     }
 }
 
+/// What the gauges are read from.
+struct Gauges {
+    gate: Arc<Gate>,
+    directory: SharedDirectory,
+    metrics: Arc<Metrics>,
+}
+
+/// Keeps gauges and the names that are counted apart up to date.
+async fn refresh_gauges(gauges: Gauges) {
+    let mut interval = tokio::time::interval(GAUGE_INTERVAL);
+    let mut version = None;
+    loop {
+        interval.tick().await;
+        gauges.gate.refresh_gauges();
+        let directory = gauges.directory.load();
+        let members = &directory.members;
+        let leaving = members.iter().filter(|member| member.draining).count();
+        gauges.metrics.members(&MemberLevels {
+            live: narrow(members.len() - leaving),
+            leaving: narrow(leaving),
+            doubtful: 0,
+        });
+        let Some(routes) = directory.routes.as_ref() else {
+            continue;
+        };
+        if version == Some(routes.version()) {
+            continue;
+        }
+        version = Some(routes.version());
+        let names: BTreeSet<ServiceName> = routes.services().cloned().collect();
+        let names: Vec<ServiceName> = names.into_iter().collect();
+        gauges.metrics.set_names(&names, &[]);
+        gauges
+            .metrics
+            .config_in_force(ConfigVersion(routes.version()));
+    }
+}
+
+fn narrow(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
 /// Follows reloads until the process is told to end.
 async fn until_told_to_end(
     signals: &mut Signals,
--- a/crates/edge/src/entry/call/asking.rs
+++ b/crates/edge/src/entry/call/asking.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use hornbeamhitch_dispatch::order::{self, Candidate, View};
+use hornbeamhitch_node::metrics::AttemptKind;
 
 use super::CallRun;
 use crate::entry::answer::Given;
@@ -127,6 +128,12 @@
             head: self.head.clone(),
             body: self.body.clone(),
         };
+        let kind = match (self.has_open(), self.arrivals) {
+            (true, _) => AttemptKind::Hedge,
+            (false, 0) => AttemptKind::First,
+            (false, _) => AttemptKind::Retry,
+        };
+        self.entry.metrics.attempt_sent(self.service.as_str(), kind);
         let number = self.attempts.len();
         let hold = progress::open(self.entry, candidate, call, number, &self.sender);
         self.attempts.push(Attempt {
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use hornbeamhitch_dispatch::admission::{Admission, GateCall, Place, Refused, Verdict};
+use hornbeamhitch_node::metrics::{GateLevels, Metrics};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot, watch};
 
@@ -96,6 +97,8 @@
     pub target_address: std::net::SocketAddr,
     /// What is held against requests.
     pub suspicion: Arc<Suspicion>,
+    /// Counts and histograms.
+    pub metrics: Arc<Metrics>,
 }
 
 /// The gate of this VM's target.
@@ -112,6 +115,7 @@
     changed: Notify,
     speed: SpeedProbe,
     suspicion: Arc<Suspicion>,
+    metrics: Arc<Metrics>,
 }
 
 #[derive(Debug, Default)]
@@ -139,6 +143,7 @@
             changed: Notify::new(),
             speed: SpeedProbe::default(),
             suspicion: parts.suspicion,
+            metrics: parts.metrics,
         }
     }
 
@@ -175,11 +180,17 @@
         state.admission.in_flight() == 0 && state.admission.waiting() == 0
     }
 
-    /// Calls running in the target and calls in line.
-    #[must_use]
-    pub fn load(&self) -> (u32, usize) {
+    /// Records how many calls run and wait.
+    pub fn refresh_gauges(&self) {
         let state = self.state.lock();
-        (state.admission.in_flight(), state.admission.waiting())
+        self.metrics.gate_levels(&GateLevels {
+            in_flight: state.admission.in_flight(),
+            queued: u32::try_from(state.admission.waiting()).unwrap_or(u32::MAX),
+            limit: state.admission.slots(),
+            records: u32::try_from(state.records.len()).unwrap_or(u32::MAX),
+            // Answers are kept with their records only until these are forgotten.
+            stored_bytes: 0,
+        });
     }
 
     async fn serve(&self, request: GateRequest, sink: &EventSink, mut left: watch::Receiver<()>) {
@@ -203,42 +214,69 @@
             let body = self.whole_body(body, sink, call.deadline_at).await?;
             Ok((slowness_percent, slot, body))
         };
+        // The caller's leaving goes first: a process that was paused wakes with a
+        // call and its withdrawal both in hand, and must not start it.
         let admitted = tokio::select! {
-            admitted = admitting => admitted,
+            biased;
             _ = left.changed() => return,
+            admitted = admitting => admitted,
         };
         let (slowness_percent, slot, body) = match admitted {
             Ok(admitted) => admitted,
-            Err(end) => return sink(GateEvent::Ended(end)),
+            Err(end) => return self.refuse(end, sink),
         };
         if !terms.idempotent && !self.record_start(&terms) {
-            return sink(GateEvent::Ended(CallEnd::Fenced));
+            return self.refuse(CallEnd::Fenced, sink);
         }
         sink(GateEvent::Started { slowness_percent });
         let started = self.clock.now();
-        let waited_ms = started.since(arrived).0;
         let run = Run {
             terms: &terms,
             head: &head,
             body: &body,
             deadline_at: call.deadline_at,
+            slowness_percent,
+            waited_ms: started.since(arrived),
+            started,
         };
         if terms.idempotent {
-            let event = tokio::select! {
-                event = self.run(&run) => Some(event),
-                _ = left.changed() => None,
-            };
-            self.log_run(&terms, slowness_percent, waited_ms, started, event.as_ref());
-            if let Some(event) = event {
-                sink(event);
-            }
-            return;
+            self.run_while_wanted(&run, sink, left).await;
+        } else {
+            self.run_to_its_end(&run, sink).await;
         }
-        let event = self.run(&run).await;
-        self.log_run(&terms, slowness_percent, waited_ms, started, Some(&event));
         drop(slot);
+    }
+
+    fn refuse(&self, end: CallEnd, sink: &EventSink) {
+        self.metrics.gate_refused(code_of(end));
+        sink(GateEvent::Ended(end));
+    }
+
+    /// Runs a call that may be repeated; its caller's leaving stops the work.
+    async fn run_while_wanted(
+        &self,
+        run: &Run<'_>,
+        sink: &EventSink,
+        mut left: watch::Receiver<()>,
+    ) {
+        let event = tokio::select! {
+            event = self.run(run) => Some(event),
+            _ = left.changed() => None,
+        };
+        self.note_run(run, event.as_ref());
+        if let Some(event) = event {
+            sink(event);
+        }
+    }
+
+    /// Runs a call that may run only once, whoever has left meanwhile, and keeps
+    /// its end for those who ask.
+    async fn run_to_its_end(&self, run: &Run<'_>, sink: &EventSink) {
+        let event = self.run(run).await;
+        self.note_run(run, Some(&event));
         let now = self.clock.now();
-        let watchers = self.state.lock().records.end(terms.key, event.clone(), now);
+        let key = run.terms.key;
+        let watchers = self.state.lock().records.end(key, event.clone(), now);
         for watcher in watchers {
             watcher(event.clone());
         }
@@ -354,6 +392,9 @@
             .speed
             .read(&self.target, &*self.dialect, path, self.clock);
         let reading = reading.await;
+        for _ in 0..self.speed.take_sent() {
+            self.metrics.probe_sent(self.service.as_str());
+        }
         let mut state = self.state.lock();
         match reading {
             Ok(reading) => state.admission.note_speed(reading),
@@ -373,6 +414,18 @@
     }
 }
 
+/// The code under which a gate's refusals are counted.
+const fn code_of(end: CallEnd) -> ResultCode {
+    match end {
+        CallEnd::Leaving => ResultCode::Leaving,
+        CallEnd::Down => ResultCode::NoTarget,
+        CallEnd::Late => ResultCode::DeadlineTooShort,
+        CallEnd::Convicted => ResultCode::CrashSuspect,
+        CallEnd::Fenced => ResultCode::Fenced,
+        _ => ResultCode::Overloaded,
+    }
+}
+
 const fn end_of(refused: Refused) -> CallEnd {
     match refused {
         Refused::Leaving => CallEnd::Leaving,
--- a/crates/edge/src/gate/records.rs
+++ b/crates/edge/src/gate/records.rs
@@ -60,6 +60,11 @@
 }
 
 impl Records {
+    /// Records held.
+    pub(super) fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
     /// Notes that a call starts; false when its key was fenced or has started
     /// before.
     pub(super) fn start(&mut self, key: CallKey, deadline_at: Millis) -> bool {
--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -2,6 +2,8 @@
 
 use bytes::Bytes;
 
+use hornbeamhitch_types::prelude::CallClass;
+
 use super::{Gate, GateEvent};
 use crate::http1;
 use crate::prelude::*;
@@ -16,6 +18,10 @@
     pub(super) head: &'a CallHead,
     pub(super) body: &'a [u8],
     pub(super) deadline_at: Millis,
+    /// How slow the target was as it began, in percent of the usual time.
+    pub(super) slowness_percent: u32,
+    pub(super) waited_ms: Millis,
+    pub(super) started: Millis,
 }
 
 /// Counts a call as running until it is dropped.
@@ -45,18 +51,19 @@
 }
 
 impl Gate {
-    /// Writes down a run, or that it was cancelled.
-    pub(super) fn log_run(
-        &self,
-        terms: &CallTerms,
-        slowness_percent: u32,
-        waited_ms: u64,
-        started: Millis,
-        event: Option<&GateEvent>,
-    ) {
-        let request = terms.request_id.as_str();
-        let target_id = terms.target_id.as_str();
-        let ran_ms = self.clock.now().since(started).0;
+    /// Counts and writes down a run, or that it was cancelled.
+    pub(super) fn note_run(&self, run: &Run<'_>, event: Option<&GateEvent>) {
+        let class = match run.terms.idempotent {
+            true => CallClass::Interactive,
+            false => CallClass::Payment,
+        };
+        let ran_ms = self.clock.now().since(run.started).0;
+        self.metrics.gate_waited(class, run.waited_ms.0 * 1_000);
+        self.metrics.gate_ran(class, ran_ms * 1_000);
+        let request = run.terms.request_id.as_str();
+        let target_id = run.terms.target_id.as_str();
+        let slowness_percent = run.slowness_percent;
+        let waited_ms = run.waited_ms.0;
         match event {
             Some(GateEvent::Answered { head, .. }) if head.status < 500 => log::info!(
                 request, target_id, slowness_percent, waited_ms, ran_ms, status = head.status;
--- a/crates/edge/src/gate/speed.rs
+++ b/crates/edge/src/gate/speed.rs
@@ -59,6 +59,11 @@
         Ok(reading)
     }
 
+    /// Questions sent since the last call, for the metrics.
+    pub(super) fn take_sent(&self) -> u64 {
+        self.sent.swap(0, Ordering::Relaxed)
+    }
+
     async fn ask(
         &self,
         target: &TargetClient,
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -193,6 +193,7 @@
     let dialect: Arc<dyn Dialect> = Arc::new(TestDialect);
     let data_centre = DataCentre::new("here");
     let metrics = Metrics::new(&VmId::new("vm"), &service, &data_centre).expect("metrics");
+    let metrics = Arc::new(metrics);
     let suspicion = Arc::new(Suspicion::new(clock));
     let gate = Arc::new(Gate::new(GateParts {
         service: service.clone(),
@@ -202,6 +203,7 @@
         clock,
         target_address: target.address,
         suspicion: Arc::clone(&suspicion),
+        metrics: Arc::clone(&metrics),
     }));
     let incarnation = Incarnation(rand::random());
     let entry = Arc::new(Entry::new(EntryParts {
@@ -214,7 +216,7 @@
         dialect,
         clock,
         incarnation,
-        metrics: Arc::new(metrics),
+        metrics,
         suspicion: Arc::clone(&suspicion),
         uploads: UploadLimits::new(Duration::from_secs(5), BUFFERED_BYTES),
         retry_limit: RetryLimit {
