Split the entry's serve, and ask a target for its load again

Cause: a target whose health check fails, or tells no load, while it starts was marked as telling nothing until the node restarts, so its gate would start calls in each slow spell after that. Seen by reading; the test fails before the change (99 payments started at fifty times the usual run time). Ruled out: asking at each call, which costs a target that never tells a question a call. Now one that told nothing is asked again after a second.

The entry's serve found the route, ran the call and wrote its line in one function; finding is 'identify' now, and what is written of an ended call has its own module.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod call;
+mod ended;
 mod progress;
 mod state;
 mod trail;
@@ -12,12 +13,12 @@
 use bytes::Bytes;
 use hornbeamhitch_core::suspects::CONVICTED_RETRY_AFTER_MS;
 use hornbeamhitch_dispatch::retry_budget::RetryLimit;
-use hornbeamhitch_node::metrics::{CallSample, Metrics};
+use hornbeamhitch_node::metrics::Metrics;
 use hornbeamhitch_node::uploads::{Reservation, UploadLimits};
-use hornbeamhitch_types::prelude::CallClass;
 use parking_lot::Mutex;
 use rand::RngExt;
 
+use crate::directory::Directory;
 use crate::gate::Gate;
 use crate::http1::{self, RequestHead};
 use crate::link::LinkPool;
@@ -26,8 +27,8 @@
 pub use answer::CallerAnswer;
 use answer::Given;
 use call::CallRun;
+use ended::{CallerLeaves, Ended};
 use state::EntryState;
-use trail::Trail;
 
 /// A node without a configuration asks to come back after this span: a store
 /// that is reached answers within milliseconds.
@@ -212,65 +213,79 @@
 
     /// Answers one request.
     pub async fn serve(self: &Arc<Self>, request: CallerRequest) -> CallerAnswer {
-        let arrived = request.arrived;
         let directory = self.directory.load_full();
-        let Some(routes) = directory.routes.as_ref() else {
-            let given = Given::refused(ResultCode::NoConfiguration, NO_CONFIGURATION_RETRY_MS);
-            return self.record(&Ended::unrouted(&request, self), given);
-        };
-        let host = http1::field(&request.head.fields, "host").unwrap_or_default();
-        let Some(route) = routes.find(host, request.head.path_only()) else {
-            let given = Given::fixed(ResultCode::UnknownService);
-            return self.record(&Ended::unrouted(&request, self), given);
+        let known = match self.identify(&directory, &request) {
+            Ok(known) => known,
+            Err(given) => return self.record(&Ended::unrouted(&request, self), given),
         };
-        let names = self.dialect.names();
-        let Some(request_id) = http1::field(&request.head.fields, names.request_id) else {
-            let given = Given::fixed(ResultCode::BadRequest);
-            return self.record(&Ended::unrouted(&request, self), given);
-        };
-        let request_id = request_id.to_owned();
-        let CallerRequest { head, body, .. } = &request;
-        let fingerprint = suspicion::fingerprint(&head.method, &head.path, body, &self.service);
-        if self.suspicion.is_convicted(fingerprint) {
-            let given = Given::refused(ResultCode::CrashSuspect, CONVICTED_RETRY_AFTER_MS);
-            return self.record(&Ended::unrouted(&request, self), given);
-        }
-        let service = self.state.lock().splitter.choose(route);
+        let arrived = request.arrived;
+        let service = self.state.lock().splitter.choose(known.route);
+        let timeout_ms = known.route.timeout_ms;
         let asked_ms = self.asked_deadline_ms(&request.head);
-        let deadline_ms = asked_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+        let deadline_ms = asked_ms.unwrap_or(timeout_ms).min(timeout_ms);
         let run = CallRun::new(
             self,
             call::CallParts {
-                route: Arc::clone(route),
+                route: Arc::clone(known.route),
                 service: service.clone(),
-                request_id: request_id.clone(),
-                fingerprint,
+                request_id: known.request_id.clone(),
+                fingerprint: known.fingerprint,
                 deadline_at: arrived + deadline_ms,
                 request,
             },
         );
-        let mut leaving = CallerLeaves {
-            request_id: &request_id,
-            service: service.as_str(),
-            arrived,
-            clock: self.clock,
-            is_answered: false,
-        };
+        let leaving = CallerLeaves::watch(&known.request_id, service.as_str(), arrived, self.clock);
         let (given, trail) = run.serve().await;
-        leaving.is_answered = true;
-        drop(leaving);
+        leaving.end_answered();
         let ended = Ended {
-            request_id,
+            request_id: known.request_id,
             service: service.as_str(),
-            route: &route.name,
-            class: class_of(route),
-            config_version: routes.version(),
+            route: &known.route.name,
+            class: ended::class_of(known.route),
+            config_version: known.config_version,
             arrived,
             trail,
         };
         self.record(&ended, given)
     }
 
+    /// Finds the route of a request and what it is known by, or the answer to
+    /// one that is sent nowhere.
+    fn identify<'a>(
+        &self,
+        directory: &'a Directory,
+        request: &CallerRequest,
+    ) -> Result<Known<'a>, Given> {
+        let CallerRequest { head, body, .. } = request;
+        let Some(routes) = directory.routes.as_ref() else {
+            return Err(Given::refused(
+                ResultCode::NoConfiguration,
+                NO_CONFIGURATION_RETRY_MS,
+            ));
+        };
+        let host = http1::field(&head.fields, "host").unwrap_or_default();
+        let Some(route) = routes.find(host, head.path_only()) else {
+            return Err(Given::fixed(ResultCode::UnknownService));
+        };
+        let names = self.dialect.names();
+        let Some(request_id) = http1::field(&head.fields, names.request_id) else {
+            return Err(Given::fixed(ResultCode::BadRequest));
+        };
+        let fingerprint = suspicion::fingerprint(&head.method, &head.path, body, &self.service);
+        if self.suspicion.is_convicted(fingerprint) {
+            return Err(Given::refused(
+                ResultCode::CrashSuspect,
+                CONVICTED_RETRY_AFTER_MS,
+            ));
+        }
+        Ok(Known {
+            route,
+            config_version: routes.version(),
+            request_id: request_id.to_owned(),
+            fingerprint,
+        })
+    }
+
     /// What the caller says that it will wait.
     fn asked_deadline_ms(&self, head: &RequestHead) -> Option<Millis> {
         let asked = http1::field(&head.fields, self.dialect.names().deadline_ms)?;
@@ -283,102 +298,13 @@
         let number = self.last_key.fetch_add(1, Ordering::Relaxed) + 1;
         CallKey(u128::from(self.incarnation.0) << 64 | u128::from(number))
     }
-
-    /// Writes down how a call ended.
-    ///
-    /// Answers and failures have a line each in the code, so that the bound on
-    /// the lines of one place never lets successes crowd out failures.
-    fn record(&self, ended: &Ended<'_>, given: Given) -> CallerAnswer {
-        let took_ms = self.clock.now().since(ended.arrived).0;
-        self.metrics.call_ended(&CallSample {
-            service: ended.service,
-            class: ended.class,
-            tenant: "",
-            code: given.code,
-            latency_us: took_ms * 1_000,
-        });
-        let request = ended.request_id.as_str();
-        let route = ended.route;
-        let service = ended.service;
-        let config = ended.config_version;
-        let tried = ended.trail.as_str();
-        let code = given.code.number();
-        let status = given.answer.status;
-        if given.code == ResultCode::Answered && status < SERVER_FAULT {
-            log::info!(request, route, service, config, code, status, took_ms, tried; "answered");
-            return given.answer;
-        }
-        let reason = given.reason;
-        log::warn!(
-            request, route, service, config, code, status, took_ms, tried, reason;
-            "not served: {}", given.code
-        );
-        given.answer
-    }
-}
-
-/// Writes down that a caller left before its answer: its call is dropped then,
-/// and would leave no line of this node.
-struct CallerLeaves<'a> {
-    request_id: &'a str,
-    service: &'a str,
-    arrived: Millis,
-    clock: ProcessClock,
-    is_answered: bool,
-}
-
-impl Drop for CallerLeaves<'_> {
-    fn drop(&mut self) {
-        if self.is_answered {
-            return;
-        }
-        let request = self.request_id;
-        let service = self.service;
-        let took_ms = self.clock.now().since(self.arrived).0;
-        log::info!(request, service, took_ms; "its caller left before the answer");
-    }
 }
 
-/// Statuses from here on are failures of whoever answers.
-const SERVER_FAULT: u16 = 500;
-
-/// A call that has ended, as it is written down.
-struct Ended<'a> {
-    request_id: String,
-    service: &'a str,
-    route: &'a str,
-    class: CallClass,
+/// What an entry knows of a request that it can send on.
+struct Known<'a> {
+    route: &'a Arc<Route>,
     config_version: u64,
-    arrived: Millis,
-    trail: Trail,
-}
-
-impl Ended<'_> {
-    /// A call that was sent nowhere.
-    fn unrouted(request: &CallerRequest, entry: &Entry) -> Self {
-        let names = entry.dialect.names();
-        let id = http1::field(&request.head.fields, names.request_id);
-        let directory = entry.directory.load();
-        Self {
-            request_id: id.unwrap_or_default().to_owned(),
-            service: "",
-            route: "",
-            class: CallClass::default(),
-            config_version: directory
-                .routes
-                .as_ref()
-                .map_or(0, |routes| routes.version()),
-            arrived: request.arrived,
-            trail: Trail::default(),
-        }
-    }
-}
-
-/// Rank of a route's calls in histograms.
-fn class_of(route: &Route) -> CallClass {
-    match route.kind {
-        CallKind::Idempotent => CallClass::Interactive,
-        CallKind::NonIdempotent => CallClass::Payment,
-        CallKind::Upload => CallClass::Upload,
-    }
+    request_id: String,
+    /// What requests that crash targets are recognised by.
+    fingerprint: u64,
 }
--- a/crates/edge/src/gate/speed.rs
+++ b/crates/edge/src/gate/speed.rs
@@ -1,6 +1,6 @@
 //! Reading how fast the target's VM is now.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use hornbeamhitch_dispatch::admission::SpeedReading;
@@ -15,6 +15,12 @@
 /// takes this long says nothing in time, and calls no longer wait for it.
 const READ_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// A target that told no load is asked again after this span. One that starts, or
+/// whose health check fails for another reason, tells none for a while; a gate that
+/// never asked again would start calls in each slow spell of the target's later
+/// life. A question a second is little beside the calls that are asked for.
+const ASK_AGAIN_MS: Millis = Millis(1_000);
+
 /// The target refused the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct TargetDown;
@@ -22,12 +28,26 @@
 /// Reads the speed, one question at a time for all calls that wait for it.
 #[derive(Debug, Default)]
 pub(super) struct SpeedProbe {
-    one_at_a_time: tokio::sync::Mutex<Option<SpeedReading>>,
-    /// The target answers without telling its load, so asking is of no use.
-    tells_nothing: AtomicBool,
+    one_at_a_time: tokio::sync::Mutex<LastReading>,
     sent: AtomicU64,
 }
 
+#[derive(Debug, Default)]
+struct LastReading {
+    reading: Option<SpeedReading>,
+    /// The target told no load, so it is not asked until then.
+    ask_from: Millis,
+}
+
+/// What a question brought.
+enum Told {
+    Slowness(u32),
+    /// The target answered without its load.
+    NoLoad,
+    /// The target gave no answer in time.
+    Nothing,
+}
+
 impl SpeedProbe {
     /// The target's speed now. Callers that wait for the same question share
     /// its answer.
@@ -40,22 +60,26 @@
     ) -> Result<SpeedReading, TargetDown> {
         let asked_at = clock.now();
         let mut last = self.one_at_a_time.lock().await;
-        if let Some(reading) = *last
+        if let Some(reading) = last.reading
             && reading.read_at >= asked_at
         {
             return Ok(reading);
         }
-        let percent = match path {
-            Some(path) if !self.tells_nothing.load(Ordering::Relaxed) => {
-                self.ask(target, dialect, path).await?
+        let mut percent = USUAL_PERCENT;
+        if let Some(path) = path
+            && asked_at >= last.ask_from
+        {
+            match self.ask(target, dialect, path).await? {
+                Told::Slowness(told) => percent = told,
+                Told::NoLoad => last.ask_from = clock.now() + ASK_AGAIN_MS,
+                Told::Nothing => {}
             }
-            _ => USUAL_PERCENT,
-        };
+        }
         let reading = SpeedReading {
             slowness_percent: percent,
             read_at: clock.now(),
         };
-        *last = Some(reading);
+        last.reading = Some(reading);
         Ok(reading)
     }
 
@@ -69,7 +93,7 @@
         target: &TargetClient,
         dialect: &dyn Dialect,
         path: &str,
-    ) -> Result<u32, TargetDown> {
+    ) -> Result<Told, TargetDown> {
         self.sent.fetch_add(1, Ordering::Relaxed);
         let host = HeaderField {
             name: "Host".to_owned(),
@@ -86,13 +110,13 @@
             Ok(Err(ExchangeFault::Unreachable)) => return Err(TargetDown),
             // An endpoint that breaks or hangs says nothing of the speed; the
             // calls themselves will show whether the target works.
-            Ok(Err(ExchangeFault::Broken(_))) | Err(_) => return Ok(USUAL_PERCENT),
+            Ok(Err(ExchangeFault::Broken(_))) | Err(_) => return Ok(Told::Nothing),
         };
         let load = http1::field(&answer.head.fields, dialect.names().load);
-        let Some(load) = load.and_then(|value| dialect.load(value)) else {
-            self.tells_nothing.store(true, Ordering::Relaxed);
-            return Ok(USUAL_PERCENT);
+        let load = load.and_then(|value| dialect.load(value));
+        let Some(slowness_percent) = load.and_then(|load| load.slowness_percent) else {
+            return Ok(Told::NoLoad);
         };
-        Ok(load.slowness_percent.unwrap_or(USUAL_PERCENT))
+        Ok(Told::Slowness(slowness_percent))
     }
 }
--- a/crates/edge/tests/all/giving_up.rs
+++ b/crates/edge/tests/all/giving_up.rs
@@ -75,3 +75,27 @@
     assert_eq!(answer.status(), 200);
     assert_eq!(fleet.vms[1].target.runs_of("id-1"), 1);
 }
+
+/// A target fails its health checks while it starts, tells its load once it is
+/// up, and falls into a slow spell later. Payments that meet the spell are
+/// refused: a gate that had given up asking would start them all in it.
+#[tokio::test]
+async fn a_target_that_told_no_load_at_first_is_asked_again() {
+    let fleet = fleet(&["s"]).await;
+    let target = &fleet.vms[0].target;
+    target.set_starting(true);
+    let first = ask(fleet.vms[0].callers, "POST", "/pay/x", "id-0").await;
+    assert_eq!(first.status(), 200);
+    target.set_starting(false);
+    target.set_slowness(5_000);
+    for number in 1..100 {
+        let id = format!("id-{number}");
+        let answer = ask(fleet.vms[0].callers, "POST", "/pay/x", &id).await;
+        if answer.status() == 503 {
+            assert_eq!(target.runs_of(&id), 0);
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the load is not read again");
+}
--- a/crates/edge/tests/all/support/target.rs
+++ b/crates/edge/tests/all/support/target.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use hornbeamhitch_edge::http1::{self, Framing, HttpReader, RequestHead};
@@ -32,6 +32,8 @@
     cancelled: AtomicU32,
     connections: AtomicU32,
     slowness_percent: AtomicU32,
+    /// Health checks are answered as by a target that is still starting.
+    is_starting: AtomicBool,
     /// Connections that rest longer than this many milliseconds reset whatever
     /// comes next; 0 for never.
     forgets_after_ms: AtomicU32,
@@ -110,6 +112,13 @@
             .store(percent, Ordering::Relaxed);
     }
 
+    /// While it starts, its health checks fail and tell no load.
+    pub fn set_starting(&self, is_starting: bool) {
+        self.journal
+            .is_starting
+            .store(is_starting, Ordering::Relaxed);
+    }
+
     /// From now on forgets connections that rest for this long, without notice.
     pub fn forget_idle_after(&self, span: Duration) {
         let ms = u32::try_from(span.as_millis()).expect("a short span");
@@ -148,6 +157,10 @@
     life: &str,
 ) -> bool {
     let load = journal.slowness_percent.load(Ordering::Relaxed);
+    if head.path == "/health" && journal.is_starting.load(Ordering::Relaxed) {
+        let text = "HTTP/1.1 503 Starting\r\nContent-Length: 0\r\n\r\n";
+        return writer.write_all(text.as_bytes()).await.is_ok();
+    }
     if head.path == "/health" {
         let text = format!("HTTP/1.1 200 OK\r\n{LOAD}: {load}\r\nContent-Length: 0\r\n\r\n");
         return writer.write_all(text.as_bytes()).await.is_ok();
