Draw outcomes and latencies over time from nodes' logs

'hornbeamhitch plot' makes an SVG of calls a second by outcome and of the answered calls' p50 and p99; it says how many lines the nodes left out, and lays nothing out before it knows that the picture is short enough.

--- a/src/commands.rs
+++ b/src/commands.rs
@@ -4,6 +4,7 @@
 mod code;
 mod diff;
 mod explain;
+mod plot;
 mod status;
 mod trace;
 mod r#where;
@@ -42,6 +43,8 @@
     Code(code::Arguments),
     /// tell one request's story from the logs of several nodes
     Trace(trace::Arguments),
+    /// draw outcomes and latencies over time from the logs of nodes
+    Plot(plot::Arguments),
 }
 
 /// Runs what the arguments ask for.
@@ -61,6 +64,7 @@
         Command::Where(arguments) => r#where::run(arguments, out),
         Command::Code(arguments) => code::run(arguments, out),
         Command::Trace(arguments) => trace::run(arguments, out),
+        Command::Plot(arguments) => plot::run(arguments, out),
     }
 }
 
--- /dev/null
+++ b/src/commands/plot/series.rs
@@ -0,0 +1,178 @@
+//! Ended calls, gathered by time.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use hornbeamhitch_types::code::{Certainty, ResultCode};
+
+use crate::logs::LogLine;
+
+/// Longest latency that is told apart, in milliseconds: callers wait no longer.
+const MAX_LATENCY_MS: u64 = 600_000;
+/// Digits of a latency that are kept; a picture shows fewer.
+const DIGITS: u8 = 2;
+/// Statuses from here on are failures of the target.
+const SERVER_FAULT: u64 = 500;
+
+/// How a call ended, as its caller sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::VariantArray, strum::IntoStaticStr)]
+pub(super) enum Outcome {
+    /// The target answered.
+    #[strum(serialize = "answered")]
+    Answered,
+    /// The target answered with a failure of its own.
+    #[strum(serialize = "failed in the target")]
+    Failed,
+    /// Refused; it has not run.
+    #[strum(serialize = "refused, not run")]
+    NotRun,
+    /// Nobody can tell whether it ran.
+    #[strum(serialize = "outcome unknown")]
+    Unknown,
+}
+
+/// Kinds of outcome.
+pub(super) const OUTCOMES: usize = 4;
+
+impl Outcome {
+    /// How the call of an entry's line ended; `None` for a line of something else.
+    fn of(line: &LogLine) -> Option<Self> {
+        let number = u16::try_from(line.number("code")?).ok()?;
+        let code = ResultCode::from_number(number)?;
+        Some(match code.certainty() {
+            Certainty::Answered if line.number("status")? >= SERVER_FAULT => Self::Failed,
+            Certainty::Answered => Self::Answered,
+            Certainty::NotRun | Certainty::NotYet | Certainty::TicketDead => Self::NotRun,
+            Certainty::Pending | Certainty::Unknown => Self::Unknown,
+        })
+    }
+}
+
+/// What ended within one step of time.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct Step {
+    /// Calls a second by [`Outcome`].
+    pub(super) rates: [f64; OUTCOMES],
+    /// Median and 99th percentile of the answered calls' latencies, in
+    /// milliseconds; `None` where none was answered.
+    pub(super) latencies_ms: Option<[u64; 2]>,
+    /// Since the first step, in seconds.
+    pub(super) at_s: f64,
+}
+
+#[derive(Debug)]
+struct Gathered {
+    counts: [u64; OUTCOMES],
+    latencies: Histogram<u64>,
+}
+
+impl Gathered {
+    fn new() -> Self {
+        let latencies = Histogram::new_with_bounds(1, MAX_LATENCY_MS, DIGITS);
+        Self {
+            counts: [0; OUTCOMES],
+            latencies: latencies.expect("the bounds are in order"),
+        }
+    }
+}
+
+/// Ended calls by the number of their step.
+#[derive(Debug)]
+pub(super) struct Series<'a> {
+    step_ms: u64,
+    service: Option<&'a str>,
+    gathered: BTreeMap<u64, Gathered>,
+    left_out: u64,
+}
+
+impl<'a> Series<'a> {
+    /// Of one service, or of all.
+    pub(super) const fn new(step_ms: u64, service: Option<&'a str>) -> Self {
+        Self {
+            step_ms,
+            service,
+            gathered: BTreeMap::new(),
+            left_out: 0,
+        }
+    }
+
+    /// Takes in a line; one that tells of no ended call is skipped.
+    pub(super) fn take(&mut self, line: &LogLine) {
+        let Some(outcome) = Outcome::of(line) else {
+            return;
+        };
+        self.left_out += line.number("suppressed").unwrap_or(0);
+        if self.service.is_some() && self.service != line.text("service") {
+            return;
+        }
+        let step = line.time_ms / self.step_ms;
+        let gathered = self.gathered.entry(step).or_insert_with(Gathered::new);
+        gathered.counts[outcome as usize] += 1;
+        if outcome == Outcome::Answered
+            && let Some(took_ms) = line.number("took_ms")
+        {
+            gathered.latencies.saturating_record(took_ms);
+        }
+    }
+
+    /// Calls that were taken in.
+    pub(super) fn calls(&self) -> u64 {
+        let mut calls = 0;
+        for gathered in self.gathered.values() {
+            calls += gathered.counts.iter().sum::<u64>();
+        }
+        calls
+    }
+
+    /// Lines that nodes left out, because one place wrote too many.
+    pub(super) const fn left_out(&self) -> u64 {
+        self.left_out
+    }
+
+    /// Steps from the first call to the last.
+    pub(super) fn step_count(&self) -> u64 {
+        self.first_and_last()
+            .map_or(0, |(first, last)| last - first + 1)
+    }
+
+    /// All steps from the first to the last, those without a call too: silence
+    /// is what an outage looks like.
+    pub(super) fn steps(&self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let Some((first, last)) = self.first_and_last() else {
+            return steps;
+        };
+        for number in first..=last {
+            let at_s = ((number - first) * self.step_ms) as f64 / 1e3;
+            let gathered = self.gathered.get(&number);
+            steps.push(self.step(gathered, at_s));
+        }
+        steps
+    }
+
+    fn first_and_last(&self) -> Option<(u64, u64)> {
+        let (&first, _) = self.gathered.first_key_value()?;
+        let (&last, _) = self.gathered.last_key_value()?;
+        Some((first, last))
+    }
+
+    fn step(&self, gathered: Option<&Gathered>, at_s: f64) -> Step {
+        let mut step = Step {
+            at_s,
+            ..Step::default()
+        };
+        let Some(gathered) = gathered else {
+            return step;
+        };
+        for (rate, count) in step.rates.iter_mut().zip(gathered.counts) {
+            *rate = count as f64 * 1e3 / self.step_ms as f64;
+        }
+        let latencies = &gathered.latencies;
+        if !latencies.is_empty() {
+            let p50 = latencies.value_at_quantile(0.5);
+            let p99 = latencies.value_at_quantile(0.99);
+            step.latencies_ms = Some([p50, p99]);
+        }
+        step
+    }
+}
--- a/src/commands/trace.rs
+++ b/src/commands/trace.rs
@@ -1,16 +1,15 @@
 //! `hornbeamhitch trace`: tells one request's story from the logs of nodes.
 
 use std::collections::BTreeMap;
-use std::fs::File;
-use std::io::{self, BufRead, BufReader, Write};
-use std::path::Path;
+use std::io::Write;
 
-use eyre::{Context, Result};
+use eyre::Result;
 use gumdrop::Options;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use serde_json::Value;
 
 use crate::exit::Exit;
+use crate::logs::{self, LogLine};
 use crate::source::write_json;
 
 /// Fields of a line that are shown apart from the others.
@@ -32,17 +31,6 @@
     files: Vec<String>,
 }
 
-/// A line of a node's log.
-#[derive(Clone, Debug, Deserialize)]
-struct LogLine {
-    time_ms: u64,
-    level: String,
-    vm: String,
-    message: String,
-    #[serde(flatten)]
-    fields: BTreeMap<String, Value>,
-}
-
 /// One step of the story.
 #[derive(Debug, Serialize)]
 struct Step {
@@ -68,14 +56,11 @@
         request: arguments.request.clone(),
         ..Story::default()
     };
-    if arguments.files.is_empty() {
-        story.read(io::stdin().lock())?;
-    }
-    for name in &arguments.files {
-        let file =
-            File::open(Path::new(name)).wrap_err_with(|| format!("{name} cannot be read"))?;
-        story.read(BufReader::new(file))?;
-    }
+    story.unread_lines = logs::read_all(&arguments.files, |line| {
+        if line.text("request") == Some(&arguments.request) {
+            story.steps.push(Step::of(line));
+        }
+    })?;
     story.steps.sort_by_key(|step| step.time_ms);
     story.name_missing();
     if arguments.json {
@@ -90,27 +75,6 @@
 }
 
 impl Story {
-    /// Collects the request's lines. What stands before a line's JSON, as some
-    /// collectors put it there, is skipped.
-    fn read(&mut self, lines: impl BufRead) -> Result<()> {
-        for line in lines.split(b'\n') {
-            let line = line?;
-            let line = String::from_utf8_lossy(&line);
-            if line.trim().is_empty() {
-                continue;
-            }
-            let json = line.find('{').map(|start| &line[start..]);
-            let Some(Ok(read)) = json.map(serde_json::from_str::<LogLine>) else {
-                self.unread_lines += 1;
-                continue;
-            };
-            if read.fields.get("request").and_then(Value::as_str) == Some(&self.request) {
-                self.steps.push(Step::of(read));
-            }
-        }
-        Ok(())
-    }
-
     fn name_missing(&mut self) {
         if self.steps.is_empty() {
             let reason = "no line names the request: its entry's log is not among the files, or \
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -10,7 +10,7 @@
 pub(crate) enum Exit {
     /// Nothing was found wrong.
     Ok = 0,
-    /// A text has faults, or nodes disagree.
+    /// A text has faults, nodes disagree, or logs hold nothing of what was asked.
     Found = 1,
     /// Wrong arguments, or a file that cannot be read.
     Usage = 2,
@@ -23,7 +23,7 @@
     pub(crate) const fn meaning(self) -> &'static str {
         match self {
             Self::Ok => "nothing was found wrong",
-            Self::Found => "a text has faults, or nodes disagree",
+            Self::Found => "a text has faults, nodes disagree, or logs hold nothing of it",
             Self::Usage => "wrong arguments, or a file that cannot be read",
             Self::Unreachable => "a node did not answer, and nothing worse was found",
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 mod ask;
 mod commands;
 mod exit;
+mod logs;
 mod source;
 mod table;
 
--- a/tests/all/command_line.rs
+++ b/tests/all/command_line.rs
@@ -212,7 +212,7 @@
 fn each_command_has_help_that_names_the_exit_codes() {
     let mut shown = run(&["--help"]).out;
     for command in [
-        "check", "explain", "diff", "status", "where", "code", "trace",
+        "check", "explain", "diff", "status", "where", "code", "trace", "plot",
     ] {
         let help = run(&[command, "--help"]);
         assert_eq!(help.exit, OK, "{command}");
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod measuring;
 mod not_run;
+mod plot;
 mod shutdown;
 mod support;
 mod thin_path;
--- a/tests/all/trace.rs
+++ b/tests/all/trace.rs
@@ -7,7 +7,7 @@
 const GATE: &str = r#"12.5 vm-2 {"time_ms":1003,"level":"warn","target":"t","vm":"vm-2","message":"ended without an answer","request":"r1","target_id":"i-2","slowness_percent":100,"waited_ms":0,"ran_ms":30,"end":"broken"}"#;
 const OTHER: &str = r#"{"time_ms":1000,"level":"info","target":"t","vm":"vm-1","message":"answered","request":"r2","code":1000,"status":200,"took_ms":7,"tried":"i-1=200"}"#;
 
-fn log_file(name: &str, lines: &[&str]) -> PathBuf {
+pub fn log_file(name: &str, lines: &[&str]) -> PathBuf {
     let path = std::env::temp_dir().join(format!("hitch-trace-{name}-{}", std::process::id()));
     std::fs::write(&path, lines.join("\n")).expect("a log file");
     path
