--- a/crates/dispatch/src/admission/tests.rs
+++ b/crates/dispatch/src/admission/tests.rs
@@ -1,5 +1,7 @@
 //! Admission at a gate in virtual time.
 
+mod properties;
+
 use super::*;
 
 fn call(hold_ms: u64, slow_from_ms: u64) -> GateCall {
--- /dev/null
+++ b/crates/dispatch/src/admission/tests/properties.rs
@@ -0,0 +1,142 @@
+//! Any calls in any order, in virtual time.
+
+use proptest::prelude::*;
+
+use super::super::*;
+
+#[derive(Clone, Debug)]
+struct Arrival {
+    after_ms: u64,
+    call: GateCall,
+}
+
+fn arrival() -> impl Strategy<Value = Arrival> {
+    (0_u64..40, 0_u8..3, 1_u64..300, 0_u64..400, 50_u64..1_500).prop_map(
+        |(after_ms, priority, work_ms, hold_ms, deadline_ms)| Arrival {
+            after_ms,
+            // Spans, which become times as the call arrives.
+            call: GateCall {
+                priority,
+                work_ms: Millis(work_ms),
+                hold_until: Millis(hold_ms.min(deadline_ms)),
+                objective_at: Millis(deadline_ms / 2),
+                slow_from: Millis(deadline_ms * 3 / 4),
+                deadline_at: Millis(deadline_ms),
+            },
+        },
+    )
+}
+
+fn at(call: &GateCall, now: Millis) -> GateCall {
+    GateCall {
+        hold_until: now + call.hold_until,
+        objective_at: now + call.objective_at,
+        slow_from: now + call.slow_from,
+        deadline_at: now + call.deadline_at,
+        ..*call
+    }
+}
+
+/// A gate and its target, whose speed changes as the hosts' neighbours do.
+struct World {
+    admission: Admission,
+    now: Millis,
+    slowness_percent: u32,
+    line: Vec<(Place, GateCall)>,
+    /// When each run ends.
+    runs: Vec<Millis>,
+    started: usize,
+    refused: usize,
+}
+
+impl World {
+    /// Decides about every call in line until nothing changes.
+    fn settle(&mut self, slots: u32) {
+        let mut is_changed = true;
+        while is_changed {
+            is_changed = false;
+            for index in 0..self.line.len() {
+                let (place, call) = self.line[index];
+                match self.admission.decide(place, &call, self.now) {
+                    Verdict::Start => {
+                        self.admission.start(place);
+                        assert!(self.admission.in_flight() <= slots, "more runs than slots");
+                        assert!(self.now < call.deadline_at, "started after its deadline");
+                        let run_ms = call.work_ms.0 * u64::from(self.slowness_percent) / 100;
+                        self.runs.push(self.now + Millis(run_ms.max(1)));
+                        self.started += 1;
+                    }
+                    Verdict::Refuse(_) => {
+                        self.admission.withdraw(place);
+                        self.refused += 1;
+                    }
+                    Verdict::ReadSpeed => {
+                        self.admission.note_speed(SpeedReading {
+                            slowness_percent: self.slowness_percent,
+                            read_at: self.now,
+                        });
+                        is_changed = true;
+                        break;
+                    }
+                    Verdict::Wait(_) => continue,
+                }
+                self.line.remove(index);
+                is_changed = true;
+                break;
+            }
+        }
+    }
+
+    fn tick(&mut self, slots: u32) {
+        self.now = self.now + Millis(1);
+        let now = self.now;
+        let before = self.runs.len();
+        self.runs.retain(|ends_at| *ends_at > now);
+        for _ in self.runs.len()..before {
+            self.admission.finish();
+        }
+        self.settle(slots);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Under any load and any spells of the target: no more runs than slots, no
+    /// start after a deadline, and every call starts or is refused by the time
+    /// at which it may no longer wait. Nothing stays in line for ever.
+    #[test]
+    fn every_call_starts_or_is_refused(
+        arrivals in proptest::collection::vec(arrival(), 1..60),
+        spells in proptest::collection::vec(80_u32..700, 1..8),
+        slots in 1_u32..16,
+    ) {
+        let mut world = World {
+            admission: Admission::default(),
+            now: Millis(1_000),
+            slowness_percent: 100,
+            line: Vec::new(),
+            runs: Vec::new(),
+            started: 0,
+            refused: 0,
+        };
+        world.admission.set_slots(slots);
+        for (number, arrival) in arrivals.iter().enumerate() {
+            for _ in 0..arrival.after_ms {
+                world.tick(slots);
+            }
+            world.slowness_percent = spells[number % spells.len()];
+            let call = at(&arrival.call, world.now);
+            let place = world.admission.enlist(&call, world.now);
+            world.line.push((place, call));
+            world.settle(slots);
+        }
+        // The last one may wait no longer than 400 ms.
+        for _ in 0..=400 {
+            world.tick(slots);
+        }
+        prop_assert_eq!(world.line.len(), 0, "still in line");
+        prop_assert_eq!(world.admission.waiting(), 0);
+        prop_assert_eq!(world.started + world.refused, arrivals.len());
+    }
+}
--- a/crates/dispatch/src/members/tests.rs
+++ b/crates/dispatch/src/members/tests.rs
@@ -1,5 +1,7 @@
 //! Following the platform's list.
 
+mod properties;
+
 use super::*;
 
 fn member(id: &str, address: &str) -> Member {
--- a/crates/dispatch/src/split/tests.rs
+++ b/crates/dispatch/src/split/tests.rs
@@ -1,5 +1,7 @@
 //! Shares of split routes.
 
+mod properties;
+
 use super::*;
 use crate::routes::tests::route;
 
--- a/crates/edge/src/http1/tests.rs
+++ b/crates/edge/src/http1/tests.rs
@@ -1,5 +1,7 @@
 //! Framing of HTTP/1.
 
+mod properties;
+
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
--- /dev/null
+++ b/crates/edge/src/http1/tests/properties.rs
@@ -0,0 +1,138 @@
+//! Any bytes, and requests in any pieces.
+
+use bytes::Bytes;
+use proptest::prelude::*;
+
+use super::super::*;
+use super::Drip;
+use crate::prelude::*;
+
+const MAX_HEAD_BYTES: usize = 4_096;
+
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_current_thread()
+        .build()
+        .expect("a runtime")
+}
+
+/// Bytes of which most are ones that a head is made of.
+fn hostile() -> impl Strategy<Value = Vec<u8>> {
+    let pieces = prop_oneof![
+        Just(b"GET /a HTTP/1.1\r\n".to_vec()),
+        Just(b"HTTP/1.1 200 OK\r\n".to_vec()),
+        Just(b"Host: h\r\n".to_vec()),
+        Just(b"Content-Length: 3\r\n".to_vec()),
+        Just(b"Content-Length: +3\r\n".to_vec()),
+        Just(b"Transfer-Encoding: chunked\r\n".to_vec()),
+        Just(b"Transfer-Encoding: xchunked\r\n".to_vec()),
+        Just(b"\r\n".to_vec()),
+        Just(b"3\r\nabc\r\n0\r\n\r\n".to_vec()),
+        Just(b"ffffffffffffffffff\r\n".to_vec()),
+        Just(b" \t".to_vec()),
+        proptest::collection::vec(any::<u8>(), 0..12),
+    ];
+    proptest::collection::vec(pieces, 0..12).prop_map(|pieces| pieces.concat())
+}
+
+/// A body as it travels: in one piece with its length, or in chunks.
+fn encoded(body: &[u8], chunk_bytes: usize) -> String {
+    let text = std::str::from_utf8(body).expect("letters");
+    if chunk_bytes == 0 {
+        return format!("Content-Length: {}\r\n\r\n{text}", body.len());
+    }
+    let mut out = "Transfer-Encoding: chunked\r\n\r\n".to_owned();
+    for chunk in body.chunks(chunk_bytes) {
+        let chunk = std::str::from_utf8(chunk).expect("letters");
+        out.push_str(&format!("{:x}\r\n{chunk}\r\n", chunk.len()));
+    }
+    out.push_str("0\r\n\r\n");
+    out
+}
+
+proptest! {
+    /// Whatever a caller or a target sends, reading ends: with a head, a body, a
+    /// fault or the end of the connection, and never with a panic.
+    #[test]
+    fn any_bytes_are_read_to_an_end(bytes in hostile()) {
+        runtime().block_on(async {
+            let mut reader = HttpReader::new(Drip(bytes.clone(), 0));
+            while let Ok(head) = reader.request_head(MAX_HEAD_BYTES).await {
+                let Ok(framing) = head.framing() else {
+                    break;
+                };
+                if reader.body(framing, 1_000).await.is_err() {
+                    break;
+                }
+            }
+            let mut reader = HttpReader::new(Drip(bytes, 0));
+            while let Ok(head) = reader.response_head(MAX_HEAD_BYTES).await {
+                let Ok(framing) = head.framing("GET") else {
+                    break;
+                };
+                if reader.body(framing, 1_000).await.is_err() {
+                    break;
+                }
+            }
+        });
+    }
+
+    /// Requests that follow each other on a connection are read as they were
+    /// sent: none takes a byte of the next, however their bodies are framed.
+    #[test]
+    fn requests_do_not_run_into_each_other(
+        sent in proptest::collection::vec(("[a-z]{0,40}", 0_usize..7), 1..6),
+    ) {
+        let mut text = String::new();
+        for (number, (body, chunk_bytes)) in sent.iter().enumerate() {
+            text.push_str(&format!("POST /{number} HTTP/1.1\r\nHost: h\r\n"));
+            text.push_str(&encoded(body.as_bytes(), *chunk_bytes));
+        }
+        let read = runtime().block_on(async {
+            let mut reader = HttpReader::new(Drip(text.into_bytes(), 0));
+            let mut read = Vec::new();
+            while let Ok(head) = reader.request_head(MAX_HEAD_BYTES).await {
+                let framing = head.framing().expect("a clear framing");
+                let body = reader.body(framing, 1_000).await.expect("a body");
+                read.push((head.path, body));
+            }
+            read
+        });
+        let mut expected = Vec::new();
+        for (number, (body, _)) in sent.iter().enumerate() {
+            expected.push((format!("/{number}"), Bytes::from(body.clone())));
+        }
+        prop_assert_eq!(read, expected);
+    }
+
+    /// What is written for a target is read by it as the caller sent it.
+    #[test]
+    fn a_written_request_is_read_back(
+        path in "/[a-z0-9/?=&%]{0,40}",
+        values in proptest::collection::vec("[!-~]([ -~]{0,20}[!-~])?", 0..5),
+        body in proptest::collection::vec(any::<u8>(), 0..200),
+    ) {
+        let mut fields = vec![HeaderField {
+            name: "Host".to_owned(),
+            value: "h".into(),
+        }];
+        for (number, value) in values.iter().enumerate() {
+            fields.push(HeaderField {
+                name: format!("X-Own-{number}"),
+                value: value.clone().into(),
+            });
+        }
+        let bytes = request_bytes("POST", &path, &fields, &body);
+        let (head, read) = runtime().block_on(async {
+            let mut reader = HttpReader::new(Drip(bytes.to_vec(), 0));
+            let head = reader.request_head(MAX_HEAD_BYTES).await.expect("a head");
+            let framing = head.framing().expect("a clear framing");
+            (head, reader.body(framing, 1_000).await.expect("a body"))
+        });
+        prop_assert_eq!(&head.path, &path);
+        prop_assert_eq!(read.as_ref(), body.as_slice());
+        for (number, value) in values.iter().enumerate() {
+            let kept = field(&head.fields, &format!("X-Own-{number}"));
+            prop_assert_eq!(kept, Some(value.as_str()));
+        }
+    }
+}
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -10,6 +10,9 @@
 
 use crate::error::WireError;
 
+#[cfg(test)]
+mod tests;
+
 /// Bytes of a body that travel in one frame.
 pub const BODY_PART_BYTES: usize = 32 * 1024;
 /// A body up to this size travels with its call. A longer one is kept back until
--- /dev/null
+++ b/crates/wire/src/link/tests.rs
@@ -0,0 +1,90 @@
+//! Frames in any pieces, and bytes that are none.
+
+use proptest::prelude::*;
+
+use super::*;
+
+fn message() -> impl Strategy<Value = ToGate> {
+    let bytes = || proptest::collection::vec(any::<u8>(), 0..300).prop_map(Bytes::from);
+    prop_oneof![
+        (any::<u64>(), bytes()).prop_map(|(id, part)| ToGate::Body {
+            id: CallId(id),
+            part
+        }),
+        any::<u64>().prop_map(|id| ToGate::Cancel { id: CallId(id) }),
+        (any::<u64>(), any::<u128>()).prop_map(|(id, key)| ToGate::Fence {
+            id: CallId(id),
+            key: CallKey(key)
+        }),
+        bytes().prop_map(ToGate::Facts),
+        Just(ToGate::Ping),
+    ]
+}
+
+fn decode_all(buffer: &mut BytesMut) -> Result<Vec<ToGate>, WireError> {
+    let mut messages = Vec::new();
+    while let Some(message) = decode(buffer)? {
+        messages.push(message);
+    }
+    Ok(messages)
+}
+
+proptest! {
+    /// The network hands over a stream in any pieces; each frame comes out
+    /// whole, once, in its order.
+    #[test]
+    fn frames_come_out_as_they_went_in(
+        messages in proptest::collection::vec(message(), 0..12),
+        piece_bytes in 1_usize..64,
+    ) {
+        let mut stream = BytesMut::new();
+        for message in &messages {
+            encode(message, &mut stream).expect("a short frame");
+        }
+        let mut buffer = BytesMut::new();
+        let mut read = Vec::new();
+        for piece in stream.chunks(piece_bytes) {
+            buffer.put_slice(piece);
+            read.extend(decode_all(&mut buffer).expect("good frames"));
+        }
+        prop_assert_eq!(read, messages);
+        prop_assert!(buffer.is_empty());
+    }
+
+    /// Whatever else arrives ends in a fault or a wait for more, never in a
+    /// panic or in a frame larger than allowed.
+    #[test]
+    fn other_bytes_do_no_harm(
+        length in 0_u32..400,
+        bytes in proptest::collection::vec(any::<u8>(), 0..400),
+    ) {
+        let mut buffer = BytesMut::new();
+        buffer.put_u32_le(length);
+        buffer.put_slice(&bytes);
+        let before = buffer.len();
+        if decode_all(&mut buffer).is_ok() {
+            prop_assert!(buffer.len() <= before);
+        }
+    }
+}
+
+#[test]
+fn a_frame_that_is_too_long_is_refused_by_its_length_alone() {
+    let mut buffer = BytesMut::new();
+    buffer.put_u32_le(u32::MAX);
+    assert!(matches!(
+        decode::<ToGate>(&mut buffer),
+        Err(WireError::TooLong { .. })
+    ));
+}
+
+#[test]
+fn a_message_that_is_too_long_is_not_written() {
+    let facts = ToGate::Facts(Bytes::from(vec![0; MAX_FRAME_BYTES + 1]));
+    let mut stream = BytesMut::new();
+    assert!(matches!(
+        encode(&facts, &mut stream),
+        Err(WireError::TooLong { .. })
+    ));
+    assert!(stream.is_empty());
+}
