Let admission's property meet lulls, odd spans and spells that turn

Two mutants (a slot too many, no check of the deadline) had passed it: calls never waited past their deadline, and a target's speed turned only when a call came.

--- a/crates/dispatch/src/admission/tests/properties.rs
+++ b/crates/dispatch/src/admission/tests/properties.rs
@@ -10,21 +10,35 @@
     call: GateCall,
 }
 
+/// Longest time that a call may wait, in milliseconds.
+const LONGEST_HOLD_MS: u64 = 1_500;
+
+/// Bursts and lulls. Entries send sensible spans; a gate must bear others too.
 fn arrival() -> impl Strategy<Value = Arrival> {
-    (0_u64..40, 0_u8..3, 1_u64..300, 0_u64..400, 50_u64..1_500).prop_map(
-        |(after_ms, priority, work_ms, hold_ms, deadline_ms)| Arrival {
-            after_ms,
-            // Spans, which become times as the call arrives.
-            call: GateCall {
-                priority,
-                work_ms: Millis(work_ms),
-                hold_until: Millis(hold_ms.min(deadline_ms)),
-                objective_at: Millis(deadline_ms / 2),
-                slow_from: Millis(deadline_ms * 3 / 4),
-                deadline_at: Millis(deadline_ms),
-            },
-        },
+    let after_ms = prop_oneof![3 => Just(0_u64), 1 => 0_u64..40];
+    let hold_ms = 0..=LONGEST_HOLD_MS;
+    (
+        after_ms,
+        0_u8..3,
+        1_u64..300,
+        hold_ms,
+        50_u64..1_500,
+        0_u64..100,
     )
+        .prop_map(
+            |(after_ms, priority, work_ms, hold_ms, deadline_ms, slow_percent)| Arrival {
+                after_ms,
+                // Spans, which become times as the call arrives.
+                call: GateCall {
+                    priority,
+                    work_ms: Millis(work_ms),
+                    hold_until: Millis(hold_ms),
+                    objective_at: Millis(deadline_ms / 2),
+                    slow_from: Millis(deadline_ms * slow_percent / 100),
+                    deadline_at: Millis(deadline_ms),
+                },
+            },
+        )
 }
 
 fn at(call: &GateCall, now: Millis) -> GateCall {
@@ -37,11 +51,15 @@
     }
 }
 
+/// How long a spell lasts.
+const SPELL_MS: u64 = 60;
+
 /// A gate and its target, whose speed changes as the hosts' neighbours do.
 struct World {
     admission: Admission,
     now: Millis,
-    slowness_percent: u32,
+    /// How slow the target is in each [`SPELL_MS`], over and over.
+    spells: Vec<u32>,
     line: Vec<(Place, GateCall)>,
     /// When each run ends.
     runs: Vec<Millis>,
@@ -50,6 +68,11 @@
 }
 
 impl World {
+    fn slowness_percent(&self) -> u32 {
+        let spell = (self.now.0 / SPELL_MS) as usize;
+        self.spells[spell % self.spells.len()]
+    }
+
     /// Decides about every call in line until nothing changes.
     fn settle(&mut self, slots: u32) {
         let mut is_changed = true;
@@ -62,7 +85,7 @@
                         self.admission.start(place);
                         assert!(self.admission.in_flight() <= slots, "more runs than slots");
                         assert!(self.now < call.deadline_at, "started after its deadline");
-                        let run_ms = call.work_ms.0 * u64::from(self.slowness_percent) / 100;
+                        let run_ms = call.work_ms.0 * u64::from(self.slowness_percent()) / 100;
                         self.runs.push(self.now + Millis(run_ms.max(1)));
                         self.started += 1;
                     }
@@ -72,7 +95,7 @@
                     }
                     Verdict::ReadSpeed => {
                         self.admission.note_speed(SpeedReading {
-                            slowness_percent: self.slowness_percent,
+                            slowness_percent: self.slowness_percent(),
                             read_at: self.now,
                         });
                         is_changed = true;
@@ -100,39 +123,40 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(64))]
+    #![proptest_config(ProptestConfig::with_cases(400))]
 
     /// Under any load and any spells of the target: no more runs than slots, no
     /// start after a deadline, and every call starts or is refused by the time
     /// at which it may no longer wait. Nothing stays in line for ever.
     #[test]
     fn every_call_starts_or_is_refused(
-        arrivals in proptest::collection::vec(arrival(), 1..60),
+        arrivals in prop_oneof![
+            proptest::collection::vec(arrival(), 1..4),
+            proptest::collection::vec(arrival(), 1..60),
+        ],
         spells in proptest::collection::vec(80_u32..700, 1..8),
         slots in 1_u32..16,
     ) {
         let mut world = World {
             admission: Admission::default(),
             now: Millis(1_000),
-            slowness_percent: 100,
+            spells,
             line: Vec::new(),
             runs: Vec::new(),
             started: 0,
             refused: 0,
         };
         world.admission.set_slots(slots);
-        for (number, arrival) in arrivals.iter().enumerate() {
+        for arrival in &arrivals {
             for _ in 0..arrival.after_ms {
                 world.tick(slots);
             }
-            world.slowness_percent = spells[number % spells.len()];
             let call = at(&arrival.call, world.now);
             let place = world.admission.enlist(&call, world.now);
             world.line.push((place, call));
             world.settle(slots);
         }
-        // The last one may wait no longer than 400 ms.
-        for _ in 0..=400 {
+        for _ in 0..=LONGEST_HOLD_MS {
             world.tick(slots);
         }
         prop_assert_eq!(world.line.len(), 0, "still in line");
--- a/crates/dispatch/src/members/tests/properties.rs
+++ b/crates/dispatch/src/members/tests/properties.rs
@@ -98,8 +98,8 @@
         tracker.remove(&id(removed), now);
         if !is_troubled {
             let members = tracker.snapshot();
-            let is_missing = tracker.known.get(&id(removed)).is_some();
-            prop_assert!(members.get(&id(removed)).is_none() && !is_missing);
+            let is_known = tracker.known.contains_key(&id(removed));
+            prop_assert!(members.get(&id(removed)).is_none() && !is_known);
         }
         let end = now + LAPSE_GRACE_MS;
         tracker.expire(end);
