Send no call to a gate that does not answer

The logs name two kinds: 170 lookups sent over a link that was given up 900 ms later, with no retry token left for so many at once, and 140 calls still waiting at a silent gate at their deadline. Ruled out: the choice of targets (those VMs were avoided once the link had ended) and time left (the median such lookup had half of its timeout left).

A link is in doubt when its gate has not answered a ping for 150 ms, and calls on it count as unreachable then: they have not been sent, so they go elsewhere without the retry budget and may be refused as not run. It is given up as before, and followed to its end without calls in hand too. What was received is read before any wait is counted, so that a paused process does not give its links up on waking.

--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -23,11 +23,16 @@
 /// in this time is dark or its queue of connections is full.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// While answers are awaited and nothing is heard for this long, the gate is
-/// asked whether it is there ...
-const PING_AFTER: Duration = Duration::from_millis(200);
-/// ... and the link given up when it is silent for this long. A lost packet is
-/// sent again after 200 ms or a little more, so one loss does not end a link.
-const DEAD_AFTER: Duration = Duration::from_millis(900);
+/// asked whether it is there. Runs take about this long, so that a link with
+/// work on it mostly speaks before.
+const PING_AFTER: Duration = Duration::from_millis(100);
+/// A gate that has not answered after this long is in doubt. It answers in one
+/// round trip, 20 ms at most, unless the network or its VM is in trouble.
+const DOUBT_AFTER: Duration = Duration::from_millis(150);
+/// The link is given up when the gate has not answered for this long. A lost
+/// packet is sent again after 200 ms or a little more, and the next time after
+/// twice as long, so one loss or two do not end a link.
+const DEAD_AFTER: Duration = Duration::from_millis(800);
 
 /// What becomes of a call, seen from its entry.
 #[derive(Debug)]
@@ -121,6 +126,7 @@
         let place = Arc::clone(&sent);
         let task = tokio::spawn(async move {
             match pool.link(gate).await {
+                Ok(link) if link.refuses(&question) => sink(LinkEvent::Unreachable),
                 Ok(link) => {
                     let id = link.send(question, sink);
                     *place.lock() = Some((link, id));
@@ -139,7 +145,7 @@
 
     /// Whether a link to a gate can be had now.
     pub async fn is_reached(&self, gate: SocketAddr) -> bool {
-        self.link(gate).await.is_ok()
+        self.link(gate).await.is_ok_and(|link| !link.is_doubted())
     }
 
     /// Drops links to gates that are no longer listed.
@@ -171,10 +177,33 @@
     calls: Mutex<HashMap<CallId, OpenCall>>,
     last_id: AtomicU64,
     dead: AtomicBool,
+    /// The gate did not answer lately.
+    doubted: AtomicBool,
     /// Something was sent, so an answer is due.
     asked: tokio::sync::Notify,
 }
 
+/// How long the gate has been silent.
+#[derive(Clone, Copy, Debug)]
+enum Hearing {
+    /// It was last heard then.
+    Heard(Instant),
+    /// It was asked then whether it is there.
+    Asked(Instant),
+    /// The same, and it should have answered.
+    Doubted(Instant),
+}
+
+impl Hearing {
+    fn ends_at(self) -> Instant {
+        match self {
+            Self::Heard(at) => at + PING_AFTER,
+            Self::Asked(at) => at + DOUBT_AFTER,
+            Self::Doubted(at) => at + DEAD_AFTER,
+        }
+    }
+}
+
 struct OpenCall {
     sink: LinkSink,
     /// Kept back until the gate wants it.
@@ -211,6 +240,7 @@
             calls: Mutex::default(),
             last_id: AtomicU64::new(0),
             dead: AtomicBool::new(false),
+            doubted: AtomicBool::new(false),
             asked: tokio::sync::Notify::new(),
         });
         let (known, news) = suspicion.follow();
@@ -237,6 +267,22 @@
         self.dead.load(Ordering::Acquire)
     }
 
+    fn is_doubted(&self) -> bool {
+        self.doubted.load(Ordering::Acquire)
+    }
+
+    /// Whether a question is better not sent.
+    ///
+    /// Failure answered: until a cut or a frozen VM is noticed for certain, calls
+    /// go on being sent there. They run nowhere, yet nobody can tell, so their
+    /// callers are told "unknown" and may not send a payment again. Held back
+    /// from the first unanswered question on, they have not been sent, and go
+    /// elsewhere without using the retry budget. A question about a key is sent:
+    /// only this gate can answer it.
+    fn refuses(&self, question: &Question) -> bool {
+        matches!(question, Question::Call(_)) && self.is_doubted()
+    }
+
     fn send(&self, question: Question, sink: LinkSink) -> CallId {
         let id = CallId(self.last_id.fetch_add(1, Ordering::Relaxed) + 1);
         let (frame, kept_back) = match question {
@@ -274,29 +320,44 @@
     ///
     /// Failure answered: a VM that lost power, a partition or a frozen process
     /// leaves a link open that answers nothing, and each call on it would wait
-    /// for its deadline. While calls wait, silence is noticed within
-    /// [`DEAD_AFTER`]; an idle link costs nothing.
+    /// for its deadline. While calls wait, silence is noticed step by step (see
+    /// [`Hearing`]); an idle link costs nothing. A link in doubt is followed to
+    /// its end without calls too, or it would stay in doubt for ever.
     async fn read(&self, mut reader: FrameReader) -> Result<(), LinkFault> {
-        let mut heard_at = Instant::now();
-        let mut has_asked = false;
+        let mut hearing = Hearing::Heard(Instant::now());
         loop {
-            let awaits = !self.calls.lock().is_empty();
-            let wake_at = heard_at + if has_asked { DEAD_AFTER } else { PING_AFTER };
+            let awaits = !self.calls.lock().is_empty() || self.is_doubted();
             tokio::select! {
+                // What has come goes first: a process that was paused wakes with
+                // answers to read and with all its waits over.
+                biased;
                 frame = reader.next() => {
-                    heard_at = Instant::now();
-                    has_asked = false;
+                    hearing = Hearing::Heard(Instant::now());
+                    self.doubted.store(false, Ordering::Release);
                     self.take(frame?);
                 }
-                () = self.asked.notified(), if !awaits => heard_at = Instant::now(),
-                () = tokio::time::sleep_until(wake_at), if awaits => {
-                    if has_asked {
-                        return Err(LinkFault::Closed);
-                    }
-                    has_asked = true;
-                    self.push(ToGate::Ping);
+                () = self.asked.notified(), if !awaits => {
+                    hearing = Hearing::Heard(Instant::now());
                 }
+                () = tokio::time::sleep_until(hearing.ends_at()), if awaits => {
+                    hearing = self.listen_harder(hearing)?;
+                }
+            }
+        }
+    }
+
+    /// The next step of a silence.
+    fn listen_harder(&self, hearing: Hearing) -> Result<Hearing, LinkFault> {
+        match hearing {
+            Hearing::Heard(_) => {
+                self.push(ToGate::Ping);
+                Ok(Hearing::Asked(Instant::now()))
+            }
+            Hearing::Asked(at) => {
+                self.doubted.store(true, Ordering::Release);
+                Ok(Hearing::Doubted(at))
             }
+            Hearing::Doubted(_) => Err(LinkFault::Closed),
         }
     }
 
--- a/crates/edge/tests/all/links.rs
+++ b/crates/edge/tests/all/links.rs
@@ -40,17 +40,33 @@
         self.stream.write_all(&bytes).await.expect("written");
     }
 
-    /// The next frame but for questions whether this end is there.
+    /// The next frame but for questions whether this end is there, which are
+    /// answered.
     async fn next(&mut self) -> ToGate {
         loop {
-            match link::decode(&mut self.buffer).expect("a frame") {
-                Some(ToGate::Ping) => self.send(&ToEntry::Pong).await,
-                Some(frame) => return frame,
-                None => {
-                    let count = self.stream.read_buf(&mut self.buffer).await.expect("read");
-                    assert!(count > 0, "the entry has closed the link");
-                    self.read_bytes += count;
-                }
+            match self.next_of_all().await {
+                ToGate::Ping => self.send(&ToEntry::Pong).await,
+                frame => return frame,
+            }
+        }
+    }
+
+    /// The next frame.
+    async fn next_of_all(&mut self) -> ToGate {
+        let frame = self.rest().await;
+        frame.expect("the entry has closed the link")
+    }
+
+    /// The next frame; `None` once the entry has closed the link.
+    async fn rest(&mut self) -> Option<ToGate> {
+        loop {
+            if let Some(frame) = link::decode(&mut self.buffer).expect("a frame") {
+                return Some(frame);
+            }
+            let count = self.stream.read_buf(&mut self.buffer).await.expect("read");
+            self.read_bytes += count;
+            if count == 0 {
+                return None;
             }
         }
     }
@@ -264,3 +280,51 @@
         200
     );
 }
+
+/// A gate takes a lookup and falls silent, as behind a cut or in a frozen VM. A
+/// payment that comes before the link is given up is refused as not run: sent
+/// into the silence it would end as "nobody can tell".
+#[tokio::test]
+async fn no_call_is_sent_to_a_gate_that_does_not_answer() {
+    let (fleet, listener) = with_own_gate().await;
+    let callers = fleet.vms[0].callers;
+    let lookup = tokio::spawn(ask(callers, "GET", "/read/x", "id-1"));
+    let mut gate = GateEnd::accept(&listener, 7).await;
+    assert!(matches!(gate.next_of_all().await, ToGate::Call { .. }));
+    assert!(matches!(gate.next_of_all().await, ToGate::Ping));
+    // Twice the time in which it should have answered.
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    let payment = ask(callers, "POST", "/pay/x", "id-2").await;
+    assert_eq!(payment.status(), 503);
+    assert!(payment.field("Retry-After").is_some());
+    lookup.await.expect("an answer");
+    let mut calls = 0;
+    while let Some(frame) = gate.rest().await {
+        calls += u32::from(matches!(frame, ToGate::Call { .. }));
+    }
+    assert_eq!(calls, 0, "sent into the silence");
+}
+
+/// The gate was only late. Once it is heard again, calls are sent over the same
+/// link as before.
+#[tokio::test]
+async fn a_gate_that_is_heard_again_gets_calls_again() {
+    let (fleet, listener) = with_own_gate().await;
+    let callers = fleet.vms[0].callers;
+    let lookup = tokio::spawn(ask(callers, "GET", "/read/x", "id-1"));
+    let mut gate = GateEnd::accept(&listener, 7).await;
+    let ToGate::Call { id, .. } = gate.next_of_all().await else {
+        panic!("the lookup's frame");
+    };
+    assert!(matches!(gate.next_of_all().await, ToGate::Ping));
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    gate.send(&ToEntry::Pong).await;
+    gate.send(&answer(id, "id-1")).await;
+    assert_eq!(lookup.await.expect("an answer").status(), 200);
+    let payment = tokio::spawn(ask(callers, "POST", "/pay/x", "id-2"));
+    let ToGate::Call { id, .. } = gate.next().await else {
+        panic!("the payment's frame");
+    };
+    gate.send(&answer(id, "id-2")).await;
+    assert_eq!(payment.await.expect("an answer").status(), 200);
+}
