--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -184,14 +184,6 @@
                 self.last_end = Some(CallEnd::Down);
                 None
             }
-            // Not left alone for a while, as one that is away: a gate that was
-            // only late is of use again at once, and asking costs no message.
-            LinkEvent::Doubtful => {
-                let target = self.close(number);
-                self.trail.push(&target, "doubtful");
-                self.last_end = Some(CallEnd::Down);
-                None
-            }
             LinkEvent::Lost(incarnation) => self.link_lost(number, incarnation),
             LinkEvent::Gate(event, incarnation) => {
                 let lost_to = self.attempts[number].lost_to;
@@ -213,7 +205,7 @@
         let mut state = self.entry.state.lock();
         match event {
             LinkEvent::Gate(..) => state.reach.note_reached(self.entry.now()),
-            LinkEvent::Unreachable | LinkEvent::Doubtful | LinkEvent::Lost(_) => {
+            LinkEvent::Unreachable | LinkEvent::Lost(_) => {
                 state.reach.note_unreachable(member.vm_ip());
             }
         }
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -41,8 +41,6 @@
     Gate(GateEvent, Incarnation),
     /// No link could be had; nothing was sent.
     Unreachable,
-    /// The gate has not answered lately; nothing was sent.
-    Doubtful,
     /// The link broke after the call was sent to this life of the gate.
     Lost(Incarnation),
 }
@@ -128,7 +126,7 @@
         let place = Arc::clone(&sent);
         let task = tokio::spawn(async move {
             match pool.link(gate).await {
-                Ok(link) if link.refuses(&question) => sink(LinkEvent::Doubtful),
+                Ok(link) if link.refuses(&question) => sink(LinkEvent::Unreachable),
                 Ok(link) => {
                     let id = link.send(question, sink);
                     *place.lock() = Some((link, id));
