--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -25,7 +25,7 @@
 /// While answers are awaited and nothing is heard for this long, the gate is
 /// asked whether it is there. Runs take about this long, so that a link with
 /// work on it mostly speaks before.
-const PING_AFTER: Duration = Duration::from_millis(100);
+const PING_AFTER: Duration = Duration::from_millis(150);
 /// A gate that has not answered after this long is in doubt. It answers in one
 /// round trip, 20 ms at most, unless the network or its VM is in trouble.
 const DOUBT_AFTER: Duration = Duration::from_millis(150);
