--- a/crates/edge/tests/all/support/caller.rs
+++ b/crates/edge/tests/all/support/caller.rs
@@ -2,50 +2,20 @@
 
 use std::net::SocketAddr;
 
-use hornbeamhitch_edge::http1::{self, HttpReader, ReadFault, ResponseHead};
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use hornbeamhitch_edge::http1::ReadFault;
+use hornbeamhitch_standins::raw_caller::{RawAnswer, RawCaller};
 
 use super::{DEADLINE_MS, REQUEST_ID};
 
-/// An answer as the caller has it.
-#[derive(Clone, Debug)]
-pub struct Answer {
-    pub head: ResponseHead,
-    pub body: String,
-}
-
-impl Answer {
-    pub fn status(&self) -> u16 {
-        self.head.status
-    }
-
-    pub fn field(&self, name: &str) -> Option<&str> {
-        http1::field(&self.head.fields, name)
-    }
-}
-
-pub struct Caller {
-    reader: HttpReader<OwnedReadHalf>,
-    writer: OwnedWriteHalf,
-}
+pub struct Caller(RawCaller);
 
 impl Caller {
     pub async fn connect(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).await.expect("a connection");
-        let (reader, writer) = stream.into_split();
-        Self {
-            reader: HttpReader::new(reader),
-            writer,
-        }
+        Self(RawCaller::connect(address).await.expect("a connection"))
     }
 
     pub async fn send_raw(&mut self, text: &str) {
-        self.writer
-            .write_all(text.as_bytes())
-            .await
-            .expect("written");
+        self.0.send(text).await.expect("written");
     }
 
     /// Sends a request for host `h`, which waits for two seconds.
@@ -55,24 +25,17 @@
 
     /// The same as far as the node reads it.
     pub async fn try_send(&mut self, method: &str, path: &str, id: &str, body: &str) {
-        let text = request(method, path, id, body);
-        if let Err(error) = self.writer.write_all(text.as_bytes()).await {
+        if let Err(error) = self.0.send(&request(method, path, id, body)).await {
             println!("the node stopped reading: {error}");
         }
     }
 
-    pub async fn answer(&mut self) -> Result<Answer, ReadFault> {
-        let head = self.reader.response_head(64 * 1024).await?;
-        let framing = head.framing("GET")?;
-        let body = self.reader.body(framing, u64::MAX).await?;
-        Ok(Answer {
-            head,
-            body: String::from_utf8_lossy(&body).into_owned(),
-        })
+    pub async fn answer(&mut self) -> Result<RawAnswer, ReadFault> {
+        self.0.answer("GET").await
     }
 
     /// Sends a request and returns its answer.
-    pub async fn ask(&mut self, method: &str, path: &str, id: &str) -> Answer {
+    pub async fn ask(&mut self, method: &str, path: &str, id: &str) -> RawAnswer {
         self.send(method, path, id, "").await;
         self.answer().await.expect("an answer")
     }
@@ -87,6 +50,6 @@
 }
 
 /// One request on a connection of its own.
-pub async fn ask(address: SocketAddr, method: &str, path: &str, id: &str) -> Answer {
+pub async fn ask(address: SocketAddr, method: &str, path: &str, id: &str) -> RawAnswer {
     Caller::connect(address).await.ask(method, path, id).await
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod platform;
 pub mod prelude;
 pub mod program;
+pub mod raw_caller;
 pub mod target;
--- a/src/commands/plot/draw.rs
+++ b/src/commands/plot/draw.rs
@@ -2,6 +2,8 @@
 
 use eyre::{Result, eyre};
 use plotters::coord::Shift;
+use plotters::coord::ranged1d::ValueFormatter;
+use plotters::coord::types::RangedCoordf64;
 use plotters::prelude::*;
 use strum::VariantArray;
 
@@ -13,6 +15,15 @@
 const LATENCIES: [(&str, RGBColor); 2] = [("p50", BLUE), ("p99", MAGENTA)];
 
 type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+type Chart<'a, Y> = ChartContext<'a, SVGBackend<'a>, Cartesian2d<RangedCoordf64, Y>>;
+type DrawFault = DrawingAreaErrorKind<std::io::Error>;
+
+/// One curve over the seconds of the picture.
+struct Curve {
+    name: &'static str,
+    colour: RGBColor,
+    points: Vec<(f64, f64)>,
+}
 
 /// Draws the steps as SVG.
 pub(super) fn svg(steps: &[Step], left_out: u64) -> Result<String> {
@@ -24,11 +35,7 @@
     Ok(text)
 }
 
-fn draw(
-    root: &Area<'_>,
-    steps: &[Step],
-    left_out: u64,
-) -> Result<(), DrawingAreaErrorKind<std::io::Error>> {
+fn draw(root: &Area<'_>, steps: &[Step], left_out: u64) -> Result<(), DrawFault> {
     root.fill(&WHITE)?;
     let (rates, latencies) = root.split_vertically(SIZE.1 / 2);
     draw_rates(&rates, steps, left_out)?;
@@ -49,11 +56,7 @@
     steps.last().map_or(1.0, |step| step.at_s.max(1.0))
 }
 
-fn draw_rates(
-    area: &Area<'_>,
-    steps: &[Step],
-    left_out: u64,
-) -> Result<(), DrawingAreaErrorKind<std::io::Error>> {
+fn draw_rates(area: &Area<'_>, steps: &[Step], left_out: u64) -> Result<(), DrawFault> {
     let mut highest = 1.0_f64;
     for rate in steps.iter().flat_map(|step| step.rates) {
         highest = highest.max(rate);
@@ -68,29 +71,21 @@
         .x_label_area_size(24)
         .y_label_area_size(56)
         .build_cartesian_2d(0.0..last_s(steps), 0.0..highest * 1.05)?;
-    chart.configure_mesh().x_desc("seconds").draw()?;
+    let mut curves = Vec::new();
     for outcome in Outcome::VARIANTS {
-        let colour = colour_of(*outcome);
-        let name: &str = outcome.into();
-        let points = steps
+        let rates = steps
             .iter()
             .map(|step| (step.at_s, step.rates[*outcome as usize]));
-        chart
-            .draw_series(LineSeries::new(points, colour))?
-            .label(name)
-            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+        curves.push(Curve {
+            name: outcome.into(),
+            colour: colour_of(*outcome),
+            points: rates.collect(),
+        });
     }
-    chart
-        .configure_series_labels()
-        .background_style(WHITE)
-        .border_style(BLACK)
-        .draw()
+    draw_curves(&mut chart, curves)
 }
 
-fn draw_latencies(
-    area: &Area<'_>,
-    steps: &[Step],
-) -> Result<(), DrawingAreaErrorKind<std::io::Error>> {
+fn draw_latencies(area: &Area<'_>, steps: &[Step]) -> Result<(), DrawFault> {
     let mut highest = 10;
     for [_, p99] in steps.iter().filter_map(|step| step.latencies_ms) {
         highest = highest.max(p99);
@@ -101,7 +96,7 @@
         .x_label_area_size(24)
         .y_label_area_size(56)
         .build_cartesian_2d(0.0..last_s(steps), (1.0..highest as f64 * 1.2).log_scale())?;
-    chart.configure_mesh().x_desc("seconds").draw()?;
+    let mut curves = Vec::new();
     for (place, (name, colour)) in LATENCIES.into_iter().enumerate() {
         let mut points = Vec::new();
         for step in steps {
@@ -110,9 +105,26 @@
             };
             points.push((step.at_s, latencies_ms[place].max(1) as f64));
         }
+        curves.push(Curve {
+            name,
+            colour,
+            points,
+        });
+    }
+    draw_curves(&mut chart, curves)
+}
+
+/// Draws the axes, the curves and their names.
+fn draw_curves<Y>(chart: &mut Chart<'_, Y>, curves: Vec<Curve>) -> Result<(), DrawFault>
+where
+    Y: Ranged<ValueType = f64> + ValueFormatter<f64>,
+{
+    chart.configure_mesh().x_desc("seconds").draw()?;
+    for curve in curves {
+        let colour = curve.colour;
         chart
-            .draw_series(LineSeries::new(points, colour))?
-            .label(name)
+            .draw_series(LineSeries::new(curve.points, colour))?
+            .label(curve.name)
             .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
     }
     chart
