Name a server's fault once, and read the directory once a refused request

Change: target::is_server_fault beside is_success; the line takes the directory that decided. Ruled out: one loop in next_step, which only nests deeper.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -216,7 +216,10 @@
         let directory = self.directory.load_full();
         let known = match self.identify(&directory, &request) {
             Ok(known) => known,
-            Err(given) => return self.record(&Ended::unrouted(&request, self), given),
+            Err(given) => {
+                let ended = Ended::unrouted(&request, &directory, self.dialect.names());
+                return self.record(&ended, given);
+            }
         };
         let arrived = request.arrived;
         let service = self.state.lock().splitter.choose(known.route);
--- a/crates/edge/src/entry/ended.rs
+++ b/crates/edge/src/entry/ended.rs
@@ -6,11 +6,10 @@
 use super::answer::Given;
 use super::trail::Trail;
 use super::{CallerAnswer, CallerRequest, Entry};
+use crate::directory::Directory;
 use crate::http1;
 use crate::prelude::*;
-
-/// Statuses from here on are failures of whoever answers.
-const SERVER_FAULT: u16 = 500;
+use crate::target::is_server_fault;
 
 impl Entry {
     /// Writes down how a call ended.
@@ -33,7 +32,7 @@
         let tried = ended.trail.as_str();
         let code = given.code.number();
         let status = given.answer.status;
-        if given.code == ResultCode::Answered && status < SERVER_FAULT {
+        if given.code == ResultCode::Answered && !is_server_fault(status) {
             log::info!(request, route, service, config, code, status, took_ms, tried; "answered");
             return given.answer;
         }
@@ -104,10 +103,12 @@
 
 impl Ended<'_> {
     /// A call that was sent nowhere.
-    pub(super) fn unrouted(request: &CallerRequest, entry: &Entry) -> Self {
-        let names = entry.dialect.names();
+    pub(super) fn unrouted(
+        request: &CallerRequest,
+        directory: &Directory,
+        names: &HeaderNames,
+    ) -> Self {
         let id = http1::field(&request.head.fields, names.request_id);
-        let directory = entry.directory.load();
         Self {
             request_id: id.unwrap_or_default().to_owned(),
             service: "",
--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -7,7 +7,7 @@
 use super::{Gate, GateEvent};
 use crate::http1;
 use crate::prelude::*;
-use crate::target::{Exchange, ExchangeFault, TargetAnswer, is_success};
+use crate::target::{Exchange, ExchangeFault, TargetAnswer, is_server_fault, is_success};
 
 /// Status of a target that is not the expected one.
 const MISDIRECTED: u16 = 421;
@@ -65,7 +65,7 @@
         let slowness_percent = run.slowness_percent;
         let waited_ms = run.waited_ms.0;
         match event {
-            Some(GateEvent::Answered { head, .. }) if head.status < 500 => log::info!(
+            Some(GateEvent::Answered { head, .. }) if !is_server_fault(head.status) => log::info!(
                 request, target_id, slowness_percent, waited_ms, ran_ms, status = head.status;
                 "ran"
             ),
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -265,6 +265,12 @@
     status >= 200 && status < 300
 }
 
+/// Whether a status tells of a failure of whoever answers.
+#[must_use]
+pub const fn is_server_fault(status: u16) -> bool {
+    status >= 500
+}
+
 fn broken(fault: ReadFault) -> ExchangeFault {
     ExchangeFault::Broken(match fault {
         ReadFault::Closed => "closed without an answer",
