Use the node's clock, syntax and one bounded run where they stood twice

Cause: the stand-ins had a clock like ProcessClock; the node's settings repeated the text's ten syntax options, which must stay the same; two commands wrote the same race of work, bound and signal. Change: the stand-ins use ProcessClock, the settings use the text's SYNTAX, and program::run_bounded serves both commands. Left: set-up and endings of the process tests in at_most_once, leaving and shutdown, where each test reads as a whole.

--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -5,10 +5,11 @@
 
 use std::collections::BTreeMap;
 
+use hornbeamhitch_text::SYNTAX;
 use jsonc_parser::ast::{Array, Object, ObjectProp, Value};
 use jsonc_parser::common::Ranged;
 use jsonc_parser::errors::ParseError;
-use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast, parse_to_serde_value};
+use jsonc_parser::{CollectOptions, parse_to_ast, parse_to_serde_value};
 use serde_with::DeserializeAs;
 use serde_with::de::DeserializeAsWrap;
 
@@ -19,21 +20,6 @@
 /// Values longer than this are shortened in faults.
 const MAX_SHOWN_CHARS: usize = 60;
 
-/// Comments and trailing commas, and no other leniency: what else the parser
-/// could forgive is more often a slip than a wish.
-const SYNTAX: ParseOptions = ParseOptions {
-    allow_comments: true,
-    allow_loose_object_property_names: false,
-    allow_trailing_commas: true,
-    allow_missing_commas: false,
-    allow_single_quoted_strings: false,
-    allow_hexadecimal_numbers: false,
-    allow_unary_plus_numbers: false,
-    allow_bare_decimal_point_numbers: false,
-    allow_non_finite_numbers: false,
-    allow_extended_string_escapes: false,
-};
-
 /// A parsed settings file with its text.
 pub(super) struct Document<'a> {
     text: &'a str,
--- a/crates/standins/src/clock.rs
+++ b/crates/standins/src/clock.rs
@@ -1,31 +1,9 @@
-//! The wall-free clock of one stand-in.
+//! The wall clock.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use hornbeamhitch_types::prelude::*;
 
-/// Counts milliseconds from its own creation.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    origin: Instant,
-}
-
-impl Clock {
-    /// A clock that stands at zero now.
-    #[must_use]
-    pub fn start() -> Self {
-        Self {
-            origin: Instant::now(),
-        }
-    }
-
-    /// Time since the clock was started.
-    #[must_use]
-    pub fn now(&self) -> Millis {
-        Millis::from_duration(self.origin.elapsed())
-    }
-}
-
 /// The wall clock, for logs that several processes write.
 #[must_use]
 pub fn wall_clock() -> Millis {
--- a/crates/standins/src/commands/bangkok.rs
+++ b/crates/standins/src/commands/bangkok.rs
@@ -38,15 +38,8 @@
 /// Runs the demonstration; fails when anything was lost or run twice.
 pub(super) async fn run(options: &BangkokOptions) -> Result<ExitCode> {
     let bound = EXTRA_TIME + Duration::from_secs_f64(options.seconds.max(0.0));
-    let report = tokio::select! {
-        report = tokio::time::timeout(bound, play(options)) => {
-            report.wrap_err("the demonstration took too long")??
-        }
-        end = program::wait_for_end() => {
-            end?;
-            bail!("ended by a signal");
-        }
-    };
+    let playing = play(options);
+    let report = program::run_bounded(playing, bound, "the demonstration took too long").await?;
     print!("{}", report.table());
     if let Some(path) = &options.json {
         std::fs::write(path, report.json()?)?;
--- a/crates/standins/src/commands/overhead.rs
+++ b/crates/standins/src/commands/overhead.rs
@@ -58,15 +58,8 @@
         max_rate_per_s: options.max_rate,
         ..Plan::default()
     };
-    let report = tokio::select! {
-        report = tokio::time::timeout(MAX_TIME, overhead::run(plan, &programs)) => {
-            report.wrap_err("the measurement took too long")??
-        }
-        end = program::wait_for_end() => {
-            end?;
-            bail!("ended by a signal");
-        }
-    };
+    let measuring = overhead::run(plan, &programs);
+    let report = program::run_bounded(measuring, MAX_TIME, "the measurement took too long").await?;
     print!("{}", report.table());
     if let Some(path) = &options.json {
         std::fs::write(path, report.json()?)?;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -48,8 +48,8 @@
     pub async fn start(addr: SocketAddr) -> Result<Self> {
         let (control, end) = control();
         let shared = Arc::new(Shared {
-            store: Store::new(Clock::start()),
-            counter: Counter::new(Clock::start()),
+            store: Store::new(ProcessClock::start()),
+            counter: Counter::new(ProcessClock::start()),
             control,
         });
         let handler = Arc::new(reads::PlatformHandler {
--- a/crates/standins/src/platform/counts.rs
+++ b/crates/standins/src/platform/counts.rs
@@ -67,7 +67,7 @@
 
 /// Counts reads and says which are over the limit.
 pub(crate) struct Counter {
-    clock: Clock,
+    clock: ProcessClock,
     state: Mutex<State>,
 }
 
@@ -82,7 +82,7 @@
 }
 
 impl Counter {
-    pub(crate) fn new(clock: Clock) -> Self {
+    pub(crate) fn new(clock: ProcessClock) -> Self {
         Self {
             clock,
             state: Mutex::default(),
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -21,7 +21,7 @@
 
 /// Values and mood under one lock, with a signal for watches.
 pub(super) struct Store {
-    clock: Clock,
+    clock: ProcessClock,
     state: Mutex<State>,
     changed: watch::Sender<u64>,
 }
@@ -45,7 +45,7 @@
 }
 
 impl Store {
-    pub(super) fn new(clock: Clock) -> Self {
+    pub(super) fn new(clock: ProcessClock) -> Self {
         let first = DatedList {
             set_at: Millis::ZERO,
             list: Arc::default(),
--- a/crates/standins/src/prelude.rs
+++ b/crates/standins/src/prelude.rs
@@ -11,7 +11,8 @@
 pub use parking_lot::Mutex;
 pub use serde::{Deserialize, Serialize};
 
+pub use hornbeamhitch_node::clock::ProcessClock;
 pub use hornbeamhitch_types::prelude::*;
 pub use hornbeamhitch_wire::header;
 
-pub use crate::clock::{Clock, wall_clock};
+pub use crate::clock::wall_clock;
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -43,6 +43,26 @@
     Ok(())
 }
 
+/// Does `work` until it is done, unless it takes longer than `bound` or the
+/// program is told to end.
+///
+/// # Errors
+///
+/// Those of the work; `too_long` says that it took too long.
+pub async fn run_bounded<T>(
+    work: impl Future<Output = Result<T>>,
+    bound: Duration,
+    too_long: &'static str,
+) -> Result<T> {
+    tokio::select! {
+        done = tokio::time::timeout(bound, work) => done.wrap_err(too_long)?,
+        end = wait_for_end() => {
+            end?;
+            bail!("ended by a signal");
+        }
+    }
+}
+
 /// Reads a file of JSON.
 ///
 /// # Errors
--- a/crates/standins/src/target/hints.rs
+++ b/crates/standins/src/target/hints.rs
@@ -34,7 +34,7 @@
 
 /// Remembers states, so that old ones can be told.
 pub(super) struct Hints {
-    clock: Clock,
+    clock: ProcessClock,
     moments: Mutex<VecDeque<Moment>>,
 }
 
@@ -47,7 +47,7 @@
             draining: false,
         };
         Self {
-            clock: Clock::start(),
+            clock: ProcessClock::start(),
             moments: Mutex::new(VecDeque::from([first])),
         }
     }
--- a/crates/text/src/lib.rs
+++ b/crates/text/src/lib.rs
@@ -43,6 +43,7 @@
 pub use limits::MAX_TEXT_BYTES;
 pub use position::Position;
 pub use setting::Setting;
+pub use syntax::SYNTAX;
 pub use warning::{Warning, WarningKind};
 
 use fault::Place;
--- a/crates/text/src/syntax.rs
+++ b/crates/text/src/syntax.rs
@@ -10,23 +10,23 @@
 use crate::report::Report;
 use crate::warning::WarningKind;
 
-/// JSON with comments and trailing commas, and nothing else.
-fn strict() -> ParseOptions {
-    ParseOptions {
-        allow_comments: true,
-        allow_trailing_commas: true,
-        allow_loose_object_property_names: false,
-        allow_missing_commas: false,
-        allow_single_quoted_strings: false,
-        allow_hexadecimal_numbers: false,
-        allow_unary_plus_numbers: false,
-        allow_bare_decimal_point_numbers: false,
-        allow_non_finite_numbers: false,
-        allow_extended_string_escapes: false,
-    }
-}
+/// Comments and trailing commas, and no other leniency: what else the parser
+/// could forgive is more often a slip than a wish. Nodes read their settings by
+/// the same rules.
+pub const SYNTAX: ParseOptions = ParseOptions {
+    allow_comments: true,
+    allow_trailing_commas: true,
+    allow_loose_object_property_names: false,
+    allow_missing_commas: false,
+    allow_single_quoted_strings: false,
+    allow_hexadecimal_numbers: false,
+    allow_unary_plus_numbers: false,
+    allow_bare_decimal_point_numbers: false,
+    allow_non_finite_numbers: false,
+    allow_extended_string_escapes: false,
+};
 
-/// As [`strict`], but reads on where a comma, a quote or a digit is missing.
+/// As [`SYNTAX`], but reads on where a comma, a quote or a digit is missing.
 ///
 /// Strings in single quotes stay refused: [`too_deep`] must find the end of
 /// each string where the parser does.
@@ -55,7 +55,7 @@
         return None;
     }
     warn_if_large(report);
-    let strict_error = match run(text, &strict()) {
+    let strict_error = match run(text, &SYNTAX) {
         Ok(root) => return root.or_else(|| empty(report)),
         Err(error) => error,
     };
