--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod patience;
 pub mod prelude;
 pub mod reach;
+pub mod readers;
 pub mod retry_budget;
 pub mod routes;
 pub mod split;
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -196,9 +196,11 @@
         }
     }
 
-    /// Takes over a complete listing: what is not in it was removed.
-    pub fn replace(&mut self, listed: Vec<Member>, now: Millis) {
-        let ids: BTreeSet<TargetId> = listed.iter().map(|member| member.id.clone()).collect();
+    /// Takes over a complete listing: what is not in it was removed. Targets
+    /// whose entries are listed and cannot be read stay as they were known.
+    pub fn replace(&mut self, listed: Vec<Member>, unreadable: &[TargetId], now: Millis) {
+        let mut ids: BTreeSet<TargetId> = listed.iter().map(|member| member.id.clone()).collect();
+        ids.extend(unreadable.iter().cloned());
         let missing: Vec<TargetId> = self
             .known
             .keys()
--- a/crates/dispatch/src/members/tests.rs
+++ b/crates/dispatch/src/members/tests.rs
@@ -52,7 +52,7 @@
     tracker.upsert(member("i-1", "10.0.0.1:80"));
     tracker.upsert(member("i-2", "10.0.0.2:80"));
     tracker.note_trouble(Millis(5_000));
-    tracker.replace(vec![member("i-1", "10.0.0.1:80")], Millis(5_100));
+    tracker.replace(vec![member("i-1", "10.0.0.1:80")], &[], Millis(5_100));
     assert_eq!(open_ids(&tracker), ["i-1", "i-2"]);
     assert!(!tracker.expire(Millis(7_099)));
     assert!(tracker.expire(Millis(7_100)));
@@ -94,3 +94,15 @@
     tracker.remove(&TargetId::new("i-1"), Millis(200));
     assert!(tracker.snapshot().is_empty());
 }
+
+/// The whole list is read anew, and one entry in it cannot be decoded. Its
+/// target is listed, so it has not left; requests must go on to it.
+#[test]
+fn an_entry_that_cannot_be_read_in_a_listing_stays_as_it_was_known() {
+    let mut tracker = MemberTracker::default();
+    tracker.upsert(member("i-1", "10.0.0.1:80"));
+    tracker.upsert(member("i-2", "10.0.0.2:80"));
+    let listed = vec![member("i-2", "10.0.0.2:80")];
+    tracker.replace(listed, &[TargetId::new("i-1")], Millis(10));
+    assert_eq!(open_ids(&tracker), ["i-1", "i-2"]);
+}
--- /dev/null
+++ b/crates/dispatch/src/readers.rs
@@ -0,0 +1,128 @@
+//! Which nodes read the platform's list themselves, and whom the others hear.
+//!
+//! If every node reads each change for itself, calls to the platform grow with
+//! the square of the fleet: more nodes, each reading the changes of more
+//! targets. In a large data centre a few nodes read, chosen by a hash over the
+//! VMs that are listed, and the others subscribe to several of them. Readers of
+//! all data centres subscribe to some of each other as well, so that one whose
+//! own reads bring nothing, without an error, still learns what any other knows.
+//!
+//! Nothing is agreed upon: nodes with different lists choose different readers
+//! for a while, and one that is asked without being a reader says so.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
+
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::prelude::*;
+
+#[cfg(test)]
+mod tests;
+
+/// In a data centre of up to this many VMs every node reads for itself: three
+/// readers would save too little to depend on others.
+const MAX_VMS_WITHOUT_READERS: usize = 8;
+/// Readers of a data centre at least, so that two are left while one restarts.
+const MIN_READERS: usize = 3;
+/// One reader for this many VMs: with three subscriptions each, a reader tells
+/// about 48 nodes, four times a second when nothing changes.
+const VMS_A_READER: usize = 16;
+/// Readers to whom one node subscribes.
+pub const SUBSCRIPTIONS: usize = 3;
+
+/// How a node learns of changes.
+#[derive(Clone, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Role {
+    /// It reads for itself, and nobody depends on it.
+    Alone,
+    /// It reads and tells others; it hears these other readers too.
+    Reader(Vec<IpAddr>),
+    /// It hears these readers.
+    Follower(Vec<IpAddr>),
+}
+
+impl Role {
+    /// The readers to subscribe to.
+    #[must_use]
+    pub fn heard(&self) -> &[IpAddr] {
+        match self {
+            Self::Alone => &[],
+            Self::Reader(heard) | Self::Follower(heard) => heard,
+        }
+    }
+
+    /// Whether others depend on this node's reads.
+    #[must_use]
+    pub const fn is_reader(&self) -> bool {
+        matches!(self, Self::Reader(_))
+    }
+}
+
+/// The role of the node on this VM, given the targets it knows. A VM that is not
+/// listed reads for itself.
+#[must_use]
+pub fn role(members: &Members, own: IpAddr) -> Role {
+    let data_centres = vms_by_data_centre(members);
+    let Some(beside) = data_centres.values().find(|vms| vms.contains(&own)) else {
+        return Role::Alone;
+    };
+    if beside.len() <= MAX_VMS_WITHOUT_READERS {
+        return Role::Alone;
+    }
+    let near = readers(beside);
+    if !near.contains(&own) {
+        return Role::Follower(nearest(near, own));
+    }
+    let mut others = Vec::new();
+    for vms in data_centres.values() {
+        if vms.len() > MAX_VMS_WITHOUT_READERS {
+            others.extend(readers(vms));
+        }
+    }
+    others.retain(|reader| *reader != own);
+    Role::Reader(nearest(others, own))
+}
+
+/// VMs by data centre; those whose only target is leaving are left out, since
+/// they go with it.
+fn vms_by_data_centre(members: &Members) -> BTreeMap<&DataCentre, BTreeSet<IpAddr>> {
+    let mut data_centres: BTreeMap<&DataCentre, BTreeSet<IpAddr>> = BTreeMap::new();
+    for member in members.iter() {
+        if member.draining {
+            continue;
+        }
+        let vms = data_centres.entry(&member.data_centre).or_default();
+        vms.insert(member.vm_ip());
+    }
+    data_centres
+}
+
+/// The readers of one data centre.
+fn readers(vms: &BTreeSet<IpAddr>) -> Vec<IpAddr> {
+    let count = vms.len().div_ceil(VMS_A_READER).max(MIN_READERS);
+    let mut ranked: Vec<IpAddr> = vms.iter().copied().collect();
+    ranked.sort_by_key(|vm| hash(&[*vm]));
+    ranked.truncate(count);
+    ranked
+}
+
+/// The readers that one node hears: others choose others, so that the load is
+/// spread, and a reader's loss moves only those who heard it.
+fn nearest(mut readers: Vec<IpAddr>, own: IpAddr) -> Vec<IpAddr> {
+    readers.sort_by_key(|reader| hash(&[own, *reader]));
+    readers.truncate(SUBSCRIPTIONS);
+    readers
+}
+
+fn hash(vms: &[IpAddr]) -> u64 {
+    let mut hasher = Xxh3::new();
+    for vm in vms {
+        match vm {
+            IpAddr::V4(address) => hasher.update(&address.octets()),
+            IpAddr::V6(address) => hasher.update(&address.octets()),
+        }
+    }
+    hasher.digest()
+}
--- /dev/null
+++ b/crates/dispatch/src/readers/tests.rs
@@ -0,0 +1,157 @@
+//! Who reads, who hears whom.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use proptest::prelude::*;
+
+use super::*;
+use crate::members::MemberTracker;
+
+fn vm(data_centre: usize, number: usize) -> IpAddr {
+    let octet = |count: usize| u8::try_from(count).expect("below 256");
+    let [high, low] = [number / 200, number % 200].map(octet);
+    Ipv4Addr::new(10, octet(data_centre), high, low).into()
+}
+
+/// Data centres of these sizes.
+fn fleet(sizes: &[usize]) -> MemberTracker {
+    let mut tracker = MemberTracker::default();
+    for (data_centre, size) in sizes.iter().enumerate() {
+        for number in 0..*size {
+            tracker.upsert(member(data_centre, number));
+        }
+    }
+    tracker
+}
+
+fn member(data_centre: usize, number: usize) -> Member {
+    Member {
+        id: TargetId::new(&format!("i-{data_centre}-{number}")),
+        service: ServiceName::new("cashier"),
+        address: (vm(data_centre, number), 80).into(),
+        data_centre: DataCentre::new(&format!("dc-{data_centre}")),
+        slots: 8,
+        draining: false,
+        listed_at: 1,
+    }
+}
+
+fn roles(sizes: &[usize]) -> BTreeMap<IpAddr, Role> {
+    let members = fleet(sizes).snapshot();
+    members
+        .vms()
+        .into_iter()
+        .map(|own| (own, role(&members, own)))
+        .collect()
+}
+
+#[test]
+fn everyone_reads_in_a_small_data_centre_and_where_it_is_not_listed() {
+    let small = roles(&[8, 3]);
+    assert!(small.values().all(|role| *role == Role::Alone));
+    let members = fleet(&[30]).snapshot();
+    assert_eq!(role(&members, vm(7, 7)), Role::Alone);
+}
+
+#[test]
+fn a_large_data_centre_has_three_readers_and_then_one_for_sixteen() {
+    for (size, expected) in [(9, 3), (27, 3), (48, 3), (49, 4), (200, 13)] {
+        let roles = roles(&[size]);
+        let readers = roles.values().filter(|role| role.is_reader()).count();
+        assert_eq!(readers, expected, "{size} VMs");
+    }
+}
+
+/// Readers of one data centre may all fall deaf at once without an error, when
+/// the path to the platform is cut; they hear the others of the fleet.
+#[test]
+fn readers_hear_readers_of_the_whole_fleet_and_followers_those_beside_them() {
+    let roles = roles(&[27, 27, 26]);
+    let is_reader = |vm: &IpAddr| roles.get(vm).is_some_and(Role::is_reader);
+    for (own, role) in &roles {
+        let heard = role.heard();
+        assert_eq!(heard.len(), SUBSCRIPTIONS, "{own}");
+        assert!(heard.iter().all(is_reader), "{own} hears {heard:?}");
+        assert!(!heard.contains(own));
+    }
+    let crosses = |own: &IpAddr, role: &Role| {
+        let IpAddr::V4(own) = own else { return false };
+        let others = role.heard().iter().filter_map(|vm| match vm {
+            IpAddr::V4(vm) => Some(vm.octets()[1]),
+            IpAddr::V6(_) => None,
+        });
+        others.into_iter().any(|other| other != own.octets()[1])
+    };
+    let readers = roles.iter().filter(|(_, role)| role.is_reader());
+    assert!(readers.into_iter().any(|(own, role)| crosses(own, role)));
+    let mut followers = roles.iter().filter(|(_, role)| !role.is_reader());
+    assert!(!followers.any(|(own, role)| crosses(own, role)));
+}
+
+/// A VM whose target leaves goes with it, and must not be counted upon.
+#[test]
+fn a_leaving_vm_is_no_reader() {
+    let mut tracker = fleet(&[20]);
+    let members = tracker.snapshot();
+    let first = members.vms().into_iter();
+    let reader = first
+        .into_iter()
+        .find(|own| role(&members, *own).is_reader());
+    let reader = reader.expect("there are readers");
+    let leaving = members.at((reader, 80).into()).expect("it is listed");
+    let mut leaving = (**leaving).clone();
+    leaving.draining = true;
+    tracker.upsert(leaving);
+    let members = tracker.snapshot();
+    assert_eq!(role(&members, reader), Role::Alone);
+    for own in members.vms() {
+        assert!(!role(&members, own).heard().contains(&reader));
+    }
+}
+
+/// The load of telling is spread: at the size of the largest data centre no
+/// reader has many times the subscribers that it would have in the mean.
+#[test]
+fn subscribers_are_spread_over_readers() {
+    let roles = roles(&[889]);
+    let mut subscribers: BTreeMap<IpAddr, usize> = BTreeMap::new();
+    for role in roles.values() {
+        for reader in role.heard() {
+            *subscribers.entry(*reader).or_default() += 1;
+        }
+    }
+    let most = subscribers.values().max().copied().unwrap_or_default();
+    assert!(most <= 2 * SUBSCRIPTIONS * VMS_A_READER, "{most}");
+}
+
+proptest! {
+    /// Whatever the sizes, nodes with the same list agree on who reads, and one
+    /// VM's loss changes the subscriptions of few.
+    #[test]
+    fn nodes_agree_and_a_loss_moves_few(sizes in proptest::collection::vec(0usize..60, 1..5)) {
+        let before = roles(&sizes);
+        for role in before.values() {
+            for heard in role.heard() {
+                prop_assert!(before.get(heard).is_some_and(Role::is_reader));
+            }
+        }
+        let mut tracker = fleet(&sizes);
+        tracker.remove(&TargetId::new("i-0-0"), Millis(1));
+        let members = tracker.snapshot();
+        let is_still_large = sizes[0] > MAX_VMS_WITHOUT_READERS + 1;
+        if !is_still_large {
+            return Ok(());
+        }
+        let lost = vm(0, 0);
+        for (own, role_before) in &before {
+            let heard_it = role_before.heard().contains(&lost);
+            let now = role(&members, *own);
+            if *own == lost || heard_it || now.is_reader() != role_before.is_reader() {
+                continue;
+            }
+            let kept = now.heard().iter().filter(|vm| role_before.heard().contains(vm));
+            prop_assert!(kept.count() + 1 >= now.heard().len());
+        }
+    }
+}
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -29,6 +29,8 @@
     pub target_address: SocketAddr,
     /// Bytes of callers' bodies that the node holds at once.
     pub buffered_bytes: u64,
+    /// Within this a change of configuration or targets must be in force.
+    pub in_force_ms: Millis,
     /// Span from SIGTERM to SIGKILL.
     pub grace_ms: Millis,
     /// What may change while the process runs.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -19,6 +19,8 @@
 use crate::config::{EdgeConfig, Reload};
 use crate::directory::{Directory, DirectoryWriter};
 use crate::entry::{Entry, EntryParts};
+use crate::feed::ChangeFeed;
+use crate::following::{self, FollowSettings};
 use crate::gate::{Gate, GateParts};
 use crate::link::LinkServer;
 use crate::prelude::*;
@@ -101,7 +103,19 @@
     let metrics = Metrics::new(&config.vm, &config.service, &config.data_centre)?;
     let metrics = Arc::new(metrics);
     let directory: SharedDirectory = Arc::new(ArcSwap::from_pointee(Directory::default()));
-    start_control(source, DirectoryWriter::new(Arc::clone(&directory), clock))?;
+    let feed = Arc::new(ChangeFeed::default());
+    let writer = DirectoryWriter::new(Arc::clone(&directory), clock);
+    let settings = FollowSettings {
+        own_ip: config.target_address.ip(),
+        gate_port: config.links_address.port(),
+        in_force_ms: config.in_force_ms,
+    };
+    start_control(following::follow(
+        source,
+        writer,
+        Arc::clone(&feed),
+        settings,
+    ))?;
     let suspicion = Arc::new(Suspicion::new(clock));
     let gate = Arc::new(Gate::new(GateParts {
         service: config.service.clone(),
@@ -137,6 +151,7 @@
         incarnation,
         suspicion,
         directory: Arc::clone(&directory),
+        feed,
     };
     let status = StatusServer {
         directory,
@@ -296,7 +311,7 @@
 
 /// A node whose control thread has ended would serve on facts that grow old for
 /// ever, so the process ends with it and is started anew.
-fn start_control(source: Box<dyn Source>, writer: DirectoryWriter) -> Result<()> {
+fn start_control(following: impl Future<Output = ()> + Send + 'static) -> Result<()> {
     const EXIT_CONTROL_ENDED: i32 = 3;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -305,8 +320,7 @@
     std::thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || {
-            let following =
-                std::panic::AssertUnwindSafe(|| runtime.block_on(source.follow(writer)));
+            let following = std::panic::AssertUnwindSafe(|| runtime.block_on(following));
             if std::panic::catch_unwind(following).is_err() {
                 log::error!("the control thread panicked");
             } else {
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -131,8 +131,9 @@
     }
 
     /// A complete listing was read.
-    pub fn replace(&mut self, members: Vec<Member>) {
-        self.tracker.replace(members, self.clock.now());
+    /// Targets whose entries could not be read stay as they were known.
+    pub fn replace(&mut self, members: Vec<Member>, unreadable: &[TargetId]) {
+        self.tracker.replace(members, unreadable, self.clock.now());
     }
 
     /// The source could not be read.
@@ -148,6 +149,12 @@
         self.tracker.next_expiry()
     }
 
+    /// The targets that traffic knows.
+    #[must_use]
+    pub fn members(&self) -> Arc<Members> {
+        Arc::clone(&self.directory.load().members)
+    }
+
     /// Shows the changes to traffic.
     pub fn publish_members(&self) {
         let members = Arc::new(self.tracker.snapshot());
--- /dev/null
+++ b/crates/edge/src/feed.rs
@@ -0,0 +1,169 @@
+//! The change feed: what a node that reads the source tells nodes that do not.
+//!
+//! A reader's control thread appends to its [`ChangeFeed`]; the link server
+//! answers subscriptions from it. The other side is [`Subscriptions`].
+
+mod subscriptions;
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use crate::source::Change;
+
+pub use subscriptions::{FeedEvent, Subscriptions};
+
+#[cfg(test)]
+mod tests;
+
+/// Changes that are kept for subscribers. One that is further behind reads for
+/// itself; at a few changes a second this is minutes.
+const KEPT_CHANGES: usize = 1_024;
+
+/// Whether a node's feed can be subscribed to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// The node is no reader.
+    #[default]
+    Closed,
+    /// It reads.
+    Open,
+    /// It would read, but its last read failed.
+    Troubled,
+}
+
+/// Recent changes, for subscribers.
+#[derive(Debug)]
+pub struct ChangeFeed {
+    state: Mutex<State>,
+    changed: watch::Sender<()>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    standing: Standing,
+    /// Changes up to this revision are not kept.
+    base: u64,
+    /// Everything up to this revision is known.
+    revision: u64,
+    kept: VecDeque<Kept>,
+}
+
+#[derive(Debug)]
+struct Kept {
+    revision: u64,
+    encoded: Bytes,
+}
+
+/// What is new to one subscriber.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FeedPart {
+    /// Encoded changes in their order.
+    pub changes: Vec<Bytes>,
+    /// Everything up to this revision is known.
+    pub revision: u64,
+    /// The reader's own last read failed.
+    pub is_troubled: bool,
+}
+
+impl Default for ChangeFeed {
+    fn default() -> Self {
+        let (changed, _) = watch::channel(());
+        Self {
+            state: Mutex::default(),
+            changed,
+        }
+    }
+}
+
+impl ChangeFeed {
+    /// Everything was read anew: what came before is not kept.
+    pub fn restart(&self, revision: u64) {
+        let mut state = self.state.lock();
+        state.kept.clear();
+        state.base = revision;
+        state.revision = revision;
+        drop(state);
+        self.wake();
+    }
+
+    /// Adds changes, after which everything up to `revision` is known.
+    ///
+    /// Subscribers are woken only by what is new. Readers hear each other: woken
+    /// by each word of the other, two of them would answer each other for ever.
+    pub fn append(&self, changes: &[Change], revision: u64) {
+        let mut state = self.state.lock();
+        if revision <= state.revision {
+            return;
+        }
+        for change in changes {
+            state.keep(change);
+        }
+        state.revision = revision;
+        drop(state);
+        self.wake();
+    }
+
+    /// Opens or closes the feed.
+    pub fn set_standing(&self, standing: Standing) {
+        let mut state = self.state.lock();
+        if state.standing == standing {
+            return;
+        }
+        state.standing = standing;
+        drop(state);
+        self.wake();
+    }
+
+    /// What is new to a subscriber who knows everything up to `revision`;
+    /// `None` when this node cannot tell.
+    #[must_use]
+    pub fn after(&self, revision: u64) -> Option<FeedPart> {
+        let state = self.state.lock();
+        if state.standing == Standing::Closed || revision < state.base {
+            return None;
+        }
+        let new = state.kept.iter().filter(|kept| kept.revision > revision);
+        Some(FeedPart {
+            changes: new.map(|kept| kept.encoded.clone()).collect(),
+            revision: state.revision,
+            is_troubled: state.standing == Standing::Troubled,
+        })
+    }
+
+    /// Tells when [`Self::after`] may have something new.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<()> {
+        self.changed.subscribe()
+    }
+
+    fn wake(&self) {
+        self.changed.send_replace(());
+    }
+}
+
+impl State {
+    fn keep(&mut self, change: &Change) {
+        let encoded = match postcard::to_stdvec(change) {
+            Ok(encoded) => Bytes::from(encoded),
+            Err(error) => {
+                log::error!("a change cannot be written for other nodes: {error}");
+                // Nobody may be told that everything is known without it.
+                self.kept.clear();
+                self.base = change.revision;
+                return;
+            }
+        };
+        self.kept.push_back(Kept {
+            revision: change.revision,
+            encoded,
+        });
+        if self.kept.len() > KEPT_CHANGES
+            && let Some(oldest) = self.kept.pop_front()
+        {
+            self.base = oldest.revision;
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/feed/subscriptions.rs
@@ -0,0 +1,233 @@
+//! Subscriptions to the change feeds of readers.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use hornbeamhitch_wire::link::{self, ToEntry, ToGate};
+use tokio::io::AsyncWriteExt;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+use crate::link::{FrameReader, LinkFault};
+use crate::sockets;
+use crate::source::Change;
+
+/// Data centres of one region are milliseconds apart; a VM that does not answer
+/// in this time is dark or overloaded.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// A reader speaks four times a second. One lost packet is sent again after 200
+/// ms, so this bears two missed turns and a loss.
+const SILENT_AFTER: Duration = Duration::from_millis(800);
+/// Pause before a reader that was lost, or was none, is asked again.
+const AGAIN_AFTER: Duration = Duration::from_secs(1);
+
+/// What a reader told.
+#[derive(Debug)]
+pub enum FeedEvent {
+    /// Every change up to the revision, of those after the revision that was
+    /// known at the subscription.
+    Known {
+        /// The reader.
+        reader: IpAddr,
+        /// Changes in their order.
+        changes: Vec<Change>,
+        /// Nothing up to this revision is left out.
+        revision: u64,
+        /// The reader's own last read failed.
+        is_troubled: bool,
+    },
+    /// The reader tells nothing for now.
+    Lost {
+        /// The reader.
+        reader: IpAddr,
+    },
+}
+
+/// The readers that this node hears.
+#[derive(Debug)]
+pub struct Subscriptions {
+    port: u16,
+    /// Everything up to this revision is known here.
+    known: Arc<AtomicU64>,
+    events: mpsc::UnboundedReceiver<FeedEvent>,
+    told: mpsc::UnboundedSender<FeedEvent>,
+    readers: BTreeMap<IpAddr, Subscription>,
+}
+
+#[derive(Debug)]
+struct Subscription {
+    task: AbortHandle,
+    /// It speaks, and its own reads succeed.
+    is_sound: bool,
+}
+
+impl Drop for Subscription {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Subscriptions {
+    /// None yet; readers listen on this port.
+    #[must_use]
+    pub fn new(port: u16) -> Self {
+        let (told, events) = mpsc::unbounded_channel();
+        Self {
+            port,
+            known: Arc::default(),
+            events,
+            told,
+            readers: BTreeMap::new(),
+        }
+    }
+
+    /// Everything up to this revision is known here.
+    pub fn note_known(&self, revision: u64) {
+        self.known.store(revision, Ordering::Release);
+    }
+
+    /// Subscribes to these readers and to no others.
+    pub fn keep_to(&mut self, wanted: &[IpAddr]) {
+        self.readers.retain(|reader, _| wanted.contains(reader));
+        for reader in wanted {
+            if self.readers.contains_key(reader) {
+                continue;
+            }
+            let hearing = hear(
+                SocketAddr::new(*reader, self.port),
+                Arc::clone(&self.known),
+                self.told.clone(),
+            );
+            let subscription = Subscription {
+                task: tokio::spawn(hearing).abort_handle(),
+                is_sound: false,
+            };
+            self.readers.insert(*reader, subscription);
+        }
+    }
+
+    /// Readers that speak and whose own reads succeed.
+    #[must_use]
+    pub fn sound(&self) -> usize {
+        let sound = self.readers.values().filter(|reader| reader.is_sound);
+        sound.count()
+    }
+
+    /// What is told next. Safe to cancel.
+    pub async fn next(&mut self) -> FeedEvent {
+        let event = self.events.recv().await;
+        let event = event.expect("this struct holds a sender");
+        let (reader, is_sound) = match &event {
+            FeedEvent::Known {
+                reader,
+                is_troubled,
+                ..
+            } => (reader, !is_troubled),
+            FeedEvent::Lost { reader } => (reader, false),
+        };
+        if let Some(subscription) = self.readers.get_mut(reader) {
+            subscription.is_sound = is_sound;
+        }
+        event
+    }
+}
+
+/// Hears one reader for as long as it is wanted.
+async fn hear(reader: SocketAddr, known: Arc<AtomicU64>, told: mpsc::UnboundedSender<FeedEvent>) {
+    let mut was_heard = false;
+    loop {
+        let ended = hear_once(reader, &known, &told, &mut was_heard).await;
+        if was_heard {
+            log::info!("the reader {reader} is not heard any more: {ended}");
+            was_heard = false;
+            let lost = FeedEvent::Lost {
+                reader: reader.ip(),
+            };
+            if told.send(lost).is_err() {
+                return;
+            }
+        }
+        tokio::time::sleep(AGAIN_AFTER).await;
+    }
+}
+
+async fn hear_once(
+    reader: SocketAddr,
+    known: &AtomicU64,
+    told: &mpsc::UnboundedSender<FeedEvent>,
+    was_heard: &mut bool,
+) -> LinkFault {
+    let mut frames = match subscribe(reader, known).await {
+        Ok(frames) => frames,
+        Err(fault) => return fault,
+    };
+    let mut changes = Vec::new();
+    loop {
+        let frame = match tokio::time::timeout(SILENT_AFTER, frames.reader.next()).await {
+            Ok(Ok(frame)) => frame,
+            Ok(Err(fault)) => return fault,
+            Err(silence) => return LinkFault::Io(silence.into()),
+        };
+        match frame {
+            ToEntry::Change(encoded) => match decode(&encoded) {
+                Ok(change) => changes.push(change),
+                Err(fault) => return fault,
+            },
+            ToEntry::KnownTo {
+                revision,
+                is_troubled,
+            } => {
+                if !*was_heard {
+                    *was_heard = true;
+                    log::info!(revision; "changes are heard from the reader {reader}");
+                }
+                let event = FeedEvent::Known {
+                    reader: reader.ip(),
+                    changes: std::mem::take(&mut changes),
+                    revision,
+                    is_troubled,
+                };
+                if told.send(event).is_err() {
+                    return LinkFault::Closed;
+                }
+            }
+            ToEntry::NoFeed => return LinkFault::Closed,
+            // What a gate tells its entries is of no use here.
+            _ => {}
+        }
+    }
+}
+
+/// A connection with a subscription; its writing half is kept open.
+struct Subscribed {
+    reader: FrameReader,
+    _writer: tokio::net::tcp::OwnedWriteHalf,
+}
+
+async fn subscribe(reader: SocketAddr, known: &AtomicU64) -> Result<Subscribed, LinkFault> {
+    let stream = sockets::connect(reader, CONNECT_TIMEOUT).await?;
+    let (frames, mut writer) = stream.into_split();
+    let follow = ToGate::Follow {
+        revision: known.load(Ordering::Acquire),
+    };
+    let mut buffer = BytesMut::new();
+    link::encode(&follow, &mut buffer)?;
+    writer.write_all(&buffer).await?;
+    Ok(Subscribed {
+        reader: FrameReader::new(frames),
+        _writer: writer,
+    })
+}
+
+fn decode(encoded: &Bytes) -> Result<Change, LinkFault> {
+    postcard::from_bytes(encoded).map_err(|error| {
+        LinkFault::Wire(hornbeamhitch_wire::WireError::Malformed {
+            what: "change",
+            reason: error.to_string(),
+        })
+    })
+}
--- /dev/null
+++ b/crates/edge/src/feed/tests.rs
@@ -0,0 +1,84 @@
+//! What a feed tells subscribers.
+
+use hornbeamhitch_dispatch::prelude::*;
+
+use super::*;
+use crate::source::Fact;
+
+fn left(revision: u64) -> Change {
+    Change {
+        revision,
+        fact: Fact::Left(TargetId::new(&format!("i-{revision}"))),
+    }
+}
+
+fn revisions(part: &FeedPart) -> Vec<u64> {
+    let decode =
+        |encoded: &Bytes| -> Change { postcard::from_bytes(encoded).expect("what was encoded") };
+    part.changes
+        .iter()
+        .map(|encoded| decode(encoded).revision)
+        .collect()
+}
+
+fn open_feed() -> ChangeFeed {
+    let feed = ChangeFeed::default();
+    feed.restart(10);
+    feed.set_standing(Standing::Open);
+    feed
+}
+
+#[test]
+fn a_subscriber_is_told_what_is_new_to_it() {
+    let feed = open_feed();
+    feed.append(&[left(11), left(13)], 15);
+    let part = feed.after(11).expect("an open feed");
+    assert_eq!((revisions(&part), part.revision), (vec![13], 15));
+    let part = feed.after(20).expect("an open feed");
+    assert_eq!((revisions(&part), part.revision), (vec![], 15));
+}
+
+#[test]
+fn a_closed_feed_tells_nothing() {
+    let feed = open_feed();
+    feed.set_standing(Standing::Closed);
+    assert_eq!(feed.after(10), None);
+}
+
+/// Told "everything is known up to 12" without what came before 10, a subscriber
+/// would miss that for ever.
+#[test]
+fn a_subscriber_from_before_the_kept_changes_is_told_nothing() {
+    let feed = open_feed();
+    feed.append(&[left(12)], 12);
+    assert_eq!(feed.after(9), None);
+    for revision in 13..=2_000 {
+        feed.append(&[left(revision)], revision);
+    }
+    assert_eq!(feed.after(12), None);
+    let last = feed.after(1_999).expect("the latest are kept");
+    assert_eq!(revisions(&last), [2_000]);
+}
+
+#[test]
+fn trouble_is_told() {
+    let feed = open_feed();
+    feed.set_standing(Standing::Troubled);
+    assert!(feed.after(10).is_some_and(|part| part.is_troubled));
+}
+
+/// Two readers hear each other. A word that brings nothing new must end there,
+/// or they would answer each other for ever with a whole processor.
+#[test]
+fn what_is_known_wakes_nobody() {
+    let feed = open_feed();
+    feed.append(&[left(12)], 12);
+    let mut subscriber = feed.subscribe();
+    subscriber.mark_unchanged();
+    feed.append(&[], 12);
+    feed.append(&[], 11);
+    feed.set_standing(Standing::Open);
+    assert!(!subscriber.has_changed().expect("an open feed"));
+    feed.append(&[], 13);
+    assert!(subscriber.has_changed().expect("an open feed"));
+}
--- /dev/null
+++ b/crates/edge/src/following.rs
@@ -0,0 +1,241 @@
+//! Follows the platform's facts for as long as the process lives, on the control
+//! thread: reads the source, or hears nodes that do.
+
+mod knowledge;
+
+use std::net::IpAddr;
+use std::sync::Arc;
+
+use hornbeamhitch_dispatch::readers::{self, Role};
+use rand::RngExt;
+
+use crate::directory::DirectoryWriter;
+use crate::feed::{ChangeFeed, Standing, Subscriptions};
+use crate::prelude::*;
+use crate::source::{Source, SourceFault};
+use knowledge::Knowledge;
+
+/// How long a watch waits. A source that falls silent is noticed at its end at
+/// the latest; each wait costs one call.
+const WATCH_WAIT_MS: Millis = Millis(10_000);
+/// The same while the source is in trouble, so that its return is seen at once.
+const TROUBLED_WAIT_MS: Millis = Millis(1_000);
+/// Changes that come close together are fetched by one call, since each call
+/// returns at the first change: they are gathered for this part of the time in
+/// which a change must be in force. The rest is for a slow source.
+const GATHER_PERCENT: u64 = 60;
+/// The same for a node that tells others, who need time to notice its end and
+/// to read for themselves.
+const READER_GATHER_PERCENT: u64 = 30;
+/// Pauses after failed reads, from the first on.
+const FIRST_PAUSE_MS: Millis = Millis(150);
+const LONGEST_PAUSE_MS: Millis = Millis(1_200);
+/// A node stops to read for itself while it hears this many sound readers: with
+/// one alone, that reader's loss would be noticed only by its silence.
+const ENOUGH_READERS: usize = 2;
+
+/// What following needs to know of its node.
+#[derive(Clone, Debug)]
+pub struct FollowSettings {
+    /// This VM's address.
+    pub own_ip: IpAddr,
+    /// Where the gates of all VMs listen.
+    pub gate_port: u16,
+    /// Within this a change must be in force.
+    pub in_force_ms: Millis,
+}
+
+/// Follows a source; never returns.
+pub async fn follow(
+    source: Box<dyn Source>,
+    directory: DirectoryWriter,
+    feed: Arc<ChangeFeed>,
+    settings: FollowSettings,
+) {
+    let mut following = Following {
+        source,
+        knowledge: Knowledge::new(directory, feed),
+        subscriptions: Subscriptions::new(settings.gate_port),
+        role: Role::Alone,
+        settings,
+        failures: 0,
+    };
+    loop {
+        following.read_all().await;
+        following.keep_up().await;
+    }
+}
+
+struct Following {
+    source: Box<dyn Source>,
+    knowledge: Knowledge,
+    subscriptions: Subscriptions,
+    role: Role,
+    settings: FollowSettings,
+    /// Reads that failed in a row.
+    failures: u32,
+}
+
+impl Following {
+    /// Reads everything, as often as it takes.
+    async fn read_all(&mut self) {
+        loop {
+            match self.source.read_all().await {
+                Ok(listing) => {
+                    self.note_success();
+                    self.knowledge.replace(listing);
+                    return;
+                }
+                Err(fault) => self.pause_after(&fault).await,
+            }
+        }
+    }
+
+    /// Follows changes until everything has to be read anew.
+    async fn keep_up(&mut self) {
+        loop {
+            self.settle_role();
+            let is_told = self.subscriptions.sound() >= ENOUGH_READERS;
+            if is_told && !self.role.is_reader() {
+                self.note_success();
+                self.hear().await;
+                continue;
+            }
+            match self.watch().await {
+                Ok(()) => {}
+                Err(SourceFault::HistoryGone) => {
+                    log::info!("the source dropped its history; everything is read anew");
+                    return;
+                }
+                Err(fault) => self.pause_after(&fault).await,
+            }
+        }
+    }
+
+    /// Watches the source once and takes what came.
+    async fn watch(&mut self) -> Result<(), SourceFault> {
+        let wait_ms = match self.failures {
+            0 => WATCH_WAIT_MS,
+            _ => TROUBLED_WAIT_MS,
+        };
+        let watching = self.source.watch(self.knowledge.revision(), wait_ms);
+        let heard = &mut self.subscriptions;
+        let batch = while_hearing(watching, &mut self.knowledge, heard).await?;
+        self.note_success();
+        let has_changes = !batch.changes.is_empty();
+        self.knowledge.take(batch.changes, batch.revision);
+        if has_changes {
+            let gathering = tokio::time::sleep(self.gather_ms().to_duration());
+            while_hearing(gathering, &mut self.knowledge, &mut self.subscriptions).await;
+        }
+        Ok(())
+    }
+
+    /// Takes what a reader tells next.
+    async fn hear(&mut self) {
+        let next = self.subscriptions.next();
+        let event = with_expiry(next, &mut self.knowledge).await;
+        self.knowledge.hear(event);
+        self.subscriptions.note_known(self.knowledge.revision());
+    }
+
+    const fn gather_ms(&self) -> Millis {
+        let percent = if self.role.is_reader() {
+            READER_GATHER_PERCENT
+        } else {
+            GATHER_PERCENT
+        };
+        Millis(self.settings.in_force_ms.0 * percent / 100)
+    }
+
+    /// Draws the consequences of the targets that are known now.
+    fn settle_role(&mut self) {
+        self.subscriptions.note_known(self.knowledge.revision());
+        if !self.knowledge.take_members_changed() {
+            return;
+        }
+        let role = readers::role(&self.knowledge.members(), self.settings.own_ip);
+        if role == self.role {
+            return;
+        }
+        let name: &str = (&role).into();
+        let heard: Vec<String> = role.heard().iter().map(ToString::to_string).collect();
+        log::info!(role = name, readers = heard.join(" "); "this node's part in reading the source");
+        self.subscriptions.keep_to(role.heard());
+        self.role = role;
+        self.settle_standing();
+    }
+
+    /// Tells subscribers whether this node reads.
+    fn settle_standing(&self) {
+        let standing = match (self.role.is_reader(), self.failures) {
+            (false, _) => Standing::Closed,
+            (true, 0) => Standing::Open,
+            (true, _) => Standing::Troubled,
+        };
+        self.knowledge.feed().set_standing(standing);
+    }
+
+    fn note_success(&mut self) {
+        if self.failures == 0 {
+            return;
+        }
+        log::info!(
+            "the source is known again after {} failed reads",
+            self.failures
+        );
+        self.failures = 0;
+        self.settle_standing();
+    }
+
+    /// Waits longer after each failure, and never in step with other nodes.
+    async fn pause_after(&mut self, fault: &SourceFault) {
+        self.knowledge.note_trouble();
+        if self.failures == 0 {
+            log::warn!("the source is lost: {fault}");
+        }
+        let doubled = FIRST_PAUSE_MS.0 << self.failures.min(4);
+        self.failures += 1;
+        self.settle_standing();
+        let most = doubled.min(LONGEST_PAUSE_MS.0);
+        let pause = Millis(rand::rng().random_range(most / 2..=most));
+        let pausing = tokio::time::sleep(pause.to_duration());
+        while_hearing(pausing, &mut self.knowledge, &mut self.subscriptions).await;
+    }
+}
+
+/// Takes what readers tell while something else is waited for.
+async fn while_hearing<T>(
+    waiting: impl Future<Output = T>,
+    knowledge: &mut Knowledge,
+    subscriptions: &mut Subscriptions,
+) -> T {
+    let mut waiting = std::pin::pin!(waiting);
+    loop {
+        let either = async {
+            tokio::select! {
+                done = &mut waiting => Ok(done),
+                event = subscriptions.next() => Err(event),
+            }
+        };
+        match with_expiry(either, knowledge).await {
+            Ok(done) => return done,
+            Err(event) => knowledge.hear(event),
+        }
+        subscriptions.note_known(knowledge.revision());
+    }
+}
+
+/// Drops lapsed entries in time while something else is waited for.
+async fn with_expiry<T>(waiting: impl Future<Output = T>, knowledge: &mut Knowledge) -> T {
+    let mut waiting = std::pin::pin!(waiting);
+    loop {
+        let Some(at) = knowledge.expire() else {
+            return waiting.await;
+        };
+        tokio::select! {
+            done = &mut waiting => return done,
+            () = tokio::time::sleep_until(at) => {}
+        }
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod dialect;
 pub mod directory;
 pub mod entry;
+pub mod feed;
+pub mod following;
 pub mod gate;
 pub mod http1;
 pub mod link;
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -4,5 +4,7 @@
 mod framed;
 mod server;
 
+pub(crate) use framed::{FrameReader, LinkFault};
+
 pub use client::{Asked, LinkEvent, LinkPool, OutgoingCall};
 pub use server::LinkServer;
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -398,6 +398,8 @@
                 self.tell_whole_answer(id);
             }
             ToEntry::Ended { id, end } => self.tell_last(id, GateEvent::Ended(end)),
+            // Only subscribers are told these, on connections of their own.
+            ToEntry::Change(_) | ToEntry::KnownTo { .. } | ToEntry::NoFeed => {}
         }
     }
 
--- a/crates/edge/src/link/framed.rs
+++ b/crates/edge/src/link/framed.rs
@@ -15,7 +15,7 @@
 
 /// Why a link ended.
 #[derive(Debug, thiserror::Error)]
-pub(super) enum LinkFault {
+pub(crate) enum LinkFault {
     #[error("the other side closed")]
     Closed,
     #[error(transparent)]
@@ -26,13 +26,13 @@
 
 /// Reads frames.
 #[derive(Debug)]
-pub(super) struct FrameReader {
+pub(crate) struct FrameReader {
     inner: OwnedReadHalf,
     buffer: BytesMut,
 }
 
 impl FrameReader {
-    pub(super) fn new(inner: OwnedReadHalf) -> Self {
+    pub(crate) fn new(inner: OwnedReadHalf) -> Self {
         Self {
             inner,
             buffer: BytesMut::new(),
@@ -40,7 +40,7 @@
     }
 
     /// The next message. Safe to cancel: what was read stays in the buffer.
-    pub(super) async fn next<T: DeserializeOwned>(&mut self) -> Result<T, LinkFault> {
+    pub(crate) async fn next<T: DeserializeOwned>(&mut self) -> Result<T, LinkFault> {
         loop {
             if let Some(message) = link::decode(&mut self.buffer)? {
                 return Ok(message);
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -12,6 +12,7 @@
 
 use super::framed::{FrameReader, LinkFault, PartialBody, next_part, pass_on, write_frames};
 use crate::directory::adopt_facts;
+use crate::feed::ChangeFeed;
 use crate::gate::{CallBody, EventSink, Gate, GateEvent, GateRequest, Wanted};
 use crate::prelude::*;
 use crate::sockets;
@@ -32,12 +33,18 @@
     pub suspicion: Arc<Suspicion>,
     /// Facts in force.
     pub directory: SharedDirectory,
+    /// What subscribers are told.
+    pub feed: Arc<ChangeFeed>,
 }
 
 /// A node that has just started reads the store within this time, if it can be
 /// read; after that it asks whoever opens a link, and again as often.
 const ASK_FOR_FACTS_AFTER: Duration = Duration::from_millis(400);
 
+/// A subscriber hears something at least this often; it takes a longer silence
+/// for the loss of its reader.
+const TELL_AGAIN_AFTER: Duration = Duration::from_millis(250);
+
 /// A body that was kept back until the gate wants it.
 struct Arriving {
     body: PartialBody,
@@ -76,6 +83,7 @@
             gate: Arc::clone(&self.gate),
             directory: Arc::clone(&self.directory),
             suspicion: Arc::clone(&self.suspicion),
+            feed: Arc::clone(&self.feed),
             answers,
             in_hand: InHand::default(),
             arriving: HashMap::new(),
@@ -108,10 +116,39 @@
     }
 }
 
+/// Tells a subscriber what changes, until its link has ended or this node can
+/// tell no more.
+async fn tell_changes(feed: Arc<ChangeFeed>, known: u64, answers: Answers) {
+    let mut known = known;
+    let mut changed = feed.subscribe();
+    loop {
+        changed.mark_unchanged();
+        let Some(part) = feed.after(known) else {
+            // A link that has ended needs no answer.
+            let _ = answers.send(ToEntry::NoFeed);
+            return;
+        };
+        known = known.max(part.revision);
+        for change in part.changes {
+            let _ = answers.send(ToEntry::Change(change));
+        }
+        let known_to = ToEntry::KnownTo {
+            revision: part.revision,
+            is_troubled: part.is_troubled,
+        };
+        if answers.send(known_to).is_err() {
+            return;
+        }
+        // Whether the wait ends by a change or by its time makes no difference.
+        let _ = tokio::time::timeout(TELL_AGAIN_AFTER, changed.changed()).await;
+    }
+}
+
 struct Link {
     gate: Arc<Gate>,
     directory: SharedDirectory,
     suspicion: Arc<Suspicion>,
+    feed: Arc<ChangeFeed>,
     answers: Answers,
     in_hand: InHand,
     arriving: HashMap<CallId, Arriving>,
@@ -146,6 +183,10 @@
                 ToGate::Ping => {
                     let _ = self.answers.send(ToEntry::Pong);
                 }
+                ToGate::Follow { revision } => {
+                    let feed = Arc::clone(&self.feed);
+                    tokio::spawn(tell_changes(feed, revision, self.answers.clone()));
+                }
             }
         }
     }
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -3,14 +3,77 @@
 use std::future::Future;
 use std::pin::Pin;
 
-use crate::directory::DirectoryWriter;
+use serde::{Deserialize, Serialize};
 
-/// A source's work on the control thread.
-pub type SourceFuture = Pin<Box<dyn Future<Output = ()> + Send>>;
+use crate::prelude::*;
 
-/// Reads what a platform publishes and writes it to the directory, for as long
-/// as the process lives.
+/// One read of a source.
+pub type Reading<'a, T> = Pin<Box<dyn Future<Output = Result<T, SourceFault>> + Send + 'a>>;
+
+/// What a platform publishes, for reading.
+///
+/// The platform counts its changes with one revision that only rises. Reads may
+/// be dropped before they end.
 pub trait Source: Send {
-    /// Starts following; never returns while the process lives.
-    fn follow(self: Box<Self>, directory: DirectoryWriter) -> SourceFuture;
+    /// Reads everything.
+    fn read_all(&mut self) -> Reading<'_, Listing>;
+
+    /// Waits until something changes after a revision; empty when nothing did
+    /// for as long as `wait_ms`.
+    fn watch(&mut self, after: u64, wait_ms: Millis) -> Reading<'_, Changes>;
+}
+
+/// Why a read brought nothing.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SourceFault {
+    /// The changes after the revision are no longer held: everything has to be
+    /// read anew.
+    #[error("its history is gone")]
+    HistoryGone,
+    /// It could not be read, for this reason.
+    #[error("{0}")]
+    Failed(String),
+}
+
+/// Everything that is published.
+#[derive(Clone, Debug, Default)]
+pub struct Listing {
+    /// The configuration, if there is one that can be used.
+    pub routes: Option<RouteSet>,
+    /// The targets.
+    pub members: Vec<Member>,
+    /// Targets that are listed with an entry that cannot be used: what was known
+    /// of them stays in force.
+    pub unreadable: Vec<TargetId>,
+    /// Every change up to this revision is contained.
+    pub revision: u64,
+}
+
+/// Changes in their order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// The changes that can be used.
+    pub changes: Vec<Change>,
+    /// No change up to this revision is left out.
+    pub revision: u64,
+}
+
+/// One change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Revision at which it was made.
+    pub revision: u64,
+    /// What is so since.
+    pub fact: Fact,
+}
+
+/// What a change brought.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fact {
+    /// A configuration was written.
+    Routes(RouteSet),
+    /// A target's entry was written.
+    Listed(Member),
+    /// A target's entry was removed.
+    Left(TargetId),
 }
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod at_most_once;
 mod callers;
 mod crash_request;
+mod following;
 mod giving_up;
 mod links;
 mod routing;
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -1,6 +1,8 @@
 //! A small fleet in one process.
 
 pub mod caller;
+pub mod follower;
+pub mod source;
 pub mod target;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -15,6 +17,7 @@
 use hornbeamhitch_edge::dialect::TargetLoad;
 use hornbeamhitch_edge::directory::Directory;
 use hornbeamhitch_edge::entry::{Entry, EntryParts};
+use hornbeamhitch_edge::feed::ChangeFeed;
 use hornbeamhitch_edge::gate::{Gate, GateParts};
 use hornbeamhitch_edge::link::LinkServer;
 use hornbeamhitch_edge::prelude::*;
@@ -157,7 +160,7 @@
 
 /// Gates listen at one port on every VM, so a port is sought that is free on as
 /// many loopback addresses.
-async fn same_port(count: usize) -> (u16, Vec<(IpAddr, TcpListener)>) {
+pub async fn same_port(count: usize) -> (u16, Vec<(IpAddr, TcpListener)>) {
     static NEXT_NET: AtomicU16 = AtomicU16::new(1);
     loop {
         let net = NEXT_NET.fetch_add(1, Ordering::Relaxed);
@@ -181,6 +184,17 @@
     }
 }
 
+/// The gate's end of links, in a life of its own.
+pub fn link_server(parts: GateParts, feed: Arc<ChangeFeed>) -> LinkServer {
+    LinkServer {
+        incarnation: Incarnation(rand::random()),
+        suspicion: Arc::clone(&parts.suspicion),
+        directory: Arc::clone(&parts.directory),
+        gate: Arc::new(Gate::new(parts)),
+        feed,
+    }
+}
+
 pub async fn start_vm(
     service: &str,
     target: FakeTarget,
@@ -195,7 +209,7 @@
     let metrics = Metrics::new(&VmId::new("vm"), &service, &data_centre).expect("metrics");
     let metrics = Arc::new(metrics);
     let suspicion = Arc::new(Suspicion::new(clock));
-    let gate = Arc::new(Gate::new(GateParts {
+    let parts = GateParts {
         service: service.clone(),
         target: TargetClient::new(target.address, Arc::clone(&dialect), clock),
         directory: Arc::clone(directory),
@@ -204,8 +218,10 @@
         target_address: target.address,
         suspicion: Arc::clone(&suspicion),
         metrics: Arc::clone(&metrics),
-    }));
-    let incarnation = Incarnation(rand::random());
+    };
+    let server = link_server(parts, ChangeFeed::default().into());
+    let gate = Arc::clone(&server.gate);
+    let incarnation = server.incarnation;
     let entry = Arc::new(Entry::new(EntryParts {
         service: service.clone(),
         data_centre,
@@ -217,7 +233,7 @@
         clock,
         incarnation,
         metrics,
-        suspicion: Arc::clone(&suspicion),
+        suspicion,
         uploads: UploadLimits::new(Duration::from_secs(5), BUFFERED_BYTES),
         retry_limit: RetryLimit {
             ratio: 0.2,
@@ -226,12 +242,6 @@
         },
         seed: 1,
     }));
-    let server = LinkServer {
-        gate: Arc::clone(&gate),
-        incarnation,
-        suspicion,
-        directory: Arc::clone(directory),
-    };
     tokio::spawn(server.accept(links));
     let listener = TcpListener::bind((target.address.ip(), 0))
         .await
--- /dev/null
+++ b/crates/edge/tests/all/support/follower.rs
@@ -0,0 +1,193 @@
+//! Nodes that follow a source, each with its own directory and links.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use hornbeamhitch_dispatch::readers::{self, Role};
+use hornbeamhitch_edge::directory::{Directory, DirectoryWriter};
+use hornbeamhitch_edge::feed::ChangeFeed;
+use hornbeamhitch_edge::following::{self, FollowSettings};
+use hornbeamhitch_edge::gate::GateParts;
+use hornbeamhitch_edge::prelude::*;
+use hornbeamhitch_edge::source::Fact;
+use hornbeamhitch_edge::suspicion::Suspicion;
+use hornbeamhitch_edge::target::TargetClient;
+use hornbeamhitch_node::metrics::Metrics;
+use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+
+use super::source::{Published, TestSource};
+use super::{TestDialect, link_server, member, same_port};
+
+/// Within this changes must be in force.
+const IN_FORCE_MS: Millis = Millis(1_000);
+
+/// One node, on a thread of its own.
+pub struct Follower {
+    pub ip: IpAddr,
+    pub source: TestSource,
+    pub directory: SharedDirectory,
+    runtime: Handle,
+    /// Its drop ends the thread.
+    _alive: oneshot::Sender<()>,
+}
+
+/// Nodes of one data centre that follow the same source.
+pub struct Followers {
+    pub published: Published,
+    pub nodes: Vec<Follower>,
+}
+
+/// Starts nodes, and waits until each knows all and has its role.
+pub async fn followers(count: usize) -> Followers {
+    let published = Published::new();
+    published.put_version(1);
+    let (port, listeners) = same_port(count).await;
+    for (number, (ip, _)) in listeners.iter().enumerate() {
+        let listed = member(number, "s", SocketAddr::new(*ip, port));
+        published.put(Fact::Listed(listed));
+    }
+    let mut nodes = Vec::new();
+    for (ip, listener) in listeners {
+        nodes.push(Follower::start(&published, ip, port, listener));
+    }
+    let followers = Followers { published, nodes };
+    followers.until_told().await;
+    followers
+}
+
+impl Followers {
+    /// Waits until whoever follows others has stopped to read for itself: a
+    /// change then costs it no call.
+    async fn until_told(&self) {
+        let mut version = 1;
+        loop {
+            let before: Vec<u64> = self.nodes.iter().map(|node| node.source.calls()).collect();
+            version += 1;
+            self.published.put_version(version);
+            self.until_version(version).await;
+            tokio::time::sleep(IN_FORCE_MS.to_duration()).await;
+            let mut before = before.into_iter();
+            let settled = self.nodes.iter().all(|node| {
+                let before = before.next().expect("as many as nodes");
+                node.reads() || node.source.calls() == before
+            });
+            if settled {
+                return;
+            }
+        }
+    }
+
+    /// Waits until a version is in force everywhere.
+    pub async fn until_version(&self, version: u64) {
+        for node in &self.nodes {
+            node.until_version(version).await;
+        }
+    }
+
+    /// The version in force at the first node.
+    pub fn version(&self) -> u64 {
+        self.nodes[0].version()
+    }
+
+    pub fn calls(&self) -> u64 {
+        self.nodes.iter().map(|node| node.source.calls()).sum()
+    }
+
+    pub fn readers(&self) -> impl Iterator<Item = &Follower> {
+        self.nodes.iter().filter(|node| node.reads())
+    }
+}
+
+impl Follower {
+    fn start(published: &Published, ip: IpAddr, port: u16, listener: TcpListener) -> Self {
+        let clock = ProcessClock::start();
+        let directory: SharedDirectory = Arc::new(ArcSwap::from_pointee(Directory::default()));
+        let feed = Arc::new(ChangeFeed::default());
+        let target_address = SocketAddr::new(ip, port);
+        let service = ServiceName::new("s");
+        let metrics = Metrics::new(&VmId::new("vm"), &service, &DataCentre::new("here"));
+        let dialect: Arc<dyn Dialect> = Arc::new(TestDialect);
+        let parts = GateParts {
+            service,
+            target: TargetClient::new(target_address, Arc::clone(&dialect), clock),
+            directory: Arc::clone(&directory),
+            dialect,
+            clock,
+            target_address,
+            suspicion: Arc::new(Suspicion::new(clock)),
+            metrics: Arc::new(metrics.expect("metrics")),
+        };
+        let server = link_server(parts, Arc::clone(&feed));
+        let source = published.source();
+        let settings = FollowSettings {
+            own_ip: ip,
+            gate_port: port,
+            in_force_ms: IN_FORCE_MS,
+        };
+        let writer = DirectoryWriter::new(Arc::clone(&directory), clock);
+        let following = following::follow(Box::new(source.clone()), writer, feed, settings);
+        let listener = listener.into_std().expect("an open socket");
+        let (alive, ended) = oneshot::channel();
+        let runtime = on_own_thread(ended);
+        runtime.spawn(async move {
+            let listener = TcpListener::from_std(listener).expect("an open socket");
+            server.accept(listener).await;
+        });
+        runtime.spawn(following);
+        Self {
+            ip,
+            source,
+            directory,
+            runtime,
+            _alive: alive,
+        }
+    }
+
+    /// The node does nothing more; its links stay open.
+    pub fn freeze(&self) {
+        self.runtime.spawn(async {
+            loop {
+                std::thread::park();
+            }
+        });
+    }
+
+    /// Whether it reads for others.
+    pub fn reads(&self) -> bool {
+        let role = readers::role(&self.directory.load().members, self.ip);
+        matches!(role, Role::Reader(_))
+    }
+
+    pub fn version(&self) -> u64 {
+        let directory = self.directory.load();
+        directory.routes.as_ref().map_or(0, |known| known.version())
+    }
+
+    pub async fn until_version(&self, version: u64) {
+        let waiting = async {
+            while self.version() < version {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        let waited = tokio::time::timeout(Duration::from_secs(30), waiting).await;
+        assert!(waited.is_ok(), "{} waited in vain for {version}", self.ip);
+    }
+}
+
+/// A runtime that runs until the channel is closed.
+fn on_own_thread(ended: oneshot::Receiver<()>) -> Handle {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = runtime.expect("a runtime");
+    let handle = runtime.handle().clone();
+    std::thread::spawn(move || {
+        // The sender is only ever dropped.
+        let _ = runtime.block_on(ended);
+    });
+    handle
+}
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -192,6 +192,12 @@
     Facts(Bytes),
     /// Are you there?
     Ping,
+    /// A subscription: tell what changed after this revision of the platform's
+    /// list, now and from now on.
+    Follow {
+        /// Up to this revision everything is known.
+        revision: u64,
+    },
 }
 
 /// From a gate to an entry.
@@ -245,6 +251,19 @@
     WantsFacts,
     /// I am.
     Pong,
+    /// One change of routes or targets, for a subscriber. It counts once
+    /// [`Self::KnownTo`] follows.
+    Change(Bytes),
+    /// Every change up to this revision was told. Sent again when there is
+    /// nothing to tell, so that silence means trouble.
+    KnownTo {
+        /// The revision.
+        revision: u64,
+        /// The reader's own last read failed.
+        is_troubled: bool,
+    },
+    /// This node is no reader, or no longer knows what came after the revision.
+    NoFeed,
 }
 
 /// Appends a message as a frame.
