Tell followers what changed when the source drops its history

Cause: the store drops its history and cuts its watches; readers fail, say so, and all followers turn to the store in that very moment. It took their watches and did not answer until the next change, five seconds later. Each follower waited ten seconds, as one does in calm times.

Ruled out: a silent connection (the answer came on it at last), and a follower whose revision was ahead (it was told of the history's end later).

Change: a reader that has read everything anew tells the difference, so that its subscribers need not read at all; whoever lost its readers pauses for up to 300 ms, in which a reader has mostly read again, and watches for one second only. Targets come into force before the routes that may lead to them.

--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -146,6 +146,15 @@
     }
 }
 
+/// What a complete listing changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Difference {
+    /// Entries that are new or other than they were known.
+    pub written: Vec<Member>,
+    /// Targets that are no longer listed.
+    pub removed: Vec<TargetId>,
+}
+
 /// Follows the platform's list on the control thread.
 #[derive(Debug, Default)]
 pub struct MemberTracker {
@@ -196,23 +205,30 @@
         }
     }
 
-    /// Takes over a complete listing: what is not in it was removed. Targets
-    /// whose entries are listed and cannot be read stay as they were known.
-    pub fn replace(&mut self, listed: Vec<Member>, unreadable: &[TargetId], now: Millis) {
+    /// What a complete listing changes. Targets whose entries are listed and
+    /// cannot be read stay as they were known.
+    #[must_use]
+    pub fn difference(&self, listed: Vec<Member>, unreadable: &[TargetId]) -> Difference {
         let mut ids: BTreeSet<TargetId> = listed.iter().map(|member| member.id.clone()).collect();
         ids.extend(unreadable.iter().cloned());
-        let missing: Vec<TargetId> = self
-            .known
-            .keys()
-            .filter(|id| !ids.contains(*id))
-            .cloned()
-            .collect();
+        let mut difference = Difference::default();
         for member in listed {
-            self.upsert(member);
+            if !self.is_known_so(&member) {
+                difference.written.push(member);
+            }
         }
-        for id in missing {
-            self.remove(&id, now);
+        for id in self.known.keys() {
+            if !ids.contains(id) {
+                difference.removed.push(id.clone());
+            }
         }
+        difference
+    }
+
+    /// Whether a target is known by just this entry, which is not missing.
+    fn is_known_so(&self, member: &Member) -> bool {
+        let tracked = self.known.get(&member.id);
+        tracked.is_some_and(|tracked| tracked.missing_until.is_none() && *tracked.member == *member)
     }
 
     /// The store could not be read just now.
--- a/crates/dispatch/src/members/tests.rs
+++ b/crates/dispatch/src/members/tests.rs
@@ -16,6 +16,17 @@
     }
 }
 
+/// Takes over a complete listing.
+fn replace(tracker: &mut MemberTracker, listed: Vec<Member>, unreadable: &[TargetId], now: Millis) {
+    let difference = tracker.difference(listed, unreadable);
+    for member in difference.written {
+        tracker.upsert(member);
+    }
+    for id in difference.removed {
+        tracker.remove(&id, now);
+    }
+}
+
 fn open_ids(tracker: &MemberTracker) -> Vec<String> {
     let members = tracker.snapshot();
     let open = members.open(&ServiceName::new("cashier"));
@@ -52,7 +63,12 @@
     tracker.upsert(member("i-1", "10.0.0.1:80"));
     tracker.upsert(member("i-2", "10.0.0.2:80"));
     tracker.note_trouble(Millis(5_000));
-    tracker.replace(vec![member("i-1", "10.0.0.1:80")], &[], Millis(5_100));
+    replace(
+        &mut tracker,
+        vec![member("i-1", "10.0.0.1:80")],
+        &[],
+        Millis(5_100),
+    );
     assert_eq!(open_ids(&tracker), ["i-1", "i-2"]);
     assert!(!tracker.expire(Millis(7_099)));
     assert!(tracker.expire(Millis(7_100)));
@@ -103,6 +119,23 @@
     tracker.upsert(member("i-1", "10.0.0.1:80"));
     tracker.upsert(member("i-2", "10.0.0.2:80"));
     let listed = vec![member("i-2", "10.0.0.2:80")];
-    tracker.replace(listed, &[TargetId::new("i-1")], Millis(10));
+    replace(&mut tracker, listed, &[TargetId::new("i-1")], Millis(10));
     assert_eq!(open_ids(&tracker), ["i-1", "i-2"]);
 }
+
+/// The list is read anew and is as it was known: subscribers must not be told of
+/// a thousand targets that did not change. One that was missing is told of.
+#[test]
+fn a_listing_changes_what_is_other_than_it_was_known() {
+    let mut tracker = MemberTracker::default();
+    let listed = [member("i-1", "10.0.0.1:80"), member("i-2", "10.0.0.2:80")];
+    for member in &listed {
+        tracker.upsert(member.clone());
+    }
+    let difference = tracker.difference(listed.to_vec(), &[]);
+    assert_eq!(difference, Difference::default());
+    tracker.note_trouble(Millis(5_000));
+    tracker.remove(&TargetId::new("i-2"), Millis(5_100));
+    let difference = tracker.difference(listed.to_vec(), &[]);
+    assert_eq!(difference.written, listed[1..]);
+}
--- a/crates/dispatch/src/members/tests/properties.rs
+++ b/crates/dispatch/src/members/tests/properties.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 
 use super::super::*;
-use super::member;
+use super::{member, replace};
 
 /// Lives that the news speak of; two each share an address.
 const LIVES: u64 = 8;
@@ -52,7 +52,7 @@
         News::Removed(number) => tracker.remove(&id(*number), *now),
         News::Listed(numbers) => {
             let listed = numbers.iter().map(|number| life(*number)).collect();
-            tracker.replace(listed, &[], *now);
+            replace(tracker, listed, &[], *now);
         }
         News::Trouble => tracker.note_trouble(*now),
         News::Later(span_ms) => {
--- a/crates/dispatch/src/readers.rs
+++ b/crates/dispatch/src/readers.rs
@@ -58,6 +58,12 @@
     pub const fn is_reader(&self) -> bool {
         matches!(self, Self::Reader(_))
     }
+
+    /// Whether this node leaves reading to others.
+    #[must_use]
+    pub const fn is_follower(&self) -> bool {
+        matches!(self, Self::Follower(_))
+    }
 }
 
 /// The role of the node on this VM, given the targets it knows. A VM that is not
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -1,6 +1,6 @@
 //! Settings of one node on the routed path.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use hornbeamhitch_dispatch::retry_budget::RetryLimit;
 
@@ -15,6 +15,8 @@
     pub service: ServiceName,
     /// Where the VM stands.
     pub data_centre: DataCentre,
+    /// Where other VMs reach this one.
+    pub vm_ip: IpAddr,
     /// Where callers on this VM send.
     pub callers_address: SocketAddr,
     /// Where the gates of other VMs listen as well, on the same port.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -106,7 +106,7 @@
     let feed = Arc::new(ChangeFeed::default());
     let writer = DirectoryWriter::new(Arc::clone(&directory), clock);
     let settings = FollowSettings {
-        own_ip: config.target_address.ip(),
+        own_ip: config.vm_ip,
         gate_port: config.links_address.port(),
         in_force_ms: config.in_force_ms,
     };
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use hornbeamhitch_dispatch::members::MemberTracker;
+use hornbeamhitch_dispatch::members::{Difference, MemberTracker};
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
@@ -130,10 +130,11 @@
         self.tracker.remove(id, self.clock.now());
     }
 
-    /// A complete listing was read.
-    /// Targets whose entries could not be read stay as they were known.
-    pub fn replace(&mut self, members: Vec<Member>, unreadable: &[TargetId]) {
-        self.tracker.replace(members, unreadable, self.clock.now());
+    /// What a complete listing changes. Targets whose entries are listed and
+    /// could not be read stay as they were known.
+    #[must_use]
+    pub fn difference(&self, listed: Vec<Member>, unreadable: &[TargetId]) -> Difference {
+        self.tracker.difference(listed, unreadable)
     }
 
     /// The source could not be read.
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -79,16 +79,6 @@
 }
 
 impl ChangeFeed {
-    /// Everything was read anew: what came before is not kept.
-    pub fn restart(&self, revision: u64) {
-        let mut state = self.state.lock();
-        state.kept.clear();
-        state.base = revision;
-        state.revision = revision;
-        drop(state);
-        self.wake();
-    }
-
     /// Adds changes, after which everything up to `revision` is known.
     ///
     /// Subscribers are woken only by what is new. Readers hear each other: woken
--- a/crates/edge/src/feed/tests.rs
+++ b/crates/edge/src/feed/tests.rs
@@ -23,7 +23,7 @@
 
 fn open_feed() -> ChangeFeed {
     let feed = ChangeFeed::default();
-    feed.restart(10);
+    feed.append(&[left(10)], 10);
     feed.set_standing(Standing::Open);
     feed
 }
@@ -50,9 +50,7 @@
 #[test]
 fn a_subscriber_from_before_the_kept_changes_is_told_nothing() {
     let feed = open_feed();
-    feed.append(&[left(12)], 12);
-    assert_eq!(feed.after(9), None);
-    for revision in 13..=2_000 {
+    for revision in 12..=2_000 {
         feed.append(&[left(revision)], revision);
     }
     assert_eq!(feed.after(12), None);
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -18,7 +18,9 @@
 /// How long a watch waits. A source that falls silent is noticed at its end at
 /// the latest; each wait costs one call.
 const WATCH_WAIT_MS: Millis = Millis(10_000);
-/// The same while the source is in trouble, so that its return is seen at once.
+/// The same while the source is in trouble, so that its return is seen at once,
+/// and while the readers are lost: they are lost together when the source drops
+/// its history, and it takes watches in that moment that it never answers.
 const TROUBLED_WAIT_MS: Millis = Millis(1_000);
 /// Changes that come close together are fetched by one call, since each call
 /// returns at the first change: they are gathered for this part of the time in
@@ -30,6 +32,10 @@
 /// Pauses after failed reads, from the first on.
 const FIRST_PAUSE_MS: Millis = Millis(150);
 const LONGEST_PAUSE_MS: Millis = Millis(1_200);
+/// Pause of a node that lost its readers, before it reads for itself. A reader
+/// whose read failed reads again before it ends, so that one failed call of a
+/// reader does not make a call of each of its subscribers.
+const LOST_READERS_PAUSE_MS: Millis = Millis(300);
 /// A node stops to read for itself while it hears this many sound readers: with
 /// one alone, that reader's loss would be noticed only by its silence.
 const ENOUGH_READERS: usize = 2;
@@ -95,10 +101,13 @@
     async fn keep_up(&mut self) {
         loop {
             self.settle_role();
-            let is_told = self.subscriptions.sound() >= ENOUGH_READERS;
-            if is_told && !self.role.is_reader() {
+            if self.is_told() {
                 self.note_success();
                 self.hear().await;
+                if !self.is_told() {
+                    // Not in step with all others who heard the same readers.
+                    self.pause(LOST_READERS_PAUSE_MS).await;
+                }
                 continue;
             }
             match self.watch().await {
@@ -112,11 +121,17 @@
         }
     }
 
+    /// Whether this node is told enough to leave reading to others.
+    fn is_told(&self) -> bool {
+        self.role.is_follower() && self.subscriptions.sound() >= ENOUGH_READERS
+    }
+
     /// Watches the source once and takes what came.
     async fn watch(&mut self) -> Result<(), SourceFault> {
-        let wait_ms = match self.failures {
-            0 => WATCH_WAIT_MS,
-            _ => TROUBLED_WAIT_MS,
+        let wait_ms = if self.failures == 0 && !self.role.is_follower() {
+            WATCH_WAIT_MS
+        } else {
+            TROUBLED_WAIT_MS
         };
         let watching = self.source.watch(self.knowledge.revision(), wait_ms);
         let heard = &mut self.subscriptions;
@@ -197,8 +212,12 @@
         let doubled = FIRST_PAUSE_MS.0 << self.failures.min(4);
         self.failures += 1;
         self.settle_standing();
-        let most = doubled.min(LONGEST_PAUSE_MS.0);
-        let pause = Millis(rand::rng().random_range(most / 2..=most));
+        self.pause(Millis(doubled.min(LONGEST_PAUSE_MS.0))).await;
+    }
+
+    /// Waits for half of a span or more, drawn at random.
+    async fn pause(&mut self, most: Millis) {
+        let pause = Millis(rand::rng().random_range(most.0 / 2..=most.0));
         let pausing = tokio::time::sleep(pause.to_duration());
         while_hearing(pausing, &mut self.knowledge, &mut self.subscriptions).await;
     }
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -51,15 +51,25 @@
         std::mem::replace(&mut self.members_changed, false)
     }
 
-    /// Takes over everything that was read.
+    /// Takes over everything that was read, as changes to what was known.
+    ///
+    /// Failure answered: the source drops its history, and each reader reads
+    /// everything anew. If subscribers were not told the difference, all of them
+    /// would turn to the source in that moment, with what they know from before.
     pub(super) fn replace(&mut self, listing: Listing) {
-        if let Some(routes) = listing.routes {
-            self.directory.set_routes(routes);
-        }
-        self.directory.replace(listing.members, &listing.unreadable);
-        self.publish_members();
-        self.revision = listing.revision;
-        self.feed.restart(self.revision);
+        let revision = listing.revision;
+        let in_force = self.directory.version();
+        let is_new = |routes: &RouteSet| in_force.is_none_or(|known| routes.version() > known);
+        let routes = listing.routes.filter(is_new);
+        let difference = self
+            .directory
+            .difference(listing.members, &listing.unreadable);
+        let mut facts = Vec::new();
+        facts.extend(routes.map(Fact::Routes));
+        facts.extend(difference.written.into_iter().map(Fact::Listed));
+        facts.extend(difference.removed.into_iter().map(Fact::Left));
+        let changes = facts.into_iter().map(|fact| Change { revision, fact });
+        self.take(changes.collect(), revision);
     }
 
     /// Takes changes, after which everything up to `revision` is known.
@@ -68,13 +78,29 @@
         new.retain(|change| change.revision > self.revision);
         self.feed.append(&new, revision);
         self.revision = revision.max(self.revision);
+        let mut routes = Vec::new();
         let mut members_changed = false;
         for change in new {
-            members_changed |= self.take_fact(change.fact);
+            match change.fact {
+                Fact::Routes(written) => routes.push(written),
+                Fact::Listed(member) => {
+                    self.directory.upsert(member);
+                    members_changed = true;
+                }
+                Fact::Left(id) => {
+                    log::info!("the target {id} has left the list");
+                    self.directory.remove(&id);
+                    members_changed = true;
+                }
+            }
         }
         if members_changed {
             self.publish_members();
         }
+        // After the targets, which new routes may lead to.
+        for written in routes {
+            self.directory.set_routes(written);
+        }
     }
 
     /// Takes what a reader told.
@@ -106,24 +132,6 @@
         Some(self.directory.clock().to_instant(at))
     }
 
-    fn take_fact(&mut self, fact: Fact) -> bool {
-        match fact {
-            Fact::Routes(routes) => {
-                self.directory.set_routes(routes);
-                false
-            }
-            Fact::Listed(member) => {
-                self.directory.upsert(member);
-                true
-            }
-            Fact::Left(id) => {
-                log::info!("the target {id} has left the list");
-                self.directory.remove(&id);
-                true
-            }
-        }
-    }
-
     fn publish_members(&mut self) {
         self.directory.publish_members();
         self.members_changed = true;
--- a/crates/edge/tests/all/following.rs
+++ b/crates/edge/tests/all/following.rs
@@ -1,10 +1,11 @@
 //! Nodes that learn of changes from others.
 
+use hornbeamhitch_edge::prelude::*;
 use hornbeamhitch_edge::source::Fact;
 
-use crate::support::follower::followers;
+use crate::support::follower::{Follower, followers};
 use crate::support::member;
-use crate::support::source::Mood;
+use crate::support::source::{Mood, version_fact};
 
 /// More than everyone reads for itself at.
 const NODES: usize = 12;
@@ -71,6 +72,50 @@
     }
 }
 
+/// The readers lose the platform, and the others turn to it in that moment. It
+/// may take their watches and forget them, as it does while it drops its history:
+/// a watch that waits long would keep them from every change for as long.
+#[tokio::test]
+async fn whoever_lost_its_readers_watches_for_a_short_time_only() {
+    let followers = followers(NODES).await;
+    for reader in followers.readers() {
+        reader.source.set_mood(Mood::Failing);
+    }
+    let rest = followers.nodes.iter().filter(|node| !node.reads());
+    for node in rest {
+        node.until_read().await;
+        assert!(node.source.last_wait_ms() <= Millis(1_000), "{}", node.ip);
+    }
+}
+
+/// The source drops its history with changes that no watch has seen. The readers
+/// read everything anew and tell the others what is different; did they not, all
+/// nodes would turn to the source at once, knowing only what was before.
+#[tokio::test]
+async fn a_dropped_history_is_made_up_for_by_the_readers() {
+    let followers = followers(NODES).await;
+    let gone = member(90, "s", ([127, 0, 0, 1], 9).into());
+    followers.published.put(Fact::Listed(gone.clone()));
+    let version = followers.version() + 1;
+    followers.published.put_version(version);
+    followers.until_version(version).await;
+    let told: Vec<_> = followers
+        .nodes
+        .iter()
+        .filter(|node| !node.reads())
+        .collect();
+    let calls = |told: &[&Follower]| -> u64 { told.iter().map(|node| node.source.calls()).sum() };
+    let before = calls(&told);
+    let unseen = vec![Fact::Left(gone.id.clone()), version_fact(version + 1)];
+    followers.published.put_unseen(unseen);
+    followers.until_version(version + 1).await;
+    assert_eq!(calls(&told), before);
+    for node in &followers.nodes {
+        let directory = node.directory.load();
+        assert!(directory.members.get(&gone.id).is_none(), "{}", node.ip);
+    }
+}
+
 /// A target leaves while others are told by readers. It must not come back by
 /// what is told late, by a reader that learnt of its arrival after its end.
 #[tokio::test]
--- a/crates/edge/tests/all/support/follower.rs
+++ b/crates/edge/tests/all/support/follower.rs
@@ -167,6 +167,18 @@
         directory.routes.as_ref().map_or(0, |known| known.version())
     }
 
+    /// Waits for its next call to the source.
+    pub async fn until_read(&self) {
+        let before = self.source.calls();
+        let waiting = async {
+            while self.source.calls() == before {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        let waited = tokio::time::timeout(Duration::from_secs(30), waiting).await;
+        assert!(waited.is_ok(), "{} does not read", self.ip);
+    }
+
     pub async fn until_version(&self, version: u64) {
         let waiting = async {
             while self.version() < version {
--- a/crates/edge/tests/all/support/source.rs
+++ b/crates/edge/tests/all/support/source.rs
@@ -31,6 +31,8 @@
 #[derive(Debug, Default)]
 struct State {
     revision: u64,
+    /// Watches from before this revision are told that the history is gone.
+    forgotten: u64,
     history: Vec<Change>,
     members: BTreeMap<TargetId, Member>,
     routes: Option<RouteSet>,
@@ -47,26 +49,24 @@
 
     /// Publishes a change.
     pub fn put(&self, fact: Fact) {
+        self.state.lock().put(fact);
+        self.changed.send_replace(());
+    }
+
+    /// Publishes changes that no watch sees, as the history is dropped.
+    pub fn put_unseen(&self, facts: Vec<Fact>) {
         let mut state = self.state.lock();
-        match &fact {
-            Fact::Routes(routes) => state.routes = Some(routes.clone()),
-            Fact::Listed(member) => {
-                state.members.insert(member.id.clone(), member.clone());
-            }
-            Fact::Left(id) => {
-                state.members.remove(id);
-            }
+        for fact in facts {
+            state.put(fact);
         }
-        state.revision += 1;
-        let revision = state.revision;
-        state.history.push(Change { revision, fact });
+        state.forgotten = state.revision;
+        state.history.clear();
         drop(state);
         self.changed.send_replace(());
     }
 
     pub fn put_version(&self, version: u64) {
-        let routes = RouteSet::new(version, CallerLimits::default());
-        self.put(Fact::Routes(routes));
+        self.put(version_fact(version));
     }
 
     /// One node's way to it.
@@ -75,7 +75,29 @@
             published: self.clone(),
             mood: watch::channel(Mood::Calm).0.into(),
             calls: Arc::default(),
+            last_wait_ms: Arc::default(),
+        }
+    }
+}
+
+pub fn version_fact(version: u64) -> Fact {
+    Fact::Routes(RouteSet::new(version, CallerLimits::default()))
+}
+
+impl State {
+    fn put(&mut self, fact: Fact) {
+        match &fact {
+            Fact::Routes(routes) => self.routes = Some(routes.clone()),
+            Fact::Listed(member) => {
+                self.members.insert(member.id.clone(), member.clone());
+            }
+            Fact::Left(id) => {
+                self.members.remove(id);
+            }
         }
+        self.revision += 1;
+        let revision = self.revision;
+        self.history.push(Change { revision, fact });
     }
 }
 
@@ -85,6 +107,8 @@
     published: Published,
     mood: Arc<watch::Sender<Mood>>,
     calls: Arc<AtomicU64>,
+    /// How long the last watch was to wait.
+    last_wait_ms: Arc<AtomicU64>,
 }
 
 impl TestSource {
@@ -96,6 +120,10 @@
         self.calls.load(Ordering::Relaxed)
     }
 
+    pub fn last_wait_ms(&self) -> Millis {
+        Millis(self.last_wait_ms.load(Ordering::Relaxed))
+    }
+
     /// Counts a call, and ends at once unless the source is silent.
     async fn call(&self) -> Result<(), SourceFault> {
         self.calls.fetch_add(1, Ordering::Relaxed);
@@ -111,16 +139,19 @@
         }
     }
 
-    fn after(&self, revision: u64) -> Changes {
+    fn after(&self, revision: u64) -> Result<Changes, SourceFault> {
         let state = self.published.state.lock();
+        if revision < state.forgotten {
+            return Err(SourceFault::HistoryGone);
+        }
         let new = state
             .history
             .iter()
             .filter(|change| change.revision > revision);
-        Changes {
+        Ok(Changes {
             changes: new.cloned().collect(),
             revision: state.revision,
-        }
+        })
     }
 }
 
@@ -139,6 +170,7 @@
     }
 
     fn watch(&mut self, after: u64, wait_ms: Millis) -> Reading<'_, Changes> {
+        self.last_wait_ms.store(wait_ms.0, Ordering::Relaxed);
         Box::pin(async move {
             self.call().await?;
             let mut changed = self.published.changed.subscribe();
@@ -146,7 +178,7 @@
                 loop {
                     changed.mark_unchanged();
                     self.answers().await?;
-                    let changes = self.after(after);
+                    let changes = self.after(after)?;
                     if !changes.changes.is_empty() {
                         return Ok(changes);
                     }
@@ -154,7 +186,7 @@
                 }
             };
             let waited = tokio::time::timeout(wait_ms.to_duration(), waiting).await;
-            waited.unwrap_or_else(|_| Ok(self.after(after)))
+            waited.unwrap_or_else(|_| self.after(after))
         })
     }
 }
