Let a node whose VM is not listed hear the readers beside it

Cause: its VM's entry had lapsed with the cut, so it took itself for alone and read for itself, in vain.

A node now knows its data centre by its settings; not listed, it hears the readers there.

--- a/crates/dispatch/src/readers.rs
+++ b/crates/dispatch/src/readers.rs
@@ -66,12 +66,15 @@
     }
 }
 
-/// The role of the node on this VM, given the targets it knows. A VM that is not
-/// listed reads for itself.
+/// The role of a node in this data centre, given the targets it knows.
+///
+/// A VM that is not listed is no reader, and hears those beside it. Failure
+/// answered: cut off from the platform, a VM's own entry lapses; reading for
+/// itself, its node would learn nothing until the cut heals.
 #[must_use]
-pub fn role(members: &Members, own: IpAddr) -> Role {
+pub fn role(members: &Members, own: IpAddr, data_centre: &DataCentre) -> Role {
     let data_centres = vms_by_data_centre(members);
-    let Some(beside) = data_centres.values().find(|vms| vms.contains(&own)) else {
+    let Some(beside) = data_centres.get(data_centre) else {
         return Role::Alone;
     };
     if beside.len() <= MAX_VMS_WITHOUT_READERS {
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -107,6 +107,7 @@
     let writer = DirectoryWriter::new(Arc::clone(&directory), clock);
     let settings = FollowSettings {
         own_ip: config.vm_ip,
+        data_centre: config.data_centre.clone(),
         gate_port: config.links_address.port(),
         in_force_ms: config.in_force_ms,
     };
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -45,6 +45,8 @@
 pub struct FollowSettings {
     /// This VM's address.
     pub own_ip: IpAddr,
+    /// Where it stands.
+    pub data_centre: DataCentre,
     /// Where the gates of all VMs listen.
     pub gate_port: u16,
     /// Within this a change must be in force.
@@ -169,7 +171,9 @@
         if !self.knowledge.take_members_changed() {
             return;
         }
-        let role = readers::role(&self.knowledge.members(), self.settings.own_ip);
+        let settings = &self.settings;
+        let members = self.knowledge.members();
+        let role = readers::role(&members, settings.own_ip, &settings.data_centre);
         if role == self.role {
             return;
         }
