--- /dev/null
+++ b/tests/all/at_most_once/callers.rs
@@ -0,0 +1,155 @@
+//! Callers that leave, or send the same payment more than once.
+
+use eyre::Result;
+use hornbeamhitch_standins::target::RunEnd;
+use hornbeamhitch_types::prelude::*;
+use hornbeamhitch_types::status::NodeStatus;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use super::*;
+
+/// The caller's connection breaks in the middle of its upload. The gate has
+/// not the whole body, so nothing runs; the caller sends the whole payment
+/// again through another entry, as it is told to, and that runs once.
+#[tokio::test]
+async fn a_caller_cut_within_its_upload_has_run_nothing() -> Result<()> {
+    let deployment = deployment(3).await?;
+    let payment = payment(&deployment, Call::charge("cut-upload")).await?;
+    let entries = other_entries(&deployment, &payment);
+
+    let body = &payment.call.body;
+    let head = format!(
+        "POST {} HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n",
+        payment.path,
+        body.len()
+    );
+    let mut connection = TcpStream::connect(deployment.entry(&entries[0])).await?;
+    connection.write_all(head.as_bytes()).await?;
+    connection.write_all(&body[..body.len() / 2]).await?;
+    wait_in_flight(&deployment, &entries[0], payment.gate(), 1).await?;
+    drop(connection);
+    wait_in_flight(&deployment, &entries[0], payment.gate(), 0).await?;
+    assert_eq!(payment.runs(&deployment).len(), 0);
+
+    // The entry may have asked the gate before it noticed that its caller has
+    // left. Then the key is fenced, and a new ticket is due.
+    let entry = deployment.entry(&entries[1]);
+    let mut answer = payment.settle(entry).await?;
+    if certainty_of(&answer) == Certainty::NotRun {
+        assert_eq!(payment.runs(&deployment).len(), 0);
+        answer = payment.renewed(&answer)?.settle(entry).await?;
+    }
+    assert_eq!(code_of(&answer), Some(ResultCode::Answered));
+    assert!(payment.call.is_answered_by(&answer), "{:?}", answer.body);
+    assert_eq!(deployment.runs_of("cut-upload").len(), 1);
+    assert_at_most_once(&deployment);
+    Ok(())
+}
+
+/// The caller's connection breaks while its payment waits in the gate for a
+/// slot, so before the run. The gate has it whole and keeps it; the resend
+/// through another entry joins the waiting call instead of adding a second.
+#[tokio::test]
+async fn a_caller_cut_before_the_run_joins_its_own_waiting_call() -> Result<()> {
+    let deployment = Deployment::start(ONE_SLOT_TEXT, cashiers(3)).await?;
+    let holder = payment_at(&deployment, "cashier-3", long_charge("holder")).await?;
+    let held = payment_at(&deployment, "cashier-3", Call::charge("held")).await?;
+    let first = holder.begin(deployment.entry("cashier-1"));
+    holder.wait_started(&deployment).await?;
+
+    let cut = held.begin(deployment.entry("cashier-1"));
+    let queued = |status: &NodeStatus| status.gate.queued == 1;
+    deployment
+        .wait_status("cashier-3", "one waits", queued)
+        .await?;
+    cut.abort();
+    let answer = held.settle(deployment.entry("cashier-2")).await?;
+    assert_eq!(certainty_of(&answer), Certainty::Answered);
+    assert!(held.call.is_answered_by(&answer), "{:?}", answer.body);
+    assert!(holder.call.is_answered_by(&first.await??));
+    assert_eq!(held.runs(&deployment).len(), 1);
+    assert_at_most_once(&deployment);
+    Ok(())
+}
+
+/// The caller's connection breaks while the target runs its payment. The run
+/// goes on; the resend through another entry joins it and gets its answer.
+#[tokio::test]
+async fn a_caller_cut_during_the_run_joins_it() -> Result<()> {
+    let deployment = deployment(3).await?;
+    let payment = payment(&deployment, slow_charge("cut-run")).await?;
+    let entries = other_entries(&deployment, &payment);
+    let cut = payment.begin(deployment.entry(&entries[0]));
+    payment.wait_started(&deployment).await?;
+    cut.abort();
+
+    let answer = payment.settle(deployment.entry(&entries[1])).await?;
+    assert_replayed(&payment, &answer);
+    let runs = payment.runs(&deployment);
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].end, RunEnd::Finished, "the run was not cancelled");
+    assert_at_most_once(&deployment);
+    Ok(())
+}
+
+/// The caller's connection breaks after the run, while the target holds its
+/// answer back. The record waits for that answer, and the resend gets it.
+#[tokio::test]
+async fn a_caller_cut_after_the_run_gets_the_answer_of_that_run() -> Result<()> {
+    let deployment = deployment(3).await?;
+    let call = Call::charge("cut-answer").with("standin-delay-ms", 300);
+    let payment = payment(&deployment, call).await?;
+    let entries = other_entries(&deployment, &payment);
+    let cut = payment.begin(deployment.entry(&entries[0]));
+    payment.wait_ended(&deployment).await?;
+    cut.abort();
+
+    let answer = payment.settle(deployment.entry(&entries[1])).await?;
+    assert_replayed(&payment, &answer);
+    assert_ran_once(&deployment, &payment);
+    Ok(())
+}
+
+/// An impatient caller sends one ticketed payment ten times at once, through
+/// three entries. One send starts the run, the others join it or replay it,
+/// and all get the same bytes.
+#[tokio::test]
+async fn ten_sends_at_once_are_one_run_with_one_answer() -> Result<()> {
+    let deployment = deployment(3).await?;
+    let call = Call::charge("ten").with("standin-service-us", 100_000);
+    let payment = payment(&deployment, call).await?;
+    let names = deployment.fleet.names();
+    let mut sends = Vec::new();
+    for number in 0..10 {
+        sends.push(payment.begin(deployment.entry(&names[number % names.len()])));
+    }
+    for send in sends {
+        let answer = send.await??;
+        assert_eq!(certainty_of(&answer), Certainty::Answered);
+        assert!(payment.call.is_answered_by(&answer), "{:?}", answer.body);
+    }
+    assert_ran_once(&deployment, &payment);
+    Ok(())
+}
+
+/// A caller sends another amount under a ticket that has been used. Answering
+/// with the first one's answer would be wrong, running would be a second run:
+/// it is refused, during the first run and after it.
+#[tokio::test]
+async fn another_body_under_a_used_ticket_is_refused() -> Result<()> {
+    let deployment = deployment(3).await?;
+    let payment = payment(&deployment, slow_charge("reused")).await?;
+    let mut other = payment.clone();
+    other.call = other.call.with_body("another amount");
+    let entries = other_entries(&deployment, &payment);
+    let first = payment.begin(deployment.entry(&entries[0]));
+    payment.wait_started(&deployment).await?;
+    let during = other.send(deployment.entry(&entries[1])).await?;
+    assert_eq!(code_of(&during), Some(ResultCode::KeyReused));
+    assert!(payment.call.is_answered_by(&first.await??));
+    let after = other.send(deployment.entry(&entries[1])).await?;
+    assert_eq!(code_of(&after), Some(ResultCode::KeyReused));
+    assert_ran_once(&deployment, &payment);
+    Ok(())
+}
--- /dev/null
+++ b/tests/all/at_most_once/partitions.rs
@@ -0,0 +1,169 @@
+//! Connections that break or hold back, and lists that differ.
+
+use eyre::Result;
+use hornbeamhitch_standins::platform::VmEntry;
+use hornbeamhitch_types::prelude::*;
+
+use super::*;
+use crate::support::far_entry::FarEntry;
+
+/// Two entries with different VM lists: one does not know the ticket's VM, the
+/// other believes it at the address of another VM's gate, as when an address
+/// was given away. Neither makes the payment run at a gate that the ticket does
+/// not name; an entry with the right list runs it once.
+#[tokio::test]
+async fn entries_with_stale_vm_lists_run_nothing_elsewhere() -> Result<()> {
+    let deployment = deployment(2).await?;
+    let payment = payment_at(&deployment, "cashier-2", Call::charge("lists")).await?;
+    let listed = deployment.fleet.vm_entries();
+    let (first, second) = (listed[0].clone(), listed[1].clone());
+    let moved = VmEntry {
+        peer: first.peer,
+        ..second
+    };
+    let (lacking, mistaken) = tokio::try_join!(
+        FarEntry::with_list(TEXT, vec![first]),
+        FarEntry::with_list(TEXT, vec![moved]),
+    )?;
+
+    let answer = payment.send(lacking.addr()).await?;
+    assert_eq!(code_of(&answer), Some(ResultCode::GateGone));
+    let answer = payment.send(mistaken.addr()).await?;
+    assert_eq!(code_of(&answer), Some(ResultCode::WrongGate));
+    assert_eq!(payment.runs(&deployment).len(), 0);
+
+    let answer = payment.send(deployment.entry("cashier-1")).await?;
+    assert_eq!(code_of(&answer), Some(ResultCode::Answered));
+    let answer = payment.send(mistaken.addr()).await?;
+    assert_eq!(certainty_of(&answer), Certainty::TicketDead);
+    assert_ran_once(&deployment, &payment);
+    Ok(())
+}
+
+/// A partition lets the payment through to the gate and nothing back. It runs;
+/// the caller is told "unknown" at its deadline. Once the partition heals, the
+/// same ticket brings the answer of that run.
+#[tokio::test]
+async fn an_answer_lost_in_a_partition_is_fetched_later() -> Result<()> {
+    let deployment = deployment(2).await?;
+    let far = FarEntry::start(TEXT, &deployment, &["cashier-2"]).await?;
+    let payment = payment_at(&deployment, "cashier-2", Call::charge("lost")).await?;
+    let relay = far.relay("cashier-2");
+    relay.hold_answers(true);
+    let answer = payment.within_ms(SHORT_MS).send(far.addr()).await?;
+    assert_eq!(code_of(&answer), Some(ResultCode::GateLost));
+    payment.wait_ended(&deployment).await?;
+
+    relay.hold_answers(false);
+    let answer = payment.settle(far.addr()).await?;
+    assert_replayed(&payment, &answer);
+    assert_ran_once(&deployment, &payment);
+    Ok(())
+}
+
+/// The connection between entry and gate breaks during the run, and a new one
+/// can be had. The entry asks the gate, which lets it join the run: the caller
+/// notices nothing, and nothing runs twice.
+#[tokio::test]
+async fn a_stream_cut_during_the_run_is_taken_up_again() -> Result<()> {
+    let deployment = deployment(2).await?;
+    let far = FarEntry::start(TEXT, &deployment, &["cashier-2"]).await?;
+    let payment = payment_at(&deployment, "cashier-2", slow_charge("stream-cut")).await?;
+    let first = payment.begin(far.addr());
+    payment.wait_started(&deployment).await?;
+    far.relay("cashier-2").cut();
+
+    let answer = first.await??;
+    assert_replayed(&payment, &answer);
+    assert_ran_once(&deployment, &payment);
+    Ok(())
+}
+
+/// A partition begins during the run and outlasts the entry's patience: the
+/// caller is told "unknown", a resend meanwhile "not yet", and after the
+/// partition the same ticket brings the answer.
+#[tokio::test]
+async fn a_partition_during_the_run_is_unknown_until_it_heals() -> Result<()> {
+    let deployment = deployment(2).await?;
+    let far = FarEntry::start(TEXT, &deployment, &["cashier-2"]).await?;
+    let payment = payment_at(&deployment, "cashier-2", slow_charge("parted")).await?;
+    let relay = far.relay("cashier-2");
+    let first = payment.begin(far.addr());
+    payment.wait_started(&deployment).await?;
+    relay.refuse(true);
+    relay.cut();
+    assert_eq!(code_of(&first.await??), Some(ResultCode::GateLost));
+    let answer = payment.within_ms(SHORT_MS).send(far.addr()).await?;
+    assert_uncertain(&answer);
+
+    relay.refuse(false);
+    let answer = payment.settle(far.addr()).await?;
+    assert_replayed(&payment, &answer);
+    assert_ran_once(&deployment, &payment);
+    Ok(())
+}
+
+/// The payment is on its way when its connection breaks, and its packets come
+/// late. The entry asks the gate on a new connection; the gate has not seen the
+/// key and fences it, so "not run" is told. Then the late packets arrive, whole
+/// and within the deadline, and the fence stops them.
+#[tokio::test]
+async fn a_payment_that_comes_late_is_stopped_by_the_fence() -> Result<()> {
+    let deployment = deployment(2).await?;
+    let far = FarEntry::start(TEXT, &deployment, &["cashier-2"]).await?;
+    let payment = payment_at(&deployment, "cashier-2", Call::charge("late-packet")).await?;
+    let payment = payment.within_ms(20_000);
+    let relay = far.relay("cashier-2");
+    relay.hold_requests(true);
+    let first = payment.begin(far.addr());
+    let kept = |_: &Deployment| relay.keeps(&payment.call.body);
+    deployment
+        .wait_until("the payment is underway", kept)
+        .await?;
+    relay.strand();
+    let answer = first.await??;
+    assert_eq!(code_of(&answer), Some(ResultCode::Fenced));
+
+    relay.deliver_stranded();
+    let fenced = format!("\"code\":{}", ResultCode::Fenced.number());
+    let refused = |_: &Deployment| relay.has_answered_late(fenced.as_bytes());
+    deployment
+        .wait_until("the late one is refused", refused)
+        .await?;
+    assert_eq!(payment.runs(&deployment).len(), 0);
+    Ok(())
+}
+
+/// The payment's packets come after its deadline, and the partition stops the
+/// entry from asking: the caller is told "unknown", and no fence was raised.
+/// The deadline itself, in the gate's own clock, keeps it from starting.
+#[tokio::test]
+async fn a_payment_that_comes_after_its_deadline_is_not_started() -> Result<()> {
+    let deployment = deployment(2).await?;
+    let far = FarEntry::start(TEXT, &deployment, &["cashier-2"]).await?;
+    far.hear_gates().await?;
+    let payment = payment_at(&deployment, "cashier-2", Call::charge("too-late")).await?;
+    let relay = far.relay("cashier-2");
+    relay.hold_requests(true);
+    let first = payment.within_ms(SHORT_MS).begin(far.addr());
+    let kept = |_: &Deployment| relay.keeps(&payment.call.body);
+    deployment
+        .wait_until("the payment is underway", kept)
+        .await?;
+    relay.refuse(true);
+    relay.strand();
+    let answer = first.await??;
+    assert_eq!(code_of(&answer), Some(ResultCode::GateLost));
+
+    relay.deliver_stranded();
+    let late = format!("\"code\":{}", ResultCode::DeadlineTooShort.number());
+    let refused = |_: &Deployment| relay.has_answered_late(late.as_bytes());
+    deployment
+        .wait_until("the late one is refused", refused)
+        .await?;
+    relay.refuse(false);
+    let answer = payment.settle(far.addr()).await?;
+    assert_eq!(certainty_of(&answer), Certainty::NotRun);
+    assert_eq!(payment.runs(&deployment).len(), 0);
+    Ok(())
+}
--- /dev/null
+++ b/tests/all/at_most_once/records.rs
@@ -0,0 +1,107 @@
+//! Records that are full or forgotten, and edits under them.
+
+use eyre::Result;
+use hornbeamhitch_types::prelude::*;
+use hornbeamhitch_types::status::NodeStatus;
+
+use super::*;
+
+/// A gate's records are full. To run more it would have to forget one, and a
+/// forgotten payment could run again: so it answers "not yet" and runs nothing.
+/// When there is room, the same ticket runs, once.
+#[tokio::test]
+async fn full_records_refuse_rather_than_forget() -> Result<()> {
+    let roomy = TEXT.replace("\"connections\"", "\"max_records\": 100, \"connections\"");
+    let tight = TEXT.replace("\"connections\"", "\"max_records\": 2, \"connections\"");
+    let deployment = Deployment::start(&tight, cashiers(2)).await?;
+    let entry = deployment.entry("cashier-1");
+    for number in 0..2 {
+        let call = Call::charge(&format!("first-{number}"));
+        let first = payment_at(&deployment, "cashier-2", call).await?;
+        let answer = first.send(entry).await?;
+        assert_eq!(code_of(&answer), Some(ResultCode::Answered));
+    }
+    let third = payment_at(&deployment, "cashier-2", Call::charge("third")).await?;
+    let answer = third.send(entry).await?;
+    assert_eq!(code_of(&answer), Some(ResultCode::RecordsFull));
+    assert!(answer.headers.contains_key(http::header::RETRY_AFTER));
+    assert_eq!(third.runs(&deployment).len(), 0);
+
+    publish(&deployment, &roomy).await?;
+    let answer = third.settle(entry).await?;
+    assert_eq!(code_of(&answer), Some(ResultCode::Answered));
+    assert_eq!(third.runs(&deployment).len(), 1);
+    assert_at_most_once(&deployment);
+    Ok(())
+}
+
+/// Publishes a text and waits until every node has it in force.
+async fn publish(deployment: &Deployment, text: &str) -> Result<()> {
+    let version = ConfigVersion(deployment.platform.set_text(text)?);
+    for vm in deployment.fleet.names() {
+        let in_force = |status: &NodeStatus| status.config.in_force == Some(version);
+        deployment.wait_status(&vm, "the text", in_force).await?;
+    }
+    Ok(())
+}
+
+/// A payment ran, its ticket expired, and its record was forgotten. A late
+/// duplicate of it must not look like a new payment: the ticket is dead.
+#[tokio::test]
+async fn a_duplicate_after_the_record_was_forgotten_runs_nothing() -> Result<()> {
+    let brief = TEXT.replace(
+        "\"connections\"",
+        "\"ticket_ttl_ms\": 3000, \"connections\"",
+    );
+    let deployment = Deployment::start(&brief, cashiers(2)).await?;
+    let payment = payment_at(&deployment, "cashier-2", Call::charge("forgotten")).await?;
+    let entry = deployment.entry("cashier-1");
+    let answer = payment.send(entry).await?;
+    assert_eq!(code_of(&answer), Some(ResultCode::Answered));
+    let forgotten = |status: &NodeStatus| status.gate.records == 0;
+    deployment
+        .wait_status("cashier-2", "no records", forgotten)
+        .await?;
+    let answer = payment.send(entry).await?;
+    assert_eq!(code_of(&answer), Some(ResultCode::TicketExpired));
+    assert_ran_once(&deployment, &payment);
+    Ok(())
+}
+
+/// A payment ran, and then an edit of the text made its body too large. A
+/// resend of the very same payment is not read whole, so its gate cannot tell
+/// whether it is the one that ran: it must not be told "not run".
+#[tokio::test]
+async fn a_payment_that_ran_is_not_denied_for_its_size() -> Result<()> {
+    let large = TEXT.replace(
+        "\"connections\"",
+        "\"max_request_bytes\": 2000, \"connections\"",
+    );
+    let small = TEXT.replace(
+        "\"connections\"",
+        "\"max_request_bytes\": 1000, \"connections\"",
+    );
+    let deployment = Deployment::start(&large, cashiers(2)).await?;
+    let call = Call::charge("sized").with_body(vec![b'x'; 1_500]);
+    let ran = payment_at(&deployment, "cashier-2", call.clone()).await?;
+    let call = Call::charge("unused").with_body(call.body);
+    let fresh = payment_at(&deployment, "cashier-2", call).await?;
+    let entry = deployment.entry("cashier-1");
+    assert_eq!(code_of(&ran.send(entry).await?), Some(ResultCode::Answered));
+
+    publish(&deployment, &small).await?;
+    let answer = ran.send(entry).await?;
+    assert_eq!(code_of(&answer), Some(ResultCode::BadRequest));
+    let answer = fresh.send(entry).await?;
+    assert_eq!(code_of(&answer), Some(ResultCode::TooLarge));
+
+    publish(&deployment, &large).await?;
+    let answer = ran.send(entry).await?;
+    assert_eq!(code_of(&answer), Some(ResultCode::Replayed));
+    let answer = fresh.send(entry).await?;
+    assert_eq!(certainty_of(&answer), Certainty::NotRun);
+    assert_eq!(ran.runs(&deployment).len(), 1);
+    assert_eq!(fresh.runs(&deployment).len(), 0);
+    assert_at_most_once(&deployment);
+    Ok(())
+}
