Keep lapsed targets where the platform itself is not reached

Cause: 21 of 60 VMs are cut off from the platform and their entries lapse, though their targets serve. Nodes that reach the platform must leave them alone. The 21 nodes used to know nothing of it, and went on using them. On the word of readers they left them alone as well, so a third of the targets stood idle in a burst.

Change: when the entry of a node's own VM lapses, or many do together, it asks the platform once. Answered, it lets them go like all others; not answered, it keeps what lapses until it is answered, and then reads everything anew.

Two tests; one of them found that what was kept back was not dropped by a listing without a newer revision.

--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -13,7 +13,7 @@
 use crate::feed::{ChangeFeed, Standing, Subscriptions};
 use crate::prelude::*;
 use crate::source::{Source, SourceFault};
-use knowledge::Knowledge;
+use knowledge::{Knowledge, OwnReads};
 
 /// How long a watch waits. A source that falls silent is noticed at its end at
 /// the latest; each wait costs one call.
@@ -22,6 +22,8 @@
 /// and while the readers are lost: they are lost together when the source drops
 /// its history, and it takes watches in that moment that it never answers.
 const TROUBLED_WAIT_MS: Millis = Millis(1_000);
+/// The same to learn whether the source is reached at all.
+const AT_ONCE_MS: Millis = Millis(1);
 /// Changes that come close together are fetched by one call, since each call
 /// returns at the first change: they are gathered for this part of the time in
 /// which a change must be in force. The rest is for a slow source.
@@ -62,7 +64,7 @@
 ) {
     let mut following = Following {
         source,
-        knowledge: Knowledge::new(directory, feed),
+        knowledge: Knowledge::new(directory, feed, settings.own_ip),
         subscriptions: Subscriptions::new(settings.gate_port),
         role: Role::Alone,
         settings,
@@ -104,7 +106,6 @@
         loop {
             self.settle_role();
             if self.is_told() {
-                self.note_success();
                 self.hear().await;
                 if !self.is_told() {
                     // Not in step with all others who heard the same readers.
@@ -113,6 +114,10 @@
                 continue;
             }
             match self.watch().await {
+                Ok(()) if self.knowledge.take_held() => {
+                    log::info!("the source is reached; what had lapsed meanwhile is read anew");
+                    return;
+                }
                 Ok(()) => {}
                 Err(SourceFault::HistoryGone) => {
                     log::info!("the source dropped its history; everything is read anew");
@@ -125,29 +130,36 @@
 
     /// Whether this node is told enough to leave reading to others.
     fn is_told(&self) -> bool {
-        self.role.is_follower() && self.subscriptions.sound() >= ENOUGH_READERS
+        self.role.is_follower()
+            && self.subscriptions.sound() >= ENOUGH_READERS
+            && self.knowledge.own_reads() == OwnReads::Good
     }
 
     /// Watches the source once and takes what came.
     async fn watch(&mut self) -> Result<(), SourceFault> {
-        let wait_ms = if self.failures == 0 && !self.role.is_follower() {
-            WATCH_WAIT_MS
-        } else {
-            TROUBLED_WAIT_MS
-        };
-        let watching = self.source.watch(self.knowledge.revision(), wait_ms);
+        let watching = self
+            .source
+            .watch(self.knowledge.revision(), self.watch_wait_ms());
         let heard = &mut self.subscriptions;
         let batch = while_hearing(watching, &mut self.knowledge, heard).await?;
         self.note_success();
-        let has_changes = !batch.changes.is_empty();
+        let gathers = !batch.changes.is_empty() && !self.knowledge.has_held();
         self.knowledge.take(batch.changes, batch.revision);
-        if has_changes {
+        if gathers {
             let gathering = tokio::time::sleep(self.gather_ms().to_duration());
             while_hearing(gathering, &mut self.knowledge, &mut self.subscriptions).await;
         }
         Ok(())
     }
 
+    const fn watch_wait_ms(&self) -> Millis {
+        match (self.knowledge.own_reads(), self.failures) {
+            (OwnReads::Doubtful, _) => AT_ONCE_MS,
+            (OwnReads::Good, 0) if !self.role.is_follower() => WATCH_WAIT_MS,
+            _ => TROUBLED_WAIT_MS,
+        }
+    }
+
     /// Takes what a reader tells next.
     async fn hear(&mut self) {
         let next = self.subscriptions.next();
@@ -196,11 +208,12 @@
     }
 
     fn note_success(&mut self) {
+        self.knowledge.note_good_read();
         if self.failures == 0 {
             return;
         }
         log::info!(
-            "the source is known again after {} failed reads",
+            "the source answers again after {} failed reads",
             self.failures
         );
         self.failures = 0;
@@ -209,7 +222,7 @@
 
     /// Waits longer after each failure, and never in step with other nodes.
     async fn pause_after(&mut self, fault: &SourceFault) {
-        self.knowledge.note_trouble();
+        self.knowledge.note_failed_read();
         if self.failures == 0 {
             log::warn!("the source is lost: {fault}");
         }
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -1,5 +1,6 @@
 //! What this node knows of the platform's facts, from whomever it was learnt.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 
 use crate::directory::DirectoryWriter;
@@ -7,25 +8,60 @@
 use crate::prelude::*;
 use crate::source::{Change, Fact, Listing};
 
+/// So many entries that lapse together, or this part of all, are a sign of
+/// trouble on the way to the platform, and no longer of single targets that end.
+const MANY_LAPSES: usize = 3;
+const MANY_LAPSES_PART: usize = 8;
+
+/// What is known of this node's own way to the source.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum OwnReads {
+    /// The last read was answered, and nothing speaks against another.
+    Good,
+    /// What readers told makes it doubtful; a read will tell.
+    Doubtful,
+    /// The last read failed.
+    Failed,
+}
+
 /// Facts, with the revision up to which they are complete.
 ///
 /// Invariant: every change up to `revision` was taken, and none beyond it. The
 /// same change comes from the source and from several readers, in any order of
 /// batches; taken twice, an older entry would bring back a target that a later
 /// change took away. So what is not beyond the revision is left out.
+///
+/// One exception: while this node's own reads are not good, targets that lapse
+/// are kept, and everything has to be read anew afterwards. Failure answered: a
+/// part of the VMs is cut off from the platform, and their entries lapse, though
+/// their targets serve. Whoever reaches the platform must leave them alone; if
+/// those that were cut off did so too, on the word of readers, nobody would use a
+/// third of the targets, and callers would be refused at the others.
 #[derive(Debug)]
 pub(super) struct Knowledge {
     directory: DirectoryWriter,
     feed: Arc<ChangeFeed>,
     revision: u64,
     members_changed: bool,
+    own_ip: IpAddr,
+    own_reads: OwnReads,
+    /// A lapse was told and not taken.
+    has_held: bool,
 }
 
 impl Knowledge {
-    pub(super) const fn new(directory: DirectoryWriter, feed: Arc<ChangeFeed>) -> Self {
+    /// Nothing is known yet to the node on this VM.
+    pub(super) const fn new(
+        directory: DirectoryWriter,
+        feed: Arc<ChangeFeed>,
+        own_ip: IpAddr,
+    ) -> Self {
         Self {
             directory,
             feed,
+            own_ip,
+            own_reads: OwnReads::Good,
+            has_held: false,
             revision: 0,
             members_changed: false,
         }
@@ -41,6 +77,27 @@
         self.directory.members()
     }
 
+    /// Whether this node reaches the source, as far as it knows.
+    pub(super) const fn own_reads(&self) -> OwnReads {
+        self.own_reads
+    }
+
+    /// The source has answered.
+    pub(super) const fn note_good_read(&mut self) {
+        self.own_reads = OwnReads::Good;
+    }
+
+    /// Whether lapses were kept back.
+    pub(super) const fn has_held(&self) -> bool {
+        self.has_held
+    }
+
+    /// Whether lapses were kept back, so that everything has to be read anew;
+    /// true once.
+    pub(super) const fn take_held(&mut self) -> bool {
+        std::mem::replace(&mut self.has_held, false)
+    }
+
     /// What subscribers are told.
     pub(super) fn feed(&self) -> &ChangeFeed {
         &self.feed
@@ -69,24 +126,36 @@
         facts.extend(difference.written.into_iter().map(Fact::Listed));
         facts.extend(difference.removed.into_iter().map(Fact::Left));
         let changes = facts.into_iter().map(|fact| Change { revision, fact });
-        self.take(changes.collect(), revision);
+        // Not only what is beyond the known revision: a lapse that was kept back
+        // is not.
+        self.apply(changes.collect(), revision);
     }
 
     /// Takes changes, after which everything up to `revision` is known.
     pub(super) fn take(&mut self, changes: Vec<Change>, revision: u64) {
         let mut new = changes;
         new.retain(|change| change.revision > self.revision);
-        self.feed.append(&new, revision);
+        self.apply(new, revision);
+    }
+
+    fn apply(&mut self, changes: Vec<Change>, revision: u64) {
+        self.feed.append(&changes, revision);
         self.revision = revision.max(self.revision);
         let mut routes = Vec::new();
         let mut members_changed = false;
-        for change in new {
+        for change in changes {
             match change.fact {
                 Fact::Routes(written) => routes.push(written),
                 Fact::Listed(member) => {
                     self.directory.upsert(member);
                     members_changed = true;
                 }
+                Fact::Left(id) if self.holds(&id) => {
+                    log::info!(
+                        "the target {id} has lapsed, and is kept: the source is not reached"
+                    );
+                    self.has_held = true;
+                }
                 Fact::Left(id) => {
                     log::info!("the target {id} has left the list");
                     self.directory.remove(&id);
@@ -118,11 +187,46 @@
             // Entries may lapse now, as if this node's own read had failed.
             self.note_trouble();
         }
+        if self.own_reads == OwnReads::Good && self.is_doubtful(&changes) {
+            self.own_reads = OwnReads::Doubtful;
+        }
         self.take(changes, revision);
     }
 
+    /// Whether the entry of this VM lapses, or many do together.
+    fn is_doubtful(&self, changes: &[Change]) -> bool {
+        let members = self.directory.members();
+        let mut lapses = 0;
+        for change in changes {
+            let Fact::Left(id) = &change.fact else {
+                continue;
+            };
+            let Some(member) = members.get(id).filter(|member| !member.draining) else {
+                continue;
+            };
+            if member.vm_ip() == self.own_ip {
+                return true;
+            }
+            lapses += 1;
+        }
+        lapses >= MANY_LAPSES.max(members.len() / MANY_LAPSES_PART)
+    }
+
+    /// Whether a removal is not taken for now. A target that said that it drains
+    /// is going in any case.
+    fn holds(&self, id: &TargetId) -> bool {
+        let members = self.directory.members();
+        let drains = members.get(id).is_none_or(|member| member.draining);
+        self.own_reads != OwnReads::Good && !drains
+    }
+
     /// The source could not be read.
-    pub(super) fn note_trouble(&mut self) {
+    pub(super) fn note_failed_read(&mut self) {
+        self.own_reads = OwnReads::Failed;
+        self.note_trouble();
+    }
+
+    fn note_trouble(&mut self) {
         self.directory.note_trouble();
     }
 
--- a/crates/edge/tests/all/following.rs
+++ b/crates/edge/tests/all/following.rs
@@ -1,5 +1,6 @@
 //! Nodes that learn of changes from others.
 
+use hornbeamhitch_edge::directory::Directory;
 use hornbeamhitch_edge::prelude::*;
 use hornbeamhitch_edge::source::Fact;
 
@@ -116,6 +117,50 @@
     }
 }
 
+/// A third of the VMs is cut off from the platform, and their entries lapse though
+/// their targets serve. Whoever reaches the platform leaves them alone. One that
+/// was cut off hears of it from readers: it keeps using them, or nobody would,
+/// until it reaches the platform itself.
+#[tokio::test]
+async fn a_node_that_is_cut_off_keeps_targets_that_lapse() {
+    // Enough that some still follow others when four are gone.
+    let followers = followers(NODES + 4).await;
+    let mut told = followers.nodes.iter().filter(|node| !node.reads());
+    let (cut, other) = (
+        told.next().expect("more than readers"),
+        told.next().expect("more than readers"),
+    );
+    cut.source.set_mood(Mood::Failing);
+    let lapsing = followers.lapse(cut, 3);
+    other
+        .until("the lapse", |known| !knows_any(known, &lapsing))
+        .await;
+    cut.until_read().await;
+    cut.until_read().await;
+    let directory = cut.directory.load();
+    assert!(lapsing.iter().all(|id| directory.members.get(id).is_some()));
+    cut.source.set_mood(Mood::Calm);
+    cut.until("the lapse", |known| !knows_any(known, &lapsing))
+        .await;
+}
+
+/// The same is told to a node that reaches the platform: it asks once, and leaves
+/// the targets alone as the others do.
+#[tokio::test]
+async fn a_node_that_is_not_cut_off_lets_lapsed_targets_go() {
+    let followers = followers(NODES).await;
+    let own = followers.nodes.iter().find(|node| !node.reads());
+    let lapsing = followers.lapse(own.expect("more than readers"), 0);
+    for node in &followers.nodes {
+        node.until("the lapse", |known| !knows_any(known, &lapsing))
+            .await;
+    }
+}
+
+fn knows_any(directory: &Directory, ids: &[TargetId]) -> bool {
+    ids.iter().any(|id| directory.members.get(id).is_some())
+}
+
 /// A target leaves while others are told by readers. It must not come back by
 /// what is told late, by a reader that learnt of its arrival after its end.
 #[tokio::test]
--- a/crates/edge/tests/all/support/follower.rs
+++ b/crates/edge/tests/all/support/follower.rs
@@ -90,6 +90,21 @@
         }
     }
 
+    /// The entry of a node's VM lapses, and those of so many others that read
+    /// for nobody.
+    pub fn lapse(&self, node: &Follower, others: usize) -> Vec<TargetId> {
+        let mut lapsing = vec![node.target_id()];
+        let rest = self
+            .nodes
+            .iter()
+            .filter(|other| other.ip != node.ip && !other.reads());
+        lapsing.extend(rest.skip(1).take(others).map(Follower::target_id));
+        for id in &lapsing {
+            self.published.put(Fact::Left(id.clone()));
+        }
+        lapsing
+    }
+
     /// The version in force at the first node.
     pub fn version(&self) -> u64 {
         self.nodes[0].version()
@@ -166,6 +181,13 @@
         matches!(role, Role::Reader(_))
     }
 
+    fn target_id(&self) -> TargetId {
+        let directory = self.directory.load();
+        let mut members = directory.members.iter();
+        let own = members.find(|member| member.vm_ip() == self.ip);
+        own.expect("it is listed").id.clone()
+    }
+
     pub fn version(&self) -> u64 {
         let directory = self.directory.load();
         directory.routes.as_ref().map_or(0, |known| known.version())
@@ -174,23 +196,23 @@
     /// Waits for its next call to the source.
     pub async fn until_read(&self) {
         let before = self.source.calls();
-        let waiting = async {
-            while self.source.calls() == before {
-                tokio::time::sleep(Duration::from_millis(2)).await;
-            }
-        };
-        let waited = tokio::time::timeout(Duration::from_secs(30), waiting).await;
-        assert!(waited.is_ok(), "{} does not read", self.ip);
+        self.until("a read", |_| self.source.calls() > before).await;
     }
 
     pub async fn until_version(&self, version: u64) {
+        self.until("the version", |_| self.version() >= version)
+            .await;
+    }
+
+    /// Waits until its directory is so.
+    pub async fn until(&self, what: &str, holds: impl Fn(&Directory) -> bool) {
         let waiting = async {
-            while self.version() < version {
+            while !holds(&self.directory.load()) {
                 tokio::time::sleep(Duration::from_millis(2)).await;
             }
         };
         let waited = tokio::time::timeout(Duration::from_secs(30), waiting).await;
-        assert!(waited.is_ok(), "{} waited in vain for {version}", self.ip);
+        assert!(waited.is_ok(), "{} waited in vain for {what}", self.ip);
     }
 }
 
