Let a node take the routes of our own text

Routes were checked, explained and compared in the text, and no node took them from there. `hornbeamhitch-routed` does: the routed path with a source that reads the text and the VM list, and a dialect with our own header names. The client of our platform moved out of the control loop, so that both nodes have the same one.

What the path had taken for granted on the users' platform became a choice of the deployment: whether targets sign their answers, whether metrics have an address of their own, and under which address a target is listed (the soak's nodes behind proxies did not recognise their own target before).

Tests on the real program: routes, an edit, a faulty edit, a leaving VM, the end, faulty settings.

--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -1,6 +1,6 @@
 //! Settings of one node on the routed path.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 
 use hornbeamhitch_dispatch::retry_budget::RetryLimit;
 
@@ -15,8 +15,9 @@
     pub service: ServiceName,
     /// Where the VM stands.
     pub data_centre: DataCentre,
-    /// Where other VMs reach this one.
-    pub vm_ip: IpAddr,
+    /// The target's address as it is listed; other VMs reach this one at its IP
+    /// address.
+    pub listed_address: SocketAddr,
     /// Where callers on this VM send.
     pub callers_address: SocketAddr,
     /// Where the gates of other VMs listen as well, on the same port.
@@ -25,9 +26,9 @@
     pub readiness_address: SocketAddr,
     /// Path of the readiness question.
     pub readiness_path: &'static str,
-    /// Where metrics are served.
-    pub metrics_address: SocketAddr,
-    /// The target on this VM.
+    /// Where metrics are served, when not beside readiness.
+    pub metrics_address: Option<SocketAddr>,
+    /// Where this node reaches the target on its VM.
     pub target_address: SocketAddr,
     /// Bytes of callers' bodies that the node holds at once.
     pub buffered_bytes: u64,
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -2,12 +2,14 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
 use eyre::{Result, WrapErr};
 use hornbeamhitch_node::listener::bind_std;
+use hornbeamhitch_node::logs::LogHandle;
 use hornbeamhitch_node::metrics::{MemberLevels, Metrics};
 use hornbeamhitch_node::uploads::UploadLimits;
 use hornbeamhitch_types::prelude::ConfigVersion;
@@ -40,6 +42,8 @@
 const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 /// A node that is cut off looks this often whether it still is.
 const REACH_INTERVAL: Duration = Duration::from_millis(500);
+/// Time to write out the last lines of the log at exit.
+const LOG_FLUSH_MS: Millis = Millis(300);
 /// Part of the grace for which a leaving node goes on serving new requests: the
 /// platform asks for readiness once a second, and two misses turn callers away.
 const ANNOUNCE_PERCENT: u64 = 40;
@@ -62,7 +66,7 @@
     callers: std::net::TcpListener,
     links: std::net::TcpListener,
     readiness: std::net::TcpListener,
-    metrics: std::net::TcpListener,
+    metrics: Option<std::net::TcpListener>,
 }
 
 impl Sockets {
@@ -71,7 +75,7 @@
             callers: bind_std(config.callers_address)?,
             links: bind_std(config.links_address)?,
             readiness: bind_std(config.readiness_address)?,
-            metrics: bind_std(config.metrics_address)?,
+            metrics: config.metrics_address.map(bind_std).transpose()?,
         })
     }
 }
@@ -90,6 +94,21 @@
     runtime.block_on(serve(deployment, sockets))
 }
 
+/// Runs a node until it is told to end, and writes out the rest of its log.
+#[must_use]
+pub fn run_to_exit(deployment: Deployment, log: &LogHandle) -> ExitCode {
+    let ended = run(deployment);
+    if let Err(error) = &ended {
+        log::error!("the node cannot run: {error:#}");
+    }
+    // When nobody reads the log there is nobody to tell.
+    let _ = log.flush(LOG_FLUSH_MS);
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(_) => ExitCode::FAILURE,
+    }
+}
+
 async fn serve(deployment: Deployment, sockets: Sockets) -> Result<()> {
     let mut signals = Signals::listen()?;
     let Deployment {
@@ -106,7 +125,7 @@
     let feed = Arc::new(ChangeFeed::default());
     let writer = DirectoryWriter::new(Arc::clone(&directory), clock);
     let settings = FollowSettings {
-        own_ip: config.vm_ip,
+        own_ip: config.listed_address.ip(),
         data_centre: config.data_centre.clone(),
         gate_port: config.links_address.port(),
         in_force_ms: config.in_force_ms,
@@ -124,7 +143,7 @@
         directory: Arc::clone(&directory),
         dialect: Arc::clone(&dialect),
         clock,
-        target_address: config.target_address,
+        listed_address: config.listed_address,
         suspicion: Arc::clone(&suspicion),
         metrics: Arc::clone(&metrics),
     }));
@@ -132,7 +151,7 @@
         service: config.service.clone(),
         data_centre: config.data_centre.clone(),
         gate_port: config.links_address.port(),
-        target_address: config.target_address,
+        listed_address: config.listed_address,
         gate: Arc::clone(&gate),
         directory: Arc::clone(&directory),
         dialect,
@@ -167,7 +186,9 @@
     };
     tokio::spawn(links.accept(listen(sockets.links)?));
     tokio::spawn(status.clone().accept(listen(sockets.readiness)?));
-    tokio::spawn(status.accept(listen(sockets.metrics)?));
+    if let Some(metrics) = sockets.metrics {
+        tokio::spawn(status.accept(listen(metrics)?));
+    }
     let serving = tokio::spawn(callers.serve(listen(sockets.callers)?));
     tokio::spawn(look_for_others(Arc::clone(&entry)));
     tokio::spawn(refresh_gauges(Gauges {
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -9,8 +9,9 @@
     pub request_id: &'static str,
     /// Milliseconds that are left until the sender gives up.
     pub deadline_ms: &'static str,
-    /// The target's mark on its own answers; a success without it is none.
-    pub digest: &'static str,
+    /// The target's mark on its own answers, where targets make one; then a
+    /// success without it is none.
+    pub digest: Option<&'static str>,
     /// Id of the only life of a target that may run the request.
     pub expected_target: &'static str,
     /// Load report of a target.
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -61,7 +61,7 @@
     /// Port at which gates listen on every VM.
     pub gate_port: u16,
     /// The target of this VM.
-    pub target_address: std::net::SocketAddr,
+    pub listed_address: std::net::SocketAddr,
     /// The gate of this VM.
     pub gate: Arc<Gate>,
     /// Facts in force.
@@ -90,7 +90,7 @@
     service: ServiceName,
     data_centre: DataCentre,
     gate_port: u16,
-    target_address: std::net::SocketAddr,
+    listed_address: std::net::SocketAddr,
     gate: Arc<Gate>,
     links: Arc<LinkPool>,
     directory: SharedDirectory,
@@ -112,7 +112,7 @@
             service: parts.service,
             data_centre: parts.data_centre,
             gate_port: parts.gate_port,
-            target_address: parts.target_address,
+            listed_address: parts.listed_address,
             gate: parts.gate,
             links: Arc::new(LinkPool::new(
                 Arc::clone(&parts.suspicion),
@@ -207,7 +207,7 @@
 
     fn other_vms(&self) -> Vec<std::net::IpAddr> {
         let mut vms = self.directory.load().members.vms();
-        vms.remove(&self.target_address.ip());
+        vms.remove(&self.listed_address.ip());
         vms.into_iter().collect()
     }
 
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -199,7 +199,7 @@
     /// Learns from each word, or want of one, whether other VMs are reached.
     fn note_reach(&self, number: usize, event: &LinkEvent) {
         let member = &self.attempts[number].member;
-        if member.address == self.entry.target_address {
+        if member.address == self.entry.listed_address {
             return;
         }
         let mut state = self.entry.state.lock();
--- a/crates/edge/src/entry/progress.rs
+++ b/crates/edge/src/entry/progress.rs
@@ -48,7 +48,7 @@
     events: &mpsc::UnboundedSender<Progress>,
 ) -> Hold {
     let events = events.clone();
-    if candidate.member.address == entry.target_address {
+    if candidate.member.address == entry.listed_address {
         let incarnation = entry.incarnation;
         let sink: EventSink = Box::new(move |event| {
             let event = LinkEvent::Gate(event, incarnation);
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -94,7 +94,7 @@
     /// The process's clock.
     pub clock: ProcessClock,
     /// The target's address.
-    pub target_address: std::net::SocketAddr,
+    pub listed_address: std::net::SocketAddr,
     /// What is held against requests.
     pub suspicion: Arc<Suspicion>,
     /// Counts and histograms.
@@ -106,7 +106,7 @@
 pub struct Gate {
     service: ServiceName,
     target: TargetClient,
-    target_address: std::net::SocketAddr,
+    listed_address: std::net::SocketAddr,
     directory: SharedDirectory,
     dialect: Arc<dyn Dialect>,
     clock: ProcessClock,
@@ -135,7 +135,7 @@
         Self {
             service: parts.service,
             target: parts.target,
-            target_address: parts.target_address,
+            listed_address: parts.listed_address,
             directory: parts.directory,
             dialect: parts.dialect,
             clock: parts.clock,
@@ -294,7 +294,7 @@
 
     fn own_slots(&self) -> Option<u32> {
         let directory = self.directory.load();
-        let member = directory.members.at(self.target_address)?;
+        let member = directory.members.at(self.listed_address)?;
         Some(member.slots)
     }
 
--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -173,7 +173,10 @@
         if http1::field(&head.fields, names.not_run).is_some() {
             return GateEvent::Ended(CallEnd::Shed);
         }
-        let has_digest = http1::field(&head.fields, names.digest).is_some();
+        let has_digest = match names.digest {
+            Some(name) => http1::field(&head.fields, name).is_some(),
+            None => true,
+        };
         let is_encoded = http1::field(&head.fields, "content-encoding").is_some();
         if is_success(head.status) && (!has_digest || is_encoded) {
             let id = &terms.request_id;
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -47,7 +47,7 @@
         const NAMES: HeaderNames = HeaderNames {
             request_id: REQUEST_ID,
             deadline_ms: DEADLINE_MS,
-            digest: DIGEST,
+            digest: Some(DIGEST),
             expected_target: EXPECTED_TARGET,
             load: LOAD,
             not_run: NOT_RUN,
@@ -215,7 +215,7 @@
         directory: Arc::clone(directory),
         dialect: Arc::clone(&dialect),
         clock,
-        target_address: target.address,
+        listed_address: target.address,
         suspicion: Arc::clone(&suspicion),
         metrics: Arc::clone(&metrics),
     };
@@ -226,7 +226,7 @@
         service: service.clone(),
         data_centre,
         gate_port,
-        target_address: target.address,
+        listed_address: target.address,
         gate: Arc::clone(&gate),
         directory: Arc::clone(directory),
         dialect,
--- a/crates/edge/tests/all/support/follower.rs
+++ b/crates/edge/tests/all/support/follower.rs
@@ -134,7 +134,7 @@
             directory: Arc::clone(&directory),
             dialect,
             clock,
-            target_address,
+            listed_address: target_address,
             suspicion: Arc::new(Suspicion::new(clock)),
             metrics: Arc::new(metrics.expect("metrics")),
         };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod operators;
 pub mod options;
 pub mod peers;
+pub mod platform;
 pub mod program;
 pub mod report;
 pub mod settings;
--- /dev/null
+++ b/crates/node/src/platform.rs
@@ -0,0 +1,196 @@
+//! The client of the platform's service, over HTTP/1.1.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{Context, Result, bail, eyre};
+use hornbeamhitch_types::prelude::*;
+use hornbeamhitch_wire::control::{ListVersion, ListedVm};
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+
+/// The platform's limit on one value.
+const MAX_TEXT_BYTES: usize = 1 << 20;
+/// A list of all VMs of a large fleet is read in parts by service; a whole one
+/// above this is refused.
+const MAX_LIST_BYTES: usize = 4 << 20;
+/// Beyond the wait that was asked for; the platform answers in milliseconds.
+const SLACK: Duration = Duration::from_secs(5);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+const VERSION_HEADER: &str = "platform-version";
+
+/// Reads the text and the VM list.
+#[derive(Clone, Debug)]
+pub struct PlatformReader {
+    address: SocketAddr,
+    http: Client<HttpConnector, Empty<Bytes>>,
+}
+
+/// A text under its version, not checked yet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PublishedText {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// The text itself.
+    pub text: String,
+}
+
+/// A VM list under its version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PublishedVms {
+    /// Its version.
+    pub version: ListVersion,
+    /// All VMs, or those of one service.
+    pub vms: Vec<ListedVm>,
+}
+
+#[derive(Deserialize)]
+struct ListBody {
+    version: u64,
+    vms: Vec<ListEntry>,
+}
+
+#[derive(Deserialize)]
+struct ListEntry {
+    vm: VmId,
+    data_centre: DataCentre,
+    service: ServiceName,
+    state: ListState,
+    peer: SocketAddr,
+    control: SocketAddr,
+}
+
+#[derive(Deserialize, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+enum ListState {
+    Live,
+    Leaving,
+}
+
+impl PlatformReader {
+    /// A reader that connects on need.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        Self {
+            address,
+            http: Client::builder(TokioExecutor::new()).build(connector),
+        }
+    }
+
+    /// Reads the text, or watches for a version above `after`; `None` when there
+    /// is none after `wait_ms`.
+    ///
+    /// # Errors
+    ///
+    /// No answer in time, or one that is no text.
+    pub async fn text(
+        &self,
+        after: ConfigVersion,
+        wait_ms: Millis,
+    ) -> Result<Option<PublishedText>> {
+        let path = format!("/v1/text?after={}&wait_ms={}", after.0, wait_ms.0);
+        let answer = self.get(&path, wait_ms, MAX_TEXT_BYTES).await?;
+        answer.changed()?.map(text).transpose()
+    }
+
+    /// Reads the VM list, of one service or whole, or watches for a version above
+    /// `after`; `None` when there is none after `wait_ms`.
+    ///
+    /// # Errors
+    ///
+    /// No answer in time, or one that is no list.
+    pub async fn vms(
+        &self,
+        service: Option<&ServiceName>,
+        after: ListVersion,
+        wait_ms: Millis,
+    ) -> Result<Option<PublishedVms>> {
+        let mut path = format!("/v1/vms?after={}&wait_ms={}", after.0, wait_ms.0);
+        if let Some(service) = service {
+            path.push_str("&service=");
+            path.push_str(service.as_str());
+        }
+        let answer = self.get(&path, wait_ms, MAX_LIST_BYTES).await?;
+        answer.changed()?.map(|answer| list(&answer)).transpose()
+    }
+
+    async fn get(&self, path: &str, wait_ms: Millis, max_bytes: usize) -> Result<Answer> {
+        let limit = wait_ms.to_duration() + SLACK;
+        let read = self.get_unbounded(path, max_bytes);
+        tokio::time::timeout(limit, read)
+            .await
+            .wrap_err("the platform did not answer in time")?
+    }
+
+    async fn get_unbounded(&self, path: &str, max_bytes: usize) -> Result<Answer> {
+        let uri = format!("http://{}{path}", self.address);
+        let request = Request::get(uri).body(Empty::new())?;
+        let response = self.http.request(request).await?;
+        let status = response.status();
+        let version = response.headers().get(VERSION_HEADER);
+        let version = version.and_then(|text| text.to_str().ok()?.parse().ok());
+        let body = Limited::new(response.into_body(), max_bytes);
+        let body = body.collect().await.map_err(|error| eyre!(error))?;
+        Ok(Answer {
+            status,
+            version,
+            body: body.to_bytes(),
+        })
+    }
+}
+
+struct Answer {
+    status: StatusCode,
+    version: Option<u64>,
+    body: Bytes,
+}
+
+impl Answer {
+    /// The answer itself when it brings a value.
+    fn changed(self) -> Result<Option<Self>> {
+        match self.status {
+            StatusCode::NOT_MODIFIED | StatusCode::NOT_FOUND => Ok(None),
+            StatusCode::OK => Ok(Some(self)),
+            status => bail!("the platform answered {status}"),
+        }
+    }
+}
+
+fn text(answer: Answer) -> Result<PublishedText> {
+    let version = answer
+        .version
+        .ok_or_else(|| eyre!("the text came without {VERSION_HEADER}"))?;
+    let text = std::str::from_utf8(&answer.body).wrap_err("the text is not UTF-8")?;
+    Ok(PublishedText {
+        version: ConfigVersion(version),
+        text: text.to_owned(),
+    })
+}
+
+fn list(answer: &Answer) -> Result<PublishedVms> {
+    let list: ListBody =
+        serde_json::from_slice(&answer.body).wrap_err("the VM list is malformed")?;
+    let mut vms = Vec::with_capacity(list.vms.len());
+    for entry in list.vms {
+        vms.push(ListedVm {
+            vm: entry.vm,
+            data_centre: entry.data_centre,
+            service: entry.service,
+            leaving: entry.state == ListState::Leaving,
+            peer: entry.peer,
+            control: entry.control,
+        });
+    }
+    Ok(PublishedVms {
+        version: ListVersion(list.version),
+        vms,
+    })
+}
--- /dev/null
+++ b/crates/routed/src/program.rs
@@ -0,0 +1,118 @@
+//! The routed node on our own platform as a program.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use gumdrop::Options;
+use hornbeamhitch_dispatch::retry_budget::RetryLimit;
+use hornbeamhitch_edge::config::{EdgeConfig, Tunables};
+use hornbeamhitch_edge::daemon::{self, Deployment};
+use hornbeamhitch_node::logs;
+use hornbeamhitch_node::options::ExitStatus;
+use hornbeamhitch_node::platform::PlatformReader;
+use hornbeamhitch_node::settings::Config;
+use hornbeamhitch_types::prelude::*;
+
+use crate::dialect::OwnDialect;
+use crate::source::OwnSource;
+
+/// Path of the readiness question, as of the other node.
+const READINESS_PATH: &str = "/v1/ready";
+/// A change of the text or the list is in force within this; callers who were
+/// told of a change wait about as long.
+const IN_FORCE_MS: Millis = Millis(2_000);
+/// Extra arrivals at a service, over all entries: a fifth of its requests, and
+/// some for a service that has few. The usual share of retry budgets.
+const RETRY_LIMIT: RetryLimit = RetryLimit {
+    ratio: 0.2,
+    slack: 64.0,
+    window_ms: Millis(10_000),
+};
+
+/// A node that routes by host and path as the text says.
+#[derive(Debug, Options)]
+struct Arguments {
+    /// Prints this text.
+    #[options(help = "print this help")]
+    help: bool,
+    /// The settings file.
+    #[options(
+        no_short,
+        required,
+        help = "read the settings from FILE",
+        meta = "FILE"
+    )]
+    settings: PathBuf,
+    /// Checks the settings and ends.
+    #[options(no_short, help = "check the settings, print all faults, and exit")]
+    check: bool,
+}
+
+/// Follows the arguments until the node has ended.
+#[must_use]
+pub fn run() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let config = match Config::load(&arguments.settings) {
+        Ok(config) => config,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return ExitStatus::SettingsFaults.into();
+        }
+    };
+    if arguments.check {
+        let path = arguments.settings.display();
+        println!("{path}: good, VM {} of {}", config.vm, config.service);
+        return ExitCode::SUCCESS;
+    }
+    match logs::start(&config.log, &config.vm) {
+        Ok(log) => daemon::run_to_exit(deployment(&config, &arguments.settings), &log),
+        Err(error) => {
+            eprintln!("the log cannot be started: {error}");
+            ExitStatus::StartFailed.into()
+        }
+    }
+}
+
+fn deployment(config: &Config, path: &Path) -> Deployment {
+    let reader = PlatformReader::new(config.platform_address);
+    let path = path.to_owned();
+    Deployment {
+        config: edge_config(config),
+        dialect: Arc::new(OwnDialect),
+        source: Box::new(OwnSource::new(reader, config.peer_address.port())),
+        reload: Box::new(move || match Config::load(&path) {
+            Ok(_) => Some(tunables()),
+            Err(faults) => {
+                log::error!("changed settings are not used: {faults}");
+                None
+            }
+        }),
+    }
+}
+
+const fn tunables() -> Tunables {
+    Tunables {
+        retry_limit: RETRY_LIMIT,
+    }
+}
+
+fn edge_config(config: &Config) -> EdgeConfig {
+    EdgeConfig {
+        vm: config.vm.clone(),
+        service: config.service.clone(),
+        data_centre: config.data_centre.clone(),
+        // The VM list names nodes, not targets.
+        listed_address: config.peer_address,
+        callers_address: config.callers_address,
+        links_address: config.peer_address,
+        readiness_address: config.operators_address,
+        readiness_path: READINESS_PATH,
+        metrics_address: None,
+        target_address: config.target_address,
+        buffered_bytes: config.limits.buffered_bodies_bytes,
+        in_force_ms: IN_FORCE_MS,
+        grace_ms: config.drain_timeout_ms,
+        tunables: tunables(),
+    }
+}
--- a/crates/standins/src/target/calls.rs
+++ b/crates/standins/src/target/calls.rs
@@ -215,6 +215,9 @@
         };
         answer_headers.insert(name, value);
     }
+    if let Some(id) = call.head.headers.get(header::REQUEST_ID) {
+        answer_headers.insert(header::REQUEST_ID, id.clone());
+    }
     if let Some(called) = called {
         answer_headers.insert(headers::CALLED_STATUS, called.as_u16().into());
     }
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -2,6 +2,12 @@
 
 /// The caller's key of a non-idempotent call.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Id of one attempt of a caller on the routed path; targets echo it.
+pub const REQUEST_ID: &str = "hitch-request-id";
+/// On the routed path, the VM whose target alone may run the request.
+pub const EXPECTED_VM: &str = "hitch-expected-vm";
+/// On the routed path, the service beside which the request began.
+pub const CALLER_SERVICE: &str = "hitch-caller-service";
 /// The tenant's name.
 pub const TENANT: &str = "hitch-tenant";
 /// What is left of the deadline, in whole milliseconds.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod measuring;
 mod not_run;
 mod plot;
+mod routed;
 mod shutdown;
 mod support;
 mod thin_path;
