--- a/crates/lab/src/capacity/fleet.rs
+++ b/crates/lab/src/capacity/fleet.rs
@@ -3,6 +3,8 @@
 //! The control halves are the real ones, and texts are checked by the real
 //! checker. Datagrams take one to three milliseconds and none is lost.
 
+mod platform;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -10,13 +12,14 @@
     CheckedText, Control, ControlAction, ControlCounters, ControlEvent, ControlSettings,
     ControlStatus, PlatformRead, RequestId, TextChecker, TextRefusal,
 };
-use hornbeamhitch_wire::control::{ListVersion, ListedVm};
+use hornbeamhitch_wire::control::ListedVm;
 use rand::rngs::Xoshiro256PlusPlus;
 use rand::{RngExt, SeedableRng};
 
 use crate::capacity::layout::{Layout, index_at};
 use crate::capacity::stopwatch::Stopwatch;
 use crate::prelude::*;
+use platform::Watch;
 
 const SEED: u64 = 42;
 const TICK: Millis = Millis(50);
@@ -88,14 +91,6 @@
     Seldom,
 }
 
-struct Watch {
-    node: usize,
-    read: PlatformRead,
-    service: Option<ServiceName>,
-    after: u64,
-    until: Millis,
-}
-
 enum Occurrence {
     Tick,
     /// The calls of one second.
@@ -486,84 +481,4 @@
             Occurrence::Event(ControlEvent::BulkFailed { peer }),
         );
     }
-
-    fn read(
-        &mut self,
-        node: usize,
-        read: PlatformRead,
-        service: Option<ServiceName>,
-        after: u64,
-        wait_ms: Millis,
-    ) {
-        self.platform_reads += 1;
-        self.watches.push(Watch {
-            node,
-            read,
-            service,
-            after,
-            until: self.now + wait_ms,
-        });
-        self.wake_watches();
-        self.end_watches();
-    }
-
-    /// Ends watches whose value has come.
-    fn wake_watches(&mut self) {
-        for watch in std::mem::take(&mut self.watches) {
-            let Some((event, bytes)) = self.news_for(&watch) else {
-                self.watches.push(watch);
-                continue;
-            };
-            if let Some(node) = &mut self.nodes[watch.node] {
-                node.platform_bytes += bytes;
-            }
-            let at = self.now + PLATFORM_DELAY;
-            self.push(at, watch.node, Occurrence::Event(event));
-        }
-    }
-
-    /// Ends watches whose time is over.
-    fn end_watches(&mut self) {
-        let now = self.now;
-        if !self.watches.iter().any(|watch| watch.until <= now) {
-            return;
-        }
-        for watch in std::mem::take(&mut self.watches) {
-            if watch.until > now {
-                self.watches.push(watch);
-                continue;
-            }
-            let event = match watch.read {
-                PlatformRead::Text => ControlEvent::TextUnchanged,
-                PlatformRead::Vms => ControlEvent::VmsUnchanged,
-            };
-            let at = now + PLATFORM_DELAY;
-            self.push(at, watch.node, Occurrence::Event(event));
-        }
-    }
-
-    fn news_for(&self, watch: &Watch) -> Option<(ControlEvent, u64)> {
-        if watch.read == PlatformRead::Text {
-            let (version, text) = &self.text;
-            let event = ControlEvent::TextRead {
-                version: ConfigVersion(*version),
-                text: Arc::clone(text),
-            };
-            return (*version > watch.after).then_some((event, text.len() as u64));
-        }
-        if self.list_version <= watch.after {
-            return None;
-        }
-        let mut vms = self.vms.clone();
-        if let Some(service) = &watch.service {
-            vms.retain(|entry| entry.service == *service);
-        }
-        let bytes = vms.len() as u64 * LISTED_VM_JSON_BYTES;
-        let event = ControlEvent::VmsRead {
-            version: ListVersion(self.list_version),
-            service: watch.service.clone(),
-            vms,
-        };
-        Some((event, bytes))
-    }
 }
