Leave short work the slots that it needs, and a quarter at most

Cause: a question or two a second kept two slots of nine free.

Change: the gate counts the run times that short work asks for, over about a second, and leaves twice the mean number of slots that they take, up to a quarter of all.

A test for each side: little short work takes no slot; much of it keeps three of twelve.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -26,12 +26,15 @@
 const UNKNOWN_SLOTS: u32 = 4;
 /// Work is long beside other work that takes at most this part of its time.
 const SHORT_PART: u64 = 3;
-/// This part of a target's slots is left to short work, while some came lately:
-/// a quarter was better than an eighth where half of a service's targets were
-/// lost (330 against 846 failed payments of 6,497, and 1,623 without).
-const PART_FOR_SHORT_WORK: u32 = 4;
-/// Work came lately when it came within this span: a service that is asked a few
-/// times a second keeps its share, one that is not gives it back at once.
+/// Times the mean number of slots that short work takes is left to it, since it
+/// comes in bursts ...
+const SHORT_WORK_MARGIN: f64 = 2.0;
+/// ... and this part of all slots at most: beyond it long work would starve. A
+/// quarter was better than an eighth where half of a service's targets were lost
+/// (330 against 846 failed payments of 6,497, and 1,623 without).
+const MOST_FOR_SHORT_WORK: u32 = 4;
+/// Span over which short work is counted: a service that is asked a few times a
+/// second keeps its share, one that is not gives it back soon.
 const LATELY_MS: Millis = Millis(1_000);
 /// A target that refused a connection is left alone for this long.
 const DOWN_FOR_MS: Millis = Millis(150);
@@ -117,17 +120,21 @@
     line: BTreeMap<Place, Millis>,
     last_number: u64,
     speed: Option<SpeedReading>,
-    /// The shortest work that came lately.
-    shortest: Option<SeenWork>,
+    short_work: Option<ShortWork>,
     leaving: bool,
     down_until: Millis,
 }
 
-/// Work of some length that came at some time.
+/// The shortest work that came lately, with what is about as short.
 #[derive(Clone, Copy, Debug)]
-struct SeenWork {
-    work_ms: Millis,
+struct ShortWork {
+    shortest_ms: Millis,
+    /// When the shortest last came.
     at: Millis,
+    /// Run times that were asked for, those of [`LATELY_MS`] ago at a third.
+    asked_ms: f64,
+    /// When that was last brought up to date.
+    asked_at: Millis,
 }
 
 impl Default for Admission {
@@ -138,7 +145,7 @@
             line: BTreeMap::new(),
             last_number: 0,
             speed: None,
-            shortest: None,
+            short_work: None,
             leaving: false,
             down_until: Millis::ZERO,
         }
@@ -276,12 +283,23 @@
     }
 
     fn note_work(&mut self, work_ms: Millis, now: Millis) {
-        let is_shortest = self
-            .shortest
-            .is_none_or(|seen| work_ms <= seen.work_ms || now.since(seen.at) > LATELY_MS);
-        if is_shortest {
-            self.shortest = Some(SeenWork { work_ms, at: now });
+        let known = self.short_work.filter(|known| known.is_recent(now));
+        let mut known = match known {
+            Some(known) if !is_long_beside(known.shortest_ms, work_ms) => known,
+            _ => ShortWork {
+                shortest_ms: work_ms,
+                at: now,
+                asked_ms: 0.0,
+                asked_at: now,
+            },
+        };
+        if !is_long_beside(work_ms, known.shortest_ms) {
+            known.asked_ms = known.asked_ms(now) + work_ms.0 as f64;
+            known.asked_at = now;
+            known.at = now;
+            known.shortest_ms = work_ms.min(known.shortest_ms);
         }
+        self.short_work = Some(known);
     }
 
     /// Slots that work of this length leaves free.
@@ -293,14 +311,15 @@
     /// first in the line is not enough: most calls are refused before they stand in
     /// one. With slots left free they mostly start at once, and uploads lose little.
     fn left_to_short_work(&self, work_ms: Millis, now: Millis) -> u32 {
-        let Some(shortest) = self.shortest else {
+        let Some(known) = self.short_work.filter(|known| known.is_recent(now)) else {
             return 0;
         };
-        let is_long = shortest.work_ms.0 * SHORT_PART <= work_ms.0;
-        if !is_long || now.since(shortest.at) > LATELY_MS {
+        if !is_long_beside(work_ms, known.shortest_ms) {
             return 0;
         }
-        self.slots / PART_FOR_SHORT_WORK
+        let mean_slots = known.asked_ms(now) / LATELY_MS.0 as f64;
+        let wanted = (mean_slots * SHORT_WORK_MARGIN).round() as u32;
+        wanted.min(self.slots / MOST_FOR_SHORT_WORK)
     }
 
     /// A call that would wait longer than it may is told at once.
@@ -317,6 +336,24 @@
     }
 }
 
+impl ShortWork {
+    fn is_recent(&self, now: Millis) -> bool {
+        now.since(self.at) <= LATELY_MS
+    }
+
+    /// Run times that were asked for lately; divided by [`LATELY_MS`], the mean
+    /// number of slots that they take.
+    fn asked_ms(&self, now: Millis) -> f64 {
+        let age = now.since(self.asked_at).0 as f64 / LATELY_MS.0 as f64;
+        self.asked_ms * (-age).exp()
+    }
+}
+
+/// Whether work is so much longer than other work that it gives way to it.
+const fn is_long_beside(work_ms: Millis, other_ms: Millis) -> bool {
+    other_ms.0 * SHORT_PART <= work_ms.0
+}
+
 /// Whether a call should start at this speed.
 fn is_good_enough(call: &GateCall, slowness_percent: u32, now: Millis) -> bool {
     if slowness_percent <= FAST_PERCENT {
--- a/crates/dispatch/src/admission/tests.rs
+++ b/crates/dispatch/src/admission/tests.rs
@@ -204,6 +204,34 @@
     assert_eq!(verdict, Verdict::Start);
 }
 
+fn ask_questions(admission: &mut Admission, question: &GateCall, count: usize) {
+    for _ in 0..count {
+        let place = admission.enlist(question, Millis(0));
+        let verdict = admission.decide(place, question, Millis(0));
+        assert_eq!(verdict, Verdict::Start);
+        admission.start(place);
+        admission.finish();
+    }
+}
+
+/// One question in a second takes a fiftieth of a slot: uploads may use all.
+#[test]
+fn little_short_work_takes_no_slot_from_long_work() {
+    let mut admission = gate(12);
+    read(&mut admission, 100, 0);
+    let upload = call(1_000, 2_000);
+    let question = GateCall {
+        work_ms: Millis(20),
+        ..upload
+    };
+    ask_questions(&mut admission, &question, 1);
+    for _ in 0..9 {
+        let place = admission.enlist(&upload, Millis(0));
+        assert_eq!(admission.decide(place, &upload, Millis(0)), Verdict::Start);
+        admission.start(place);
+    }
+}
+
 /// A service has lost half of its targets. Uploads hold the slots of the rest, and
 /// questions that other targets ask for payments find none free: each refused one
 /// costs a payment, though it would take a fifth of an upload's time.
@@ -216,9 +244,8 @@
         work_ms: Millis(20),
         ..upload
     };
-    let place = admission.enlist(&question, Millis(0));
-    admission.start(place);
-    admission.finish();
+    // Seventy-five questions of 20 ms a second hold one slot and a half.
+    ask_questions(&mut admission, &question, 75);
     // Nine of twelve slots are used at all, and three are left free.
     for _ in 0..6 {
         let place = admission.enlist(&upload, Millis(0));
@@ -228,11 +255,7 @@
     let seventh = admission.enlist(&upload, Millis(0));
     let verdict = admission.decide(seventh, &upload, Millis(0));
     assert!(matches!(verdict, Verdict::Wait(_)), "{verdict:?}");
-    let place = admission.enlist(&question, Millis(0));
-    let verdict = admission.decide(place, &question, Millis(0));
-    assert_eq!(verdict, Verdict::Start);
-    admission.start(place);
-    admission.finish();
+    ask_questions(&mut admission, &question, 1);
     // No more questions come, so nothing is left free for them.
     let later = LATELY_MS + Millis(1);
     read(&mut admission, 100, later.0);
