--- a/crates/dispatch/src/admission/tests.rs
+++ b/crates/dispatch/src/admission/tests.rs
@@ -204,6 +204,18 @@
     assert_eq!(verdict, Verdict::Start);
 }
 
+/// A fast gate of twelve slots, long work and work of a fifth of its length.
+fn gate_with_uploads_and_questions() -> (Admission, GateCall, GateCall) {
+    let mut admission = gate(12);
+    read(&mut admission, 100, 0);
+    let upload = call(1_000, 2_000);
+    let question = GateCall {
+        work_ms: Millis(20),
+        ..upload
+    };
+    (admission, upload, question)
+}
+
 fn ask_questions(admission: &mut Admission, question: &GateCall, count: usize) {
     for _ in 0..count {
         let place = admission.enlist(question, Millis(0));
@@ -217,13 +229,7 @@
 /// One question in a second takes a fiftieth of a slot: uploads may use all.
 #[test]
 fn little_short_work_takes_no_slot_from_long_work() {
-    let mut admission = gate(12);
-    read(&mut admission, 100, 0);
-    let upload = call(1_000, 2_000);
-    let question = GateCall {
-        work_ms: Millis(20),
-        ..upload
-    };
+    let (mut admission, upload, question) = gate_with_uploads_and_questions();
     ask_questions(&mut admission, &question, 1);
     for _ in 0..9 {
         let place = admission.enlist(&upload, Millis(0));
@@ -237,13 +243,7 @@
 /// costs a payment, though it would take a fifth of an upload's time.
 #[test]
 fn long_work_leaves_slots_to_short_work_that_came_lately() {
-    let mut admission = gate(12);
-    read(&mut admission, 100, 0);
-    let upload = call(1_000, 2_000);
-    let question = GateCall {
-        work_ms: Millis(20),
-        ..upload
-    };
+    let (mut admission, upload, question) = gate_with_uploads_and_questions();
     // Seventy-five questions of 20 ms a second hold one slot and a half.
     ask_questions(&mut admission, &question, 75);
     // Nine of twelve slots are used at all, and three are left free.
