Make sure that an entry which is to hear nothing hears nothing

Cause: a stop signal is only queued when its sender goes on; the entry still read what was to fill its socket, and then dropped no announcement. A sister test had the same cause and was mended; this one flooded without waiting.

Change: one function for both pauses the node, waits until every thread has stopped, floods, and waits for a first drop. As strict as before.

--- a/tests/all/leaving.rs
+++ b/tests/all/leaving.rs
@@ -10,6 +10,7 @@
 
 use eyre::{Result, eyre};
 use hornbeamhitch_standins::clock::wall_clock;
+use hornbeamhitch_standins::fleet::Fleet;
 use hornbeamhitch_standins::http_client::WholeAnswer;
 use hornbeamhitch_standins::platform::VmState;
 use hornbeamhitch_standins::target::{TargetStandin, headers};
@@ -18,7 +19,7 @@
 
 use crate::support::caller::{Call, Caller, code_of};
 use crate::support::far_entry::FarEntry;
-use crate::support::pause::pause;
+use crate::support::pause::pause_in;
 use crate::support::payment::{Payment, Sending};
 use crate::support::traffic::Traffic;
 use crate::support::{Deployment, Member, PATIENCE};
@@ -348,9 +349,7 @@
 
     let far_vm = far.fleet.names().remove(0);
     let control = far.fleet.addresses(&far_vm)?.control;
-    far.fleet.pause(&far_vm)?;
-    flood(control)?;
-    let lost_before = lost_datagrams(control)?;
+    let lost_before = deafen(&mut far.fleet, &far_vm).await?;
     way.begin(&mut deployment, &leaver).await?;
     wait_lost(control, lost_before + ANNOUNCEMENTS).await?;
     far.fleet.resume(&far_vm)?;
@@ -411,14 +410,8 @@
     let entry = deployment.entry(DESK);
     send_some(entry, "before").await?;
     let leaver = favourite(&deployment);
-    // The premise by construction: every thread of the entry has stopped, and
-    // its socket is so full that it drops what comes.
-    pause(&mut deployment, DESK).await?;
     let control = deployment.fleet.addresses(DESK)?.control;
-    let lost_while_awake = lost_datagrams(control)?;
-    flood(control)?;
-    wait_lost(control, lost_while_awake + 1).await?;
-    let lost_before = lost_datagrams(control)?;
+    let lost_before = deafen(&mut deployment.fleet, DESK).await?;
     Way::Drain.begin(&mut deployment, &leaver).await?;
     let runs = deployment.target(&leaver).all_runs().len();
     wait_lost(control, lost_before + ANNOUNCEMENTS).await?;
@@ -431,6 +424,18 @@
     Ok(())
 }
 
+/// Pauses a node and sees to it that it hears nothing: every thread has stopped,
+/// and its socket is so full that it drops what comes. Returns how many datagrams
+/// were dropped by then.
+async fn deafen(fleet: &mut Fleet, vm: &str) -> Result<u64> {
+    pause_in(fleet, vm).await?;
+    let control = fleet.addresses(vm)?.control;
+    let lost_while_awake = lost_datagrams(control)?;
+    flood(control)?;
+    wait_lost(control, lost_while_awake + 1).await?;
+    lost_datagrams(control)
+}
+
 /// Fills the socket of a paused process, the last gaps with small datagrams.
 fn flood(control: SocketAddr) -> Result<()> {
     let socket = UdpSocket::bind(crate::support::loopback())?;
--- a/tests/all/support/pause.rs
+++ b/tests/all/support/pause.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use eyre::{Result, bail};
+use hornbeamhitch_standins::fleet::Fleet;
 
 use super::{Deployment, PATIENCE, POLL};
 
@@ -12,8 +13,13 @@
 /// A stop signal is only queued when its sender goes on: on a busy machine the
 /// process may still answer a request or two.
 pub async fn pause(deployment: &mut Deployment, vm: &str) -> Result<()> {
-    deployment.fleet.pause(vm)?;
-    let process = deployment.fleet.process_id(vm)?;
+    pause_in(&mut deployment.fleet, vm).await
+}
+
+/// The same for a node of any fleet.
+pub async fn pause_in(fleet: &mut Fleet, vm: &str) -> Result<()> {
+    fleet.pause(vm)?;
+    let process = fleet.process_id(vm)?;
     let give_up = Instant::now() + PATIENCE;
     while Instant::now() < give_up {
         if has_stopped(process)? {
