--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -1,6 +1,6 @@
 //! When a gate starts a call in its target.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::prelude::*;
 
@@ -116,8 +116,8 @@
 pub struct Admission {
     slots: u32,
     in_flight: u32,
-    /// Calls in line with their mean run times.
-    line: BTreeMap<Place, Millis>,
+    /// Calls in line.
+    line: BTreeSet<Place>,
     last_number: u64,
     speed: Option<SpeedReading>,
     short_work: Option<ShortWork>,
@@ -129,12 +129,11 @@
 #[derive(Clone, Copy, Debug)]
 struct ShortWork {
     shortest_ms: Millis,
-    /// When the shortest last came.
+    /// When such work last came.
     at: Millis,
-    /// Run times that were asked for, those of [`LATELY_MS`] ago at a third.
+    /// Run times that were asked for until then, those of [`LATELY_MS`] before at
+    /// a third.
     asked_ms: f64,
-    /// When that was last brought up to date.
-    asked_at: Millis,
 }
 
 impl Default for Admission {
@@ -142,7 +141,7 @@
         Self {
             slots: UNKNOWN_SLOTS,
             in_flight: 0,
-            line: BTreeMap::new(),
+            line: BTreeSet::new(),
             last_number: 0,
             speed: None,
             short_work: None,
@@ -219,7 +218,7 @@
             work_ms: call.work_ms,
             number: self.last_number,
         };
-        self.line.insert(place, call.work_ms);
+        self.line.insert(place);
         place
     }
 
@@ -290,12 +289,10 @@
                 shortest_ms: work_ms,
                 at: now,
                 asked_ms: 0.0,
-                asked_at: now,
             },
         };
         if !is_long_beside(work_ms, known.shortest_ms) {
             known.asked_ms = known.asked_ms(now) + work_ms.0 as f64;
-            known.asked_at = now;
             known.at = now;
             known.shortest_ms = work_ms.min(known.shortest_ms);
         }
@@ -325,8 +322,8 @@
     /// A call that would wait longer than it may is told at once.
     fn wait_for_room(&self, call: &GateCall, behind: u32, limit: u32, now: Millis) -> Verdict {
         let mut work_ms = call.work_ms.0;
-        for ahead in self.line.values() {
-            work_ms = work_ms.max(ahead.0);
+        for place in &self.line {
+            work_ms = work_ms.max(place.work_ms.0);
         }
         let wait = Millis(work_ms * u64::from(behind + 1) / u64::from(limit.max(1)));
         if now + wait > call.hold_until {
@@ -344,7 +341,7 @@
     /// Run times that were asked for lately; divided by [`LATELY_MS`], the mean
     /// number of slots that they take.
     fn asked_ms(&self, now: Millis) -> f64 {
-        let age = now.since(self.asked_at).0 as f64 / LATELY_MS.0 as f64;
+        let age = now.since(self.at).0 as f64 / LATELY_MS.0 as f64;
         self.asked_ms * (-age).exp()
     }
 }
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -79,6 +79,8 @@
 pub struct Members {
     by_id: BTreeMap<TargetId, Arc<Member>>,
     by_service: HashMap<ServiceName, Vec<Arc<Member>>>,
+    /// For each call a gate looks up its own target here.
+    by_address: HashMap<SocketAddr, Arc<Member>>,
     left: Arc<BTreeMap<TargetId, Millis>>,
 }
 
@@ -98,16 +100,7 @@
     /// The newest listed target at an address.
     #[must_use]
     pub fn at(&self, address: SocketAddr) -> Option<&Arc<Member>> {
-        let mut found = None;
-        for member in self.by_id.values() {
-            if member.address != address {
-                continue;
-            }
-            if found.is_none() || !member.draining {
-                found = Some(member);
-            }
-        }
-        found
+        self.by_address.get(&address)
     }
 
     /// Whether the target was listed once and is gone.
@@ -116,12 +109,6 @@
         self.left.contains_key(id)
     }
 
-    /// Whether a target is listed on the VM with this address.
-    #[must_use]
-    pub fn has_vm(&self, ip: IpAddr) -> bool {
-        self.by_id.values().any(|member| member.vm_ip() == ip)
-    }
-
     /// Every target known.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Member>> {
         self.by_id.values()
@@ -288,6 +275,10 @@
         for tracked in self.known.values() {
             let member = &tracked.member;
             members.by_id.insert(member.id.clone(), Arc::clone(member));
+            if !member.draining || !members.by_address.contains_key(&member.address) {
+                let member = Arc::clone(member);
+                members.by_address.insert(member.address, member);
+            }
             if member.draining || latest[&member.address] != member.listed_at {
                 continue;
             }
--- a/crates/dispatch/src/routes.rs
+++ b/crates/dispatch/src/routes.rs
@@ -1,6 +1,6 @@
 //! Routes by host and longest path prefix, as one immutable set a version.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -165,6 +165,12 @@
         self.health_paths.keys()
     }
 
+    /// Names of all routes.
+    #[must_use]
+    pub fn names(&self) -> HashSet<&str> {
+        self.iter().map(|route| route.name.as_str()).collect()
+    }
+
     /// Every route, for reports.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.hosts.values().flatten()
--- a/crates/dispatch/src/split.rs
+++ b/crates/dispatch/src/split.rs
@@ -65,8 +65,7 @@
 
     /// Forgets routes that are no longer configured.
     pub fn retain(&mut self, routes: &RouteSet) {
-        let names: std::collections::HashSet<&str> =
-            routes.iter().map(|route| route.name.as_str()).collect();
+        let names = routes.names();
         self.deficits
             .retain(|name, _| names.contains(name.as_str()));
     }
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -61,8 +61,7 @@
 
     /// Forgets routes that are no longer configured.
     pub fn retain(&mut self, routes: &RouteSet) {
-        let names: std::collections::HashSet<&str> =
-            routes.iter().map(|route| route.name.as_str()).collect();
+        let names = routes.names();
         self.by_route
             .retain(|name, _| names.contains(name.as_str()));
     }
--- a/crates/edge/src/callers.rs
+++ b/crates/edge/src/callers.rs
@@ -3,7 +3,6 @@
 mod connection;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -12,10 +11,6 @@
 use crate::sockets;
 use connection::Connection;
 
-/// After a failed accept (out of descriptors, say) the next is not tried at
-/// once, or the loop would spin.
-pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// How far a node has come in leaving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Leaving {
@@ -55,7 +50,7 @@
                 Ok((stream, _)) => stream,
                 Err(error) => {
                     log::warn!("cannot accept a caller: {error}");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    tokio::time::sleep(sockets::ACCEPT_PAUSE).await;
                     continue;
                 }
             };
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -174,10 +174,10 @@
         let mut state = self.state.lock();
         state.retain(&directory);
         drop(state);
-        let members = Arc::clone(&directory.members);
+        let vms = directory.members.vms();
         let port = self.gate_port;
         self.links
-            .retain(|gate| gate.port() == port && members.has_vm(gate.ip()));
+            .retain(|gate| gate.port() == port && vms.contains(&gate.ip()));
     }
 
     /// Whether this node reaches no other VM any more.
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -153,10 +153,10 @@
     }
 
     const fn watch_wait_ms(&self) -> Millis {
-        match (self.knowledge.own_reads(), self.failures) {
-            (OwnReads::Doubtful, _) => AT_ONCE_MS,
-            (OwnReads::Good, 0) if !self.role.is_follower() => WATCH_WAIT_MS,
-            _ => TROUBLED_WAIT_MS,
+        match self.knowledge.own_reads() {
+            OwnReads::Doubtful => AT_ONCE_MS,
+            OwnReads::Good if !self.role.is_follower() => WATCH_WAIT_MS,
+            OwnReads::Good | OwnReads::Failed => TROUBLED_WAIT_MS,
         }
     }
 
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -215,9 +215,11 @@
     /// Whether a removal is not taken for now. A target that said that it drains
     /// is going in any case.
     fn holds(&self, id: &TargetId) -> bool {
+        if self.own_reads == OwnReads::Good {
+            return false;
+        }
         let members = self.directory.members();
-        let drains = members.get(id).is_none_or(|member| member.draining);
-        self.own_reads != OwnReads::Good && !drains
+        members.get(id).is_some_and(|member| !member.draining)
     }
 
     /// The source could not be read.
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -54,19 +54,10 @@
 impl LinkServer {
     /// Accepts links for as long as the process lives.
     pub async fn accept(self, listener: TcpListener) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => self.serve(stream),
-                Err(error) => {
-                    log::warn!("cannot accept a link: {error}");
-                    tokio::time::sleep(crate::callers::ACCEPT_PAUSE).await;
-                }
-            }
-        }
+        sockets::accept_all(listener, "a link", |stream| self.serve(stream)).await;
     }
 
     fn serve(&self, stream: TcpStream) {
-        sockets::prepare(&stream);
         let (reader, writer) = stream.into_split();
         let (answers, to_write) = mpsc::unbounded_channel();
         let hello = ToEntry::Hello {
--- a/crates/edge/src/sockets.rs
+++ b/crates/edge/src/sockets.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Sent data that is not acknowledged for this long ends the connection. A VM
 /// that lost power answers nothing, and its connections would hang for minutes.
@@ -14,6 +14,10 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 const KEEPALIVE_RETRIES: u32 = 2;
 
+/// After a failed accept (out of descriptors, say) the next is not tried at
+/// once, or the loop would spin.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Connects and sets the options.
 ///
 /// # Errors
@@ -46,6 +50,23 @@
     }
 }
 
+/// Serves each connection of a listener for as long as the process lives; `what`
+/// names the other side in the log.
+pub async fn accept_all(listener: TcpListener, what: &str, serve: impl Fn(TcpStream)) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                prepare(&stream);
+                serve(stream);
+            }
+            Err(error) => {
+                log::warn!("cannot accept {what}: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Whether a connection at rest can carry another request: it is open, and no
 /// byte lies unread that would be taken for the next answer.
 #[must_use]
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -7,7 +7,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::callers::{ACCEPT_PAUSE, Leaving};
+use crate::callers::Leaving;
 use crate::entry::Entry;
 use crate::http1::{self, HttpReader};
 use crate::prelude::*;
@@ -36,18 +36,10 @@
 impl StatusServer {
     /// Serves for as long as the process lives.
     pub async fn accept(self, listener: TcpListener) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    sockets::prepare(&stream);
-                    tokio::spawn(self.clone().serve(stream));
-                }
-                Err(error) => {
-                    log::warn!("cannot accept a question about status: {error}");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
-        }
+        sockets::accept_all(listener, "a question about status", |stream| {
+            tokio::spawn(self.clone().serve(stream));
+        })
+        .await;
     }
 
     /// A configuration is in force, and the node is neither leaving nor cut off
--- a/crates/edge/tests/all/giving_up.rs
+++ b/crates/edge/tests/all/giving_up.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::support::caller::{Caller, ask};
+use crate::support::caller::{Caller, ask, look_up};
 use crate::support::fleet;
 use crate::support::target::until;
 
@@ -52,16 +52,7 @@
 async fn a_lookup_goes_round_a_slow_target() {
     let fleet = fleet(&["s", "s"]).await;
     fleet.vms[0].target.set_slowness(500);
-    for number in 0..10 {
-        let answer = ask(
-            fleet.vms[0].callers,
-            "GET",
-            "/read/x",
-            &format!("id-{number}"),
-        )
-        .await;
-        assert_eq!(answer.status(), 200);
-    }
+    look_up(fleet.vms[0].callers, 10).await;
     assert_eq!(fleet.vms[1].target.ran().len(), 10);
 }
 
--- a/crates/edge/tests/all/routing.rs
+++ b/crates/edge/tests/all/routing.rs
@@ -5,7 +5,7 @@
 use hornbeamhitch_edge::directory::Directory;
 use hornbeamhitch_edge::http1;
 
-use crate::support::caller::{Caller, ask};
+use crate::support::caller::{Caller, ask, look_up};
 use crate::support::{
     CALLER_SERVICE, DEADLINE_MS, DIGEST, EXPECTED_TARGET, LOAD, REQUEST_ID, fleet, member,
     set_directory,
@@ -99,16 +99,7 @@
     draining.draining = true;
     let open = member(1, "s", fleet.vms[1].target.address);
     set_directory(&fleet.directory, "s", vec![draining, open]);
-    for number in 0..20 {
-        let answer = ask(
-            fleet.vms[0].callers,
-            "GET",
-            "/read/x",
-            &format!("id-{number}"),
-        )
-        .await;
-        assert_eq!(answer.status(), 200);
-    }
+    look_up(fleet.vms[0].callers, 20).await;
     assert!(fleet.vms[0].target.ran().is_empty());
     assert_eq!(fleet.vms[1].target.ran().len(), 20);
 }
--- a/crates/edge/tests/all/support/caller.rs
+++ b/crates/edge/tests/all/support/caller.rs
@@ -53,3 +53,11 @@
 pub async fn ask(address: SocketAddr, method: &str, path: &str, id: &str) -> RawAnswer {
     Caller::connect(address).await.ask(method, path, id).await
 }
+
+/// Sends so many lookups, one after the other; each must be served.
+pub async fn look_up(address: SocketAddr, count: usize) {
+    for number in 0..count {
+        let answer = ask(address, "GET", "/read/x", &format!("id-{number}")).await;
+        assert_eq!(answer.status(), 200);
+    }
+}
