Give each fleet of stand-ins a deployment of its own

Cause: all fleets ran under the settings' default deployment. Ports are handed out once a process, but two test processes can be given the same port; nodes of the one then greet those of the other, whose VMs have the same names. Seen when four copies of one test ran beside 24 busy loops: "cashier-1 is not ready in time ... a later life of this VM was heard of". Change: a fleet's settings name a deployment made of process id and number.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitStatus};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use hornbeamhitch_types::status::{NodeStatus, STATUS_PATH};
 use tokio::time::{Instant, sleep};
@@ -33,6 +34,20 @@
 const READY_POLL: Duration = Duration::from_millis(10);
 const COLLISION_RETRIES: u32 = 3;
 
+/// Fleets that this process has made.
+static FLEETS: AtomicU64 = AtomicU64::new(0);
+
+/// A deployment's name that no other fleet on this machine has.
+///
+/// A port that one fleet has given back can be another's a moment later, also in
+/// another process. Under a common name the nodes of the one would greet those of
+/// the other, whose VMs have the same names: a node hears of a later life of its
+/// own VM and takes no more work, or follows readers that are not its own.
+fn unique_deployment() -> String {
+    let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+    format!("fleet-{}-{number}", std::process::id())
+}
+
 /// What all nodes of a fleet have in common.
 #[derive(Clone, Debug)]
 pub struct FleetConfig {
@@ -79,6 +94,7 @@
 /// Node processes and the files that they were started with.
 pub struct Fleet {
     config: FleetConfig,
+    deployment: String,
     nodes: BTreeMap<String, Node>,
     /// After the nodes, so that they end before their files go.
     dir: TempDir,
@@ -94,6 +110,7 @@
     pub fn new(config: FleetConfig) -> Result<Self> {
         Ok(Self {
             config,
+            deployment: unique_deployment(),
             dir: TempDir::create("hornbeamhitch-fleet")?,
             nodes: BTreeMap::new(),
             client: HttpClient::new(HttpVersion::Http1),
@@ -130,6 +147,7 @@
 
     fn write_settings(&self, node: &Node) -> Result<()> {
         let settings = NodeSettings {
+            deployment: self.deployment.clone(),
             vm: node.spec.vm.clone(),
             service: node.spec.service.clone(),
             data_centre: node.spec.data_centre.clone(),
--- a/crates/standins/src/fleet/settings.rs
+++ b/crates/standins/src/fleet/settings.rs
@@ -5,6 +5,8 @@
 /// Settings of `hornbeamhitch-node`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct NodeSettings {
+    /// Name of the deployment; nodes ignore those of others.
+    pub deployment: String,
     /// Name of the VM.
     pub vm: String,
     /// Service of the target.
--- a/tests/all/deployments.rs
+++ b/tests/all/deployments.rs
@@ -28,15 +28,10 @@
     Ok(deployment.status(vm).await?.config.in_force)
 }
 
-/// A VM's address passes from one deployment to another while a lagging list
-/// still names it. Its old fleet greets the stranger there. The stranger's text
-/// has a far higher version; taken over, it could never be taken back. Both
-/// must go on with their own text and their own members.
-#[tokio::test]
-async fn a_fleet_that_lists_an_address_of_another_keeps_its_own_text() -> Result<()> {
-    let other = start("insurers", "izplacila-1", HIGH_VERSION).await?;
-    let own = start("print-office", "cashier-1", 1).await?;
-    let stranger = other.fleet.addresses("izplacila-1")?;
+/// The VM list of `own` names the address of a node of another deployment, which
+/// is greeted for it some times.
+async fn list_a_stranger(own: &Deployment, other: &Deployment, vm: &str) -> Result<()> {
+    let stranger = other.fleet.addresses(vm)?;
     let mut listed = own.fleet.vm_entries();
     listed.push(VmEntry {
         vm: "cashier-2".to_owned(),
@@ -48,11 +43,22 @@
     });
     own.platform.set_vms(listed)?;
     let noticed = |_: &Deployment| {
-        let logs = other.fleet.logs("izplacila-1").unwrap_or_default();
+        let logs = other.fleet.logs(vm).unwrap_or_default();
         logs.iter().filter(|line| line.contains(NOTICED)).count() >= 3
     };
     own.wait_until("the stranger hears three greetings", noticed)
-        .await?;
+        .await
+}
+
+/// A VM's address passes from one deployment to another while a lagging list
+/// still names it. Its old fleet greets the stranger there. The stranger's text
+/// has a far higher version; taken over, it could never be taken back. Both
+/// must go on with their own text and their own members.
+#[tokio::test]
+async fn a_fleet_that_lists_an_address_of_another_keeps_its_own_text() -> Result<()> {
+    let other = start("insurers", "izplacila-1", HIGH_VERSION).await?;
+    let own = start("print-office", "cashier-1", 1).await?;
+    list_a_stranger(&own, &other, "izplacila-1").await?;
 
     assert_eq!(in_force(&own, "cashier-1").await?, Some(ConfigVersion(1)));
     let expected = Some(ConfigVersion(HIGH_VERSION));
@@ -65,3 +71,20 @@
     }
     Ok(())
 }
+
+/// Two tests run on one machine, each with a fleet of its own. A port that one has
+/// given back becomes the other's, whose node is greeted there under its own VM's
+/// name by an older life of it. It must go on with its own text and take work: a
+/// node that believed the greeting would stop, as one that a later life replaced.
+#[tokio::test]
+async fn fleets_of_two_tests_ignore_one_another() -> Result<()> {
+    let members = || vec![Member::new("cashier-1", "cashier")];
+    let other = Deployment::start(CASHIER_TEXT, members()).await?;
+    let own = Deployment::start(CASHIER_TEXT, members()).await?;
+    list_a_stranger(&own, &other, "cashier-1").await?;
+
+    for deployment in [&own, &other] {
+        assert!(!deployment.status("cashier-1").await?.superseded);
+    }
+    Ok(())
+}
