Give up the platform's watches when a node leaves the rota

At a cold start nodes elect themselves until they have heard of the others; one that stopped to read kept its watch of the VM list for the 30 s that a watch lasts. The test waits until exactly the readers watch, for 30 s as well: whether it succeeded was luck. Change: leaving the rota cancels the reads on their way, so the platform no longer counts watches that are of no use. The harness' platform is a file of its own. The test says what it saw when a wait is in vain.

--- a/crates/core/src/control/api.rs
+++ b/crates/core/src/control/api.rs
@@ -181,6 +181,8 @@
         /// How long the platform may hold the read; zero for not at all.
         wait_ms: Millis,
     },
+    /// Give up all reads that are on their way; they end in no event.
+    CancelReads,
     /// Ask a peer over TCP; ends in `BulkAnswered` or `BulkFailed`.
     BulkRequest {
         /// The peer's control address.
--- a/crates/core/src/control/reading.rs
+++ b/crates/core/src/control/reading.rs
@@ -3,7 +3,7 @@
 use hornbeamhitch_wire::control::{DatagramBody, ListVersion};
 use rand::RngExt;
 
-use super::api::PlatformRead;
+use super::api::{ControlAction, PlatformRead};
 use super::board::{Board, Controller, Input};
 use super::status::PlatformState;
 use crate::prelude::*;
@@ -86,9 +86,9 @@
 }
 
 impl Watch {
-    /// Begins anew; a read still on its way is waited for, so that there is
-    /// never a second one.
+    /// Begins anew. No read is on its way: whoever stopped has given them up.
     fn restart(&mut self) {
+        self.sent_at = None;
         self.shown = 0;
         self.failures = 0;
         self.next_at = Millis::ZERO;
@@ -199,6 +199,9 @@
             self.text.restart();
             self.vms.restart();
         } else {
+            // A watch would wait at the platform, which counts it as a read, for
+            // half a minute after it is of no use to anybody.
+            board.outbox.push(ControlAction::CancelReads);
             self.stopped_at = board.now;
             board.platform = PlatformState::Unused;
         }
--- a/crates/core/src/control/tests/configuration.rs
+++ b/crates/core/src/control/tests/configuration.rs
@@ -255,6 +255,22 @@
     fleet.run_until(Millis::from_secs(5), "version 6", |fleet| fleet.all_at(6));
 }
 
+/// Fourteen nodes start at once and each elects itself until it has heard of the
+/// others. Those that leave the rota again must not keep the platform's watches for
+/// the half minute that one lasts: the platform counts them as reads of its own.
+#[test]
+fn who_leaves_the_rota_gives_up_its_watches() {
+    for seed in 0..20 {
+        let mut fleet = bangkok(seed);
+        let took = fleet.run_until(Millis::from_secs(5), "a settled rota", |fleet| {
+            fleet.readers() == 6
+        });
+        fleet.run(Millis::from_secs(1));
+        let watches = fleet.watches();
+        assert_eq!(watches, 12, "seed {seed}, {took} after the start");
+    }
+}
+
 /// All readers are cut from the platform, other nodes are not. The cut ones say
 /// so, others of each data centre take over, and edits are in force again.
 #[test]
--- a/crates/core/src/control/tests/harness.rs
+++ b/crates/core/src/control/tests/harness.rs
@@ -4,14 +4,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use hornbeamhitch_wire::control::{ListVersion, ListedVm};
+use hornbeamhitch_wire::control::ListedVm;
 use rand::rngs::Xoshiro256PlusPlus;
 use rand::{RngExt, SeedableRng};
 
 use crate::control::*;
+use platform::Platform;
+
+mod platform;
 
 pub(super) const TICK: Millis = Millis(50);
-const PLATFORM_DELAY: Millis = Millis(5);
 const REFUSED_CONNECTION_AFTER: Millis = Millis(5);
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
 
@@ -80,25 +82,6 @@
     }
 }
 
-/// What the platform serves and how.
-pub(super) struct Platform {
-    pub(super) text: Option<(u64, Arc<str>)>,
-    pub(super) list_version: u64,
-    pub(super) vms: Vec<ListedVm>,
-    pub(super) down: bool,
-    pub(super) reads: u64,
-    watches: Vec<PlatformWatch>,
-}
-
-struct PlatformWatch {
-    node: usize,
-    life: Incarnation,
-    read: PlatformRead,
-    service: Option<ServiceName>,
-    after: u64,
-    until: Millis,
-}
-
 /// How the network treats datagrams.
 pub(super) struct Network {
     pub(super) delay: (u64, u64),
@@ -348,6 +331,7 @@
                     after,
                     wait_ms,
                 } => self.read(index, PlatformRead::Vms, service, after.0, wait_ms),
+                ControlAction::CancelReads => self.cancel_reads(index),
                 ControlAction::BulkRequest { to, message } => self.ask(index, to, message),
                 ControlAction::BulkAnswer { message, .. } => answer = Some(message),
                 ControlAction::Publish(table) => self.take_table(index, table),
@@ -424,99 +408,6 @@
             self.push(self.now + delay, from, Occurrence::Event(event));
         }
     }
-
-    fn read(
-        &mut self,
-        node: usize,
-        read: PlatformRead,
-        service: Option<ServiceName>,
-        after: u64,
-        wait_ms: Millis,
-    ) {
-        self.platform.reads += 1;
-        if self.platform.down || self.network.cut_from_platform.contains(&node) {
-            let event = ControlEvent::PlatformFailed(read);
-            self.push(self.now + PLATFORM_DELAY, node, Occurrence::Event(event));
-            return;
-        }
-        let life = self.nodes[node].settings.incarnation;
-        self.platform.watches.push(PlatformWatch {
-            node,
-            life,
-            read,
-            service,
-            after,
-            until: self.now + wait_ms,
-        });
-        self.wake_watches();
-        self.end_watches();
-    }
-
-    /// Ends watches whose value has come.
-    fn wake_watches(&mut self) {
-        for watch in std::mem::take(&mut self.platform.watches) {
-            let is_cut = self.network.cut_from_platform.contains(&watch.node);
-            let news = self.platform.news_for(&watch);
-            let Some(event) = news.filter(|_| !is_cut) else {
-                self.platform.watches.push(watch);
-                continue;
-            };
-            let at = self.now + PLATFORM_DELAY;
-            if self.nodes[watch.node].settings.incarnation == watch.life {
-                self.push(at, watch.node, Occurrence::Event(event));
-            }
-        }
-    }
-
-    /// Ends watches whose time is over, and those that the platform cannot
-    /// answer.
-    fn end_watches(&mut self) {
-        let now = self.now;
-        let is_quiet = !self.platform.down && self.network.cut_from_platform.is_empty();
-        if is_quiet && !self.platform.watches.iter().any(|watch| watch.until <= now) {
-            return;
-        }
-        for watch in std::mem::take(&mut self.platform.watches) {
-            let is_cut = self.platform.down || self.network.cut_from_platform.contains(&watch.node);
-            if !is_cut && watch.until > now {
-                self.platform.watches.push(watch);
-                continue;
-            }
-            let event = match (is_cut, watch.read) {
-                (true, read) => ControlEvent::PlatformFailed(read),
-                (false, PlatformRead::Text) => ControlEvent::TextUnchanged,
-                (false, PlatformRead::Vms) => ControlEvent::VmsUnchanged,
-            };
-            let at = now + PLATFORM_DELAY;
-            if self.nodes[watch.node].settings.incarnation == watch.life {
-                self.push(at, watch.node, Occurrence::Event(event));
-            }
-        }
-    }
-}
-
-impl Platform {
-    fn news_for(&self, watch: &PlatformWatch) -> Option<ControlEvent> {
-        if watch.read == PlatformRead::Text {
-            let (version, text) = self.text.as_ref()?;
-            return (*version > watch.after).then(|| ControlEvent::TextRead {
-                version: ConfigVersion(*version),
-                text: Arc::clone(text),
-            });
-        }
-        if self.list_version <= watch.after {
-            return None;
-        }
-        let mut vms = self.vms.clone();
-        if let Some(service) = &watch.service {
-            vms.retain(|entry| entry.service == *service);
-        }
-        Some(ControlEvent::VmsRead {
-            version: ListVersion(self.list_version),
-            service: watch.service.clone(),
-            vms,
-        })
-    }
 }
 
 /// The print office: services with their upstreams.
--- a/crates/lab/src/capacity/fleet.rs
+++ b/crates/lab/src/capacity/fleet.rs
@@ -438,6 +438,7 @@
                     after,
                     wait_ms,
                 } => self.read(index, PlatformRead::Vms, service, after.0, wait_ms),
+                ControlAction::CancelReads => self.cancel_reads(index),
                 ControlAction::BulkRequest { to, message } => {
                     self.ask(index, index_at(to), message);
                 }
--- a/crates/lab/src/capacity/fleet/platform.rs
+++ b/crates/lab/src/capacity/fleet/platform.rs
@@ -38,6 +38,11 @@
         self.end_watches();
     }
 
+    /// A node gives up the reads that it has on their way.
+    pub(super) fn cancel_reads(&mut self, node: usize) {
+        self.watches.retain(|watch| watch.node != node);
+    }
+
     /// Ends watches whose value has come.
     pub(super) fn wake_watches(&mut self) {
         for watch in std::mem::take(&mut self.watches) {
--- a/crates/node/src/control_loop.rs
+++ b/crates/node/src/control_loop.rs
@@ -304,6 +304,7 @@
                 after,
                 wait_ms,
             } => self.platform.read_vms(service, after, wait_ms),
+            ControlAction::CancelReads => self.platform.cancel_reads(),
             ControlAction::BulkRequest { to, message } => {
                 bulk::ask(to, message, self.bulk_limits, self.sender.clone());
             }
--- a/crates/node/src/control_loop/platform.rs
+++ b/crates/node/src/control_loop/platform.rs
@@ -7,14 +7,17 @@
 use hornbeamhitch_core::prelude::*;
 use hornbeamhitch_wire::control::ListVersion;
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 
 use crate::platform::PlatformReader;
 
 /// Reads the platform; answers come back as events.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(super) struct PlatformClient {
     reader: PlatformReader,
     events: mpsc::Sender<ControlEvent>,
+    /// Reads that are on their way.
+    reads: JoinSet<()>,
 }
 
 impl PlatformClient {
@@ -22,14 +25,30 @@
         Self {
             reader: PlatformReader::new(address),
             events,
+            reads: JoinSet::new(),
         }
     }
 
+    /// Gives up all reads; the platform sees their connections end.
+    pub(super) fn cancel_reads(&mut self) {
+        self.reads.abort_all();
+    }
+
+    /// Runs one read, whose outcome becomes an event.
+    fn spawn(&mut self, read: impl Future<Output = ControlEvent> + 'static) {
+        while self.reads.try_join_next().is_some() {}
+        let events = self.events.clone();
+        self.reads.spawn_local(async move {
+            // The receiver is gone only when the control loop has ended.
+            let _ = events.send(read.await).await;
+        });
+    }
+
     /// Reads the text, or watches for a version above `after`.
-    pub(super) fn read_text(&self, after: ConfigVersion, wait_ms: Millis) {
-        let client = self.clone();
-        tokio::task::spawn_local(async move {
-            let event = match client.reader.text(after, wait_ms).await {
+    pub(super) fn read_text(&mut self, after: ConfigVersion, wait_ms: Millis) {
+        let reader = self.reader.clone();
+        self.spawn(async move {
+            match reader.text(after, wait_ms).await {
                 Ok(Some(read)) => ControlEvent::TextRead {
                     version: read.version,
                     text: Arc::from(read.text),
@@ -39,21 +58,20 @@
                     log::warn!("cannot read the text from the platform: {error:#}");
                     ControlEvent::PlatformFailed(PlatformRead::Text)
                 }
-            };
-            let _ = client.events.send(event).await;
+            }
         });
     }
 
     /// Reads the VM list, or watches for a version above `after`.
     pub(super) fn read_vms(
-        &self,
+        &mut self,
         service: Option<ServiceName>,
         after: ListVersion,
         wait_ms: Millis,
     ) {
-        let client = self.clone();
-        tokio::task::spawn_local(async move {
-            let event = match client.reader.vms(service.as_ref(), after, wait_ms).await {
+        let reader = self.reader.clone();
+        self.spawn(async move {
+            match reader.vms(service.as_ref(), after, wait_ms).await {
                 Ok(Some(read)) => ControlEvent::VmsRead {
                     version: read.version,
                     service,
@@ -64,8 +82,7 @@
                     log::warn!("cannot read the VM list from the platform: {error:#}");
                     ControlEvent::PlatformFailed(PlatformRead::Vms)
                 }
-            };
-            let _ = client.events.send(event).await;
+            }
         });
     }
 }
--- a/tests/all/configuration.rs
+++ b/tests/all/configuration.rs
@@ -121,6 +121,19 @@
     deployment.assert_never_back()
 }
 
+/// What the platform and the nodes say of reading, for a wait that was in vain.
+async fn reading_now(deployment: &Deployment) -> String {
+    let mut lines = format!("{:#?}", deployment.platform.counts());
+    for vm in deployment.fleet.names() {
+        let said = match deployment.status(&vm).await {
+            Ok(status) => format!("{:?}", status.platform),
+            Err(error) => format!("{error:#}"),
+        };
+        lines.push_str(&format!("\n{vm}: {said}"));
+    }
+    lines
+}
+
 /// Reads in a window of edits, once the rota has settled.
 async fn count_reads(nodes: usize, edits: u64) -> Result<u64> {
     let deployment = start(nodes).await?;
@@ -129,18 +142,20 @@
     // Two watches a reader. At a cold start there are more of them, until the
     // nodes of a data centre have heard of each other.
     let is_settled = |deployment: &Deployment| deployment.platform.counts().waiting == 2 * readers;
-    deployment
-        .wait_until("two readers a data centre", is_settled)
-        .await?;
+    let settled = deployment.wait_until("two readers a data centre", is_settled);
+    if let Err(error) = settled.await {
+        return Err(error.wrap_err(reading_now(&deployment).await));
+    }
     deployment.platform.reset_counts();
     for edit in 0..edits {
         let changed_at = Instant::now();
         let version = deployment.platform.set_text(&text(12_000 + edit))?;
         let took = deployment.wait_in_force(&vms, version, changed_at).await?;
         assert!(took < SECONDS, "{nodes} nodes: {took:?}");
-        deployment
-            .wait_until("readers watch again", is_settled)
-            .await?;
+        let watching = deployment.wait_until("readers watch again", is_settled);
+        if let Err(error) = watching.await {
+            return Err(error.wrap_err(reading_now(&deployment).await));
+        }
     }
     let counts = deployment.platform.counts();
     println!("{nodes} nodes, {edits} edits: {:?}", counts.by_endpoint);
