Let tests say which deployment their nodes belong to

Cause: with a deployment to each fleet, two tests failed that leaned on the common default: one reads nodes' datagrams by the default's tag, one plays two sides of a parted deployment with a fleet for each. Both failed each time. Change: the deployment is a field of the fleet's configuration; the parted sides share one, and the silent gates take the node's. Also: the silent gates' test failed once beside a suite and a soak ("0 probes in 4 s"). Its window began with the node's start, and the first probe came 2.8 s later at rest, since gates count as recent for 3 s. The window begins with the first probe now, as long as before, so a node without a budget (a probe a gate each 3 s) still sends 8 where 2 are allowed.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -51,6 +51,8 @@
 /// What all nodes of a fleet have in common.
 #[derive(Clone, Debug)]
 pub struct FleetConfig {
+    /// Name of the deployment, by which nodes know each other's messages.
+    pub deployment: String,
     /// The program `hornbeamhitch-node`.
     pub node_binary: PathBuf,
     /// Address of the platform.
@@ -66,10 +68,12 @@
 }
 
 impl FleetConfig {
-    /// The usual bounds: ready within thirty seconds, drained within thirty.
+    /// The usual bounds, ready within thirty seconds and drained within thirty,
+    /// and a deployment of its own.
     #[must_use]
     pub fn new(node_binary: &Path, platform: SocketAddr) -> Self {
         Self {
+            deployment: unique_deployment(),
             node_binary: node_binary.to_owned(),
             platform,
             ready_within: Duration::from_secs(30),
@@ -94,7 +98,6 @@
 /// Node processes and the files that they were started with.
 pub struct Fleet {
     config: FleetConfig,
-    deployment: String,
     nodes: BTreeMap<String, Node>,
     /// After the nodes, so that they end before their files go.
     dir: TempDir,
@@ -110,7 +113,6 @@
     pub fn new(config: FleetConfig) -> Result<Self> {
         Ok(Self {
             config,
-            deployment: unique_deployment(),
             dir: TempDir::create("hornbeamhitch-fleet")?,
             nodes: BTreeMap::new(),
             client: HttpClient::new(HttpVersion::Http1),
@@ -147,7 +149,7 @@
 
     fn write_settings(&self, node: &Node) -> Result<()> {
         let settings = NodeSettings {
-            deployment: self.deployment.clone(),
+            deployment: self.config.deployment.clone(),
             vm: node.spec.vm.clone(),
             service: node.spec.service.clone(),
             data_centre: node.spec.data_centre.clone(),
@@ -190,6 +192,12 @@
         entries
     }
 
+    /// The deployment that the nodes belong to.
+    #[must_use]
+    pub fn deployment(&self) -> &str {
+        &self.config.deployment
+    }
+
     /// Names of all nodes, in order.
     #[must_use]
     pub fn names(&self) -> Vec<String> {
--- a/tests/all/configuration.rs
+++ b/tests/all/configuration.rs
@@ -309,7 +309,9 @@
         Member::new("far-1", "cashier").in_data_centre("a"),
         Member::new("far-2", "cashier").in_data_centre("b"),
     ];
-    let far = Deployment::prepare(far_members).await?;
+    let deployment = near.fleet.deployment().to_owned();
+    let far = Deployment::prepare_with(far_members, |config| config.deployment = deployment);
+    let far = far.await?;
     near.platform.set_text_version(&text(12_000), 9)?;
     far.platform.set_text_version(&text(10_000), 5)?;
     let (mut near, mut far) = (near, far);
--- a/tests/all/deployments.rs
+++ b/tests/all/deployments.rs
@@ -3,7 +3,6 @@
 use eyre::Result;
 use hornbeamhitch_standins::platform::{VmEntry, VmState};
 use hornbeamhitch_types::prelude::*;
-use serde_json::json;
 
 use crate::support::{CASHIER_TEXT, Deployment, Member};
 
@@ -13,8 +12,7 @@
 async fn start(name: &str, vm: &str, version: u64) -> Result<Deployment> {
     let members = vec![Member::new(vm, "cashier")];
     let mut deployment = Deployment::prepare_with(members, |config| {
-        let name = json!(name);
-        config.more_settings.insert("deployment".to_owned(), name);
+        name.clone_into(&mut config.deployment);
     })
     .await?;
     deployment
--- a/tests/all/measuring.rs
+++ b/tests/all/measuring.rs
@@ -18,10 +18,8 @@
 use crate::support::caller::{Call, Caller};
 use crate::support::probe_counter::{Conduct, ProbeCounter};
 use crate::support::traffic::Traffic;
-use crate::support::{Deployment, Member, loopback};
+use crate::support::{Deployment, Member, PATIENCE, loopback};
 
-/// The deployment of nodes whose settings name none.
-const DEPLOYMENT: &str = "default";
 const PROBES_PER_S: f64 = 0.25;
 const PROBE_BURST: u64 = 1;
 /// Long enough for a node without a budget to spend twice as much.
@@ -270,11 +268,11 @@
     }
 
     /// Probes among what has come, and the other datagrams.
-    fn count(&self) -> (u64, u64) {
+    fn count(&self, deployment: &str) -> (u64, u64) {
         let (mut probes, mut others) = (0, 0);
         let mut buffer = [0; 4_096];
         while let Ok(length) = self.socket.recv(&mut buffer) {
-            let own = FleetTag::of(DEPLOYMENT).take_off(&buffer[..length]);
+            let own = FleetTag::of(deployment).take_off(&buffer[..length]);
             let datagram = own.map(Datagram::decode);
             match datagram.map(|datagram| datagram.map(|datagram| datagram.body)) {
                 Some(Ok(DatagramBody::Probe { .. })) => probes += 1,
@@ -300,18 +298,24 @@
     }
     let node = LoneNode::start(target.addr(), listed).await?;
     let caller = Caller::new();
-    let mut number = 0;
-    while node.started_at.elapsed() < WINDOW {
+    let (mut number, mut probes, mut others) = (0, 0, 0);
+    // The window begins with the first probe. How soon that comes depends on how
+    // fast the node starts and its calls are answered.
+    let mut window_end = None;
+    while window_end.is_none_or(|end| Instant::now() < end) {
         number += 1;
         let call = Call::price(&format!("probe-{number}"));
         let _ = caller.send(node.entry()?, &call).await;
         tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    let (mut probes, mut others) = (0, 0);
-    for gate in &gates {
-        let (gate_probes, gate_others) = gate.count();
-        probes += gate_probes;
-        others += gate_others;
+        for gate in &gates {
+            let (gate_probes, gate_others) = gate.count(node.fleet.deployment());
+            probes += gate_probes;
+            others += gate_others;
+        }
+        if probes > 0 {
+            window_end.get_or_insert_with(|| Instant::now() + WINDOW);
+        }
+        ensure!(node.started_at.elapsed() < PATIENCE, "no probe came");
     }
     println!("four silent gates: {probes} probes, {others} other datagrams, {number} calls");
     node.assert_within(probes, "silent gates");
