Measure what routed nodes add to a call

Cause: the aim of 0.98 ms added for 99 calls in 100 was only measured for the older path. On the users' platform the logs have whole milliseconds, so nothing was shown for dispatch and edge.

--- a/crates/standins/src/commands/bangkok.rs
+++ b/crates/standins/src/commands/bangkok.rs
@@ -6,7 +6,7 @@
 use gumdrop::Options;
 
 use crate::demo::bangkok::deployment;
-use crate::demo::{Programs, Stage};
+use crate::demo::{NodeKind, Programs, Stage};
 use crate::load::{self, Report};
 use crate::prelude::*;
 use crate::program;
@@ -63,7 +63,7 @@
         "starting the platform, {} targets and as many nodes",
         deployment.targets().len()
     );
-    let programs = Programs::beside_this()?;
+    let programs = Programs::beside_this(NodeKind::Ticketed)?;
     let mut stage = Stage::start(&programs, &deployment, &text).await?;
     println!("all nodes are ready in {} ms", stage.ready_in().0);
     let mut plan = deployment.plan(stage.entries());
--- a/crates/standins/src/commands/overhead.rs
+++ b/crates/standins/src/commands/overhead.rs
@@ -6,7 +6,7 @@
 use gumdrop::Options;
 use log::LevelFilter;
 
-use crate::demo::Programs;
+use crate::demo::{NodeKind, Programs};
 use crate::logging;
 use crate::overhead::{self, Plan, bounds};
 use crate::prelude::*;
@@ -31,6 +31,11 @@
         meta = "N"
     )]
     max_rate: f64,
+    #[options(
+        no_short,
+        help = "measure the nodes that route by host and path (hornbeamhitch-routed)"
+    )]
+    routed: bool,
     #[options(help = "directory of the other programs", meta = "DIR")]
     programs: Option<PathBuf>,
     #[options(help = "file for the report as JSON", meta = "FILE")]
@@ -47,11 +52,16 @@
 pub async fn run() -> Result<ExitCode> {
     let options = OverheadOptions::parse_args_default_or_exit();
     logging::start(LevelFilter::Warn)?;
+    let kind = match options.routed {
+        true => NodeKind::Routed,
+        false => NodeKind::Ticketed,
+    };
     let programs = match &options.programs {
-        Some(dir) => Programs::in_dir(dir)?,
-        None => Programs::beside_this()?,
+        Some(dir) => Programs::in_dir(dir, kind)?,
+        None => Programs::beside_this(kind)?,
     };
     let plan = Plan {
+        nodes: kind,
         rate_per_s: options.rate,
         seconds: options.seconds,
         rounds: options.rounds,
--- a/crates/standins/src/demo.rs
+++ b/crates/standins/src/demo.rs
@@ -6,7 +6,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::fleet::temp_dir::TempDir;
-use crate::fleet::{ChildProcess, Fleet, FleetConfig, NodeSpec, Signal};
+use crate::fleet::{Addressing, ChildProcess, Fleet, FleetConfig, NodeSpec, Signal};
 use crate::http_client::{HttpClient, HttpVersion};
 use crate::platform::VmEntry;
 use crate::prelude::*;
@@ -23,10 +23,39 @@
 const STOP_BOUND: Duration = Duration::from_secs(40);
 const POLL: Duration = Duration::from_millis(5);
 
+/// Which program the nodes run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum NodeKind {
+    /// `hornbeamhitch-node`: callers name services and fetch tickets.
+    #[default]
+    Ticketed,
+    /// `hornbeamhitch-routed`: callers know hosts and paths.
+    Routed,
+}
+
+impl NodeKind {
+    const fn program(self) -> &'static str {
+        match self {
+            Self::Ticketed => "hornbeamhitch-node",
+            Self::Routed => "hornbeamhitch-routed",
+        }
+    }
+
+    fn addressing(self) -> Addressing {
+        match self {
+            Self::Ticketed => Addressing::OneAddress,
+            Self::Routed => Addressing::address_each(),
+        }
+    }
+}
+
 /// The programs of a deployment.
 #[derive(Clone, Debug)]
 pub struct Programs {
-    /// `hornbeamhitch-node`.
+    /// Which program `node` is.
+    pub kind: NodeKind,
+    /// The nodes' program.
     pub node: PathBuf,
     /// `hornbeamhitch-platform-standin`.
     pub platform: PathBuf,
@@ -40,10 +69,10 @@
     /// # Errors
     ///
     /// Names the first one that is missing.
-    pub fn beside_this() -> Result<Self> {
+    pub fn beside_this(kind: NodeKind) -> Result<Self> {
         let this = std::env::current_exe()?;
         let dir = this.parent().ok_or_else(|| eyre!("no directory"))?;
-        Self::in_dir(dir)
+        Self::in_dir(dir, kind)
     }
 
     /// The programs in a directory.
@@ -51,14 +80,15 @@
     /// # Errors
     ///
     /// Names the first one that is missing.
-    pub fn in_dir(dir: &Path) -> Result<Self> {
+    pub fn in_dir(dir: &Path, kind: NodeKind) -> Result<Self> {
         let find = |name: &str| {
             let path = dir.join(name);
             ensure!(path.is_file(), "{} is missing", path.display());
             Ok(path)
         };
         Ok(Self {
-            node: find("hornbeamhitch-node")?,
+            kind,
+            node: find(kind.program())?,
             platform: find("hornbeamhitch-platform-standin")?,
             target: find("hornbeamhitch-target-standin")?,
         })
@@ -108,7 +138,10 @@
                 process,
             });
         }
-        let fleet = Fleet::new(FleetConfig::new(&programs.node, platform_addr))?;
+        let fleet = Fleet::new(FleetConfig {
+            addressing: programs.kind.addressing(),
+            ..FleetConfig::new(&programs.node, platform_addr)
+        })?;
         let mut stage = Self {
             fleet,
             targets: started,
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -20,7 +20,7 @@
 pub mod settings;
 pub mod temp_dir;
 
-pub use node::{NodeAddresses, NodeSpec, ReservedAddresses};
+pub use node::{Addressing, NodeAddresses, NodeSpec, ReservedAddresses};
 pub use process::{ChildProcess, Signal};
 pub use settings::NodeSettings;
 
@@ -55,6 +55,8 @@
     pub deployment: String,
     /// The program `hornbeamhitch-node`.
     pub node_binary: PathBuf,
+    /// Where nodes listen.
+    pub addressing: Addressing,
     /// Address of the platform.
     pub platform: SocketAddr,
     /// Bound on the time from start to ready.
@@ -75,6 +77,7 @@
         Self {
             deployment: unique_deployment(),
             node_binary: node_binary.to_owned(),
+            addressing: Addressing::default(),
             platform,
             ready_within: Duration::from_secs(30),
             drain_timeout_ms: 30_000,
@@ -131,7 +134,7 @@
             self.nodes.len() < MAX_PROCESSES,
             "a fleet has at most {MAX_PROCESSES} nodes"
         );
-        let reserved = ReservedAddresses::take()?;
+        let reserved = self.config.addressing.take()?;
         let addresses = reserved.addresses;
         let settings_file = self.dir.path().join(format!("{}.json", spec.vm));
         let node = Node {
@@ -282,6 +285,10 @@
         if !ready.is_ok_and(|answer| answer.status == StatusCode::OK) {
             return Ok(false);
         }
+        if matches!(self.config.addressing, Addressing::AddressEach(_)) {
+            // Nobody else listens at the node's own address.
+            return Ok(true);
+        }
         let status = self.client.get(operators, STATUS_PATH).await;
         let status = status.and_then(|answer| answer.json::<NodeStatus>());
         Ok(status.is_ok_and(|status| status.vm.as_str() == vm))
@@ -330,7 +337,7 @@
     }
 
     fn renew_addresses(&mut self, vm: &str) -> Result<()> {
-        let reserved = ReservedAddresses::take()?;
+        let reserved = self.config.addressing.take()?;
         let node = self.node_mut(vm)?;
         node.addresses = reserved.addresses;
         node.held_ports = reserved.ports;
--- a/crates/standins/src/fleet/node.rs
+++ b/crates/standins/src/fleet/node.rs
@@ -1,5 +1,7 @@
 //! What a node is, and where it listens.
 
+use std::net::Ipv4Addr;
+
 use crate::prelude::*;
 
 use super::ports::{self, HeldPort};
@@ -41,14 +43,68 @@
     pub ports: Vec<HeldPort>,
 }
 
-impl ReservedAddresses {
-    /// Takes free ports for all four.
+/// Where the nodes of a fleet listen.
+#[derive(Clone, Debug, Default)]
+pub enum Addressing {
+    /// All at 127.0.0.1, each with ports of its own.
+    #[default]
+    OneAddress,
+    /// Each at a loopback address of its own and all with the same ports, as
+    /// programs need it that know the ports of the others by their own.
+    AddressEach(LoopbackNet),
+}
+
+impl Addressing {
+    /// An address each, out of a net that no other fleet is likely to use.
+    #[must_use]
+    pub fn address_each() -> Self {
+        Self::AddressEach(LoopbackNet {
+            // Above the nets that tests name by hand, and below the broadcast.
+            second: rand::random_range(128..255),
+            third: rand::random(),
+            ports: Vec::new(),
+            nodes: 0,
+        })
+    }
+
+    /// Takes free ports for the next node.
     ///
     /// # Errors
     ///
-    /// Fails when the kernel has no more ports.
-    pub fn take() -> Result<Self> {
-        let ports = ports::reserve(PORTS_PER_NODE)?;
+    /// Fails when the kernel has no more ports, or they are taken.
+    pub fn take(&mut self) -> Result<ReservedAddresses> {
+        match self {
+            Self::OneAddress => ReservedAddresses::of(ports::reserve(PORTS_PER_NODE)?),
+            Self::AddressEach(net) => ReservedAddresses::of(net.take()?),
+        }
+    }
+}
+
+/// A net 127.a.b.0, of which each node gets an address.
+#[derive(Clone, Debug)]
+pub struct LoopbackNet {
+    second: u8,
+    third: u8,
+    /// The first node's, which all others take as well.
+    ports: Vec<u16>,
+    nodes: u8,
+}
+
+impl LoopbackNet {
+    fn take(&mut self) -> Result<Vec<HeldPort>> {
+        if self.ports.is_empty() {
+            for port in ports::reserve(PORTS_PER_NODE)? {
+                self.ports.push(port.addr().port());
+            }
+        }
+        self.nodes += 1;
+        let ip = Ipv4Addr::new(127, self.second, self.third, self.nodes);
+        ports::reserve_at(ip, &self.ports)
+    }
+}
+
+impl ReservedAddresses {
+    fn of(ports: Vec<HeldPort>) -> Result<Self> {
         let [callers, peer, control, operators] = &ports[..] else {
             bail!("asked for {PORTS_PER_NODE} ports and got {}", ports.len());
         };
--- a/crates/standins/src/fleet/ports.rs
+++ b/crates/standins/src/fleet/ports.rs
@@ -25,10 +25,12 @@
 }
 
 impl HeldPort {
-    fn take() -> Result<Option<Self>> {
+    /// Holds an address, with any port where that is 0; `None` when the port that
+    /// was found is taken for UDP.
+    fn take(wanted: SocketAddr) -> Result<Option<Self>> {
         let tcp = TcpSocket::new_v4()?;
-        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        tcp.bind(any).wrap_err("no TCP port")?;
+        tcp.bind(wanted)
+            .wrap_err_with(|| format!("no TCP port at {wanted}"))?;
         let addr = tcp.local_addr()?;
         let Ok(udp) = UdpSocket::bind(addr) else {
             return Ok(None);
@@ -67,7 +69,7 @@
         if held.len() == count {
             return Ok(held);
         }
-        let Some(port) = HeldPort::take()? else {
+        let Some(port) = HeldPort::take((Ipv4Addr::LOCALHOST, 0).into())? else {
             continue;
         };
         if is_new(port.addr) {
@@ -80,6 +82,21 @@
     bail!("no {count} ports that are free for TCP and UDP");
 }
 
+/// Holds the given ports of a loopback address.
+///
+/// # Errors
+///
+/// Fails when one of them is taken.
+pub fn reserve_at(ip: Ipv4Addr, ports: &[u16]) -> Result<Vec<HeldPort>> {
+    let mut held = Vec::new();
+    for port in ports {
+        let wanted = SocketAddr::from((ip, *port));
+        let port = HeldPort::take(wanted)?;
+        held.push(port.ok_or_else(|| eyre!("{wanted} is taken for UDP"))?);
+    }
+    Ok(held)
+}
+
 fn is_new(addr: SocketAddr) -> bool {
     let mut handed_out = HANDED_OUT.lock();
     if handed_out.len() >= MAX_HANDED_OUT {
--- a/crates/standins/src/overhead.rs
+++ b/crates/standins/src/overhead.rs
@@ -5,7 +5,7 @@
 //! a slow moment of a shared machine meets all of them. Differences are taken
 //! within a round; a report has the best and the median of all rounds.
 
-use crate::demo::Programs;
+use crate::demo::{NodeKind, Programs};
 use crate::prelude::*;
 
 pub mod bench;
@@ -36,6 +36,8 @@
 /// What one run measures.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Plan {
+    /// Which nodes are measured.
+    pub nodes: NodeKind,
     /// Calls a second of each series.
     pub rate_per_s: f64,
     /// Time measured for each series, in seconds.
@@ -55,6 +57,7 @@
 impl Default for Plan {
     fn default() -> Self {
         Self {
+            nodes: NodeKind::default(),
             rate_per_s: 1_000.0,
             seconds: 10.0,
             rounds: 5,
--- a/crates/standins/src/overhead/bench.rs
+++ b/crates/standins/src/overhead/bench.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::demo::deployment::ServiceSpec;
-use crate::demo::{Deployment, Programs, Stage};
+use crate::demo::{Deployment, NodeKind, Programs, Stage};
 use crate::http_client::{HttpClient, HttpVersion};
 use crate::prelude::*;
 use crate::target::ServiceTime;
@@ -20,6 +20,9 @@
 const OTHER_VM: &str = "ledger-1";
 const LOOKUP_PATH: &str = "/prices/passport";
 const PAYMENT_PATH: &str = "/charge";
+/// Where routed nodes find the service; paths begin with a route's prefix there.
+const ROUTED_HOST: &str = "cashier.example";
+const ROUTED_PAYMENT_PATH: &str = "/charges/one";
 const PAYMENT_BYTES: usize = 200;
 const SLOTS: u32 = 12;
 /// Most tickets that one request fetches.
@@ -41,6 +44,20 @@
   },
 }"#;
 
+/// The same service for nodes that route by host and path.
+const ROUTED_TEXT: &str = r#"{
+  "deployment": "overhead",
+  "data_centres": ["dc-1"],
+  "defaults": { "slots": 12, "connections": 250 },
+  "services": { "cashier": {}, "ledger": {} },
+  "routes": [
+    { "name": "prices", "host": "cashier.example", "prefix": "/prices/",
+      "to": { "cashier": 1 }, "idempotent": true, "timeout_ms": 2000 },
+    { "name": "charges", "host": "cashier.example", "prefix": "/charges/",
+      "to": { "cashier": 1 }, "timeout_ms": 2000 },
+  ],
+}"#;
+
 /// Tickets as a node hands them out.
 #[derive(Deserialize)]
 struct Tickets {
@@ -49,6 +66,7 @@
 
 /// The running processes, and callers on each route.
 pub struct Bench {
+    kind: NodeKind,
     stage: Stage,
     callers: BTreeMap<Route, OpenLoop>,
     addrs: BTreeMap<Route, SocketAddr>,
@@ -62,7 +80,11 @@
     ///
     /// Fails when a process does not come up.
     pub async fn start(programs: &Programs, connections: usize) -> Result<Self> {
-        let mut stage = Stage::start(programs, &deployment(), TEXT).await?;
+        let text = match programs.kind {
+            NodeKind::Ticketed => TEXT,
+            NodeKind::Routed => ROUTED_TEXT,
+        };
+        let mut stage = Stage::start(programs, &deployment(), text).await?;
         let target = stage.target_addrs()[0];
         let own_entry = stage.fleet().addresses(MEASURED_VM)?.callers;
         let other_entry = stage.fleet().addresses(OTHER_VM)?.callers;
@@ -76,6 +98,7 @@
             callers.insert(*route, OpenLoop::new(*addr, connections)?);
         }
         Ok(Self {
+            kind: programs.kind,
             stage,
             callers,
             addrs,
@@ -97,16 +120,19 @@
     }
 
     async fn template(&self, series: Series, offer: &Offer) -> Result<CallTemplate> {
-        let path = match series.call {
-            CallType::Lookup => LOOKUP_PATH,
-            CallType::Payment => PAYMENT_PATH,
+        let path = match (series.call, self.kind) {
+            (CallType::Lookup, _) => LOOKUP_PATH,
+            (CallType::Payment, NodeKind::Ticketed) => PAYMENT_PATH,
+            (CallType::Payment, NodeKind::Routed) => ROUTED_PAYMENT_PATH,
         };
-        let path = match series.route {
-            Route::Direct => path.to_owned(),
-            Route::OneVm | Route::TwoVms => format!("/{SERVICE}{path}"),
+        let names_service = series.is_through_nodes() && self.kind == NodeKind::Ticketed;
+        let path = match names_service {
+            true => format!("/{SERVICE}{path}"),
+            false => path.to_owned(),
         };
         let mut template = CallTemplate {
             method: Method::GET,
+            host: (self.kind == NodeKind::Routed).then_some(ROUTED_HOST),
             own_paths: Mutex::default(),
             path,
             body: Bytes::new(),
@@ -115,7 +141,7 @@
             template.method = Method::POST;
             template.body = Bytes::from(vec![b'x'; PAYMENT_BYTES]);
         }
-        if series.is_ticketed() {
+        if series.is_ticketed() && self.kind == NodeKind::Ticketed {
             let paths = self.ticketed_paths(series.route, offer.max_calls(), &template.path);
             template.own_paths = Mutex::new(paths.await?);
         }
--- a/crates/standins/src/overhead/open_loop.rs
+++ b/crates/standins/src/overhead/open_loop.rs
@@ -68,6 +68,9 @@
 pub struct CallTemplate {
     /// Method.
     pub method: Method,
+    /// The host that is asked for, where callers are known by request ids; else
+    /// it is the address.
+    pub host: Option<&'static str>,
     /// Path where it is the same for all.
     pub path: String,
     /// Paths for one call each, used up first.
@@ -80,12 +83,18 @@
     fn request(&self, host: SocketAddr) -> Result<Request<Full<Bytes>>> {
         let own = self.own_paths.lock().pop_front();
         let path = own.as_ref().unwrap_or(&self.path);
-        let request = Request::builder()
-            .method(&self.method)
-            .uri(path.as_str())
-            .header(http::header::HOST, host.to_string())
-            .body(Full::new(self.body.clone()))?;
-        Ok(request)
+        let mut request = Request::builder().method(&self.method).uri(path.as_str());
+        request = match self.host {
+            Some(host) => request
+                .header(http::header::HOST, host)
+                .header(
+                    header::REQUEST_ID,
+                    format!("{:016x}", rand::random::<u64>()),
+                )
+                .header(header::DEADLINE_MS, CALL_TIMEOUT.as_millis().to_string()),
+            None => request.header(http::header::HOST, host.to_string()),
+        };
+        Ok(request.body(Full::new(self.body.clone()))?)
     }
 }
 
