Count a caller's deadline from the first byte of its request

Cause: the deadline was counted from the whole head. A caller whose head came in pieces over 400 ms waited for 1.1 s more while its target was given 1.5 s. Change: a request has arrived when its first byte is there; its deadline, its route's timeout and its latency in logs and metrics run from then. Test first: the target was given 1,499 of 1,500 ms; now at most 1,100. Ruled out: an effect on pipelined requests; bytes that already wait are seen at once when the request before them has been read.

--- a/crates/edge/src/callers/connection.rs
+++ b/crates/edge/src/callers/connection.rs
@@ -114,6 +114,10 @@
                 Ok(false) => return Stop::AnswersDue,
                 Err(_) => return Stop::CallerLeft,
             }
+            // A caller's deadline runs from its first byte. Counted from the whole
+            // head, one that comes slowly would give its target more time than
+            // the caller waits, and the work would be for nobody.
+            let arrived = self.entry.now();
             let limits = self.entry.caller_limits();
             let head_timeout = limits.header_timeout_ms.to_duration();
             let reading = self.reader.request_head(limits.header_bytes);
@@ -122,7 +126,7 @@
                 Ok(Err(fault)) => return self.refuse(&fault).await,
                 Err(_) => return self.answer_and_stop(CallerAnswer::plain(408, "head")).await,
             };
-            match self.take_request(head, &limits).await {
+            match self.take_request(head, arrived, &limits).await {
                 Ok(true) => {}
                 Ok(false) => return Stop::AnswersDue,
                 Err(stop) => return stop,
@@ -158,9 +162,9 @@
     async fn take_request(
         &mut self,
         head: RequestHead,
+        arrived: Millis,
         limits: &CallerLimits,
     ) -> Result<bool, Stop> {
-        let arrived = self.entry.now();
         let framing = match head.framing() {
             Ok(framing) => framing,
             Err(fault) => return Err(self.refuse(&fault.into()).await),
--- a/crates/edge/tests/all/callers.rs
+++ b/crates/edge/tests/all/callers.rs
@@ -1,10 +1,13 @@
 //! Callers' connections.
 
+use std::time::Duration;
+
 use hornbeamhitch_edge::callers::Leaving;
+use hornbeamhitch_edge::http1;
 
 use crate::support::caller::Caller;
 use crate::support::target::until;
-use crate::support::{BUFFERED_BYTES, REQUEST_ID, fleet};
+use crate::support::{BUFFERED_BYTES, DEADLINE_MS, REQUEST_ID, fleet};
 
 /// The node was told to end while a caller's request is on its way. It is
 /// served, and its answer says that the connection ends; what the caller sent
@@ -53,6 +56,32 @@
     assert!(caller.answer().await.is_err());
 }
 
+/// A caller on a bad line needs 400 ms for the head of its request, and will wait
+/// for 1.5 s in all. The target must not be given more than what is left: it would
+/// go on working for a caller who has given up.
+#[tokio::test]
+async fn a_head_that_comes_slowly_uses_up_the_deadline() {
+    let fleet = fleet(&["s"]).await;
+    let mut caller = Caller::connect(fleet.vms[0].callers).await;
+    caller
+        .send_raw("GET /read/ok HTTP/1.1\r\nHost: h\r\n")
+        .await;
+    // In many steps, so that the node reads the first part in one of them even
+    // where the whole process stands still for a while.
+    for _ in 0..100 {
+        tokio::time::sleep(Duration::from_millis(4)).await;
+    }
+    let rest = format!("{REQUEST_ID}: id-1\r\n{DEADLINE_MS}: 1500\r\n\r\n");
+    caller.send_raw(&rest).await;
+    assert_eq!(caller.answer().await.expect("an answer").status(), 200);
+
+    let ran = fleet.vms[0].target.ran();
+    let left_ms: u64 = http1::field(&ran[0].head.fields, DEADLINE_MS)
+        .and_then(|left| left.parse().ok())
+        .expect("a deadline");
+    assert!(left_ms <= 1_100, "{left_ms}");
+}
+
 #[tokio::test]
 async fn a_head_above_the_limit_is_refused() {
     let fleet = fleet(&["s"]).await;
