Settle who reads before changes are gathered

Cause: when all nodes of a grown site start, each learns the targets by its own watch and then gathers changes for 1.5 s; only after that did it work out who reads, and by then it needed one more call, as every node does in that moment. Change: the part is settled as soon as a watch has brought targets, and readers are found while changes are gathered. Test first: 3 calls of each follower after a start of all, now 2.

--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -146,6 +146,9 @@
         let gathers = !batch.changes.is_empty() && !self.knowledge.has_held();
         self.knowledge.take(batch.changes, batch.revision);
         if gathers {
+            // Whoever learns of its readers subscribes while it gathers. After it,
+            // each node of a fleet that starts would fetch the next change itself.
+            self.settle_role();
             let gathering = tokio::time::sleep(self.gather_ms().to_duration());
             while_hearing(gathering, &mut self.knowledge, &mut self.subscriptions).await;
         }
--- a/crates/edge/tests/all/following.rs
+++ b/crates/edge/tests/all/following.rs
@@ -4,7 +4,7 @@
 use hornbeamhitch_edge::prelude::*;
 use hornbeamhitch_edge::source::Fact;
 
-use crate::support::follower::{Follower, followers};
+use crate::support::follower::{Follower, followers, unlisted};
 use crate::support::member;
 use crate::support::source::{Mood, version_fact};
 
@@ -23,6 +23,32 @@
     assert!(followers.calls() <= before + READERS);
 }
 
+/// All nodes lose power, and their targets are listed anew some time after they are
+/// back. Each node watches for itself until then. As soon as the list is there it
+/// knows who reads, so the watch that brought the list is the last one of all nodes
+/// that are not readers.
+#[tokio::test]
+async fn the_list_that_tells_who_reads_is_the_last_that_others_fetch() {
+    // Changes are gathered for 60% of this, in which followers find their readers.
+    let in_force_ms = Millis(5_000);
+    let (followers, listed) = unlisted(NODES, in_force_ms).await;
+    // One call reads everything, and one watches.
+    for node in &followers.nodes {
+        node.until("the watch", |_| node.source.calls() == 2).await;
+    }
+    followers.published.put_all(listed);
+    for node in &followers.nodes {
+        node.until("all targets", |known| known.members.iter().count() == NODES)
+            .await;
+    }
+    followers.published.put_version(2);
+    followers.until_version(2).await;
+    tokio::time::sleep(in_force_ms.to_duration()).await;
+    for node in followers.nodes.iter().filter(|node| !node.reads()) {
+        assert_eq!(node.source.calls(), 2, "{}", node.ip);
+    }
+}
+
 /// The path from one reader to the platform is cut without a sign: its watch
 /// hangs. It and those who hear it learn of the next change from the others.
 #[tokio::test]
--- a/crates/edge/tests/all/support/follower.rs
+++ b/crates/edge/tests/all/support/follower.rs
@@ -45,20 +45,25 @@
 
 /// Starts nodes, and waits until each knows all and has its role.
 pub async fn followers(count: usize) -> Followers {
+    let (followers, listed) = unlisted(count, IN_FORCE_MS).await;
+    followers.published.put_all(listed);
+    followers.until_told().await;
+    followers
+}
+
+/// Starts nodes whose targets are not listed yet, and gives the entries to come.
+pub async fn unlisted(count: usize, in_force_ms: Millis) -> (Followers, Vec<Fact>) {
     let published = Published::new();
     published.put_version(1);
     let (port, listeners) = same_port(count).await;
-    for (number, (ip, _)) in listeners.iter().enumerate() {
-        let listed = member(number, "s", SocketAddr::new(*ip, port));
-        published.put(Fact::Listed(listed));
-    }
     let mut nodes = Vec::new();
-    for (ip, listener) in listeners {
-        nodes.push(Follower::start(&published, ip, port, listener));
+    let mut listed = Vec::new();
+    for (number, (ip, listener)) in listeners.into_iter().enumerate() {
+        let entry = member(number, "s", SocketAddr::new(ip, port));
+        listed.push(Fact::Listed(entry));
+        nodes.push(Follower::start(&published, ip, port, listener, in_force_ms));
     }
-    let followers = Followers { published, nodes };
-    followers.until_told().await;
-    followers
+    (Followers { published, nodes }, listed)
 }
 
 impl Followers {
@@ -120,7 +125,13 @@
 }
 
 impl Follower {
-    fn start(published: &Published, ip: IpAddr, port: u16, listener: TcpListener) -> Self {
+    fn start(
+        published: &Published,
+        ip: IpAddr,
+        port: u16,
+        listener: TcpListener,
+        in_force_ms: Millis,
+    ) -> Self {
         let clock = ProcessClock::start();
         let directory: SharedDirectory = Arc::new(ArcSwap::from_pointee(Directory::default()));
         let feed = Arc::new(ChangeFeed::default());
@@ -144,7 +155,7 @@
             own_ip: ip,
             data_centre: DataCentre::new(DATA_CENTRE),
             gate_port: port,
-            in_force_ms: IN_FORCE_MS,
+            in_force_ms,
         };
         let writer = DirectoryWriter::new(Arc::clone(&directory), clock);
         let following = following::follow(Box::new(source.clone()), writer, feed, settings);
--- a/crates/edge/tests/all/support/source.rs
+++ b/crates/edge/tests/all/support/source.rs
@@ -53,6 +53,16 @@
         self.changed.send_replace(());
     }
 
+    /// Publishes changes so that each watch sees either none or all of them.
+    pub fn put_all(&self, facts: Vec<Fact>) {
+        let mut state = self.state.lock();
+        for fact in facts {
+            state.put(fact);
+        }
+        drop(state);
+        self.changed.send_replace(());
+    }
+
     /// Publishes changes that no watch sees, as the history is dropped.
     pub fn put_unseen(&self, facts: Vec<Fact>) {
         let mut state = self.state.lock();
