Count the calls of repeated runs against the retry budget

Cause: a run that is sent again makes its calls again, and those count as extra arrivals at the called service. Ruled out: hedges (counted), gates that are refused at (no arrival).

--- a/crates/dispatch/src/retry_budget.rs
+++ b/crates/dispatch/src/retry_budget.rs
@@ -16,9 +16,13 @@
     pub window_ms: Millis,
 }
 
-/// Share of the limit that entries use by themselves. The rest is for the
-/// calls that a repeated run makes in its turn, and which nobody sees coming.
+/// Share of the limit that entries use. The rest is for what they count late:
+/// arrivals cross the ends of a window, and the listed entries change.
 const USED_SHARE: f64 = 0.7;
+/// Debt that calls of repeated runs may leave, as a part of the slack that an entry
+/// has for itself. It is paid by the requests that follow; without a bound, an entry
+/// could not retry for minutes after a bad one.
+const MOST_DEBT_PARTS: f64 = 2.0;
 
 /// One entry's tokens for one service.
 ///
@@ -47,6 +51,20 @@
         self.tokens = (self.tokens + limit.ratio * USED_SHARE).min(cap.max(self.tokens));
     }
 
+    /// Counts the part of a first attempt, in percent, that is expected to repeat
+    /// an earlier one: its caller is a target, whose own run may be a retry.
+    ///
+    /// Failure answered: half of what reaches a service fails. Its callers' runs fail
+    /// with it and are sent again elsewhere, where they make their calls again.
+    /// Counted at the callers' service alone, retries there and at the called one
+    /// add up to more than the limit, at the service that can bear it least. Taken
+    /// from the called service's tokens, they leave so many fewer retries there.
+    pub fn count_repeated(&mut self, limit: &RetryLimit, entries: usize, percent: u8) {
+        let most_debt = slack_part(limit, entries) * MOST_DEBT_PARTS;
+        let lowest = (-most_debt).min(self.tokens);
+        self.tokens = (self.tokens - f64::from(percent) / 100.0).max(lowest);
+    }
+
     /// Takes one extra arrival; false when none is left.
     pub fn try_take(&mut self, limit: &RetryLimit, entries: usize, now: Millis) -> bool {
         self.refill(limit, entries, now);
--- a/crates/dispatch/src/retry_budget/tests.rs
+++ b/crates/dispatch/src/retry_budget/tests.rs
@@ -49,6 +49,68 @@
     }
 }
 
+proptest! {
+    /// A caller's run asks another service up to twice. Everything fails at both, so
+    /// each entry retries all it may, and each repeated run asks anew. What arrives
+    /// at the asked service beyond the first of each request is its own retries and
+    /// all that repeated runs ask; no entry sees that sum, which must stay within
+    /// the limit in every window.
+    #[test]
+    fn calls_of_repeated_runs_are_within_the_limit(
+        entries in 1_usize..30,
+        requests_per_window in 0_u64..3_000,
+        calls_a_run in 0_u64..=2,
+    ) {
+        let mut outer: Vec<RetryBudget> = Vec::new();
+        let mut inner: Vec<RetryBudget> = Vec::new();
+        for _ in 0..entries {
+            outer.push(RetryBudget::new(&LIMIT, entries, Millis(0)));
+            inner.push(RetryBudget::new(&LIMIT, entries, Millis(0)));
+        }
+        let steps = 60_usize;
+        let mut extra = vec![0_u64; steps];
+        let mut asked = vec![0_u64; steps];
+        let mut sent = 0;
+        for step in 0..steps {
+            let now = Millis(step as u64 * 1_000);
+            let due = requests_per_window * (step as u64 + 1) / 10;
+            let mut runs_at = vec![0_u64; entries];
+            while sent < due {
+                let at = sent as usize % entries;
+                outer[at].count_first(&LIMIT, entries);
+                runs_at[at] += 1;
+                sent += 1;
+            }
+            for at in 0..entries {
+                let mut repeats = 0;
+                while outer[at].try_take(&LIMIT, entries, now) {
+                    repeats += 1;
+                }
+                for run in 0..runs_at[at] + repeats {
+                    let repeated_percent = if run < repeats { 100 } else { 0 };
+                    for _ in 0..calls_a_run {
+                        inner[at].count_first(&LIMIT, entries);
+                        inner[at].count_repeated(&LIMIT, entries, repeated_percent);
+                        asked[step] += 1;
+                        if repeated_percent > 0 {
+                            extra[step] += 1;
+                        }
+                    }
+                }
+                while inner[at].try_take(&LIMIT, entries, now) {
+                    extra[step] += 1;
+                }
+            }
+        }
+        for from in 0..steps - 10 {
+            let in_window = |counts: &[u64]| counts[from..from + 10].iter().sum::<u64>() as f64;
+            let allowed = LIMIT.ratio * in_window(&asked) + LIMIT.slack;
+            let found = in_window(&extra);
+            prop_assert!(found <= allowed, "{found} of {allowed}");
+        }
+    }
+}
+
 #[test]
 fn a_token_that_led_nowhere_is_given_back() {
     let mut budget = RetryBudget::new(&LIMIT, 22, Millis(0));
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -66,6 +66,9 @@
     round_began: Millis,
     /// Times that a target was reached.
     arrivals: u32,
+    /// How much of this request repeats an earlier one, as expected of one that came
+    /// while repeated runs were in this VM's target.
+    repeated_percent: u8,
     /// Tokens of the retry budget that led to no arrival yet.
     tokens: u32,
     /// The request may have run somewhere.
@@ -109,6 +112,7 @@
             rounds: 0,
             round_began: arrived,
             arrivals: 0,
+            repeated_percent: entry.gate.repeated_percent(),
             tokens: 0,
             may_have_run: false,
             last_end: None,
@@ -245,7 +249,7 @@
             let now = self.entry.now();
             let entries = self.entries();
             let mut state = self.entry.state.lock();
-            state.count_first(&self.service, entries, now);
+            state.count_first(&self.service, entries, self.repeated_percent, now);
             return;
         }
         self.tokens = self.tokens.saturating_sub(1);
--- a/crates/edge/src/entry/call/asking.rs
+++ b/crates/edge/src/entry/call/asking.rs
@@ -124,6 +124,10 @@
                 objective_ms: self.patience.objective_at.since(now),
                 slow_after_ms,
                 deadline_ms: self.deadline_at.since(now),
+                repeated_percent: match self.is_repeat() {
+                    true => 100,
+                    false => self.repeated_percent,
+                },
             },
             head: self.head.clone(),
             body: self.body.clone(),
@@ -145,6 +149,11 @@
         });
     }
 
+    /// Whether what is sent now would be a retry or a hedge.
+    fn is_repeat(&self) -> bool {
+        self.arrivals > 0
+    }
+
     /// A hedge that no gate took is offered again while the first attempt runs.
     pub(super) fn offer_hedge_again(&mut self, now: Millis) {
         if self.has_open() && self.route.kind.is_idempotent() {
--- a/crates/edge/src/entry/state.rs
+++ b/crates/edge/src/entry/state.rs
@@ -42,11 +42,19 @@
         self.retry_limit = limit;
     }
 
-    /// Counts a first attempt for a service; `entries` share its budget.
-    pub(super) fn count_first(&mut self, service: &ServiceName, entries: usize, now: Millis) {
+    /// Counts a first attempt for a service; `entries` share its budget. The part
+    /// of it that repeats an earlier run is an extra arrival.
+    pub(super) fn count_first(
+        &mut self,
+        service: &ServiceName,
+        entries: usize,
+        repeated_percent: u8,
+        now: Millis,
+    ) {
         let limit = self.retry_limit;
         let budget = self.budget(service, entries, now);
         budget.count_first(&limit, entries);
+        budget.count_repeated(&limit, entries, repeated_percent);
     }
 
     /// Takes one extra arrival at a service.
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -120,14 +120,22 @@
 
 #[derive(Debug, Default)]
 struct GateState {
-    /// Fingerprints of the calls that run in the target.
-    running: Vec<u64>,
+    /// The calls that run in the target.
+    running: Vec<RunningCall>,
     admission: Admission,
     records: Records,
     /// Lives of the target that it no longer is.
     ended_lives: VecDeque<TargetId>,
 }
 
+/// What a gate needs to know of a call while it runs.
+#[derive(Clone, Copy, Debug)]
+struct RunningCall {
+    fingerprint: u64,
+    /// How much of it repeats an earlier run.
+    repeated_percent: u8,
+}
+
 impl Gate {
     /// A gate in front of the target.
     #[must_use]
@@ -173,6 +181,19 @@
         self.changed.notify_waiters();
     }
 
+    /// How much of what runs in the target repeats earlier runs, in percent. A call
+    /// that the target makes now is of such a run with this probability.
+    #[must_use]
+    pub fn repeated_percent(&self) -> u8 {
+        let state = self.state.lock();
+        let mut sum = 0;
+        for call in &state.running {
+            sum += usize::from(call.repeated_percent);
+        }
+        let mean = sum / state.running.len().max(1);
+        u8::try_from(mean).unwrap_or(u8::MAX)
+    }
+
     /// Whether nothing waits or runs.
     #[must_use]
     pub fn is_idle(&self) -> bool {
--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -4,7 +4,7 @@
 
 use hornbeamhitch_types::prelude::CallClass;
 
-use super::{Gate, GateEvent};
+use super::{Gate, GateEvent, RunningCall};
 use crate::http1;
 use crate::prelude::*;
 use crate::target::{Exchange, ExchangeFault, TargetAnswer, is_server_fault, is_success};
@@ -31,8 +31,12 @@
 }
 
 impl<'a> Running<'a> {
-    fn enter(gate: &'a Gate, fingerprint: u64) -> Self {
-        gate.state.lock().running.push(fingerprint);
+    fn enter(gate: &'a Gate, terms: &CallTerms) -> Self {
+        let fingerprint = terms.fingerprint;
+        gate.state.lock().running.push(RunningCall {
+            fingerprint,
+            repeated_percent: terms.repeated_percent,
+        });
         Self { gate, fingerprint }
     }
 }
@@ -43,7 +47,7 @@
         let place = state
             .running
             .iter()
-            .position(|known| *known == self.fingerprint);
+            .position(|call| call.fingerprint == self.fingerprint);
         if let Some(place) = place {
             state.running.swap_remove(place);
         }
@@ -89,7 +93,7 @@
     /// Runs a call, and learns whether it crashes its target.
     pub(super) async fn run(&self, run: &Run<'_>) -> GateEvent {
         let fingerprint = run.terms.fingerprint;
-        let _running = Running::enter(self, fingerprint);
+        let _running = Running::enter(self, run.terms);
         let event = self.run_in_target(run).await;
         match &event {
             GateEvent::Answered { head, .. } if is_success(head.status) => {
@@ -112,7 +116,8 @@
         state.admission.note_down(self.clock.now());
         let running = std::mem::take(&mut state.running);
         drop(state);
-        self.suspicion.observe_crash(&running);
+        let in_flight: Vec<u64> = running.iter().map(|call| call.fingerprint).collect();
+        self.suspicion.observe_crash(&in_flight);
     }
 
     async fn run_in_target(&self, run: &Run<'_>) -> GateEvent {
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -74,6 +74,9 @@
     pub slow_after_ms: Millis,
     /// It must have ended within this span.
     pub deadline_ms: Millis,
+    /// How much of this run repeats an earlier one, in percent: 100 for a retry or a
+    /// hedge, and the expected part for a call that a repeated run may have made.
+    pub repeated_percent: u8,
 }
 
 /// An answer of a target, body apart.
