Let entries of another writer name no target, and a new life of a target be one

A target may start again under its id, told by the time of its start; an entry that lacks a field, has one of another type, or names an unknown service or state comes from another writer and names no target. Now failures belong to id and birth, a gate forgets speed and resting connections with the life, and only targets of services that the configuration names are known.

Cause: a reader that the store turned away made each removal wait 2 s for a return, after up to 750 ms of gathering. Ruled out: a slow feed (the removal was told in time). Hearsay of trouble now holds a removal for 40% of the time in force; a node's own failed reads for 2 s as before.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -157,6 +157,12 @@
         self.slots = slots.max(1);
     }
 
+    /// Forgets what was learnt of the target, which has started again.
+    pub fn forget_target(&mut self) {
+        self.speed = None;
+        self.down_until = Millis::ZERO;
+    }
+
     /// From now on (or no longer) refuses new work.
     pub const fn set_leaving(&mut self, leaving: bool) {
         self.leaving = leaving;
--- a/crates/dispatch/src/failures.rs
+++ b/crates/dispatch/src/failures.rs
@@ -29,6 +29,8 @@
 
 #[derive(Clone, Debug)]
 struct Record {
+    /// The life of the target of which all this was learnt.
+    born_ms: Option<Millis>,
     score: f32,
     scored_at: Millis,
     away_until: Millis,
@@ -36,8 +38,9 @@
 }
 
 impl Record {
-    fn new(now: Millis) -> Self {
+    fn new(born_ms: Option<Millis>, now: Millis) -> Self {
         Self {
+            born_ms,
             score: 0.0,
             scored_at: now,
             away_until: Millis::ZERO,
@@ -57,17 +60,18 @@
 
 impl Failures {
     /// The target answered as it should.
-    pub fn note_success(&mut self, target: &TargetId, now: Millis) {
-        let Some(record) = self.by_target.get_mut(target) else {
+    pub fn note_success(&mut self, target: &Member, now: Millis) {
+        if self.known(target).is_none() {
             return;
-        };
+        }
+        let record = self.record(target, now);
         let score = record.score(now) * KEPT_BY_SUCCESS;
         record.set_score(score, now);
         record.away_for_ms = Millis::ZERO;
     }
 
     /// The target failed a request, broke it off, or kept silent.
-    pub fn note_failure(&mut self, target: &TargetId, now: Millis) {
+    pub fn note_failure(&mut self, target: &Member, now: Millis) {
         let record = self.record(target, now);
         let score = record.score(now) + 1.0;
         record.set_score(score, now);
@@ -75,7 +79,7 @@
 
     /// The target's VM could not be reached: it is left alone for a while that
     /// doubles, so that a dark VM costs few callers a connect timeout.
-    pub fn note_unreachable(&mut self, target: &TargetId, now: Millis) {
+    pub fn note_unreachable(&mut self, target: &Member, now: Millis) {
         let record = self.record(target, now);
         let doubled = Millis(record.away_for_ms.0 * 2);
         record.away_for_ms = doubled.clamp(FIRST_AWAY_MS, LONGEST_AWAY_MS);
@@ -84,8 +88,8 @@
 
     /// Whether others go first.
     #[must_use]
-    pub fn is_avoided(&self, target: &TargetId, now: Millis) -> bool {
-        let Some(record) = self.by_target.get(target) else {
+    pub fn is_avoided(&self, target: &Member, now: Millis) -> bool {
+        let Some(record) = self.known(target) else {
             return false;
         };
         record.score(now) >= AVOIDED_FROM
@@ -93,9 +97,8 @@
 
     /// Whether its VM was just found unreachable.
     #[must_use]
-    pub fn is_away(&self, target: &TargetId, now: Millis) -> bool {
-        self.by_target
-            .get(target)
+    pub fn is_away(&self, target: &Member, now: Millis) -> bool {
+        self.known(target)
             .is_some_and(|record| now < record.away_until)
     }
 
@@ -104,8 +107,19 @@
         self.by_target.retain(|id, _| members.get(id).is_some());
     }
 
-    fn record(&mut self, target: &TargetId, now: Millis) -> &mut Record {
-        let entry = self.by_target.entry(target.clone());
-        entry.or_insert_with(|| Record::new(now))
+    /// What is known of this life of the target.
+    fn known(&self, target: &Member) -> Option<&Record> {
+        let record = self.by_target.get(&target.id)?;
+        (record.born_ms == target.born_ms).then_some(record)
+    }
+
+    /// The record of this life of the target; that of an earlier one is dropped.
+    fn record(&mut self, target: &Member, now: Millis) -> &mut Record {
+        let entry = self.by_target.entry(target.id.clone());
+        let record = entry.or_insert_with(|| Record::new(target.born_ms, now));
+        if record.born_ms != target.born_ms {
+            *record = Record::new(target.born_ms, now);
+        }
+        record
     }
 }
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -64,6 +64,10 @@
     pub draining: bool,
     /// Order in which targets were first listed; later ones have higher numbers.
     pub listed_at: u64,
+    /// Unix time of its start, where targets tell it. A target may start again under
+    /// its id; another time is another life, and nothing learnt of the earlier one
+    /// holds.
+    pub born_ms: Option<Millis>,
 }
 
 impl Member {
@@ -149,6 +153,20 @@
     /// Targets that are gone, and since when. Ids are never used again.
     left: BTreeMap<TargetId, Millis>,
     troubled_at: Option<Millis>,
+    distant_trouble: Option<DistantTrouble>,
+}
+
+/// Trouble of another node with the store.
+#[derive(Clone, Copy, Debug)]
+struct DistantTrouble {
+    at: Millis,
+    /// How long a removal is held meanwhile.
+    grace_ms: Millis,
+}
+
+/// Whether trouble was so near that a removal may be a lapse.
+fn is_shadowed(troubled_at: Option<Millis>, now: Millis) -> bool {
+    troubled_at.is_some_and(|at| now.since(at) < TROUBLE_SHADOW_MS)
 }
 
 #[derive(Debug)]
@@ -179,6 +197,7 @@
     /// return; a removal in calm times counts at once.
     pub fn remove(&mut self, id: &TargetId, now: Millis) {
         let in_trouble = self.is_troubled(now);
+        let grace_ms = self.grace_ms(now);
         let Some(tracked) = self.known.get_mut(id) else {
             return;
         };
@@ -188,16 +207,14 @@
             return;
         }
         if tracked.missing_until.is_none() {
-            tracked.missing_until = Some(now + LAPSE_GRACE_MS);
+            tracked.missing_until = Some(now + grace_ms);
         }
     }
 
-    /// What a complete listing changes. Targets whose entries are listed and
-    /// cannot be read stay as they were known.
+    /// What a complete listing changes.
     #[must_use]
-    pub fn difference(&self, listed: Vec<Member>, unreadable: &[TargetId]) -> Difference {
-        let mut ids: BTreeSet<TargetId> = listed.iter().map(|member| member.id.clone()).collect();
-        ids.extend(unreadable.iter().cloned());
+    pub fn difference(&self, listed: Vec<Member>) -> Difference {
+        let ids: BTreeSet<TargetId> = listed.iter().map(|member| member.id.clone()).collect();
         let mut difference = Difference::default();
         for member in listed {
             if !self.is_known_so(&member) {
@@ -223,6 +240,17 @@
         self.troubled_at = Some(now);
     }
 
+    /// Another node, whose reads this one hears, could not read the store just now. A
+    /// removal is then held for `grace_ms`.
+    ///
+    /// Failure answered: some targets leave without a word, and their entries are
+    /// removed. A node that reaches the store, or hears one that does, must send
+    /// them nothing soon after, whoever else is in trouble; held for as long as a
+    /// lapsed entry takes to come back, they would still get work.
+    pub fn note_distant_trouble(&mut self, grace_ms: Millis, now: Millis) {
+        self.distant_trouble = Some(DistantTrouble { at: now, grace_ms });
+    }
+
     /// Drops entries that stayed missing; true when any did.
     pub fn expire(&mut self, now: Millis) -> bool {
         self.left
@@ -254,26 +282,54 @@
     /// Failure answered: a target that crashed is listed for seconds beside its
     /// next life at the same address, and every second call would be sent to
     /// the one that is no more.
-    fn latest_lives(&self) -> HashMap<SocketAddr, u64> {
+    fn latest_lives(&self, is_named: &impl Fn(&ServiceName) -> bool) -> HashMap<SocketAddr, u64> {
         let mut latest = HashMap::new();
         for tracked in self.known.values() {
             let member = &tracked.member;
+            if !is_named(&member.service) {
+                continue;
+            }
             let known = latest.entry(member.address).or_insert(member.listed_at);
             *known = member.listed_at.max(*known);
         }
         latest
     }
 
+    /// Whether no target is listed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
     /// The targets as traffic reads them.
     #[must_use]
     pub fn snapshot(&self) -> Members {
+        self.snapshot_of(|_| true)
+    }
+
+    /// The targets of services that the configuration names.
+    ///
+    /// Failure answered: another writer puts an entry into the list, of a service
+    /// that nobody knows, with the address of a target that serves. Taken for that
+    /// address's next life, it would take the target out of use; counted as a VM, it
+    /// might be chosen to read for others.
+    #[must_use]
+    pub fn snapshot_for(&self, routes: &RouteSet) -> Members {
+        let named = routes.all_services();
+        self.snapshot_of(|service| named.contains(service))
+    }
+
+    fn snapshot_of(&self, is_named: impl Fn(&ServiceName) -> bool) -> Members {
         let mut members = Members {
             left: Arc::new(self.left.clone()),
             ..Members::default()
         };
-        let latest = self.latest_lives();
+        let latest = self.latest_lives(&is_named);
         for tracked in self.known.values() {
             let member = &tracked.member;
+            if !is_named(&member.service) {
+                continue;
+            }
             members.by_id.insert(member.id.clone(), Arc::clone(member));
             if !member.draining || !members.by_address.contains_key(&member.address) {
                 let member = Arc::clone(member);
@@ -289,7 +345,15 @@
     }
 
     fn is_troubled(&self, now: Millis) -> bool {
-        self.troubled_at
-            .is_some_and(|at| now.since(at) < TROUBLE_SHADOW_MS)
+        let distant_at = self.distant_trouble.map(|trouble| trouble.at);
+        is_shadowed(self.troubled_at, now) || is_shadowed(distant_at, now)
+    }
+
+    /// How long a removal is held now.
+    fn grace_ms(&self, now: Millis) -> Millis {
+        match self.distant_trouble {
+            Some(trouble) if !is_shadowed(self.troubled_at, now) => trouble.grace_ms,
+            _ => LAPSE_GRACE_MS,
+        }
     }
 }
--- a/crates/dispatch/src/order.rs
+++ b/crates/dispatch/src/order.rs
@@ -55,10 +55,10 @@
         }
         let candidate = Candidate {
             is_near: member.data_centre == *view.data_centre,
-            is_avoided: view.failures.is_avoided(&member.id, view.now),
+            is_avoided: view.failures.is_avoided(member, view.now),
             member: Arc::clone(member),
         };
-        if view.failures.is_away(&member.id, view.now) {
+        if view.failures.is_away(member, view.now) {
             away.push(candidate);
             continue;
         }
--- a/crates/dispatch/src/order/tests.rs
+++ b/crates/dispatch/src/order/tests.rs
@@ -16,6 +16,7 @@
             slots: 12,
             draining: false,
             listed_at: 1,
+            born_ms: None,
         }));
     }
     members
@@ -35,6 +36,14 @@
     (0..480).map(|_| candidates(&view, &mut rng)).collect()
 }
 
+/// The member of this id.
+fn member(id: &str) -> Arc<Member> {
+    let found = members()
+        .into_iter()
+        .find(|member| member.id.as_str() == id);
+    found.expect("a member")
+}
+
 #[test]
 fn near_targets_go_first_and_share_the_work() {
     let mut first_is_one = 0;
@@ -50,8 +59,9 @@
 fn a_target_that_failed_goes_last_but_for_a_rare_trial() {
     let mut failures = Failures::default();
     let ill = TargetId::new("i-1");
-    failures.note_failure(&ill, Millis(50));
-    failures.note_failure(&ill, Millis(60));
+    let sick = member("i-1");
+    failures.note_failure(&sick, Millis(50));
+    failures.note_failure(&sick, Millis(60));
     let mut first = 0;
     let mut last = 0;
     for order in orders(&failures, &[]) {
@@ -65,7 +75,7 @@
 #[test]
 fn tried_and_unreachable_targets_are_left_out() {
     let mut failures = Failures::default();
-    failures.note_unreachable(&TargetId::new("i-3"), Millis(50));
+    failures.note_unreachable(&member("i-3"), Millis(50));
     for order in orders(&failures, &[TargetId::new("i-1")]) {
         assert_eq!(order.len(), 2);
         assert!(order.iter().all(|candidate| !candidate.is_near));
@@ -76,7 +86,7 @@
 fn when_all_are_unreachable_they_are_asked_all_the_same() {
     let mut failures = Failures::default();
     for member in members() {
-        failures.note_unreachable(&member.id, Millis(50));
+        failures.note_unreachable(&member, Millis(50));
     }
     assert!(orders(&failures, &[]).iter().all(|order| order.len() == 4));
 }
--- a/crates/dispatch/src/readers/tests.rs
+++ b/crates/dispatch/src/readers/tests.rs
@@ -45,6 +45,7 @@
         slots: 8,
         draining: false,
         listed_at: 1,
+        born_ms: None,
     }
 }
 
--- a/crates/dispatch/src/routes.rs
+++ b/crates/dispatch/src/routes.rs
@@ -165,6 +165,16 @@
         self.health_paths.keys()
     }
 
+    /// Every service that is named: as a destination, or with a health endpoint.
+    #[must_use]
+    pub fn all_services(&self) -> HashSet<&ServiceName> {
+        let mut named: HashSet<&ServiceName> = self.health_paths.keys().collect();
+        for route in self.iter() {
+            named.extend(route.destinations.iter().map(|part| &part.service));
+        }
+        named
+    }
+
     /// Names of all routes.
     #[must_use]
     pub fn names(&self) -> HashSet<&str> {
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -114,9 +114,15 @@
         }
         log::info!(version = routes.version(), before = in_force; "configuration in force");
         let routes = Arc::new(routes);
+        // It may name services whose targets were listed before it.
+        let members = Arc::new(self.tracker.snapshot_for(&routes));
+        let is_tracking = !self.tracker.is_empty();
         self.directory.rcu(|known| Directory {
             routes: Some(Arc::clone(&routes)),
-            members: Arc::clone(&known.members),
+            members: match is_tracking {
+                true => Arc::clone(&members),
+                false => Arc::clone(&known.members),
+            },
         });
     }
 
@@ -130,11 +136,10 @@
         self.tracker.remove(id, self.clock.now());
     }
 
-    /// What a complete listing changes. Targets whose entries are listed and
-    /// could not be read stay as they were known.
+    /// What a complete listing changes.
     #[must_use]
-    pub fn difference(&self, listed: Vec<Member>, unreadable: &[TargetId]) -> Difference {
-        self.tracker.difference(listed, unreadable)
+    pub fn difference(&self, listed: Vec<Member>) -> Difference {
+        self.tracker.difference(listed)
     }
 
     /// The source could not be read.
@@ -142,6 +147,12 @@
         self.tracker.note_trouble(self.clock.now());
     }
 
+    /// A reader that this node hears could not read the source.
+    pub fn note_distant_trouble(&mut self, grace_ms: Millis) {
+        self.tracker
+            .note_distant_trouble(grace_ms, self.clock.now());
+    }
+
     /// Drops entries that stayed missing, and says when to look again.
     pub fn expire(&mut self) -> Option<Millis> {
         if self.tracker.expire(self.clock.now()) {
@@ -158,7 +169,11 @@
 
     /// Shows the changes to traffic.
     pub fn publish_members(&self) {
-        let members = Arc::new(self.tracker.snapshot());
+        let routes = self.directory.load().routes.clone();
+        let members = Arc::new(match routes {
+            Some(routes) => self.tracker.snapshot_for(&routes),
+            None => self.tracker.snapshot(),
+        });
         log::info!(targets = members.len(); "targets in force");
         self.directory.rcu(|known| Directory {
             routes: known.routes.clone(),
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -179,7 +179,7 @@
             LinkEvent::Unreachable => {
                 let now = self.entry.now();
                 let target = self.close(number);
-                self.trail.push(&target, "unreachable");
+                self.trail.push(&target.id, "unreachable");
                 self.entry
                     .state
                     .lock()
@@ -260,10 +260,10 @@
         self.entry.directory.load().members.len()
     }
 
-    fn close(&mut self, number: usize) -> TargetId {
+    fn close(&mut self, number: usize) -> Arc<Member> {
         let attempt = &mut self.attempts[number];
         attempt.hold = None;
-        attempt.member.id.clone()
+        Arc::clone(&attempt.member)
     }
 }
 
--- a/crates/edge/src/entry/call/ending.rs
+++ b/crates/edge/src/entry/call/ending.rs
@@ -23,7 +23,7 @@
         let now = self.entry.now();
         let started = self.attempts[number].started;
         let target = self.close(number);
-        self.trail.push(&target, &head.status.to_string());
+        self.trail.push(&target.id, &head.status.to_string());
         let mut state = self.entry.state.lock();
         if !is_server_fault(head.status) {
             state.failures.note_success(&target, now);
@@ -57,7 +57,7 @@
         let now = self.entry.now();
         let had_started = self.attempts[number].started.is_some();
         let target = self.close(number);
-        self.trail.push(&target, end.into());
+        self.trail.push(&target.id, end.into());
         self.last_end = Some(end);
         if matches!(end, CallEnd::Down | CallEnd::Misdirected) {
             let mut state = self.entry.state.lock();
@@ -83,13 +83,13 @@
         let now = self.entry.now();
         let was_counted = self.attempts[number].started.is_some();
         let target = self.close(number);
-        self.trail.push(&target, end.into());
+        self.trail.push(&target.id, end.into());
         self.entry.state.lock().failures.note_failure(&target, now);
         // Failure answered: behind a cut in one direction, calls reach gates and
         // nothing comes back. Counted only when a gate says that it started, a
         // lookup would run at one target more for each such gate.
         if !was_counted {
-            self.count_arrival(target);
+            self.count_arrival(target.id.clone());
         }
         self.may_have_run = true;
         self.last_end = Some(end);
@@ -165,7 +165,7 @@
             };
             let expected_ms = self.work.run_at(slowness).0 as f64 * STUCK_AFTER_RUNS;
             if now.since(started).0 as f64 > expected_ms {
-                state.failures.note_failure(&attempt.member.id, now);
+                state.failures.note_failure(&attempt.member, now);
             }
         }
     }
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -64,7 +64,7 @@
 ) {
     let mut following = Following {
         source,
-        knowledge: Knowledge::new(directory, feed, settings.own_ip),
+        knowledge: Knowledge::new(directory, feed, settings.own_ip, settings.in_force_ms),
         subscriptions: Subscriptions::new(settings.gate_port),
         role: Role::Alone,
         settings,
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -13,6 +13,11 @@
 const MANY_LAPSES: usize = 3;
 const MANY_LAPSES_PART: usize = 8;
 
+/// While a reader is in trouble a removal is held for this part of the time in which a
+/// change must be in force. Readers gather changes for 30% of it, a change takes two
+/// steps from node to node, and the rest is for a link that is slow.
+const HEARSAY_GRACE_PERCENT: u64 = 40;
+
 /// What is known of this node's own way to the source.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum OwnReads {
@@ -44,6 +49,8 @@
     revision: u64,
     members_changed: bool,
     own_ip: IpAddr,
+    /// How long a removal is held while a reader is in trouble.
+    hearsay_grace_ms: Millis,
     own_reads: OwnReads,
     /// A lapse was told and not taken.
     has_held: bool,
@@ -55,8 +62,10 @@
         directory: DirectoryWriter,
         feed: Arc<ChangeFeed>,
         own_ip: IpAddr,
+        in_force_ms: Millis,
     ) -> Self {
         Self {
+            hearsay_grace_ms: Millis(in_force_ms.0 * HEARSAY_GRACE_PERCENT / 100),
             directory,
             feed,
             own_ip,
@@ -118,9 +127,7 @@
         let in_force = self.directory.version();
         let is_new = |routes: &RouteSet| in_force.is_none_or(|known| routes.version() > known);
         let routes = listing.routes.filter(is_new);
-        let difference = self
-            .directory
-            .difference(listing.members, &listing.unreadable);
+        let difference = self.directory.difference(listing.members);
         let mut facts = Vec::new();
         facts.extend(routes.map(Fact::Routes));
         facts.extend(difference.written.into_iter().map(Fact::Listed));
@@ -185,7 +192,7 @@
         };
         if is_troubled {
             // Entries may lapse now, as if this node's own read had failed.
-            self.note_trouble();
+            self.directory.note_distant_trouble(self.hearsay_grace_ms);
         }
         if self.own_reads == OwnReads::Good && self.is_doubtful(&changes) {
             self.own_reads = OwnReads::Doubtful;
@@ -225,10 +232,6 @@
     /// The source could not be read.
     pub(super) fn note_failed_read(&mut self) {
         self.own_reads = OwnReads::Failed;
-        self.note_trouble();
-    }
-
-    fn note_trouble(&mut self) {
         self.directory.note_trouble();
     }
 
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -125,7 +125,26 @@
     admission: Admission,
     records: Records,
     /// Lives of the target that it no longer is.
-    ended_lives: VecDeque<TargetId>,
+    ended_lives: VecDeque<Life>,
+    /// The life of the target that was last seen in the list.
+    life: Option<Life>,
+}
+
+/// One life of a target. A target may start again under its id, and is told from
+/// the earlier one by the time of its start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Life {
+    id: TargetId,
+    born_ms: Option<Millis>,
+}
+
+impl Life {
+    fn of(member: &Member) -> Self {
+        Self {
+            id: member.id.clone(),
+            born_ms: member.born_ms,
+        }
+    }
 }
 
 /// What a gate needs to know of a call while it runs.
@@ -304,18 +323,32 @@
     }
 
     fn enlist(&self, call: &GateCall) -> Place {
-        let slots = self.own_slots();
+        let directory = self.directory.load();
+        let listed = directory.members.at(self.listed_address);
         let mut state = self.state.lock();
-        if let Some(slots) = slots {
-            state.admission.set_slots(slots);
+        if let Some(member) = listed {
+            state.admission.set_slots(member.slots);
+            self.note_life(&mut state, member);
         }
         state.admission.enlist(call, self.clock.now())
     }
 
-    fn own_slots(&self) -> Option<u32> {
-        let directory = self.directory.load();
-        let member = directory.members.at(self.listed_address)?;
-        Some(member.slots)
+    /// Forgets what was learnt of an earlier life of the target.
+    ///
+    /// Failure answered: a target starts again under its id and holds nothing of
+    /// before. A connection to the earlier life would break the first payment sent
+    /// on it, and what was learnt of its speed does not hold. The records of calls
+    /// that may run only once stay: those that ran have run.
+    fn note_life(&self, state: &mut GateState, member: &Member) {
+        let life = Life::of(member);
+        if state.life.as_ref() == Some(&life) {
+            return;
+        }
+        if state.life.replace(life).is_some() {
+            state.admission.forget_target();
+            self.target.close_resting();
+            log::info!(target_id = member.id.as_str(); "another life of the target is listed");
+        }
     }
 
     /// Waits until the call may start, and starts it. Returns how slow the
@@ -361,13 +394,16 @@
     fn takes_no_more(&self, terms: &CallTerms) -> bool {
         let directory = self.directory.load();
         let id = TargetId::new(&terms.target_id);
-        if self.state.lock().ended_lives.contains(&id) {
-            return true;
-        }
-        match directory.members.get(&id) {
-            Some(member) => member.draining,
-            None => directory.members.has_left(&id),
-        }
+        let Some(member) = directory.members.get(&id) else {
+            let unlisted = Life { id, born_ms: None };
+            return directory.members.has_left(&unlisted.id) || self.has_ended(&unlisted);
+        };
+        member.draining || self.has_ended(&Life::of(member))
+    }
+
+    /// Whether the target said that it is no longer this life of it.
+    fn has_ended(&self, life: &Life) -> bool {
+        self.state.lock().ended_lives.contains(life)
     }
 
     fn take_slot(&self, in_line: &mut InLine<'_>, now: Millis) -> u32 {
--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -4,7 +4,7 @@
 
 use hornbeamhitch_types::prelude::CallClass;
 
-use super::{Gate, GateEvent, RunningCall};
+use super::{Gate, GateEvent, Life, RunningCall};
 use crate::http1;
 use crate::prelude::*;
 use crate::target::{Exchange, ExchangeFault, TargetAnswer, is_server_fault, is_success};
@@ -207,11 +207,17 @@
     fn note_ended_life(&self, id: &str) {
         /// Lives that end within the time until all entries have heard of it.
         const MAX_ENDED_LIVES: usize = 16;
+        let id = TargetId::new(id);
+        let listed = self.directory.load().members.get(&id).cloned();
+        let life = Life {
+            id,
+            born_ms: listed.and_then(|member| member.born_ms),
+        };
         let lives = &mut self.state.lock().ended_lives;
         if lives.len() >= MAX_ENDED_LIVES {
             lives.pop_front();
         }
-        lives.push_back(TargetId::new(id));
+        lives.push_back(life);
     }
 
     fn note_load(&self, value: &str, now: Millis) {
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -42,9 +42,6 @@
     pub routes: Option<RouteSet>,
     /// The targets.
     pub members: Vec<Member>,
-    /// Targets that are listed with an entry that cannot be used: what was known
-    /// of them stays in force.
-    pub unreadable: Vec<TargetId>,
     /// Every change up to this revision is contained.
     pub revision: u64,
 }
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// Closes the connections that rest: they lead to an earlier life of the target.
+    pub fn close_resting(&self) {
+        self.resting.lock().clear();
+    }
+
     /// The most recently used first, so that spare ones age out.
     fn take_rested(&self, may_repeat: bool) -> Option<Connection> {
         let now = self.clock.now();
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -113,6 +113,7 @@
         slots: 4,
         draining: false,
         listed_at: 1,
+        born_ms: None,
     }
 }
 
--- a/crates/routed/src/source.rs
+++ b/crates/routed/src/source.rs
@@ -59,7 +59,6 @@
         Ok(Listing {
             routes: self.routes(),
             members: self.members().into_values().collect(),
-            unreadable: Vec::new(),
             revision: self.revision(),
         })
     }
@@ -154,6 +153,7 @@
             slots: service.map_or(UNKNOWN_SLOTS, |service| service.slots),
             draining: vm.leaving,
             listed_at: 0,
+            born_ms: None,
         }
     }
 }
