Learn how many requests a target runs at once

Hypothesis: a fifth of the slots is kept free for fear of targets that slow down when nearly full, a figure taken on one site; the third customer's targets do not, and their callers are refused in each overload. Change: the gate compares run times by how many requests ran beside them, at equal speed of the VM, and uses all slots until a knee shows (crates/dispatch/src/knee.rs).

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use crate::knee::Knee;
 use crate::prelude::*;
 
 #[cfg(test)]
@@ -19,9 +20,6 @@
 /// still meets its objective, or misses it at usual speed as well. After all
 /// targets of a service were restarted at once there is nothing faster.
 const MODERATE_PERCENT: u32 = 250;
-/// Slots of a target up to which all but one are used; larger ones keep a
-/// fifth free, because targets slow down when nearly full.
-const SMALL_TARGET_SLOTS: u32 = 8;
 /// Slots taken for granted before the target's entry is known.
 const UNKNOWN_SLOTS: u32 = 4;
 /// Work is long beside other work that takes at most this part of its time.
@@ -116,6 +114,7 @@
 pub struct Admission {
     slots: u32,
     in_flight: u32,
+    knee: Knee,
     /// Calls in line.
     line: BTreeSet<Place>,
     last_number: u64,
@@ -141,6 +140,7 @@
         Self {
             slots: UNKNOWN_SLOTS,
             in_flight: 0,
+            knee: Knee::default(),
             line: BTreeSet::new(),
             last_number: 0,
             speed: None,
@@ -155,12 +155,33 @@
     /// Takes over how many requests the target runs at once.
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = slots.max(1);
+        self.knee.set_slots(self.slots);
+    }
+
+    /// Learns from a run that was answered well: `running` requests ran when it
+    /// began, at this speed of the VM.
+    pub fn learn_run(
+        &mut self,
+        running: u32,
+        slowness_percent: u32,
+        work_ms: Millis,
+        ran_ms: Millis,
+        now: Millis,
+    ) {
+        // Cold targets count too: all of them are, after a loss of power, and a knee
+        // is felt most when every caller is back at once.
+        if slowness_percent > MODERATE_PERCENT {
+            return;
+        }
+        let usual_ms = work_ms.0.max(1) as f64 * f64::from(slowness_percent.max(1)) / 100.0;
+        self.knee.learn(running, ran_ms.0 as f64 / usual_ms, now);
     }
 
     /// Forgets what was learnt of the target, which has started again.
     pub fn forget_target(&mut self) {
         self.speed = None;
         self.down_until = Millis::ZERO;
+        self.knee.forget();
     }
 
     /// From now on (or no longer) refuses new work.
@@ -256,8 +277,10 @@
         if now + call.work_ms > call.deadline_at && self.in_flight > 0 || now >= call.deadline_at {
             return Verdict::Refuse(Refused::Late);
         }
-        let takes_slow = now >= call.slow_from;
-        let limit = self.limit(takes_slow) - self.left_to_short_work(call.work_ms, now);
+        let limit = self
+            .limit()
+            .saturating_sub(self.left_to_short_work(call.work_ms, now));
+        let limit = limit.max(1);
         let ahead = self.line.range(..place).count() as u32;
         let room = limit.saturating_sub(self.in_flight);
         if ahead >= room {
@@ -275,16 +298,14 @@
         Verdict::Wait((speed.read_at + READING_INTERVAL_MS).min(call.hold_until))
     }
 
-    /// Slots that may be used. Those above are left free while a call can
-    /// still be served well elsewhere: the last ones slow down all others.
-    fn limit(&self, takes_slow: bool) -> u32 {
-        if takes_slow {
-            return self.slots;
-        }
-        if self.slots <= SMALL_TARGET_SLOTS {
-            return self.slots.saturating_sub(1).max(1);
+    /// Requests that are run at once: as many as do not slow each other down.
+    #[must_use]
+    pub const fn limit(&self) -> u32 {
+        match self.knee.limit() {
+            // Nothing is known of the target yet.
+            0 => self.slots,
+            limit => limit,
         }
-        self.slots * 4 / 5
     }
 
     fn note_work(&mut self, work_ms: Millis, now: Millis) {
--- /dev/null
+++ b/crates/dispatch/src/knee/tests.rs
@@ -0,0 +1,106 @@
+//! Learning the knee of a target from the run times of its requests.
+
+use rand::rngs::Xoshiro256PlusPlus;
+use rand::{RngExt, SeedableRng};
+
+use super::*;
+
+/// A target that takes `slower` times as long beyond `knee` requests at once.
+struct Target {
+    slots: u32,
+    knee: u32,
+    slower: f64,
+}
+
+/// The mean limit in the second half of so many seconds of load that uses all it may
+/// get, with run times that spread by a third and 40 runs a second. The mean, since
+/// slots beyond a knee are tried again now and then.
+fn learn(knee: &mut Knee, target: &Target, from_ms: u64, seconds: u64, seed: u64) -> u32 {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+    knee.set_slots(target.slots);
+    let steps = seconds * 40;
+    let mut sum = 0;
+    for step in 0..steps {
+        if step >= steps / 2 {
+            sum += u64::from(knee.limit());
+        }
+        let running = rng.random_range(1..=knee.limit());
+        let usual = if running > target.knee {
+            target.slower
+        } else {
+            1.0
+        };
+        let ratio = usual * rng.random_range(0.5..1.5);
+        knee.learn(running, ratio, Millis(from_ms + step * 25));
+    }
+    let measured = steps - steps / 2;
+    u32::try_from((sum + measured / 2) / measured).expect("a mean of limits")
+}
+
+/// A target slows down by 1.7 when more than four fifths of its slots are taken.
+/// Filled up, it ends fewer requests a second, and each of them late.
+#[test]
+fn a_knee_is_found_within_seconds() {
+    for (slots, at) in [(12, 9), (9, 7), (6, 4), (64, 51)] {
+        for seed in 0..20 {
+            let target = Target {
+                slots,
+                knee: at,
+                slower: 1.7,
+            };
+            let limit = learn(&mut Knee::default(), &target, 0, 10, seed);
+            let low = at * 3 / 4;
+            let high = at + at.div_ceil(8);
+            assert!(
+                (low..=high).contains(&limit),
+                "{limit} of {slots}, seed {seed}"
+            );
+        }
+    }
+}
+
+/// A target takes all that it says it does. Slots kept free would turn callers away
+/// in an overload for nothing.
+#[test]
+fn without_a_knee_all_slots_are_used() {
+    for slots in [1, 4, 6, 9, 12, 64] {
+        for seed in 0..20 {
+            let target = Target {
+                slots,
+                knee: slots,
+                slower: 1.0,
+            };
+            let limit = learn(&mut Knee::default(), &target, 0, 10, seed);
+            assert!(limit * 10 >= slots * 9, "{limit} of {slots}, seed {seed}");
+        }
+    }
+}
+
+/// The neighbour that made the target slow down is gone. The slots beyond the knee
+/// are tried again, and stay in use.
+#[test]
+fn a_knee_that_is_gone_is_forgotten() {
+    let mut knee = Knee::default();
+    let mut target = Target {
+        slots: 12,
+        knee: 9,
+        slower: 1.7,
+    };
+    assert!(learn(&mut knee, &target, 0, 20, 1) <= 10);
+    target.knee = 12;
+    assert!(learn(&mut knee, &target, 20_000, 60, 2) >= 11);
+}
+
+/// What a route usually takes is learnt elsewhere and may be off by far, for all
+/// requests alike. That is no knee.
+#[test]
+fn a_usual_time_that_is_off_is_no_knee() {
+    for off in [0.3, 3.0] {
+        let mut knee = Knee::default();
+        knee.set_slots(12);
+        for step in 0..400 {
+            knee.learn(step % 12 + 1, off, Millis(u64::from(step) * 25));
+        }
+        assert_eq!(knee.limit(), 12, "off by {off}");
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod failures;
+pub mod knee;
 pub mod members;
 pub mod order;
 pub mod patience;
--- a/crates/dispatch/src/retry_budget.rs
+++ b/crates/dispatch/src/retry_budget.rs
@@ -16,9 +16,13 @@
     pub window_ms: Millis,
 }
 
-/// Share of the limit that entries use. The rest is for what they count late:
+/// Part of the ratio that entries use. The rest is for what they count late:
 /// arrivals cross the ends of a window, and the listed entries change.
 const USED_SHARE: f64 = 0.7;
+/// Part of the slack that entries use. Each repeat that it allows makes its calls
+/// again at another service, whose slack is no larger. With two calls a run,
+/// `2 n` of them are within the ratio 0.2 and the slack `s` up to `n = s / 1.6`.
+const USED_SLACK: f64 = 0.6;
 /// Debt that calls of repeated runs may leave, as a part of the slack that an entry
 /// has for itself. It is paid by the requests that follow; without a bound, an entry
 /// could not retry for minutes after a bad one.
@@ -92,5 +96,5 @@
 }
 
 fn slack_part(limit: &RetryLimit, entries: usize) -> f64 {
-    limit.slack * USED_SHARE / 2.0 / entries.max(1) as f64
+    limit.slack * USED_SLACK / 2.0 / entries.max(1) as f64
 }
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -226,7 +226,7 @@
         self.metrics.gate_levels(&GateLevels {
             in_flight: state.admission.in_flight(),
             queued: u32::try_from(state.admission.waiting()).unwrap_or(u32::MAX),
-            limit: state.admission.slots(),
+            limit: state.admission.limit(),
             records: u32::try_from(state.records.len()).unwrap_or(u32::MAX),
             // Answers are kept with their records only until these are forgotten.
             stored_bytes: 0,
@@ -276,6 +276,7 @@
             body: &body,
             deadline_at: call.deadline_at,
             slowness_percent,
+            running: self.state.lock().admission.in_flight(),
             waited_ms: started.since(arrived),
             started,
         };
--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -20,6 +20,8 @@
     pub(super) deadline_at: Millis,
     /// How slow the target was as it began, in percent of the usual time.
     pub(super) slowness_percent: u32,
+    /// Requests that ran in the target when it began, itself included.
+    pub(super) running: u32,
     pub(super) waited_ms: Millis,
     pub(super) started: Millis,
 }
@@ -68,6 +70,11 @@
         let target_id = run.terms.target_id.as_str();
         let slowness_percent = run.slowness_percent;
         let waited_ms = run.waited_ms.0;
+        if let Some(GateEvent::Answered { head, .. }) = event
+            && is_success(head.status)
+        {
+            self.learn_from(run);
+        }
         match event {
             Some(GateEvent::Answered { head, .. }) if !is_server_fault(head.status) => log::info!(
                 request, target_id, slowness_percent, waited_ms, ran_ms, status = head.status;
@@ -90,6 +97,24 @@
         }
     }
 
+    fn learn_from(&self, run: &Run<'_>) {
+        let now = self.clock.now();
+        let ran_ms = now.since(run.started);
+        let work_ms = run.terms.work_ms;
+        let mut state = self.state.lock();
+        let before = state.admission.limit();
+        state
+            .admission
+            .learn_run(run.running, run.slowness_percent, work_ms, ran_ms, now);
+        let limit = state.admission.limit();
+        drop(state);
+        if limit != before {
+            let slots = self.state.lock().admission.slots();
+            log::info!(before, limit, slots; "requests that are run at once");
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Runs a call, and learns whether it crashes its target.
     pub(super) async fn run(&self, run: &Run<'_>) -> GateEvent {
         let fingerprint = run.terms.fingerprint;
