Prove a target's next life at its gate, and take two large files apart

Nothing behaves otherwise.

The two tests of a target that starts again under its id fail with the lives told apart by id alone, and with connections kept.

--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -1,7 +1,9 @@
 //! The gate: starts calls in this VM's target, one copy of each at most.
 
+mod lives;
 mod places;
 mod records;
+mod request;
 mod run;
 mod speed;
 
@@ -9,84 +11,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hornbeamhitch_dispatch::admission::{Admission, GateCall, Place, Refused, Verdict};
 use hornbeamhitch_node::metrics::{GateLevels, Metrics};
 use parking_lot::Mutex;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, watch};
 
 use crate::prelude::*;
 use crate::suspicion::Suspicion;
 use crate::target::TargetClient;
+use lives::Life;
 use places::{InLine, Slot};
 use records::{Fencing, Records};
+pub use request::{CallContent, EventSink, GateEvent, GateRequest, Wanted, WholeCall};
 use run::Run;
 use speed::SpeedProbe;
 
-/// A call as it reaches the gate.
-#[derive(Debug)]
-pub struct GateRequest {
-    /// What to decide by.
-    pub terms: CallTerms,
-    /// What to run.
-    pub content: CallContent,
-}
-
-/// What a target is to be sent, at the gate.
-#[derive(Debug)]
-pub enum CallContent {
-    /// In hand.
-    Whole(WholeCall),
-    /// Comes once [`GateEvent::WantsBody`] was told.
-    Later(oneshot::Receiver<WholeCall>),
-}
-
-/// A request with its whole body.
-#[derive(Debug)]
-pub struct WholeCall {
-    /// The request.
-    pub head: CallHead,
-    /// Its body.
-    pub body: Bytes,
-}
-
-/// What becomes of a call, told to the entry.
-#[derive(Clone, Debug)]
-pub enum GateEvent {
-    /// It has a slot, and what was kept back of it is wanted.
-    WantsBody,
-    /// It was sent to the target.
-    Started {
-        /// Time that work took there just before, in percent of the usual.
-        slowness_percent: u32,
-    },
-    /// The target's whole answer. Nothing follows.
-    Answered {
-        /// Its head.
-        head: AnswerHead,
-        /// Its body.
-        body: Bytes,
-    },
-    /// It ended without an answer. Nothing follows.
-    Ended(CallEnd),
-}
-
-impl GateEvent {
-    /// Whether nothing follows.
-    #[must_use]
-    pub const fn is_last(&self) -> bool {
-        matches!(self, Self::Answered { .. } | Self::Ended(_))
-    }
-}
-
-/// Takes the events of one call.
-pub type EventSink = Box<dyn Fn(GateEvent) + Send + Sync>;
-
-/// Keeps a call wanted; dropped, the call is cancelled. One that may run only
-/// once and has started goes on.
-#[derive(Debug)]
-pub struct Wanted(#[expect(dead_code, reason = "its drop is the signal")] watch::Sender<()>);
-
 /// What a gate is put together from.
 #[derive(Debug)]
 pub struct GateParts {
@@ -137,23 +76,6 @@
     life: Option<Life>,
 }
 
-/// One life of a target. A target may start again under its id, and is told from
-/// the earlier one by the time of its start.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Life {
-    id: TargetId,
-    born_ms: Option<Millis>,
-}
-
-impl Life {
-    fn of(member: &Member) -> Self {
-        Self {
-            id: member.id.clone(),
-            born_ms: member.born_ms,
-        }
-    }
-}
-
 /// What a gate needs to know of a call while it runs.
 #[derive(Clone, Copy, Debug)]
 struct RunningCall {
@@ -341,24 +263,6 @@
         state.admission.enlist(call, self.clock.now())
     }
 
-    /// Forgets what was learnt of an earlier life of the target.
-    ///
-    /// Failure answered: a target starts again under its id and holds nothing of
-    /// before. A connection to the earlier life would break the first payment sent
-    /// on it, and what was learnt of its speed does not hold. The records of calls
-    /// that may run only once stay: those that ran have run.
-    fn note_life(&self, state: &mut GateState, member: &Member) {
-        let life = Life::of(member);
-        if state.life.as_ref() == Some(&life) {
-            return;
-        }
-        if state.life.replace(life).is_some() {
-            state.admission.forget_target();
-            self.target.close_resting();
-            log::info!(target_id = member.id.as_str(); "another life of the target is listed");
-        }
-    }
-
     /// Waits until the call may start, and starts it. Returns how slow the
     /// target was.
     async fn admit(
@@ -396,24 +300,6 @@
         }
     }
 
-    /// Failure answered: a target that has left the list, or drains, gets work
-    /// from entries that have not heard of it. The gate reads the list too, and
-    /// nothing reaches the target but through it.
-    fn takes_no_more(&self, terms: &CallTerms) -> bool {
-        let directory = self.directory.load();
-        let id = TargetId::new(&terms.target_id);
-        let Some(member) = directory.members.get(&id) else {
-            let unlisted = Life { id, born_ms: None };
-            return directory.members.has_left(&unlisted.id) || self.has_ended(&unlisted);
-        };
-        member.draining || self.has_ended(&Life::of(member))
-    }
-
-    /// Whether the target said that it is no longer this life of it.
-    fn has_ended(&self, life: &Life) -> bool {
-        self.state.lock().ended_lives.contains(life)
-    }
-
     fn take_slot(&self, in_line: &mut InLine<'_>, now: Millis) -> u32 {
         in_line.start();
         let state = self.state.lock();
--- /dev/null
+++ b/crates/edge/src/gate/lives.rs
@@ -0,0 +1,80 @@
+//! Which life of the target this is, and which it no longer is.
+
+use super::{Gate, GateState};
+use crate::prelude::*;
+
+/// One life of a target. A target may start again under its id, and is told from
+/// the earlier one by the time of its start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Life {
+    id: TargetId,
+    born_ms: Option<Millis>,
+}
+
+impl Life {
+    fn of(member: &Member) -> Self {
+        Self {
+            id: member.id.clone(),
+            born_ms: member.born_ms,
+        }
+    }
+}
+
+impl Gate {
+    /// Forgets what was learnt of an earlier life of the target.
+    ///
+    /// Failure answered: a target starts again under its id and holds nothing of
+    /// before. A connection to the earlier life would break the first payment sent
+    /// on it, and what was learnt of its speed does not hold. The records of calls
+    /// that may run only once stay: those that ran have run.
+    pub(super) fn note_life(&self, state: &mut GateState, member: &Member) {
+        let life = Life::of(member);
+        if state.life.as_ref() == Some(&life) {
+            return;
+        }
+        if state.life.replace(life).is_some() {
+            state.admission.forget_target();
+            self.target.close_resting();
+            log::info!(target_id = member.id.as_str(); "another life of the target is listed");
+        }
+    }
+
+    /// Whether work for this life of the target is refused.
+    ///
+    /// Failure answered: a target that has left the list, or drains, gets work
+    /// from entries that have not heard of it. The gate reads the list too, and
+    /// nothing reaches the target but through it.
+    pub(super) fn takes_no_more(&self, terms: &CallTerms) -> bool {
+        let directory = self.directory.load();
+        let id = TargetId::new(&terms.target_id);
+        let Some(member) = directory.members.get(&id) else {
+            let unlisted = Life { id, born_ms: None };
+            return directory.members.has_left(&unlisted.id) || self.has_ended(&unlisted);
+        };
+        member.draining || self.has_ended(&Life::of(member))
+    }
+
+    /// Whether the target said that it is no longer this life of it.
+    fn has_ended(&self, life: &Life) -> bool {
+        self.state.lock().ended_lives.contains(life)
+    }
+
+    /// The target's address belongs to another life of it. Further calls for the
+    /// ended one are refused here: each that reached the target would count
+    /// against the retry budget.
+    pub(super) fn note_ended_life(&self, id: &str) {
+        /// Lives that end within the time until all entries have heard of it.
+        const MAX_ENDED_LIVES: usize = 16;
+        let id = TargetId::new(id);
+        let listed = self.directory.load().members.get(&id).cloned();
+        let life = Life {
+            id,
+            born_ms: listed.and_then(|member| member.born_ms),
+        };
+        let lives = &mut self.state.lock().ended_lives;
+        if lives.len() >= MAX_ENDED_LIVES {
+            lives.pop_front();
+        }
+        lives.push_back(life);
+    }
+}
--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -4,7 +4,7 @@
 
 use hornbeamhitch_types::prelude::CallClass;
 
-use super::{Gate, GateEvent, Life, RunningCall};
+use super::{Gate, GateEvent, RunningCall};
 use crate::http1;
 use crate::prelude::*;
 use crate::target::{Exchange, ExchangeFault, TargetAnswer, is_server_fault, is_success};
@@ -227,25 +227,6 @@
         }
     }
 
-    /// The target's address belongs to another life of it. Further calls for the
-    /// ended one are refused here: each that reached the target would count
-    /// against the retry budget.
-    fn note_ended_life(&self, id: &str) {
-        /// Lives that end within the time until all entries have heard of it.
-        const MAX_ENDED_LIVES: usize = 16;
-        let id = TargetId::new(id);
-        let listed = self.directory.load().members.get(&id).cloned();
-        let life = Life {
-            id,
-            born_ms: listed.and_then(|member| member.born_ms),
-        };
-        let lives = &mut self.state.lock().ended_lives;
-        if lives.len() >= MAX_ENDED_LIVES {
-            lives.pop_front();
-        }
-        lives.push_back(life);
-    }
-
     fn note_load(&self, value: &str, now: Millis) {
         let Some(load) = self.dialect.load(value) else {
             log::debug!("a load report is malformed: {value}");
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -2,9 +2,12 @@
 
 mod client;
 mod framed;
+mod hearing;
+mod outgoing;
 mod server;
 
 pub(crate) use framed::{FrameReader, LinkFault};
 
-pub use client::{Asked, LinkEvent, LinkPool, OutgoingCall};
+pub use client::{Asked, LinkEvent, LinkPool};
+pub use outgoing::OutgoingCall;
 pub use server::LinkServer;
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -7,13 +7,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hornbeamhitch_wire::link::{CallId, INLINE_BODY_BYTES, ToEntry, ToGate};
+use hornbeamhitch_wire::link::{CallId, ToEntry, ToGate};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 use super::framed::{FrameReader, LinkFault, PartialBody, next_part, pass_on, write_frames};
+use super::hearing::Hearing;
+use super::outgoing::{KeptBack, OutgoingCall, call_frame};
 use crate::gate::GateEvent;
 use crate::prelude::*;
 use crate::sockets;
@@ -22,17 +24,6 @@
 /// Data centres of one region are milliseconds apart; a VM that does not answer
 /// in this time is dark or its queue of connections is full.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// While answers are awaited and nothing is heard for this long, the gate is
-/// asked whether it is there. Runs take about this long, so that a link with
-/// work on it mostly speaks before.
-const PING_AFTER: Duration = Duration::from_millis(150);
-/// A gate that has not answered after this long is in doubt. It answers in one
-/// round trip, 20 ms at most, unless the network or its VM is in trouble.
-const DOUBT_AFTER: Duration = Duration::from_millis(150);
-/// The link is given up when the gate has not answered for this long. A lost
-/// packet is sent again after 200 ms or a little more, and the next time after
-/// twice as long, so one loss or two do not end a link.
-const DEAD_AFTER: Duration = Duration::from_millis(800);
 
 /// What becomes of a call, seen from its entry.
 #[derive(Debug)]
@@ -82,19 +73,6 @@
     link: tokio::sync::Mutex<Option<Arc<Link>>>,
 }
 
-/// A call as it is sent to a gate.
-#[derive(Clone, Debug)]
-pub struct OutgoingCall {
-    /// What the gate decides by.
-    pub terms: CallTerms,
-    /// The request.
-    pub head: CallHead,
-    /// Its whole body.
-    pub body: Bytes,
-    /// The gate is likely to refuse it, so only its terms are sent at first.
-    pub is_terms_first: bool,
-}
-
 /// What is sent over a link.
 enum Question {
     Call(Box<OutgoingCall>),
@@ -185,40 +163,12 @@
     asked: tokio::sync::Notify,
 }
 
-/// How long the gate has been silent.
-#[derive(Clone, Copy, Debug)]
-enum Hearing {
-    /// It was last heard then.
-    Heard(Instant),
-    /// It was asked then whether it is there.
-    Asked(Instant),
-    /// The same, and it should have answered.
-    Doubted(Instant),
-}
-
-impl Hearing {
-    fn ends_at(self) -> Instant {
-        match self {
-            Self::Heard(at) => at + PING_AFTER,
-            Self::Asked(at) => at + DOUBT_AFTER,
-            Self::Doubted(at) => at + DEAD_AFTER,
-        }
-    }
-}
-
 struct OpenCall {
     sink: LinkSink,
     kept_back: KeptBack,
     answer: Option<(AnswerHead, PartialBody)>,
 }
 
-/// What of a call is sent only when the gate wants it.
-#[derive(Default)]
-struct KeptBack {
-    head: Option<CallHead>,
-    body: Bytes,
-}
-
 impl std::fmt::Debug for OpenCall {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("OpenCall").finish_non_exhaustive()
@@ -468,39 +418,3 @@
         }
     }
 }
-
-/// The first frame of a call, and what is kept back from it.
-fn call_frame(id: CallId, call: OutgoingCall) -> (ToGate, KeptBack) {
-    let OutgoingCall {
-        terms,
-        head,
-        body,
-        is_terms_first,
-    } = call;
-    let body_bytes = body.len() as u64;
-    if is_terms_first {
-        let kept_back = KeptBack {
-            head: Some(head),
-            body,
-        };
-        let frame = ToGate::Ask {
-            id,
-            terms,
-            body_bytes,
-        };
-        return (frame, kept_back);
-    }
-    let (inline, kept_back) = if body.len() <= INLINE_BODY_BYTES {
-        (body, KeptBack::default())
-    } else {
-        (Bytes::new(), KeptBack { head: None, body })
-    };
-    let frame = ToGate::Call {
-        id,
-        terms,
-        head,
-        body_bytes,
-        body: inline,
-    };
-    (frame, kept_back)
-}
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -8,5 +8,6 @@
 mod following;
 mod giving_up;
 mod links;
+mod lives;
 mod routing;
 mod support;
--- a/crates/edge/tests/all/support/target.rs
+++ b/crates/edge/tests/all/support/target.rs
@@ -39,6 +39,8 @@
     forgets_after_ms: AtomicU32,
     /// The behaviour for all requests that name none.
     usual: Mutex<String>,
+    /// The id that it answers to.
+    life: Mutex<String>,
 }
 
 /// A target on loopback.
@@ -58,7 +60,7 @@
         journal.slowness_percent.store(100, Ordering::Relaxed);
         *journal.usual.lock() = "ok".to_owned();
         let accepted = Arc::clone(&journal);
-        let life = life.to_owned();
+        *journal.life.lock() = life.to_owned();
         let accepting = tokio::spawn(async move {
             let mut served = tokio::task::JoinSet::new();
             loop {
@@ -70,7 +72,7 @@
                     () = crashed => return,
                 };
                 accepted.connections.fetch_add(1, Ordering::Relaxed);
-                served.spawn(serve(stream, Arc::clone(&accepted), life.clone()));
+                served.spawn(serve(stream, Arc::clone(&accepted)));
             }
         });
         Self {
@@ -125,13 +127,18 @@
         self.journal.forgets_after_ms.store(ms, Ordering::Relaxed);
     }
 
+    /// From now on answers to this id alone.
+    pub fn set_life(&self, life: &str) {
+        *self.journal.life.lock() = life.to_owned();
+    }
+
     /// What requests without a behaviour of their own meet.
     pub fn set_usual(&self, behaviour: &str) {
         *self.journal.usual.lock() = behaviour.to_owned();
     }
 }
 
-async fn serve(stream: TcpStream, journal: Arc<Journal>, life: String) {
+async fn serve(stream: TcpStream, journal: Arc<Journal>) {
     let (reader, mut writer) = stream.into_split();
     let mut reader = HttpReader::new(reader);
     let mut rests_since = std::time::Instant::now();
@@ -141,7 +148,7 @@
         if forgets_after_ms > 0 && rested_ms > u128::from(forgets_after_ms) {
             return;
         }
-        if !answer(&mut reader, &mut writer, head, &journal, &life).await {
+        if !answer(&mut reader, &mut writer, head, &journal).await {
             return;
         }
         rests_since = std::time::Instant::now();
@@ -154,7 +161,6 @@
     writer: &mut OwnedWriteHalf,
     head: RequestHead,
     journal: &Journal,
-    life: &str,
 ) -> bool {
     let load = journal.slowness_percent.load(Ordering::Relaxed);
     if head.path == "/health" && journal.is_starting.load(Ordering::Relaxed) {
@@ -169,7 +175,7 @@
         .unwrap_or_default()
         .to_owned();
     let expected = http1::field(&head.fields, super::EXPECTED_TARGET);
-    if expected.is_some_and(|expected| expected != life) {
+    if expected.is_some_and(|expected| expected != *journal.life.lock()) {
         let text = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
         return writer.write_all(text.as_bytes()).await.is_ok();
     }
