--- a/crates/dispatch/src/knee.rs
+++ b/crates/dispatch/src/knee.rs
@@ -25,6 +25,10 @@
 const DELAY_EXPONENT: f64 = 1.5;
 /// A smaller number has to be better by this factor: chance alone makes a tenth.
 const BETTER_BY: f64 = 1.1;
+/// This part of the slots is used whatever was learnt, in percent. Where one route
+/// mixes runs of a millisecond with runs of half a second, run times say little of how
+/// many ran beside them: targets were held to two of four slots, and callers refused.
+const LEAST_USED_PERCENT: u32 = 80;
 /// A run counts for this many times its usual time at most, so that one that hung
 /// says no more than a few slow ones.
 const MOST_RATIO: f64 = 4.0;
@@ -97,7 +101,8 @@
         level.fade(now);
         level.samples += 1.0;
         level.sum += ratio.clamp(0.0, MOST_RATIO);
-        self.limit = self.best_limit(now);
+        let lowest = self.slots * LEAST_USED_PERCENT / 100;
+        self.limit = self.best_limit(now).max(lowest).max(1);
     }
 
     fn level_of(&self, running: u32) -> Option<usize> {
--- a/crates/dispatch/src/knee/tests.rs
+++ b/crates/dispatch/src/knee/tests.rs
@@ -76,6 +76,25 @@
     }
 }
 
+/// One route mixes runs of a millisecond with runs of four times the usual time, and
+/// the long ones hold the slots, so that many run beside most others. That is chance
+/// and no knee; held to half of its slots, the target would turn callers away.
+#[test]
+fn a_mix_of_short_and_long_runs_leaves_most_slots_in_use() {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(601);
+    for slots in [4, 12] {
+        let mut knee = Knee::default();
+        knee.set_slots(slots);
+        for step in 0..4_000_u64 {
+            let running = rng.random_range(1..=knee.limit());
+            let is_long = rng.random_range(0..slots) < running;
+            let ratio = if is_long { 4.0 } else { 0.01 };
+            knee.learn(running, ratio, Millis(step * 25));
+            assert!(knee.limit() >= slots * 4 / 5, "{} of {slots}", knee.limit());
+        }
+    }
+}
+
 /// The neighbour that made the target slow down is gone. The slots beyond the knee
 /// are tried again, and stay in use.
 #[test]
