Keep the ports of test nodes reserved through all their lives

Ports of nodes were found free by listeners that were then let go. A process that another test is starting at that moment holds copies of those listeners until it has replaced itself, so the node met "address in use", ended, and its test waited in vain. The same explains the proxy's port that was in use though nobody else binds that address.

Shown: a loop that binds, listens, closes and binds again met "in use" in 314 of 7,959 tries beside eight threads that start processes, in 0 of 555,627 without them, and in 0 of 5,956 beside eight threads with a port kept by a socket that is bound with SO_REUSEADDR and never listens.

Ruled out: load (43 runs of the process tests beside 24 busy loops and 17 runs of all platform tests beside a build passed), readiness that waits for others (no call was made, so no VM counted as unreachable), connections that are given the port (their address is another).

Change: such a socket keeps each port for its node through all its lives.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -90,7 +90,7 @@
 struct Node {
     spec: NodeSpec,
     addresses: NodeAddresses,
-    /// Its ports, until it is started for the first time.
+    /// Its ports, through all its lives.
     held_ports: Vec<HeldPort>,
     settings_file: PathBuf,
     process: Option<ChildProcess>,
@@ -240,7 +240,9 @@
         }
         let mut command = Command::new(&binary);
         command.arg("--settings").arg(&node.settings_file);
-        node.held_ports.clear();
+        for port in &mut node.held_ports {
+            port.hand_over();
+        }
         node.process = Some(ChildProcess::spawn(vm, &mut command)?);
         Ok(())
     }
--- a/crates/standins/src/fleet/ports.rs
+++ b/crates/standins/src/fleet/ports.rs
@@ -14,44 +14,85 @@
 /// Addresses that this process has handed out.
 static HANDED_OUT: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
 
-/// A port that is kept from everybody else until this value is dropped.
+/// A TCP port that is kept for a program until this value is dropped, also while the
+/// program listens there, and between two of its lives.
+///
+/// Failure answered: a port is found free, let go, and named in a node's settings.
+/// Before the node binds it, a connection of another test is given it, or a process
+/// that is just being started holds a copy of the listener until it has replaced
+/// itself. The node ends with "address in use", and its test waits in vain. This
+/// socket is bound with `SO_REUSEADDR` and never listens: so a listener that sets the
+/// option too, as every node does, may bind beside it and its copies, and the kernel
+/// offers the port to nobody.
+#[derive(Debug)]
+pub struct ReservedPort {
+    addr: SocketAddr,
+    _socket: TcpSocket,
+}
+
+impl ReservedPort {
+    /// Reserves an address, with any port where that is 0.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is taken, or not this VM's.
+    pub fn take(wanted: SocketAddr) -> std::io::Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(wanted)?;
+        let addr = socket.local_addr()?;
+        Ok(Self {
+            addr,
+            _socket: socket,
+        })
+    }
+
+    /// The address.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+/// A port that is kept from everybody else, for TCP until this value is dropped and
+/// for UDP until its program starts.
 ///
 /// Nothing listens on it meanwhile: connections to it are refused.
 #[derive(Debug)]
 pub struct HeldPort {
-    addr: SocketAddr,
-    _tcp: TcpSocket,
-    _udp: UdpSocket,
+    tcp: ReservedPort,
+    udp: Option<UdpSocket>,
 }
 
 impl HeldPort {
     /// Holds an address, with any port where that is 0; `None` when the port that
     /// was found is taken for UDP.
     fn take(wanted: SocketAddr) -> Result<Option<Self>> {
-        let tcp = TcpSocket::new_v4()?;
-        tcp.bind(wanted)
-            .wrap_err_with(|| format!("no TCP port at {wanted}"))?;
-        let addr = tcp.local_addr()?;
-        let Ok(udp) = UdpSocket::bind(addr) else {
+        let tcp =
+            ReservedPort::take(wanted).wrap_err_with(|| format!("no TCP port at {wanted}"))?;
+        let Ok(udp) = UdpSocket::bind(tcp.addr()) else {
             return Ok(None);
         };
-        Ok(Some(Self {
-            addr,
-            _tcp: tcp,
-            _udp: udp,
-        }))
+        let udp = Some(udp);
+        Ok(Some(Self { tcp, udp }))
     }
 
     /// The address.
     #[must_use]
     pub fn addr(&self) -> SocketAddr {
-        self.addr
+        self.tcp.addr()
+    }
+
+    /// Lets its program bind the port. A UDP socket stands beside no other, so from
+    /// now on another process can take that.
+    pub fn hand_over(&mut self) {
+        self.udp = None;
     }
 }
 
 /// Finds loopback addresses that are free for both TCP and UDP, and holds them.
 ///
-/// Between the end of the hold and the node's own binding another process can
+/// Between the end of the hold for UDP and the node's own binding another process can
 /// take one: whoever binds it must be ready for that.
 ///
 /// No address is handed out twice. Otherwise two fleets that start at the same
@@ -72,7 +113,7 @@
         let Some(port) = HeldPort::take((Ipv4Addr::LOCALHOST, 0).into())? else {
             continue;
         };
-        if is_new(port.addr) {
+        if is_new(port.addr()) {
             held.push(port);
         } else {
             // Held as well, or the kernel would offer it again.
