Keep slots for calls that can be in time while such are turned away

In bursts at usual speed nearly all were in time by that clock, but four of ten attempts were callers who came back, too late.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use crate::contention::{Chance, Contention};
 use crate::knee::Knee;
 use crate::prelude::*;
 
@@ -57,12 +58,21 @@
     pub hold_until: Millis,
     /// Its caller is served well if it ends by then.
     pub objective_at: Millis,
+    /// The span in which a newcomer of its kind is served well.
+    pub whole_objective_ms: Millis,
     /// From then on it takes a slow target too.
     pub slow_from: Millis,
     /// It must have ended by then.
     pub deadline_at: Millis,
 }
 
+impl GateCall {
+    /// Its run time at a speed in percent of the usual time.
+    fn run_at(&self, slowness_percent: u32) -> Millis {
+        Millis(self.work_ms.0 * u64::from(slowness_percent) / 100)
+    }
+}
+
 /// Why a gate does not take a call; in every case it has not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -115,6 +125,7 @@
     slots: u32,
     in_flight: u32,
     knee: Knee,
+    contention: Contention,
     /// Calls in line.
     line: BTreeSet<Place>,
     last_number: u64,
@@ -141,6 +152,7 @@
             slots: UNKNOWN_SLOTS,
             in_flight: 0,
             knee: Knee::default(),
+            contention: Contention::default(),
             line: BTreeSet::new(),
             last_number: 0,
             speed: None,
@@ -267,7 +279,7 @@
 
     /// Decides about a call in line.
     #[must_use]
-    pub fn decide(&self, place: Place, call: &GateCall, now: Millis) -> Verdict {
+    pub fn decide(&mut self, place: Place, call: &GateCall, now: Millis) -> Verdict {
         if self.leaving {
             return Verdict::Refuse(Refused::Leaving);
         }
@@ -284,12 +296,21 @@
         let ahead = self.line.range(..place).count() as u32;
         let room = limit.saturating_sub(self.in_flight);
         if ahead >= room {
-            return self.wait_for_room(call, ahead - room, limit, now);
+            let verdict = self.wait_for_room(call, ahead - room, limit, now);
+            if verdict == Verdict::Refuse(Refused::Busy) {
+                self.note_turned_away(call, now);
+            }
+            return verdict;
         }
         let Some(speed) = self.fresh_speed(now) else {
             return Verdict::ReadSpeed;
         };
         if is_good_enough(call, speed.slowness_percent, now) {
+            let run_ms = call.run_at(speed.slowness_percent);
+            let chance = Chance::of(call, run_ms, now);
+            if self.contention.must_yield(call.priority, chance, now) {
+                return Verdict::Refuse(Refused::Busy);
+            }
             return Verdict::Start;
         }
         if now >= call.hold_until {
@@ -308,6 +329,15 @@
         }
     }
 
+    fn note_turned_away(&mut self, call: &GateCall, now: Millis) {
+        let slowness_percent = self.speed.map_or(100, |speed| speed.slowness_percent);
+        // In a slow spell nothing would be in time; it is over when a slot is free.
+        let run_ms = call.run_at(slowness_percent.min(MODERATE_PERCENT));
+        let chance = Chance::of(call, run_ms, now);
+        self.contention
+            .note_turned_away(call.priority, chance, run_ms, now);
+    }
+
     fn note_work(&mut self, work_ms: Millis, now: Millis) {
         let known = self.short_work.filter(|known| known.is_recent(now));
         let mut known = match known {
@@ -383,7 +413,7 @@
     if slowness_percent <= FAST_PERCENT {
         return true;
     }
-    let ends_at = now + Millis(call.work_ms.0 * u64::from(slowness_percent) / 100);
+    let ends_at = now + call.run_at(slowness_percent);
     if ends_at > call.deadline_at {
         return false;
     }
--- a/crates/dispatch/src/admission/tests.rs
+++ b/crates/dispatch/src/admission/tests.rs
@@ -1,5 +1,6 @@
 //! Admission at a gate in virtual time.
 
+mod overload;
 mod properties;
 
 use super::*;
@@ -10,6 +11,7 @@
         work_ms: Millis(100),
         hold_until: Millis(hold_ms),
         objective_at: Millis(300),
+        whole_objective_ms: Millis(300),
         slow_from: Millis(slow_from_ms),
         deadline_at: Millis(2_000),
     }
--- a/crates/dispatch/src/admission/tests/properties.rs
+++ b/crates/dispatch/src/admission/tests/properties.rs
@@ -34,6 +34,7 @@
                     work_ms: Millis(work_ms),
                     hold_until: Millis(hold_ms),
                     objective_at: Millis(deadline_ms / 2),
+                    whole_objective_ms: Millis(deadline_ms / 2),
                     slow_from: Millis(deadline_ms * slow_percent / 100),
                     deadline_at: Millis(deadline_ms),
                 },
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! decides when it starts ([`admission`]).
 
 pub mod admission;
+pub mod contention;
 pub mod failures;
 pub mod knee;
 pub mod members;
@@ -17,6 +18,7 @@
 pub mod readers;
 pub mod refusals;
 pub mod retry_budget;
+pub mod returning;
 pub mod routes;
 pub mod split;
 pub mod work;
--- a/crates/dispatch/src/patience.rs
+++ b/crates/dispatch/src/patience.rs
@@ -44,6 +44,8 @@
     pub fast_until: Millis,
     /// A run that ends by then meets the objective.
     pub objective_at: Millis,
+    /// The span in which a newcomer's run has to end for that.
+    pub whole_objective_ms: Millis,
     /// From then on a slow target is better than none; [`Millis::MAX`] when a
     /// slow run would not end before the deadline.
     pub slow_from: Millis,
@@ -64,7 +66,8 @@
         deadline_at: Millis,
     ) -> Self {
         let margin = Millis((work.run_ms * RUN_MARGIN) as u64);
-        let objective_at = arrived + route.objective_ms.minus(CALLER_ROUND_TRIP_MS);
+        let whole_objective_ms = route.objective_ms.minus(CALLER_ROUND_TRIP_MS);
+        let objective_at = arrived + whole_objective_ms;
         let fast_until = Millis(objective_at.0.saturating_sub(margin.0)).max(arrived);
         let spare = fast_until.since(arrived);
         let bytes = work.answer_bytes + request_bytes as f64;
@@ -77,7 +80,7 @@
             _ => Millis::MAX,
         };
         let time_ms = deadline_at.since(arrived).0;
-        let is_short = work.run_ms * SHORT_WORK_PARTS <= time_ms as f64;
+        let is_short = work.samples > 0 && work.run_ms * SHORT_WORK_PARTS <= time_ms as f64;
         let busy_for = match is_short {
             true => time_ms * SHORT_BUSY_PERCENT / 100,
             false => route.objective_ms.0 / BUSY_HOLD_PART,
@@ -87,9 +90,23 @@
             near_until,
             fast_until,
             objective_at,
+            whole_objective_ms,
             slow_from,
             busy_until: busy_until.max(fast_until).min(last_start),
             last_start,
         }
     }
+
+    /// The same for a caller that was refused before and had waited this long: its
+    /// objective counts from its first request.
+    ///
+    /// How long it may wait now stays as it was. Most who come back are late already,
+    /// and sent away at once they would be refused for good.
+    #[must_use]
+    pub fn after_waiting(self, waited_ms: Millis) -> Self {
+        Self {
+            objective_at: self.objective_at.minus(waited_ms),
+            ..self
+        }
+    }
 }
--- a/crates/dispatch/src/patience/tests.rs
+++ b/crates/dispatch/src/patience/tests.rs
@@ -8,6 +8,7 @@
     let work = WorkEstimate {
         run_ms: 90.0,
         answer_bytes: 1_500.0,
+        samples: 20,
     };
     let arrived = Millis(1_000);
     Patience::plan(
@@ -50,7 +51,23 @@
     let work = WorkEstimate {
         run_ms: 20.0,
         answer_bytes: 500.0,
+        samples: 20,
     };
     let plan = Patience::plan(&route, &work, 0, Millis(1_000), Millis(1_250));
     assert_eq!(plan.busy_until, Millis(1_175));
 }
+
+/// A node has just started and knows nothing of a route's work. Taken for short, a
+/// lookup would stay in line for most of its deadline and be refused when it is of no
+/// use to come back.
+#[test]
+fn work_that_is_not_known_is_not_taken_for_short() {
+    let route = route("r", "/", &[("s", 1)]);
+    let work = WorkEstimate {
+        run_ms: 90.0,
+        answer_bytes: 2_000.0,
+        samples: 0,
+    };
+    let plan = Patience::plan(&route, &work, 0, Millis(1_000), Millis(2_200));
+    assert_eq!(plan.busy_until, Millis(1_154));
+}
--- /dev/null
+++ b/crates/dispatch/src/returning/tests.rs
@@ -0,0 +1,49 @@
+//! Recognising callers who come back.
+
+use super::*;
+
+const LOOKUP: u64 = 7;
+
+fn refused_at_zero() -> Returning {
+    let mut returning = Returning::default();
+    returning.note_refused(LOOKUP, Millis(1_200), Millis(0));
+    returning
+}
+
+/// A caller asks, is refused, and asks for the same again 300 ms later, with 300 ms
+/// less of its deadline. Its objective counts from its first request.
+#[test]
+fn a_caller_that_comes_back_is_recognised() {
+    let mut returning = refused_at_zero();
+    let first = returning.first_arrived(LOOKUP, Millis(1_203), Millis(300));
+    assert_eq!(first, Millis(0));
+    // Refused once more, it is still the same caller.
+    returning.note_refused(LOOKUP, Millis(1_203), first);
+    let first = returning.first_arrived(LOOKUP, Millis(1_198), Millis(600));
+    assert_eq!(first, Millis(0));
+}
+
+/// Another caller asks for the same. It has another deadline, and is a newcomer.
+#[test]
+fn another_caller_who_asks_for_the_same_is_a_newcomer() {
+    let returning = refused_at_zero();
+    let first = returning.first_arrived(LOOKUP, Millis(1_500), Millis(300));
+    assert_eq!(first, Millis(300));
+    let first = returning.first_arrived(LOOKUP + 1, Millis(1_200), Millis(300));
+    assert_eq!(first, Millis(300));
+}
+
+/// Refusals are remembered as long as their callers can come back, and a flood of them
+/// takes a bounded amount of memory.
+#[test]
+fn what_is_remembered_is_bounded_and_expires() {
+    let mut returning = Returning::default();
+    for number in 0..2 * MOST_REMEMBERED as u64 {
+        returning.note_refused(number, Millis(1_000), Millis(0));
+    }
+    assert_eq!(returning.by_fingerprint.len(), MOST_REMEMBERED);
+    returning.forget_expired(Millis(999));
+    assert_eq!(returning.by_fingerprint.len(), MOST_REMEMBERED);
+    returning.forget_expired(Millis(1_000));
+    assert!(returning.by_fingerprint.is_empty());
+}
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -22,6 +22,8 @@
     pub run_ms: f64,
     /// Mean bytes of an answer.
     pub answer_bytes: f64,
+    /// Answers that this was learnt from; without any, all of it is a guess.
+    pub samples: u32,
 }
 
 impl WorkEstimate {
@@ -46,6 +48,7 @@
         known.unwrap_or(WorkEstimate {
             run_ms: route.objective_ms.0 as f64 * INITIAL_SHARE,
             answer_bytes: INITIAL_ANSWER_BYTES,
+            samples: 0,
         })
     }
 
@@ -54,6 +57,7 @@
     pub fn learn(&mut self, route: &Route, run: Millis, slowness_percent: u32, bytes: usize) {
         let mut estimate = self.estimate(route);
         let usual_ms = run.0 as f64 * 100.0 / f64::from(slowness_percent.max(1));
+        estimate.samples = estimate.samples.saturating_add(1);
         estimate.run_ms += GAIN * (usual_ms - estimate.run_ms);
         estimate.answer_bytes += GAIN * (bytes as f64 - estimate.answer_bytes);
         self.by_route.insert(route.name.clone(), estimate);
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -172,7 +172,7 @@
     pub fn forget_departed(&self) {
         let directory = self.directory.load();
         let mut state = self.state.lock();
-        state.retain(&directory);
+        state.retain(&directory, self.clock.now());
         drop(state);
         let vms = directory.members.vms();
         let port = self.gate_port;
@@ -222,10 +222,12 @@
             }
         };
         let arrived = request.arrived;
-        let service = self.state.lock().splitter.choose(known.route);
         let timeout_ms = known.route.timeout_ms;
         let asked_ms = self.asked_deadline_ms(&request.head);
+        let asked_until = arrived + asked_ms.unwrap_or(timeout_ms);
         let deadline_ms = asked_ms.unwrap_or(timeout_ms).min(timeout_ms);
+        let service = self.state.lock().splitter.choose(known.route);
+        let first_arrived = self.first_arrived(known.fingerprint, asked_until, arrived);
         let run = CallRun::new(
             self,
             call::CallParts {
@@ -234,12 +236,19 @@
                 request_id: known.request_id.clone(),
                 fingerprint: known.fingerprint,
                 deadline_at: arrived + deadline_ms,
+                first_arrived,
                 request,
             },
         );
         let leaving = CallerLeaves::watch(&known.request_id, service.as_str(), arrived, self.clock);
         let (given, trail) = run.serve().await;
         leaving.end_answered();
+        if given.may_come_back() {
+            let mut state = self.state.lock();
+            state
+                .returning
+                .note_refused(known.fingerprint, asked_until, first_arrived);
+        }
         let ended = Ended {
             request_id: known.request_id,
             service: service.as_str(),
@@ -289,6 +298,14 @@
         })
     }
 
+    /// When the caller of a request first asked.
+    fn first_arrived(&self, fingerprint: u64, asked_until: Millis, arrived: Millis) -> Millis {
+        let state = self.state.lock();
+        state
+            .returning
+            .first_arrived(fingerprint, asked_until, arrived)
+    }
+
     /// What the caller says that it will wait.
     fn asked_deadline_ms(&self, head: &RequestHead) -> Option<Millis> {
         let asked = http1::field(&head.fields, self.dialect.names().deadline_ms)?;
--- a/crates/edge/src/entry/answer.rs
+++ b/crates/edge/src/entry/answer.rs
@@ -80,6 +80,11 @@
         given
     }
 
+    /// Whether its caller may ask again: it was refused, or something failed.
+    pub(super) const fn may_come_back(&self) -> bool {
+        self.answer.status >= 500
+    }
+
     /// The same with what decided.
     pub(super) const fn because(mut self, reason: &'static str) -> Self {
         self.reason = reason;
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -37,6 +37,8 @@
     pub(super) request_id: String,
     pub(super) fingerprint: u64,
     pub(super) deadline_at: Millis,
+    /// When the caller first asked.
+    pub(super) first_arrived: Millis,
     pub(super) request: CallerRequest,
 }
 
@@ -92,6 +94,7 @@
         } = parts.request;
         let work = entry.state.lock().work.estimate(&parts.route);
         let patience = Patience::plan(&parts.route, &work, body.len(), arrived, parts.deadline_at);
+        let patience = patience.after_waiting(arrived.since(parts.first_arrived));
         let (sender, events) = mpsc::unbounded_channel();
         Self {
             head: outgoing_head(entry, head),
--- a/crates/edge/src/entry/call/asking.rs
+++ b/crates/edge/src/entry/call/asking.rs
@@ -122,6 +122,7 @@
                 work_ms: self.work.run_at(100),
                 hold_ms,
                 objective_ms: self.patience.objective_at.since(now),
+                whole_objective_ms: self.patience.whole_objective_ms,
                 slow_after_ms,
                 deadline_ms: self.deadline_at.since(now),
                 repeated_percent: match self.is_repeat() {
--- a/crates/edge/src/entry/state.rs
+++ b/crates/edge/src/entry/state.rs
@@ -6,6 +6,7 @@
 use hornbeamhitch_dispatch::reach::Reach;
 use hornbeamhitch_dispatch::refusals::Refusals;
 use hornbeamhitch_dispatch::retry_budget::{RetryBudget, RetryLimit};
+use hornbeamhitch_dispatch::returning::Returning;
 use hornbeamhitch_dispatch::split::Splitter;
 use hornbeamhitch_dispatch::work::WorkBook;
 use rand::SeedableRng;
@@ -20,6 +21,7 @@
     pub(super) splitter: Splitter,
     pub(super) failures: Failures,
     pub(super) refusals: Refusals,
+    pub(super) returning: Returning,
     pub(super) work: WorkBook,
     pub(super) rng: Xoshiro256PlusPlus,
     pub(super) reach: Reach,
@@ -33,6 +35,7 @@
             splitter: Splitter::new(seed),
             failures: Failures::default(),
             refusals: Refusals::default(),
+            returning: Returning::default(),
             work: WorkBook::default(),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             reach: Reach::default(),
@@ -75,7 +78,8 @@
     }
 
     /// Forgets what belongs to targets and routes that are gone.
-    pub(super) fn retain(&mut self, directory: &Directory) {
+    pub(super) fn retain(&mut self, directory: &Directory, now: Millis) {
+        self.returning.forget_expired(now);
         self.failures.retain(&directory.members);
         self.refusals.retain(&directory.members);
         if let Some(routes) = &directory.routes {
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -170,6 +170,7 @@
             work_ms: terms.work_ms,
             hold_until: arrived + terms.hold_ms,
             objective_at: arrived + terms.objective_ms,
+            whole_objective_ms: terms.whole_objective_ms,
             slow_from: arrived + terms.slow_after_ms,
             deadline_at: arrived + terms.deadline_ms,
         };
--- a/crates/edge/tests/all/support/caller.rs
+++ b/crates/edge/tests/all/support/caller.rs
@@ -1,12 +1,16 @@
 //! A caller with one connection.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use hornbeamhitch_edge::http1::ReadFault;
 use hornbeamhitch_standins::raw_caller::{RawAnswer, RawCaller};
 
 use super::{DEADLINE_MS, REQUEST_ID};
 
+/// How long callers wait, where a test does not say otherwise.
+pub const DEADLINE: Duration = Duration::from_secs(2);
+
 pub struct Caller(RawCaller);
 
 impl Caller {
@@ -30,6 +34,13 @@
         }
     }
 
+    /// Sends a lookup whose caller waits for this long.
+    pub async fn look_up_until(&mut self, path: &str, id: &str, deadline: Duration) -> RawAnswer {
+        self.send_raw(&request_until("GET", path, id, "", deadline))
+            .await;
+        self.answer().await.expect("an answer")
+    }
+
     pub async fn answer(&mut self) -> Result<RawAnswer, ReadFault> {
         self.0.answer("GET").await
     }
@@ -42,9 +53,14 @@
 }
 
 fn request(method: &str, path: &str, id: &str, body: &str) -> String {
+    request_until(method, path, id, body, DEADLINE)
+}
+
+fn request_until(method: &str, path: &str, id: &str, body: &str, deadline: Duration) -> String {
     let length = body.len();
+    let deadline_ms = deadline.as_millis();
     format!(
-        "{method} {path} HTTP/1.1\r\nHost: h\r\n{REQUEST_ID}: {id}\r\n{DEADLINE_MS}: 2000\r\n\
+        "{method} {path} HTTP/1.1\r\nHost: h\r\n{REQUEST_ID}: {id}\r\n{DEADLINE_MS}: {deadline_ms}\r\n\
          X-Sent: by caller\r\nContent-Length: {length}\r\n\r\n{body}"
     )
 }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -70,6 +70,8 @@
     pub hold_ms: Millis,
     /// Its caller is served well if it ends within this span.
     pub objective_ms: Millis,
+    /// That span for a call whose caller asks for the first time.
+    pub whole_objective_ms: Millis,
     /// After this span a slow target is better than none.
     pub slow_after_ms: Millis,
     /// It must have ended within this span.
