Gather changes for a short time at first after a start

Cause: after a loss of power the first nodes read a list that still names the targets of before; the new ones are added within two tenths of a second.

Change: the first gathering of a node that reads for itself is 200 ms, each further one takes twice as long, up to the usual.

The test waits in vain with the old gathering.

--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -31,6 +31,11 @@
 /// The same for a node that tells others, who need time to notice its end and
 /// to read for themselves.
 const READER_GATHER_PERCENT: u64 = 30;
+/// The first gathering of a node that has just started; each further one takes twice as
+/// long, up to the above. VMs that start together do so within some tenths of a second.
+const FIRST_GATHER_MS: Millis = Millis(200);
+/// Doublings after which no more are counted.
+const MOST_GATHERINGS: u32 = 10;
 /// Pauses after failed reads, from the first on.
 const FIRST_PAUSE_MS: Millis = Millis(150);
 const LONGEST_PAUSE_MS: Millis = Millis(1_200);
@@ -69,6 +74,7 @@
         role: Role::Alone,
         settings,
         failures: 0,
+        gatherings: 0,
     };
     loop {
         following.read_all().await;
@@ -84,6 +90,8 @@
     settings: FollowSettings,
     /// Reads that failed in a row.
     failures: u32,
+    /// Times that this node gathered changes since its start.
+    gatherings: u32,
 }
 
 impl Following {
@@ -149,7 +157,7 @@
             // Whoever learns of its readers subscribes while it gathers. After it,
             // each node of a fleet that starts would fetch the next change itself.
             self.settle_role();
-            let gathering = tokio::time::sleep(self.gather_ms().to_duration());
+            let gathering = tokio::time::sleep(self.next_gathering().to_duration());
             while_hearing(gathering, &mut self.knowledge, &mut self.subscriptions).await;
         }
         Ok(())
@@ -171,6 +179,23 @@
         self.subscriptions.note_known(self.knowledge.revision());
     }
 
+    /// How long to gather changes now.
+    ///
+    /// Failure answered: all VMs lose power and come back. A node that is among the
+    /// first reads a list on which most targets are still those of before, and new ones
+    /// are added tenths of a second later. With a whole gathering at once it went on for
+    /// more than a second to refuse callers for want of targets, though all were there.
+    /// A node that hears readers learns of them meanwhile.
+    fn next_gathering(&mut self) -> Millis {
+        let usual = self.gather_ms();
+        if self.role.is_follower() {
+            return usual;
+        }
+        let rising = Millis(FIRST_GATHER_MS.0 << self.gatherings);
+        self.gatherings = (self.gatherings + 1).min(MOST_GATHERINGS);
+        rising.min(usual)
+    }
+
     const fn gather_ms(&self) -> Millis {
         let percent = if self.role.is_reader() {
             READER_GATHER_PERCENT
--- a/crates/edge/tests/all/following.rs
+++ b/crates/edge/tests/all/following.rs
@@ -49,6 +49,28 @@
     }
 }
 
+/// All VMs have lost power. A node is among the first that are back, and reads a list
+/// to which targets are added one after the other. Gathering changes for as long as it
+/// may, a minute here, it would refuse callers for want of targets that are there.
+#[tokio::test]
+async fn a_node_that_has_just_started_learns_of_changes_soon() {
+    let in_force_ms = Millis::from_secs(100);
+    let (followers, listed) = unlisted(2, in_force_ms).await;
+    followers.until_version(1).await;
+    for fact in listed {
+        followers.published.put(fact.clone());
+        let Fact::Listed(target) = fact else {
+            panic!("an entry was expected");
+        };
+        for node in &followers.nodes {
+            node.until("the target", |known| {
+                known.members.get(&target.id).is_some()
+            })
+            .await;
+        }
+    }
+}
+
 /// The path from one reader to the platform is cut without a sign: its watch
 /// hangs. It and those who hear it learn of the next change from the others.
 #[tokio::test]
