Give one life of a target one type, and take a call's state apart

"Which life" was written three times; `members::Life`, an id and a birth, is now the key of failures and refusals and what gates compare. `CallRun` had 26 fields: what is asked for, the rounds of asking and what came of the attempts are three structs now. No change of behaviour is meant; the tests are unchanged.

--- a/crates/dispatch/src/failures.rs
+++ b/crates/dispatch/src/failures.rs
@@ -24,13 +24,11 @@
 /// What is known of the targets that this entry sends to.
 #[derive(Debug, Default)]
 pub struct Failures {
-    by_target: HashMap<TargetId, Record>,
+    by_life: HashMap<Life, Record>,
 }
 
 #[derive(Clone, Debug)]
 struct Record {
-    /// The life of the target of which all this was learnt.
-    born_ms: Option<Millis>,
     score: f32,
     scored_at: Millis,
     away_until: Millis,
@@ -38,9 +36,8 @@
 }
 
 impl Record {
-    fn new(born_ms: Option<Millis>, now: Millis) -> Self {
+    const fn new(now: Millis) -> Self {
         Self {
-            born_ms,
             score: 0.0,
             scored_at: now,
             away_until: Millis::ZERO,
@@ -102,24 +99,19 @@
             .is_some_and(|record| now < record.away_until)
     }
 
-    /// Forgets targets that are no longer listed.
+    /// Forgets lives that are no longer listed.
     pub fn retain(&mut self, members: &Members) {
-        self.by_target.retain(|id, _| members.get(id).is_some());
+        self.by_life.retain(|life, _| members.has(life));
     }
 
     /// What is known of this life of the target.
     fn known(&self, target: &Member) -> Option<&Record> {
-        let record = self.by_target.get(&target.id)?;
-        (record.born_ms == target.born_ms).then_some(record)
+        self.by_life.get(&target.life())
     }
 
-    /// The record of this life of the target; that of an earlier one is dropped.
+    /// The record of this life of the target, begun if there is none.
     fn record(&mut self, target: &Member, now: Millis) -> &mut Record {
-        let entry = self.by_target.entry(target.id.clone());
-        let record = entry.or_insert_with(|| Record::new(target.born_ms, now));
-        if record.born_ms != target.born_ms {
-            *record = Record::new(target.born_ms, now);
-        }
-        record
+        let entry = self.by_life.entry(target.life());
+        entry.or_insert_with(|| Record::new(now))
     }
 }
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -71,6 +71,15 @@
 }
 
 impl Member {
+    /// This life of the target; whatever is learnt of it ends with it.
+    #[must_use]
+    pub fn life(&self) -> Life {
+        Life {
+            id: self.id.clone(),
+            born_ms: self.born_ms,
+        }
+    }
+
     /// The VM's address, where the target's gate listens.
     #[must_use]
     pub const fn vm_ip(&self) -> IpAddr {
@@ -78,6 +87,16 @@
     }
 }
 
+/// One life of a target. A target may start again under its id, and is told from the
+/// earlier one by the time of its start.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Life {
+    /// The target.
+    pub id: TargetId,
+    /// Unix time of its start, where targets tell it.
+    pub born_ms: Option<Millis>,
+}
+
 /// Targets by service, as traffic reads them.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
@@ -101,6 +120,13 @@
         self.by_id.get(id)
     }
 
+    /// Whether this life of a target is listed.
+    #[must_use]
+    pub fn has(&self, life: &Life) -> bool {
+        let listed = self.by_id.get(&life.id);
+        listed.is_some_and(|member| member.born_ms == life.born_ms)
+    }
+
     /// The newest listed target at an address.
     #[must_use]
     pub fn at(&self, address: SocketAddr) -> Option<&Arc<Member>> {
--- a/crates/dispatch/src/refusals.rs
+++ b/crates/dispatch/src/refusals.rs
@@ -22,46 +22,33 @@
 /// does not, but one round trip within the region.
 const LIKELY_MS: Millis = Millis(500);
 
-#[derive(Clone, Copy, Debug)]
-struct Refusal {
-    /// The life of the target.
-    born_ms: Option<Millis>,
-    at: Millis,
-}
-
-/// Last refusals by target; a call that was taken ends them.
+/// When gates refused last, by the life of their target; a call that was taken ends it.
 #[derive(Debug, Default)]
 pub struct Refusals {
-    by_target: HashMap<TargetId, Refusal>,
+    refused_at: HashMap<Life, Millis>,
 }
 
 impl Refusals {
     /// The gate had no room for a call, or its target was slow.
     pub fn note_refused(&mut self, target: &Member, now: Millis) {
-        let refusal = Refusal {
-            born_ms: target.born_ms,
-            at: now,
-        };
-        self.by_target.insert(target.id.clone(), refusal);
+        self.refused_at.insert(target.life(), now);
     }
 
     /// The gate took a call.
     pub fn note_taken(&mut self, target: &Member) {
-        self.by_target.remove(&target.id);
+        self.refused_at.remove(&target.life());
     }
 
     /// Whether the gate is likely to refuse, so that it is better asked with few
     /// bytes.
     #[must_use]
     pub fn is_likely(&self, target: &Member, now: Millis) -> bool {
-        let Some(refusal) = self.by_target.get(&target.id) else {
-            return false;
-        };
-        refusal.born_ms == target.born_ms && now.since(refusal.at) < LIKELY_MS
+        let refused_at = self.refused_at.get(&target.life());
+        refused_at.is_some_and(|at| now.since(*at) < LIKELY_MS)
     }
 
-    /// Forgets targets that are no longer listed.
+    /// Forgets lives that are no longer listed.
     pub fn retain(&mut self, members: &Members) {
-        self.by_target.retain(|id, _| members.get(id).is_some());
+        self.refused_at.retain(|life, _| members.has(life));
     }
 }
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -42,35 +42,40 @@
     pub(super) request: CallerRequest,
 }
 
-/// One call until its answer is known.
-pub(super) struct CallRun<'a> {
-    entry: &'a Arc<Entry>,
+/// What a caller asks for.
+struct Request {
     route: Arc<Route>,
     service: ServiceName,
     request_id: String,
+    /// What it has in common with its next sending.
     fingerprint: u64,
     head: CallHead,
     body: Bytes,
     /// Memory for the body, held as long as the call.
     _reservation: Reservation,
     deadline_at: Millis,
-    work: WorkEstimate,
-    patience: Patience,
-    events: mpsc::UnboundedReceiver<Progress>,
-    sender: mpsc::UnboundedSender<Progress>,
-    attempts: Vec<Attempt>,
+    /// How much of this request repeats an earlier one, as expected of one that came
+    /// while repeated runs were in this VM's target.
+    repeated_percent: u8,
+}
+
+/// The rounds in which gates are asked one after the other.
+struct Rounds {
+    /// Begun so far.
+    count: u32,
+    /// When the present one began.
+    began: Millis,
+    /// Its candidates that were not asked yet.
+    left: VecDeque<Candidate>,
+}
+
+/// What came of the attempts so far.
+#[derive(Default)]
+struct History {
     /// Targets that were reached; none is asked twice.
     tried: Vec<TargetId>,
-    /// Candidates of the present round that were not asked yet.
-    round: VecDeque<Candidate>,
-    rounds: u32,
-    /// When the present round began.
-    round_began: Millis,
     /// Times that a target was reached.
     arrivals: u32,
-    /// How much of this request repeats an earlier one, as expected of one that came
-    /// while repeated runs were in this VM's target.
-    repeated_percent: u8,
     /// Tokens of the retry budget that led to no arrival yet.
     tokens: u32,
     /// The request may have run somewhere.
@@ -79,6 +84,19 @@
     last_end: Option<CallEnd>,
     /// A failed answer of a target, in case nothing better comes.
     failed_answer: Option<(AnswerHead, Bytes)>,
+}
+
+/// One call until its answer is known.
+pub(super) struct CallRun<'a> {
+    entry: &'a Arc<Entry>,
+    request: Request,
+    work: WorkEstimate,
+    patience: Patience,
+    events: mpsc::UnboundedReceiver<Progress>,
+    sender: mpsc::UnboundedSender<Progress>,
+    attempts: Vec<Attempt>,
+    rounds: Rounds,
+    history: History,
     hedge_at: Option<Millis>,
     /// Targets that were asked and what came of it, for the log.
     trail: Trail,
@@ -96,40 +114,41 @@
         let patience = Patience::plan(&parts.route, &work, body.len(), arrived, parts.deadline_at);
         let patience = patience.after_waiting(arrived.since(parts.first_arrived));
         let (sender, events) = mpsc::unbounded_channel();
-        Self {
+        let request = Request {
             head: outgoing_head(entry, head),
             body,
             _reservation: reservation,
-            work,
-            patience,
-            events,
-            sender,
             route: parts.route,
             service: parts.service,
             request_id: parts.request_id,
             fingerprint: parts.fingerprint,
             deadline_at: parts.deadline_at,
-            attempts: Vec::new(),
-            tried: Vec::new(),
-            round: VecDeque::new(),
-            rounds: 0,
-            round_began: arrived,
-            arrivals: 0,
             repeated_percent: entry.gate.repeated_percent(),
-            tokens: 0,
-            may_have_run: false,
-            last_end: None,
-            failed_answer: None,
+        };
+        let rounds = Rounds {
+            count: 0,
+            began: arrived,
+            left: VecDeque::new(),
+        };
+        Self {
+            entry,
+            request,
+            work,
+            patience,
+            events,
+            sender,
+            attempts: Vec::new(),
+            rounds,
+            history: History::default(),
             hedge_at: None,
             trail: Trail::default(),
-            entry,
         }
     }
 
     /// Serves the call until its answer is known or its deadline has passed.
     /// With it comes what was asked on the way.
     pub(super) async fn serve(mut self) -> (Given, Trail) {
-        let deadline = self.entry.clock.to_instant(self.deadline_at);
+        let deadline = self.entry.clock.to_instant(self.request.deadline_at);
         let given = match tokio::time::timeout_at(deadline, self.drive()).await {
             Ok(given) => given,
             Err(_) => self.at_deadline(),
@@ -149,7 +168,7 @@
                     }
                 }
             }
-            let hedge_at = self.hedge_at.unwrap_or(self.deadline_at);
+            let hedge_at = self.hedge_at.unwrap_or(self.request.deadline_at);
             let hedge_at = self.entry.clock.to_instant(hedge_at);
             let progress = tokio::select! {
                 biased;
@@ -188,7 +207,7 @@
                     .lock()
                     .failures
                     .note_unreachable(&target, now);
-                self.last_end = Some(CallEnd::Down);
+                self.history.last_end = Some(CallEnd::Down);
                 None
             }
             LinkEvent::Lost(incarnation) => self.link_lost(number, incarnation),
@@ -241,22 +260,27 @@
         self.count_arrival(target.id.clone());
         let expected_ms = self.work.run_at(slowness_percent).0 as f64 * STUCK_AFTER_RUNS;
         let stuck_after = Millis(expected_ms as u64).max(STUCK_AFTER_LEAST_MS);
-        if self.route.kind.is_idempotent() {
+        if self.request.route.kind.is_idempotent() {
             self.hedge_at = Some(now + stuck_after);
         }
     }
 
     fn count_arrival(&mut self, target: TargetId) {
-        self.tried.push(target);
-        self.arrivals += 1;
-        if self.arrivals == 1 {
+        self.history.tried.push(target);
+        self.history.arrivals += 1;
+        if self.history.arrivals == 1 {
             let now = self.entry.now();
             let entries = self.entries();
             let mut state = self.entry.state.lock();
-            state.count_first(&self.service, entries, self.repeated_percent, now);
+            state.count_first(
+                &self.request.service,
+                entries,
+                self.request.repeated_percent,
+                now,
+            );
             return;
         }
-        self.tokens = self.tokens.saturating_sub(1);
+        self.history.tokens = self.history.tokens.saturating_sub(1);
     }
 
     /// How many entries share the retry budget: one on each listed VM.
@@ -277,8 +301,8 @@
 impl Drop for CallRun<'_> {
     fn drop(&mut self) {
         let mut state = self.entry.state.lock();
-        for _ in 0..self.tokens {
-            state.return_retry(&self.service);
+        for _ in 0..self.history.tokens {
+            state.return_retry(&self.request.service);
         }
     }
 }
--- a/crates/edge/src/entry/call/asking.rs
+++ b/crates/edge/src/entry/call/asking.rs
@@ -34,27 +34,27 @@
     /// Decides whom to ask next while no attempt is open.
     pub(super) fn next_step(&mut self) -> Step {
         let now = self.entry.now();
-        if now >= self.patience.last_start && self.rounds > 0 {
+        if now >= self.patience.last_start && self.rounds.count > 0 {
             return Step::End(self.refuse());
         }
-        if let Some(candidate) = self.round.pop_front() {
+        if let Some(candidate) = self.rounds.left.pop_front() {
             let hold_ms = self.hold_for(&candidate, now);
             return Step::Send(candidate, hold_ms);
         }
-        if self.rounds > 0 {
+        if self.rounds.count > 0 {
             if self.is_hopeless(now) {
                 return Step::End(self.refuse());
             }
-            let pause_ms = ROUND_PAUSE_MS.0 * u64::from(self.rounds);
-            let next_at = self.round_began + Millis(pause_ms).min(LONGEST_ROUND_PAUSE_MS);
+            let pause_ms = ROUND_PAUSE_MS.0 * u64::from(self.rounds.count);
+            let next_at = self.rounds.began + Millis(pause_ms).min(LONGEST_ROUND_PAUSE_MS);
             if now < next_at {
                 return Step::Pause(next_at);
             }
         }
-        self.round = self.candidates(now).into();
-        self.rounds += 1;
-        self.round_began = now;
-        match self.round.pop_front() {
+        self.rounds.left = self.candidates(now).into();
+        self.rounds.count += 1;
+        self.rounds.began = now;
+        match self.rounds.left.pop_front() {
             Some(candidate) => {
                 let hold_ms = self.hold_for(&candidate, now);
                 Step::Send(candidate, hold_ms)
@@ -67,7 +67,7 @@
     /// spell: a line does not get shorter by waiting beside it, and the caller
     /// can come back in time.
     pub(super) fn is_hopeless(&self, now: Millis) -> bool {
-        self.last_end != Some(CallEnd::Slow) && now >= self.patience.busy_until
+        self.history.last_end != Some(CallEnd::Slow) && now >= self.patience.busy_until
     }
 
     pub(super) fn candidates(&self, now: Millis) -> Vec<Candidate> {
@@ -75,10 +75,10 @@
         let mut state = self.entry.state.lock();
         let EntryState { failures, rng, .. } = &mut *state;
         let view = View {
-            open: directory.members.open(&self.service),
+            open: directory.members.open(&self.request.service),
             data_centre: &self.entry.data_centre,
             failures,
-            tried: &self.tried,
+            tried: &self.history.tried,
             now,
         };
         order::candidates(&view, rng)
@@ -88,8 +88,8 @@
     /// gate holds it while that is worth more than asking a far one.
     pub(super) fn hold_for(&self, candidate: &Candidate, now: Millis) -> Millis {
         let left_ms = self.patience.last_start.since(now);
-        if self.rounds > 1 {
-            let is_first = self.round_began == now;
+        if self.rounds.count > 1 {
+            let is_first = self.rounds.began == now;
             let hold_ms = if is_first {
                 ROUND_HOLD_MS
             } else {
@@ -97,7 +97,7 @@
             };
             return hold_ms.min(left_ms);
         }
-        let more_near = self.round.iter().any(|other| other.is_near);
+        let more_near = self.rounds.left.iter().any(|other| other.is_near);
         if candidate.is_near && !candidate.is_avoided && !more_near {
             return self.patience.near_until.since(now).min(left_ms);
         }
@@ -114,35 +114,37 @@
         let call = OutgoingCall {
             terms: CallTerms {
                 target_id: candidate.member.id.as_str().to_owned(),
-                request_id: self.request_id.clone(),
+                request_id: self.request.request_id.clone(),
                 key,
-                fingerprint: self.fingerprint,
-                idempotent: self.route.kind.is_idempotent(),
-                priority: self.route.priority,
+                fingerprint: self.request.fingerprint,
+                idempotent: self.request.route.kind.is_idempotent(),
+                priority: self.request.route.priority,
                 work_ms: self.work.run_at(100),
                 hold_ms,
                 objective_ms: self.patience.objective_at.since(now),
                 whole_objective_ms: self.patience.whole_objective_ms,
                 slow_after_ms,
-                deadline_ms: self.deadline_at.since(now),
+                deadline_ms: self.request.deadline_at.since(now),
                 repeated_percent: match self.is_repeat() {
                     true => 100,
-                    false => self.repeated_percent,
+                    false => self.request.repeated_percent,
                 },
             },
-            head: self.head.clone(),
-            body: self.body.clone(),
+            head: self.request.head.clone(),
+            body: self.request.body.clone(),
             is_terms_first: {
                 let state = self.entry.state.lock();
                 state.refusals.is_likely(&candidate.member, now)
             },
         };
-        let kind = match (self.has_open(), self.arrivals) {
+        let kind = match (self.has_open(), self.history.arrivals) {
             (true, _) => AttemptKind::Hedge,
             (false, 0) => AttemptKind::First,
             (false, _) => AttemptKind::Retry,
         };
-        self.entry.metrics.attempt_sent(self.service.as_str(), kind);
+        self.entry
+            .metrics
+            .attempt_sent(self.request.service.as_str(), kind);
         let number = self.attempts.len();
         let hold = progress::open(self.entry, candidate, call, number, &self.sender);
         self.attempts.push(Attempt {
@@ -156,12 +158,12 @@
 
     /// Whether what is sent now would be a retry or a hedge.
     fn is_repeat(&self) -> bool {
-        self.arrivals > 0
+        self.history.arrivals > 0
     }
 
     /// A hedge that no gate took is offered again while the first attempt runs.
     pub(super) fn offer_hedge_again(&mut self, now: Millis) {
-        if self.has_open() && self.route.kind.is_idempotent() {
+        if self.has_open() && self.request.route.kind.is_idempotent() {
             self.hedge_at = Some(now + HEDGE_AGAIN_MS);
         }
     }
@@ -174,7 +176,7 @@
             .attempts
             .iter()
             .filter(|attempt| attempt.hold.is_some());
-        if open.count() != 1 || self.arrivals >= self.route.max_attempts {
+        if open.count() != 1 || self.history.arrivals >= self.request.route.max_attempts {
             return;
         }
         if now >= self.patience.last_start {
--- a/crates/edge/src/entry/call/ending.rs
+++ b/crates/edge/src/entry/call/ending.rs
@@ -30,7 +30,9 @@
             let slowness = started.map_or(100, |(_, slowness)| slowness);
             if is_success(head.status) {
                 let bytes = body.len();
-                state.work.learn(&self.route, head.run_ms, slowness, bytes);
+                state
+                    .work
+                    .learn(&self.request.route, head.run_ms, slowness, bytes);
             }
             drop(state);
             self.note_losers(now);
@@ -38,8 +40,8 @@
         }
         state.failures.note_failure(&target, now);
         drop(state);
-        self.may_have_run = true;
-        self.failed_answer = Some((head, body));
+        self.history.may_have_run = true;
+        self.history.failed_answer = Some((head, body));
         self.fail_over("the target failed")
     }
 
@@ -47,7 +49,7 @@
     /// is only true with the target's statement, which this one lacks.
     pub(super) fn pass_on(&self, head: AnswerHead, body: Bytes) -> Given {
         let promises_not_run = matches!(head.status, 408 | 421 | 429 | 503);
-        if promises_not_run && !self.route.kind.is_idempotent() {
+        if promises_not_run && !self.request.route.kind.is_idempotent() {
             return Given::fixed(ResultCode::RunBroken).because("the target's status is no proof");
         }
         Given::answered(head, body)
@@ -58,7 +60,7 @@
         let had_started = self.attempts[number].started.is_some();
         let target = self.close(number);
         self.trail.push(&target.id, end.into());
-        self.last_end = Some(end);
+        self.history.last_end = Some(end);
         if matches!(end, CallEnd::Slow | CallEnd::Busy) {
             let mut state = self.entry.state.lock();
             state.refusals.note_refused(&target, now);
@@ -76,7 +78,7 @@
             if had_started {
                 // Counted as an arrival when it started, but no connection
                 // could be had.
-                self.arrivals = self.arrivals.saturating_sub(1);
+                self.history.arrivals = self.history.arrivals.saturating_sub(1);
             }
             self.offer_hedge_again(now);
             return None;
@@ -100,9 +102,9 @@
         if !was_counted {
             self.count_arrival(target.id.clone());
         }
-        self.may_have_run = true;
-        self.last_end = Some(end);
-        if self.route.kind.is_idempotent() {
+        self.history.may_have_run = true;
+        self.history.last_end = Some(end);
+        if self.request.route.kind.is_idempotent() {
             return self.fail_over("the run broke");
         }
         let code = match end {
@@ -116,7 +118,7 @@
     /// sent again it might run twice, and given up its caller learns nothing.
     pub(super) fn link_lost(&mut self, number: usize, incarnation: Incarnation) -> Option<Given> {
         let is_first_loss = self.attempts[number].lost_to.is_none();
-        if self.route.kind.is_idempotent() || !is_first_loss {
+        if self.request.route.kind.is_idempotent() || !is_first_loss {
             return self.outcome_unknown(number, CallEnd::Broken);
         }
         let attempt = &self.attempts[number];
@@ -138,27 +140,28 @@
         self.hedge_at = None;
         // Failure answered: a target runs a payment and answers 500, or its
         // answer breaks. Sent on, the payment would run a second time.
-        let may_repeat = self.route.kind.is_idempotent() || !self.may_have_run;
-        let may_go_on =
-            may_repeat && self.arrivals < self.route.max_attempts && now < self.patience.last_start;
+        let may_repeat = self.request.route.kind.is_idempotent() || !self.history.may_have_run;
+        let may_go_on = may_repeat
+            && self.history.arrivals < self.request.route.max_attempts
+            && now < self.patience.last_start;
         if may_go_on && self.take_token(now) {
             // The rest of the round was ordered before this failure.
-            self.round.clear();
-            self.rounds = 0;
-            log::debug!(request = self.request_id.as_str(), reason; "tried again elsewhere");
+            self.rounds.left.clear();
+            self.rounds.count = 0;
+            log::debug!(request = self.request.request_id.as_str(), reason; "tried again elsewhere");
             return None;
         }
         Some(self.refuse().because(reason))
     }
 
     pub(super) fn take_token(&mut self, now: Millis) -> bool {
-        if self.tokens > 0 {
+        if self.history.tokens > 0 {
             return true;
         }
         let entries = self.entries();
         let mut state = self.entry.state.lock();
-        let is_allowed = state.try_retry(&self.service, entries, now);
-        self.tokens += u32::from(is_allowed);
+        let is_allowed = state.try_retry(&self.request.service, entries, now);
+        self.history.tokens += u32::from(is_allowed);
         is_allowed
     }
 
@@ -181,21 +184,24 @@
 
     /// The final answer when no target served the call.
     pub(super) fn refuse(&mut self) -> Given {
-        let reason = self.last_end.map_or("no target", <&'static str>::from);
-        if let Some((head, body)) = self.failed_answer.take() {
+        let reason = self
+            .history
+            .last_end
+            .map_or("no target", <&'static str>::from);
+        if let Some((head, body)) = self.history.failed_answer.take() {
             return self.pass_on(head, body);
         }
-        if self.may_have_run {
+        if self.history.may_have_run {
             return Given::fixed(ResultCode::AttemptsFailed).because(reason);
         }
-        let code = match self.last_end {
+        let code = match self.history.last_end {
             None | Some(CallEnd::Down) => ResultCode::NoTarget,
             Some(CallEnd::Leaving) => ResultCode::Leaving,
             Some(CallEnd::Convicted) => ResultCode::CrashSuspect,
             Some(_) => ResultCode::Overloaded,
         };
         let drawn_ms = self.entry.state.lock().rng.random_range(RETRY_AFTER_MS);
-        let left_ms = self.deadline_at.since(self.entry.now());
+        let left_ms = self.request.deadline_at.since(self.entry.now());
         let wait = Millis(drawn_ms.min(left_ms.0 / 3));
         Given::refused(code, wait).because(reason)
     }
@@ -212,11 +218,12 @@
             };
             self.trail.push(&attempt.member.id, state);
         }
-        if let Some((head, body)) = self.failed_answer.take() {
+        if let Some((head, body)) = self.history.failed_answer.take() {
             return self.pass_on(head, body);
         }
-        if self.has_open() || self.may_have_run {
+        if self.has_open() || self.history.may_have_run {
             let reason = self
+                .history
                 .last_end
                 .map_or("no answer in time", <&'static str>::from);
             return Given::fixed(ResultCode::DeadlinePassed).because(reason);
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -19,7 +19,6 @@
 use crate::prelude::*;
 use crate::suspicion::Suspicion;
 use crate::target::TargetClient;
-use lives::Life;
 use places::{InLine, Slot};
 use records::{Fencing, Records};
 pub use request::{CallContent, EventSink, GateEvent, GateRequest, Wanted, WholeCall};
--- a/crates/edge/src/gate/lives.rs
+++ b/crates/edge/src/gate/lives.rs
@@ -3,23 +3,6 @@
 use super::{Gate, GateState};
 use crate::prelude::*;
 
-/// One life of a target. A target may start again under its id, and is told from
-/// the earlier one by the time of its start.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Life {
-    id: TargetId,
-    born_ms: Option<Millis>,
-}
-
-impl Life {
-    fn of(member: &Member) -> Self {
-        Self {
-            id: member.id.clone(),
-            born_ms: member.born_ms,
-        }
-    }
-}
-
 impl Gate {
     /// Forgets what was learnt of an earlier life of the target.
     ///
@@ -28,7 +11,7 @@
     /// on it, and what was learnt of its speed does not hold. The records of calls
     /// that may run only once stay: those that ran have run.
     pub(super) fn note_life(&self, state: &mut GateState, member: &Member) {
-        let life = Life::of(member);
+        let life = member.life();
         if state.life.as_ref() == Some(&life) {
             return;
         }
@@ -51,7 +34,7 @@
             let unlisted = Life { id, born_ms: None };
             return directory.members.has_left(&unlisted.id) || self.has_ended(&unlisted);
         };
-        member.draining || self.has_ended(&Life::of(member))
+        member.draining || self.has_ended(&member.life())
     }
 
     /// Whether the target said that it is no longer this life of it.
