--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -5,6 +5,7 @@
 use crate::contention::{Chance, Contention};
 use crate::knee::Knee;
 use crate::prelude::*;
+use crate::short_work::ShortWork;
 
 #[cfg(test)]
 mod tests;
@@ -23,18 +24,6 @@
 const MODERATE_PERCENT: u32 = 250;
 /// Slots taken for granted before the target's entry is known.
 const UNKNOWN_SLOTS: u32 = 4;
-/// Work is long beside other work that takes at most this part of its time.
-const SHORT_PART: u64 = 3;
-/// Times the mean number of slots that short work takes is left to it, since it
-/// comes in bursts ...
-const SHORT_WORK_MARGIN: f64 = 2.0;
-/// ... and this part of all slots at most: beyond it long work would starve. A
-/// quarter was better than an eighth where half of a service's targets were lost
-/// (330 against 846 failed payments of 6,497, and 1,623 without).
-const MOST_FOR_SHORT_WORK: u32 = 4;
-/// Span over which short work is counted: a service that is asked a few times a
-/// second keeps its share, one that is not gives it back soon.
-const LATELY_MS: Millis = Millis(1_000);
 /// A target that refused a connection is left alone for this long.
 const DOWN_FOR_MS: Millis = Millis(150);
 
@@ -130,22 +119,11 @@
     line: BTreeSet<Place>,
     last_number: u64,
     speed: Option<SpeedReading>,
-    short_work: Option<ShortWork>,
+    short_work: ShortWork,
     leaving: bool,
     down_until: Millis,
 }
 
-/// The shortest work that came lately, with what is about as short.
-#[derive(Clone, Copy, Debug)]
-struct ShortWork {
-    shortest_ms: Millis,
-    /// When such work last came.
-    at: Millis,
-    /// Run times that were asked for until then, those of [`LATELY_MS`] before at
-    /// a third.
-    asked_ms: f64,
-}
-
 impl Default for Admission {
     fn default() -> Self {
         Self {
@@ -156,7 +134,7 @@
             line: BTreeSet::new(),
             last_number: 0,
             speed: None,
-            short_work: None,
+            short_work: ShortWork::default(),
             leaving: false,
             down_until: Millis::ZERO,
         }
@@ -250,7 +228,7 @@
     /// Puts a call in line.
     pub fn enlist(&mut self, call: &GateCall, now: Millis) -> Place {
         self.last_number += 1;
-        self.note_work(call.work_ms, now);
+        self.short_work.note(call.work_ms, now);
         let place = Place {
             priority: call.priority,
             is_late: now + call.work_ms > call.objective_at,
@@ -289,9 +267,11 @@
         if now + call.work_ms > call.deadline_at && self.in_flight > 0 || now >= call.deadline_at {
             return Verdict::Refuse(Refused::Late);
         }
-        let limit = self
-            .limit()
-            .saturating_sub(self.left_to_short_work(call.work_ms, now));
+        let limit = self.limit().saturating_sub(self.short_work.slots_left_by(
+            call.work_ms,
+            self.slots,
+            now,
+        ));
         let limit = limit.max(1);
         let ahead = self.line.range(..place).count() as u32;
         let room = limit.saturating_sub(self.in_flight);
@@ -338,44 +318,6 @@
             .note_turned_away(call.priority, chance, run_ms, now);
     }
 
-    fn note_work(&mut self, work_ms: Millis, now: Millis) {
-        let known = self.short_work.filter(|known| known.is_recent(now));
-        let mut known = match known {
-            Some(known) if !is_long_beside(known.shortest_ms, work_ms) => known,
-            _ => ShortWork {
-                shortest_ms: work_ms,
-                at: now,
-                asked_ms: 0.0,
-            },
-        };
-        if !is_long_beside(work_ms, known.shortest_ms) {
-            known.asked_ms = known.asked_ms(now) + work_ms.0 as f64;
-            known.at = now;
-            known.shortest_ms = work_ms.min(known.shortest_ms);
-        }
-        self.short_work = Some(known);
-    }
-
-    /// Slots that work of this length leaves free.
-    ///
-    /// Failure answered: a service has lost half of its targets, and long uploads
-    /// hold the slots of the rest. Targets of other services ask it short questions,
-    /// each for a payment of their own. Refused for want of a slot, a question costs
-    /// a whole payment, though five of them take no longer than one upload. To go
-    /// first in the line is not enough: most calls are refused before they stand in
-    /// one. With slots left free they mostly start at once, and uploads lose little.
-    fn left_to_short_work(&self, work_ms: Millis, now: Millis) -> u32 {
-        let Some(known) = self.short_work.filter(|known| known.is_recent(now)) else {
-            return 0;
-        };
-        if !is_long_beside(work_ms, known.shortest_ms) {
-            return 0;
-        }
-        let mean_slots = known.asked_ms(now) / LATELY_MS.0 as f64;
-        let wanted = (mean_slots * SHORT_WORK_MARGIN).round() as u32;
-        wanted.min(self.slots / MOST_FOR_SHORT_WORK)
-    }
-
     /// A call that would wait longer than it may is told at once.
     fn wait_for_room(&self, call: &GateCall, behind: u32, limit: u32, now: Millis) -> Verdict {
         let mut work_ms = call.work_ms.0;
@@ -390,24 +332,6 @@
     }
 }
 
-impl ShortWork {
-    fn is_recent(&self, now: Millis) -> bool {
-        now.since(self.at) <= LATELY_MS
-    }
-
-    /// Run times that were asked for lately; divided by [`LATELY_MS`], the mean
-    /// number of slots that they take.
-    fn asked_ms(&self, now: Millis) -> f64 {
-        let age = now.since(self.at).0 as f64 / LATELY_MS.0 as f64;
-        self.asked_ms * (-age).exp()
-    }
-}
-
-/// Whether work is so much longer than other work that it gives way to it.
-const fn is_long_beside(work_ms: Millis, other_ms: Millis) -> bool {
-    other_ms.0 * SHORT_PART <= work_ms.0
-}
-
 /// Whether a call should start at this speed.
 fn is_good_enough(call: &GateCall, slowness_percent: u32, now: Millis) -> bool {
     if slowness_percent <= FAST_PERCENT {
--- a/crates/dispatch/src/admission/tests.rs
+++ b/crates/dispatch/src/admission/tests.rs
@@ -4,6 +4,7 @@
 mod properties;
 
 use super::*;
+use crate::short_work::LATELY_MS;
 
 fn call(hold_ms: u64, slow_from_ms: u64) -> GateCall {
     GateCall {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod retry_budget;
 pub mod returning;
 pub mod routes;
+pub mod short_work;
 pub mod split;
 pub mod work;
