Share the tests' target in one of its lives, and drop state from the overload test

The tests of failures and of refusals each wrote the same target; both take it from the tests of members now. The overload test kept each caller's place in line, set at its arrival and always replaced before it was used; it is a local value now. No product code is touched.

--- a/crates/dispatch/src/admission/tests/overload.rs
+++ b/crates/dispatch/src/admission/tests/overload.rs
@@ -21,7 +21,6 @@
     first_arrived: u64,
     arrived: u64,
     next_ask: u64,
-    place: Place,
 }
 
 #[derive(Default)]
@@ -39,15 +38,11 @@
 }
 
 impl Overload {
-    fn arrive(&mut self, first_arrived: u64, now: u64) {
-        let call = call_of(first_arrived, now);
-        let place = self.admission.enlist(&call, Millis(now));
-        self.admission.withdraw(place);
+    fn arrive(&mut self, now: u64) {
         self.asking.push(Asking {
-            first_arrived,
+            first_arrived: now,
             arrived: now,
             next_ask: now,
-            place,
         });
     }
 
@@ -65,13 +60,13 @@
         }
         asking.next_ask = now + ASK_EVERY_MS;
         let call = call_of(asking.first_arrived, now);
-        asking.place = self.admission.enlist(&call, Millis(now));
-        let verdict = self.admission.decide(asking.place, &call, Millis(now));
+        let place = self.admission.enlist(&call, Millis(now));
+        let verdict = self.admission.decide(place, &call, Millis(now));
         if verdict != Verdict::Start {
-            self.admission.withdraw(asking.place);
+            self.admission.withdraw(place);
             return true;
         }
-        self.admission.start(asking.place);
+        self.admission.start(place);
         self.ends.push(now + RUN_MS);
         match now + RUN_MS <= asking.first_arrived + OBJECTIVE_MS {
             true => self.outcome.in_time += 1,
@@ -125,7 +120,7 @@
     };
     for now in 0..LAST_ARRIVAL_MS {
         if now % ARRIVE_EVERY_MS == 0 {
-            overload.arrive(now, now);
+            overload.arrive(now);
         }
         overload.step(now);
     }
--- a/crates/dispatch/src/failures/tests.rs
+++ b/crates/dispatch/src/failures/tests.rs
@@ -1,25 +1,12 @@
 //! What is held against targets.
 
 use super::*;
+use crate::members::tests::life;
 
 fn target() -> Member {
     life(1)
 }
 
-/// The target in the life that began at this time.
-fn life(born_ms: u64) -> Member {
-    Member {
-        id: TargetId::new("i-1"),
-        service: ServiceName::new("cashier"),
-        address: "10.0.0.1:80".parse().expect("an address"),
-        data_centre: DataCentre::new("dusit"),
-        slots: 4,
-        draining: false,
-        listed_at: 1,
-        born_ms: Some(Millis(born_ms)),
-    }
-}
-
 /// A target fails, cannot be reached, and starts again under its id. The new life
 /// has failed nobody; held against it, the earlier one's failures would keep
 /// callers away from a sound target.
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -10,7 +10,7 @@
 use crate::prelude::*;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 /// Entries that lapsed with the store's trouble are back within about this
 /// time when their target lives; one still missing is gone.
--- a/crates/dispatch/src/members/tests.rs
+++ b/crates/dispatch/src/members/tests.rs
@@ -17,6 +17,14 @@
     }
 }
 
+/// The target `i-1` in the life that began at this time.
+pub(crate) fn life(born_ms: u64) -> Member {
+    Member {
+        born_ms: Some(Millis(born_ms)),
+        ..member("i-1", "10.0.0.1:80")
+    }
+}
+
 /// Takes over a complete listing.
 fn replace(tracker: &mut MemberTracker, listed: Vec<Member>, now: Millis) {
     let difference = tracker.difference(listed);
--- a/crates/dispatch/src/refusals/tests.rs
+++ b/crates/dispatch/src/refusals/tests.rs
@@ -1,19 +1,7 @@
 //! What is remembered of refusals, in virtual time.
 
 use super::*;
-
-fn life(born_ms: u64) -> Member {
-    Member {
-        id: TargetId::new("i-1"),
-        service: ServiceName::new("cashier"),
-        address: "10.0.0.1:80".parse().expect("an address"),
-        data_centre: DataCentre::new("dusit"),
-        slots: 4,
-        draining: false,
-        listed_at: 1,
-        born_ms: Some(Millis(born_ms)),
-    }
-}
+use crate::members::tests::life;
 
 /// More calls come than all targets can run. A refusal makes the next questions small,
 /// until a call is taken or the refusal says nothing any more.
