--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod asking;
 mod at_most_once;
+mod bounded_age;
 mod callers;
 mod crash_request;
 mod following;
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -16,9 +16,10 @@
 use hornbeamhitch_dispatch::routes::Destination;
 use hornbeamhitch_edge::callers::{CallerServer, Leaving};
 use hornbeamhitch_edge::dialect::TargetLoad;
-use hornbeamhitch_edge::directory::Directory;
+use hornbeamhitch_edge::directory::{Directory, DirectoryWriter};
 use hornbeamhitch_edge::entry::{Entry, EntryParts};
 use hornbeamhitch_edge::feed::ChangeFeed;
+use hornbeamhitch_edge::following::{FollowSettings, follow};
 use hornbeamhitch_edge::gate::{Gate, GateParts};
 use hornbeamhitch_edge::link::LinkServer;
 use hornbeamhitch_edge::prelude::*;
@@ -29,6 +30,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use source::{Published, TestSource};
 use target::FakeTarget;
 
 /// Header names of the tests' own making: the product knows none by heart.
@@ -261,3 +263,26 @@
         leaving,
     }
 }
+
+/// A VM whose node reads what is published, and whose changes must be in force within a
+/// span that no test waits for.
+pub async fn start_following_vm(
+    published: &Published,
+    target: FakeTarget,
+    links: TcpListener,
+    gate_port: u16,
+) -> (Vm, TestSource) {
+    let directory: SharedDirectory = Arc::new(ArcSwap::from_pointee(Directory::default()));
+    let source = published.source();
+    let settings = FollowSettings {
+        own_ip: target.address.ip(),
+        data_centre: DataCentre::new("here"),
+        gate_port,
+        in_force_ms: Millis::from_secs(100),
+    };
+    let writer = DirectoryWriter::new(Arc::clone(&directory), ProcessClock::start());
+    let feed = Arc::new(ChangeFeed::default());
+    tokio::spawn(follow(Box::new(source.clone()), writer, feed, settings));
+    let vm = start_vm("s", target, links, &directory, gate_port).await;
+    (vm, source)
+}
--- a/crates/edge/tests/all/support/source.rs
+++ b/crates/edge/tests/all/support/source.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use hornbeamhitch_edge::prelude::*;
 use hornbeamhitch_edge::source::{Change, Changes, Fact, Listing, Reading, Source, SourceFault};
@@ -19,8 +20,16 @@
     Silent,
     /// It fails at once.
     Failing,
+    /// It loses the calls that it has in hand and those that it takes, and answers
+    /// none of them, also later.
+    Losing,
+    /// It loses watches, and answers everything else.
+    LosingWatches,
 }
 
+/// Clients give up a call that is not answered this long after it should have been.
+const CLIENT_SLACK: Duration = Duration::from_millis(700);
+
 /// What is published, to be shared by nodes.
 #[derive(Clone, Debug)]
 pub struct Published {
@@ -148,7 +157,38 @@
         let speaks = mood.wait_for(|mood| *mood != Mood::Silent).await;
         match *speaks.expect("this struct holds a sender") {
             Mood::Failing => Err(SourceFault::Failed("refused".to_owned())),
-            Mood::Calm | Mood::Silent => Ok(()),
+            _ => Ok(()),
+        }
+    }
+
+    /// Ends when the source loses a call that it has in hand.
+    async fn lost(&self, is_watch: bool) {
+        let mut mood = self.mood.subscribe();
+        let loses = |mood: &Mood| match mood {
+            Mood::Losing => true,
+            Mood::LosingWatches => is_watch,
+            Mood::Calm | Mood::Silent | Mood::Failing => false,
+        };
+        let lost = mood.wait_for(loses).await;
+        drop(lost.expect("this struct holds a sender"));
+    }
+
+    /// What a client makes of a call: lost, it ends with a fault once it should long
+    /// have been answered.
+    async fn unless_lost<T>(
+        &self,
+        is_watch: bool,
+        wait_ms: Millis,
+        answered: impl Future<Output = Result<T, SourceFault>>,
+    ) -> Result<T, SourceFault> {
+        let started = tokio::time::Instant::now();
+        tokio::select! {
+            biased;
+            () = self.lost(is_watch) => {
+                tokio::time::sleep_until(started + wait_ms.to_duration() + CLIENT_SLACK).await;
+                Err(SourceFault::Failed("no answer in time".to_owned()))
+            }
+            answered = answered => answered,
         }
     }
 
@@ -170,7 +210,7 @@
 
 impl Source for TestSource {
     fn read_all(&mut self) -> Reading<'_, Listing> {
-        Box::pin(async {
+        Box::pin(self.unless_lost(false, Millis::ZERO, async {
             self.call().await?;
             let state = self.published.state.lock();
             Ok(Listing {
@@ -178,19 +218,20 @@
                 members: state.members.values().cloned().collect(),
                 revision: state.revision,
             })
-        })
+        }))
     }
 
     fn watch(&mut self, after: u64, wait_ms: Millis) -> Reading<'_, Changes> {
-        self.last_wait_ms.store(wait_ms.0, Ordering::Relaxed);
-        Box::pin(async move {
-            self.call().await?;
-            let mut changed = self.published.changed.subscribe();
+        let this: &Self = self;
+        this.last_wait_ms.store(wait_ms.0, Ordering::Relaxed);
+        Box::pin(this.unless_lost(true, wait_ms, async move {
+            this.call().await?;
+            let mut changed = this.published.changed.subscribe();
             let waiting = async {
                 loop {
                     changed.mark_unchanged();
-                    self.answers().await?;
-                    let changes = self.after(after)?;
+                    this.answers().await?;
+                    let changes = this.after(after)?;
                     if !changes.changes.is_empty() {
                         return Ok(changes);
                     }
@@ -198,7 +239,7 @@
                 }
             };
             let waited = tokio::time::timeout(wait_ms.to_duration(), waiting).await;
-            waited.unwrap_or_else(|_| self.after(after))
-        })
+            waited.unwrap_or_else(|_| this.after(after))
+        }))
     }
 }
--- a/crates/edge/tests/all/support/target.rs
+++ b/crates/edge/tests/all/support/target.rs
@@ -34,6 +34,8 @@
     slowness_percent: AtomicU32,
     /// Health checks are answered as by a target that is still starting.
     is_starting: AtomicBool,
+    /// Health checks say that it leaves.
+    is_leaving: AtomicBool,
     /// Connections that rest longer than this many milliseconds reset whatever
     /// comes next; 0 for never.
     forgets_after_ms: AtomicU32,
@@ -121,6 +123,11 @@
             .store(is_starting, Ordering::Relaxed);
     }
 
+    /// It says that it leaves, and goes on serving.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.journal.is_leaving.store(is_leaving, Ordering::Relaxed);
+    }
+
     /// From now on forgets connections that rest for this long, without notice.
     pub fn forget_idle_after(&self, span: Duration) {
         let ms = u32::try_from(span.as_millis()).expect("a short span");
@@ -167,6 +174,10 @@
         let text = "HTTP/1.1 503 Starting\r\nContent-Length: 0\r\n\r\n";
         return writer.write_all(text.as_bytes()).await.is_ok();
     }
+    if head.path == "/health" && journal.is_leaving.load(Ordering::Relaxed) {
+        let text = format!("HTTP/1.1 503 Leaving\r\n{LOAD}: {load}\r\nContent-Length: 0\r\n\r\n");
+        return writer.write_all(text.as_bytes()).await.is_ok();
+    }
     if head.path == "/health" {
         let text = format!("HTTP/1.1 200 OK\r\n{LOAD}: {load}\r\nContent-Length: 0\r\n\r\n");
         return writer.write_all(text.as_bytes()).await.is_ok();
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,8 +1,7 @@
 //! The process's monotonic clock as [`Millis`] since its start.
 
-use std::time::Instant;
-
 use hornbeamhitch_types::prelude::*;
+use tokio::time::Instant;
 
 /// Turns the operating system's monotonic clock into the project's clock type.
 ///
@@ -30,9 +29,9 @@
 
     /// The same point for the runtime's timers.
     #[must_use]
-    pub fn to_instant(&self, at: Millis) -> tokio::time::Instant {
+    pub fn to_instant(&self, at: Millis) -> Instant {
         let point = self.origin.checked_add(at.to_duration());
-        tokio::time::Instant::from_std(point.unwrap_or_else(far_away))
+        point.unwrap_or_else(far_away)
     }
 }
 
