Say how old knowledge was in each decision line, and what a target says of itself

The incident's logs could not tell whether a node answered by old knowledge or by none, nor what the leaving target had told its gate. Lines of calls at entry and gate have known_ms, the line of a lost source has it and the revision, and hitch_known_age_milliseconds shows it to monitoring. The gate writes a line when its target begins or ends to say that it is not well.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -195,6 +195,7 @@
         gate: Arc::clone(&gate),
         directory: gauges_directory,
         metrics: gauges_metrics,
+        clock,
     }));
     log_start(&config, incarnation);
     until_told_to_end(&mut signals, &entry, &reload, &config).await;
@@ -217,6 +218,7 @@
     gate: Arc<Gate>,
     directory: SharedDirectory,
     metrics: Arc<Metrics>,
+    clock: ProcessClock,
 }
 
 /// Keeps gauges and the names that are counted apart up to date.
@@ -227,6 +229,8 @@
         interval.tick().await;
         gauges.gate.refresh_gauges();
         let directory = gauges.directory.load();
+        let age_ms = directory.as_of.age_ms(gauges.clock.now());
+        gauges.metrics.known_age(age_ms.0);
         let members = &directory.members;
         let leaving = members.iter().filter(|member| member.draining).count();
         gauges.metrics.members(&MemberLevels {
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -1,6 +1,7 @@
 //! What traffic knows of configuration and targets, and who writes it.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
@@ -16,6 +17,26 @@
     pub routes: Option<Arc<RouteSet>>,
     /// Targets.
     pub members: Arc<Members>,
+    /// How old both may be.
+    pub as_of: AsOf,
+}
+
+/// The time as of which a node knows everything that the source has published. Shared by
+/// all directories of a process.
+#[derive(Clone, Debug, Default)]
+pub struct AsOf(Arc<AtomicU64>);
+
+impl AsOf {
+    /// Everything that was published by then is known.
+    pub fn note(&self, at: Millis) {
+        self.0.fetch_max(at.0, Ordering::Relaxed);
+    }
+
+    /// Age of what is known. Counted from the process's start while nothing is.
+    #[must_use]
+    pub fn age_ms(&self, now: Millis) -> Millis {
+        now.since(Millis(self.0.load(Ordering::Relaxed)))
+    }
 }
 
 /// What one node tells another that knows nothing.
@@ -68,6 +89,7 @@
     let adopted = Arc::new(Directory {
         routes: Some(Arc::new(facts.routes)),
         members: Arc::new(tracker.snapshot()),
+        as_of: directory.load().as_of.clone(),
     });
     let before = directory.rcu(|known| match known.routes {
         Some(_) => Arc::clone(known),
@@ -123,6 +145,7 @@
                 true => Arc::clone(&members),
                 false => Arc::clone(&known.members),
             },
+            as_of: known.as_of.clone(),
         });
     }
 
@@ -178,9 +201,21 @@
         self.directory.rcu(|known| Directory {
             routes: known.routes.clone(),
             members: Arc::clone(&members),
+            as_of: known.as_of.clone(),
         });
     }
 
+    /// Everything that was published by then is known.
+    pub fn note_as_of(&self, at: Millis) {
+        self.directory.load().as_of.note(at);
+    }
+
+    /// Age of what is known.
+    #[must_use]
+    pub fn age_ms(&self) -> Millis {
+        self.directory.load().as_of.age_ms(self.clock.now())
+    }
+
     /// Version of the configuration in force.
     #[must_use]
     pub fn version(&self) -> Option<u64> {
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -255,6 +255,7 @@
             route: &known.route.name,
             class: ended::class_of(known.route),
             config_version: known.config_version,
+            known_ms: directory.as_of.age_ms(arrived),
             arrived,
             trail,
         };
--- a/crates/edge/src/entry/ended.rs
+++ b/crates/edge/src/entry/ended.rs
@@ -29,16 +29,18 @@
         let route = ended.route;
         let service = ended.service;
         let config = ended.config_version;
+        // Old knowledge, and not a fault of the target, explains a route of old.
+        let known_ms = ended.known_ms.0;
         let tried = ended.trail.as_str();
         let code = given.code.number();
         let status = given.answer.status;
         if given.code == ResultCode::Answered && !is_server_fault(status) {
-            log::info!(request, route, service, config, code, status, took_ms, tried; "answered");
+            log::info!(request, route, service, config, known_ms, code, status, took_ms, tried; "answered");
             return given.answer;
         }
         let reason = given.reason;
         log::warn!(
-            request, route, service, config, code, status, took_ms, tried, reason;
+            request, route, service, config, known_ms, code, status, took_ms, tried, reason;
             "not served: {}", given.code
         );
         given.answer
@@ -97,6 +99,8 @@
     pub(super) route: &'a str,
     pub(super) class: CallClass,
     pub(super) config_version: u64,
+    /// Age of what the entry knew of routes and targets as it decided.
+    pub(super) known_ms: Millis,
     pub(super) arrived: Millis,
     pub(super) trail: Trail,
 }
@@ -118,6 +122,7 @@
                 .routes
                 .as_ref()
                 .map_or(0, |routes| routes.version()),
+            known_ms: directory.as_of.age_ms(request.arrived),
             arrived: request.arrived,
             trail: Trail::default(),
         }
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -252,7 +252,9 @@
     async fn pause_after(&mut self, fault: &SourceFault) {
         self.knowledge.note_failed_read();
         if self.failures == 0 {
-            log::warn!("the source is lost: {fault}");
+            let known_ms = self.knowledge.age_ms().0;
+            let revision = self.knowledge.revision();
+            log::warn!(known_ms, revision; "the source is lost: {fault}");
         }
         let doubled = FIRST_PAUSE_MS.0 << self.failures.min(4);
         self.failures += 1;
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -81,6 +81,11 @@
         self.revision
     }
 
+    /// Age of what is known.
+    pub(super) fn age_ms(&self) -> Millis {
+        self.directory.age_ms()
+    }
+
     /// The targets in force.
     pub(super) fn members(&self) -> Arc<Members> {
         self.directory.members()
@@ -91,9 +96,10 @@
         self.own_reads
     }
 
-    /// The source has answered.
-    pub(super) const fn note_good_read(&mut self) {
+    /// The source has answered, and told all that it had published by now.
+    pub(super) fn note_good_read(&mut self) {
         self.own_reads = OwnReads::Good;
+        self.directory.note_as_of(self.directory.clock().now());
     }
 
     /// Whether lapses were kept back.
--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -70,6 +70,7 @@
         let target_id = run.terms.target_id.as_str();
         let slowness_percent = run.slowness_percent;
         let waited_ms = run.waited_ms.0;
+        let known_ms = self.directory.load().as_of.age_ms(run.started).0;
         if let Some(GateEvent::Answered { head, .. }) = event
             && is_success(head.status)
         {
@@ -77,11 +78,13 @@
         }
         match event {
             Some(GateEvent::Answered { head, .. }) if !is_server_fault(head.status) => log::info!(
-                request, target_id, slowness_percent, waited_ms, ran_ms, status = head.status;
+                request, target_id, slowness_percent, waited_ms, ran_ms, known_ms,
+                status = head.status;
                 "ran"
             ),
             Some(GateEvent::Answered { head, .. }) => log::warn!(
-                request, target_id, slowness_percent, waited_ms, ran_ms, status = head.status;
+                request, target_id, slowness_percent, waited_ms, ran_ms, known_ms,
+                status = head.status;
                 "ran and failed"
             ),
             Some(GateEvent::Ended(end)) => log::warn!(
--- a/crates/edge/src/gate/speed.rs
+++ b/crates/edge/src/gate/speed.rs
@@ -1,13 +1,13 @@
 //! Reading how fast the target's VM is now.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use hornbeamhitch_dispatch::admission::SpeedReading;
 
 use crate::http1;
 use crate::prelude::*;
-use crate::target::{Exchange, ExchangeFault, TargetClient};
+use crate::target::{Exchange, ExchangeFault, TargetClient, is_success};
 
 /// A target that does not tell its speed counts as usual.
 const USUAL_PERCENT: u32 = 100;
@@ -30,6 +30,8 @@
 pub(super) struct SpeedProbe {
     one_at_a_time: tokio::sync::Mutex<LastReading>,
     sent: AtomicU64,
+    /// The target's last answer about its health was not that it is well.
+    is_unwell: AtomicBool,
 }
 
 #[derive(Debug, Default)]
@@ -88,6 +90,19 @@
         self.sent.swap(0, Ordering::Relaxed)
     }
 
+    /// Writes down when the target begins or ends to say that it is not well. Callers
+    /// then see it ill, or about to leave; its entry in the list tells which.
+    fn note_health(&self, status: u16) {
+        let is_unwell = !is_success(status);
+        if self.is_unwell.swap(is_unwell, Ordering::Relaxed) == is_unwell {
+            return;
+        }
+        match is_unwell {
+            true => log::warn!(status; "the target says that it is not well"),
+            false => log::info!(status; "the target says that it is well again"),
+        }
+    }
+
     async fn ask(
         &self,
         target: &TargetClient,
@@ -112,6 +127,7 @@
             // calls themselves will show whether the target works.
             Ok(Err(ExchangeFault::Broken(_))) | Err(_) => return Ok(Told::Nothing),
         };
+        self.note_health(answer.head.status);
         let load = http1::field(&answer.head.fields, dialect.names().load);
         let load = load.and_then(|value| dialect.load(value));
         let Some(slowness_percent) = load.and_then(|load| load.slowness_percent) else {
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -143,6 +143,7 @@
     directory.store(Arc::new(Directory {
         routes: Some(Arc::new(routes)),
         members: Arc::new(tracker.snapshot()),
+        as_of: directory.load().as_of.clone(),
     }));
 }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -281,6 +281,11 @@
         self.cost.count_busy(busy_us);
     }
 
+    /// Everything that was published so long ago is known.
+    pub fn known_age(&self, age_ms: u64) {
+        self.instruments.known_age.record(age_ms, &[]);
+    }
+
     /// A configuration came into force.
     pub fn config_in_force(&self, version: ConfigVersion) {
         self.instruments.config_in_force.record(version.0, &[]);
--- a/crates/node/src/metrics/instruments.rs
+++ b/crates/node/src/metrics/instruments.rs
@@ -44,6 +44,7 @@
     pub(super) probes: Counter<u64>,
     pub(super) platform_reads: Counter<u64>,
     pub(super) config_in_force: Gauge<u64>,
+    pub(super) known_age: Gauge<u64>,
     pub(super) config_refused: Gauge<u64>,
     pub(super) config_refusals: Counter<u64>,
     pub(super) members: Gauge<u64>,
@@ -110,6 +111,11 @@
                 "hitch.platform.reads",
                 "Reads of the platform, waiting watches included.",
             ),
+            known_age: gauge(
+                &meter,
+                "hitch.known.age_milliseconds",
+                "Age of what is known of configuration and targets.",
+            ),
             config_in_force: gauge(
                 &meter,
                 "hitch.config.in_force_version",
