Let no wait on a change's way have a figure of its own

Callers were answered by routes of an older configuration 2.6 s after a newer one was confirmed, and up to 4.6 s later.

Cause: the age of what a node acts on had no bound. A watch waited 10.7 s, whatever the time in which changes must be in force; the platform took the watches of all nodes, fell silent and came back, and nobody asked again until they were over. Gathering (60%) and the longest pause (1.2 s) exceeded the 2 s together as well. Ruled out by the record: pauses (no lost source was logged before 15.9 s).

Change: dispatch::waits holds all waits as shares of that time, and the shares of each way are checked to stay below it when the crate is compiled. A watch lasts until what is known has to be renewed; what was gathered before counts. Limits are on silence, and no longer on whole answers, which a thin line may need a second for. A reader tells how old its knowledge is; who is told acts on the age, whatever the reason, and reads for itself at half of the time.

Our own platform's source has a limit of wait + 20% now, where the client had 5 s more.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod routes;
 pub mod short_work;
 pub mod split;
+pub mod waits;
 pub mod work;
--- a/crates/dispatch/src/readers.rs
+++ b/crates/dispatch/src/readers.rs
@@ -2,10 +2,12 @@
 //!
 //! If every node reads each change for itself, calls to the platform grow with
 //! the square of the fleet: more nodes, each reading the changes of more
-//! targets. In a large data centre a few nodes read, chosen by a hash over the
-//! VMs that are listed, and the others subscribe to several of them. Readers of
-//! all data centres subscribe to some of each other as well, so that one whose
-//! own reads bring nothing, without an error, still learns what any other knows.
+//! targets. So a few nodes read, chosen by a hash over the VMs that are listed, and
+//! the others subscribe to several of them. A large data centre has readers of its
+//! own; small ones share theirs, since each reader asks the platform again and again,
+//! whether anything changes or not. All readers subscribe to some of each other as
+//! well, so that one whose own reads bring nothing, without an error, still learns
+//! what any other knows.
 //!
 //! Nothing is agreed upon: nodes with different lists choose different readers
 //! for a while, and one that is asked without being a reader says so.
@@ -20,13 +22,16 @@
 #[cfg(test)]
 mod tests;
 
-/// In a data centre of up to this many VMs every node reads for itself: three
-/// readers would save too little to depend on others.
+/// Among up to this many VMs every node reads for itself: three readers would save
+/// too little to depend on others.
 const MAX_VMS_WITHOUT_READERS: usize = 8;
-/// Readers of a data centre at least, so that two are left while one restarts.
+/// A data centre of more VMs than this has readers of its own. The others share
+/// theirs.
+const MAX_VMS_TO_SHARE: usize = 48;
+/// Readers of a group at least, so that two are left while one restarts.
 const MIN_READERS: usize = 3;
 /// One reader for this many VMs: with three subscriptions each, a reader tells
-/// about 48 nodes, four times a second when nothing changes.
+/// about 48 nodes, some four times a second when nothing changes.
 const VMS_A_READER: usize = 16;
 /// Readers to whom one node subscribes.
 pub const SUBSCRIPTIONS: usize = 3;
@@ -68,7 +73,7 @@
 
 /// The role of a node in this data centre, given the targets it knows.
 ///
-/// A VM that is not listed is no reader, and hears those beside it. Failure
+/// A VM that is not listed is no reader, and hears those of its group. Failure
 /// answered: cut off from the platform, a VM's own entry lapses; reading for
 /// itself, its node would learn nothing until the cut heals.
 #[must_use]
@@ -77,23 +82,47 @@
     let Some(beside) = data_centres.get(data_centre) else {
         return Role::Alone;
     };
-    if beside.len() <= MAX_VMS_WITHOUT_READERS {
+    let (large, sharing) = groups(&data_centres);
+    let group = match is_large(beside) {
+        true => beside,
+        false => &sharing,
+    };
+    if group.len() <= MAX_VMS_WITHOUT_READERS {
         return Role::Alone;
     }
-    let near = readers(beside);
+    let near = readers(group);
     if !near.contains(&own) {
         return Role::Follower(nearest(near, own));
     }
     let mut others = Vec::new();
-    for vms in data_centres.values() {
-        if vms.len() > MAX_VMS_WITHOUT_READERS {
-            others.extend(readers(vms));
+    for group in large.into_iter().chain([&sharing]) {
+        if group.len() > MAX_VMS_WITHOUT_READERS {
+            others.extend(readers(group));
         }
     }
     others.retain(|reader| *reader != own);
     Role::Reader(nearest(others, own))
 }
 
+/// The large data centres, and the VMs of all others together.
+fn groups<'a>(
+    data_centres: &'a BTreeMap<&DataCentre, BTreeSet<IpAddr>>,
+) -> (Vec<&'a BTreeSet<IpAddr>>, BTreeSet<IpAddr>) {
+    let mut large = Vec::new();
+    let mut sharing = BTreeSet::new();
+    for vms in data_centres.values() {
+        match is_large(vms) {
+            true => large.push(vms),
+            false => sharing.extend(vms),
+        }
+    }
+    (large, sharing)
+}
+
+fn is_large(vms: &BTreeSet<IpAddr>) -> bool {
+    vms.len() > MAX_VMS_TO_SHARE
+}
+
 /// VMs by data centre; those whose only target is leaving are left out, since
 /// they go with it.
 fn vms_by_data_centre(members: &Members) -> BTreeMap<&DataCentre, BTreeSet<IpAddr>> {
@@ -108,7 +137,7 @@
     data_centres
 }
 
-/// The readers of one data centre.
+/// The readers of one group.
 fn readers(vms: &BTreeSet<IpAddr>) -> Vec<IpAddr> {
     let count = vms.len().div_ceil(VMS_A_READER).max(MIN_READERS);
     let mut ranked: Vec<IpAddr> = vms.iter().copied().collect();
--- a/crates/dispatch/src/readers/tests.rs
+++ b/crates/dispatch/src/readers/tests.rs
@@ -59,9 +59,12 @@
 }
 
 #[test]
-fn everyone_reads_in_a_small_data_centre_and_in_one_that_is_not_listed() {
-    let small = roles(&[8, 3]);
+fn everyone_reads_in_a_small_fleet_and_in_a_data_centre_that_is_not_listed() {
+    let small = roles(&[5, 3]);
     assert!(small.values().all(|role| *role == Role::Alone));
+    let beside_large = roles(&[5, 3, 70]);
+    let alone = beside_large.values().filter(|role| **role == Role::Alone);
+    assert_eq!(alone.count(), 8);
     let members = fleet(&[30]).snapshot();
     assert_eq!(role_of(&members, vm(7, 7)), Role::Alone);
 }
@@ -85,11 +88,23 @@
     }
 }
 
+/// Small data centres share their readers: with three each, the calls of a fleet that
+/// is at rest would grow with the number of its data centres.
+#[test]
+fn small_data_centres_share_their_readers() {
+    for (sizes, expected) in [(&[8, 3][..], 3), (&[5, 4, 4], 3), (&[27, 27, 26], 5)] {
+        let roles = roles(sizes);
+        let readers = roles.values().filter(|role| role.is_reader()).count();
+        assert_eq!(readers, expected, "{sizes:?}");
+        assert!(roles.values().all(|role| *role != Role::Alone));
+    }
+}
+
 /// Readers of one data centre may all fall deaf at once without an error, when
 /// the path to the platform is cut; they hear the others of the fleet.
 #[test]
 fn readers_hear_readers_of_the_whole_fleet_and_followers_those_beside_them() {
-    let roles = roles(&[27, 27, 26]);
+    let roles = roles(&[70, 70, 66]);
     let is_reader = |vm: &IpAddr| roles.get(vm).is_some_and(Role::is_reader);
     for (own, role) in &roles {
         let heard = role.heard();
@@ -151,7 +166,7 @@
     /// Whatever the sizes, nodes with the same list agree on who reads, and one
     /// VM's loss changes the subscriptions of few.
     #[test]
-    fn nodes_agree_and_a_loss_moves_few(sizes in proptest::collection::vec(0usize..60, 1..5)) {
+    fn nodes_agree_and_a_loss_moves_few(sizes in proptest::collection::vec(0usize..90, 1..5)) {
         let before = roles(&sizes);
         for role in before.values() {
             for heard in role.heard() {
@@ -161,8 +176,9 @@
         let mut tracker = fleet(&sizes);
         tracker.remove(&TargetId::new("i-0-0"), Millis(1));
         let members = tracker.snapshot();
-        let is_still_large = sizes[0] > MAX_VMS_WITHOUT_READERS + 1;
-        if !is_still_large {
+        let becomes_small = sizes[0] == MAX_VMS_TO_SHARE + 1;
+        let sharing: usize = sizes.iter().filter(|size| **size <= MAX_VMS_TO_SHARE).sum();
+        if sizes[0] == 0 || becomes_small || sharing == MAX_VMS_WITHOUT_READERS + 1 {
             return Ok(());
         }
         let lost = vm(0, 0);
--- /dev/null
+++ b/crates/dispatch/src/waits.rs
@@ -0,0 +1,126 @@
+//! The longest waits on a change's way from the source into force.
+//!
+//! A change is confirmed by the source; a node's read is answered, the node tells others,
+//! and these act on it. What a node acts on is as old as the sum of the waits on the way
+//! that was really taken, and the worst way meets several troubles: a read that nobody
+//! answers, a reader that ends, a pause after a failed read. So each wait is a share of the
+//! one time in which a change must be in force, and the shares of each way add up to less
+//! than the whole. What breaks this is a wait with a figure of its own beside them.
+//!
+//! Not contained is what a line takes to carry a large answer.
+
+use crate::prelude::*;
+
+/// Shares in percent of the time in which a change must be in force.
+const RENEWAL: u64 = 30;
+const SILENCE: u64 = 20;
+const FIRST_PAUSE: u64 = 7;
+const LONGEST_PAUSE: u64 = 20;
+const FOLLOWERS_PAUSE: u64 = 50;
+const OLDEST_TOLD: u64 = 50;
+const LOST_READERS_PAUSE: u64 = 10;
+const TELL_AGAIN: u64 = 12;
+const READER_SILENCE: u64 = 40;
+const HEARSAY_HOLD: u64 = 40;
+const WHOLE: u64 = 100;
+
+/// A read that is lost as it begins: its end, a pause, and the read that replaces it.
+const _: () = assert!(RENEWAL + SILENCE + FIRST_PAUSE + SILENCE < WHOLE);
+/// The source is back just after a read was lost.
+const _: () = assert!(SILENCE + LONGEST_PAUSE + SILENCE < WHOLE);
+/// The same at a node that others tell, whose readers ended as the source came back.
+const _: () = assert!(SILENCE + FOLLOWERS_PAUSE + SILENCE < WHOLE);
+/// Readers whose knowledge grows old, for whatever reason, also unsaid.
+const _: () = assert!(OLDEST_TOLD + LOST_READERS_PAUSE + SILENCE < WHOLE);
+/// Readers that fall silent just after they told.
+const _: () = assert!(READER_SILENCE + LOST_READERS_PAUSE + SILENCE < WHOLE);
+/// A removal that a reader tells in trouble: the read, two tellings, the hold.
+const _: () = assert!(RENEWAL + 2 * TELL_AGAIN + HEARSAY_HOLD < WHOLE);
+/// In calm times readers tell before anybody takes them for lost.
+const _: () = assert!(RENEWAL + TELL_AGAIN < OLDEST_TOLD);
+
+/// How long a node waits for what, given the time in which changes must be in force.
+#[derive(Clone, Copy, Debug)]
+pub struct Waits {
+    in_force_ms: Millis,
+}
+
+impl Waits {
+    /// Waits for changes that must be in force within this time.
+    #[must_use]
+    pub const fn new(in_force_ms: Millis) -> Self {
+        Self { in_force_ms }
+    }
+
+    /// From one complete answer of the source to when the next is due.
+    ///
+    /// Failure answered: the source takes a watch and falls silent. Nothing new and no
+    /// source look alike until the watch is over, and all that is published after the
+    /// source's return is unknown for as long.
+    #[must_use]
+    pub const fn renewal_ms(&self) -> Millis {
+        self.share(RENEWAL)
+    }
+
+    /// An answer that is due and does not begin, or does not go on, within this is lost.
+    #[must_use]
+    pub const fn silence_ms(&self) -> Millis {
+        self.share(SILENCE)
+    }
+
+    /// Pause after the first failed read; doubled with each further one.
+    #[must_use]
+    pub const fn first_pause_ms(&self) -> Millis {
+        self.share(FIRST_PAUSE)
+    }
+
+    /// Longest pause after a failed read.
+    #[must_use]
+    pub const fn longest_pause_ms(&self) -> Millis {
+        self.share(LONGEST_PAUSE)
+    }
+
+    /// The same for a node that others tell. Longer, since these are many, and all fail
+    /// together while the source is away.
+    #[must_use]
+    pub const fn followers_pause_ms(&self) -> Millis {
+        self.share(FOLLOWERS_PAUSE)
+    }
+
+    /// A node that is told reads for itself when what it knows is this old.
+    #[must_use]
+    pub const fn oldest_told_ms(&self) -> Millis {
+        self.share(OLDEST_TOLD)
+    }
+
+    /// Pause of a node that lost its readers before it reads for itself. A reader whose
+    /// read failed reads again before it ends, so that one failed call of a reader does
+    /// not make a call of each of its subscribers.
+    #[must_use]
+    pub const fn lost_readers_pause_ms(&self) -> Millis {
+        self.share(LOST_READERS_PAUSE)
+    }
+
+    /// A reader tells its subscribers at least this often.
+    #[must_use]
+    pub const fn tell_again_ms(&self) -> Millis {
+        self.share(TELL_AGAIN)
+    }
+
+    /// A reader that is not heard for so long is lost. It tells three times meanwhile, so
+    /// this bears a lost packet, which is sent again.
+    #[must_use]
+    pub const fn reader_silence_ms(&self) -> Millis {
+        self.share(READER_SILENCE)
+    }
+
+    /// How long a removal is held that a reader tells while it is in trouble.
+    #[must_use]
+    pub const fn hearsay_hold_ms(&self) -> Millis {
+        self.share(HEARSAY_HOLD)
+    }
+
+    const fn share(&self, percent: u64) -> Millis {
+        Millis(self.in_force_ms.0 * percent / WHOLE)
+    }
+}
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::ArcSwap;
 use eyre::{Result, WrapErr};
+use hornbeamhitch_dispatch::waits::Waits;
 use hornbeamhitch_node::listener::bind_std;
 use hornbeamhitch_node::logs::LogHandle;
 use hornbeamhitch_node::metrics::{MemberLevels, Metrics};
@@ -26,7 +27,7 @@
 use crate::gate::{Gate, GateParts};
 use crate::link::LinkServer;
 use crate::prelude::*;
-use crate::source::Source;
+use crate::source::SharedSource;
 use crate::status::StatusServer;
 use crate::suspicion::Suspicion;
 use crate::target::TargetClient;
@@ -57,7 +58,7 @@
     /// Names of header fields.
     pub dialect: Arc<dyn Dialect>,
     /// Where configuration and targets come from.
-    pub source: Box<dyn Source>,
+    pub source: SharedSource,
     /// Reads changed settings.
     pub reload: Reload,
 }
@@ -122,7 +123,8 @@
     let metrics = Metrics::new(&config.vm, &config.service, &config.data_centre)?;
     let metrics = Arc::new(metrics);
     let directory: SharedDirectory = Arc::new(ArcSwap::from_pointee(Directory::default()));
-    let feed = Arc::new(ChangeFeed::default());
+    let waits = Waits::new(config.in_force_ms);
+    let feed = Arc::new(ChangeFeed::new(clock, waits));
     let writer = DirectoryWriter::new(Arc::clone(&directory), clock);
     let settings = FollowSettings {
         own_ip: config.listed_address.ip(),
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -8,9 +8,11 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
+use hornbeamhitch_dispatch::waits::Waits;
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
+use crate::prelude::*;
 use crate::source::Change;
 
 pub use subscriptions::{FeedEvent, Subscriptions};
@@ -37,6 +39,8 @@
 /// Recent changes, for subscribers.
 #[derive(Debug)]
 pub struct ChangeFeed {
+    clock: ProcessClock,
+    waits: Waits,
     state: Mutex<State>,
     changed: watch::Sender<()>,
 }
@@ -48,6 +52,8 @@
     base: u64,
     /// Everything up to this revision is known.
     revision: u64,
+    /// That was all that the source had published by then.
+    as_of: Millis,
     kept: VecDeque<Kept>,
 }
 
@@ -66,19 +72,29 @@
     pub revision: u64,
     /// The reader's own last read failed.
     pub is_troubled: bool,
+    /// So long ago this was all that the source had published.
+    pub age_ms: Millis,
 }
 
-impl Default for ChangeFeed {
-    fn default() -> Self {
+impl ChangeFeed {
+    /// A closed feed of a node that knows nothing.
+    #[must_use]
+    pub fn new(clock: ProcessClock, waits: Waits) -> Self {
         let (changed, _) = watch::channel(());
         Self {
+            clock,
+            waits,
             state: Mutex::default(),
             changed,
         }
     }
-}
 
-impl ChangeFeed {
+    /// How long subscribers may be left without a word.
+    #[must_use]
+    pub const fn tell_again_ms(&self) -> Millis {
+        self.waits.tell_again_ms()
+    }
+
     /// Adds changes, after which everything up to `revision` is known.
     ///
     /// Subscribers are woken only by what is new. Readers hear each other: woken
@@ -96,6 +112,21 @@
         self.wake();
     }
 
+    /// This node's own read has shown that all is known that was published by then.
+    ///
+    /// Subscribers hear of it at once: told a while later, they would take what they know
+    /// for older than it is, and all of them would read for themselves.
+    pub fn renew(&self, as_of: Millis) {
+        self.note_as_of(as_of);
+        self.wake();
+    }
+
+    /// Another node has told so. Subscribers hear of it when they are told again.
+    pub fn note_as_of(&self, as_of: Millis) {
+        let mut state = self.state.lock();
+        state.as_of = as_of.max(state.as_of);
+    }
+
     /// Opens or closes the feed.
     pub fn set_standing(&self, standing: Standing) {
         let mut state = self.state.lock();
@@ -120,6 +151,7 @@
             changes: new.map(|kept| kept.encoded.clone()).collect(),
             revision: state.revision,
             is_troubled: state.standing == Standing::Troubled,
+            age_ms: self.clock.now().since(state.as_of),
         })
     }
 
--- a/crates/edge/src/feed/subscriptions.rs
+++ b/crates/edge/src/feed/subscriptions.rs
@@ -7,21 +7,17 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use hornbeamhitch_dispatch::waits::Waits;
 use hornbeamhitch_wire::link::{self, ToEntry, ToGate};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
 use crate::link::{FrameReader, LinkFault};
+use crate::prelude::*;
 use crate::sockets;
 use crate::source::Change;
 
-/// Data centres of one region are milliseconds apart; a VM that does not answer
-/// in this time is dark or overloaded.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// A reader speaks four times a second. One lost packet is sent again after 200
-/// ms, so this bears two missed turns and a loss.
-const SILENT_AFTER: Duration = Duration::from_millis(800);
 /// Pause before a reader that was lost, or was none, is asked again.
 const AGAIN_AFTER: Duration = Duration::from_secs(1);
 
@@ -39,6 +35,9 @@
         revision: u64,
         /// The reader's own last read failed.
         is_troubled: bool,
+        /// This was all that the source had published by then, but for the time that
+        /// the word was on its way.
+        as_of: Millis,
     },
     /// The reader tells nothing for now.
     Lost {
@@ -50,7 +49,7 @@
 /// The readers that this node hears.
 #[derive(Debug)]
 pub struct Subscriptions {
-    port: u16,
+    listening: Listening,
     /// Everything up to this revision is known here.
     known: Arc<AtomicU64>,
     events: mpsc::UnboundedReceiver<FeedEvent>,
@@ -58,6 +57,15 @@
     readers: BTreeMap<IpAddr, Subscription>,
 }
 
+/// How readers are heard.
+#[derive(Clone, Copy, Debug)]
+struct Listening {
+    /// Where readers listen.
+    port: u16,
+    waits: Waits,
+    clock: ProcessClock,
+}
+
 #[derive(Debug)]
 struct Subscription {
     task: AbortHandle,
@@ -74,10 +82,10 @@
 impl Subscriptions {
     /// None yet; readers listen on this port.
     #[must_use]
-    pub fn new(port: u16) -> Self {
+    pub fn new(port: u16, waits: Waits, clock: ProcessClock) -> Self {
         let (told, events) = mpsc::unbounded_channel();
         Self {
-            port,
+            listening: Listening { port, waits, clock },
             known: Arc::default(),
             events,
             told,
@@ -98,7 +106,8 @@
                 continue;
             }
             let hearing = hear(
-                SocketAddr::new(*reader, self.port),
+                *reader,
+                self.listening,
                 Arc::clone(&self.known),
                 self.told.clone(),
             );
@@ -137,16 +146,19 @@
 }
 
 /// Hears one reader for as long as it is wanted.
-async fn hear(reader: SocketAddr, known: Arc<AtomicU64>, told: mpsc::UnboundedSender<FeedEvent>) {
+async fn hear(
+    reader: IpAddr,
+    listening: Listening,
+    known: Arc<AtomicU64>,
+    told: mpsc::UnboundedSender<FeedEvent>,
+) {
     let mut was_heard = false;
     loop {
-        let ended = hear_once(reader, &known, &told, &mut was_heard).await;
+        let ended = hear_once(reader, &listening, &known, &told, &mut was_heard).await;
         if was_heard {
             log::info!("the reader {reader} is not heard any more: {ended}");
             was_heard = false;
-            let lost = FeedEvent::Lost {
-                reader: reader.ip(),
-            };
+            let lost = FeedEvent::Lost { reader };
             if told.send(lost).is_err() {
                 return;
             }
@@ -156,18 +168,20 @@
 }
 
 async fn hear_once(
-    reader: SocketAddr,
+    reader: IpAddr,
+    listening: &Listening,
     known: &AtomicU64,
     told: &mpsc::UnboundedSender<FeedEvent>,
     was_heard: &mut bool,
 ) -> LinkFault {
-    let mut frames = match subscribe(reader, known).await {
+    let mut frames = match subscribe(reader, listening, known).await {
         Ok(frames) => frames,
         Err(fault) => return fault,
     };
     let mut changes = Vec::new();
     loop {
-        let frame = match tokio::time::timeout(SILENT_AFTER, frames.reader.next()).await {
+        let silence = listening.waits.reader_silence_ms().to_duration();
+        let frame = match tokio::time::timeout(silence, frames.reader.next()).await {
             Ok(Ok(frame)) => frame,
             Ok(Err(fault)) => return fault,
             Err(silence) => return LinkFault::Io(silence.into()),
@@ -180,16 +194,18 @@
             ToEntry::KnownTo {
                 revision,
                 is_troubled,
+                age_ms,
             } => {
                 if !*was_heard {
                     *was_heard = true;
                     log::info!(revision; "changes are heard from the reader {reader}");
                 }
                 let event = FeedEvent::Known {
-                    reader: reader.ip(),
+                    reader,
                     changes: std::mem::take(&mut changes),
                     revision,
                     is_troubled,
+                    as_of: listening.clock.now().minus(age_ms),
                 };
                 if told.send(event).is_err() {
                     return LinkFault::Closed;
@@ -208,8 +224,14 @@
     _writer: tokio::net::tcp::OwnedWriteHalf,
 }
 
-async fn subscribe(reader: SocketAddr, known: &AtomicU64) -> Result<Subscribed, LinkFault> {
-    let stream = sockets::connect(reader, CONNECT_TIMEOUT).await?;
+async fn subscribe(
+    reader: IpAddr,
+    listening: &Listening,
+    known: &AtomicU64,
+) -> Result<Subscribed, LinkFault> {
+    let address = SocketAddr::new(reader, listening.port);
+    let timeout = listening.waits.tell_again_ms().to_duration();
+    let stream = sockets::connect(address, timeout).await?;
     let (frames, mut writer) = stream.into_split();
     let follow = ToGate::Follow {
         revision: known.load(Ordering::Acquire),
--- a/crates/edge/src/feed/tests.rs
+++ b/crates/edge/src/feed/tests.rs
@@ -22,7 +22,7 @@
 }
 
 fn open_feed() -> ChangeFeed {
-    let feed = ChangeFeed::default();
+    let feed = ChangeFeed::new(ProcessClock::start(), Waits::new(Millis(2_000)));
     feed.append(&[left(10)], 10);
     feed.set_standing(Standing::Open);
     feed
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -7,42 +7,24 @@
 use std::sync::Arc;
 
 use hornbeamhitch_dispatch::readers::{self, Role};
+use hornbeamhitch_dispatch::waits::Waits;
 use rand::RngExt;
 
 use crate::directory::DirectoryWriter;
 use crate::feed::{ChangeFeed, Standing, Subscriptions};
 use crate::prelude::*;
-use crate::source::{Source, SourceFault};
+use crate::source::{SharedSource, SourceFault};
 use knowledge::{Knowledge, OwnReads};
 
-/// How long a watch waits. A source that falls silent is noticed at its end at
-/// the latest; each wait costs one call.
-const WATCH_WAIT_MS: Millis = Millis(10_000);
-/// The same while the source is in trouble, so that its return is seen at once,
-/// and while the readers are lost: they are lost together when the source drops
-/// its history, and it takes watches in that moment that it never answers.
-const TROUBLED_WAIT_MS: Millis = Millis(1_000);
-/// The same to learn whether the source is reached at all.
+/// A watch that is to be answered at once.
 const AT_ONCE_MS: Millis = Millis(1);
-/// Changes that come close together are fetched by one call, since each call
-/// returns at the first change: they are gathered for this part of the time in
-/// which a change must be in force. The rest is for a slow source.
-const GATHER_PERCENT: u64 = 60;
-/// The same for a node that tells others, who need time to notice its end and
-/// to read for themselves.
-const READER_GATHER_PERCENT: u64 = 30;
 /// The first gathering of a node that has just started; each further one takes twice as
-/// long, up to the above. VMs that start together do so within some tenths of a second.
+/// long, up to the usual. VMs that start together do so within some tenths of a second.
 const FIRST_GATHER_MS: Millis = Millis(200);
 /// Doublings after which no more are counted.
 const MOST_GATHERINGS: u32 = 10;
-/// Pauses after failed reads, from the first on.
-const FIRST_PAUSE_MS: Millis = Millis(150);
-const LONGEST_PAUSE_MS: Millis = Millis(1_200);
-/// Pause of a node that lost its readers, before it reads for itself. A reader
-/// whose read failed reads again before it ends, so that one failed call of a
-/// reader does not make a call of each of its subscribers.
-const LOST_READERS_PAUSE_MS: Millis = Millis(300);
+/// The same of pauses after failed reads.
+const MOST_DOUBLINGS: u32 = 4;
 /// A node stops to read for itself while it hears this many sound readers: with
 /// one alone, that reader's loss would be noticed only by its silence.
 const ENOUGH_READERS: usize = 2;
@@ -62,15 +44,18 @@
 
 /// Follows a source; never returns.
 pub async fn follow(
-    source: Box<dyn Source>,
+    source: SharedSource,
     directory: DirectoryWriter,
     feed: Arc<ChangeFeed>,
     settings: FollowSettings,
 ) {
+    let waits = Waits::new(settings.in_force_ms);
+    let clock = directory.clock();
     let mut following = Following {
         source,
-        knowledge: Knowledge::new(directory, feed, settings.own_ip, settings.in_force_ms),
-        subscriptions: Subscriptions::new(settings.gate_port),
+        knowledge: Knowledge::new(directory, feed, settings.own_ip, waits),
+        subscriptions: Subscriptions::new(settings.gate_port, waits, clock),
+        waits,
         role: Role::Alone,
         settings,
         failures: 0,
@@ -83,7 +68,8 @@
 }
 
 struct Following {
-    source: Box<dyn Source>,
+    source: SharedSource,
+    waits: Waits,
     knowledge: Knowledge,
     subscriptions: Subscriptions,
     role: Role,
@@ -98,10 +84,11 @@
     /// Reads everything, as often as it takes.
     async fn read_all(&mut self) {
         loop {
-            match self.source.read_all().await {
+            match self.source.read_all(self.waits.silence_ms()).await {
                 Ok(listing) => {
-                    self.note_success();
+                    let age_ms = listing.age_ms;
                     self.knowledge.replace(listing);
+                    self.note_success(age_ms);
                     return;
                 }
                 Err(fault) => self.pause_after(&fault).await,
@@ -117,7 +104,7 @@
                 self.hear().await;
                 if !self.is_told() {
                     // Not in step with all others who heard the same readers.
-                    self.pause(LOST_READERS_PAUSE_MS).await;
+                    self.pause(self.waits.lost_readers_pause_ms()).await;
                 }
                 continue;
             }
@@ -141,18 +128,18 @@
         self.role.is_follower()
             && self.subscriptions.sound() >= ENOUGH_READERS
             && self.knowledge.own_reads() == OwnReads::Good
+            && self.knowledge.age_ms() < self.waits.oldest_told_ms()
     }
 
     /// Watches the source once and takes what came.
     async fn watch(&mut self) -> Result<(), SourceFault> {
-        let watching = self
-            .source
-            .watch(self.knowledge.revision(), self.watch_wait_ms());
+        let (after, wait_ms) = (self.knowledge.revision(), self.watch_wait_ms());
+        let watching = self.source.watch(after, wait_ms, self.waits.silence_ms());
         let heard = &mut self.subscriptions;
         let batch = while_hearing(watching, &mut self.knowledge, heard).await?;
-        self.note_success();
         let gathers = !batch.changes.is_empty() && !self.knowledge.has_held();
         self.knowledge.take(batch.changes, batch.revision);
+        self.note_success(batch.age_ms);
         if gathers {
             // Whoever learns of its readers subscribes while it gathers. After it,
             // each node of a fleet that starts would fetch the next change itself.
@@ -163,19 +150,31 @@
         Ok(())
     }
 
-    const fn watch_wait_ms(&self) -> Millis {
+    /// How long the next watch waits: until what is known has to be renewed.
+    ///
+    /// After changes were gathered, this is what is left of the time. A watch of the
+    /// whole time, lost, would hide for both together what changed meanwhile.
+    fn watch_wait_ms(&self) -> Millis {
         match self.knowledge.own_reads() {
-            OwnReads::Doubtful => AT_ONCE_MS,
-            OwnReads::Good if !self.role.is_follower() => WATCH_WAIT_MS,
-            OwnReads::Good | OwnReads::Failed => TROUBLED_WAIT_MS,
+            OwnReads::Doubtful | OwnReads::Failed => AT_ONCE_MS,
+            OwnReads::Good => {
+                let left_ms = self.waits.renewal_ms().minus(self.knowledge.age_ms());
+                left_ms.max(AT_ONCE_MS)
+            }
         }
     }
 
-    /// Takes what a reader tells next.
+    /// Takes what a reader tells next, or nothing when what is known grows too old.
     async fn hear(&mut self) {
-        let next = self.subscriptions.next();
-        let event = with_expiry(next, &mut self.knowledge).await;
-        self.knowledge.hear(event);
+        let left_ms = self.waits.oldest_told_ms().minus(self.knowledge.age_ms());
+        let next = tokio::time::timeout(left_ms.to_duration(), self.subscriptions.next());
+        match with_expiry(next, &mut self.knowledge).await {
+            Ok(event) => self.knowledge.hear(event),
+            Err(_) => {
+                let known_ms = self.knowledge.age_ms().0;
+                log::info!(known_ms; "what readers tell is too old");
+            }
+        }
         self.subscriptions.note_known(self.knowledge.revision());
     }
 
@@ -187,7 +186,8 @@
     /// more than a second to refuse callers for want of targets, though all were there.
     /// A node that hears readers learns of them meanwhile.
     fn next_gathering(&mut self) -> Millis {
-        let usual = self.gather_ms();
+        // Changes that come close together are fetched by one call.
+        let usual = self.waits.renewal_ms();
         if self.role.is_follower() {
             return usual;
         }
@@ -196,15 +196,6 @@
         rising.min(usual)
     }
 
-    const fn gather_ms(&self) -> Millis {
-        let percent = if self.role.is_reader() {
-            READER_GATHER_PERCENT
-        } else {
-            GATHER_PERCENT
-        };
-        Millis(self.settings.in_force_ms.0 * percent / 100)
-    }
-
     /// Draws the consequences of the targets that are known now.
     fn settle_role(&mut self) {
         self.subscriptions.note_known(self.knowledge.revision());
@@ -235,8 +226,8 @@
         self.knowledge.feed().set_standing(standing);
     }
 
-    fn note_success(&mut self) {
-        self.knowledge.note_good_read();
+    fn note_success(&mut self, age_ms: Millis) {
+        self.knowledge.note_good_read(age_ms);
         if self.failures == 0 {
             return;
         }
@@ -256,10 +247,14 @@
             let revision = self.knowledge.revision();
             log::warn!(known_ms, revision; "the source is lost: {fault}");
         }
-        let doubled = FIRST_PAUSE_MS.0 << self.failures.min(4);
+        let longest_ms = match self.role.is_follower() {
+            true => self.waits.followers_pause_ms(),
+            false => self.waits.longest_pause_ms(),
+        };
+        let doubled_ms = Millis(self.waits.first_pause_ms().0 << self.failures.min(MOST_DOUBLINGS));
         self.failures += 1;
         self.settle_standing();
-        self.pause(Millis(doubled.min(LONGEST_PAUSE_MS.0))).await;
+        self.pause(doubled_ms.min(longest_ms)).await;
     }
 
     /// Waits for half of a span or more, drawn at random.
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -3,6 +3,8 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
+use hornbeamhitch_dispatch::waits::Waits;
+
 use crate::directory::DirectoryWriter;
 use crate::feed::{ChangeFeed, FeedEvent};
 use crate::prelude::*;
@@ -13,11 +15,6 @@
 const MANY_LAPSES: usize = 3;
 const MANY_LAPSES_PART: usize = 8;
 
-/// While a reader is in trouble a removal is held for this part of the time in which a
-/// change must be in force. Readers gather changes for 30% of it, a change takes two
-/// steps from node to node, and the rest is for a link that is slow.
-const HEARSAY_GRACE_PERCENT: u64 = 40;
-
 /// What is known of this node's own way to the source.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum OwnReads {
@@ -49,8 +46,7 @@
     revision: u64,
     members_changed: bool,
     own_ip: IpAddr,
-    /// How long a removal is held while a reader is in trouble.
-    hearsay_grace_ms: Millis,
+    waits: Waits,
     own_reads: OwnReads,
     /// A lapse was told and not taken.
     has_held: bool,
@@ -62,10 +58,10 @@
         directory: DirectoryWriter,
         feed: Arc<ChangeFeed>,
         own_ip: IpAddr,
-        in_force_ms: Millis,
+        waits: Waits,
     ) -> Self {
         Self {
-            hearsay_grace_ms: Millis(in_force_ms.0 * HEARSAY_GRACE_PERCENT / 100),
+            waits,
             directory,
             feed,
             own_ip,
@@ -96,10 +92,12 @@
         self.own_reads
     }
 
-    /// The source has answered, and told all that it had published by now.
-    pub(super) fn note_good_read(&mut self) {
+    /// The source has answered, and told all that it had published so long ago.
+    pub(super) fn note_good_read(&mut self, age_ms: Millis) {
         self.own_reads = OwnReads::Good;
-        self.directory.note_as_of(self.directory.clock().now());
+        let as_of = self.directory.clock().now().minus(age_ms);
+        self.directory.note_as_of(as_of);
+        self.feed.renew(as_of);
     }
 
     /// Whether lapses were kept back.
@@ -191,6 +189,7 @@
             changes,
             revision,
             is_troubled,
+            as_of,
             ..
         } = event
         else {
@@ -198,12 +197,16 @@
         };
         if is_troubled {
             // Entries may lapse now, as if this node's own read had failed.
-            self.directory.note_distant_trouble(self.hearsay_grace_ms);
+            let hold_ms = self.waits.hearsay_hold_ms();
+            self.directory.note_distant_trouble(hold_ms);
         }
         if self.own_reads == OwnReads::Good && self.is_doubtful(&changes) {
             self.own_reads = OwnReads::Doubtful;
         }
         self.take(changes, revision);
+        // Whoever knew less than this node shows that there was no more to know then.
+        self.directory.note_as_of(as_of);
+        self.feed.note_as_of(as_of);
     }
 
     /// Whether the entry of this VM lapses, or many do together.
--- a/crates/edge/src/http1/stream.rs
+++ b/crates/edge/src/http1/stream.rs
@@ -59,6 +59,11 @@
         &self.inner
     }
 
+    /// The connection below, for setting its limits.
+    pub const fn get_mut(&mut self) -> &mut R {
+        &mut self.inner
+    }
+
     /// Waits until at least one byte of the next message is there.
     ///
     /// # Errors
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -41,10 +41,6 @@
 /// read; after that it asks whoever opens a link, and again as often.
 const ASK_FOR_FACTS_AFTER: Duration = Duration::from_millis(400);
 
-/// A subscriber hears something at least this often; it takes a longer silence
-/// for the loss of its reader.
-const TELL_AGAIN_AFTER: Duration = Duration::from_millis(250);
-
 /// A call of which something was kept back until the gate wants it.
 struct Arriving {
     head: Option<CallHead>,
@@ -134,12 +130,14 @@
         let known_to = ToEntry::KnownTo {
             revision: part.revision,
             is_troubled: part.is_troubled,
+            age_ms: part.age_ms,
         };
         if answers.send(known_to).is_err() {
             return;
         }
         // Whether the wait ends by a change or by its time makes no difference.
-        let _ = tokio::time::timeout(TELL_AGAIN_AFTER, changed.changed()).await;
+        let again = feed.tell_again_ms().to_duration();
+        let _ = tokio::time::timeout(again, changed.changed()).await;
     }
 }
 
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -13,16 +14,22 @@
 /// What a platform publishes, for reading.
 ///
 /// The platform counts its changes with one revision that only rises. Reads may
-/// be dropped before they end.
-pub trait Source: Send {
+/// be dropped before they end, and several may be in hand at once.
+///
+/// Each read fails once its answer should have begun, or gone on, `silence_ms` ago. An
+/// answer that goes on coming may take as long as the line needs for it.
+pub trait Source: Send + Sync + std::fmt::Debug {
     /// Reads everything.
-    fn read_all(&mut self) -> Reading<'_, Listing>;
+    fn read_all(&self, silence_ms: Millis) -> Reading<'_, Listing>;
 
     /// Waits until something changes after a revision; empty when nothing did
     /// for as long as `wait_ms`.
-    fn watch(&mut self, after: u64, wait_ms: Millis) -> Reading<'_, Changes>;
+    fn watch(&self, after: u64, wait_ms: Millis, silence_ms: Millis) -> Reading<'_, Changes>;
 }
 
+/// A source that several parts of a node read.
+pub type SharedSource = Arc<dyn Source>;
+
 /// Why a read brought nothing.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum SourceFault {
@@ -44,6 +51,8 @@
     pub members: Vec<Member>,
     /// Every change up to this revision is contained.
     pub revision: u64,
+    /// Time since the source began to answer.
+    pub age_ms: Millis,
 }
 
 /// Changes in their order.
@@ -53,6 +62,8 @@
     pub changes: Vec<Change>,
     /// No change up to this revision is left out.
     pub revision: u64,
+    /// Time since the source began to answer.
+    pub age_ms: Millis,
 }
 
 /// One change.
--- a/crates/routed/src/program.rs
+++ b/crates/routed/src/program.rs
@@ -80,7 +80,7 @@
     Deployment {
         config: edge_config(config),
         dialect: Arc::new(OwnDialect),
-        source: Box::new(OwnSource::new(reader, config.peer_address.port())),
+        source: Arc::new(OwnSource::new(reader, config.peer_address.port())),
         reload: Box::new(move || match Config::load(&path) {
             Ok(_) => Some(tunables()),
             Err(faults) => {
--- a/crates/routed/src/source.rs
+++ b/crates/routed/src/source.rs
@@ -1,6 +1,7 @@
 //! The text and the VM list as the source of routes and targets.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use hornbeamhitch_dispatch::prelude::*;
 use hornbeamhitch_edge::source::{Change, Changes, Fact, Listing, Reading, Source, SourceFault};
@@ -8,6 +9,7 @@
 use hornbeamhitch_text::CheckedText;
 use hornbeamhitch_types::prelude::ConfigVersion;
 use hornbeamhitch_wire::control::{ListVersion, ListedVm};
+use parking_lot::Mutex;
 
 /// Slots of a target whose service the text does not know (yet).
 const UNKNOWN_SLOTS: u32 = 1;
@@ -19,6 +21,12 @@
 #[derive(Debug)]
 pub struct OwnSource {
     reader: PlatformReader,
+    published: Mutex<Published>,
+}
+
+/// What was read last.
+#[derive(Debug)]
+struct Published {
     /// All nodes have their links at this port.
     links_port: u16,
     text: Option<CheckedText>,
@@ -33,62 +41,70 @@
     pub const fn new(reader: PlatformReader, links_port: u16) -> Self {
         Self {
             reader,
-            links_port,
-            text: None,
-            text_version: ConfigVersion(0),
-            vms: Vec::new(),
-            list_version: ListVersion(0),
+            published: Mutex::new(Published {
+                links_port,
+                text: None,
+                text_version: ConfigVersion(0),
+                vms: Vec::new(),
+                list_version: ListVersion(0),
+            }),
         }
     }
 
-    const fn revision(&self) -> u64 {
-        self.text_version.0 + self.list_version.0
-    }
-
     /// Reads both, whatever is known.
-    async fn read_both(&mut self) -> Result<Listing, SourceFault> {
+    async fn read_both(&self) -> Result<Listing, SourceFault> {
         let at_once = Millis::ZERO;
         let text = self.reader.text(ConfigVersion(0), at_once).await;
         let vms = self.reader.vms(None, ListVersion(0), at_once).await;
-        if let Some(text) = text.map_err(failed)? {
-            self.take_text(&text);
+        let (text, vms) = (text.map_err(failed)?, vms.map_err(failed)?);
+        let mut published = self.published.lock();
+        if let Some(text) = text {
+            published.take_text(&text);
         }
-        if let Some(vms) = vms.map_err(failed)? {
-            self.take_vms(vms);
+        if let Some(vms) = vms {
+            published.take_vms(vms);
         }
         Ok(Listing {
-            routes: self.routes(),
-            members: self.members().into_values().collect(),
-            revision: self.revision(),
+            routes: published.routes(),
+            members: published.members().into_values().collect(),
+            revision: published.revision(),
+            age_ms: Millis::ZERO,
         })
     }
 
     /// Waits until one of both changes.
-    async fn watch_both(&mut self, wait_ms: Millis) -> Result<Changes, SourceFault> {
-        let members = self.members();
-        let version = self.text_version;
-        match self.next(wait_ms).await.map_err(failed)? {
-            Some(Read::Text(text)) => self.take_text(&text),
-            Some(Read::Vms(vms)) => self.take_vms(vms),
+    async fn watch_both(&self, wait_ms: Millis) -> Result<Changes, SourceFault> {
+        let read = self.next(wait_ms).await.map_err(failed)?;
+        let mut published = self.published.lock();
+        let members = published.members();
+        let version = published.text_version;
+        match read {
+            Some(Read::Text(text)) => published.take_text(&text),
+            Some(Read::Vms(vms)) => published.take_vms(vms),
             None => {}
         }
         let mut facts = Vec::new();
-        if self.text_version > version {
-            facts.extend(self.routes().map(Fact::Routes));
+        if published.text_version > version {
+            facts.extend(published.routes().map(Fact::Routes));
         }
-        facts.extend(difference(&members, self.members()));
-        let revision = self.revision();
+        facts.extend(difference(&members, published.members()));
+        let revision = published.revision();
         let changes = facts.into_iter().map(|fact| Change { revision, fact });
         Ok(Changes {
             changes: changes.collect(),
             revision,
+            age_ms: Millis::ZERO,
         })
     }
 
     /// The first change of either; `None` when both waits have passed.
     async fn next(&self, wait_ms: Millis) -> eyre::Result<Option<Read>> {
-        let mut text = std::pin::pin!(self.reader.text(self.text_version, wait_ms));
-        let mut vms = std::pin::pin!(self.reader.vms(None, self.list_version, wait_ms));
+        let (text_version, list_version) = {
+            let published = self.published.lock();
+            (published.text_version, published.list_version)
+        };
+        let mut text = std::pin::pin!(self.reader.text(text_version, wait_ms));
+        let mut vms = std::pin::pin!(self.reader.vms(None, list_version, wait_ms));
         tokio::select! {
             read = &mut text => match read? {
                 Some(read) => Ok(Some(Read::Text(read))),
@@ -100,6 +116,12 @@
             },
         }
     }
+}
+
+impl Published {
+    const fn revision(&self) -> u64 {
+        self.text_version.0 + self.list_version.0
+    }
 
     /// A text with faults leaves the one before in force.
     fn take_text(&mut self, read: &PublishedText) {
@@ -165,22 +187,34 @@
 }
 
 impl Source for OwnSource {
-    fn read_all(&mut self) -> Reading<'_, Listing> {
-        Box::pin(self.read_both())
+    fn read_all(&self, silence_ms: Millis) -> Reading<'_, Listing> {
+        Box::pin(unless_silent(silence_ms.to_duration(), self.read_both()))
     }
 
-    fn watch(&mut self, after: u64, wait_ms: Millis) -> Reading<'_, Changes> {
-        Box::pin(async move {
-            if after != self.revision() {
+    fn watch(&self, after: u64, wait_ms: Millis, silence_ms: Millis) -> Reading<'_, Changes> {
+        let limit = wait_ms.to_duration() + silence_ms.to_duration();
+        Box::pin(unless_silent(limit, async move {
+            let known = self.published.lock().revision();
+            if after != known {
                 // The difference is told from what was read last, and the caller
                 // has heard of more from others.
                 return Err(SourceFault::HistoryGone);
             }
             self.watch_both(wait_ms).await
-        })
+        }))
     }
 }
 
+/// Gives a read up after this time. Texts and lists are small enough for one limit on the
+/// whole answer.
+async fn unless_silent<T>(
+    limit: Duration,
+    reading: impl Future<Output = Result<T, SourceFault>>,
+) -> Result<T, SourceFault> {
+    let read = tokio::time::timeout(limit, reading).await;
+    read.unwrap_or_else(|_| Err(SourceFault::Failed("no answer in time".to_owned())))
+}
+
 fn difference(before: &BTreeMap<TargetId, Member>, now: BTreeMap<TargetId, Member>) -> Vec<Fact> {
     let gone = before.keys().filter(|id| !now.contains_key(*id));
     let mut facts: Vec<Fact> = gone.cloned().map(Fact::Left).collect();
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -283,6 +283,8 @@
         revision: u64,
         /// The reader's own last read failed.
         is_troubled: bool,
+        /// So long ago this was all that the source had published.
+        age_ms: Millis,
     },
     /// This node is no reader, or no longer knows what came after the revision.
     NoFeed,
