Show large news in front of small ones in a failing test

Symptom: work reaches a target that left 2.6 s ago; its gate has not heard so while readers with thin lines tell each subscriber a whole configuration.

--- a/crates/edge/src/feed/tests.rs
+++ b/crates/edge/src/feed/tests.rs
@@ -1,6 +1,7 @@
 //! What a feed tells subscribers.
 
 use hornbeamhitch_dispatch::prelude::*;
+use hornbeamhitch_dispatch::routes::Destination;
 
 use super::*;
 use crate::source::Fact;
@@ -80,3 +81,44 @@
     feed.append(&[], 13);
     assert!(subscriber.has_changed().expect("an open feed"));
 }
+
+/// Work reaches a target that said 2.6 s ago that it leaves. Its gate had not heard so:
+/// readers with thin lines were telling each of their subscribers a configuration of
+/// thousands of routes, for seconds, and what was told after it waited behind it.
+#[test]
+fn what_a_subscriber_is_told_of_one_change_is_short() {
+    /// A reader tells some 48 subscribers. So much to each of them is 0.3 s of a line of
+    /// 10 Mbit/s, a tenth of the least time in which changes must be in force.
+    const MOST_BYTES: usize = 8 * 1024;
+    let mut routes = RouteSet::new(7, CallerLimits::default());
+    for number in 0..4_000 {
+        routes.add("h", route(number));
+    }
+    let written = Change {
+        revision: 11,
+        fact: Fact::Routes(routes),
+    };
+    let feed = open_feed();
+    feed.append(&[written, left(12)], 12);
+    let part = feed.after(10).expect("an open feed");
+    assert_eq!(part.revision, 12);
+    for change in &part.changes {
+        assert!(change.len() <= MOST_BYTES, "{} bytes", change.len());
+    }
+}
+
+fn route(number: usize) -> Route {
+    Route {
+        name: format!("route-{number}"),
+        prefix: format!("/prefix-{number}/"),
+        kind: CallKind::Idempotent,
+        objective_ms: Millis(500),
+        priority: 1,
+        destinations: vec![Destination {
+            service: ServiceName::new("s"),
+            weight: 1,
+        }],
+        timeout_ms: Millis(2_000),
+        max_attempts: 2,
+    }
+}
