Tell a large configuration by its name, and read it beside everything else

Work reached a target 2.6 s after it had said that it leaves.

Cause: readers told each of some fifteen subscribers the whole configuration, 4,200 routes. Their lines of 10 Mbit/s were full for two seconds, their words late, and the departure that came after waited; their subscribers took them for lost, and read 1.2 MB each themselves.

Change: a change of more than 8 KiB is told by its name; who hears it reads the configuration alone, once, and hears what else is told meanwhile. The facts for a node that knows nothing are not sent when no frame can carry them: the frame's fault would end the link with all its calls.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -39,6 +39,9 @@
     }
 }
 
+/// Largest facts that are told: a frame without room for the message around them.
+const MAX_FACTS_BYTES: usize = hornbeamhitch_wire::link::MAX_FRAME_BYTES - 1024;
+
 /// What one node tells another that knows nothing.
 #[derive(Serialize, Deserialize)]
 struct Facts {
@@ -47,7 +50,9 @@
 }
 
 impl Directory {
-    /// What is known, for a node that knows nothing; `None` without routes.
+    /// What is known, for a node that knows nothing; `None` without routes, or when it is
+    /// more than one frame carries: a frame that cannot be sent would end the link with
+    /// all calls on it.
     #[must_use]
     pub fn to_facts(&self) -> Option<Bytes> {
         let facts = Facts {
@@ -59,6 +64,10 @@
                 .collect(),
         };
         match postcard::to_stdvec(&facts) {
+            Ok(encoded) if encoded.len() > MAX_FACTS_BYTES => {
+                log::warn!("{} bytes of facts are too large to be told", encoded.len());
+                None
+            }
             Ok(encoded) => Some(Bytes::from(encoded)),
             Err(error) => {
                 log::error!("facts cannot be written: {error}");
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 
 use crate::prelude::*;
-use crate::source::Change;
+use crate::source::{Change, Fact};
 
 pub use subscriptions::{FeedEvent, Subscriptions};
 
@@ -24,6 +24,13 @@
 /// itself; at a few changes a second this is minutes.
 const KEPT_CHANGES: usize = 1_024;
 
+/// A larger change is told by its name alone. A reader tells some 48 subscribers: so much
+/// to each is 0.3 s of a line of 10 Mbit/s.
+///
+/// Failure answered: readers tell a configuration of thousands of routes, their lines are
+/// full for seconds, and each departure that comes after it waits behind it.
+const MAX_TOLD_BYTES: usize = 8 * 1024;
+
 /// Whether a node's feed can be subscribed to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
@@ -168,8 +175,8 @@
 
 impl State {
     fn keep(&mut self, change: &Change) {
-        let encoded = match postcard::to_stdvec(change) {
-            Ok(encoded) => Bytes::from(encoded),
+        let encoded = match encode(change) {
+            Ok(encoded) => encoded,
             Err(error) => {
                 log::error!("a change cannot be written for other nodes: {error}");
                 // Nobody may be told that everything is known without it.
@@ -189,3 +196,19 @@
         }
     }
 }
+
+/// What subscribers are told of a change.
+fn encode(change: &Change) -> postcard::Result<Bytes> {
+    let encoded = postcard::to_stdvec(change)?;
+    let Fact::Routes(routes) = &change.fact else {
+        return Ok(encoded.into());
+    };
+    if encoded.len() <= MAX_TOLD_BYTES {
+        return Ok(encoded.into());
+    }
+    let named = Change {
+        revision: change.revision,
+        fact: Fact::LargeRoutes(routes.version()),
+    };
+    postcard::to_stdvec(&named).map(Bytes::from)
+}
--- a/crates/edge/src/feed/subscriptions.rs
+++ b/crates/edge/src/feed/subscriptions.rs
@@ -39,6 +39,8 @@
         /// the word was on its way.
         as_of: Millis,
     },
+    /// This node has read a configuration that its readers could not tell.
+    Read(RouteSet),
     /// The reader tells nothing for now.
     Lost {
         /// The reader.
@@ -93,6 +95,11 @@
         }
     }
 
+    /// Where this node's own reads are put in beside what readers tell.
+    pub fn beside(&self) -> mpsc::UnboundedSender<FeedEvent> {
+        self.told.clone()
+    }
+
     /// Everything up to this revision is known here.
     pub fn note_known(&self, revision: u64) {
         self.known.store(revision, Ordering::Release);
@@ -137,6 +144,7 @@
                 ..
             } => (reader, !is_troubled),
             FeedEvent::Lost { reader } => (reader, false),
+            FeedEvent::Read(_) => return event,
         };
         if let Some(subscription) = self.readers.get_mut(reader) {
             subscription.is_sound = is_sound;
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -2,6 +2,7 @@
 //! thread: reads the source, or hears nodes that do.
 
 mod knowledge;
+mod large_routes;
 
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 use crate::prelude::*;
 use crate::source::{SharedSource, SourceFault};
 use knowledge::{Knowledge, OwnReads};
+use large_routes::LargeRoutes;
 
 /// A watch that is to be answered at once.
 const AT_ONCE_MS: Millis = Millis(1);
@@ -51,10 +53,12 @@
 ) {
     let waits = Waits::new(settings.in_force_ms);
     let clock = directory.clock();
+    let subscriptions = Subscriptions::new(settings.gate_port, waits, clock);
+    let large_routes = LargeRoutes::start(Arc::clone(&source), waits, subscriptions.beside());
     let mut following = Following {
         source,
-        knowledge: Knowledge::new(directory, feed, settings.own_ip, waits),
-        subscriptions: Subscriptions::new(settings.gate_port, waits, clock),
+        knowledge: Knowledge::new(directory, feed, large_routes, settings.own_ip, waits),
+        subscriptions,
         waits,
         role: Role::Alone,
         settings,
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -5,6 +5,7 @@
 
 use hornbeamhitch_dispatch::waits::Waits;
 
+use super::large_routes::LargeRoutes;
 use crate::directory::DirectoryWriter;
 use crate::feed::{ChangeFeed, FeedEvent};
 use crate::prelude::*;
@@ -43,6 +44,7 @@
 pub(super) struct Knowledge {
     directory: DirectoryWriter,
     feed: Arc<ChangeFeed>,
+    large_routes: LargeRoutes,
     revision: u64,
     members_changed: bool,
     own_ip: IpAddr,
@@ -57,6 +59,7 @@
     pub(super) const fn new(
         directory: DirectoryWriter,
         feed: Arc<ChangeFeed>,
+        large_routes: LargeRoutes,
         own_ip: IpAddr,
         waits: Waits,
     ) -> Self {
@@ -64,6 +67,7 @@
             waits,
             directory,
             feed,
+            large_routes,
             own_ip,
             own_reads: OwnReads::Good,
             has_held: false,
@@ -157,6 +161,10 @@
         for change in changes {
             match change.fact {
                 Fact::Routes(written) => routes.push(written),
+                Fact::LargeRoutes(version) if Some(version) > self.directory.version() => {
+                    self.large_routes.want(version);
+                }
+                Fact::LargeRoutes(_) => {}
                 Fact::Listed(member) => {
                     self.directory.upsert(member);
                     members_changed = true;
@@ -183,17 +191,18 @@
         }
     }
 
-    /// Takes what a reader told.
+    /// Takes what a reader told, or what was read because of it.
     pub(super) fn hear(&mut self, event: FeedEvent) {
-        let FeedEvent::Known {
-            changes,
-            revision,
-            is_troubled,
-            as_of,
-            ..
-        } = event
-        else {
-            return;
+        let (changes, revision, is_troubled, as_of) = match event {
+            FeedEvent::Known {
+                changes,
+                revision,
+                is_troubled,
+                as_of,
+                ..
+            } => (changes, revision, is_troubled, as_of),
+            FeedEvent::Read(routes) => return self.directory.set_routes(routes),
+            FeedEvent::Lost { .. } => return,
         };
         if is_troubled {
             // Entries may lapse now, as if this node's own read had failed.
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -25,6 +25,9 @@
     /// Waits until something changes after a revision; empty when nothing did
     /// for as long as `wait_ms`.
     fn watch(&self, after: u64, wait_ms: Millis, silence_ms: Millis) -> Reading<'_, Changes>;
+
+    /// Reads the configuration alone; `None` when there is none that can be used.
+    fn read_routes(&self, silence_ms: Millis) -> Reading<'_, Option<RouteSet>>;
 }
 
 /// A source that several parts of a node read.
@@ -80,6 +83,9 @@
 pub enum Fact {
     /// A configuration was written.
     Routes(RouteSet),
+    /// A configuration of this version was written. It is too large to be told from node
+    /// to node; who hears of it reads it from the source.
+    LargeRoutes(u64),
     /// A target's entry was written.
     Listed(Member),
     /// A target's entry was removed.
--- a/crates/edge/tests/all/following.rs
+++ b/crates/edge/tests/all/following.rs
@@ -5,8 +5,8 @@
 use hornbeamhitch_edge::source::Fact;
 
 use crate::support::follower::{Follower, followers, unlisted};
-use crate::support::member;
 use crate::support::source::{Mood, version_fact};
+use crate::support::{member, route};
 
 /// More than everyone reads for itself at.
 const NODES: usize = 12;
@@ -228,3 +228,30 @@
         }
     }
 }
+
+/// A configuration is too large to be told by readers on thin lines. They tell that it is
+/// there, and what changes after it; each other node reads it once for itself.
+#[tokio::test]
+async fn a_large_configuration_is_read_by_each_node_once() {
+    let followers = followers(NODES).await;
+    let before = followers.calls();
+    let version = followers.version() + 1;
+    followers.published.put(large(version));
+    followers.until_version(version).await;
+    let others = NODES as u64 - READERS;
+    assert!(followers.calls() - before >= others);
+    for node in followers.nodes.iter().filter(|node| !node.reads()) {
+        assert_eq!(node.source.reads_of_routes(), 1, "{}", node.ip);
+    }
+}
+
+/// A configuration of four thousand routes.
+fn large(version: u64) -> Fact {
+    let mut routes = RouteSet::new(version, CallerLimits::default());
+    routes.set_health_path(ServiceName::new("s"), "/health");
+    for number in 0..4_000 {
+        let prefix = format!("/large-{number}/");
+        routes.add("h", route("large", &prefix, CallKind::Idempotent, "s", 500));
+    }
+    Fact::Routes(routes)
+}
--- a/crates/edge/tests/all/support/source.rs
+++ b/crates/edge/tests/all/support/source.rs
@@ -91,6 +91,7 @@
             mood: watch::channel(Mood::Calm).0.into(),
             calls: Arc::default(),
             last_wait_ms: Arc::default(),
+            reads_of_routes: Arc::default(),
         }
     }
 }
@@ -106,6 +107,7 @@
     fn put(&mut self, fact: Fact) {
         match &fact {
             Fact::Routes(routes) => self.routes = Some(routes.clone()),
+            Fact::LargeRoutes(_) => panic!("only nodes tell each other so"),
             Fact::Listed(member) => {
                 self.members.insert(member.id.clone(), member.clone());
             }
@@ -127,6 +129,7 @@
     calls: Arc<AtomicU64>,
     /// How long the last watch was to wait.
     last_wait_ms: Arc<AtomicU64>,
+    reads_of_routes: Arc<AtomicU64>,
 }
 
 impl TestSource {
@@ -138,6 +141,11 @@
         self.calls.load(Ordering::Relaxed)
     }
 
+    /// How often the configuration alone was read.
+    pub fn reads_of_routes(&self) -> u64 {
+        self.reads_of_routes.load(Ordering::Relaxed)
+    }
+
     pub fn last_wait_ms(&self) -> Millis {
         Millis(self.last_wait_ms.load(Ordering::Relaxed))
     }
@@ -239,4 +247,12 @@
             waited.unwrap_or_else(|_| self.after(after))
         }))
     }
+
+    fn read_routes(&self, silence_ms: Millis) -> Reading<'_, Option<RouteSet>> {
+        self.reads_of_routes.fetch_add(1, Ordering::Relaxed);
+        Box::pin(self.unless_lost(false, silence_ms, async {
+            self.call().await?;
+            Ok(self.published.state.lock().routes.clone())
+        }))
+    }
 }
--- a/crates/routed/src/source.rs
+++ b/crates/routed/src/source.rs
@@ -126,11 +126,8 @@
     /// A text with faults leaves the one before in force.
     fn take_text(&mut self, read: &PublishedText) {
         self.text_version = read.version;
-        match hornbeamhitch_text::check(&read.text) {
-            Ok(checked) => self.text = Some(checked),
-            Err(faults) => {
-                log::error!(version = read.version.0; "the text cannot be used: {faults}");
-            }
+        if let Some(checked) = check(read) {
+            self.text = Some(checked);
         }
     }
 
@@ -203,6 +200,30 @@
             self.watch_both(wait_ms).await
         }))
     }
+
+    fn read_routes(&self, silence_ms: Millis) -> Reading<'_, Option<RouteSet>> {
+        Box::pin(unless_silent(silence_ms.to_duration(), async move {
+            let read = self.reader.text(ConfigVersion(0), Millis::ZERO).await;
+            Ok(read.map_err(failed)?.as_ref().and_then(route_set))
+        }))
+    }
+}
+
+/// The routes of a text; `None` for one with faults.
+fn route_set(read: &PublishedText) -> Option<RouteSet> {
+    let checked = check(read)?;
+    Some(checked.route_set(read.version.0))
+}
+
+/// Checks a text; `None` for one with faults, which are written down.
+fn check(read: &PublishedText) -> Option<CheckedText> {
+    match hornbeamhitch_text::check(&read.text) {
+        Ok(checked) => Some(checked),
+        Err(faults) => {
+            log::error!(version = read.version.0; "the text cannot be used: {faults}");
+            None
+        }
+    }
 }
 
 /// Gives a read up after this time. Texts and lists are small enough for one limit on the
