Let a gate look up for itself whether its own target leaves

Work reached a target 2.6 s after it had said that it leaves, through the gate beside it.

Cause: the gate knew of its own target only what came from afar, by readers, though it asks the target's health before each start and was told that it is not well.

A busy target, which tells its speed with its answers, is asked for its health every 10% of that time. A health check alone decides nothing: it may be wrong for seconds.

--- /dev/null
+++ b/crates/dispatch/src/departure.rs
@@ -0,0 +1,104 @@
+//! What a gate learns of its own target's leaving, beside what it hears of the list.
+//!
+//! The gate asks the target's health before it starts calls. A target that is not well is
+//! ill, or leaves, or its health check is wrong; its entry in the list tells which. So the
+//! gate looks the entry up for itself while the target says so, and refuses its work from
+//! then on.
+//!
+//! Failure answered: a target says that it leaves, and the gate beside it goes on giving it
+//! work, because the word has to come from afar, where a reader has ended or large news are
+//! on the way. Nothing reaches a target but through its gate, so the gate's own knowledge
+//! is enough.
+
+use crate::prelude::*;
+use crate::waits::Waits;
+
+#[cfg(test)]
+mod tests;
+
+/// What the list says of a target, looked up by its id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Standing {
+    /// It takes work.
+    Open,
+    /// It said that it leaves.
+    Draining,
+    /// It is not listed: it left without a word, or its entry has lapsed.
+    Unlisted,
+}
+
+/// Whether a gate's target leaves.
+#[derive(Debug)]
+pub struct Departure {
+    waits: Waits,
+    /// When the target was last asked for its health.
+    asked_at: Option<Millis>,
+    is_unwell: bool,
+    /// When its entry was last looked up.
+    looked_up_at: Option<Millis>,
+    /// The target that is not to get work, and why.
+    left: Option<(TargetId, Standing)>,
+}
+
+impl Departure {
+    /// Of a target of which nothing is known.
+    #[must_use]
+    pub const fn new(waits: Waits) -> Self {
+        Self {
+            waits,
+            asked_at: None,
+            is_unwell: false,
+            looked_up_at: None,
+            left: None,
+        }
+    }
+
+    /// Whether the target has to be asked for its health before a call starts. A target
+    /// that is always busy tells its speed with its answers, and would never be asked.
+    #[must_use]
+    pub fn health_is_due(&self, now: Millis) -> bool {
+        let asked_at = self.asked_at;
+        asked_at.is_none_or(|at| now.since(at) >= self.waits.own_health_ms())
+    }
+
+    /// The target was asked for its health, and this is the last that it said.
+    pub const fn note_health(&mut self, is_unwell: bool, now: Millis) {
+        self.asked_at = Some(now);
+        self.is_unwell = is_unwell;
+    }
+
+    /// Whether the target's entry has to be looked up now; it counts as looked up then.
+    ///
+    /// Also while it is not listed: an entry that lapsed comes back.
+    #[must_use]
+    pub fn take_look_up(&mut self, now: Millis) -> bool {
+        let is_unlisted = matches!(self.left, Some((_, Standing::Unlisted)));
+        if !self.is_unwell && !is_unlisted {
+            return false;
+        }
+        let known = self.looked_up_at;
+        if known.is_some_and(|at| now.since(at) < self.waits.own_entry_ms()) {
+            return false;
+        }
+        self.looked_up_at = Some(now);
+        true
+    }
+
+    /// What the list says of the target; true when that changes whether it gets work.
+    pub fn note_entry(&mut self, id: &TargetId, standing: Standing) -> bool {
+        let had_left = self.has_left(id);
+        self.left = match standing {
+            Standing::Open => None,
+            Standing::Draining | Standing::Unlisted => Some((id.clone(), standing)),
+        };
+        had_left != self.has_left(id)
+    }
+
+    /// Whether this target is not to get work.
+    #[must_use]
+    pub fn has_left(&self, id: &TargetId) -> bool {
+        let left = self.left.as_ref();
+        left.is_some_and(|(known, _)| known == id)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/departure/tests.rs
@@ -0,0 +1,90 @@
+//! What a gate makes of its target's health and of its entry.
+
+use super::*;
+
+const IN_FORCE_MS: Millis = Millis(2_000);
+
+fn departure() -> Departure {
+    Departure::new(Waits::new(IN_FORCE_MS))
+}
+
+fn target() -> TargetId {
+    TargetId::new("i-1")
+}
+
+/// Health checks may be wrong for seconds. A target whose entry is good goes on getting
+/// work, and its entry is looked up a few times only: each time costs a call.
+#[test]
+fn a_target_whose_health_check_is_wrong_keeps_its_work() {
+    let mut departure = departure();
+    let mut look_ups = 0;
+    for now in (0..6_000).step_by(10).map(Millis) {
+        departure.note_health(true, now);
+        if departure.take_look_up(now) {
+            look_ups += 1;
+            departure.note_entry(&target(), Standing::Open);
+        }
+        assert!(!departure.has_left(&target()));
+    }
+    assert_eq!(look_ups, 8);
+}
+
+/// A target is ill, and leaves at any time after that. Its gate looks the entry up often
+/// enough to know in time, whenever that is.
+#[test]
+fn a_target_that_leaves_while_it_is_ill_is_known_to_leave_in_time() {
+    for leaves_at in (0..3_000).step_by(10).map(Millis) {
+        let mut departure = departure();
+        let mut known_at = None;
+        for now in (0..6_000).step_by(10).map(Millis) {
+            departure.note_health(true, now);
+            if !departure.take_look_up(now) {
+                continue;
+            }
+            let standing = match now >= leaves_at {
+                true => Standing::Draining,
+                false => Standing::Open,
+            };
+            if departure.note_entry(&target(), standing) {
+                known_at.get_or_insert(now);
+            }
+        }
+        let known_at = known_at.expect("it is looked up again");
+        assert!(known_at.since(leaves_at) < IN_FORCE_MS, "{leaves_at}");
+        assert!(departure.has_left(&target()));
+    }
+}
+
+/// The entry of an ill target has lapsed, and is back two seconds later. No call starts
+/// meanwhile, so nobody asks the target's health; it must get work again all the same.
+#[test]
+fn a_target_whose_entry_lapsed_is_back_with_it() {
+    let mut departure = departure();
+    departure.note_health(true, Millis(10));
+    assert!(departure.take_look_up(Millis(10)));
+    assert!(departure.note_entry(&target(), Standing::Unlisted));
+    assert!(departure.has_left(&target()));
+    assert!(!departure.take_look_up(Millis(20)));
+    assert!(departure.take_look_up(Millis(2_010)));
+    assert!(departure.note_entry(&target(), Standing::Open));
+    assert!(!departure.has_left(&target()));
+}
+
+/// What is known of one target is not held against the next at its address.
+#[test]
+fn another_target_gets_work() {
+    let mut departure = departure();
+    departure.note_entry(&target(), Standing::Draining);
+    assert!(!departure.has_left(&TargetId::new("i-2")));
+}
+
+/// A target that is always busy is asked for its health all the same.
+#[test]
+fn health_is_asked_for_again() {
+    let mut departure = departure();
+    assert!(departure.health_is_due(Millis(0)));
+    departure.note_health(false, Millis(0));
+    assert!(!departure.health_is_due(Millis(100)));
+    assert!(departure.health_is_due(Millis(300)));
+    assert!(!departure.take_look_up(Millis(300)));
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod contention;
+pub mod departure;
 pub mod failures;
 pub mod knee;
 pub mod members;
--- a/crates/dispatch/src/waits.rs
+++ b/crates/dispatch/src/waits.rs
@@ -22,6 +22,8 @@
 const TELL_AGAIN: u64 = 12;
 const READER_SILENCE: u64 = 40;
 const HEARSAY_HOLD: u64 = 40;
+const OWN_HEALTH: u64 = 10;
+const OWN_ENTRY: u64 = 40;
 const WHOLE: u64 = 100;
 
 /// A read that is lost as it begins: its end, a pause, and the read that replaces it.
@@ -36,6 +38,8 @@
 const _: () = assert!(READER_SILENCE + LOST_READERS_PAUSE + SILENCE < WHOLE);
 /// A removal that a reader tells in trouble: the read, two tellings, the hold.
 const _: () = assert!(RENEWAL + 2 * TELL_AGAIN + HEARSAY_HOLD < WHOLE);
+/// A gate's own target that leaves just after its entry was looked up.
+const _: () = assert!(OWN_HEALTH + OWN_ENTRY + SILENCE < WHOLE);
 /// In calm times readers tell before anybody takes them for lost.
 const _: () = assert!(RENEWAL + TELL_AGAIN < OLDEST_TOLD);
 
@@ -120,6 +124,18 @@
         self.share(HEARSAY_HOLD)
     }
 
+    /// A gate asks its target's health at least this often while it starts calls.
+    #[must_use]
+    pub const fn own_health_ms(&self) -> Millis {
+        self.share(OWN_HEALTH)
+    }
+
+    /// A gate looks its target's entry up this often while the target is not well.
+    #[must_use]
+    pub const fn own_entry_ms(&self) -> Millis {
+        self.share(OWN_ENTRY)
+    }
+
     const fn share(&self, percent: u64) -> Millis {
         Millis(self.in_force_ms.0 * percent / WHOLE)
     }
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -133,7 +133,7 @@
         in_force_ms: config.in_force_ms,
     };
     start_control(following::follow(
-        source,
+        Arc::clone(&source),
         writer,
         Arc::clone(&feed),
         settings,
@@ -148,6 +148,8 @@
         listed_address: config.listed_address,
         suspicion: Arc::clone(&suspicion),
         metrics: Arc::clone(&metrics),
+        source,
+        waits,
     }));
     let entry = Arc::new(Entry::new(EntryParts {
         service: config.service.clone(),
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -1,5 +1,6 @@
 //! The gate: starts calls in this VM's target, one copy of each at most.
 
+mod departure;
 mod lives;
 mod places;
 mod records;
@@ -12,11 +13,14 @@
 use std::time::Duration;
 
 use hornbeamhitch_dispatch::admission::{Admission, GateCall, Place, Refused, Verdict};
+use hornbeamhitch_dispatch::departure::Departure;
+use hornbeamhitch_dispatch::waits::Waits;
 use hornbeamhitch_node::metrics::{GateLevels, Metrics};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
 use crate::prelude::*;
+use crate::source::SharedSource;
 use crate::suspicion::Suspicion;
 use crate::target::TargetClient;
 use places::{InLine, Slot};
@@ -44,6 +48,10 @@
     pub suspicion: Arc<Suspicion>,
     /// Counts and histograms.
     pub metrics: Arc<Metrics>,
+    /// Where the target's entry is looked up.
+    pub source: SharedSource,
+    /// How long what may take.
+    pub waits: Waits,
 }
 
 /// The gate of this VM's target.
@@ -61,6 +69,9 @@
     speed: SpeedProbe,
     suspicion: Arc<Suspicion>,
     metrics: Arc<Metrics>,
+    source: SharedSource,
+    waits: Waits,
+    departure: Mutex<Departure>,
 }
 
 #[derive(Debug, Default)]
@@ -99,6 +110,9 @@
             speed: SpeedProbe::default(),
             suspicion: parts.suspicion,
             metrics: parts.metrics,
+            source: parts.source,
+            waits: parts.waits,
+            departure: Mutex::new(Departure::new(parts.waits)),
         }
     }
 
@@ -161,7 +175,12 @@
         });
     }
 
-    async fn serve(&self, request: GateRequest, sink: &EventSink, mut left: watch::Receiver<()>) {
+    async fn serve(
+        self: &Arc<Self>,
+        request: GateRequest,
+        sink: &EventSink,
+        mut left: watch::Receiver<()>,
+    ) {
         let GateRequest { terms, content } = request;
         let arrived = self.clock.now();
         let call = GateCall {
@@ -266,7 +285,7 @@
     /// Waits until the call may start, and starts it. Returns how slow the
     /// target was.
     async fn admit(
-        &self,
+        self: &Arc<Self>,
         call: &GateCall,
         in_line: &mut InLine<'_>,
         terms: &CallTerms,
@@ -286,6 +305,9 @@
             let now = self.clock.now();
             let verdict = self.state.lock().admission.decide(place, call, now);
             match verdict {
+                Verdict::Start if self.departure.lock().health_is_due(now) => {
+                    self.read_speed().await;
+                }
                 Verdict::Start => return Ok(self.take_slot(in_line, now)),
                 Verdict::Refuse(refused) => return Err(end_of(refused)),
                 Verdict::ReadSpeed => self.read_speed().await,
@@ -335,7 +357,7 @@
         self.state.lock().records.start(terms.key, deadline_at, now)
     }
 
-    async fn read_speed(&self) {
+    async fn read_speed(self: &Arc<Self>) {
         let directory = self.directory.load();
         let routes = directory.routes.as_ref();
         let path = routes.and_then(|routes| routes.health_path(&self.service));
@@ -346,6 +368,7 @@
         for _ in 0..self.speed.take_sent() {
             self.metrics.probe_sent(self.service.as_str());
         }
+        self.note_health();
         let mut state = self.state.lock();
         match reading {
             Ok(reading) => state.admission.note_speed(reading),
--- a/crates/edge/src/gate/lives.rs
+++ b/crates/edge/src/gate/lives.rs
@@ -1,5 +1,7 @@
 //! Which life of the target this is, and which it no longer is.
 
+use std::sync::Arc;
+
 use super::{Gate, GateState};
 use crate::prelude::*;
 
@@ -27,9 +29,13 @@
     /// Failure answered: a target that has left the list, or drains, gets work
     /// from entries that have not heard of it. The gate reads the list too, and
     /// nothing reaches the target but through it.
-    pub(super) fn takes_no_more(&self, terms: &CallTerms) -> bool {
+    pub(super) fn takes_no_more(self: &Arc<Self>, terms: &CallTerms) -> bool {
         let directory = self.directory.load();
         let id = TargetId::new(&terms.target_id);
+        if self.departure.lock().has_left(&id) {
+            self.look_up_when_due();
+            return true;
+        }
         let Some(member) = directory.members.get(&id) else {
             let unlisted = Life { id, born_ms: None };
             return directory.members.has_left(&unlisted.id) || self.has_ended(&unlisted);
--- a/crates/edge/src/gate/speed.rs
+++ b/crates/edge/src/gate/speed.rs
@@ -90,6 +90,11 @@
         self.sent.swap(0, Ordering::Relaxed)
     }
 
+    /// Whether the target last said that it is not well.
+    pub(super) fn is_unwell(&self) -> bool {
+        self.is_unwell.load(Ordering::Relaxed)
+    }
+
     /// Writes down when the target begins or ends to say that it is not well. Callers
     /// then see it ill, or about to leave; its entry in the list tells which.
     fn note_health(&self, status: u16) {
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -26,6 +26,13 @@
     /// for as long as `wait_ms`.
     fn watch(&self, after: u64, wait_ms: Millis, silence_ms: Millis) -> Reading<'_, Changes>;
 
+    /// Reads the entry of one target; `None` when it is not listed.
+    fn read_target<'a>(
+        &'a self,
+        id: &'a TargetId,
+        silence_ms: Millis,
+    ) -> Reading<'a, Option<Member>>;
+
     /// Reads the configuration alone; `None` when there is none that can be used.
     fn read_routes(&self, silence_ms: Millis) -> Reading<'_, Option<RouteSet>>;
 }
--- a/crates/edge/tests/all/links.rs
+++ b/crates/edge/tests/all/links.rs
@@ -196,7 +196,15 @@
     let target = FakeTarget::start(ip, "life-9").await;
     let unknowing: SharedDirectory = Arc::default();
     let address = target.address;
-    let vm = start_vm("s", target, links, &unknowing, fleet.gate_port).await;
+    let vm = start_vm(
+        "s",
+        target,
+        links,
+        &unknowing,
+        &fleet.source,
+        fleet.gate_port,
+    )
+    .await;
     assert_eq!(
         ask(vm.callers, "GET", "/read/x", "id-1").await.status(),
         503
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -24,6 +24,7 @@
 use hornbeamhitch_edge::gate::{Gate, GateParts};
 use hornbeamhitch_edge::link::LinkServer;
 use hornbeamhitch_edge::prelude::*;
+use hornbeamhitch_edge::source::Fact;
 use hornbeamhitch_edge::suspicion::Suspicion;
 use hornbeamhitch_edge::target::TargetClient;
 use hornbeamhitch_node::metrics::Metrics;
@@ -87,6 +88,7 @@
 pub struct Fleet {
     pub vms: Vec<Vm>,
     pub directory: SharedDirectory,
+    pub source: TestSource,
     pub gate_port: u16,
 }
 
@@ -94,18 +96,24 @@
 pub async fn fleet(services: &[&str]) -> Fleet {
     let directory: SharedDirectory = Arc::new(ArcSwap::from_pointee(Directory::default()));
     let (gate_port, mut listeners) = same_port(services.len()).await;
+    // Gates alone read it: tests of fleets set what all their nodes know.
+    let published = Published::new();
+    let source = published.source();
     let mut vms = Vec::new();
     let mut members = Vec::new();
     for (number, service) in services.iter().enumerate() {
         let (ip, listener) = listeners.remove(0);
         let target = FakeTarget::start(ip, &format!("life-{number}")).await;
-        members.push(member(number, service, target.address));
-        vms.push(start_vm(service, target, listener, &directory, gate_port).await);
+        let member = member(number, service, target.address);
+        published.put(Fact::Listed(member.clone()));
+        members.push(member);
+        vms.push(start_vm(service, target, listener, &directory, &source, gate_port).await);
     }
     set_directory(&directory, services[0], members);
     Fleet {
         vms,
         directory,
+        source,
         gate_port,
     }
 }
@@ -208,6 +216,7 @@
     target: FakeTarget,
     links: TcpListener,
     directory: &SharedDirectory,
+    source: &TestSource,
     gate_port: u16,
 ) -> Vm {
     let clock = ProcessClock::start();
@@ -226,6 +235,8 @@
         listed_address: target.address,
         suspicion: Arc::clone(&suspicion),
         metrics: Arc::clone(&metrics),
+        source: Arc::new(source.clone()),
+        waits: Waits::new(IN_FORCE_MS),
     };
     let feed = ChangeFeed::new(clock, Waits::new(IN_FORCE_MS));
     let server = link_server(parts, Arc::new(feed));
@@ -288,6 +299,6 @@
     let writer = DirectoryWriter::new(Arc::clone(&directory), clock);
     let feed = Arc::new(ChangeFeed::new(clock, Waits::new(IN_FORCE_MS)));
     tokio::spawn(follow(Arc::new(source.clone()), writer, feed, settings));
-    let vm = start_vm("s", target, links, &directory, gate_port).await;
+    let vm = start_vm("s", target, links, &directory, &source, gate_port).await;
     (vm, source)
 }
--- a/crates/edge/tests/all/support/follower.rs
+++ b/crates/edge/tests/all/support/follower.rs
@@ -134,6 +134,7 @@
         in_force_ms: Millis,
     ) -> Self {
         let clock = ProcessClock::start();
+        let source = published.source();
         let directory: SharedDirectory = Arc::new(ArcSwap::from_pointee(Directory::default()));
         let feed = Arc::new(ChangeFeed::new(clock, Waits::new(in_force_ms)));
         let target_address = SocketAddr::new(ip, port);
@@ -149,9 +150,10 @@
             listed_address: target_address,
             suspicion: Arc::new(Suspicion::new(clock)),
             metrics: Arc::new(metrics.expect("metrics")),
+            source: Arc::new(source.clone()),
+            waits: Waits::new(in_force_ms),
         };
         let server = link_server(parts, Arc::clone(&feed));
-        let source = published.source();
         let settings = FollowSettings {
             own_ip: ip,
             data_centre: DataCentre::new(DATA_CENTRE),
--- a/crates/edge/tests/all/support/source.rs
+++ b/crates/edge/tests/all/support/source.rs
@@ -248,6 +248,17 @@
         }))
     }
 
+    fn read_target<'a>(
+        &'a self,
+        id: &'a TargetId,
+        silence_ms: Millis,
+    ) -> Reading<'a, Option<Member>> {
+        Box::pin(self.unless_lost(false, silence_ms, async {
+            self.call().await?;
+            Ok(self.published.state.lock().members.get(id).cloned())
+        }))
+    }
+
     fn read_routes(&self, silence_ms: Millis) -> Reading<'_, Option<RouteSet>> {
         self.reads_of_routes.fetch_add(1, Ordering::Relaxed);
         Box::pin(self.unless_lost(false, silence_ms, async {
--- a/crates/routed/src/source.rs
+++ b/crates/routed/src/source.rs
@@ -201,6 +201,22 @@
         }))
     }
 
+    fn read_target<'a>(
+        &'a self,
+        id: &'a TargetId,
+        silence_ms: Millis,
+    ) -> Reading<'a, Option<Member>> {
+        Box::pin(unless_silent(silence_ms.to_duration(), async move {
+            let read = self.reader.vms(None, ListVersion(0), Millis::ZERO).await;
+            let Some(read) = read.map_err(failed)? else {
+                return Ok(None);
+            };
+            let published = self.published.lock();
+            let vm = read.vms.iter().find(|vm| vm.vm.as_str() == id.as_str());
+            Ok(vm.map(|vm| published.member(vm)))
+        }))
+    }
+
     fn read_routes(&self, silence_ms: Millis) -> Reading<'_, Option<RouteSet>> {
         Box::pin(unless_silent(silence_ms.to_duration(), async move {
             let read = self.reader.text(ConfigVersion(0), Millis::ZERO).await;
