Prove in virtual time that nothing grows older than it may be

The following runs without sockets now: feeds of other nodes are reached through a trait object. Ten nodes in three data centres follow a store in virtual time, while two of ten faults begin at each of fourteen moments of the chain (1,400 cases), or three overlap in 400 drawn cases, the same in each run: a store that is silent, refuses, loses watches or drops its history, one that turns a reader away, readers that freeze, end and start again, a node that starts meanwhile.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -3,18 +3,24 @@
 //! A reader's control thread appends to its [`ChangeFeed`]; the link server
 //! answers subscriptions from it. The other side is [`Subscriptions`].
 
+mod links;
 mod subscriptions;
 
 use std::collections::VecDeque;
 
 use bytes::Bytes;
 use hornbeamhitch_dispatch::waits::Waits;
+use hornbeamhitch_wire::link::ToEntry;
 use parking_lot::Mutex;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 
 use crate::prelude::*;
 use crate::source::{Change, Fact};
 
+#[cfg(test)]
+pub(crate) use links::{Coming, FeedWords};
+pub(crate) use links::{FeedLinks, TcpFeedLinks};
 pub use subscriptions::{FeedEvent, Subscriptions};
 
 #[cfg(test)]
@@ -96,12 +102,6 @@
         }
     }
 
-    /// How long subscribers may be left without a word.
-    #[must_use]
-    pub const fn tell_again_ms(&self) -> Millis {
-        self.waits.tell_again_ms()
-    }
-
     /// Adds changes, after which everything up to `revision` is known.
     ///
     /// Subscribers are woken only by what is new. Readers hear each other: woken
@@ -168,6 +168,36 @@
         self.changed.subscribe()
     }
 
+    /// Tells a subscriber who knows everything up to `known` what changes, until nobody
+    /// listens or this node can tell no more.
+    pub(crate) async fn tell(&self, known: u64, subscriber: &UnboundedSender<ToEntry>) {
+        let mut known = known;
+        let mut changed = self.subscribe();
+        loop {
+            changed.mark_unchanged();
+            let Some(part) = self.after(known) else {
+                // A link that has ended needs no answer.
+                let _ = subscriber.send(ToEntry::NoFeed);
+                return;
+            };
+            known = known.max(part.revision);
+            for change in part.changes {
+                let _ = subscriber.send(ToEntry::Change(change));
+            }
+            let known_to = ToEntry::KnownTo {
+                revision: part.revision,
+                is_troubled: part.is_troubled,
+                age_ms: part.age_ms,
+            };
+            if subscriber.send(known_to).is_err() {
+                return;
+            }
+            // Whether the wait ends by a change or by its time makes no difference.
+            let again = self.waits.tell_again_ms().to_duration();
+            let _ = tokio::time::timeout(again, changed.changed()).await;
+        }
+    }
+
     fn wake(&self) {
         self.changed.send_replace(());
     }
--- a/crates/edge/src/feed/subscriptions.rs
+++ b/crates/edge/src/feed/subscriptions.rs
@@ -1,21 +1,20 @@
 //! Subscriptions to the change feeds of readers.
 
 use std::collections::BTreeMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hornbeamhitch_dispatch::waits::Waits;
-use hornbeamhitch_wire::link::{self, ToEntry, ToGate};
-use tokio::io::AsyncWriteExt;
+use hornbeamhitch_wire::link::ToEntry;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
-use crate::link::{FrameReader, LinkFault};
+use super::links::FeedLinks;
+use crate::link::LinkFault;
 use crate::prelude::*;
-use crate::sockets;
 use crate::source::Change;
 
 /// Pause before a reader that was lost, or was none, is asked again.
@@ -60,10 +59,9 @@
 }
 
 /// How readers are heard.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Listening {
-    /// Where readers listen.
-    port: u16,
+    links: Arc<dyn FeedLinks>,
     waits: Waits,
     clock: ProcessClock,
 }
@@ -82,12 +80,15 @@
 }
 
 impl Subscriptions {
-    /// None yet; readers listen on this port.
-    #[must_use]
-    pub fn new(port: u16, waits: Waits, clock: ProcessClock) -> Self {
+    /// None yet; readers are reached over these links.
+    pub(crate) fn new(links: Arc<dyn FeedLinks>, waits: Waits, clock: ProcessClock) -> Self {
         let (told, events) = mpsc::unbounded_channel();
         Self {
-            listening: Listening { port, waits, clock },
+            listening: Listening {
+                links,
+                waits,
+                clock,
+            },
             known: Arc::default(),
             events,
             told,
@@ -114,7 +115,7 @@
             }
             let hearing = hear(
                 *reader,
-                self.listening,
+                self.listening.clone(),
                 Arc::clone(&self.known),
                 self.told.clone(),
             );
@@ -182,14 +183,18 @@
     told: &mpsc::UnboundedSender<FeedEvent>,
     was_heard: &mut bool,
 ) -> LinkFault {
-    let mut frames = match subscribe(reader, listening, known).await {
-        Ok(frames) => frames,
-        Err(fault) => return fault,
+    let known = known.load(Ordering::Acquire);
+    let timeout = listening.waits.tell_again_ms().to_duration();
+    let opening = tokio::time::timeout(timeout, listening.links.open(reader, known));
+    let mut words = match opening.await {
+        Ok(Ok(words)) => words,
+        Ok(Err(fault)) => return fault,
+        Err(silence) => return LinkFault::Io(silence.into()),
     };
     let mut changes = Vec::new();
     loop {
         let silence = listening.waits.reader_silence_ms().to_duration();
-        let frame = match tokio::time::timeout(silence, frames.reader.next()).await {
+        let frame = match tokio::time::timeout(silence, words.next()).await {
             Ok(Ok(frame)) => frame,
             Ok(Err(fault)) => return fault,
             Err(silence) => return LinkFault::Io(silence.into()),
@@ -226,33 +231,6 @@
     }
 }
 
-/// A connection with a subscription; its writing half is kept open.
-struct Subscribed {
-    reader: FrameReader,
-    _writer: tokio::net::tcp::OwnedWriteHalf,
-}
-
-async fn subscribe(
-    reader: IpAddr,
-    listening: &Listening,
-    known: &AtomicU64,
-) -> Result<Subscribed, LinkFault> {
-    let address = SocketAddr::new(reader, listening.port);
-    let timeout = listening.waits.tell_again_ms().to_duration();
-    let stream = sockets::connect(address, timeout).await?;
-    let (frames, mut writer) = stream.into_split();
-    let follow = ToGate::Follow {
-        revision: known.load(Ordering::Acquire),
-    };
-    let mut buffer = BytesMut::new();
-    link::encode(&follow, &mut buffer)?;
-    writer.write_all(&buffer).await?;
-    Ok(Subscribed {
-        reader: FrameReader::new(frames),
-        _writer: writer,
-    })
-}
-
 fn decode(encoded: &Bytes) -> Result<Change, LinkFault> {
     postcard::from_bytes(encoded).map_err(|error| {
         LinkFault::Wire(hornbeamhitch_wire::WireError::Malformed {
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -12,12 +12,15 @@
 use rand::RngExt;
 
 use crate::directory::DirectoryWriter;
-use crate::feed::{ChangeFeed, Standing, Subscriptions};
+use crate::feed::{ChangeFeed, FeedLinks, Standing, Subscriptions, TcpFeedLinks};
 use crate::prelude::*;
 use crate::source::{SharedSource, SourceFault};
 use knowledge::{Knowledge, OwnReads};
 use large_routes::LargeRoutes;
 
+#[cfg(test)]
+mod tests;
+
 /// A watch that is to be answered at once.
 const AT_ONCE_MS: Millis = Millis(1);
 /// The first gathering of a node that has just started; each further one takes twice as
@@ -50,10 +53,24 @@
     directory: DirectoryWriter,
     feed: Arc<ChangeFeed>,
     settings: FollowSettings,
+) {
+    let links = TcpFeedLinks {
+        port: settings.gate_port,
+    };
+    follow_over(Arc::new(links), source, directory, feed, settings).await;
+}
+
+/// The same over links of any kind.
+async fn follow_over(
+    links: Arc<dyn FeedLinks>,
+    source: SharedSource,
+    directory: DirectoryWriter,
+    feed: Arc<ChangeFeed>,
+    settings: FollowSettings,
 ) {
     let waits = Waits::new(settings.in_force_ms);
     let clock = directory.clock();
-    let subscriptions = Subscriptions::new(settings.gate_port, waits, clock);
+    let subscriptions = Subscriptions::new(links, waits, clock);
     let large_routes = LargeRoutes::start(Arc::clone(&source), waits, subscriptions.beside());
     let mut following = Following {
         source,
--- /dev/null
+++ b/crates/edge/src/following/tests.rs
@@ -0,0 +1,167 @@
+//! How old what nodes act on may grow, whatever goes wrong on the way to them.
+
+mod fleet;
+mod store;
+
+use std::time::Duration;
+
+use rand::rngs::Xoshiro256PlusPlus;
+use rand::{RngExt, SeedableRng};
+
+use crate::prelude::*;
+use fleet::Fleet;
+use store::Trouble;
+
+/// Within this changes must be in force.
+const IN_FORCE_MS: Millis = Millis(2_000);
+/// Enough that three read and the others are told.
+const NODES: usize = 10;
+/// Between two versions of the configuration.
+const VERSION_EVERY: Duration = Duration::from_millis(170);
+/// Between two looks at what is in force.
+const LOOK_EVERY: Duration = Duration::from_millis(40);
+
+/// One thing that goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    /// The store is as troubled as this for all nodes.
+    Store(Trouble),
+    /// It turns one reader away and serves the others.
+    TurnsAwayReader,
+    /// It answers no watch of one reader, and everything else.
+    LosesReadersWatches,
+    /// A reader freezes: its links stay open and say nothing.
+    ReaderFreezes,
+    /// A reader ends and starts again.
+    ReaderRestarts,
+    /// All readers end and start again.
+    AllReadersRestart,
+    /// A node that is told ends and starts again.
+    FollowerRestarts,
+}
+
+const FAULTS: [Fault; 10] = [
+    Fault::Store(Trouble::Silent),
+    Fault::Store(Trouble::Refusing),
+    Fault::Store(Trouble::LosingWatches),
+    Fault::Store(Trouble::Forgetting),
+    Fault::TurnsAwayReader,
+    Fault::LosesReadersWatches,
+    Fault::ReaderFreezes,
+    Fault::ReaderRestarts,
+    Fault::AllReadersRestart,
+    Fault::FollowerRestarts,
+];
+
+/// One fault, from when and for how long.
+#[derive(Clone, Copy, Debug)]
+struct At {
+    fault: Fault,
+    from_ms: u64,
+    for_ms: u64,
+}
+
+impl At {
+    fn is_on(&self, now: Millis) -> bool {
+        (self.from_ms..self.from_ms + self.for_ms).contains(&now.0)
+    }
+}
+
+/// A route that was confirmed longer ago than changes may take is not served, or one of
+/// an older version is served again. What led there was never one fault alone: a store
+/// that falls silent just as it takes a watch, a reader that ends in that second, a node
+/// that starts meanwhile. So each pair of faults is played, the second at each moment of
+/// the chain of waits that the first begins: while it lasts, as it ends, and after it.
+#[test]
+fn two_faults_at_any_moment_make_nothing_older_than_it_may_be() {
+    let mut pairs = Vec::new();
+    for first in FAULTS {
+        for second in FAULTS {
+            for step in 0..SECOND_FAULT_STEPS {
+                pairs.push(vec![
+                    At {
+                        fault: first,
+                        // Another moment between two renewals each time.
+                        from_ms: 5_000 + step * 90,
+                        for_ms: 1_700,
+                    },
+                    At {
+                        fault: second,
+                        from_ms: 5_000 + step * 90 + step * 210,
+                        for_ms: 900,
+                    },
+                ]);
+            }
+        }
+    }
+    play_all(&pairs);
+}
+
+/// The second fault begins up to 2.7 s after the first.
+const SECOND_FAULT_STEPS: u64 = 14;
+
+/// Three faults overlap in any order, each for any time up to two seconds. The cases are
+/// drawn, the same ones in each run.
+#[test]
+fn three_faults_at_any_moment_make_nothing_older_than_it_may_be() {
+    const CASES: u64 = 400;
+    let mut cases = Vec::new();
+    for seed in 0..CASES {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let mut case = Vec::new();
+        for _ in 0..3 {
+            case.push(At {
+                fault: FAULTS[rng.random_range(0..FAULTS.len())],
+                from_ms: rng.random_range(5_000..8_000),
+                for_ms: rng.random_range(100..2_000),
+            });
+        }
+        cases.push(case);
+    }
+    play_all(&cases);
+}
+
+/// Plays all cases on as many threads as there are processors.
+fn play_all(cases: &[Vec<At>]) {
+    let threads = std::thread::available_parallelism().map_or(1, |count| count.get());
+    std::thread::scope(|scope| {
+        for part in cases.chunks(cases.len().div_ceil(threads)) {
+            scope.spawn(move || {
+                for case in part {
+                    play(case);
+                }
+            });
+        }
+    });
+}
+
+fn play(faults: &[At]) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build();
+    runtime.expect("a runtime").block_on(play_case(faults));
+}
+
+async fn play_case(faults: &[At]) {
+    let mut fleet = Fleet::start(NODES).await;
+    let last_ms = faults.iter().map(|at| at.from_ms + at.for_ms).max();
+    let ends_ms = last_ms.unwrap_or_default() + 3 * IN_FORCE_MS.0;
+    let mut next_version = Duration::ZERO;
+    loop {
+        let now = fleet.elapsed();
+        if Millis::from_duration(now).0 >= ends_ms {
+            return;
+        }
+        let now_ms = Millis::from_duration(now);
+        let on = faults.iter().filter(|at| at.is_on(now_ms));
+        fleet.set_faults(on.map(|at| at.fault).collect());
+        fleet.apply();
+        if now >= next_version {
+            next_version += VERSION_EVERY;
+            fleet.put_next_version();
+        }
+        fleet.check(faults);
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -111,36 +111,6 @@
     }
 }
 
-/// Tells a subscriber what changes, until its link has ended or this node can
-/// tell no more.
-async fn tell_changes(feed: Arc<ChangeFeed>, known: u64, answers: Answers) {
-    let mut known = known;
-    let mut changed = feed.subscribe();
-    loop {
-        changed.mark_unchanged();
-        let Some(part) = feed.after(known) else {
-            // A link that has ended needs no answer.
-            let _ = answers.send(ToEntry::NoFeed);
-            return;
-        };
-        known = known.max(part.revision);
-        for change in part.changes {
-            let _ = answers.send(ToEntry::Change(change));
-        }
-        let known_to = ToEntry::KnownTo {
-            revision: part.revision,
-            is_troubled: part.is_troubled,
-            age_ms: part.age_ms,
-        };
-        if answers.send(known_to).is_err() {
-            return;
-        }
-        // Whether the wait ends by a change or by its time makes no difference.
-        let again = feed.tell_again_ms().to_duration();
-        let _ = tokio::time::timeout(again, changed.changed()).await;
-    }
-}
-
 struct Link {
     gate: Arc<Gate>,
     directory: SharedDirectory,
@@ -201,7 +171,8 @@
                 }
                 ToGate::Follow { revision } => {
                     let feed = Arc::clone(&self.feed);
-                    tokio::spawn(tell_changes(feed, revision, self.answers.clone()));
+                    let answers = self.answers.clone();
+                    tokio::spawn(async move { feed.tell(revision, &answers).await });
                 }
             }
         }
