Let one reader of a group ask again and again, and the others rely on it

Change: one reader of a group leads. The others hear it, and their watches may wait long while what they hear keeps their knowledge young; at 42% of the time they give the watch up and ask at once.

--- a/crates/dispatch/src/readers.rs
+++ b/crates/dispatch/src/readers.rs
@@ -33,6 +33,8 @@
 /// One reader for this many VMs: with three subscriptions each, a reader tells
 /// about 48 nodes, some four times a second when nothing changes.
 const VMS_A_READER: usize = 16;
+/// Readers of a group in which one leads: with the others, it tells 59 nodes.
+const MOST_LED_READERS: usize = 12;
 /// Readers to whom one node subscribes.
 pub const SUBSCRIPTIONS: usize = 3;
 
@@ -43,7 +45,14 @@
     /// It reads for itself, and nobody depends on it.
     Alone,
     /// It reads and tells others; it hears these other readers too.
-    Reader(Vec<IpAddr>),
+    Reader {
+        /// Other readers, the one that leads it among them.
+        heard: Vec<IpAddr>,
+        /// It asks the platform again and again, whether anything changes or not, and
+        /// tells so. The readers that it leads need to do so only when it falls silent:
+        /// a fleet at rest costs the calls of few nodes.
+        leads: bool,
+    },
     /// It hears these readers.
     Follower(Vec<IpAddr>),
 }
@@ -54,14 +63,20 @@
     pub fn heard(&self) -> &[IpAddr] {
         match self {
             Self::Alone => &[],
-            Self::Reader(heard) | Self::Follower(heard) => heard,
+            Self::Reader { heard, .. } | Self::Follower(heard) => heard,
         }
     }
 
     /// Whether others depend on this node's reads.
     #[must_use]
     pub const fn is_reader(&self) -> bool {
-        matches!(self, Self::Reader(_))
+        matches!(self, Self::Reader { .. })
+    }
+
+    /// Whether another reader asks the platform for it.
+    #[must_use]
+    pub const fn is_led(&self) -> bool {
+        matches!(self, Self::Reader { leads: false, .. })
     }
 
     /// Whether this node leaves reading to others.
@@ -100,8 +115,15 @@
             others.extend(readers(group));
         }
     }
-    others.retain(|reader| *reader != own);
-    Role::Reader(nearest(others, own))
+    let leader = leader_of(&near, own);
+    others.retain(|reader| *reader != own && *reader != leader);
+    let mut heard = nearest(others, own);
+    let leads = leader == own;
+    if !leads {
+        heard.insert(0, leader);
+        heard.truncate(SUBSCRIPTIONS);
+    }
+    Role::Reader { heard, leads }
 }
 
 /// The large data centres, and the VMs of all others together.
@@ -137,6 +159,15 @@
     data_centres
 }
 
+/// The reader whose asking a reader relies on, which may be itself. In a group of many
+/// readers nobody relies on one: it would tell too many.
+fn leader_of(near: &[IpAddr], own: IpAddr) -> IpAddr {
+    match near.len() <= MOST_LED_READERS {
+        true => near[0],
+        false => own,
+    }
+}
+
 /// The readers of one group.
 fn readers(vms: &BTreeSet<IpAddr>) -> Vec<IpAddr> {
     let count = vms.len().div_ceil(VMS_A_READER).max(MIN_READERS);
--- a/crates/dispatch/src/readers/tests.rs
+++ b/crates/dispatch/src/readers/tests.rs
@@ -126,6 +126,33 @@
     assert!(!followers.any(|(own, role)| crosses(own, role)));
 }
 
+/// Readers that do not lead rely on one that does: each must hear it, and there must be
+/// one in a group. It would tell too many in a large group, where none relies on another.
+#[test]
+fn one_reader_leads_a_group_and_the_others_hear_it() {
+    let cases = [
+        (&[8, 5][..], 1),
+        (&[45], 1),
+        (&[30, 30, 27], 1),
+        (&[70, 20], 2),
+        (&[200], 13),
+    ];
+    for (sizes, expected) in cases {
+        let roles = roles(sizes);
+        let mut leaders = Vec::new();
+        for (own, role) in &roles {
+            if role.is_reader() && !role.is_led() {
+                leaders.push(*own);
+            }
+        }
+        assert_eq!(leaders.len(), expected, "{sizes:?}");
+        for role in roles.values().filter(|role| role.is_led()) {
+            let heard = role.heard();
+            assert!(heard.iter().any(|vm| leaders.contains(vm)), "{role:?}");
+        }
+    }
+}
+
 /// A VM whose target leaves goes with it, and must not be counted upon.
 #[test]
 fn a_leaving_vm_is_no_reader() {
--- a/crates/dispatch/src/waits.rs
+++ b/crates/dispatch/src/waits.rs
@@ -13,6 +13,7 @@
 
 /// Shares in percent of the time in which a change must be in force.
 const RENEWAL: u64 = 30;
+const OLDEST_LED: u64 = 42;
 const SILENCE: u64 = 20;
 const FIRST_PAUSE: u64 = 7;
 const LONGEST_PAUSE: u64 = 20;
@@ -28,6 +29,8 @@
 
 /// A read that is lost as it begins: its end, a pause, and the read that replaces it.
 const _: () = assert!(RENEWAL + SILENCE + FIRST_PAUSE + SILENCE < WHOLE);
+/// The same at a reader that relied on another, which has ended.
+const _: () = assert!(OLDEST_LED + SILENCE + FIRST_PAUSE + SILENCE < WHOLE);
 /// The source is back just after a read was lost.
 const _: () = assert!(SILENCE + LONGEST_PAUSE + SILENCE < WHOLE);
 /// The same at a node that others tell, whose readers ended as the source came back.
@@ -41,7 +44,9 @@
 /// A gate's own target that leaves just after its entry was looked up.
 const _: () = assert!(OWN_HEALTH + OWN_ENTRY + SILENCE < WHOLE);
 /// In calm times readers tell before anybody takes them for lost.
-const _: () = assert!(RENEWAL + TELL_AGAIN < OLDEST_TOLD);
+const _: () = assert!(RENEWAL < OLDEST_LED && RENEWAL + TELL_AGAIN < OLDEST_TOLD);
+/// A reader takes the place of another before those who are told miss it.
+const _: () = assert!(OLDEST_LED < OLDEST_TOLD);
 
 /// How long a node waits for what, given the time in which changes must be in force.
 #[derive(Clone, Copy, Debug)]
@@ -66,6 +71,13 @@
         self.share(RENEWAL)
     }
 
+    /// A reader that relies on another's asking asks for itself when what it knows is this
+    /// old.
+    #[must_use]
+    pub const fn oldest_led_ms(&self) -> Millis {
+        self.share(OLDEST_LED)
+    }
+
     /// An answer that is due and does not begin, or does not go on, within this is lost.
     #[must_use]
     pub const fn silence_ms(&self) -> Millis {
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -21,6 +21,9 @@
 #[cfg(test)]
 mod tests;
 
+/// How long a reader's watch waits while another asks the source again and again. Each
+/// end of one costs a call; it brings nothing that the other does not tell.
+const LED_WAIT_MS: Millis = Millis(10_000);
 /// A watch that is to be answered at once.
 const AT_ONCE_MS: Millis = Millis(1);
 /// The first gathering of a node that has just started; each further one takes twice as
@@ -156,8 +159,13 @@
     async fn watch(&mut self) -> Result<(), SourceFault> {
         let (after, wait_ms) = (self.knowledge.revision(), self.watch_wait_ms());
         let watching = self.source.watch(after, wait_ms, self.waits.silence_ms());
-        let heard = &mut self.subscriptions;
-        let batch = while_hearing(watching, &mut self.knowledge, heard).await?;
+        let oldest_ms = self.oldest_ms();
+        let (knowledge, heard) = (&mut self.knowledge, &mut self.subscriptions);
+        let Some(batch) = while_young(watching, knowledge, heard, oldest_ms).await else {
+            log::info!("no reader asks the source again; this one does");
+            return Ok(());
+        };
+        let batch = batch?;
         let gathers = !batch.changes.is_empty() && !self.knowledge.has_held();
         self.knowledge.take(batch.changes, batch.revision);
         self.note_success(batch.age_ms);
@@ -178,6 +186,7 @@
     fn watch_wait_ms(&self) -> Millis {
         match self.knowledge.own_reads() {
             OwnReads::Doubtful | OwnReads::Failed => AT_ONCE_MS,
+            OwnReads::Good if self.relies_on_leader() => LED_WAIT_MS,
             OwnReads::Good => {
                 let left_ms = self.waits.renewal_ms().minus(self.knowledge.age_ms());
                 left_ms.max(AT_ONCE_MS)
@@ -185,6 +194,21 @@
         }
     }
 
+    /// Whether another reader's asking shows that nothing is missed here.
+    ///
+    /// What it tells keeps this node's knowledge young, and its watch may wait long. As
+    /// soon as the knowledge grows old, for whatever reason, the watch is given up, and
+    /// the source is asked at once.
+    fn relies_on_leader(&self) -> bool {
+        self.role.is_led() && self.knowledge.age_ms() < self.waits.oldest_led_ms()
+    }
+
+    /// Age of what is known at which a watch is given up.
+    fn oldest_ms(&self) -> Option<Millis> {
+        let relies = self.relies_on_leader();
+        relies.then(|| self.waits.oldest_led_ms())
+    }
+
     /// Takes what a reader tells next, or nothing when what is known grows too old.
     async fn hear(&mut self) {
         let left_ms = self.waits.oldest_told_ms().minus(self.knowledge.age_ms());
@@ -286,6 +310,34 @@
     }
 }
 
+/// The same for as long as what is known is younger than `oldest_ms`, if that is given.
+async fn while_young<T>(
+    waiting: impl Future<Output = T>,
+    knowledge: &mut Knowledge,
+    subscriptions: &mut Subscriptions,
+    oldest_ms: Option<Millis>,
+) -> Option<T> {
+    let mut waiting = std::pin::pin!(waiting);
+    let Some(oldest_ms) = oldest_ms else {
+        return Some(while_hearing(waiting, knowledge, subscriptions).await);
+    };
+    loop {
+        let left_ms = oldest_ms.minus(knowledge.age_ms());
+        if left_ms == Millis::ZERO {
+            return None;
+        }
+        let either = async {
+            tokio::select! {
+                done = &mut waiting => Some(done),
+                () = tokio::time::sleep(left_ms.to_duration()) => None,
+            }
+        };
+        if let Some(done) = while_hearing(either, knowledge, subscriptions).await {
+            return Some(done);
+        }
+    }
+}
+
 /// Takes what readers tell while something else is waited for.
 async fn while_hearing<T>(
     waiting: impl Future<Output = T>,
--- a/crates/edge/src/following/tests.rs
+++ b/crates/edge/src/following/tests.rs
@@ -32,6 +32,10 @@
     LosesReadersWatches,
     /// A reader freezes: its links stay open and say nothing.
     ReaderFreezes,
+    /// All readers freeze.
+    AllReadersFreeze,
+    /// All readers hang in their reads, and go on telling what they knew.
+    AllReadersHang,
     /// A reader ends and starts again.
     ReaderRestarts,
     /// All readers end and start again.
@@ -40,7 +44,7 @@
     FollowerRestarts,
 }
 
-const FAULTS: [Fault; 10] = [
+const FAULTS: [Fault; 12] = [
     Fault::Store(Trouble::Silent),
     Fault::Store(Trouble::Refusing),
     Fault::Store(Trouble::LosingWatches),
@@ -48,6 +52,8 @@
     Fault::TurnsAwayReader,
     Fault::LosesReadersWatches,
     Fault::ReaderFreezes,
+    Fault::AllReadersFreeze,
+    Fault::AllReadersHang,
     Fault::ReaderRestarts,
     Fault::AllReadersRestart,
     Fault::FollowerRestarts,
@@ -78,27 +84,29 @@
     for first in FAULTS {
         for second in FAULTS {
             for step in 0..SECOND_FAULT_STEPS {
-                pairs.push(vec![
-                    At {
-                        fault: first,
-                        // Another moment between two renewals each time.
-                        from_ms: 5_000 + step * 90,
-                        for_ms: 1_700,
-                    },
-                    At {
-                        fault: second,
-                        from_ms: 5_000 + step * 90 + step * 210,
-                        for_ms: 900,
-                    },
-                ]);
+                // Another moment between two renewals each time.
+                let from_ms = 5_000 + step * 90;
+                // A long one lets pauses after failed reads grow to their longest.
+                let for_ms = if step % 2 == 0 { 1_700 } else { 5_000 };
+                let first_at = At {
+                    fault: first,
+                    from_ms,
+                    for_ms,
+                };
+                let second_at = At {
+                    fault: second,
+                    from_ms: from_ms + for_ms - 1_700 + step * 290,
+                    for_ms: 900,
+                };
+                pairs.push(vec![first_at, second_at]);
             }
         }
     }
     play_all(&pairs);
 }
 
-/// The second fault begins up to 2.7 s after the first.
-const SECOND_FAULT_STEPS: u64 = 14;
+/// The second fault begins from 1.7 s before the first one's end to 0.9 s after it.
+const SECOND_FAULT_STEPS: u64 = 10;
 
 /// Three faults overlap in any order, each for any time up to two seconds. The cases are
 /// drawn, the same ones in each run.
--- a/crates/edge/src/following/tests/fleet.rs
+++ b/crates/edge/src/following/tests/fleet.rs
@@ -229,6 +229,8 @@
                 Fault::TurnsAwayReader if first => trouble = Some(Trouble::Refusing),
                 Fault::LosesReadersWatches if first => trouble = Some(Trouble::LosingWatches),
                 Fault::ReaderFreezes => is_frozen |= second,
+                Fault::AllReadersFreeze => is_frozen |= is_reader,
+                Fault::AllReadersHang if is_reader => trouble = Some(Trouble::Hanging),
                 Fault::ReaderRestarts => is_gone |= first,
                 Fault::AllReadersRestart => is_gone |= is_reader,
                 Fault::FollowerRestarts => is_gone |= follower == Some(&own),
--- a/crates/edge/src/following/tests/store.rs
+++ b/crates/edge/src/following/tests/store.rs
@@ -21,6 +21,8 @@
     Refusing,
     /// It loses watches, and answers everything else.
     LosingWatches,
+    /// Calls hang, and nobody gives them up: their node does not get to it.
+    Hanging,
     /// It has lost its history, again and again.
     Forgetting,
 }
@@ -112,7 +114,7 @@
         let given_up = tokio::time::Instant::now() + limit_ms.to_duration();
         let mut trouble = self.trouble.subscribe();
         let loses = |trouble: &Option<Trouble>| match trouble {
-            Some(Trouble::Silent) => true,
+            Some(Trouble::Silent | Trouble::Hanging) => true,
             Some(Trouble::LosingWatches) => is_watch,
             _ => false,
         };
@@ -126,6 +128,9 @@
             } => return answer,
         }
         tokio::time::sleep_until(given_up).await;
+        let hung = trouble.wait_for(|trouble| *trouble != Some(Trouble::Hanging));
+        // The sender lives as long as the node.
+        let _ = hung.await;
         Err(SourceFault::Failed("no answer in time".to_owned()))
     }
 
--- a/crates/edge/tests/all/support/follower.rs
+++ b/crates/edge/tests/all/support/follower.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use hornbeamhitch_dispatch::readers::{self, Role};
+use hornbeamhitch_dispatch::readers;
 use hornbeamhitch_dispatch::waits::Waits;
 use hornbeamhitch_edge::directory::{Directory, DirectoryWriter};
 use hornbeamhitch_edge::feed::ChangeFeed;
@@ -192,7 +192,7 @@
     pub fn reads(&self) -> bool {
         let directory = self.directory.load();
         let role = readers::role(&directory.members, self.ip, &DataCentre::new(DATA_CENTRE));
-        matches!(role, Role::Reader(_))
+        role.is_reader()
     }
 
     fn target_id(&self) -> TargetId {
