Forget one slow call, though it is reported again and again

A lone caller's calls did not reach a target that was well again within 30 s: the target's first call had been slow, and it got no other.

Cause, traced now: the entry remembered a first call of 100 to 200 typical service times whole, and what fades by half-lives of 2 s takes half a minute from there (fade falls with the square of the age). And each report of the gate, which repeats that one time, counted as news. Ruled out: ejection (one failure ejects nobody), the quickest of three by luck (the two bands of 6 to 12 s and 27 to 34 s are two sizes of the first call).

Change: slowness counts up to ten typical service times, and a service time that is reported unchanged is as old as when it was first heard.

Why it holds: ten fade to 1.5 in 8.3 s.

--- a/crates/core/src/entry/target_stats.rs
+++ b/crates/core/src/entry/target_stats.rs
@@ -11,6 +11,10 @@
 /// a healthy target answers 500 to a bad call now and then; a target that keeps
 /// failing is ejected.
 const FAILURE_HALF_LIFE_MS: f32 = 500.0;
+/// Slowness beyond this multiple of the typical is not remembered. Such a target gets
+/// nothing anyway while others have room, and the rest would only keep it from being
+/// tried again.
+const MOST_RELATIVE_SERVICE: f32 = 10.0;
 /// Weight of the newest outcome in the failure rate.
 const FAILURE_WEIGHT: f32 = 0.25;
 /// Weight of the newest latency in the service time.
@@ -41,6 +45,8 @@
     heard_at: Millis,
     /// When the gate made it, as far as its clock tells.
     made_at: Millis,
+    /// When this service time was first heard.
+    service_heard_at: Millis,
     own_in_flight: u32,
     source: ReportSource,
 }
@@ -151,15 +157,31 @@
 
     /// Takes the newest report of the present life.
     pub(crate) fn hear(&mut self, report: &LoadReport, heard_at: Millis, source: ReportSource) {
+        let service_heard_at = self.service_heard_at(report, heard_at);
         self.load = Some(KnownLoad {
             report: *report,
             heard_at,
+            service_heard_at,
             made_at: self.clock.made_at(report.gate_clock_ms, heard_at),
             own_in_flight: self.in_flight,
             source,
         });
     }
 
+    /// When the service time of this report was first heard.
+    ///
+    /// Failure answered: a target's first call was slow, and it gets no other. Its gate
+    /// reports that one service time again and again; counted as new each time, it is
+    /// never forgotten, and the target stands idle.
+    fn service_heard_at(&self, report: &LoadReport, heard_at: Millis) -> Millis {
+        match &self.load {
+            Some(known) if known.report.service_time_us == report.service_time_us => {
+                known.service_heard_at
+            }
+            _ => heard_at,
+        }
+    }
+
     /// This entry's open attempts as a multiple of the limit.
     pub(crate) fn own_ratio(&self, slots: u32) -> f32 {
         self.in_flight as f32 / self.limit(slots) as f32
@@ -293,15 +315,19 @@
         let (measured_us, at) = match (self.own_service_us, &self.load) {
             (None, None) => return 1.0,
             (Some(own), None) => (own.value, own.at),
-            (None, Some(known)) => (known.report.service_time_us as f32, known.heard_at),
+            (None, Some(known)) => {
+                let reported_us = known.report.service_time_us as f32;
+                (reported_us, known.service_heard_at)
+            }
             (Some(own), Some(known)) => {
                 let reported_us = known.report.service_time_us as f32;
                 let measured_us = reported_us.max(own.value / OWN_OVER_REPORTED);
-                (measured_us, own.at.max(known.heard_at))
+                (measured_us, own.at.max(known.service_heard_at))
             }
         };
         let left = fade(now.since(at), SERVICE_HALF_LIFE_MS);
-        1.0 + (measured_us / typical_us - 1.0) * left
+        let relative = (measured_us / typical_us).min(MOST_RELATIVE_SERVICE);
+        1.0 + (relative - 1.0) * left
     }
 
     fn refused(&self, typical: &Typical, now: Millis) -> f32 {
--- a/crates/core/src/entry/tests.rs
+++ b/crates/core/src/entry/tests.rs
@@ -10,6 +10,7 @@
 mod herding;
 mod picking;
 mod retries;
+mod slow_start;
 mod tickets;
 
 const FAR: Millis = Millis(1_000_000);
--- /dev/null
+++ b/crates/core/src/entry/tests/slow_start.rs
@@ -0,0 +1,38 @@
+//! A target whose first call was slow, and that got no other.
+
+use crate::entry::score::Typical;
+use crate::entry::target_stats::{ReportSource, TargetStats};
+use crate::prelude::*;
+
+const TYPICAL_US: f32 = 1_000.0;
+/// Up to this a target counts as quick as any other.
+const NORMAL: f32 = 1.5;
+
+/// The first call of a target took 200 times as long as calls take elsewhere. It gets no
+/// other, so its gate reports that one time twice a second. A lone caller was served by
+/// the other targets for half a minute; after ten seconds the target is tried again.
+#[test]
+fn one_slow_call_is_forgotten_though_it_is_reported_again_and_again() {
+    const SLOW_US: u32 = 200_000;
+    let mut typical = Typical::new();
+    typical.learn_service(TYPICAL_US);
+    let mut stats = TargetStats::new(Millis::ZERO);
+    stats.learn_success(SLOW_US as f32, Millis::ZERO);
+    let mut report = LoadReport {
+        in_flight: 0,
+        queued: 0,
+        limit: 4,
+        service_time_us: SLOW_US,
+        gate_clock_ms: Millis::ZERO,
+        incarnation: Incarnation(1),
+        leaving: false,
+    };
+    for now in (0..=10_000).step_by(500).map(Millis) {
+        report.gate_clock_ms = now;
+        stats.hear(&report, now, ReportSource::Published);
+    }
+    let first = stats.belief(&typical, 4, Millis::ZERO).relative_service;
+    assert!(first > NORMAL, "{first}");
+    let later = stats.belief(&typical, 4, Millis(10_000)).relative_service;
+    assert!(later <= NORMAL, "{later}");
+}
