One sound reader is enough to be told, and smaller files

A node asked two sound readers before it left reading to others, because one reader's loss showed by its silence alone. Its age shows it now.

Tried and taken back: to probe a store that is away by stale reads at a tenth of the price.

--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -1,6 +1,7 @@
 //! Follows the platform's facts for as long as the process lives, on the control
 //! thread: reads the source, or hears nodes that do.
 
+mod hearing;
 mod knowledge;
 mod large_routes;
 
@@ -15,6 +16,7 @@
 use crate::feed::{ChangeFeed, FeedLinks, Standing, Subscriptions, TcpFeedLinks};
 use crate::prelude::*;
 use crate::source::{SharedSource, SourceFault};
+use hearing::{while_hearing, while_young, with_expiry};
 use knowledge::{Knowledge, OwnReads};
 use large_routes::LargeRoutes;
 
@@ -33,9 +35,6 @@
 const MOST_GATHERINGS: u32 = 10;
 /// The same of pauses after failed reads.
 const MOST_DOUBLINGS: u32 = 4;
-/// A node stops to read for itself while it hears this many sound readers: with
-/// one alone, that reader's loss would be noticed only by its silence.
-const ENOUGH_READERS: usize = 2;
 
 /// What following needs to know of its node.
 #[derive(Clone, Debug)]
@@ -148,9 +147,13 @@
     }
 
     /// Whether this node is told enough to leave reading to others.
+    ///
+    /// One sound reader is enough: its loss, or its silence, shows by the age of what is
+    /// known here. Asking for two, a fleet of which a third is turned away by the source
+    /// makes a call of each node at each change.
     fn is_told(&self) -> bool {
         self.role.is_follower()
-            && self.subscriptions.sound() >= ENOUGH_READERS
+            && self.subscriptions.sound() > 0
             && self.knowledge.own_reads() == OwnReads::Good
             && self.knowledge.age_ms() < self.waits.oldest_told_ms()
     }
@@ -309,67 +312,3 @@
         while_hearing(pausing, &mut self.knowledge, &mut self.subscriptions).await;
     }
 }
-
-/// The same for as long as what is known is younger than `oldest_ms`, if that is given.
-async fn while_young<T>(
-    waiting: impl Future<Output = T>,
-    knowledge: &mut Knowledge,
-    subscriptions: &mut Subscriptions,
-    oldest_ms: Option<Millis>,
-) -> Option<T> {
-    let mut waiting = std::pin::pin!(waiting);
-    let Some(oldest_ms) = oldest_ms else {
-        return Some(while_hearing(waiting, knowledge, subscriptions).await);
-    };
-    loop {
-        let left_ms = oldest_ms.minus(knowledge.age_ms());
-        if left_ms == Millis::ZERO {
-            return None;
-        }
-        let either = async {
-            tokio::select! {
-                done = &mut waiting => Some(done),
-                () = tokio::time::sleep(left_ms.to_duration()) => None,
-            }
-        };
-        if let Some(done) = while_hearing(either, knowledge, subscriptions).await {
-            return Some(done);
-        }
-    }
-}
-
-/// Takes what readers tell while something else is waited for.
-async fn while_hearing<T>(
-    waiting: impl Future<Output = T>,
-    knowledge: &mut Knowledge,
-    subscriptions: &mut Subscriptions,
-) -> T {
-    let mut waiting = std::pin::pin!(waiting);
-    loop {
-        let either = async {
-            tokio::select! {
-                done = &mut waiting => Ok(done),
-                event = subscriptions.next() => Err(event),
-            }
-        };
-        match with_expiry(either, knowledge).await {
-            Ok(done) => return done,
-            Err(event) => knowledge.hear(event),
-        }
-        subscriptions.note_known(knowledge.revision());
-    }
-}
-
-/// Drops lapsed entries in time while something else is waited for.
-async fn with_expiry<T>(waiting: impl Future<Output = T>, knowledge: &mut Knowledge) -> T {
-    let mut waiting = std::pin::pin!(waiting);
-    loop {
-        let Some(at) = knowledge.expire() else {
-            return waiting.await;
-        };
-        tokio::select! {
-            done = &mut waiting => return done,
-            () = tokio::time::sleep_until(at) => {}
-        }
-    }
-}
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -1,6 +1,6 @@
 //! The gate: starts calls in this VM's target, one copy of each at most.
 
-mod departure;
+mod health;
 mod lives;
 mod places;
 mod records;
@@ -357,27 +357,6 @@
         self.state.lock().records.start(terms.key, deadline_at, now)
     }
 
-    async fn read_speed(self: &Arc<Self>) {
-        let directory = self.directory.load();
-        let routes = directory.routes.as_ref();
-        let path = routes.and_then(|routes| routes.health_path(&self.service));
-        let reading = self
-            .speed
-            .read(&self.target, &*self.dialect, path, self.clock);
-        let reading = reading.await;
-        for _ in 0..self.speed.take_sent() {
-            self.metrics.probe_sent(self.service.as_str());
-        }
-        self.note_health();
-        let mut state = self.state.lock();
-        match reading {
-            Ok(reading) => state.admission.note_speed(reading),
-            Err(speed::TargetDown) => state.admission.note_down(self.clock.now()),
-        }
-        drop(state);
-        self.changed.notify_waiters();
-    }
-
     /// Waits until nothing waits or runs.
     pub async fn drained(&self) {
         /// Runs end without a signal to wait for, so look again soon.
--- a/crates/edge/src/gate/departure.rs
+++ b/crates/edge/src/gate/health.rs
@@ -1,15 +1,37 @@
-//! Looking up whether this VM's target leaves.
+//! Asking the target for its speed and its health, and the list whether it leaves.
 
 use std::sync::Arc;
 
 use hornbeamhitch_dispatch::departure::Standing;
 
-use super::Gate;
+use super::{Gate, speed};
 use crate::prelude::*;
 
 impl Gate {
+    /// Asks the target; those who wait for its speed are told.
+    pub(super) async fn read_speed(self: &Arc<Self>) {
+        let directory = self.directory.load();
+        let routes = directory.routes.as_ref();
+        let path = routes.and_then(|routes| routes.health_path(&self.service));
+        let reading = self
+            .speed
+            .read(&self.target, &*self.dialect, path, self.clock);
+        let reading = reading.await;
+        for _ in 0..self.speed.take_sent() {
+            self.metrics.probe_sent(self.service.as_str());
+        }
+        self.note_health();
+        let mut state = self.state.lock();
+        match reading {
+            Ok(reading) => state.admission.note_speed(reading),
+            Err(speed::TargetDown) => state.admission.note_down(self.clock.now()),
+        }
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Takes in what the target last said of its health.
-    pub(super) fn note_health(self: &Arc<Self>) {
+    fn note_health(self: &Arc<Self>) {
         let is_unwell = self.speed.is_unwell();
         self.departure
             .lock()
