Let the proof in virtual time use the tests' own source

The double of the store stood twice, in the tests with sockets and in those without. The one of tests/all/support serves both now; it meets a change of mood in the middle of a watch, as the other did.

--- a/crates/edge/src/following/tests.rs
+++ b/crates/edge/src/following/tests.rs
@@ -1,7 +1,9 @@
 //! How old what nodes act on may grow, whatever goes wrong on the way to them.
 
 mod fleet;
-mod store;
+#[path = "../../tests/all/support/source.rs"]
+#[allow(dead_code, reason = "tests with sockets use the rest of it")]
+mod source;
 
 use std::time::Duration;
 
@@ -10,7 +12,7 @@
 
 use crate::prelude::*;
 use fleet::Fleet;
-use store::Trouble;
+use source::Mood;
 
 /// Within this changes must be in force.
 const IN_FORCE_MS: Millis = Millis(2_000);
@@ -24,8 +26,10 @@
 /// One thing that goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
-    /// The store is as troubled as this for all nodes.
-    Store(Trouble),
+    /// The store treats all nodes so.
+    Store(Mood),
+    /// It loses its history, again and again.
+    StoreForgets,
     /// It turns one reader away and serves the others.
     TurnsAwayReader,
     /// It answers no watch of one reader, and everything else.
@@ -45,10 +49,10 @@
 }
 
 const FAULTS: [Fault; 12] = [
-    Fault::Store(Trouble::Silent),
-    Fault::Store(Trouble::Refusing),
-    Fault::Store(Trouble::LosingWatches),
-    Fault::Store(Trouble::Forgetting),
+    Fault::Store(Mood::Losing),
+    Fault::Store(Mood::Failing),
+    Fault::Store(Mood::LosingWatches),
+    Fault::StoreForgets,
     Fault::TurnsAwayReader,
     Fault::LosesReadersWatches,
     Fault::ReaderFreezes,
--- a/crates/edge/src/following/tests/fleet.rs
+++ b/crates/edge/src/following/tests/fleet.rs
@@ -14,13 +14,14 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use super::store::{Store, Trouble, Way};
+use super::source::{Mood, Published, TestSource};
 use super::{At, Fault, IN_FORCE_MS};
 use crate::directory::{Directory, DirectoryWriter};
 use crate::feed::{ChangeFeed, Coming, FeedLinks, FeedWords};
 use crate::following::{FollowSettings, follow_over};
 use crate::link::LinkFault;
 use crate::prelude::*;
+use crate::source::Fact;
 
 /// From one node to another.
 const ONE_WAY: Duration = Duration::from_millis(2);
@@ -92,7 +93,7 @@
 /// One life of a node.
 struct Life {
     directory: SharedDirectory,
-    way: Way,
+    source: TestSource,
     voice: Arc<watch::Sender<Voice>>,
     following: AbortHandle,
     started: Instant,
@@ -116,7 +117,7 @@
 
 /// Nodes and their store.
 pub(super) struct Fleet {
-    store: Store,
+    store: Published,
     net: Net,
     started: Instant,
     ips: Vec<IpAddr>,
@@ -135,7 +136,9 @@
     /// Starts nodes in three small data centres, and waits until they have their parts.
     pub(super) async fn start(count: usize) -> Self {
         let ips: Vec<IpAddr> = (1..=count).map(ip).collect();
-        let store = Store::new(ips.iter().map(member).collect());
+        let store = Published::new();
+        store.put_version(1);
+        store.put_all(ips.iter().map(member).map(Fact::Listed).collect());
         let mut fleet = Self {
             store,
             net: Net::default(),
@@ -166,7 +169,7 @@
         let waits = Waits::new(IN_FORCE_MS);
         let directory: SharedDirectory = Arc::new(ArcSwap::from_pointee(Directory::default()));
         let feed = Arc::new(ChangeFeed::new(clock, waits));
-        let way = self.store.way();
+        let source = self.store.source();
         let settings = FollowSettings {
             own_ip: own,
             data_centre: data_centre(own),
@@ -181,14 +184,14 @@
         self.net.0.lock().insert(own, reached);
         let following = tokio::spawn(follow_over(
             Arc::new(self.net.clone()),
-            Arc::new(way.clone()),
+            Arc::new(source.clone()),
             DirectoryWriter::new(Arc::clone(&directory), clock),
             feed,
             settings,
         ));
         let life = Life {
             directory,
-            way,
+            source,
             voice,
             following: following.abort_handle(),
             started: Instant::now(),
@@ -220,25 +223,25 @@
         let second = self.readers[1] == own;
         let is_reader = self.readers.contains(&own);
         let follower = self.ips.iter().find(|ip| !self.readers.contains(ip));
-        let mut trouble = None;
+        let mut mood = Mood::Calm;
         let (mut is_frozen, mut is_gone) = (false, false);
         for fault in faults {
             match fault {
-                Fault::Store(Trouble::Forgetting) => self.store.forget(),
-                Fault::Store(known) => trouble = Some(*known),
-                Fault::TurnsAwayReader if first => trouble = Some(Trouble::Refusing),
-                Fault::LosesReadersWatches if first => trouble = Some(Trouble::LosingWatches),
+                Fault::StoreForgets => self.store.forget(),
+                Fault::Store(known) => mood = *known,
+                Fault::TurnsAwayReader if first => mood = Mood::Failing,
+                Fault::LosesReadersWatches if first => mood = Mood::LosingWatches,
                 Fault::ReaderFreezes => is_frozen |= second,
                 Fault::AllReadersFreeze => is_frozen |= is_reader,
-                Fault::AllReadersHang if is_reader => trouble = Some(Trouble::Hanging),
+                Fault::AllReadersHang if is_reader => mood = Mood::Hanging,
                 Fault::ReaderRestarts => is_gone |= first,
                 Fault::AllReadersRestart => is_gone |= is_reader,
                 Fault::FollowerRestarts => is_gone |= follower == Some(&own),
                 _ => {}
             }
         }
-        let is_troubled = trouble.is_some() || is_frozen || is_gone;
-        if is_troubled || faults.contains(&Fault::Store(Trouble::Forgetting)) {
+        let is_troubled = mood != Mood::Calm || is_frozen || is_gone;
+        if is_troubled || faults.contains(&Fault::StoreForgets) {
             self.troubled.insert(own, Instant::now());
         }
         if is_gone {
@@ -251,9 +254,9 @@
         }
         let life = &self.lives[&own];
         // A frozen node's own calls are as good as lost.
-        life.way.set(match is_frozen {
-            true => Some(Trouble::Silent),
-            false => trouble,
+        life.source.set_mood(match is_frozen {
+            true => Mood::Losing,
+            false => mood,
         });
         let voice = match is_frozen {
             true => Voice::Frozen,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,10 @@
 //! headers and where its facts come from is told by a [`dialect`] and a
 //! [`source`].
 
+/// The tests of a module use doubles of `tests/all/support`, which name this crate.
+#[cfg(test)]
+extern crate self as hornbeamhitch_edge;
+
 pub mod callers;
 pub mod config;
 pub mod daemon;
--- a/crates/edge/tests/all/support/source.rs
+++ b/crates/edge/tests/all/support/source.rs
@@ -24,6 +24,8 @@
     Losing,
     /// It loses watches, and answers everything else.
     LosingWatches,
+    /// Calls hang, and nobody gives them up: their node does not get to it.
+    Hanging,
 }
 
 /// What is published, to be shared by nodes.
@@ -68,15 +70,21 @@
         self.changed.send_replace(());
     }
 
+    /// Drops the history: watches from before are told so.
+    pub fn forget(&self) {
+        let mut state = self.state.lock();
+        state.forgotten = state.revision;
+        state.history.clear();
+    }
+
     /// Publishes changes that no watch sees, as the history is dropped.
     pub fn put_unseen(&self, facts: Vec<Fact>) {
         let mut state = self.state.lock();
         for fact in facts {
             state.put(fact);
         }
-        state.forgotten = state.revision;
-        state.history.clear();
         drop(state);
+        self.forget();
         self.changed.send_replace(());
     }
 
@@ -134,7 +142,11 @@
 
 impl TestSource {
     pub fn set_mood(&self, mood: Mood) {
-        self.mood.send_replace(mood);
+        self.mood.send_if_modified(|known| {
+            let is_new = *known != mood;
+            *known = mood;
+            is_new
+        });
     }
 
     pub fn calls(&self) -> u64 {
@@ -169,7 +181,7 @@
     async fn lost(&self, is_watch: bool) {
         let mut mood = self.mood.subscribe();
         let loses = |mood: &Mood| match mood {
-            Mood::Losing => true,
+            Mood::Losing | Mood::Hanging => true,
             Mood::LosingWatches => is_watch,
             Mood::Calm | Mood::Silent | Mood::Failing => false,
         };
@@ -190,6 +202,9 @@
             biased;
             () = self.lost(is_watch) => {
                 tokio::time::sleep_until(started + limit_ms.to_duration()).await;
+                let mut mood = self.mood.subscribe();
+                let given_up = mood.wait_for(|mood| *mood != Mood::Hanging).await;
+                drop(given_up.expect("this struct holds a sender"));
                 Err(SourceFault::Failed("no answer in time".to_owned()))
             }
             answered = answered => answered,
@@ -232,6 +247,7 @@
         Box::pin(self.unless_lost(true, wait_ms + silence_ms, async move {
             self.call().await?;
             let mut changed = self.published.changed.subscribe();
+            let mut mood = self.mood.subscribe();
             let waiting = async {
                 loop {
                     changed.mark_unchanged();
@@ -240,7 +256,10 @@
                     if !changes.changes.is_empty() {
                         return Ok(changes);
                     }
-                    let _ = changed.changed().await;
+                    tokio::select! {
+                        _ = changed.changed() => {}
+                        _ = mood.changed() => {}
+                    }
                 }
             };
             let waited = tokio::time::timeout(wait_ms.to_duration(), waiting).await;
