Take what a good read tells as one, lapses included

The mark comes first again; as of when the knowledge is complete is noted after it is taken. Test: lapses_are_taken_with_the_first_good_read.

--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -110,8 +110,9 @@
             match self.source.read_all(self.waits.silence_ms()).await {
                 Ok(listing) => {
                     let age_ms = listing.age_ms;
+                    self.note_success();
                     self.knowledge.replace(listing);
-                    self.note_success(age_ms);
+                    self.knowledge.renew(age_ms);
                     return;
                 }
                 Err(fault) => self.pause_after(&fault).await,
@@ -169,9 +170,10 @@
             return Ok(());
         };
         let batch = batch?;
+        self.note_success();
         let gathers = !batch.changes.is_empty() && !self.knowledge.has_held();
         self.knowledge.take(batch.changes, batch.revision);
-        self.note_success(batch.age_ms);
+        self.knowledge.renew(batch.age_ms);
         if gathers {
             // Whoever learns of its readers subscribes while it gathers. After it,
             // each node of a fleet that starts would fetch the next change itself.
@@ -274,8 +276,8 @@
         self.knowledge.feed().set_standing(standing);
     }
 
-    fn note_success(&mut self, age_ms: Millis) {
-        self.knowledge.note_good_read(age_ms);
+    fn note_success(&mut self) {
+        self.knowledge.note_good_read();
         if self.failures == 0 {
             return;
         }
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -96,9 +96,14 @@
         self.own_reads
     }
 
-    /// The source has answered, and told all that it had published so long ago.
-    pub(super) fn note_good_read(&mut self, age_ms: Millis) {
+    /// The source has answered. Comes before what it told is taken: lapses that it tells
+    /// are no longer held then.
+    pub(super) const fn note_good_read(&mut self) {
         self.own_reads = OwnReads::Good;
+    }
+
+    /// Everything is known that the source had published so long ago.
+    pub(super) fn renew(&self, age_ms: Millis) {
         let as_of = self.directory.clock().now().minus(age_ms);
         self.directory.note_as_of(as_of);
         self.feed.renew(as_of);
--- a/crates/edge/tests/all/following.rs
+++ b/crates/edge/tests/all/following.rs
@@ -255,3 +255,33 @@
     }
     Fact::Routes(routes)
 }
+
+/// Targets lapse while the source is away, for a node that reads for itself. It lets them
+/// go by its first good read: held still, they would cost it a second one of everything,
+/// and a whole fleet does so at the end of an outage.
+#[tokio::test]
+async fn lapses_are_taken_with_the_first_good_read() {
+    const FEW: usize = 2;
+    let (followers, listed) = unlisted(FEW, Millis(1_000)).await;
+    followers.published.put_all(listed);
+    for node in &followers.nodes {
+        node.until("all targets", |known| known.members.iter().count() == FEW)
+            .await;
+    }
+    let [first, second] = &followers.nodes[..] else {
+        panic!("there are two nodes");
+    };
+    first.source.set_mood(Mood::Failing);
+    first.until_read().await;
+    let gone = followers.lapse(second, 0);
+    second
+        .until("the lapse", |known| !knows_any(known, &gone))
+        .await;
+    let before = first.source.listings();
+    first.source.set_mood(Mood::Calm);
+    first
+        .until("the lapse", |known| !knows_any(known, &gone))
+        .await;
+    first.until_read().await;
+    assert_eq!(first.source.listings(), before);
+}
--- a/crates/edge/tests/all/support/source.rs
+++ b/crates/edge/tests/all/support/source.rs
@@ -100,6 +100,7 @@
             calls: Arc::default(),
             last_wait_ms: Arc::default(),
             reads_of_routes: Arc::default(),
+            listings: Arc::default(),
         }
     }
 }
@@ -138,6 +139,7 @@
     /// How long the last watch was to wait.
     last_wait_ms: Arc<AtomicU64>,
     reads_of_routes: Arc<AtomicU64>,
+    listings: Arc<AtomicU64>,
 }
 
 impl TestSource {
@@ -153,6 +155,11 @@
         self.calls.load(Ordering::Relaxed)
     }
 
+    /// How often everything was read.
+    pub fn listings(&self) -> u64 {
+        self.listings.load(Ordering::Relaxed)
+    }
+
     /// How often the configuration alone was read.
     pub fn reads_of_routes(&self) -> u64 {
         self.reads_of_routes.load(Ordering::Relaxed)
@@ -230,6 +237,7 @@
 
 impl Source for TestSource {
     fn read_all(&self, silence_ms: Millis) -> Reading<'_, Listing> {
+        self.listings.fetch_add(1, Ordering::Relaxed);
         Box::pin(self.unless_lost(false, silence_ms, async {
             self.call().await?;
             let state = self.published.state.lock();
