Look a departed target's entry up again: it may start anew under its id

The entry is looked up while calls for it come, as for one that is not listed. Test fails without the change (the second look-up was never due).

--- a/crates/dispatch/src/departure.rs
+++ b/crates/dispatch/src/departure.rs
@@ -37,8 +37,8 @@
     is_unwell: bool,
     /// When its entry was last looked up.
     looked_up_at: Option<Millis>,
-    /// The target that is not to get work, and why.
-    left: Option<(TargetId, Standing)>,
+    /// The target that is not to get work.
+    left: Option<TargetId>,
 }
 
 impl Departure {
@@ -70,11 +70,11 @@
 
     /// Whether the target's entry has to be looked up now; it counts as looked up then.
     ///
-    /// Also while it is not listed: an entry that lapsed comes back.
+    /// Also while it gets no work: an entry that lapsed comes back, and a target may start
+    /// again under its id, without a word of its health until it is asked.
     #[must_use]
     pub fn take_look_up(&mut self, now: Millis) -> bool {
-        let is_unlisted = matches!(self.left, Some((_, Standing::Unlisted)));
-        if !self.is_unwell && !is_unlisted {
+        if !self.is_unwell && self.left.is_none() {
             return false;
         }
         let known = self.looked_up_at;
@@ -90,7 +90,7 @@
         let had_left = self.has_left(id);
         self.left = match standing {
             Standing::Open => None,
-            Standing::Draining | Standing::Unlisted => Some((id.clone(), standing)),
+            Standing::Draining | Standing::Unlisted => Some(id.clone()),
         };
         had_left != self.has_left(id)
     }
@@ -98,7 +98,6 @@
     /// Whether this target is not to get work.
     #[must_use]
     pub fn has_left(&self, id: &TargetId) -> bool {
-        let left = self.left.as_ref();
-        left.is_some_and(|(known, _)| known == id)
+        self.left.as_ref() == Some(id)
     }
 }
--- a/crates/dispatch/src/departure/tests.rs
+++ b/crates/dispatch/src/departure/tests.rs
@@ -88,3 +88,17 @@
     assert!(departure.health_is_due(Millis(300)));
     assert!(!departure.take_look_up(Millis(300)));
 }
+
+/// A target said that it leaves, ended, and started again under its id. Nobody asks its
+/// health while it gets no work, so its entry has to tell.
+#[test]
+fn a_target_that_starts_again_under_its_id_gets_work() {
+    let mut departure = departure();
+    departure.note_health(true, Millis(10));
+    assert!(departure.take_look_up(Millis(10)));
+    departure.note_entry(&target(), Standing::Draining);
+    assert!(departure.has_left(&target()));
+    assert!(departure.take_look_up(Millis(5_000)));
+    assert!(departure.note_entry(&target(), Standing::Open));
+    assert!(!departure.has_left(&target()));
+}
