--- a/crates/node/src/metrics/tests.rs
+++ b/crates/node/src/metrics/tests.rs
@@ -80,6 +80,7 @@
     metrics.bulk_served(6_000);
     metrics.platform_read(PlatformRead::Stale);
     metrics.control_busy(1_234);
+    metrics.known_age(640);
     metrics.config_in_force(ConfigVersion(41));
     metrics.config_refused(ConfigVersion(42));
     metrics.members(&MemberLevels {
