Compact the change feed: the latest change of each target, whatever its age

A reader kept the last 1,024 changes. A node that knows nothing could be told by it only while no more than that had ever changed; after that each restarted node had to read the whole list from the store itself, which matters more the more targets change.

The feed is a compacted log now: one change a target and one for the routes, with the last 1,024 removals for subscribers that are behind. Its size follows the list.

Test: a subscriber that knows nothing after 10,000 changes; before, it was told nothing.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -3,11 +3,10 @@
 //! A reader's control thread appends to its [`ChangeFeed`]; the link server
 //! answers subscriptions from it. The other side is [`Subscriptions`].
 
+mod change_log;
 mod links;
 mod subscriptions;
 
-use std::collections::VecDeque;
-
 use bytes::Bytes;
 use hornbeamhitch_dispatch::waits::Waits;
 use hornbeamhitch_wire::link::ToEntry;
@@ -17,6 +16,7 @@
 
 use crate::prelude::*;
 use crate::source::{Change, Fact};
+use change_log::ChangeLog;
 
 #[cfg(test)]
 pub(crate) use links::{Coming, FeedWords};
@@ -26,10 +26,6 @@
 #[cfg(test)]
 mod tests;
 
-/// Changes that are kept for subscribers. One that is further behind reads for
-/// itself; at a few changes a second this is minutes.
-const KEPT_CHANGES: usize = 1_024;
-
 /// A larger change is told by its name alone. A reader tells some 48 subscribers: so much
 /// to each is 0.3 s of a line of 10 Mbit/s.
 ///
@@ -61,19 +57,11 @@
 #[derive(Debug, Default)]
 struct State {
     standing: Standing,
-    /// Changes up to this revision are not kept.
-    base: u64,
     /// Everything up to this revision is known.
     revision: u64,
     /// That was all that the source had published by then.
     as_of: Millis,
-    kept: VecDeque<Kept>,
-}
-
-#[derive(Debug)]
-struct Kept {
-    revision: u64,
-    encoded: Bytes,
+    log: ChangeLog,
 }
 
 /// What is new to one subscriber.
@@ -112,7 +100,7 @@
             return;
         }
         for change in changes {
-            state.keep(change);
+            state.log_change(change);
         }
         state.revision = revision;
         drop(state);
@@ -150,12 +138,11 @@
     #[must_use]
     pub fn after(&self, revision: u64) -> Option<FeedPart> {
         let state = self.state.lock();
-        if state.standing == Standing::Closed || revision < state.base {
+        if state.standing == Standing::Closed {
             return None;
         }
-        let new = state.kept.iter().filter(|kept| kept.revision > revision);
         Some(FeedPart {
-            changes: new.map(|kept| kept.encoded.clone()).collect(),
+            changes: state.log.after(revision)?,
             revision: state.revision,
             is_troubled: state.standing == Standing::Troubled,
             age_ms: self.clock.now().since(state.as_of),
@@ -204,25 +191,14 @@
 }
 
 impl State {
-    fn keep(&mut self, change: &Change) {
-        let encoded = match encode(change) {
-            Ok(encoded) => encoded,
+    fn log_change(&mut self, change: &Change) {
+        match encode(change) {
+            Ok(encoded) => self.log.append(change, encoded),
             Err(error) => {
                 log::error!("a change cannot be written for other nodes: {error}");
                 // Nobody may be told that everything is known without it.
-                self.kept.clear();
-                self.base = change.revision;
-                return;
+                self.log.lose(change.revision);
             }
-        };
-        self.kept.push_back(Kept {
-            revision: change.revision,
-            encoded,
-        });
-        if self.kept.len() > KEPT_CHANGES
-            && let Some(oldest) = self.kept.pop_front()
-        {
-            self.base = oldest.revision;
         }
     }
 }
--- /dev/null
+++ b/crates/edge/src/feed/change_log.rs
@@ -0,0 +1,97 @@
+//! A compacted log of changes: the latest of each key, in the order of revisions.
+//!
+//! Whoever knows nothing can be sent all of it, whatever happened before, and its size
+//! follows what is listed and not how much has changed.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use bytes::Bytes;
+
+use crate::prelude::*;
+use crate::source::{Change, Fact};
+
+/// Removals that are kept for subscribers that are behind. One that is further behind
+/// reads for itself; at a few removals a second this is minutes.
+const MAX_TOMBSTONES: usize = 1_024;
+
+/// What a change replaces.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Key {
+    Routes,
+    Target(TargetId),
+}
+
+impl Key {
+    fn of(fact: &Fact) -> Self {
+        match fact {
+            Fact::Routes(_) | Fact::LargeRoutes(_) => Self::Routes,
+            Fact::Listed(member) => Self::Target(member.id.clone()),
+            Fact::Left(id) => Self::Target(id.clone()),
+        }
+    }
+}
+
+/// Order of entries: by revision, then as appended.
+type Position = (u64, u64);
+
+/// The latest change of each key.
+#[derive(Debug, Default)]
+pub(super) struct ChangeLog {
+    entries: BTreeMap<Position, Bytes>,
+    positions: HashMap<Key, Position>,
+    /// Removals, oldest first. Some may have been replaced by a later change of the key.
+    tombstones: VecDeque<(Key, Position)>,
+    appended: u64,
+    /// Removals up to this revision may be missing.
+    compacted_to: u64,
+    /// Any change up to this revision may be missing.
+    lost_to: u64,
+}
+
+impl ChangeLog {
+    /// Adds a change in its encoded form.
+    pub(super) fn append(&mut self, change: &Change, encoded: Bytes) {
+        self.appended += 1;
+        let position = (change.revision, self.appended);
+        let key = Key::of(&change.fact);
+        if let Some(replaced) = self.positions.insert(key.clone(), position) {
+            self.entries.remove(&replaced);
+        }
+        self.entries.insert(position, encoded);
+        if matches!(change.fact, Fact::Left(_)) {
+            self.tombstones.push_back((key, position));
+            self.compact();
+        }
+    }
+
+    /// A change up to this revision cannot be told to anybody.
+    pub(super) fn lose(&mut self, revision: u64) {
+        self.lost_to = self.lost_to.max(revision);
+    }
+
+    /// Changes for a subscriber that knows everything up to `revision`; `None` when some
+    /// are missing. A subscriber that knows nothing (0) needs no removals.
+    pub(super) fn after(&self, revision: u64) -> Option<Vec<Bytes>> {
+        let knows_removals = revision == 0 || revision >= self.compacted_to;
+        if revision < self.lost_to || !knows_removals {
+            return None;
+        }
+        let new = self.entries.range((revision + 1, 0)..);
+        Some(new.map(|(_, encoded)| encoded.clone()).collect())
+    }
+
+    /// Drops the oldest removals above the limit.
+    fn compact(&mut self) {
+        while self.tombstones.len() > MAX_TOMBSTONES {
+            let Some((key, position)) = self.tombstones.pop_front() else {
+                return;
+            };
+            if self.positions.get(&key) != Some(&position) {
+                continue;
+            }
+            self.positions.remove(&key);
+            self.entries.remove(&position);
+            self.compacted_to = position.0;
+        }
+    }
+}
--- a/crates/edge/src/feed/tests.rs
+++ b/crates/edge/src/feed/tests.rs
@@ -13,6 +13,23 @@
     }
 }
 
+fn listed(revision: u64, id: &str) -> Change {
+    let member = Member {
+        id: TargetId::new(id),
+        service: ServiceName::new("s"),
+        address: ([127, 0, 0, 1], 9).into(),
+        data_centre: DataCentre::new("dc"),
+        slots: 1,
+        draining: false,
+        listed_at: revision,
+        born_ms: None,
+    };
+    Change {
+        revision,
+        fact: Fact::Listed(member),
+    }
+}
+
 fn revisions(part: &FeedPart) -> Vec<u64> {
     let decode =
         |encoded: &Bytes| -> Change { postcard::from_bytes(encoded).expect("what was encoded") };
@@ -59,6 +76,28 @@
     assert_eq!(revisions(&last), [2_000]);
 }
 
+/// Guards against restarted nodes that all read the source, as changes of long ago are gone.
+#[test]
+fn a_subscriber_that_knows_nothing_is_sent_the_latest_of_each_target() {
+    const TARGETS: u64 = 40;
+    const CHANGES: u64 = 5_000;
+    let feed = open_feed();
+    for revision in 11..=CHANGES {
+        let id = format!("i-{}", revision % TARGETS);
+        feed.append(&[listed(revision, &id)], revision);
+    }
+    for revision in CHANGES + 1..=2 * CHANGES {
+        feed.append(&[left(revision)], revision);
+    }
+    let part = feed.after(0).expect("an open feed");
+    let known = revisions(&part).into_iter();
+    let expected: Vec<u64> = (CHANGES - TARGETS + 1..=CHANGES).collect();
+    let listed: Vec<u64> = known.filter(|revision| *revision <= CHANGES).collect();
+    assert_eq!(listed, expected);
+    assert_eq!(part.revision, 2 * CHANGES);
+    assert_eq!(feed.after(CHANGES), None);
+}
+
 #[test]
 fn trouble_is_told() {
     let feed = open_feed();
