One leader for twelve readers, and no watch of the readers that it leads

The readers that are led elsewhere kept a long watch too, and each change ended all of them.

Leaders are the first readers of a group, one for twelve, and share the others evenly. A led reader is told like a follower, and asks for itself when what it knows is 42% of the bound old (followers: 50%). So the long watch and its early end go.

The test of leaders expected each reader of a group of 200 to lead, since one would tell too many; it now expects two, and that no leader has more than eleven led readers.

--- a/crates/dispatch/src/readers.rs
+++ b/crates/dispatch/src/readers.rs
@@ -33,8 +33,9 @@
 /// One reader for this many VMs: with three subscriptions each, a reader tells
 /// about 48 nodes, some four times a second when nothing changes.
 const VMS_A_READER: usize = 16;
-/// Readers of a group in which one leads: with the others, it tells 59 nodes.
-const MOST_LED_READERS: usize = 12;
+/// One leader for this many readers of a group, itself included: with those that it
+/// leads, it tells 59 nodes.
+const READERS_A_LEADER: usize = 12;
 /// Readers to whom one node subscribes.
 pub const SUBSCRIPTIONS: usize = 3;
 
@@ -159,13 +160,12 @@
     data_centres
 }
 
-/// The reader whose asking a reader relies on, which may be itself. In a group of many
-/// readers nobody relies on one: it would tell too many.
+/// The reader whose asking a reader relies on, which may be itself. The first ones of a
+/// group lead, and share the others evenly.
 fn leader_of(near: &[IpAddr], own: IpAddr) -> IpAddr {
-    match near.len() <= MOST_LED_READERS {
-        true => near[0],
-        false => own,
-    }
+    let leaders = near.len().div_ceil(READERS_A_LEADER);
+    let place = near.iter().position(|reader| *reader == own);
+    near[place.map_or(0, |place| place % leaders)]
 }
 
 /// The readers of one group.
--- a/crates/dispatch/src/readers/tests.rs
+++ b/crates/dispatch/src/readers/tests.rs
@@ -126,16 +126,18 @@
     assert!(!followers.any(|(own, role)| crosses(own, role)));
 }
 
-/// Readers that do not lead rely on one that does: each must hear it, and there must be
-/// one in a group. It would tell too many in a large group, where none relies on another.
+/// Guards against calls at rest that grow with the readers of a group, and against a leader
+/// that too many rely on.
 #[test]
-fn one_reader_leads_a_group_and_the_others_hear_it() {
+fn one_reader_of_twelve_leads_and_the_others_hear_it() {
     let cases = [
         (&[8, 5][..], 1),
         (&[45], 1),
         (&[30, 30, 27], 1),
         (&[70, 20], 2),
-        (&[200], 13),
+        (&[200], 2),
+        (&[39, 39, 39, 39, 39], 2),
+        (&[889], 5),
     ];
     for (sizes, expected) in cases {
         let roles = roles(sizes);
@@ -150,6 +152,11 @@
             let heard = role.heard();
             assert!(heard.iter().any(|vm| leaders.contains(vm)), "{role:?}");
         }
+        for leader in leaders {
+            let is_led_by = |role: &&Role| role.is_led() && role.heard().first() == Some(&leader);
+            let led = roles.values().filter(is_led_by).count();
+            assert!(led < READERS_A_LEADER, "{leader} leads {led} of {sizes:?}");
+        }
     }
 }
 
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -7,6 +7,7 @@
 
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hornbeamhitch_dispatch::readers::{self, Role};
 use hornbeamhitch_dispatch::waits::Waits;
@@ -16,16 +17,13 @@
 use crate::feed::{ChangeFeed, FeedLinks, Standing, Subscriptions, TcpFeedLinks};
 use crate::prelude::*;
 use crate::source::{SharedSource, SourceFault};
-use hearing::{while_hearing, while_young, with_expiry};
+use hearing::{while_hearing, with_expiry};
 use knowledge::{Knowledge, OwnReads};
 use large_routes::LargeRoutes;
 
 #[cfg(test)]
 mod tests;
 
-/// How long a reader's watch waits while another asks the source again and again. Each
-/// end of one costs a call; it brings nothing that the other does not tell.
-const LED_WAIT_MS: Millis = Millis(10_000);
 /// A watch that is to be answered at once.
 const AT_ONCE_MS: Millis = Millis(1);
 /// The first gathering of a node that has just started; each further one takes twice as
@@ -84,9 +82,10 @@
         failures: 0,
         gatherings: 0,
     };
+    following.read_all().await;
     loop {
-        following.read_all().await;
         following.keep_up().await;
+        following.read_all().await;
     }
 }
 
@@ -126,7 +125,7 @@
             self.settle_role();
             if self.is_told() {
                 self.hear().await;
-                if !self.is_told() {
+                if !self.is_told() && self.role.is_follower() {
                     // Not in step with all others who heard the same readers.
                     self.pause(self.waits.lost_readers_pause_ms()).await;
                 }
@@ -153,23 +152,25 @@
     /// known here. Asking for two, a fleet of which a third is turned away by the source
     /// makes a call of each node at each change.
     fn is_told(&self) -> bool {
-        self.role.is_follower()
-            && self.subscriptions.sound() > 0
+        self.subscriptions.sound() > 0
             && self.knowledge.own_reads() == OwnReads::Good
-            && self.knowledge.age_ms() < self.waits.oldest_told_ms()
+            && self.knowledge.age_ms() < self.oldest_told_ms()
+    }
+
+    /// Age of what is known at which this node asks the source itself.
+    fn oldest_told_ms(&self) -> Millis {
+        match &self.role {
+            Role::Follower(_) => self.waits.oldest_told_ms(),
+            Role::Reader { leads: false, .. } => self.waits.oldest_led_ms(),
+            Role::Reader { leads: true, .. } | Role::Alone => Millis::ZERO,
+        }
     }
 
     /// Watches the source once and takes what came.
     async fn watch(&mut self) -> Result<(), SourceFault> {
         let (after, wait_ms) = (self.knowledge.revision(), self.watch_wait_ms());
         let watching = self.source.watch(after, wait_ms, self.waits.silence_ms());
-        let oldest_ms = self.oldest_ms();
-        let (knowledge, heard) = (&mut self.knowledge, &mut self.subscriptions);
-        let Some(batch) = while_young(watching, knowledge, heard, oldest_ms).await else {
-            log::info!("no reader asks the source again; this one does");
-            return Ok(());
-        };
-        let batch = batch?;
+        let batch = while_hearing(watching, &mut self.knowledge, &mut self.subscriptions).await?;
         self.note_success();
         let gathers = !batch.changes.is_empty() && !self.knowledge.has_held();
         self.knowledge.take(batch.changes, batch.revision);
@@ -191,7 +192,6 @@
     fn watch_wait_ms(&self) -> Millis {
         match self.knowledge.own_reads() {
             OwnReads::Doubtful | OwnReads::Failed => AT_ONCE_MS,
-            OwnReads::Good if self.relies_on_leader() => LED_WAIT_MS,
             OwnReads::Good => {
                 let left_ms = self.waits.renewal_ms().minus(self.knowledge.age_ms());
                 left_ms.max(AT_ONCE_MS)
@@ -199,24 +199,9 @@
         }
     }
 
-    /// Whether another reader's asking shows that nothing is missed here.
-    ///
-    /// What it tells keeps this node's knowledge young, and its watch may wait long. As
-    /// soon as the knowledge grows old, for whatever reason, the watch is given up, and
-    /// the source is asked at once.
-    fn relies_on_leader(&self) -> bool {
-        self.role.is_led() && self.knowledge.age_ms() < self.waits.oldest_led_ms()
-    }
-
-    /// Age of what is known at which a watch is given up.
-    fn oldest_ms(&self) -> Option<Millis> {
-        let relies = self.relies_on_leader();
-        relies.then(|| self.waits.oldest_led_ms())
-    }
-
     /// Takes what a reader tells next, or nothing when what is known grows too old.
     async fn hear(&mut self) {
-        let left_ms = self.waits.oldest_told_ms().minus(self.knowledge.age_ms());
+        let left_ms = self.oldest_told_ms().minus(self.knowledge.age_ms());
         let next = tokio::time::timeout(left_ms.to_duration(), self.subscriptions.next());
         match with_expiry(next, &mut self.knowledge).await {
             Ok(event) => self.knowledge.hear(event),
@@ -309,8 +294,12 @@
 
     /// Waits for half of a span or more, drawn at random.
     async fn pause(&mut self, most: Millis) {
-        let pause = Millis(rand::rng().random_range(most.0 / 2..=most.0));
-        let pausing = tokio::time::sleep(pause.to_duration());
+        let pausing = tokio::time::sleep(jittered(most));
         while_hearing(pausing, &mut self.knowledge, &mut self.subscriptions).await;
     }
 }
+
+/// Half of a span or more, drawn at random.
+fn jittered(most: Millis) -> Duration {
+    Millis(rand::rng().random_range(most.0 / 2..=most.0)).to_duration()
+}
