Join a fleet by a stale listing and a reader's feed

Cause: each node read everything and watched for itself until it knew who reads, while 195 targets registered over three seconds.

A node that starts reads a listing that may be stale, at a tenth of the price, until it names readers, and is sent everything by one of them. Only nodes that others rely on read the source. Until then traffic uses the stale listing; none of it counts as known: its age is still that of the process, and the first current facts replace all of it. After 50% of the bound on stale facts, or after all of it without any, the node reads for itself (compile-time sums in dispatch::waits). Subscriptions of a node that knows nothing begin one after the other, so that one reader sends the list and not three; refused ones are tried again after 100 ms, doubled to a second.

Ruled out: seeds (three machines would send the list to all others over 20 Mbit/s); to wait for readers without serving (callers of a restarted node would be refused).

--- a/crates/dispatch/src/waits.rs
+++ b/crates/dispatch/src/waits.rs
@@ -25,6 +25,7 @@
 const HEARSAY_HOLD: u64 = 40;
 const OWN_HEALTH: u64 = 10;
 const OWN_ENTRY: u64 = 40;
+const LONGEST_STALE: u64 = 50;
 const WHOLE: u64 = 100;
 
 /// A read that is lost as it begins: its end, a pause, and the read that replaces it.
@@ -43,6 +44,8 @@
 const _: () = assert!(RENEWAL + 2 * TELL_AGAIN + HEARSAY_HOLD < WHOLE);
 /// A gate's own target that leaves just after its entry was looked up.
 const _: () = assert!(OWN_HEALTH + OWN_ENTRY + SILENCE < WHOLE);
+/// A node that has just started, whose last stale read is lost.
+const _: () = assert!(LONGEST_STALE + SILENCE + SILENCE < WHOLE);
 /// In calm times readers tell before anybody takes them for lost.
 const _: () = assert!(RENEWAL < OLDEST_LED && RENEWAL + TELL_AGAIN < OLDEST_TOLD);
 /// A reader takes the place of another before those who are told miss it.
@@ -109,6 +112,19 @@
         self.share(OLDEST_TOLD)
     }
 
+    /// A node that has just started serves on a stale listing for so long at most, and
+    /// then reads for itself.
+    #[must_use]
+    pub const fn longest_stale_ms(&self) -> Millis {
+        self.share(LONGEST_STALE)
+    }
+
+    /// The same while its listings hold no configuration, so that it acts on nothing.
+    #[must_use]
+    pub const fn longest_idle_ms(&self) -> Millis {
+        self.share(WHOLE)
+    }
+
     /// Pause of a node that lost its readers before it reads for itself. A reader whose
     /// read failed reads again before it ends, so that one failed call of a reader does
     /// not make a call of each of its subscribers.
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::source::Listing;
 
 /// Facts in force, replaced whole by the control thread.
 #[derive(Clone, Debug, Default)]
@@ -109,6 +110,18 @@
     }
 }
 
+/// The targets of a listing, as traffic reads them.
+pub(crate) fn members_of(listing: &Listing) -> Members {
+    let mut tracker = MemberTracker::default();
+    for member in &listing.members {
+        tracker.upsert(member.clone());
+    }
+    match &listing.routes {
+        Some(routes) => tracker.snapshot_for(routes),
+        None => tracker.snapshot(),
+    }
+}
+
 /// The directory as traffic reads it.
 pub type SharedDirectory = Arc<ArcSwap<Directory>>;
 
@@ -118,6 +131,8 @@
     directory: SharedDirectory,
     tracker: MemberTracker,
     clock: ProcessClock,
+    /// The facts in force are those of a stale listing.
+    serves_stale: bool,
 }
 
 impl DirectoryWriter {
@@ -128,6 +143,7 @@
             directory,
             tracker: MemberTracker::default(),
             clock,
+            serves_stale: false,
         }
     }
 
@@ -158,6 +174,39 @@
         });
     }
 
+    /// Lets traffic use a listing that may be stale while nothing is known. None of it
+    /// counts as known, so current facts replace all of it.
+    ///
+    /// What another node told is left alone: it is newer as a rule.
+    pub fn adopt_stale(&mut self, routes: RouteSet, members: Members) {
+        let version = routes.version();
+        let (routes, members) = (Arc::new(routes), Arc::new(members));
+        let serves_stale = self.serves_stale;
+        let before = self.directory.rcu(|known| {
+            let is_replaced = match &known.routes {
+                Some(known) => serves_stale && version >= known.version(),
+                None => true,
+            };
+            if !is_replaced {
+                return Arc::clone(known);
+            }
+            Arc::new(Directory {
+                routes: Some(Arc::clone(&routes)),
+                members: Arc::clone(&members),
+                as_of: known.as_of.clone(),
+            })
+        });
+        if before.routes.is_none() {
+            self.serves_stale = true;
+            log::info!(version; "configuration in force, from a stale listing");
+        }
+    }
+
+    /// Whether the targets in force are those of a stale listing; true once.
+    pub const fn take_serves_stale(&mut self) -> bool {
+        std::mem::replace(&mut self.serves_stale, false)
+    }
+
     /// A target's entry was written.
     pub fn upsert(&mut self, member: Member) {
         self.tracker.upsert(member);
--- a/crates/edge/src/feed/subscriptions.rs
+++ b/crates/edge/src/feed/subscriptions.rs
@@ -17,8 +17,11 @@
 use crate::prelude::*;
 use crate::source::Change;
 
-/// Pause before a reader that was lost, or was none, is asked again.
-const AGAIN_AFTER: Duration = Duration::from_secs(1);
+/// First pause before a reader that was lost, or was none, is asked again; doubled with
+/// each attempt in vain. Nodes that start together are ready some tenths of a second apart.
+const FIRST_RETRY: Duration = Duration::from_millis(100);
+/// Longest such pause.
+const MAX_RETRY: Duration = Duration::from_secs(1);
 
 /// What a reader told.
 #[derive(Debug)]
@@ -109,16 +112,19 @@
     /// Subscribes to these readers and to no others.
     pub fn keep_to(&mut self, wanted: &[IpAddr]) {
         self.readers.retain(|reader, _| wanted.contains(reader));
+        let mut delay = Duration::ZERO;
         for reader in wanted {
             if self.readers.contains_key(reader) {
                 continue;
             }
             let hearing = hear(
                 *reader,
+                delay,
                 self.listening.clone(),
                 Arc::clone(&self.known),
                 self.told.clone(),
             );
+            delay += self.next_subscription_delay();
             let subscription = Subscription {
                 task: tokio::spawn(hearing).abort_handle(),
                 is_sound: false,
@@ -127,6 +133,16 @@
         }
     }
 
+    /// How much later than one subscription the next begins. A node that knows nothing is
+    /// sent everything by each reader that it subscribes to before it has heard one; when a
+    /// whole fleet starts, that would fill the readers' lines.
+    fn next_subscription_delay(&self) -> Duration {
+        match self.known.load(Ordering::Acquire) {
+            0 => self.listening.waits.tell_again_ms().to_duration(),
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Readers that speak and whose own reads succeed.
     #[must_use]
     pub fn sound(&self) -> usize {
@@ -157,22 +173,27 @@
 /// Hears one reader for as long as it is wanted.
 async fn hear(
     reader: IpAddr,
+    delay: Duration,
     listening: Listening,
     known: Arc<AtomicU64>,
     told: mpsc::UnboundedSender<FeedEvent>,
 ) {
     let mut was_heard = false;
+    let mut retry = FIRST_RETRY;
+    tokio::time::sleep(delay).await;
     loop {
         let ended = hear_once(reader, &listening, &known, &told, &mut was_heard).await;
         if was_heard {
             log::info!("the reader {reader} is not heard any more: {ended}");
             was_heard = false;
+            retry = FIRST_RETRY;
             let lost = FeedEvent::Lost { reader };
             if told.send(lost).is_err() {
                 return;
             }
         }
-        tokio::time::sleep(AGAIN_AFTER).await;
+        tokio::time::sleep(retry).await;
+        retry = (retry * 2).min(MAX_RETRY);
     }
 }
 
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -1,6 +1,7 @@
 //! Follows the platform's facts for as long as the process lives, on the control
 //! thread: reads the source, or hears nodes that do.
 
+mod bootstrap;
 mod hearing;
 mod knowledge;
 mod large_routes;
@@ -82,7 +83,11 @@
         failures: 0,
         gatherings: 0,
     };
-    following.read_all().await;
+    let is_told = following.bootstrap().await;
+    log::info!(is_told; "bootstrap is over");
+    if !is_told {
+        following.read_all().await;
+    }
     loop {
         following.keep_up().await;
         following.read_all().await;
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -102,6 +102,11 @@
         self.own_reads = OwnReads::Good;
     }
 
+    /// Lets traffic use a listing that may be stale while nothing is known.
+    pub(super) fn adopt_stale(&mut self, routes: RouteSet, members: Members) {
+        self.directory.adopt_stale(routes, members);
+    }
+
     /// Everything is known that the source had published so long ago.
     pub(super) fn renew(&self, age_ms: Millis) {
         let as_of = self.directory.clock().now().minus(age_ms);
@@ -162,7 +167,9 @@
         self.feed.append(&changes, revision);
         self.revision = revision.max(self.revision);
         let mut routes = Vec::new();
-        let mut members_changed = false;
+        // Targets of a stale listing end with the first current facts, also where these
+        // name no target.
+        let mut members_changed = self.directory.take_serves_stale();
         for change in changes {
             match change.fact {
                 Fact::Routes(written) => routes.push(written),
--- a/crates/edge/src/following/tests.rs
+++ b/crates/edge/src/following/tests.rs
@@ -1,5 +1,6 @@
 //! How old what nodes act on may grow, whatever goes wrong on the way to them.
 
+mod calls;
 mod fleet;
 #[path = "../../tests/all/support/source.rs"]
 #[allow(dead_code, reason = "tests with sockets use the rest of it")]
--- a/crates/edge/src/following/tests/fleet.rs
+++ b/crates/edge/src/following/tests/fleet.rs
@@ -115,6 +115,15 @@
     }
 }
 
+/// Calls to the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Calls {
+    /// At the whole price.
+    pub(super) current: u64,
+    /// Stale reads, at a tenth of it.
+    pub(super) stale: u64,
+}
+
 /// Nodes and their store.
 pub(super) struct Fleet {
     store: Published,
@@ -135,33 +144,86 @@
 impl Fleet {
     /// Starts nodes in three small data centres, and waits until they have their parts.
     pub(super) async fn start(count: usize) -> Self {
+        let mut fleet = Self::of(count);
+        fleet.list_all();
+        for ip in fleet.ips.clone() {
+            fleet.start_node(ip);
+        }
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let directory = fleet.lives[&fleet.ips[0]].directory.load();
+        let is_reader =
+            |own: &IpAddr| readers::role(&directory.members, *own, &data_centre(*own)).is_reader();
+        fleet.readers = fleet.ips.iter().copied().filter(is_reader).collect();
+        assert_eq!(fleet.readers.len(), 3);
+        drop(directory);
+        fleet
+    }
+
+    /// Nodes that are not started, in a store without targets.
+    pub(super) fn of(count: usize) -> Self {
         let ips: Vec<IpAddr> = (1..=count).map(ip).collect();
         let store = Published::new();
         store.put_version(1);
-        store.put_all(ips.iter().map(member).map(Fact::Listed).collect());
-        let mut fleet = Self {
+        Self {
             store,
             net: Net::default(),
             started: Instant::now(),
-            ips: ips.clone(),
+            ips,
             lives: BTreeMap::new(),
             readers: Vec::new(),
             version: 1,
             published: VecDeque::new(),
             on: Vec::new(),
             troubled: BTreeMap::new(),
-        };
-        for ip in &ips {
-            fleet.start_node(*ip);
         }
-        tokio::time::sleep(Duration::from_secs(4)).await;
-        let directory = fleet.lives[&ips[0]].directory.load();
-        let is_reader =
-            |own: &IpAddr| readers::role(&directory.members, *own, &data_centre(*own)).is_reader();
-        fleet.readers = ips.into_iter().filter(is_reader).collect();
-        assert_eq!(fleet.readers.len(), 3);
-        drop(directory);
-        fleet
+    }
+
+    /// Lists all targets at once.
+    pub(super) fn list_all(&self) {
+        let all = self.ips.iter().map(member).map(Fact::Listed);
+        self.store.put_all(all.collect());
+    }
+
+    /// Starts all nodes within the first span; their targets are listed one after the other
+    /// over the second, each after its node.
+    pub(super) async fn start_over(&mut self, starts: Duration, registers: Duration) {
+        let count = u32::try_from(self.ips.len()).expect("a small fleet");
+        for ip in self.ips.clone() {
+            self.start_node(ip);
+            tokio::time::sleep(starts / count).await;
+        }
+        for ip in self.ips.clone() {
+            self.store.put(Fact::Listed(member(&ip)));
+            tokio::time::sleep(registers / count).await;
+        }
+    }
+
+    /// All nodes lose power and start again within this span. Their targets stay listed.
+    pub(super) async fn restart_over(&mut self, starts: Duration) {
+        self.lives.clear();
+        self.net.0.lock().clear();
+        let count = u32::try_from(self.ips.len()).expect("a small fleet");
+        for ip in self.ips.clone() {
+            self.start_node(ip);
+            tokio::time::sleep(starts / count).await;
+        }
+    }
+
+    /// Nodes that do not know every target.
+    pub(super) fn lacking(&self) -> usize {
+        let knows_all = |life: &&Life| life.directory.load().members.len() == self.ips.len();
+        let knowing = self.lives.values().filter(knows_all).count();
+        self.ips.len() - knowing
+    }
+
+    /// Calls to the store of the nodes that run now.
+    pub(super) fn calls(&self) -> Calls {
+        let mut calls = Calls::default();
+        for life in self.lives.values() {
+            calls.current += life.source.calls();
+            calls.stale += life.source.stale_reads();
+        }
+        calls
     }
 
     fn start_node(&mut self, own: IpAddr) {
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -22,6 +22,10 @@
     /// Reads everything.
     fn read_all(&self, silence_ms: Millis) -> Reading<'_, Listing>;
 
+    /// Reads everything from a replica that may be seconds behind, where that is cheaper.
+    /// The listing's revision and age say nothing.
+    fn read_stale(&self, silence_ms: Millis) -> Reading<'_, Listing>;
+
     /// Waits until something changes after a revision; empty when nothing did
     /// for as long as `wait_ms`.
     fn watch(&self, after: u64, wait_ms: Millis, silence_ms: Millis) -> Reading<'_, Changes>;
--- a/crates/edge/tests/all/support/source.rs
+++ b/crates/edge/tests/all/support/source.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use hornbeamhitch_edge::prelude::*;
 use hornbeamhitch_edge::source::{Change, Changes, Fact, Listing, Reading, Source, SourceFault};
 use parking_lot::Mutex;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// How the source treats one reader.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -41,6 +43,8 @@
     /// Watches from before this revision are told that the history is gone.
     forgotten: u64,
     history: Vec<Change>,
+    /// Every change there was, and when.
+    written: Vec<(Instant, Fact)>,
     members: BTreeMap<TargetId, Member>,
     routes: Option<RouteSet>,
 }
@@ -101,6 +105,7 @@
             last_wait_ms: Arc::default(),
             reads_of_routes: Arc::default(),
             listings: Arc::default(),
+            stale_reads: Arc::default(),
         }
     }
 }
@@ -112,7 +117,30 @@
     Fact::Routes(routes)
 }
 
+/// A replica of the source is so far behind.
+const REPLICA_LAG: Duration = Duration::from_secs(1);
+
 impl State {
+    /// What a replica that is behind knows.
+    fn stale_listing(&self) -> Listing {
+        let mut replica = Self::default();
+        for (at, fact) in &self.written {
+            if at.elapsed() >= REPLICA_LAG {
+                replica.put(fact.clone());
+            }
+        }
+        replica.listing()
+    }
+
+    fn listing(&self) -> Listing {
+        Listing {
+            routes: self.routes.clone(),
+            members: self.members.values().cloned().collect(),
+            revision: self.revision,
+            age_ms: Millis::ZERO,
+        }
+    }
+
     fn put(&mut self, fact: Fact) {
         match &fact {
             Fact::Routes(routes) => self.routes = Some(routes.clone()),
@@ -124,6 +152,7 @@
                 self.members.remove(id);
             }
         }
+        self.written.push((Instant::now(), fact.clone()));
         self.revision += 1;
         let revision = self.revision;
         self.history.push(Change { revision, fact });
@@ -140,6 +169,7 @@
     last_wait_ms: Arc<AtomicU64>,
     reads_of_routes: Arc<AtomicU64>,
     listings: Arc<AtomicU64>,
+    stale_reads: Arc<AtomicU64>,
 }
 
 impl TestSource {
@@ -160,6 +190,11 @@
         self.listings.load(Ordering::Relaxed)
     }
 
+    /// How often everything was read from a replica; [`Self::calls`] leaves these out.
+    pub fn stale_reads(&self) -> u64 {
+        self.stale_reads.load(Ordering::Relaxed)
+    }
+
     /// How often the configuration alone was read.
     pub fn reads_of_routes(&self) -> u64 {
         self.reads_of_routes.load(Ordering::Relaxed)
@@ -240,13 +275,15 @@
         self.listings.fetch_add(1, Ordering::Relaxed);
         Box::pin(self.unless_lost(false, silence_ms, async {
             self.call().await?;
-            let state = self.published.state.lock();
-            Ok(Listing {
-                routes: state.routes.clone(),
-                members: state.members.values().cloned().collect(),
-                revision: state.revision,
-                age_ms: Millis::ZERO,
-            })
+            Ok(self.published.state.lock().listing())
+        }))
+    }
+
+    fn read_stale(&self, silence_ms: Millis) -> Reading<'_, Listing> {
+        self.stale_reads.fetch_add(1, Ordering::Relaxed);
+        Box::pin(self.unless_lost(false, silence_ms, async {
+            self.answers().await?;
+            Ok(self.published.state.lock().stale_listing())
         }))
     }
 
--- a/crates/routed/src/source.rs
+++ b/crates/routed/src/source.rs
@@ -188,6 +188,11 @@
         Box::pin(unless_silent(silence_ms.to_duration(), self.read_both()))
     }
 
+    fn read_stale(&self, silence_ms: Millis) -> Reading<'_, Listing> {
+        // This platform has no cheaper read.
+        self.read_all(silence_ms)
+    }
+
     fn watch(&self, after: u64, wait_ms: Millis, silence_ms: Millis) -> Reading<'_, Changes> {
         let limit = wait_ms.to_duration() + silence_ms.to_duration();
         Box::pin(unless_silent(limit, async move {
