Let few nodes probe a store that is away, and tell what was met in a stale listing

Cause: a node whose readers could not read asked for itself, and so did all others. Also: followers asked before their readers could know that the store was away.

A group has as many reserves as readers. While all readers that a follower hears are in trouble, reserves ask in their place, and readers hear reserves, so a store that turns away just the readers is still heard. Readers beside a node come first, so that feeds stay within data centres.

What subscribers were told is counted apart.

--- a/crates/dispatch/src/readers.rs
+++ b/crates/dispatch/src/readers.rs
@@ -9,6 +9,9 @@
 //! well, so that one whose own reads bring nothing, without an error, still learns
 //! what any other knows.
 //!
+//! While the platform is away, all readers say so. Then their followers need not ask as
+//! well, all of them at once: a few reserves do, in case it only turns the readers away.
+//!
 //! Nothing is agreed upon: nodes with different lists choose different readers
 //! for a while, and one that is asked without being a reader says so.
 
@@ -49,22 +52,39 @@
     Reader {
         /// Other readers, the one that leads it among them.
         heard: Vec<IpAddr>,
+        /// A reserve that it hears as well.
+        reserve: Option<IpAddr>,
         /// It asks the platform again and again, whether anything changes or not, and
         /// tells so. The readers that it leads need to do so only when it falls silent:
         /// a fleet at rest costs the calls of few nodes.
         leads: bool,
     },
     /// It hears these readers.
-    Follower(Vec<IpAddr>),
+    Follower {
+        /// The readers.
+        heard: Vec<IpAddr>,
+        /// It asks the platform while all of these are in trouble, and readers hear it.
+        is_reserve: bool,
+    },
 }
 
 impl Role {
-    /// The readers to subscribe to.
+    /// The nodes to subscribe to.
+    #[must_use]
+    pub fn subscriptions(&self) -> Vec<IpAddr> {
+        let mut wanted = self.heard().to_vec();
+        if let Self::Reader { reserve, .. } = self {
+            wanted.extend(reserve);
+        }
+        wanted
+    }
+
+    /// The readers that this node hears.
     #[must_use]
     pub fn heard(&self) -> &[IpAddr] {
         match self {
             Self::Alone => &[],
-            Self::Reader { heard, .. } | Self::Follower(heard) => heard,
+            Self::Reader { heard, .. } | Self::Follower { heard, .. } => heard,
         }
     }
 
@@ -74,6 +94,24 @@
         matches!(self, Self::Reader { .. })
     }
 
+    /// Whether others hear this node.
+    #[must_use]
+    pub const fn is_heard(&self) -> bool {
+        matches!(self, Self::Reader { .. }) || self.is_reserve()
+    }
+
+    /// Whether this node reads when the readers cannot.
+    #[must_use]
+    pub const fn is_reserve(&self) -> bool {
+        matches!(
+            self,
+            Self::Follower {
+                is_reserve: true,
+                ..
+            }
+        )
+    }
+
     /// Whether another reader asks the platform for it.
     #[must_use]
     pub const fn is_led(&self) -> bool {
@@ -83,7 +121,7 @@
     /// Whether this node leaves reading to others.
     #[must_use]
     pub const fn is_follower(&self) -> bool {
-        matches!(self, Self::Follower(_))
+        matches!(self, Self::Follower { .. })
     }
 }
 
@@ -106,25 +144,32 @@
     if group.len() <= MAX_VMS_WITHOUT_READERS {
         return Role::Alone;
     }
-    let near = readers(group);
-    if !near.contains(&own) {
-        return Role::Follower(nearest(near, own));
+    let Ranked { readers, reserves } = rank(group);
+    if !readers.contains(&own) {
+        return Role::Follower {
+            heard: nearest(readers, own, beside),
+            is_reserve: reserves.contains(&own),
+        };
     }
     let mut others = Vec::new();
     for group in large.into_iter().chain([&sharing]) {
         if group.len() > MAX_VMS_WITHOUT_READERS {
-            others.extend(readers(group));
+            others.extend(rank(group).readers);
         }
     }
-    let leader = leader_of(&near, own);
+    let leader = leader_of(&readers, own);
     others.retain(|reader| *reader != own && *reader != leader);
-    let mut heard = nearest(others, own);
+    let mut heard = nearest(others, own, &BTreeSet::new());
     let leads = leader == own;
     if !leads {
         heard.insert(0, leader);
         heard.truncate(SUBSCRIPTIONS);
     }
-    Role::Reader { heard, leads }
+    Role::Reader {
+        heard,
+        reserve: nearest(reserves, own, &BTreeSet::new()).first().copied(),
+        leads,
+    }
 }
 
 /// The large data centres, and the VMs of all others together.
@@ -168,19 +213,29 @@
     near[place.map_or(0, |place| place % leaders)]
 }
 
-/// The readers of one group.
-fn readers(vms: &BTreeSet<IpAddr>) -> Vec<IpAddr> {
+/// Nodes of a group that read the platform.
+struct Ranked {
+    /// Always.
+    readers: Vec<IpAddr>,
+    /// While none of the readers can.
+    reserves: Vec<IpAddr>,
+}
+
+/// Ranks the VMs of a group by a hash, so that all nodes with the same list agree.
+fn rank(vms: &BTreeSet<IpAddr>) -> Ranked {
     let count = vms.len().div_ceil(VMS_A_READER).max(MIN_READERS);
-    let mut ranked: Vec<IpAddr> = vms.iter().copied().collect();
-    ranked.sort_by_key(|vm| hash(&[*vm]));
-    ranked.truncate(count);
-    ranked
+    let mut readers: Vec<IpAddr> = vms.iter().copied().collect();
+    readers.sort_by_key(|vm| hash(&[*vm]));
+    let mut reserves = readers.split_off(count.min(readers.len()));
+    reserves.truncate(count);
+    Ranked { readers, reserves }
 }
 
-/// The readers that one node hears: others choose others, so that the load is
+/// The readers that one node hears, those beside it first: what they tell again and again
+/// then stays within the data centre. Others choose others, so that the load is
 /// spread, and a reader's loss moves only those who heard it.
-fn nearest(mut readers: Vec<IpAddr>, own: IpAddr) -> Vec<IpAddr> {
-    readers.sort_by_key(|reader| hash(&[own, *reader]));
+fn nearest(mut readers: Vec<IpAddr>, own: IpAddr, beside: &BTreeSet<IpAddr>) -> Vec<IpAddr> {
+    readers.sort_by_key(|reader| (!beside.contains(reader), hash(&[own, *reader])));
     readers.truncate(SUBSCRIPTIONS);
     readers
 }
--- a/crates/dispatch/src/readers/tests.rs
+++ b/crates/dispatch/src/readers/tests.rs
@@ -160,6 +160,43 @@
     }
 }
 
+/// Guards against a fleet of which only the readers ask, and all of these are turned away.
+#[test]
+fn readers_hear_reserves_that_are_as_many_and_read_for_nobody() {
+    for sizes in [&[9][..], &[45], &[39, 39, 39, 39, 39], &[889]] {
+        let roles = roles(sizes);
+        let readers = roles.values().filter(|role| role.is_reader()).count();
+        let reserves = roles.values().filter(|role| role.is_reserve()).count();
+        assert_eq!(reserves, readers, "{sizes:?}");
+        for role in roles.values().filter(|role| role.is_reader()) {
+            let heard = role.subscriptions();
+            let is_reserve = |vm: &&IpAddr| roles.get(vm).is_some_and(Role::is_reserve);
+            assert_eq!(heard.iter().filter(is_reserve).count(), 1, "{role:?}");
+        }
+    }
+}
+
+/// Guards against feeds that cross between data centres where a reader stands beside.
+#[test]
+fn followers_hear_the_readers_of_their_own_data_centre_first() {
+    let roles = roles(&[39, 39, 39, 39, 39]);
+    let data_centre = |vm: &IpAddr| match vm {
+        IpAddr::V4(vm) => vm.octets()[1],
+        IpAddr::V6(_) => panic!("only IPv4 here"),
+    };
+    let readers: Vec<&IpAddr> = roles
+        .iter()
+        .filter(|(_, role)| role.is_reader())
+        .map(|(own, _)| own)
+        .collect();
+    for (own, role) in roles.iter().filter(|(_, role)| role.is_follower()) {
+        let is_near = |vm: &IpAddr| data_centre(vm) == data_centre(own);
+        let near = readers.iter().filter(|vm| is_near(vm)).count();
+        let heard = role.heard().iter().filter(|vm| is_near(vm)).count();
+        assert_eq!(heard, near.min(SUBSCRIPTIONS), "{own}");
+    }
+}
+
 /// A VM whose target leaves goes with it, and must not be counted upon.
 #[test]
 fn a_leaving_vm_is_no_reader() {
--- a/crates/edge/src/feed/subscriptions.rs
+++ b/crates/edge/src/feed/subscriptions.rs
@@ -72,8 +72,18 @@
 #[derive(Debug)]
 struct Subscription {
     task: AbortHandle,
-    /// It speaks, and its own reads succeed.
-    is_sound: bool,
+    health: ReaderHealth,
+}
+
+/// What is known of a reader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReaderHealth {
+    /// It is not heard.
+    Lost,
+    /// It is heard, and its own last read failed.
+    Troubled,
+    /// It is heard, and its own reads succeed.
+    Sound,
 }
 
 impl Drop for Subscription {
@@ -127,7 +137,7 @@
             delay += self.next_subscription_delay();
             let subscription = Subscription {
                 task: tokio::spawn(hearing).abort_handle(),
-                is_sound: false,
+                health: ReaderHealth::Lost,
             };
             self.readers.insert(*reader, subscription);
         }
@@ -146,25 +156,36 @@
     /// Readers that speak and whose own reads succeed.
     #[must_use]
     pub fn sound(&self) -> usize {
-        let sound = self.readers.values().filter(|reader| reader.is_sound);
-        sound.count()
+        self.count(ReaderHealth::Sound)
+    }
+
+    /// Whether readers are heard, and none of these can read.
+    #[must_use]
+    pub fn are_all_troubled(&self) -> bool {
+        self.sound() == 0 && self.count(ReaderHealth::Troubled) > 0
+    }
+
+    fn count(&self, health: ReaderHealth) -> usize {
+        let readers = self.readers.values();
+        readers.filter(|reader| reader.health == health).count()
     }
 
     /// What is told next. Safe to cancel.
     pub async fn next(&mut self) -> FeedEvent {
         let event = self.events.recv().await;
         let event = event.expect("this struct holds a sender");
-        let (reader, is_sound) = match &event {
+        let (reader, health) = match &event {
             FeedEvent::Known {
                 reader,
-                is_troubled,
+                is_troubled: true,
                 ..
-            } => (reader, !is_troubled),
-            FeedEvent::Lost { reader } => (reader, false),
+            } => (reader, ReaderHealth::Troubled),
+            FeedEvent::Known { reader, .. } => (reader, ReaderHealth::Sound),
+            FeedEvent::Lost { reader } => (reader, ReaderHealth::Lost),
             FeedEvent::Read(_) => return event,
         };
         if let Some(subscription) = self.readers.get_mut(reader) {
-            subscription.is_sound = is_sound;
+            subscription.health = health;
         }
         event
     }
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -136,6 +136,10 @@
                 }
                 continue;
             }
+            if self.leaves_asking_to_others() {
+                self.hear_of_trouble().await;
+                continue;
+            }
             match self.watch().await {
                 Ok(()) if self.knowledge.take_held() => {
                     log::info!("the source is reached; what had lapsed meanwhile is read anew");
@@ -162,10 +166,37 @@
             && self.knowledge.age_ms() < self.oldest_told_ms()
     }
 
+    /// Whether the source is away for all readers that this node hears, and others ask it.
+    ///
+    /// The readers tell as soon as one of them reaches it, and reserves ask as well, in case
+    /// it turns just the readers away. Asked by the whole fleet again and again, a source
+    /// that comes back would meet hundreds of calls a second.
+    fn leaves_asking_to_others(&self) -> bool {
+        self.role.is_follower()
+            && !self.role.is_reserve()
+            && self.subscriptions.are_all_troubled()
+            && self.knowledge.own_reads() == OwnReads::Good
+            && self.knowledge.age_ms() < self.waits.longest_outage_ms()
+    }
+
+    /// Takes what readers in trouble tell.
+    async fn hear_of_trouble(&mut self) {
+        if self.knowledge.age_ms() >= self.oldest_told_ms() {
+            // Nobody could tell this node of entries that do not lapse: it is as if its
+            // own read had failed.
+            self.knowledge.note_trouble();
+        }
+        let hearing = tokio::time::sleep(self.waits.tell_again_ms().to_duration());
+        while_hearing(hearing, &mut self.knowledge, &mut self.subscriptions).await;
+    }
+
     /// Age of what is known at which this node asks the source itself.
     fn oldest_told_ms(&self) -> Millis {
         match &self.role {
-            Role::Follower(_) => self.waits.oldest_told_ms(),
+            Role::Follower {
+                is_reserve: true, ..
+            } => self.waits.oldest_reserve_ms(),
+            Role::Follower { .. } => self.waits.oldest_told_ms(),
             Role::Reader { leads: false, .. } => self.waits.oldest_led_ms(),
             Role::Reader { leads: true, .. } | Role::Alone => Millis::ZERO,
         }
@@ -251,14 +282,14 @@
         let name: &str = (&role).into();
         let heard: Vec<String> = role.heard().iter().map(ToString::to_string).collect();
         log::info!(role = name, readers = heard.join(" "); "this node's part in reading the source");
-        self.subscriptions.keep_to(role.heard());
+        self.subscriptions.keep_to(&role.subscriptions());
         self.role = role;
         self.settle_standing();
     }
 
     /// Tells subscribers whether this node reads.
     fn settle_standing(&self) {
-        let standing = match (self.role.is_reader(), self.failures) {
+        let standing = match (self.role.is_heard(), self.failures) {
             (false, _) => Standing::Closed,
             (true, 0) => Standing::Open,
             (true, _) => Standing::Troubled,
@@ -287,7 +318,7 @@
             let revision = self.knowledge.revision();
             log::warn!(known_ms, revision; "the source is lost: {fault}");
         }
-        let longest_ms = match self.role.is_follower() {
+        let longest_ms = match self.role.is_follower() || self.role.is_led() {
             true => self.waits.followers_pause_ms(),
             false => self.waits.longest_pause_ms(),
         };
--- a/crates/edge/src/following/bootstrap.rs
+++ b/crates/edge/src/following/bootstrap.rs
@@ -41,7 +41,7 @@
                 serves_stale_since.get_or_insert(self.knowledge.age_ms());
             }
             match &role {
-                Role::Follower(heard) => self.subscriptions.keep_to(heard),
+                Role::Follower { heard, .. } => self.subscriptions.keep_to(heard),
                 Role::Alone | Role::Reader { .. } if is_listed => return false,
                 Role::Alone | Role::Reader { .. } => {}
             }
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -46,6 +46,8 @@
     feed: Arc<ChangeFeed>,
     large_routes: LargeRoutes,
     revision: u64,
+    /// Newest version among the changes up to there.
+    routes_version: Option<u64>,
     members_changed: bool,
     own_ip: IpAddr,
     waits: Waits,
@@ -72,6 +74,7 @@
             own_reads: OwnReads::Good,
             has_held: false,
             revision: 0,
+            routes_version: None,
             members_changed: false,
         }
     }
@@ -142,8 +145,9 @@
     /// would turn to the source in that moment, with what they know from before.
     pub(super) fn replace(&mut self, listing: Listing) {
         let revision = listing.revision;
-        let in_force = self.directory.version();
-        let is_new = |routes: &RouteSet| in_force.is_none_or(|known| routes.version() > known);
+        // Routes in force may be those of a stale listing, of which subscribers know nothing.
+        let known = self.routes_version;
+        let is_new = |routes: &RouteSet| known.is_none_or(|known| routes.version() > known);
         let routes = listing.routes.filter(is_new);
         let difference = self.directory.difference(listing.members);
         let mut facts = Vec::new();
@@ -172,11 +176,16 @@
         let mut members_changed = self.directory.take_serves_stale();
         for change in changes {
             match change.fact {
-                Fact::Routes(written) => routes.push(written),
-                Fact::LargeRoutes(version) if Some(version) > self.directory.version() => {
-                    self.large_routes.want(version);
+                Fact::Routes(written) => {
+                    self.routes_version = self.routes_version.max(Some(written.version()));
+                    routes.push(written);
+                }
+                Fact::LargeRoutes(version) => {
+                    self.routes_version = self.routes_version.max(Some(version));
+                    if Some(version) > self.directory.version() {
+                        self.large_routes.want(version);
+                    }
                 }
-                Fact::LargeRoutes(_) => {}
                 Fact::Listed(member) => {
                     self.directory.upsert(member);
                     members_changed = true;
@@ -262,6 +271,11 @@
     /// The source could not be read.
     pub(super) fn note_failed_read(&mut self) {
         self.own_reads = OwnReads::Failed;
+        self.note_trouble();
+    }
+
+    /// Entries may lapse now, so that a removal waits for their return.
+    pub(super) fn note_trouble(&mut self) {
         self.directory.note_trouble();
     }
 
--- a/crates/edge/src/following/tests.rs
+++ b/crates/edge/src/following/tests.rs
@@ -33,6 +33,8 @@
     StoreForgets,
     /// It turns one reader away and serves the others.
     TurnsAwayReader,
+    /// It turns all readers away and serves the others.
+    TurnsAwayAllReaders,
     /// It answers no watch of one reader, and everything else.
     LosesReadersWatches,
     /// A reader freezes: its links stay open and say nothing.
@@ -49,12 +51,13 @@
     FollowerRestarts,
 }
 
-const FAULTS: [Fault; 12] = [
+const FAULTS: [Fault; 13] = [
     Fault::Store(Mood::Losing),
     Fault::Store(Mood::Failing),
     Fault::Store(Mood::LosingWatches),
     Fault::StoreForgets,
     Fault::TurnsAwayReader,
+    Fault::TurnsAwayAllReaders,
     Fault::LosesReadersWatches,
     Fault::ReaderFreezes,
     Fault::AllReadersFreeze,
--- a/crates/edge/src/following/tests/calls.rs
+++ b/crates/edge/src/following/tests/calls.rs
@@ -4,6 +4,7 @@
 
 use super::IN_FORCE_MS;
 use super::fleet::{Calls, Fleet};
+use super::source::Mood;
 
 /// Hundreds of nodes.
 const NODES: usize = 195;
@@ -12,6 +13,10 @@
 /// From the last start, or the last entry, until all nodes must know all targets.
 const KNOWN_WITHIN: Duration = IN_FORCE_MS.to_duration();
 
+const OUTAGE: Duration = Duration::from_secs(7);
+/// Three groups of 65, each with five readers and five reserves.
+const MAX_PROBES_A_SECOND: u64 = 3 * 10 * 3;
+
 /// Guards against a first start at which every node fetches every change of the list.
 #[test]
 fn the_first_start_of_a_fleet_costs_the_store_two_calls_a_node() {
@@ -39,6 +44,21 @@
     });
 }
 
+/// Guards against a reader that takes a version from a stale listing and never tells it.
+#[test]
+fn a_version_that_readers_met_in_a_stale_listing_reaches_all() {
+    in_virtual_time(async {
+        let mut fleet = Fleet::of(NODES);
+        fleet.list_all();
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        fleet.give_readers_current_replicas();
+        fleet.put_next_version();
+        fleet.restart_over(STARTS).await;
+        tokio::time::sleep(KNOWN_WITHIN).await;
+        assert_eq!(fleet.behind(), 0);
+    });
+}
+
 /// Guards against calls at rest that grow with the number of readers.
 #[test]
 fn a_fleet_at_rest_asks_by_few_nodes() {
@@ -54,6 +74,28 @@
     });
 }
 
+/// Guards against an outage in which each of hundreds of nodes asks again and again.
+#[test]
+fn an_outage_is_probed_by_few_nodes() {
+    for mood in [Mood::Failing, Mood::Losing] {
+        in_virtual_time(async move {
+            let mut fleet = Fleet::of(NODES);
+            fleet.start_over(STARTS, REGISTERS).await;
+            tokio::time::sleep(Duration::from_secs(10)).await;
+            let before = fleet.calls().current;
+            fleet.set_store(mood);
+            tokio::time::sleep(OUTAGE).await;
+            fleet.set_store(Mood::Calm);
+            fleet.put_next_version();
+            tokio::time::sleep(KNOWN_WITHIN).await;
+            assert_eq!(fleet.behind(), 0);
+            let calls = fleet.calls().current - before;
+            let most = OUTAGE.as_secs() * MAX_PROBES_A_SECOND;
+            assert!(calls <= most, "{calls} calls, {mood:?}");
+        });
+    }
+}
+
 /// A stale read costs a tenth of a call.
 fn assert_priced_below(calls: Calls, most: u64) {
     let price = calls.current + calls.stale / 10;
--- a/crates/edge/src/following/tests/fleet.rs
+++ b/crates/edge/src/following/tests/fleet.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use hornbeamhitch_dispatch::members::MemberTracker;
 use hornbeamhitch_dispatch::readers;
 use hornbeamhitch_dispatch::waits::Waits;
 use hornbeamhitch_wire::link::ToEntry;
@@ -132,6 +133,7 @@
     ips: Vec<IpAddr>,
     lives: BTreeMap<IpAddr, Life>,
     readers: Vec<IpAddr>,
+    has_current_replicas: bool,
     version: u64,
     /// When each recent version was published.
     published: VecDeque<(Instant, u64)>,
@@ -171,6 +173,7 @@
             ips,
             lives: BTreeMap::new(),
             readers: Vec::new(),
+            has_current_replicas: false,
             version: 1,
             published: VecDeque::new(),
             on: Vec::new(),
@@ -198,6 +201,19 @@
         }
     }
 
+    /// The replicas that readers meet are never behind.
+    pub(super) fn give_readers_current_replicas(&mut self) {
+        let mut tracker = MemberTracker::default();
+        for ip in &self.ips {
+            tracker.upsert(member(ip));
+        }
+        let members = tracker.snapshot();
+        let is_reader =
+            |own: &&IpAddr| readers::role(&members, **own, &data_centre(**own)).is_reader();
+        self.readers = self.ips.iter().filter(is_reader).copied().collect();
+        self.has_current_replicas = true;
+    }
+
     /// All nodes lose power and start again within this span. Their targets stay listed.
     pub(super) async fn restart_over(&mut self, starts: Duration) {
         self.lives.clear();
@@ -209,6 +225,13 @@
         }
     }
 
+    /// The store treats all nodes so.
+    pub(super) fn set_store(&self, mood: Mood) {
+        for life in self.lives.values() {
+            life.source.set_mood(mood);
+        }
+    }
+
     /// Nodes that do not know every target.
     pub(super) fn lacking(&self) -> usize {
         let knows_all = |life: &&Life| life.directory.load().members.len() == self.ips.len();
@@ -216,6 +239,12 @@
         self.ips.len() - knowing
     }
 
+    /// Nodes that do not use the newest version.
+    pub(super) fn behind(&self) -> usize {
+        let is_behind = |life: &&Life| life.version() < self.version;
+        self.lives.values().filter(is_behind).count()
+    }
+
     /// Calls to the store of the nodes that run now.
     pub(super) fn calls(&self) -> Calls {
         let mut calls = Calls::default();
@@ -232,6 +261,9 @@
         let directory: SharedDirectory = Arc::new(ArcSwap::from_pointee(Directory::default()));
         let feed = Arc::new(ChangeFeed::new(clock, waits));
         let source = self.store.source();
+        if self.has_current_replicas && self.readers.contains(&own) {
+            source.set_replica_lag(Duration::ZERO);
+        }
         let settings = FollowSettings {
             own_ip: own,
             data_centre: data_centre(own),
@@ -292,6 +324,7 @@
                 Fault::StoreForgets => self.store.forget(),
                 Fault::Store(known) => mood = *known,
                 Fault::TurnsAwayReader if first => mood = Mood::Failing,
+                Fault::TurnsAwayAllReaders if is_reader => mood = Mood::Failing,
                 Fault::LosesReadersWatches if first => mood = Mood::LosingWatches,
                 Fault::ReaderFreezes => is_frozen |= second,
                 Fault::AllReadersFreeze => is_frozen |= is_reader,
