--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -84,7 +84,7 @@
         gatherings: 0,
     };
     let is_told = following.bootstrap().await;
-    log::info!(is_told; "bootstrap is over");
+    log::info!(is_told; "bootstrap complete");
     if !is_told {
         following.read_all().await;
     }
