--- a/crates/edge/tests/all/support/source.rs
+++ b/crates/edge/tests/all/support/source.rs
@@ -199,6 +199,7 @@
     }
 
     /// How often everything was read from a replica; [`Self::calls`] leaves these out.
+    #[allow(dead_code, reason = "tests with sockets count whole calls alone")]
     pub fn stale_reads(&self) -> u64 {
         self.stale_reads.load(Ordering::Relaxed)
     }
--- a/crates/lab/src/capacity.rs
+++ b/crates/lab/src/capacity.rs
@@ -1,6 +1,6 @@
 //! Slopes: what one node costs against the size of what it knows.
 //!
-//! `docs/CAPACITY.md` is worked out from these figures. Counts, bytes and
+//! `docs/contributing/lab-capacity.md` is worked out from these figures. Counts, bytes and
 //! times in force come from virtual time and repeat exactly; processor times
 //! are those of this machine, and memory is what the allocator was asked for.
 //!
