--- a/crates/edge/src/feed/subscriptions.rs
+++ b/crates/edge/src/feed/subscriptions.rs
@@ -78,12 +78,12 @@
 /// What is known of a reader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ReaderHealth {
-    /// It is not heard.
+    /// It is not connected, or silent.
     Lost,
-    /// It is heard, and its own last read failed.
-    Troubled,
-    /// It is heard, and its own reads succeed.
-    Sound,
+    /// It publishes, and its own last read failed.
+    Unhealthy,
+    /// It publishes, and its own reads succeed.
+    Healthy,
 }
 
 impl Drop for Subscription {
@@ -143,9 +143,9 @@
         }
     }
 
-    /// How much later than one subscription the next begins. A node that knows nothing is
-    /// sent everything by each reader that it subscribes to before it has heard one; when a
-    /// whole fleet starts, that would fill the readers' lines.
+    /// Delay of each further subscription. A node without state receives all of it from
+    /// every reader that it subscribes to before the first update; when a whole fleet
+    /// starts, that would saturate the readers' links.
     fn next_subscription_delay(&self) -> Duration {
         match self.known.load(Ordering::Acquire) {
             0 => self.listening.waits.tell_again_ms().to_duration(),
@@ -156,13 +156,13 @@
     /// Readers that speak and whose own reads succeed.
     #[must_use]
     pub fn sound(&self) -> usize {
-        self.count(ReaderHealth::Sound)
+        self.count(ReaderHealth::Healthy)
     }
 
-    /// Whether readers are heard, and none of these can read.
+    /// Whether some readers publish, and none of these reaches the source.
     #[must_use]
-    pub fn are_all_troubled(&self) -> bool {
-        self.sound() == 0 && self.count(ReaderHealth::Troubled) > 0
+    pub fn all_unhealthy(&self) -> bool {
+        self.sound() == 0 && self.count(ReaderHealth::Unhealthy) > 0
     }
 
     fn count(&self, health: ReaderHealth) -> usize {
@@ -179,8 +179,8 @@
                 reader,
                 is_troubled: true,
                 ..
-            } => (reader, ReaderHealth::Troubled),
-            FeedEvent::Known { reader, .. } => (reader, ReaderHealth::Sound),
+            } => (reader, ReaderHealth::Unhealthy),
+            FeedEvent::Known { reader, .. } => (reader, ReaderHealth::Healthy),
             FeedEvent::Lost { reader } => (reader, ReaderHealth::Lost),
             FeedEvent::Read(_) => return event,
         };
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -136,8 +136,8 @@
                 }
                 continue;
             }
-            if self.leaves_asking_to_others() {
-                self.hear_of_trouble().await;
+            if self.defers_probing() {
+                self.await_recovery().await;
                 continue;
             }
             match self.watch().await {
@@ -166,24 +166,24 @@
             && self.knowledge.age_ms() < self.oldest_told_ms()
     }
 
-    /// Whether the source is away for all readers that this node hears, and others ask it.
+    /// Whether probing a source that all subscribed readers report as unreachable is left
+    /// to these readers and to the reserves.
     ///
-    /// The readers tell as soon as one of them reaches it, and reserves ask as well, in case
-    /// it turns just the readers away. Asked by the whole fleet again and again, a source
-    /// that comes back would meet hundreds of calls a second.
-    fn leaves_asking_to_others(&self) -> bool {
+    /// Readers publish as soon as one of them reaches the source. Reserves cover a source
+    /// that rejects only the readers. Probed by every node, a source that recovers would
+    /// receive hundreds of calls a second.
+    fn defers_probing(&self) -> bool {
         self.role.is_follower()
             && !self.role.is_reserve()
-            && self.subscriptions.are_all_troubled()
+            && self.subscriptions.all_unhealthy()
             && self.knowledge.own_reads() == OwnReads::Good
             && self.knowledge.age_ms() < self.waits.longest_outage_ms()
     }
 
-    /// Takes what readers in trouble tell.
-    async fn hear_of_trouble(&mut self) {
+    /// Applies what unhealthy readers publish until one of them recovers.
+    async fn await_recovery(&mut self) {
         if self.knowledge.age_ms() >= self.oldest_told_ms() {
-            // Nobody could tell this node of entries that do not lapse: it is as if its
-            // own read had failed.
+            // Entries may expire during an outage although their targets are alive.
             self.knowledge.note_trouble();
         }
         let hearing = tokio::time::sleep(self.waits.tell_again_ms().to_duration());
--- a/crates/edge/src/following/bootstrap.rs
+++ b/crates/edge/src/following/bootstrap.rs
@@ -1,8 +1,7 @@
-//! How a node that has just started joins its fleet.
+//! Joins a fleet without a current read of the source.
 //!
-//! Everything it needs is known to nodes beside it, but it does not know which these are.
-//! A stale listing, at a fraction of the price of a current one, tells it; so only nodes
-//! that others rely on read the source itself.
+//! A stale listing costs a fraction of a current one and names the readers. A node that is
+//! no reader itself receives the current state from one of them.
 
 use hornbeamhitch_dispatch::readers::{self, Role};
 
@@ -16,11 +15,10 @@
 const MAX_PAUSE_MS: Millis = Millis(800);
 
 impl Following {
-    /// Learns everything from nodes that read the source; false where this node has to
-    /// read it itself.
+    /// Receives everything from a reader; false where this node has to read the source.
     ///
-    /// Targets are registered while their nodes start, so the readers that a listing names
-    /// may be others a moment later. The listing is read again until one of them is heard.
+    /// Targets register while their nodes start, so the set of readers changes. The listing
+    /// is read again until one of the readers that it names has sent an update.
     pub(super) async fn bootstrap(&mut self) -> bool {
         let mut pause_ms = FIRST_PAUSE_MS;
         let mut serves_stale_since = None;
@@ -45,7 +43,7 @@
                 Role::Alone | Role::Reader { .. } if is_listed => return false,
                 Role::Alone | Role::Reader { .. } => {}
             }
-            if self.hear_first(pause_ms).await {
+            if self.await_first_update(pause_ms).await {
                 return true;
             }
             pause_ms = Millis(pause_ms.0 * 2).min(MAX_PAUSE_MS);
@@ -53,8 +51,8 @@
         false
     }
 
-    /// Whether this node has to know current facts: sooner where it serves on stale ones
-    /// than where it refuses everything for want of any.
+    /// Whether the time limit is reached. It is shorter for a node that serves on stale
+    /// facts than for one that has none and refuses every request.
     fn is_bootstrap_over(&self, serves_stale_since: Option<Millis>) -> bool {
         let age_ms = self.knowledge.age_ms();
         match serves_stale_since {
@@ -63,8 +61,8 @@
         }
     }
 
-    /// Waits until a reader has told everything, at most for this long.
-    async fn hear_first(&mut self, most_ms: Millis) -> bool {
+    /// Waits for the first complete update of a healthy reader, at most for this long.
+    async fn await_first_update(&mut self, most_ms: Millis) -> bool {
         let until = tokio::time::Instant::now() + super::jittered(most_ms);
         while self.subscriptions.sound() == 0 || self.knowledge.revision() == 0 {
             let next = self.subscriptions.next();
