Decode a target's statements in one place, and show its limit

Cause: the gate read each header field of a target at a place of its own, so a new field was passed on unnoticed, and no line or metric told whether a node had heard a target's limit. Change: TargetReport decodes load, warm-up, limit and leaving of any answer or health check; the gate logs each change of the stated limit and exports it as hitch_target_request_limit_per_1000_seconds. Nothing is limited by it yet. Ruled out: reading the new fields at the two places where others are read; the next field would be missed again.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -6,6 +6,7 @@
 use crate::knee::KneeEstimator;
 use crate::prelude::*;
 use crate::short_work::ShortWork;
+use crate::stated_limit::StatedLimit;
 use crate::warm_up::{Pace, WarmUpLimiter};
 
 #[cfg(test)]
@@ -129,6 +130,7 @@
     speed: Option<SpeedReading>,
     short_work: ShortWork,
     warm_up: WarmUpLimiter,
+    stated_limit: StatedLimit,
     leaving: bool,
     down_until: Millis,
 }
@@ -147,6 +149,7 @@
             speed: None,
             short_work: ShortWork::default(),
             warm_up: WarmUpLimiter::new(started_at),
+            stated_limit: StatedLimit::default(),
             leaving: false,
             down_until: Millis::ZERO,
         }
@@ -183,6 +186,7 @@
         self.down_until = Millis::ZERO;
         self.knee.forget();
         self.warm_up.forget_report();
+        self.stated_limit = StatedLimit::default();
     }
 
     /// Returns the limit on the requests to the target while it warms up.
@@ -190,6 +194,11 @@
         &mut self.warm_up
     }
 
+    /// Returns the limit on requests that the target states.
+    pub const fn stated_limit(&mut self) -> &mut StatedLimit {
+        &mut self.stated_limit
+    }
+
     /// Starts or stops refusing new work.
     pub const fn set_leaving(&mut self, leaving: bool) {
         self.leaving = leaving;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod routes;
 pub mod short_work;
 pub mod split;
+pub mod stated_limit;
 pub mod waits;
 pub mod warm_up;
 pub mod work;
--- a/crates/dispatch/src/prelude.rs
+++ b/crates/dispatch/src/prelude.rs
@@ -2,4 +2,6 @@
 
 pub use crate::members::{Member, Members, TargetId, TargetIncarnation};
 pub use crate::routes::{CallKind, CallerLimits, Route, RouteSet};
-pub use hornbeamhitch_types::prelude::{DataCentre, Millis, Region, ResultCode, ServiceName};
+pub use hornbeamhitch_types::prelude::{
+    DataCentre, Millis, Region, ResultCode, ServiceName, TargetNotice,
+};
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -20,9 +20,14 @@
     pub not_run: &'static str,
     /// Service on the VM from which the request originates.
     pub caller_service: &'static str,
-    /// Milliseconds for which the target stays cold, in answers to health checks; `None`
-    /// if targets do not report it.
-    pub warm_up_left_ms: Option<&'static str>,
+    /// Milliseconds for which the target stays cold; the first name that an answer has
+    /// counts, and targets do not report it without any name.
+    pub warm_up_left_ms: &'static [&'static str],
+    /// Requests per second that the target accepts from all nodes together, as a decimal
+    /// number; the first name that an answer has counts.
+    pub max_requests_per_s: &'static [&'static str],
+    /// `1` if the target is leaving; the first name that an answer has counts.
+    pub leaving: &'static [&'static str],
 }
 
 /// A target's report of its own load.
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -195,6 +195,8 @@
         let mut state = self.state.lock();
         let is_cold = state.admission.warm_up().is_cold(now);
         self.metrics.target_warming_up(is_cold);
+        let limit = state.admission.stated_limit().per_1000_s();
+        self.metrics.target_request_limit(limit);
         self.metrics.gate_levels(&GateLevels {
             in_flight: state.admission.in_flight(),
             queued: u32::try_from(state.admission.queued()).unwrap_or(u32::MAX),
--- a/crates/edge/src/gate/health.rs
+++ b/crates/edge/src/gate/health.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 
 use hornbeamhitch_dispatch::departure::ListingState;
+use hornbeamhitch_dispatch::stated_limit::LimitSource;
 
 use super::speed::{self, HealthProbe, HealthReading};
 use super::{Gate, GateState};
 use crate::prelude::*;
+use crate::target_report::TargetReport;
 
 impl Gate {
     /// Probes the target for its speed and wakes the calls that wait for the reading.
@@ -31,6 +33,9 @@
             Ok(reading) => {
                 state.admission.note_speed(reading.speed);
                 self.note_warm_up(&mut state, &reading);
+                if let Some(report) = &reading.report {
+                    self.note_limit(&mut state, LimitSource::HealthCheck, report);
+                }
             }
             Err(speed::TargetDown) => state.admission.note_connection_refused(self.clock.now()),
         }
@@ -41,7 +46,7 @@
     /// Records the target's warm-up and logs when the target becomes cold or warm.
     fn note_warm_up(&self, state: &mut GateState, reading: &HealthReading) {
         let at = reading.speed.read_at;
-        let left_ms = reading.warm_up_left_ms;
+        let left_ms = reading.report.and_then(|report| report.warm_up_left_ms);
         match state.admission.warm_up().note_report(left_ms, at) {
             Some(true) => {
                 let left_ms = left_ms.map(|left_ms| left_ms.0);
@@ -52,6 +57,26 @@
         }
     }
 
+    /// Records the limit that the target states in a message of this kind, and logs each
+    /// change of it.
+    pub(super) fn note_limit(
+        &self,
+        state: &mut GateState,
+        source: LimitSource,
+        report: &TargetReport,
+    ) {
+        let stated_limit = state.admission.stated_limit();
+        if !stated_limit.note(source, report.notice.max_requests_per_1000_s) {
+            return;
+        }
+        match stated_limit.per_1000_s() {
+            Some(max_requests_per_1000_s) => {
+                log::info!(max_requests_per_1000_s; "the target limits its requests");
+            }
+            None => log::info!("the target no longer limits its requests"),
+        }
+    }
+
     /// Passes on the target's last reported health, which may make a lookup of its entry
     /// due.
     fn note_health(self: &Arc<Self>) {
--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -2,13 +2,16 @@
 
 use bytes::Bytes;
 
+use hornbeamhitch_dispatch::stated_limit::LimitSource;
 use hornbeamhitch_types::prelude::CallClass;
 
 use super::guards::SlotGuard;
 use super::{Gate, GateEvent, RunningCall};
+use crate::dialect::TargetLoad;
 use crate::http1;
 use crate::prelude::*;
 use crate::target::{Exchange, ExchangeFault, TargetAnswer, is_server_error, is_success};
+use crate::target_report::TargetReport;
 
 /// HTTP status of a target that is not the expected incarnation.
 const MISDIRECTED: u16 = 421;
@@ -211,13 +214,17 @@
         let names = self.dialect.names();
         let now = self.clock.now();
         let TargetAnswer { head, body } = answer;
-        if let Some(load) = http1::field(&head.fields, names.load) {
+        let report = TargetReport::decode(&head.fields, &*self.dialect);
+        if let Some(load) = report.load {
             self.note_load(load, now);
         }
         if head.status == MISDIRECTED {
             self.note_ended_incarnation(&terms.target_id);
             return GateEvent::Ended(CallEnd::Misdirected);
         }
+        let mut state = self.state.lock();
+        self.note_limit(&mut state, LimitSource::Answer, &report);
+        drop(state);
         if http1::field(&head.fields, names.not_run).is_some() {
             return GateEvent::Ended(CallEnd::Shed);
         }
@@ -247,11 +254,7 @@
         }
     }
 
-    fn note_load(&self, value: &str, now: Millis) {
-        let Some(load) = self.dialect.load(value) else {
-            log::debug!("malformed load report: {value}");
-            return;
-        };
+    fn note_load(&self, load: TargetLoad, now: Millis) {
         let Some(slowness_percent) = load.slowness_percent else {
             return;
         };
--- a/crates/edge/src/gate/speed.rs
+++ b/crates/edge/src/gate/speed.rs
@@ -6,9 +6,10 @@
 
 use hornbeamhitch_dispatch::admission::SpeedReading;
 
-use crate::http1::{self, ResponseHead};
+use crate::http1;
 use crate::prelude::*;
 use crate::target::{Exchange, ExchangeFault, TargetClient, is_success};
+use crate::target_report::TargetReport;
 
 /// Slowness that is assumed for a target that reports no speed.
 const USUAL_SLOWNESS_PERCENT: u32 = 100;
@@ -39,8 +40,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct HealthReading {
     pub(super) speed: SpeedReading,
-    /// Time for which the target stays cold; `None` if it is unknown.
-    pub(super) warm_up_left_ms: Option<Millis>,
+    /// What the target reported; `None` if it was not asked or did not answer.
+    pub(super) report: Option<TargetReport>,
 }
 
 /// How to check the target's health.
@@ -60,15 +61,6 @@
     next_probe_at: Millis,
 }
 
-/// The answer to one probe.
-#[derive(Clone, Copy, Debug)]
-struct ProbeAnswer {
-    /// The target's slowness in percent of its usual run time, if it reports its load.
-    slowness_percent: Option<u32>,
-    /// Time for which the target stays cold; `None` if it is unknown.
-    warm_up_left_ms: Option<Millis>,
-}
-
 impl SpeedProbe {
     /// Returns the target's current speed and warm-up. Concurrent callers share the
     /// result of one probe.
@@ -84,23 +76,23 @@
         {
             return Ok(reading);
         }
-        let mut answer = None;
+        let mut report = None;
         if let Some(path) = probe.path
             && requested_at >= last.next_probe_at
         {
-            answer = self.probe(probe, path).await?;
+            report = self.probe(probe, path).await?;
         }
-        let reports_no_load = answer.is_some_and(|answer| answer.slowness_percent.is_none());
-        if reports_no_load && !probe.has_warm_up {
+        let load = report.map(|report| report.load);
+        let slowness_percent = load.flatten().and_then(|load| load.slowness_percent);
+        if report.is_some() && slowness_percent.is_none() && !probe.has_warm_up {
             last.next_probe_at = clock.now() + REPROBE_AFTER_MS;
         }
-        let slowness_percent = answer.and_then(|answer| answer.slowness_percent);
         let reading = HealthReading {
             speed: SpeedReading {
                 slowness_percent: slowness_percent.unwrap_or(USUAL_SLOWNESS_PERCENT),
                 read_at: clock.now(),
             },
-            warm_up_left_ms: answer.and_then(|answer| answer.warm_up_left_ms),
+            report,
         };
         last.reading = Some(reading);
         Ok(reading)
@@ -134,7 +126,7 @@
         &self,
         probe: &HealthProbe<'_>,
         path: &str,
-    ) -> Result<Option<ProbeAnswer>, TargetDown> {
+    ) -> Result<Option<TargetReport>, TargetDown> {
         self.sent.fetch_add(1, Ordering::Relaxed);
         let host = HeaderField {
             name: "Host".to_owned(),
@@ -155,33 +147,12 @@
             Ok(Err(ExchangeFault::Broken(_))) | Err(_) => return Ok(None),
         };
         self.note_health(answer.head.status);
-        Ok(Some(ProbeAnswer::of(&answer.head, probe.dialect)))
-    }
-}
-
-impl ProbeAnswer {
-    /// Reads the header fields of an answer. A target that is not cold need not report
-    /// that, but a failed health check without a report shows nothing.
-    fn of(head: &ResponseHead, dialect: &dyn Dialect) -> Self {
-        let names = dialect.names();
-        let load = http1::field(&head.fields, names.load);
-        let load = load.and_then(|value| dialect.load(value));
-        let reported = names.warm_up_left_ms;
-        let reported = reported.and_then(|name| http1::field(&head.fields, name));
-        let warm_up_left_ms = match reported {
-            Some(value) => parse_millis(value),
-            None if is_success(head.status) => Some(Millis::ZERO),
-            None => None,
-        };
-        Self {
-            slowness_percent: load.and_then(|load| load.slowness_percent),
-            warm_up_left_ms,
+        let mut report = TargetReport::decode(&answer.head.fields, probe.dialect);
+        // A target that is not cold need not report that, but a failed health check without
+        // a report shows nothing.
+        if is_success(answer.head.status) {
+            report.warm_up_left_ms.get_or_insert(Millis::ZERO);
         }
+        Ok(Some(report))
     }
 }
-
-/// Parses a number of milliseconds; fractions are rounded up.
-fn parse_millis(value: &str) -> Option<Millis> {
-    let number: f64 = value.trim().parse().ok()?;
-    (number.is_finite() && number >= 0.0).then(|| Millis(number.ceil() as u64))
-}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod status;
 pub mod suspicion;
 pub mod target;
+pub mod target_report;
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -50,6 +50,8 @@
 pub const NOT_RUN: &str = "T-Not-Run";
 pub const CALLER_SERVICE: &str = "T-From";
 pub const WARM_UP_LEFT_MS: &str = "T-Cold";
+pub const MAX_REQUESTS_PER_S: &str = "T-Limit";
+pub const LEAVING: &str = "T-Leaving";
 
 impl Dialect for TestDialect {
     fn names(&self) -> &HeaderNames {
@@ -61,7 +63,9 @@
             load: LOAD,
             not_run: NOT_RUN,
             caller_service: CALLER_SERVICE,
-            warm_up_left_ms: Some(WARM_UP_LEFT_MS),
+            warm_up_left_ms: &[WARM_UP_LEFT_MS],
+            max_requests_per_s: &[MAX_REQUESTS_PER_S],
+            leaving: &[LEAVING],
         };
         &NAMES
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -303,6 +303,13 @@
             .record(u64::from(is_cold), &[]);
     }
 
+    /// Sets the limit on requests that this VM's target states, if it states one.
+    pub fn target_request_limit(&self, per_1000_s: Option<u64>) {
+        self.instruments
+            .target_request_limit
+            .record(per_1000_s.unwrap_or(0), &[]);
+    }
+
     /// Sets the version of the configuration in force.
     pub fn config_in_force(&self, version: ConfigVersion) {
         self.instruments.config_in_force.record(version.0, &[]);
--- a/crates/node/src/metrics/instruments.rs
+++ b/crates/node/src/metrics/instruments.rs
@@ -49,6 +49,7 @@
     pub(super) known_age: Gauge<u64>,
     pub(super) evacuated_data_centres: Gauge<u64>,
     pub(super) target_warming_up: Gauge<u64>,
+    pub(super) target_request_limit: Gauge<u64>,
     pub(super) config_refused: Gauge<u64>,
     pub(super) config_refusals: Counter<u64>,
     pub(super) members: Gauge<u64>,
@@ -130,6 +131,11 @@
                 "hitch.target.warming_up",
                 "1 while the target on this VM is warming up.",
             ),
+            target_request_limit: gauge(
+                &meter,
+                "hitch.target.request_limit_per_1000_seconds",
+                "Requests per 1,000 s that the target on this VM accepts; 0 without a stated limit.",
+            ),
             config_in_force: gauge(
                 &meter,
                 "hitch.config.in_force_version",
--- a/crates/node/src/metrics/tests.rs
+++ b/crates/node/src/metrics/tests.rs
@@ -83,6 +83,7 @@
     metrics.known_age(640);
     metrics.evacuated_data_centres(1);
     metrics.target_warming_up(true);
+    metrics.target_request_limit(Some(6_800));
     metrics.config_in_force(ConfigVersion(41));
     metrics.config_refused(ConfigVersion(42));
     metrics.members(&MemberLevels {
--- a/crates/routed/src/dialect.rs
+++ b/crates/routed/src/dialect.rs
@@ -11,7 +11,9 @@
     load: header::LOAD,
     not_run: header::NOT_RUN,
     caller_service: header::CALLER_SERVICE,
-    warm_up_left_ms: None,
+    warm_up_left_ms: &[],
+    max_requests_per_s: &[],
+    leaving: &[],
 };
 
 /// The native header dialect.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod code;
 pub mod id;
+pub mod notice;
 pub mod policy;
 pub mod prelude;
 pub mod status;
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -5,4 +5,5 @@
 pub use crate::id::{
     CallKey, ConfigVersion, DataCentre, Incarnation, Region, ServiceName, TenantName, VmId,
 };
+pub use crate::notice::TargetNotice;
 pub use crate::policy::{CallClass, CallPolicy, ServicePolicy};
