Failing tests: limits and departures that targets state

What callers saw: a target that named 6.8 requests a second got 118 in four seconds. Evidence: on this commit 120 of 120 lookups run on a target that states 6 a second, where 41 are tolerated; a lookup runs after an answer stated that the target leaves. Ruled out: a limit that works for services with a warm-up only; the decoded statement reaches no limiter at all.

--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -13,5 +13,6 @@
 mod links;
 mod lives;
 mod routing;
+mod statements;
 mod support;
 mod warm_up;
--- a/crates/edge/tests/all/support/target.rs
+++ b/crates/edge/tests/all/support/target.rs
@@ -14,7 +14,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{DIGEST, LOAD, NOT_RUN, REQUEST_ID, WARM_UP_LEFT_MS};
+use super::{DIGEST, LEAVING, LOAD, MAX_REQUESTS_PER_S, NOT_RUN, REQUEST_ID, WARM_UP_LEFT_MS};
 
 /// A request that the target has run.
 #[derive(Clone, Debug)]
@@ -36,6 +36,10 @@
     is_starting: AtomicBool,
     /// Remaining warm-up in milliseconds that health checks report; 0 reports none.
     warm_up_left_ms: AtomicU32,
+    /// Limit in requests per second that all answers state; empty states none.
+    max_requests_per_s: Mutex<String>,
+    /// Whether all answers state that the target is leaving.
+    states_leaving: AtomicBool,
     /// Health checks report that the target is leaving.
     is_leaving: AtomicBool,
     /// Connections that were idle for longer than this are closed on the next request,
@@ -57,6 +61,21 @@
     accepting: Arc<tokio::task::JoinHandle<()>>,
 }
 
+impl Journal {
+    /// Header fields of all answers in which the target makes statements about itself.
+    fn statements(&self) -> String {
+        let mut fields = String::new();
+        let limit = self.max_requests_per_s.lock();
+        if !limit.is_empty() {
+            fields.push_str(&format!("{MAX_REQUESTS_PER_S}: {limit}\r\n"));
+        }
+        if self.states_leaving.load(Ordering::Relaxed) {
+            fields.push_str(&format!("{LEAVING}: 1\r\n"));
+        }
+        fields
+    }
+}
+
 impl FakeTarget {
     pub async fn start(ip: IpAddr, target_id: &str) -> Self {
         let listener = TcpListener::bind((ip, 0)).await.expect("a free port");
@@ -139,6 +158,18 @@
             .store(left_ms, Ordering::Relaxed);
     }
 
+    /// Sets the limit in requests per second that all answers state.
+    pub fn set_max_requests_per_s(&self, limit: Option<&str>) {
+        *self.journal.max_requests_per_s.lock() = limit.unwrap_or_default().to_owned();
+    }
+
+    /// Sets whether all answers state that the target is leaving.
+    pub fn state_leaving(&self, is_leaving: bool) {
+        self.journal
+            .states_leaving
+            .store(is_leaving, Ordering::Relaxed);
+    }
+
     /// From now on, drops connections without notice once they are idle for this long.
     pub fn reset_idle_after(&self, span: Duration) {
         let ms = u32::try_from(span.as_millis()).expect("a short span");
@@ -184,6 +215,7 @@
     journal: &Journal,
 ) -> bool {
     let load = journal.slowness_percent.load(Ordering::Relaxed);
+    let statements = journal.statements();
     if head.path == "/health" && journal.is_starting.load(Ordering::Relaxed) {
         let text = "HTTP/1.1 503 Starting\r\nContent-Length: 0\r\n\r\n";
         return writer.write_all(text.as_bytes()).await.is_ok();
@@ -198,8 +230,9 @@
             0 => String::new(),
             _ => format!("{WARM_UP_LEFT_MS}: {left_ms}\r\n"),
         };
-        let text =
-            format!("HTTP/1.1 200 OK\r\n{LOAD}: {load}\r\n{warm_up}Content-Length: 0\r\n\r\n");
+        let text = format!(
+            "HTTP/1.1 200 OK\r\n{LOAD}: {load}\r\n{warm_up}{statements}Content-Length: 0\r\n\r\n"
+        );
         return writer.write_all(text.as_bytes()).await.is_ok();
     }
     let id = http1::field(&head.fields, REQUEST_ID)
@@ -219,7 +252,7 @@
         let length = body.len();
         format!(
             "HTTP/1.1 200 OK\r\n{REQUEST_ID}: {id}\r\n{DIGEST}: d-{id}\r\n{LOAD}: {load}\r\n\
-             X-Own: kept\r\nContent-Length: {length}\r\n\r\n{body}"
+             {statements}X-Own: kept\r\nContent-Length: {length}\r\n\r\n{body}"
         )
     };
     if behaviour == "shed" {
