Keep to the limits that targets state, and stop at their word that they leave

What callers saw: a target that named 6.8 requests a second got 118 in four seconds; a target that stated its departure in its answers still got work. Cause: a gate acted on what it read at single places (load, warm-up, not run); a statement without a place of its own reached no decision. Class: a statement of a target that travels through the system unheard. Change: all statements of an answer or a health check are decoded once and go to one place of the gate. The limit is a second bound on the same log of sent requests as the warm-up; what is above it is refused at once with the time when there is room. A departure counts by the list or by the target's own word, and is checked again while it holds. Entries remember what the answers that they received stated: they choose no target that leaves, and tell limits to gates, which may have restarted. Why it holds: all requests to a target pass its gate; a request counts against the limit only if its entry has heard it, and such a call brings the limit along. Ruled out: shares of the limit at entries (they do not know of each other); a limit that ends with any answer without the field (error answers may lack it).

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -5,6 +5,7 @@
 use crate::contention::{Chance, Contention};
 use crate::knee::KneeEstimator;
 use crate::prelude::*;
+use crate::send_log::SendLog;
 use crate::short_work::ShortWork;
 use crate::stated_limit::StatedLimit;
 use crate::warm_up::{Pace, WarmUpLimiter};
@@ -84,6 +85,11 @@
         /// When it may receive the next one.
         free_at: Millis,
     },
+    /// The target has received as many requests as the limit that it states allows.
+    RateLimited {
+        /// When it may receive the next one.
+        free_at: Millis,
+    },
 }
 
 /// What to do with a call now.
@@ -129,6 +135,7 @@
     last_sequence: u64,
     speed: Option<SpeedReading>,
     short_work: ShortWork,
+    sends: SendLog,
     warm_up: WarmUpLimiter,
     stated_limit: StatedLimit,
     leaving: bool,
@@ -148,6 +155,7 @@
             last_sequence: 0,
             speed: None,
             short_work: ShortWork::default(),
+            sends: SendLog::default(),
             warm_up: WarmUpLimiter::new(started_at),
             stated_limit: StatedLimit::default(),
             leaving: false,
@@ -273,12 +281,12 @@
     pub fn start(&mut self, position: QueuePosition) {
         self.queue.remove(&position);
         self.in_flight += 1;
-        self.warm_up.note_admitted();
+        self.sends.note_admitted();
     }
 
     /// Records that the request of a call that counts as running is sent now.
     pub fn note_sent(&mut self, now: Millis) {
-        self.warm_up.note_sent(now);
+        self.sends.note_sent(now);
     }
 
     /// Records that a run has ended, successfully or not.
@@ -288,7 +296,7 @@
 
     /// Records that a call that counts as running ends without being sent.
     pub fn withdraw(&mut self) {
-        self.warm_up.note_withdrawn();
+        self.sends.note_withdrawn();
         self.finish();
     }
 
@@ -319,10 +327,16 @@
             }
             return verdict;
         }
+        if let Some(free_at) = self.stated_limit.free_at(&self.sends, ahead, now) {
+            if free_at > call.queue_until {
+                return Verdict::Refuse(Refused::RateLimited { free_at });
+            }
+            return Verdict::Wait(free_at);
+        }
         let Some(speed) = self.fresh_speed(now) else {
             return Verdict::ReadSpeed;
         };
-        match self.warm_up.pace(ahead, now) {
+        match self.warm_up.pace(&self.sends, ahead, now) {
             Pace::Send => {}
             Pace::Read => return Verdict::ReadSpeed,
             Pace::At(free_at) if free_at > call.queue_until => {
--- a/crates/dispatch/src/departure.rs
+++ b/crates/dispatch/src/departure.rs
@@ -10,6 +10,8 @@
 //! because the change reaches the gate late: a reader has failed, or a large update is on
 //! its way. All calls reach a target through its gate, so the gate's own knowledge is
 //! enough.
+//!
+//! A target may also state in its answers that it leaves. Either word is enough.
 
 use crate::prelude::*;
 use crate::waits::Waits;
@@ -40,6 +42,8 @@
     looked_up_at: Option<Millis>,
     /// The target that must not get work.
     departed: Option<TargetId>,
+    /// The target that has stated in its answers that it leaves, and when it did so last.
+    states_leaving: Option<(TargetId, Millis)>,
 }
 
 impl Departure {
@@ -52,6 +56,7 @@
             is_unhealthy: false,
             looked_up_at: None,
             departed: None,
+            states_leaving: None,
         }
     }
 
@@ -78,7 +83,7 @@
     /// this, since none is made without calls.
     #[must_use]
     pub fn start_lookup_if_due(&mut self, now: Millis) -> bool {
-        if !self.is_unhealthy && self.departed.is_none() {
+        if !self.is_unhealthy && self.departed.is_none() && self.states_leaving.is_none() {
             return false;
         }
         let previous = self.looked_up_at;
@@ -100,9 +105,46 @@
         had_left != self.has_left(id)
     }
 
-    /// Returns whether this target must not get work.
+    /// Records whether the target states that it leaves, in an answer to a request of
+    /// `asked_at`. Returns whether this changes whether the target gets work.
+    pub fn note_statement(
+        &mut self,
+        id: &TargetId,
+        is_leaving: bool,
+        asked_at: Millis,
+        now: Millis,
+    ) -> bool {
+        let had_left = self.has_left(id);
+        match &self.states_leaving {
+            _ if is_leaving => self.states_leaving = Some((id.clone(), now)),
+            // The target may have begun this answer before it stated that it leaves.
+            Some((_, stated_at)) if asked_at < *stated_at => {}
+            Some((leaving, _)) if leaving == id => self.states_leaving = None,
+            _ => {}
+        }
+        had_left != self.has_left(id)
+    }
+
+    /// Discards the statement of an earlier incarnation of the target.
+    pub fn forget_statement(&mut self) {
+        self.states_leaving = None;
+    }
+
+    /// Returns whether the target must be asked again whether it still leaves, and if so
+    /// counts it as asked. No call asks it, since it gets none.
+    #[must_use]
+    pub fn start_statement_check_if_due(&mut self, now: Millis) -> bool {
+        if self.states_leaving.is_none() || !self.health_is_due(now) {
+            return false;
+        }
+        self.health_checked_at = Some(now);
+        true
+    }
+
+    /// Returns whether this target must not get work, by its entry or by its own word.
     #[must_use]
     pub fn has_left(&self, id: &TargetId) -> bool {
-        self.departed.as_ref() == Some(id)
+        let leaving = self.states_leaving.as_ref().map(|(leaving, _)| leaving);
+        self.departed.as_ref() == Some(id) || leaving == Some(id)
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,8 +5,9 @@
 //! ([`order`]), using the list of targets ([`members`]) and their recent failures
 //! ([`failures`]), and decides how long the request may wait for a suitable target
 //! ([`patience`]). The gate of the target decides when the request starts
-//! ([`admission`]), and limits the requests to a target that warms up ([`warm_up`]). A
-//! route may be confined to regions ([`regions`]).
+//! ([`admission`]), and limits the requests to a target that warms up ([`warm_up`]) or
+//! states a limit ([`stated_limit`]). What targets state about themselves reaches the
+//! entries too ([`notices`]). A route may be confined to regions ([`regions`]).
 
 pub mod admission;
 pub mod contention;
@@ -14,6 +15,7 @@
 pub mod failures;
 pub mod knee;
 pub mod members;
+pub mod notices;
 pub mod order;
 pub mod patience;
 pub mod prelude;
@@ -24,6 +26,7 @@
 pub mod retry_budget;
 pub mod returning;
 pub mod routes;
+pub mod send_log;
 pub mod short_work;
 pub mod split;
 pub mod stated_limit;
--- a/crates/dispatch/src/order.rs
+++ b/crates/dispatch/src/order.rs
@@ -6,8 +6,9 @@
 use rand::seq::SliceRandom;
 
 use crate::failures::Failures;
+use crate::notices::TargetNotices;
 use crate::prelude::*;
-use crate::refusals::Refusals;
+use crate::refusals::{Refusals, Throttle};
 use crate::regions::Regions;
 
 #[cfg(test)]
@@ -27,7 +28,14 @@
     /// Whether it failed recently; such targets are tried after all others.
     pub is_avoided: bool,
     /// When its gate can accept the next call, if it cannot yet.
-    pub free_at: Option<Millis>,
+    pub throttle: Option<Throttle>,
+}
+
+impl Candidate {
+    /// When the gate can accept the next call; `None` if it may do so now.
+    fn free_at(&self) -> Option<Millis> {
+        self.throttle.map(|throttle| throttle.free_at)
+    }
 }
 
 /// Input for ordering the targets of one request.
@@ -45,6 +53,8 @@
     pub failures: &'a Failures,
     /// Recent refusals of the targets' gates.
     pub refusals: &'a Refusals,
+    /// What the targets stated about themselves.
+    pub notices: &'a TargetNotices,
     /// Targets to which the request was sent before.
     pub tried: &'a [TargetId],
     /// The current time.
@@ -67,10 +77,13 @@
         if !view.regions.allows(view.route, &member.data_centre) {
             continue;
         }
+        if view.notices.is_leaving(member, view.now) {
+            continue;
+        }
         let candidate = Candidate {
             is_near: member.data_centre == *view.data_centre,
             is_avoided: view.failures.is_avoided(member, view.now),
-            free_at: view.refusals.free_at(member, view.now),
+            throttle: view.refusals.throttle(member, view.now),
             member: Arc::clone(member),
         };
         if view.failures.is_unreachable(member, view.now) {
@@ -86,7 +99,7 @@
     let is_probe = rng.random_range(0..PROBE_ONE_IN) == 0;
     found.sort_by_key(|candidate| {
         let is_last = candidate.is_avoided != is_probe;
-        (is_last, candidate.free_at, !candidate.is_near)
+        (is_last, candidate.free_at(), !candidate.is_near)
     });
     if !is_probe {
         return found;
@@ -103,7 +116,7 @@
     }
     rest.sort_by_key(|candidate| {
         let is_last = candidate.is_avoided;
-        (is_last, candidate.free_at, !candidate.is_near)
+        (is_last, candidate.free_at(), !candidate.is_near)
     });
     let mut ordered: Vec<Candidate> = first.into_iter().collect();
     ordered.append(&mut rest);
--- a/crates/dispatch/src/order/tests.rs
+++ b/crates/dispatch/src/order/tests.rs
@@ -35,6 +35,7 @@
         data_centre: &data_centre,
         failures,
         refusals: &Refusals::default(),
+        notices: &TargetNotices::default(),
         tried,
         now: Millis(100),
     };
--- a/crates/dispatch/src/refusals.rs
+++ b/crates/dispatch/src/refusals.rs
@@ -22,6 +22,24 @@
 /// region.
 const REFUSAL_TTL_MS: Millis = Millis(500);
 
+/// Why a gate accepts no call before a stated time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ThrottleCause {
+    /// The target is warming up.
+    WarmUp,
+    /// The target states a limit on its requests.
+    StatedLimit,
+}
+
+/// A gate's statement that it accepts no call before a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Throttle {
+    /// When the gate can accept the next call.
+    pub free_at: Millis,
+    /// The reason.
+    pub cause: ThrottleCause,
+}
+
 /// Last refusal of each gate, by incarnation of its target. An accepted call removes it.
 #[derive(Debug, Default)]
 pub struct Refusals {
@@ -31,20 +49,18 @@
 #[derive(Clone, Copy, Debug)]
 struct Refusal {
     at: Millis,
-    /// When the gate can accept the next call, if it said so.
-    free_at: Millis,
+    throttle: Option<Throttle>,
 }
 
 impl Refusals {
     /// Records that the gate had no free slot, or that its target was slow.
     pub fn note_refused(&mut self, target: &Member, now: Millis) {
-        self.note_refused_until(target, now, now);
+        self.insert(target, None, now);
     }
 
-    /// Records that the gate accepts no call before `free_at`.
-    pub fn note_refused_until(&mut self, target: &Member, free_at: Millis, now: Millis) {
-        let refusal = Refusal { at: now, free_at };
-        self.by_incarnation.insert(target.incarnation(), refusal);
+    /// Records that the gate accepts no call before a stated time.
+    pub fn note_throttled(&mut self, target: &Member, throttle: Throttle, now: Millis) {
+        self.insert(target, Some(throttle), now);
     }
 
     /// Records that the gate accepted a call.
@@ -60,11 +76,17 @@
         refusal.is_some_and(|refusal| now.since(refusal.at) < REFUSAL_TTL_MS)
     }
 
-    /// Returns when the gate can accept the next call, if it has said that it cannot yet.
+    /// Returns when the gate can accept the next call and why, if it has said that it
+    /// cannot yet.
     #[must_use]
-    pub fn free_at(&self, target: &Member, now: Millis) -> Option<Millis> {
+    pub fn throttle(&self, target: &Member, now: Millis) -> Option<Throttle> {
         let refusal = self.by_incarnation.get(&target.incarnation())?;
-        (refusal.free_at > now).then_some(refusal.free_at)
+        refusal.throttle.filter(|throttle| throttle.free_at > now)
+    }
+
+    fn insert(&mut self, target: &Member, throttle: Option<Throttle>, now: Millis) {
+        let refusal = Refusal { at: now, throttle };
+        self.by_incarnation.insert(target.incarnation(), refusal);
     }
 
     /// Discards incarnations that are no longer listed.
--- a/crates/dispatch/src/warm_up.rs
+++ b/crates/dispatch/src/warm_up.rs
@@ -5,11 +5,10 @@
 //! requests to a target pass its gate, so the gate alone can keep the limit, whatever the
 //! entries know. The limit holds in every window of one second, not only in aligned ones.
 
-use std::collections::VecDeque;
-
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::send_log::{RateBound, SendLog};
 
 #[cfg(test)]
 mod tests;
@@ -99,10 +98,6 @@
     report: Option<Report>,
     /// Whether the target was cold by the last report that it gave.
     last_reported_cold: bool,
-    /// Times at which requests were sent within the window, oldest first.
-    sent: VecDeque<Millis>,
-    /// Requests that were admitted but not sent yet.
-    admitted: u32,
     /// When this process started. An earlier process on this VM may have sent as many
     /// requests as the limit allows just before.
     started_at: Millis,
@@ -120,8 +115,6 @@
             },
             report: None,
             last_reported_cold: false,
-            sent: VecDeque::new(),
-            admitted: 0,
             started_at,
         }
     }
@@ -159,51 +152,31 @@
         self.warm_up.is_some() && left_ms.is_some_and(|left_ms| now < at + left_ms)
     }
 
-    /// Records that a request was admitted, before it is sent.
-    pub const fn note_admitted(&mut self) {
-        self.admitted += 1;
-    }
-
-    /// Records that an admitted request is sent now.
-    pub fn note_sent(&mut self, now: Millis) {
-        self.note_withdrawn();
-        self.sent.push_back(now);
-        self.expire(now);
-    }
-
-    /// Records that an admitted request will not be sent.
-    pub const fn note_withdrawn(&mut self) {
-        self.admitted = self.admitted.saturating_sub(1);
-    }
-
     /// Returns whether a request may be sent now that `ahead` others precede.
     #[must_use]
-    pub fn pace(&mut self, ahead: u32, now: Millis) -> Pace {
+    pub fn pace(&self, sends: &SendLog, ahead: u32, now: Millis) -> Pace {
         let Some(warm_up) = self.warm_up else {
             return Pace::Send;
         };
-        self.expire(now);
         let valid_report = self
             .report
             .filter(|report| now.since(report.at) <= REPORT_TTL_MS);
         if valid_report.is_some_and(|report| report.left_ms == Some(Millis::ZERO)) {
             return Pace::Send;
         }
-        let max = warm_up.max_requests(&self.tolerance);
-        let counted = self.sent.len() as u32 + self.admitted + ahead;
+        let bound = RateBound {
+            max_requests: warm_up.max_requests(&self.tolerance),
+            window_ms: WINDOW_MS,
+        };
         let is_window_known = self.is_window_known(&warm_up, now);
-        if counted < max && is_window_known {
-            return Pace::Send;
-        }
+        let free_at = match sends.free_at(&bound, Millis::ZERO, ahead, now) {
+            _ if !is_window_known => self.started_at + WINDOW_MS,
+            Some(free_at) => free_at,
+            None => return Pace::Send,
+        };
         let Some(report) = valid_report else {
             return Pace::Read;
         };
-        let free_at = match self.sent.get(counted.saturating_sub(max) as usize) {
-            _ if !is_window_known => self.started_at + WINDOW_MS,
-            Some(replaced) => *replaced + WINDOW_MS,
-            // Requests that are not sent yet take the whole limit.
-            None => now + WINDOW_MS,
-        };
         let changes_ms = report.left_ms.unwrap_or(REPORT_INTERVAL_MS);
         Pace::At(free_at.min(report.at + changes_ms))
     }
@@ -227,13 +200,4 @@
         let passed_ms = warm_up.duration_ms.minus(left_ms);
         at.minus(passed_ms) + MIN_RESTART_MS > self.started_at
     }
-
-    fn expire(&mut self, now: Millis) {
-        while let Some(oldest) = self.sent.front() {
-            if now.since(*oldest) < WINDOW_MS {
-                return;
-            }
-            self.sent.pop_front();
-        }
-    }
 }
--- a/crates/dispatch/src/warm_up/tests.rs
+++ b/crates/dispatch/src/warm_up/tests.rs
@@ -16,17 +16,48 @@
 /// Requests per second that a cold target of [`WARM_UP`] tolerates: 7.3 x 1.5 + 8.
 const TOLERATED: usize = 18;
 
-fn limiter(started_at: u64) -> WarmUpLimiter {
-    let mut limiter = WarmUpLimiter::new(Millis(started_at));
-    limiter.set_warm_up(Some(WARM_UP));
-    limiter.set_tolerance(TOLERANCE);
-    limiter
+/// A limiter with the log of its gate.
+struct Limiter {
+    warm_up: WarmUpLimiter,
+    sends: SendLog,
+}
+
+impl Limiter {
+    fn pace(&self, ahead: u32, now: Millis) -> Pace {
+        self.warm_up.pace(&self.sends, ahead, now)
+    }
+
+    fn note_report(&mut self, left_ms: Option<Millis>, now: Millis) {
+        self.warm_up.note_report(left_ms, now);
+    }
+
+    const fn note_admitted(&mut self) {
+        self.sends.note_admitted();
+    }
+
+    fn note_sent(&mut self, now: Millis) {
+        self.sends.note_sent(now);
+    }
+
+    const fn note_withdrawn(&mut self) {
+        self.sends.note_withdrawn();
+    }
+}
+
+fn limiter(started_at: u64) -> Limiter {
+    let mut warm_up = WarmUpLimiter::new(Millis(started_at));
+    warm_up.set_warm_up(Some(WARM_UP));
+    warm_up.set_tolerance(TOLERANCE);
+    Limiter {
+        warm_up,
+        sends: SendLog::default(),
+    }
 }
 
 /// Sends one request every millisecond as far as the limiter allows; returns the times.
 /// The target reports `left_ms` whenever it is asked.
 fn send_all(
-    limiter: &mut WarmUpLimiter,
+    limiter: &mut Limiter,
     from: u64,
     until: u64,
     left_ms: impl Fn(u64) -> Option<u64>,
--- a/crates/edge/src/entry/call/ending.rs
+++ b/crates/edge/src/entry/call/ending.rs
@@ -1,6 +1,7 @@
 //! Handles the end of attempts and decides the outcome of the call.
 
 use bytes::Bytes;
+use hornbeamhitch_dispatch::refusals::{Throttle, ThrottleCause};
 use rand::RngExt;
 
 use super::{CallDriver, STUCK_AFTER_RUNS};
@@ -24,7 +25,9 @@
         let started = self.attempts[number].started;
         let target = self.close_attempt(number);
         self.trail.push(&target.id, &head.status.to_string());
+        let asked_at = started.map_or(now, |(started_at, _)| started_at);
         let mut state = self.entry.state.lock();
+        state.notices.note(&target, head.notice, asked_at, now);
         if !is_server_error(head.status) {
             state.failures.note_success(&target, now);
             let slowness = started.map_or(100, |(_, slowness)| slowness);
@@ -95,8 +98,18 @@
         match end {
             CallEnd::Slow | CallEnd::Busy => state.refusals.note_refused(target, now),
             CallEnd::WarmingUp { free_in_ms } => {
-                let free_at = now + free_in_ms;
-                state.refusals.note_refused_until(target, free_at, now);
+                let throttle = Throttle {
+                    free_at: now + free_in_ms,
+                    cause: ThrottleCause::WarmUp,
+                };
+                state.refusals.note_throttled(target, throttle, now);
+            }
+            CallEnd::RateLimited { free_in_ms } => {
+                let throttle = Throttle {
+                    free_at: now + free_in_ms,
+                    cause: ThrottleCause::StatedLimit,
+                };
+                state.refusals.note_throttled(target, throttle, now);
             }
             _ => {}
         }
--- a/crates/edge/src/entry/call/selection.rs
+++ b/crates/edge/src/entry/call/selection.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use hornbeamhitch_dispatch::order::{self, Candidate, View};
+use hornbeamhitch_dispatch::refusals::{Throttle, ThrottleCause};
 use hornbeamhitch_node::metrics::AttemptKind;
 
 use super::CallDriver;
@@ -60,7 +61,7 @@
             }
         }
         let candidates = self.candidates(now);
-        let is_usable = |candidate: &Candidate| candidate.free_at.is_none();
+        let is_usable = |candidate: &Candidate| candidate.throttle.is_none();
         self.rounds.has_free_gate = candidates.iter().any(is_usable);
         self.rounds.remaining = candidates.into();
         self.rounds.count += 1;
@@ -78,16 +79,17 @@
     /// dozens of times while all targets of a service warm up.
     fn next_candidate(&mut self, now: Millis) -> Option<Step> {
         while let Some(candidate) = self.rounds.remaining.pop_front() {
-            let Some(free_at) = candidate.free_at else {
+            let Some(throttle) = candidate.throttle else {
                 let max_queue_ms = self.max_queue_time(&candidate, now);
                 return Some(Step::Send(candidate, max_queue_ms));
             };
+            let free_at = throttle.free_at;
             let queue_until = match self.rounds.has_free_gate {
                 true => now + LATER_ROUND_MAX_QUEUE_MS,
                 false => self.wait_plan.busy_until,
             };
             if free_at > queue_until || self.history.queued_attempts >= MAX_QUEUED_ATTEMPTS {
-                self.note_skipped(free_at, now);
+                self.note_skipped(throttle, now);
                 continue;
             }
             self.history.queued_attempts += 1;
@@ -98,11 +100,14 @@
     }
 
     /// Remembers when the first of the gates that were not asked accepts calls.
-    fn note_skipped(&mut self, free_at: Millis, now: Millis) {
+    fn note_skipped(&mut self, throttle: Throttle, now: Millis) {
+        let free_at = throttle.free_at;
         let earliest = self.history.free_at.unwrap_or(Millis::MAX);
         self.history.free_at = Some(free_at.min(earliest));
-        self.history.last_end.get_or_insert(CallEnd::WarmingUp {
-            free_in_ms: free_at.since(now),
+        let free_in_ms = free_at.since(now);
+        self.history.last_end.get_or_insert(match throttle.cause {
+            ThrottleCause::WarmUp => CallEnd::WarmingUp { free_in_ms },
+            ThrottleCause::StatedLimit => CallEnd::RateLimited { free_in_ms },
         });
     }
 
@@ -119,6 +124,7 @@
         let EntryState {
             failures,
             refusals,
+            notices,
             rng,
             ..
         } = &mut *state;
@@ -129,6 +135,7 @@
             data_centre: &self.entry.data_centre,
             failures,
             refusals,
+            notices,
             tried: &self.history.tried,
             now,
         };
@@ -162,6 +169,10 @@
             Millis::MAX => Millis::MAX,
             at => at.since(now),
         };
+        let state = self.entry.state.lock();
+        let notice = state.notices.of(&candidate.member);
+        let offers_terms_first = state.refusals.is_refusal_likely(&candidate.member, now);
+        drop(state);
         let call = OutgoingCall {
             terms: CallTerms {
                 target_id: candidate.member.id.as_str().to_owned(),
@@ -180,13 +191,11 @@
                     true => 100,
                     false => self.request.repeated_percent,
                 },
+                notice,
             },
             head: self.request.head.clone(),
             body: self.request.body.clone(),
-            offers_terms_first: {
-                let state = self.entry.state.lock();
-                state.refusals.is_refusal_likely(&candidate.member, now)
-            },
+            offers_terms_first,
         };
         let kind = match (self.has_open_attempt(), self.history.arrivals) {
             (true, _) => AttemptKind::Hedge,
--- a/crates/edge/src/entry/state.rs
+++ b/crates/edge/src/entry/state.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use hornbeamhitch_dispatch::failures::Failures;
+use hornbeamhitch_dispatch::notices::TargetNotices;
 use hornbeamhitch_dispatch::reach::Reachability;
 use hornbeamhitch_dispatch::refusals::Refusals;
 use hornbeamhitch_dispatch::retry_budget::{RetryBudget, RetryLimit};
@@ -21,6 +22,7 @@
     pub(super) splitter: Splitter,
     pub(super) failures: Failures,
     pub(super) refusals: Refusals,
+    pub(super) notices: TargetNotices,
     pub(super) returning_callers: ReturningCallers,
     pub(super) work_estimates: WorkEstimates,
     pub(super) rng: Xoshiro256PlusPlus,
@@ -35,6 +37,7 @@
             splitter: Splitter::new(seed),
             failures: Failures::default(),
             refusals: Refusals::default(),
+            notices: TargetNotices::default(),
             returning_callers: ReturningCallers::default(),
             work_estimates: WorkEstimates::default(),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
@@ -84,6 +87,7 @@
         self.returning_callers.forget_expired(now);
         self.failures.retain(&directory.members);
         self.refusals.retain(&directory.members);
+        self.notices.retain(&directory.members);
         if let Some(routes) = &directory.routes {
             self.work_estimates.retain(routes);
             self.splitter.retain(routes);
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -7,6 +7,7 @@
 mod request;
 mod run;
 mod speed;
+mod statements;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -226,7 +227,7 @@
         };
         let mut queued = QueueGuard {
             gate: self,
-            position: Some(self.enqueue(&call)),
+            position: Some(self.enqueue(&call, &terms)),
         };
         let admitting = async {
             let slowness_percent = self.admit(&call, &mut queued, &terms).await?;
@@ -306,7 +307,7 @@
         sink(event);
     }
 
-    fn enqueue(&self, call: &GateCall) -> QueuePosition {
+    fn enqueue(&self, call: &GateCall, terms: &CallTerms) -> QueuePosition {
         let directory = self.directory.load();
         let listed = directory.members.at_address(self.listed_address);
         let routes = directory.routes.as_ref();
@@ -317,6 +318,9 @@
             state.admission.set_slots(member.slots);
             self.note_incarnation(&mut state, member);
         }
+        if listed.is_none_or(|member| member.id.as_str() == terms.target_id) {
+            self.note_entry_notice(&mut state, &terms.notice);
+        }
         state.admission.enqueue(call, self.clock.now())
     }
 
@@ -428,5 +432,8 @@
         Refused::WarmingUp { free_at } => CallEnd::WarmingUp {
             free_in_ms: free_at.since(now),
         },
+        Refused::RateLimited { free_at } => CallEnd::RateLimited {
+            free_in_ms: free_at.since(now),
+        },
     }
 }
--- a/crates/edge/src/gate/health.rs
+++ b/crates/edge/src/gate/health.rs
@@ -3,12 +3,10 @@
 use std::sync::Arc;
 
 use hornbeamhitch_dispatch::departure::ListingState;
-use hornbeamhitch_dispatch::stated_limit::LimitSource;
 
 use super::speed::{self, HealthProbe, HealthReading};
 use super::{Gate, GateState};
 use crate::prelude::*;
-use crate::target_report::TargetReport;
 
 impl Gate {
     /// Probes the target for its speed and wakes the calls that wait for the reading.
@@ -28,14 +26,17 @@
             self.metrics.probe_sent(self.service.as_str());
         }
         self.note_health();
+        let listed = directory.members.at_address(self.listed_address);
+        if let (Some(member), Ok(reading)) = (listed, &reading)
+            && let Some(statement) = reading.statement()
+        {
+            self.note_statement(&member.id, &statement);
+        }
         let mut state = self.state.lock();
         match reading {
             Ok(reading) => {
                 state.admission.note_speed(reading.speed);
                 self.note_warm_up(&mut state, &reading);
-                if let Some(report) = &reading.report {
-                    self.note_limit(&mut state, LimitSource::HealthCheck, report);
-                }
             }
             Err(speed::TargetDown) => state.admission.note_connection_refused(self.clock.now()),
         }
@@ -57,26 +58,6 @@
         }
     }
 
-    /// Records the limit that the target states in a message of this kind, and logs each
-    /// change of it.
-    pub(super) fn note_limit(
-        &self,
-        state: &mut GateState,
-        source: LimitSource,
-        report: &TargetReport,
-    ) {
-        let stated_limit = state.admission.stated_limit();
-        if !stated_limit.note(source, report.notice.max_requests_per_1000_s) {
-            return;
-        }
-        match stated_limit.per_1000_s() {
-            Some(max_requests_per_1000_s) => {
-                log::info!(max_requests_per_1000_s; "the target limits its requests");
-            }
-            None => log::info!("the target no longer limits its requests"),
-        }
-    }
-
     /// Passes on the target's last reported health, which may make a lookup of its entry
     /// due.
     fn note_health(self: &Arc<Self>) {
@@ -101,6 +82,18 @@
         tokio::spawn(async move { gate.look_up_entry(&id).await });
     }
 
+    /// Checks in the background whether a target that stated that it leaves still does.
+    pub(super) fn check_statement_if_due(self: &Arc<Self>) {
+        let is_due = self
+            .departure
+            .lock()
+            .start_statement_check_if_due(self.clock.now());
+        if is_due {
+            let gate = Arc::clone(self);
+            tokio::spawn(async move { gate.read_speed().await });
+        }
+    }
+
     async fn look_up_entry(&self, id: &TargetId) {
         let read = self
             .source
--- a/crates/edge/src/gate/lives.rs
+++ b/crates/edge/src/gate/lives.rs
@@ -20,6 +20,7 @@
         if state.incarnation.replace(incarnation).is_some() {
             state.admission.forget_target();
             self.target.close_idle();
+            self.departure.lock().forget_statement();
             log::info!(
                 target_id = member.id.as_str();
                 "another incarnation of the target is listed"
@@ -37,6 +38,7 @@
         let id = TargetId::new(&terms.target_id);
         if self.departure.lock().has_left(&id) {
             self.look_up_entry_if_due();
+            self.check_statement_if_due();
             return true;
         }
         let Some(member) = directory.members.get(&id) else {
--- a/crates/edge/src/gate/records/tests.rs
+++ b/crates/edge/src/gate/records/tests.rs
@@ -10,6 +10,7 @@
         head: AnswerHead {
             status: 200,
             fields: Vec::new(),
+            notice: TargetNotice::default(),
             run_ms: Millis(120),
         },
         body: Bytes::from_static(b"receipt"),
--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -6,6 +6,7 @@
 use hornbeamhitch_types::prelude::CallClass;
 
 use super::guards::SlotGuard;
+use super::statements::Statement;
 use super::{Gate, GateEvent, RunningCall};
 use crate::dialect::TargetLoad;
 use crate::http1;
@@ -222,10 +223,15 @@
             self.note_ended_incarnation(&terms.target_id);
             return GateEvent::Ended(CallEnd::Misdirected);
         }
-        let mut state = self.state.lock();
-        self.note_limit(&mut state, LimitSource::Answer, &report);
-        drop(state);
+        let target_id = TargetId::new(&terms.target_id);
+        let statement = Statement {
+            source: LimitSource::Answer,
+            notice: report.notice,
+            is_success: is_success(head.status),
+            asked_at: started,
+        };
         if http1::field(&head.fields, names.not_run).is_some() {
+            self.note_statement(&target_id, &statement);
             return GateEvent::Ended(CallEnd::Shed);
         }
         let has_digest = match names.digest {
@@ -241,6 +247,7 @@
             );
             return GateEvent::Ended(CallEnd::Broken);
         }
+        self.note_statement(&target_id, &statement);
         let mut fields = head.fields;
         http1::strip_hop_by_hop(&mut fields);
         fields.retain(|field| !field.name.eq_ignore_ascii_case(names.load));
@@ -249,6 +256,7 @@
                 status: head.status,
                 fields,
                 run_ms: now.since(started),
+                notice: report.notice,
             },
             body,
         }
--- a/crates/edge/src/gate/speed.rs
+++ b/crates/edge/src/gate/speed.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use hornbeamhitch_dispatch::admission::SpeedReading;
+use hornbeamhitch_dispatch::stated_limit::LimitSource;
 
+use super::statements::Statement;
 use crate::http1;
 use crate::prelude::*;
 use crate::target::{Exchange, ExchangeFault, TargetClient, is_success};
@@ -42,6 +44,22 @@
     pub(super) speed: SpeedReading,
     /// What the target reported; `None` if it was not asked or did not answer.
     pub(super) report: Option<TargetReport>,
+    /// Whether the target answered that it is healthy.
+    pub(super) is_healthy: bool,
+    /// When the target was asked.
+    pub(super) asked_at: Millis,
+}
+
+impl HealthReading {
+    /// Returns what the target stated about itself, if it answered.
+    pub(super) fn statement(&self) -> Option<Statement> {
+        Some(Statement {
+            source: LimitSource::HealthCheck,
+            notice: self.report?.notice,
+            is_success: self.is_healthy,
+            asked_at: self.asked_at,
+        })
+    }
 }
 
 /// How to check the target's health.
@@ -93,6 +111,8 @@
                 read_at: clock.now(),
             },
             report,
+            is_healthy: !self.is_unhealthy(),
+            asked_at: requested_at,
         };
         last.reading = Some(reading);
         Ok(reading)
--- a/crates/edge/tests/all/support/entry_end.rs
+++ b/crates/edge/tests/all/support/entry_end.rs
@@ -15,6 +15,8 @@
     stream: TcpStream,
     buffer: BytesMut,
     calls: u64,
+    /// What this entry has heard from the target.
+    pub notice: TargetNotice,
 }
 
 impl FakeEntry {
@@ -26,6 +28,7 @@
             stream,
             buffer: BytesMut::new(),
             calls: 0,
+            notice: TargetNotice::default(),
         }
     }
 
@@ -49,6 +52,7 @@
                 slow_after_ms: Millis::MAX,
                 deadline_ms: Millis(2_000),
                 repeated_percent: 0,
+                notice: self.notice,
             },
             head: CallHead {
                 method: "GET".to_owned(),
--- a/crates/edge/tests/all/support/gate_end.rs
+++ b/crates/edge/tests/all/support/gate_end.rs
@@ -79,6 +79,7 @@
                 value: Bytes::from(format!("d-{request_id}")),
             }],
             run_ms: Millis(10),
+            notice: TargetNotice::default(),
         },
         body_bytes: 2,
         part: Bytes::from_static(b"ok"),
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -85,6 +85,8 @@
     /// The part of this run that repeats an earlier one, in percent: 100 for a retry or a
     /// hedge, and an expected value for a call that a repeated run may have made.
     pub repeated_percent: u8,
+    /// What the entry last heard from the target about itself.
+    pub notice: TargetNotice,
 }
 
 /// An answer of a target, without its body.
@@ -96,6 +98,8 @@
     pub fields: Vec<HeaderField>,
     /// Time from the start of the run to the end of the answer.
     pub run_ms: Millis,
+    /// What the target states about itself in this answer.
+    pub notice: TargetNotice,
 }
 
 /// A node's observation about a request that may crash targets.
@@ -145,6 +149,12 @@
         /// Time after which the target may receive the next request.
         free_in_ms: Millis,
     },
+    /// The target states a limit on its requests and receives no more now. The call did not
+    /// run.
+    RateLimited {
+        /// Time after which the target may receive the next request.
+        free_in_ms: Millis,
+    },
 }
 
 impl CallEnd {
