Failing test: a store that returns from a copy

What callers saw: two seconds after a version was confirmed, nodes answered as by the one before. Change: the published state of the tests can be replaced by an older copy, and a listing takes the time of a round trip, since a node that reads without a pause would stop virtual time. Each complete listing is logged with its revision beside the known one. Ruled out: followers that rely on failing readers; no read fails here after the outage.

--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -152,6 +152,8 @@
     /// the source at that moment, with an outdated state.
     pub(super) fn apply_listing(&mut self, listing: Listing) {
         let revision = listing.revision;
+        let (known, targets) = (self.revision, listing.members.len());
+        log::info!(known, revision, targets; "read the complete listing");
         // The routes in force may come from a stale listing that was not published to
         // subscribers.
         let known = self.routes_version;
--- a/crates/edge/src/following/tests.rs
+++ b/crates/edge/src/following/tests.rs
@@ -1,6 +1,7 @@
 //! Tests that the staleness of the state that nodes act on stays bounded under faults.
 
 mod calls;
+mod era;
 mod fleet;
 #[path = "../../tests/all/support/source.rs"]
 #[allow(dead_code, reason = "only tests with sockets use all of it")]
@@ -172,11 +173,15 @@
 }
 
 fn run(faults: &[FaultWindow]) {
+    in_virtual_time(run_case(faults));
+}
+
+fn in_virtual_time<T>(test: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .start_paused(true)
         .build();
-    runtime.expect("a runtime").block_on(run_case(faults));
+    runtime.expect("a runtime").block_on(test)
 }
 
 async fn run_case(faults: &[FaultWindow]) {
--- a/crates/edge/src/following/tests/calls.rs
+++ b/crates/edge/src/following/tests/calls.rs
@@ -3,9 +3,9 @@
 
 use std::time::Duration;
 
-use super::IN_FORCE_MS;
 use super::fleet::{Calls, Fleet};
 use super::source::SourceMode;
+use super::{IN_FORCE_MS, in_virtual_time};
 
 /// A fleet of hundreds of nodes.
 const NODES: usize = 195;
@@ -118,11 +118,3 @@
 const fn cost(calls: Calls) -> u64 {
     calls.current + calls.stale / 10
 }
-
-fn in_virtual_time<T>(test: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .start_paused(true)
-        .build();
-    runtime.expect("a runtime").block_on(test)
-}
--- a/crates/edge/src/following/tests/fleet.rs
+++ b/crates/edge/src/following/tests/fleet.rs
@@ -248,6 +248,11 @@
         }
     }
 
+    /// Replaces the store by an older copy, as [`Published::restore_copy`] does.
+    pub(super) fn restore_store_from_copy(&self, lag: Duration) {
+        self.store.restore_copy(lag);
+    }
+
     /// Number of nodes that do not know every target.
     pub(super) fn nodes_missing_targets(&self) -> usize {
         let has_all_targets =
--- a/crates/edge/tests/all/support/source.rs
+++ b/crates/edge/tests/all/support/source.rs
@@ -93,6 +93,24 @@
         self.changed.send_replace(());
     }
 
+    /// Replaces the store by a copy that is older by `lag`: what was published since is
+    /// gone, and its revisions are assigned again.
+    pub fn restore_copy(&self, lag: Duration) {
+        let mut state = self.state.lock();
+        let mut copy = State::default();
+        for (at, fact) in &state.log {
+            if at.elapsed() >= lag {
+                copy.put(fact.clone());
+            }
+        }
+        copy.log = state.log[..copy.log.len()].to_vec();
+        copy.history.clear();
+        copy.dropped_to = copy.revision;
+        *state = copy;
+        drop(state);
+        self.changed.send_replace(());
+    }
+
     pub fn put_version(&self, version: u64) {
         self.put(version_fact(version));
     }
@@ -119,6 +137,8 @@
     Fact::Routes(routes)
 }
 
+/// Time that the source takes to answer with a complete listing.
+const LISTING_TIME: Duration = Duration::from_millis(4);
 /// Default lag of the source's replica.
 const REPLICA_LAG: Duration = Duration::from_secs(1);
 
@@ -270,7 +290,7 @@
 
     fn after(&self, revision: u64) -> Result<Changes, SourceFault> {
         let state = self.published.state.lock();
-        if revision < state.dropped_to {
+        if revision < state.dropped_to || revision > state.revision {
             return Err(SourceFault::HistoryGone);
         }
         let new = state
@@ -290,6 +310,8 @@
         self.listings.fetch_add(1, Ordering::Relaxed);
         Box::pin(self.run_call(&self.calls, false, idle_timeout_ms, async {
             self.until_responsive().await?;
+            // A node that reads without a pause would otherwise stop virtual time.
+            tokio::time::sleep(LISTING_TIME).await;
             Ok(self.published.state.lock().listing())
         }))
     }
