Order revisions by the era of their store, and survive its return from a copy

What callers saw: two seconds after a version was confirmed, twelve of fourteen nodes answered as by the one before; the store got 90 calls a second. Cause: a store that returns from a copy assigns revisions again. The reader kept the higher number of before, so its watches were refused, its feed dropped what was written below that number, and each listing confirmed that its state was current. Class: positions compared that belong to different sequences. Change: one ordered type of era and number on every way: watches, listings, changes, the change log, subscriptions, skipped updates and the order in which targets were listed. A watch that is answered in another era counts as one without history, and a listing that did not help is followed by a pause. Between two eras: a target that drains stays so in its incarnation, also if the copy lists it as open; one that was removed and is listed again gets no work for six seconds; targets that the copy lacks stay for two seconds; an evacuation counts as the store has it; no version goes back. Ruled out: to take the lower revision of a listing for the known one, which cannot tell a returned store from a listing that is older than an update heard.

--- a/crates/dispatch/src/departure.rs
+++ b/crates/dispatch/src/departure.rs
@@ -40,7 +40,7 @@
     is_unhealthy: bool,
     /// Time of the last lookup of the entry.
     looked_up_at: Option<Millis>,
-    /// The target that must not get work.
+    /// The target that must not get work by its entry.
     departed: Option<TargetId>,
     /// The target that has stated in its answers that it leaves, and when it did so last.
     states_leaving: Option<(TargetId, Millis)>,
@@ -125,8 +125,9 @@
         had_left != self.has_left(id)
     }
 
-    /// Discards the statement of an earlier incarnation of the target.
-    pub fn forget_statement(&mut self) {
+    /// Discards what is known of an earlier incarnation of the target.
+    pub fn forget_target(&mut self) {
+        self.departed = None;
         self.states_leaving = None;
     }
 
--- a/crates/dispatch/src/departure/tests.rs
+++ b/crates/dispatch/src/departure/tests.rs
@@ -103,3 +103,16 @@
     assert!(departure.note_entry(&target(), ListingState::Open));
     assert!(!departure.has_left(&target()));
 }
+
+/// Guards against a target that has stated its departure and gets work because its entry,
+/// or an answer that it began before, says otherwise.
+#[test]
+fn either_word_is_enough_for_a_departure() {
+    let mut departure = departure();
+    assert!(departure.note_statement(&target(), true, Millis(10), Millis(20)));
+    departure.note_entry(&target(), ListingState::Open);
+    assert!(!departure.note_statement(&target(), false, Millis(15), Millis(30)));
+    assert!(departure.has_left(&target()));
+    assert!(departure.note_statement(&target(), false, Millis(21), Millis(31)));
+    assert!(!departure.has_left(&target()));
+}
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -19,6 +19,11 @@
 /// Time after a store failure in which a removal may be due to the failure.
 const STORE_FAILURE_WINDOW_MS: Millis = Millis(1_000);
 
+/// Time for which an entry is not used that was removed before the store returned from an
+/// older copy, and is listed again by the copy. A target that has ended reports nothing, and
+/// the platform drops its entry again within this time.
+const RETURNED_ENTRY_HOLD_MS: Millis = Millis(6_000);
+
 /// Time for which removed targets are remembered. It is far longer than the time in which
 /// an entry node that was suspended may still send to one.
 const REMOVED_RETENTION_MS: Millis = Millis::from_secs(60);
@@ -65,7 +70,7 @@
     pub draining: bool,
     /// Rank in the order in which targets were first listed; later targets have higher
     /// numbers.
-    pub listing_order: u64,
+    pub listing_order: Revision,
     /// Unix time of its start, if its entry has it. A target may restart under the same
     /// id; a different start time means a different incarnation, to which nothing learnt
     /// about the earlier one applies.
@@ -198,6 +203,9 @@
     /// targets.
     removed_at: BTreeMap<TargetId, Millis>,
     evacuated: BTreeSet<DataCentre>,
+    /// Targets that were removed before the source began its present era, and until when
+    /// they are not used if that era lists them again.
+    withdrawn: BTreeMap<TargetId, Millis>,
     store_failed_at: Option<Millis>,
     remote_failure: Option<RemoteStoreFailure>,
 }
@@ -221,12 +229,37 @@
     /// Set if the entry is missing, possibly only because the store was unavailable. The
     /// target counts as listed until this time.
     missing_until: Option<Millis>,
+    /// Set if the entry was removed and has returned with an older copy of the store. The
+    /// target gets no work until this time.
+    held_until: Option<Millis>,
+}
+
+impl TrackedMember {
+    /// Returns the entry as traffic uses it: a target that is held gets no work.
+    fn in_force(&self) -> Arc<Member> {
+        match self.held_until {
+            Some(_) => Arc::new(Member {
+                draining: true,
+                ..Member::clone(&self.member)
+            }),
+            None => Arc::clone(&self.member),
+        }
+    }
 }
 
 impl MemberTracker {
     /// Adds or replaces an entry.
-    pub fn upsert(&mut self, member: Member) {
+    ///
+    /// A target that drains never takes work again in this incarnation, even if an older
+    /// copy of the store says so.
+    pub fn upsert(&mut self, mut member: Member) {
+        if let Some(known) = self.known.get(&member.id)
+            && known.member.incarnation() == member.incarnation()
+        {
+            member.draining |= known.member.draining;
+        }
         let tracked = TrackedMember {
+            held_until: self.withdrawn.get(&member.id).copied(),
             member: Arc::new(member),
             missing_until: None,
         };
@@ -234,6 +267,19 @@
         self.known.insert(tracked.member.id.clone(), tracked);
     }
 
+    /// Records that the source has returned from an older copy of itself.
+    ///
+    /// Entries that the copy lacks are written again if their targets run, so removals are
+    /// held as after a failure. Entries that it still has although they were removed are not
+    /// used at first: most of their targets have ended or are about to.
+    pub fn begin_era(&mut self, now: Millis) {
+        self.note_store_failure(now);
+        for id in self.removed_at.keys() {
+            let until = now + RETURNED_ENTRY_HOLD_MS;
+            self.withdrawn.insert(id.clone(), until);
+        }
+    }
+
     /// Removes an entry, at once or after a grace period.
     ///
     /// Guards against a store that comes back from an outage without the entries of
@@ -290,9 +336,24 @@
     }
 
     /// Returns whether exactly this entry is tracked and not missing.
+    ///
+    /// The order in which targets were listed is known from before if the source has begun
+    /// another era since.
     fn is_known_as(&self, member: &Member) -> bool {
-        let tracked = self.known.get(&member.id);
-        tracked.is_some_and(|tracked| tracked.missing_until.is_none() && *tracked.member == *member)
+        let Some(tracked) = self.known.get(&member.id) else {
+            return false;
+        };
+        let known = &tracked.member;
+        let is_same_era = known.listing_order.is_same_era(member.listing_order);
+        let listing_order = match is_same_era {
+            true => member.listing_order,
+            false => known.listing_order,
+        };
+        let listed = Member {
+            listing_order,
+            ..member.clone()
+        };
+        tracked.missing_until.is_none() && **known == listed
     }
 
     /// Records that this node could not read the store just now.
@@ -316,6 +377,14 @@
     pub fn expire(&mut self, now: Millis) -> bool {
         self.removed_at
             .retain(|_, since| now.since(*since) < REMOVED_RETENTION_MS);
+        self.withdrawn.retain(|_, until| now < *until);
+        let mut is_changed = false;
+        for tracked in self.known.values_mut() {
+            if tracked.held_until.is_some_and(|until| now >= until) {
+                tracked.held_until = None;
+                is_changed = true;
+            }
+        }
         let mut expired = Vec::new();
         for (id, tracked) in &self.known {
             if tracked.missing_until.is_some_and(|until| now >= until) {
@@ -326,7 +395,7 @@
             self.known.remove(id);
             self.removed_at.insert(id.clone(), now);
         }
-        !expired.is_empty()
+        is_changed || !expired.is_empty()
     }
 
     /// Returns when [`Self::expire`] next has something to do.
@@ -334,7 +403,12 @@
     pub fn next_expiry(&self) -> Option<Millis> {
         self.known
             .values()
-            .filter_map(|tracked| tracked.missing_until)
+            .filter_map(
+                |tracked| match (tracked.missing_until, tracked.held_until) {
+                    (Some(missing), Some(held)) => Some(missing.min(held)),
+                    (missing, held) => missing.or(held),
+                },
+            )
             .min()
     }
 
@@ -346,7 +420,7 @@
     fn latest_by_address(
         &self,
         is_configured: &impl Fn(&ServiceName) -> bool,
-    ) -> HashMap<SocketAddr, u64> {
+    ) -> HashMap<SocketAddr, Revision> {
         let mut latest = HashMap::new();
         for tracked in self.known.values() {
             let member = &tracked.member;
@@ -395,6 +469,7 @@
             if !is_configured(&member.service) {
                 continue;
             }
+            let member = &tracked.in_force();
             members.by_id.insert(member.id.clone(), Arc::clone(member));
             if !member.draining || !members.by_address.contains_key(&member.address) {
                 let member = Arc::clone(member);
--- a/crates/dispatch/src/members/tests.rs
+++ b/crates/dispatch/src/members/tests.rs
@@ -12,7 +12,7 @@
         data_centre: DataCentre::new("dusit"),
         slots: 12,
         draining: false,
-        listing_order: 1,
+        listing_order: Revision::new(0, 1),
         started_at_ms: None,
     }
 }
@@ -107,6 +107,61 @@
     assert_eq!(available_ids(&tracker), ["i-1"]);
 }
 
+/// Guards against work for a target that has announced that it leaves, after the store
+/// returned from a copy that is older than the announcement.
+#[test]
+fn a_draining_target_does_not_take_work_again() {
+    let mut tracker = MemberTracker::default();
+    let mut draining = member("a", "10.0.0.1:80");
+    draining.draining = true;
+    tracker.upsert(draining);
+    tracker.begin_era(Millis(10));
+    tracker.upsert(member("a", "10.0.0.1:80"));
+    assert!(available_ids(&tracker).is_empty());
+}
+
+/// Guards against work for a target that had left before the store returned from a copy
+/// that still lists it, and against one that stays out of use although it runs.
+#[test]
+fn a_removed_target_that_a_copy_lists_is_used_only_if_it_stays_listed() {
+    let mut tracker = MemberTracker::default();
+    tracker.upsert(member("a", "10.0.0.1:80"));
+    tracker.remove(&TargetId::new("a"), Millis(10));
+    tracker.begin_era(Millis(20));
+    tracker.upsert(member("a", "10.0.0.1:80"));
+    assert!(available_ids(&tracker).is_empty());
+    let expiry = tracker.next_expiry().expect("a held entry");
+    assert!(expiry <= Millis(20) + RETURNED_ENTRY_HOLD_MS);
+    assert!(tracker.expire(expiry));
+    assert_eq!(available_ids(&tracker), ["a"]);
+}
+
+/// Guards against a service without targets after the store returned from a copy that
+/// lacks them: their entries are written again if they run.
+#[test]
+fn targets_that_a_copy_lacks_are_kept_for_two_seconds() {
+    let mut tracker = MemberTracker::default();
+    tracker.upsert(member("a", "10.0.0.1:80"));
+    tracker.begin_era(Millis(10));
+    tracker.remove(&TargetId::new("a"), Millis(20));
+    assert!(!tracker.expire(Millis(1_900)));
+    assert_eq!(available_ids(&tracker), ["a"]);
+    assert!(tracker.expire(Millis(2_020)));
+    assert!(available_ids(&tracker).is_empty());
+}
+
+/// Guards against a whole listing that counts as changed, because the store has assigned
+/// other revisions to the same entries.
+#[test]
+fn entries_with_revisions_of_another_era_are_unchanged() {
+    let mut tracker = MemberTracker::default();
+    tracker.upsert(member("a", "10.0.0.1:80"));
+    let mut listed = member("a", "10.0.0.1:80");
+    listed.listing_order = Revision::new(1, 7);
+    let difference = tracker.difference(vec![listed]);
+    assert_eq!(difference, Difference::default());
+}
+
 #[test]
 fn an_entry_that_comes_back_is_kept() {
     let mut tracker = MemberTracker::default();
@@ -125,7 +180,7 @@
     let mut tracker = MemberTracker::default();
     tracker.upsert(member("i-9", "10.0.0.1:80"));
     let later = Member {
-        listing_order: 2,
+        listing_order: Revision::new(0, 2),
         ..member("i-1", "10.0.0.1:80")
     };
     tracker.upsert(later);
@@ -157,7 +212,7 @@
     tracker.upsert(member("i-1", "10.0.0.1:80"));
     tracker.upsert(Member {
         service: ServiceName::new("not-ours"),
-        listing_order: 2,
+        listing_order: Revision::new(0, 2),
         ..member("x-1", "10.0.0.1:80")
     });
     tracker.upsert(Member {
--- a/crates/dispatch/src/members/tests/properties.rs
+++ b/crates/dispatch/src/members/tests/properties.rs
@@ -31,7 +31,7 @@
 fn incarnation(number: u64) -> Member {
     let address = format!("10.0.0.{}:80", number / 2 + 1);
     Member {
-        listing_order: number,
+        listing_order: Revision::new(0, number),
         ..member(&format!("i-{number}"), &address)
     }
 }
--- a/crates/dispatch/src/order/tests.rs
+++ b/crates/dispatch/src/order/tests.rs
@@ -16,7 +16,7 @@
             data_centre: DataCentre::new(data_centre),
             slots: 12,
             draining: false,
-            listing_order: 1,
+            listing_order: Revision::new(0, 1),
             started_at_ms: None,
         }));
     }
--- a/crates/dispatch/src/readers/tests.rs
+++ b/crates/dispatch/src/readers/tests.rs
@@ -44,7 +44,7 @@
         data_centre: self::data_centre(u8::try_from(data_centre).expect("below 256")),
         slots: 8,
         draining: false,
-        listing_order: 1,
+        listing_order: Revision::new(0, 1),
         started_at_ms: None,
     }
 }
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -264,6 +264,11 @@
         facts
     }
 
+    /// Records that the source has returned from an older copy of itself.
+    pub fn begin_era(&mut self) {
+        self.tracker.begin_era(self.clock.now());
+    }
+
     /// Records that this node failed to read the source.
     pub fn note_store_failure(&mut self) {
         self.tracker.note_store_failure(self.clock.now());
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -59,7 +59,7 @@
 struct State {
     status: FeedStatus,
     /// Revision up to which all changes are known.
-    revision: u64,
+    revision: Revision,
     /// Time as of which the known changes are all that the source has published.
     as_of: Millis,
     log: ChangeLog,
@@ -71,7 +71,7 @@
     /// Encoded changes in the order of their revisions.
     pub changes: Vec<Bytes>,
     /// Revision up to which all changes are known.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether the reader's own last read of the source failed.
     pub last_read_failed: bool,
     /// Time since the known changes were confirmed to be all that the source has
@@ -96,7 +96,7 @@
     ///
     /// Only a new revision wakes subscribers. Readers subscribe to each other; if every
     /// update woke them, two readers would exchange updates endlessly.
-    pub fn append(&self, changes: &[Change], revision: u64) {
+    pub fn append(&self, changes: &[Change], revision: Revision) {
         let mut state = self.state.lock();
         if revision <= state.revision {
             return;
@@ -139,7 +139,7 @@
     /// Returns the changes for a subscriber that knows everything up to `revision`, or
     /// `None` if this node cannot provide them.
     #[must_use]
-    pub fn update_after(&self, revision: u64) -> Option<FeedUpdate> {
+    pub fn update_after(&self, revision: Revision) -> Option<FeedUpdate> {
         let state = self.state.lock();
         if state.status == FeedStatus::Closed {
             return None;
@@ -161,7 +161,7 @@
 
     /// Sends updates to a subscriber that knows everything up to `known`. Returns when
     /// the subscriber is gone or this node can no longer provide updates.
-    pub(crate) async fn serve(&self, known: u64, subscriber: &UnboundedSender<ToEntry>) {
+    pub(crate) async fn serve(&self, known: Revision, subscriber: &UnboundedSender<ToEntry>) {
         let mut known = known;
         let mut changed = self.subscribe();
         loop {
--- a/crates/edge/src/feed/change_log.rs
+++ b/crates/edge/src/feed/change_log.rs
@@ -4,6 +4,7 @@
 //! number of listed entries, not on the number of changes.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::ops::Bound;
 
 use bytes::Bytes;
 
@@ -21,7 +22,7 @@
     Target(TargetId),
     Evacuation(DataCentre),
     /// The listing of this revision.
-    Listing(u64),
+    Listing(Revision),
 }
 
 impl Key {
@@ -39,7 +40,7 @@
 }
 
 /// Position in the log: revision, then order of appending.
-type Position = (u64, u64);
+type Position = (Revision, u64);
 
 /// The latest change of each key.
 #[derive(Debug, Default)]
@@ -51,9 +52,9 @@
     tombstones: VecDeque<(Key, Position)>,
     appended: u64,
     /// Removals up to this revision may be missing.
-    compacted_to: u64,
+    compacted_to: Revision,
     /// Any change up to this revision may be missing.
-    lost_to: u64,
+    lost_to: Revision,
 }
 
 impl ChangeLog {
@@ -77,18 +78,19 @@
     }
 
     /// Records that changes up to this revision cannot be sent to subscribers.
-    pub(super) fn note_lost(&mut self, revision: u64) {
+    pub(super) fn note_lost(&mut self, revision: Revision) {
         self.lost_to = self.lost_to.max(revision);
     }
 
     /// Returns the changes for a subscriber that knows everything up to `revision`, or
-    /// `None` if some are missing. A new subscriber (revision 0) needs no removals.
-    pub(super) fn after(&self, revision: u64) -> Option<Vec<Bytes>> {
-        let knows_removals = revision == 0 || revision >= self.compacted_to;
+    /// `None` if some are missing. A new subscriber needs no removals.
+    pub(super) fn after(&self, revision: Revision) -> Option<Vec<Bytes>> {
+        let knows_removals = revision == Revision::ZERO || revision >= self.compacted_to;
         if revision < self.lost_to || !knows_removals {
             return None;
         }
-        let new = self.entries.range((revision + 1, 0)..);
+        let after = (Bound::Excluded((revision, u64::MAX)), Bound::Unbounded);
+        let new = self.entries.range(after);
         Some(new.map(|(_, encoded)| encoded.clone()).collect())
     }
 
--- a/crates/edge/src/feed/links.rs
+++ b/crates/edge/src/feed/links.rs
@@ -12,6 +12,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 
 use crate::link::{FrameReader, LinkFault};
+use crate::prelude::*;
 use crate::sockets;
 
 /// Future of a result from another node, which fails when the link ends.
@@ -21,7 +22,7 @@
 pub(crate) trait FeedLinks: fmt::Debug + Send + Sync {
     /// Subscribes to a reader's feed. All changes up to the revision `known` are known
     /// here. The caller sets the timeout.
-    fn open(&self, reader: IpAddr, known: u64) -> LinkFuture<'_, Box<dyn FeedStream>>;
+    fn open(&self, reader: IpAddr, known: Revision) -> LinkFuture<'_, Box<dyn FeedStream>>;
 }
 
 /// The messages of a reader to one subscriber.
@@ -37,7 +38,7 @@
 }
 
 impl FeedLinks for TcpFeedLinks {
-    fn open(&self, reader: IpAddr, known: u64) -> LinkFuture<'_, Box<dyn FeedStream>> {
+    fn open(&self, reader: IpAddr, known: Revision) -> LinkFuture<'_, Box<dyn FeedStream>> {
         let address = SocketAddr::new(reader, self.port);
         Box::pin(async move {
             let stream = TcpStream::connect(address).await?;
--- a/crates/edge/src/feed/subscriptions.rs
+++ b/crates/edge/src/feed/subscriptions.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use hornbeamhitch_dispatch::waits::Waits;
 use hornbeamhitch_wire::link::ToEntry;
+use parking_lot::Mutex;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
@@ -35,7 +35,7 @@
         /// Changes in the order of their revisions.
         changes: Vec<Change>,
         /// Revision up to which no change is missing.
-        revision: u64,
+        revision: Revision,
         /// Whether the reader's own last read of the source failed.
         last_read_failed: bool,
         /// Time as of which the source had published nothing newer, not corrected for the
@@ -56,7 +56,7 @@
 pub struct Subscriptions {
     context: SubscriptionContext,
     /// Revision up to which this node knows all changes.
-    known_revision: Arc<AtomicU64>,
+    known_revision: Arc<Mutex<Revision>>,
     events: mpsc::UnboundedReceiver<FeedEvent>,
     event_sender: mpsc::UnboundedSender<FeedEvent>,
     readers: BTreeMap<IpAddr, Subscription>,
@@ -116,8 +116,8 @@
     }
 
     /// Sets the revision up to which this node knows all changes.
-    pub fn set_known_revision(&self, revision: u64) {
-        self.known_revision.store(revision, Ordering::Release);
+    pub fn set_known_revision(&self, revision: Revision) {
+        *self.known_revision.lock() = revision;
     }
 
     /// Subscribes to exactly these readers.
@@ -148,8 +148,8 @@
     /// complete state from every reader that it subscribes to before the first update.
     /// When a whole fleet starts, that would saturate the readers' links.
     fn next_subscription_delay(&self) -> Duration {
-        match self.known_revision.load(Ordering::Acquire) {
-            0 => self.context.waits.publish_interval_ms().to_duration(),
+        match *self.known_revision.lock() {
+            Revision::ZERO => self.context.waits.publish_interval_ms().to_duration(),
             _ => Duration::ZERO,
         }
     }
@@ -198,7 +198,7 @@
     reader: IpAddr,
     delay: Duration,
     context: SubscriptionContext,
-    known_revision: Arc<AtomicU64>,
+    known_revision: Arc<Mutex<Revision>>,
     event_sender: mpsc::UnboundedSender<FeedEvent>,
 ) {
     let mut is_established = false;
@@ -230,11 +230,11 @@
 async fn subscribe_once(
     reader: IpAddr,
     context: &SubscriptionContext,
-    known_revision: &AtomicU64,
+    known_revision: &Mutex<Revision>,
     event_sender: &mpsc::UnboundedSender<FeedEvent>,
     is_established: &mut bool,
 ) -> LinkFault {
-    let known_revision = known_revision.load(Ordering::Acquire);
+    let known_revision = *known_revision.lock();
     let timeout = context.waits.publish_interval_ms().to_duration();
     let opening = tokio::time::timeout(timeout, context.links.open(reader, known_revision));
     let mut stream = match opening.await {
@@ -262,7 +262,7 @@
             } => {
                 if !*is_established {
                     *is_established = true;
-                    log::info!(revision; "subscribed to changes from the reader {reader}");
+                    log::info!(revision:%; "subscribed to changes from the reader {reader}");
                 }
                 let event = FeedEvent::Update {
                     reader,
--- a/crates/edge/src/feed/tests.rs
+++ b/crates/edge/src/feed/tests.rs
@@ -6,9 +6,14 @@
 use super::*;
 use crate::source::Fact;
 
+/// Returns the revision with this number in the first era.
+const fn at(number: u64) -> Revision {
+    Revision::new(0, number)
+}
+
 fn removed(revision: u64) -> Change {
     Change {
-        revision,
+        revision: at(revision),
         fact: Fact::Removed(TargetId::new(&format!("i-{revision}"))),
     }
 }
@@ -21,11 +26,11 @@
         data_centre: DataCentre::new("dc"),
         slots: 1,
         draining: false,
-        listing_order: revision,
+        listing_order: at(revision),
         started_at_ms: None,
     };
     Change {
-        revision,
+        revision: at(revision),
         fact: Fact::Listed(member),
     }
 }
@@ -36,13 +41,13 @@
     update
         .changes
         .iter()
-        .map(|encoded| decode(encoded).revision)
+        .map(|encoded| decode(encoded).revision.number())
         .collect()
 }
 
 fn open_feed() -> ChangeFeed {
     let feed = ChangeFeed::new(ProcessClock::start(), Waits::new(Millis(2_000)));
-    feed.append(&[removed(10)], 10);
+    feed.append(&[removed(10)], at(10));
     feed.set_status(FeedStatus::Open);
     feed
 }
@@ -50,18 +55,33 @@
 #[test]
 fn a_subscriber_receives_only_newer_changes() {
     let feed = open_feed();
-    feed.append(&[removed(11), removed(13)], 15);
-    let update = feed.update_after(11).expect("an open feed");
-    assert_eq!((revisions(&update), update.revision), (vec![13], 15));
-    let update = feed.update_after(20).expect("an open feed");
-    assert_eq!((revisions(&update), update.revision), (vec![], 15));
+    feed.append(&[removed(11), removed(13)], at(15));
+    let update = feed.update_after(at(11)).expect("an open feed");
+    assert_eq!((revisions(&update), update.revision), (vec![13], at(15)));
+    let update = feed.update_after(at(20)).expect("an open feed");
+    assert_eq!((revisions(&update), update.revision), (vec![], at(15)));
+}
+
+/// Guards against changes of a store that returned from an older copy which reach no
+/// subscriber, because their numbers are lower than those of before.
+#[test]
+fn changes_of_a_later_era_are_new_whatever_their_numbers() {
+    let feed = open_feed();
+    let change = Change {
+        revision: Revision::new(1, 4),
+        ..removed(4)
+    };
+    feed.append(&[change], Revision::new(1, 5));
+    let update = feed.update_after(at(10)).expect("an open feed");
+    assert_eq!(revisions(&update), [4]);
+    assert_eq!(update.revision, Revision::new(1, 5));
 }
 
 #[test]
 fn a_closed_feed_returns_nothing() {
     let feed = open_feed();
     feed.set_status(FeedStatus::Closed);
-    assert_eq!(feed.update_after(10), None);
+    assert_eq!(feed.update_after(at(10)), None);
 }
 
 /// A subscriber that received "complete up to 12" without the changes before revision 10
@@ -70,10 +90,10 @@
 fn a_subscriber_behind_the_log_is_rejected() {
     let feed = open_feed();
     for revision in 12..=2_000 {
-        feed.append(&[removed(revision)], revision);
+        feed.append(&[removed(revision)], at(revision));
     }
-    assert_eq!(feed.update_after(12), None);
-    let last = feed.update_after(1_999).expect("the latest are kept");
+    assert_eq!(feed.update_after(at(12)), None);
+    let last = feed.update_after(at(1_999)).expect("the latest are kept");
     assert_eq!(revisions(&last), [2_000]);
 }
 
@@ -86,18 +106,18 @@
     let feed = open_feed();
     for revision in 11..=CHANGES {
         let id = format!("i-{}", revision % TARGETS);
-        feed.append(&[listed(revision, &id)], revision);
+        feed.append(&[listed(revision, &id)], at(revision));
     }
     for revision in CHANGES + 1..=2 * CHANGES {
-        feed.append(&[removed(revision)], revision);
+        feed.append(&[removed(revision)], at(revision));
     }
-    let update = feed.update_after(0).expect("an open feed");
+    let update = feed.update_after(at(0)).expect("an open feed");
     let known = revisions(&update).into_iter();
     let expected: Vec<u64> = (CHANGES - TARGETS + 1..=CHANGES).collect();
     let listed: Vec<u64> = known.filter(|revision| *revision <= CHANGES).collect();
     assert_eq!(listed, expected);
-    assert_eq!(update.revision, 2 * CHANGES);
-    assert_eq!(feed.update_after(CHANGES), None);
+    assert_eq!(update.revision, at(2 * CHANGES));
+    assert_eq!(feed.update_after(at(CHANGES)), None);
 }
 
 #[test]
@@ -105,7 +125,7 @@
     let feed = open_feed();
     feed.set_status(FeedStatus::Unhealthy);
     assert!(
-        feed.update_after(10)
+        feed.update_after(at(10))
             .is_some_and(|update| update.last_read_failed)
     );
 }
@@ -115,14 +135,14 @@
 #[test]
 fn known_changes_wake_no_subscriber() {
     let feed = open_feed();
-    feed.append(&[removed(12)], 12);
+    feed.append(&[removed(12)], at(12));
     let mut subscriber = feed.subscribe();
     subscriber.mark_unchanged();
-    feed.append(&[], 12);
-    feed.append(&[], 11);
+    feed.append(&[], at(12));
+    feed.append(&[], at(11));
     feed.set_status(FeedStatus::Open);
     assert!(!subscriber.has_changed().expect("an open feed"));
-    feed.append(&[], 13);
+    feed.append(&[], at(13));
     assert!(subscriber.has_changed().expect("an open feed"));
 }
 
@@ -139,13 +159,13 @@
         routes.add("h", route(number));
     }
     let written = Change {
-        revision: 11,
+        revision: at(11),
         fact: Fact::Routes(routes),
     };
     let feed = open_feed();
-    feed.append(&[written, removed(12)], 12);
-    let update = feed.update_after(10).expect("an open feed");
-    assert_eq!(update.revision, 12);
+    feed.append(&[written, removed(12)], at(12));
+    let update = feed.update_after(at(10)).expect("an open feed");
+    assert_eq!(update.revision, at(12));
     for change in &update.changes {
         assert!(change.len() <= MAX_BYTES, "{} bytes", change.len());
     }
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -84,6 +84,7 @@
         role: Role::Alone,
         settings,
         failures: 0,
+        has_watched: false,
         debounces: 0,
     };
     let is_synced = sync.bootstrap().await;
@@ -106,6 +107,8 @@
     settings: FollowSettings,
     /// Consecutive failed reads.
     failures: u32,
+    /// Whether a watch has succeeded since the complete listing was read.
+    has_watched: bool,
     /// Debounced batches since this node started, up to [`MAX_DEBOUNCE_DOUBLINGS`].
     debounces: u32,
 }
@@ -152,6 +155,11 @@
                 Ok(()) => {}
                 Err(SourceFault::HistoryGone) => {
                     log::info!("the source dropped its history; reading the complete listing");
+                    if !self.has_watched {
+                        // A listing did not help last time.
+                        self.pause(self.waits.initial_backoff_ms()).await;
+                    }
+                    self.has_watched = false;
                     return;
                 }
                 Err(fault) => self.back_off_after(&fault).await,
@@ -215,7 +223,12 @@
             .source
             .watch(after, wait_ms, self.waits.idle_timeout_ms());
         let batch = with_updates(changes, &mut self.known, &mut self.subscriptions).await?;
+        if !batch.revision.is_same_era(after) {
+            // The changes follow a number that another era has assigned to another change.
+            return Err(SourceFault::HistoryGone);
+        }
         self.note_success();
+        self.has_watched = true;
         let has_new_changes = !batch.changes.is_empty() && !self.known.has_deferred_removals();
         self.known.apply_new(batch.changes, batch.revision);
         self.known.renew(batch.age_ms);
@@ -331,7 +344,7 @@
         if self.failures == 0 {
             let known_ms = self.known.age_ms().0;
             let revision = self.known.revision();
-            log::warn!(known_ms, revision; "reading the source failed: {fault}");
+            log::warn!(known_ms, revision:%; "reading the source failed: {fault}");
         }
         let max_backoff_ms = match self.role.is_follower() || self.role.is_led() {
             true => self.waits.follower_max_backoff_ms(),
--- a/crates/edge/src/following/bootstrap.rs
+++ b/crates/edge/src/following/bootstrap.rs
@@ -66,7 +66,7 @@
     /// Waits up to `max_ms` for the first complete update from a healthy reader.
     async fn await_first_update(&mut self, max_ms: Millis) -> bool {
         let until = tokio::time::Instant::now() + super::jittered(max_ms);
-        while self.subscriptions.healthy_readers() == 0 || self.known.revision() == 0 {
+        while self.subscriptions.healthy_readers() == 0 || self.known.revision() == Revision::ZERO {
             let next = self.subscriptions.next();
             let Ok(event) = tokio::time::timeout_at(until, next).await else {
                 return false;
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -48,7 +48,7 @@
     directory: DirectoryWriter,
     feed: Arc<ChangeFeed>,
     large_routes: LargeRoutesReader,
-    revision: u64,
+    revision: Revision,
     /// Newest version of the configuration among the changes up to `revision`.
     routes_version: Option<u64>,
     members_changed: bool,
@@ -59,7 +59,7 @@
     has_deferred_removals: bool,
     /// Readers whose updates lack changes before this revision, until this node knows
     /// that revision from elsewhere.
-    missing_before: BTreeMap<IpAddr, u64>,
+    missing_before: BTreeMap<IpAddr, Revision>,
 }
 
 impl KnownState {
@@ -79,7 +79,7 @@
             own_ip,
             own_reads: OwnReads::Good,
             has_deferred_removals: false,
-            revision: 0,
+            revision: Revision::ZERO,
             routes_version: None,
             members_changed: false,
             missing_before: BTreeMap::new(),
@@ -87,7 +87,7 @@
     }
 
     /// Revision up to which all changes are known.
-    pub(super) const fn revision(&self) -> u64 {
+    pub(super) const fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -153,7 +153,7 @@
     pub(super) fn apply_listing(&mut self, listing: Listing) {
         let revision = listing.revision;
         let (known, targets) = (self.revision, listing.members.len());
-        log::info!(known, revision, targets; "read the complete listing");
+        log::info!(known:%, revision:%, targets; "read the complete listing");
         // The routes in force may come from a stale listing that was not published to
         // subscribers.
         let known = self.routes_version;
@@ -177,13 +177,14 @@
 
     /// Applies the changes that are newer than the known state, which is then complete up
     /// to `revision`.
-    pub(super) fn apply_new(&mut self, changes: Vec<Change>, revision: u64) {
+    pub(super) fn apply_new(&mut self, changes: Vec<Change>, revision: Revision) {
         let mut new = changes;
         new.retain(|change| change.revision > self.revision);
         self.apply(new, revision);
     }
 
-    fn apply(&mut self, changes: Vec<Change>, revision: u64) {
+    fn apply(&mut self, changes: Vec<Change>, revision: Revision) {
+        self.note_era(revision);
         self.feed.append(&changes, revision);
         self.revision = revision.max(self.revision);
         let mut routes = Vec::new();
@@ -233,6 +234,17 @@
         }
     }
 
+    /// Prepares for the changes of a later era, in which facts of before may be missing or
+    /// return.
+    fn note_era(&mut self, revision: Revision) {
+        let known = self.revision;
+        if known == Revision::ZERO || revision <= known || revision.is_same_era(known) {
+            return;
+        }
+        log::warn!(known:%, revision:%; "the source has returned from an older copy");
+        self.directory.begin_era();
+    }
+
     /// Applies an event from a reader, or a configuration that was read separately.
     pub(super) fn apply_event(&mut self, event: FeedEvent) {
         let (reader, changes, revision, last_read_failed, as_of) = match event {
@@ -258,7 +270,7 @@
             self.own_reads = OwnReads::Doubtful;
         }
         if !self.is_complete(reader, &changes, revision) {
-            log::info!(revision; "skipped an update of the reader {reader} that lacks changes");
+            log::info!(revision:%; "skipped an update of the reader {reader} that lacks changes");
             return;
         }
         self.apply_new(changes, revision);
@@ -287,7 +299,7 @@
     /// withdrawn since the revision that it knew before. A node that has learnt of such a
     /// target or evacuation from another reader would keep it for good. So it skips the
     /// updates of this reader until it knows all that they contain from elsewhere.
-    fn is_complete(&mut self, reader: IpAddr, changes: &[Change], revision: u64) -> bool {
+    fn is_complete(&mut self, reader: IpAddr, changes: &[Change], revision: Revision) -> bool {
         let needed = self.missing_before.get(&reader).copied();
         let mut is_complete = needed.is_none_or(|needed| self.revision >= needed);
         for change in changes {
@@ -299,7 +311,7 @@
             true => self.missing_before.remove(&reader),
             false => self
                 .missing_before
-                .insert(reader, revision.max(needed.unwrap_or(0))),
+                .insert(reader, revision.max(needed.unwrap_or(Revision::ZERO))),
         };
         is_complete
     }
--- a/crates/edge/src/following/large_routes.rs
+++ b/crates/edge/src/following/large_routes.rs
@@ -57,6 +57,10 @@
         match source.read_routes(waits.idle_timeout_ms()).await {
             Ok(Some(routes)) => {
                 known = routes.version().max(known);
+                if known < wanted {
+                    // The source has returned from a copy that lacks this version.
+                    pause_up_to(waits.max_backoff_ms()).await;
+                }
                 log::info!(version = routes.version(), wanted; "read a large configuration");
                 if events.send(FeedEvent::RoutesRead(routes)).is_err() {
                     return;
--- a/crates/edge/src/following/tests.rs
+++ b/crates/edge/src/following/tests.rs
@@ -32,6 +32,9 @@
     Store(SourceMode),
     /// The store repeatedly drops its history.
     StoreDropsHistory,
+    /// The store returns from a copy that is older by half a second. What was published
+    /// since is gone, and the state of now is written again with the next version.
+    StoreReturnsFromCopy,
     /// The store rejects one reader and serves the other nodes.
     StoreRejectsReader,
     /// The store rejects all readers and serves the other nodes.
@@ -52,11 +55,12 @@
     FollowerRestarts,
 }
 
-const FAULTS: [Fault; 13] = [
+const FAULTS: [Fault; 14] = [
     Fault::Store(SourceMode::DroppingCalls),
     Fault::Store(SourceMode::Failing),
     Fault::Store(SourceMode::DroppingWatches),
     Fault::StoreDropsHistory,
+    Fault::StoreReturnsFromCopy,
     Fault::StoreRejectsReader,
     Fault::StoreRejectsAllReaders,
     Fault::StoreDropsReaderWatches,
--- a/crates/edge/src/following/tests/fleet.rs
+++ b/crates/edge/src/following/tests/fleet.rs
@@ -27,6 +27,8 @@
 
 /// Network delay from one node to another.
 const ONE_WAY: Duration = Duration::from_millis(2);
+/// Time by which the copy is older that a store returns from.
+const COPY_LAG: Duration = Duration::from_millis(500);
 
 /// State of the links to a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,7 +52,7 @@
 struct Network(Arc<Mutex<BTreeMap<IpAddr, Endpoint>>>);
 
 impl FeedLinks for Network {
-    fn open(&self, reader: IpAddr, known: u64) -> LinkFuture<'_, Box<dyn FeedStream>> {
+    fn open(&self, reader: IpAddr, known: Revision) -> LinkFuture<'_, Box<dyn FeedStream>> {
         Box::pin(async move {
             tokio::time::sleep(ONE_WAY).await;
             let endpoint = self.0.lock().get(&reader).cloned();
@@ -323,6 +325,10 @@
 
     /// Sets the active faults.
     pub(super) fn set_faults(&mut self, faults: Vec<Fault>) {
+        let returns = |faults: &[Fault]| faults.contains(&Fault::StoreReturnsFromCopy);
+        if returns(&faults) && !returns(&self.active_faults) {
+            self.store.restore_copy(COPY_LAG);
+        }
         self.active_faults = faults;
     }
 
@@ -358,7 +364,8 @@
             }
         }
         let is_affected = mode != SourceMode::Normal || is_frozen || is_stopped;
-        if is_affected || faults.contains(&Fault::StoreDropsHistory) {
+        let affects_all = [Fault::StoreDropsHistory, Fault::StoreReturnsFromCopy];
+        if is_affected || faults.iter().any(|fault| affects_all.contains(fault)) {
             self.last_fault_at.insert(own_ip, Instant::now());
         }
         if is_stopped {
@@ -388,14 +395,14 @@
 
     /// Publishes the next version.
     pub(super) fn put_next_version(&mut self) {
-        let ended = evacuated_data_centre(self.version);
         self.version += 1;
         let started = evacuated_data_centre(self.version);
-        self.store.put_all(vec![
-            Fact::EvacuationEnded(ended),
-            Fact::EvacuationStarted(started),
-            source::version_fact(self.version),
-        ]);
+        // After a return from a copy these are not those of the last version.
+        let evacuated = self.store.evacuated();
+        let mut facts: Vec<Fact> = evacuated.into_iter().map(Fact::EvacuationEnded).collect();
+        facts.push(Fact::EvacuationStarted(started));
+        facts.push(source::version_fact(self.version));
+        self.store.put_all(facts);
         self.published.push_back((Instant::now(), self.version));
     }
 
@@ -466,7 +473,7 @@
         data_centre: data_centre(*own_ip),
         slots: 4,
         draining: false,
-        listing_order: 1,
+        listing_order: Revision::new(0, 1),
         started_at_ms: None,
     }
 }
--- a/crates/edge/src/gate/health.rs
+++ b/crates/edge/src/gate/health.rs
@@ -94,13 +94,21 @@
         }
     }
 
+    /// Whether the entry says so, or did so before the store returned from an older copy.
+    fn is_draining(&self, entry: &Member) -> bool {
+        let directory = self.directory.load();
+        let known = directory.members.get(&entry.id);
+        let known = known.filter(|known| known.incarnation() == entry.incarnation());
+        entry.draining || known.is_some_and(|known| known.draining)
+    }
+
     async fn look_up_entry(&self, id: &TargetId) {
         let read = self
             .source
             .read_target(id, self.waits.idle_timeout_ms())
             .await;
         let listing_state = match read {
-            Ok(Some(member)) if member.draining => ListingState::Draining,
+            Ok(Some(member)) if self.is_draining(&member) => ListingState::Draining,
             Ok(Some(_)) => ListingState::Open,
             Ok(None) => ListingState::Unlisted,
             // The previous state stays in force, and the lookup is retried later.
--- a/crates/edge/src/gate/lives.rs
+++ b/crates/edge/src/gate/lives.rs
@@ -20,7 +20,7 @@
         if state.incarnation.replace(incarnation).is_some() {
             state.admission.forget_target();
             self.target.close_idle();
-            self.departure.lock().forget_statement();
+            self.departure.lock().forget_target();
             log::info!(
                 target_id = member.id.as_str();
                 "another incarnation of the target is listed"
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -14,8 +14,9 @@
 
 /// Read access to the configuration and targets that a platform publishes.
 ///
-/// The platform numbers its changes with a single revision that only increases. A read
-/// may be cancelled by dropping its future, and several reads may run concurrently.
+/// The platform numbers its changes with a single revision, which increases within an era.
+/// A platform that returns from an older copy of itself begins a new era. What it has
+/// published since that copy was made is then gone, or is published again. A read may be cancelled by dropping its future, and several reads may run concurrently.
 ///
 /// A read fails when its response does not begin or continue within `idle_timeout_ms`.
 /// The total duration of a response is not limited, so large responses may use slow
@@ -32,7 +33,7 @@
     /// `wait_ms`.
     fn watch(
         &self,
-        after: u64,
+        after: Revision,
         wait_ms: Millis,
         idle_timeout_ms: Millis,
     ) -> ReadFuture<'_, Changes>;
@@ -73,7 +74,7 @@
     /// The evacuated data centres.
     pub evacuated: BTreeSet<DataCentre>,
     /// Revision up to which all changes are included.
-    pub revision: u64,
+    pub revision: Revision,
     /// Time since the source began to respond.
     pub age_ms: Millis,
 }
@@ -83,8 +84,9 @@
 pub struct Changes {
     /// The valid changes.
     pub changes: Vec<Change>,
-    /// Revision up to which no change is missing.
-    pub revision: u64,
+    /// Revision up to which no change is missing. In another era than that of the watch,
+    /// any change may be missing.
+    pub revision: Revision,
     /// Time since the source began to respond.
     pub age_ms: Millis,
 }
@@ -93,7 +95,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
     /// Revision of the change.
-    pub revision: u64,
+    pub revision: Revision,
     /// The new fact.
     pub fact: Fact,
 }
@@ -119,6 +121,6 @@
     /// in between is missing. Only the change feed contains this.
     DerivedFromListing {
         /// Revision that the reader knew before.
-        after: u64,
+        after: Revision,
     },
 }
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -135,7 +135,7 @@
         data_centre: DataCentre::new("here"),
         slots: 4,
         draining: false,
-        listing_order: 1,
+        listing_order: Revision::new(0, 1),
         started_at_ms: None,
     }
 }
--- a/crates/edge/tests/all/support/source.rs
+++ b/crates/edge/tests/all/support/source.rs
@@ -39,8 +39,10 @@
 
 #[derive(Debug, Default)]
 struct State {
-    revision: u64,
-    /// Watches from before this revision fail because the history is gone.
+    era: u64,
+    /// Number of changes in the published state.
+    number: u64,
+    /// Watches from before this number fail because the history is gone.
     dropped_to: u64,
     history: Vec<Change>,
     /// All changes with their times.
@@ -59,6 +61,12 @@
         }
     }
 
+    /// Returns the evacuated data centres.
+    #[allow(dead_code, reason = "only tests in virtual time use it")]
+    pub fn evacuated(&self) -> BTreeSet<DataCentre> {
+        self.state.lock().evacuated.clone()
+    }
+
     /// Publishes a change.
     pub fn put(&self, fact: Fact) {
         self.state.lock().put(fact);
@@ -78,7 +86,7 @@
     /// Drops the history, so that watches from before fail.
     pub fn drop_history(&self) {
         let mut state = self.state.lock();
-        state.dropped_to = state.revision;
+        state.dropped_to = state.number;
         state.history.clear();
     }
 
@@ -95,6 +103,7 @@
 
     /// Replaces the store by a copy that is older by `lag`: what was published since is
     /// gone, and its revisions are assigned again.
+    #[allow(dead_code, reason = "only tests in virtual time use it")]
     pub fn restore_copy(&self, lag: Duration) {
         let mut state = self.state.lock();
         let mut copy = State::default();
@@ -105,7 +114,8 @@
         }
         copy.log = state.log[..copy.log.len()].to_vec();
         copy.history.clear();
-        copy.dropped_to = copy.revision;
+        copy.dropped_to = copy.number;
+        copy.era = state.era + 1;
         *state = copy;
         drop(state);
         self.changed.send_replace(());
@@ -159,11 +169,15 @@
             routes: self.routes.clone(),
             members: self.members.values().cloned().collect(),
             evacuated: self.evacuated.clone(),
-            revision: self.revision,
+            revision: self.revision(),
             age_ms: Millis::ZERO,
         }
     }
 
+    const fn revision(&self) -> Revision {
+        Revision::new(self.era, self.number)
+    }
+
     fn put(&mut self, fact: Fact) {
         match &fact {
             Fact::Routes(routes) => self.routes = Some(routes.clone()),
@@ -184,8 +198,8 @@
             }
         }
         self.log.push((Instant::now(), fact.clone()));
-        self.revision += 1;
-        let revision = self.revision;
+        self.number += 1;
+        let revision = self.revision();
         self.history.push(Change { revision, fact });
     }
 }
@@ -288,18 +302,20 @@
         }
     }
 
-    fn after(&self, revision: u64) -> Result<Changes, SourceFault> {
+    /// Returns the changes after a number, of whichever era the caller has it from.
+    fn after(&self, revision: Revision) -> Result<Changes, SourceFault> {
         let state = self.published.state.lock();
-        if revision < state.dropped_to || revision > state.revision {
+        let number = revision.number();
+        if number < state.dropped_to || number > state.number {
             return Err(SourceFault::HistoryGone);
         }
         let new = state
             .history
             .iter()
-            .filter(|change| change.revision > revision);
+            .filter(|change| change.revision.number() > number);
         Ok(Changes {
             changes: new.cloned().collect(),
-            revision: state.revision,
+            revision: state.revision(),
             age_ms: Millis::ZERO,
         })
     }
@@ -328,7 +344,7 @@
 
     fn watch(
         &self,
-        after: u64,
+        after: Revision,
         wait_ms: Millis,
         idle_timeout_ms: Millis,
     ) -> ReadFuture<'_, Changes> {
--- a/crates/routed/src/source.rs
+++ b/crates/routed/src/source.rs
@@ -122,8 +122,9 @@
 }
 
 impl Published {
-    const fn revision(&self) -> u64 {
-        self.text_version.0 + self.list_version.0
+    const fn revision(&self) -> Revision {
+        // This platform never goes back, so there is one era.
+        Revision::new(0, self.text_version.0 + self.list_version.0)
     }
 
     /// Applies a text. If it has faults, the previous one stays in force.
@@ -174,7 +175,7 @@
             data_centre: vm.data_centre.clone(),
             slots: service.map_or(UNKNOWN_SLOTS, |service| service.slots),
             draining: vm.leaving,
-            listing_order: 0,
+            listing_order: Revision::ZERO,
             started_at_ms: None,
         }
     }
@@ -201,7 +202,7 @@
 
     fn watch(
         &self,
-        after: u64,
+        after: Revision,
         wait_ms: Millis,
         idle_timeout_ms: Millis,
     ) -> ReadFuture<'_, Changes> {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod notice;
 pub mod policy;
 pub mod prelude;
+pub mod revision;
 pub mod status;
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -7,3 +7,4 @@
 };
 pub use crate::notice::TargetNotice;
 pub use crate::policy::{CallClass, CallPolicy, ServicePolicy};
+pub use crate::revision::Revision;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -239,7 +239,7 @@
     /// Subscribes to the changes of routes and targets after a revision of the source.
     Subscribe {
         /// The subscriber knows all changes up to this revision.
-        revision: u64,
+        revision: Revision,
     },
 }
 
@@ -302,7 +302,7 @@
     /// nothing changes, so that its absence indicates a fault.
     Progress {
         /// The revision.
-        revision: u64,
+        revision: Revision,
         /// The last read of the source by this node failed.
         last_read_failed: bool,
         /// Time since the source is known to have published nothing newer.
