Refuse calls at once that a target's stated limit admits too late

Cause: the limit was looked at only for calls that would get a slot; those behind them in the queue were judged by slots, which come free soon. Deep in the queue the time was also one window at most, however many requests came before. Class: a bound that is looked at for the head of the queue alone. Change: the limit decides before the slots, for each call with those ahead of it, and the time counts a window for each set of requests before it. Why it holds: the gate knows all that is ahead, so the time is the earliest one. Ruled out: shorter queues; a call that is admitted in time would be refused. The same cause in the limit of cold targets: the times deep in the queue are right now; that it is looked at after the slots is open.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -319,6 +319,10 @@
         ));
         let limit = limit.max(1);
         let ahead = self.queue.range(..position).count() as u32;
+        let limited_until = self.stated_limit.free_at(&self.sends, ahead, now);
+        if let Some(free_at) = limited_until.filter(|free_at| *free_at > call.queue_until) {
+            return Verdict::Refuse(Refused::RateLimited { free_at });
+        }
         let free_slots = limit.saturating_sub(self.in_flight);
         if ahead >= free_slots {
             let verdict = self.wait_for_slot(call, ahead - free_slots, limit, now);
@@ -327,10 +331,7 @@
             }
             return verdict;
         }
-        if let Some(free_at) = self.stated_limit.free_at(&self.sends, ahead, now) {
-            if free_at > call.queue_until {
-                return Verdict::Refuse(Refused::RateLimited { free_at });
-            }
+        if let Some(free_at) = limited_until {
             return Verdict::Wait(free_at);
         }
         let Some(speed) = self.fresh_speed(now) else {
--- a/crates/dispatch/src/admission/tests.rs
+++ b/crates/dispatch/src/admission/tests.rs
@@ -5,6 +5,7 @@
 
 use super::*;
 use crate::short_work::RECENT_WINDOW_MS;
+use crate::stated_limit::LimitSource;
 
 fn call(queue_ms: u64, slow_from_ms: u64) -> GateCall {
     GateCall {
@@ -350,3 +351,35 @@
     let verdict = admission.decide(position, &call, DOWN_PERIOD_MS);
     assert_eq!(verdict, Verdict::Refuse(Refused::Leaving));
 }
+
+/// Guards against calls that are held until they may wait no longer and then refused as
+/// busy, because the slots alone were looked at: behind others, the limit that the target
+/// states admits them too late.
+#[test]
+fn calls_that_a_stated_limit_admits_too_late_are_refused_at_once() {
+    let mut admission = gate(2);
+    let limit = admission.stated_limit();
+    limit.note(LimitSource::Answer, Some(2_000), Millis(0), Millis(0));
+    for _ in 0..2 {
+        let call = call(0, 2_000);
+        let position = admission.enqueue(&call, Millis(0));
+        admission.start(position);
+        admission.note_sent(Millis(0));
+        admission.finish();
+    }
+    let call = call(1_500, 2_000);
+    let mut verdicts = Vec::new();
+    for _ in 0..6 {
+        let position = admission.enqueue(&call, Millis(10));
+        verdicts.push(admission.decide(position, &call, Millis(10)));
+    }
+    // Two requests in each second: the first two are admitted after 1 s, the next two after
+    // 2 s, later than they may wait.
+    for verdict in &verdicts[..2] {
+        assert_eq!(*verdict, Verdict::Wait(Millis(1_000)));
+    }
+    for verdict in &verdicts[2..] {
+        let is_refused = matches!(verdict, Verdict::Refuse(Refused::RateLimited { free_at }) if *free_at > call.queue_until);
+        assert!(is_refused, "{verdict:?}");
+    }
+}
--- a/crates/dispatch/src/send_log.rs
+++ b/crates/dispatch/src/send_log.rs
@@ -65,11 +65,18 @@
         let first = self.sent.partition_point(|at| !counts(at));
         let in_window = self.sent.len() - first;
         let counted = in_window + self.admitted as usize + ahead as usize;
-        let excess = counted.checked_sub(bound.max_requests as usize)?;
-        Some(match self.sent.get(first + excess) {
-            Some(replaced) => *replaced + bound.window_ms,
-            // Requests that are not sent yet take the whole limit.
-            None => now + bound.window_ms,
-        })
+        let max_requests = (bound.max_requests as usize).max(1);
+        // Each request takes the place of the one `max_requests` before it. Those that are
+        // not sent yet are sent now, or one window after the ones that they replace.
+        let windows = counted / max_requests;
+        for window in 1..=windows {
+            let replaced = counted - window * max_requests;
+            if replaced < in_window {
+                let wait_ms = Millis(bound.window_ms.0 * window as u64);
+                return Some(self.sent[first + replaced] + wait_ms);
+            }
+        }
+        let wait_ms = Millis(bound.window_ms.0 * windows as u64);
+        (windows > 0).then_some(now + wait_ms)
     }
 }
