A target that drains stays so across eras only

Cause: kept a departure for the whole incarnation, whoever took it back. Within one era the source's word counts, and a departure may end. Change: an entry keeps the departure only against one of another era, together with its listing order, which tells the era in which it began. Ruled out: the pause after a listing that did not help; no line of it was there.

--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -88,6 +88,14 @@
         }
     }
 
+    /// Whether this entry shows that the target drains although `other`, an entry of another
+    /// era of the source, does not. An older copy of the source takes no departure back.
+    #[must_use]
+    pub fn drains_despite(&self, other: &Self) -> bool {
+        let is_same_era = self.listing_order.is_same_era(other.listing_order);
+        self.draining && !is_same_era && self.incarnation() == other.incarnation()
+    }
+
     /// Returns the address of the VM, on which the target's gate listens.
     #[must_use]
     pub const fn vm_ip(&self) -> IpAddr {
@@ -250,13 +258,14 @@
 impl MemberTracker {
     /// Adds or replaces an entry.
     ///
-    /// A target that drains never takes work again in this incarnation, even if an older
-    /// copy of the store says so.
+    /// A target that drains stays so in its incarnation if the source returns from an older
+    /// copy. Its listing order is kept, which belongs to the era in which it began to drain.
     pub fn upsert(&mut self, mut member: Member) {
         if let Some(known) = self.known.get(&member.id)
-            && known.member.incarnation() == member.incarnation()
+            && known.member.drains_despite(&member)
         {
-            member.draining |= known.member.draining;
+            member.draining = true;
+            member.listing_order = known.member.listing_order;
         }
         let tracked = TrackedMember {
             held_until: self.withdrawn.get(&member.id).copied(),
--- a/crates/dispatch/src/members/tests.rs
+++ b/crates/dispatch/src/members/tests.rs
@@ -116,8 +116,24 @@
     draining.draining = true;
     tracker.upsert(draining);
     tracker.begin_era(Millis(10));
+    let mut copied = member("a", "10.0.0.1:80");
+    copied.listing_order = Revision::new(1, 1);
+    for _ in 0..2 {
+        tracker.upsert(copied.clone());
+        assert!(available_ids(&tracker).is_empty());
+    }
+}
+
+/// Guards against a target that is out of use for good after its VM was to be replaced and
+/// then stayed.
+#[test]
+fn a_target_that_no_longer_drains_takes_work_again() {
+    let mut tracker = MemberTracker::default();
+    let mut draining = member("a", "10.0.0.1:80");
+    draining.draining = true;
+    tracker.upsert(draining);
     tracker.upsert(member("a", "10.0.0.1:80"));
-    assert!(available_ids(&tracker).is_empty());
+    assert_eq!(available_ids(&tracker), ["a"]);
 }
 
 /// Guards against work for a target that had left before the store returned from a copy
--- a/crates/edge/src/gate/health.rs
+++ b/crates/edge/src/gate/health.rs
@@ -98,8 +98,7 @@
     fn is_draining(&self, entry: &Member) -> bool {
         let directory = self.directory.load();
         let known = directory.members.get(&entry.id);
-        let known = known.filter(|known| known.incarnation() == entry.incarnation());
-        entry.draining || known.is_some_and(|known| known.draining)
+        entry.draining || known.is_some_and(|known| known.drains_despite(entry))
     }
 
     async fn look_up_entry(&self, id: &TargetId) {
