Failing test: a node that reads alone turns away its subscribers

Cause, from the logs: the store turns away all readers but one. Three nodes hear that the list has eight VMs, read alone and close their feeds; one was the last sound reader of nine others, whose state is up to 6.5 s old. The store's era never changed.

--- a/crates/dispatch/src/readers/tests.rs
+++ b/crates/dispatch/src/readers/tests.rs
@@ -278,3 +278,20 @@
         }
     }
 }
+
+/// Guards against followers without any reader: views of the fleet that differ by one VM
+/// differ in whether a node reads alone or is one of the readers, so it must accept the
+/// subscribers that count it among those.
+#[test]
+fn a_node_that_reads_alone_accepts_the_subscribers_of_another_view() {
+    let smaller = roles(&[4, 4]);
+    let mut readers_of_larger_view = 0;
+    for (own, role) in &roles(&[4, 5]) {
+        if !role.is_reader() || !smaller.contains_key(own) {
+            continue;
+        }
+        readers_of_larger_view += 1;
+        assert!(smaller[own].accepts_subscribers(), "{own}");
+    }
+    assert!(readers_of_larger_view > 0);
+}
