State the tolerance of deployments that name none once

Cause: the same two numbers stood in Default, in the limiter's constructor and in the routed program, whose functions are const and cannot call Default. Change: one constant, WarmUpTolerance::NONE. Behaviour stays as it is.

--- a/crates/dispatch/src/warm_up.rs
+++ b/crates/dispatch/src/warm_up.rs
@@ -47,13 +47,17 @@
     pub slack: f64,
 }
 
+impl WarmUpTolerance {
+    /// Tolerance of a deployment that states none: the rate itself.
+    pub const NONE: Self = Self {
+        factor: 1.0,
+        slack: 0.0,
+    };
+}
+
 impl Default for WarmUpTolerance {
-    /// Returns the tolerance of a deployment that states none: the rate itself.
     fn default() -> Self {
-        Self {
-            factor: 1.0,
-            slack: 0.0,
-        }
+        Self::NONE
     }
 }
 
@@ -109,10 +113,7 @@
     pub const fn new(started_at: Millis) -> Self {
         Self {
             warm_up: None,
-            tolerance: WarmUpTolerance {
-                factor: 1.0,
-                slack: 0.0,
-            },
+            tolerance: WarmUpTolerance::NONE,
             report: None,
             last_reported_cold: false,
             started_at,
--- a/crates/routed/src/program.rs
+++ b/crates/routed/src/program.rs
@@ -98,10 +98,7 @@
     Tunables {
         retry_limit: RETRY_LIMIT,
         // No service of the configuration text has a warm-up.
-        warm_up_tolerance: WarmUpTolerance {
-            factor: 1.0,
-            slack: 0.0,
-        },
+        warm_up_tolerance: WarmUpTolerance::NONE,
     }
 }
 
