Wording: statements are received, limits are stated

Cause: the new modules said heard and told, which CONTRIBUTING replaces. Change: private names and comments alone; no log field or message changes.

--- a/crates/dispatch/src/notices.rs
+++ b/crates/dispatch/src/notices.rs
@@ -1,7 +1,7 @@
 //! What targets stated about themselves in the answers that an entry received.
 //!
 //! An entry chooses no target that has stated that it leaves, and tells the limits that it
-//! has heard to the gates, which may have restarted since.
+//! has received to the gates, which may have restarted since.
 
 use std::collections::HashMap;
 
@@ -10,18 +10,18 @@
 #[cfg(test)]
 mod tests;
 
-/// Time for which a departure counts after it was last heard. The target ends earlier; a
+/// Time for which a departure counts after it was last received. The target ends earlier; a
 /// target that is still listed afterwards may have been wrong about it.
 const LEAVING_TTL_MS: Millis = Millis::from_secs(60);
 
 /// The latest statements of each incarnation of a target.
 #[derive(Debug, Default)]
 pub struct TargetNotices {
-    by_incarnation: HashMap<TargetIncarnation, Heard>,
+    by_incarnation: HashMap<TargetIncarnation, Received>,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Heard {
+struct Received {
     notice: TargetNotice,
     at: Millis,
 }
@@ -33,27 +33,29 @@
         let known = self.by_incarnation.get(&incarnation);
         if notice == TargetNotice::default() {
             // The target may have begun an older answer before it made its statement.
-            if known.is_some_and(|heard| asked_at >= heard.at) {
+            if known.is_some_and(|received| asked_at >= received.at) {
                 self.by_incarnation.remove(&incarnation);
             }
             return;
         }
-        let heard = Heard { notice, at: now };
-        self.by_incarnation.insert(incarnation, heard);
+        let received = Received { notice, at: now };
+        self.by_incarnation.insert(incarnation, received);
     }
 
     /// Returns the latest statements of the target.
     #[must_use]
     pub fn of(&self, target: &Member) -> TargetNotice {
-        let heard = self.by_incarnation.get(&target.incarnation());
-        heard.map_or_else(TargetNotice::default, |heard| heard.notice)
+        let received = self.by_incarnation.get(&target.incarnation());
+        received.map_or_else(TargetNotice::default, |received| received.notice)
     }
 
     /// Returns whether the target has stated that it leaves.
     #[must_use]
     pub fn is_leaving(&self, target: &Member, now: Millis) -> bool {
-        let heard = self.by_incarnation.get(&target.incarnation());
-        heard.is_some_and(|heard| heard.notice.is_leaving && now.since(heard.at) < LEAVING_TTL_MS)
+        let received = self.by_incarnation.get(&target.incarnation());
+        received.is_some_and(|received| {
+            received.notice.is_leaving && now.since(received.at) < LEAVING_TTL_MS
+        })
     }
 
     /// Discards incarnations that are no longer listed.
--- a/crates/dispatch/src/stated_limit.rs
+++ b/crates/dispatch/src/stated_limit.rs
@@ -2,7 +2,7 @@
 //!
 //! The limit is the number of requests a second that the target accepts from all nodes
 //! together. All requests pass the target's gate, so the gate alone can keep it. A gate
-//! that has just started learns it with the calls of entries that have heard it.
+//! that has just started learns it with the calls of entries that have received it.
 
 use crate::prelude::*;
 use crate::send_log::{MAX_WINDOW_MS, RateBound, SendLog};
@@ -27,19 +27,21 @@
 struct Statement {
     per_1000_s: Option<u64>,
     /// When the last message arrived; `None` before the first.
-    heard_at: Option<Millis>,
+    received_at: Option<Millis>,
 }
 
 impl Statement {
     /// Records a message that answers a request of `asked_at`.
     fn note(&mut self, per_1000_s: Option<u64>, asked_at: Millis, now: Millis) {
-        let is_outdated = self.heard_at.is_some_and(|heard_at| asked_at < heard_at);
+        let is_outdated = self
+            .received_at
+            .is_some_and(|received_at| asked_at < received_at);
         // The target may have begun this message before it stated the limit.
         if per_1000_s.is_none() && is_outdated {
             return;
         }
         self.per_1000_s = per_1000_s;
-        self.heard_at = Some(now);
+        self.received_at = Some(now);
     }
 }
 
@@ -48,7 +50,7 @@
 pub struct StatedLimit {
     by_answers: Statement,
     by_health_checks: Statement,
-    /// Limit that entries have heard, until the target answers a request of this gate.
+    /// Limit that entries have received, until the target answers a request of this gate.
     by_entries: Option<u64>,
     /// Since when a limit is in force.
     since: Option<Millis>,
@@ -77,10 +79,10 @@
         before != self.per_1000_s()
     }
 
-    /// Records the limit that an entry has heard from this incarnation of the target.
+    /// Records the limit that an entry has received from this incarnation of the target.
     /// Returns whether the limit in force has changed.
     pub fn note_from_entry(&mut self, per_1000_s: Option<u64>, now: Millis) -> bool {
-        if per_1000_s.is_none() || self.by_answers.heard_at.is_some() {
+        if per_1000_s.is_none() || self.by_answers.received_at.is_some() {
             return false;
         }
         let before = self.per_1000_s();
--- a/crates/dispatch/src/stated_limit/tests.rs
+++ b/crates/dispatch/src/stated_limit/tests.rs
@@ -32,7 +32,7 @@
         true
     }
 
-    fn hear(&mut self, per_1000_s: Option<u64>, now: u64) {
+    fn receive(&mut self, per_1000_s: Option<u64>, now: u64) {
         let at = Millis(now);
         self.limit.note(LimitSource::Answer, per_1000_s, at, at);
     }
@@ -56,7 +56,7 @@
 fn a_target_receives_what_its_limit_allows_and_no_more() {
     for per_1000_s in [250, 500, 999, 1_000, 6_800, 13_500, 250_000] {
         let mut gate = Gate::default();
-        gate.hear(Some(per_1000_s), 0);
+        gate.receive(Some(per_1000_s), 0);
         let mut sent = Vec::new();
         for now in 0..40_000 {
             if gate.try_send(now) {
@@ -79,7 +79,7 @@
 #[test]
 fn a_target_that_accepts_nothing_is_tried_within_a_bounded_time() {
     let mut gate = Gate::default();
-    gate.hear(Some(0), 0);
+    gate.receive(Some(0), 0);
     let sent: Vec<u64> = (0..30_000).filter(|now| gate.try_send(*now)).collect();
     assert_eq!(sent, [0, 10_000, 20_000]);
 }
@@ -88,10 +88,10 @@
 #[test]
 fn a_limit_ends_with_the_next_answer_that_states_none() {
     let mut gate = Gate::default();
-    gate.hear(Some(1_000), 0);
+    gate.receive(Some(1_000), 0);
     assert!(gate.try_send(1));
     assert!(!gate.try_send(2));
-    gate.hear(None, 3);
+    gate.receive(None, 3);
     assert!(gate.try_send(4));
 }
 
@@ -114,11 +114,11 @@
     for now in 0..400 {
         assert!(gate.try_send(now * 10));
     }
-    gate.hear(Some(6_800), 4_000);
+    gate.receive(Some(6_800), 4_000);
     assert!(gate.try_send(4_001));
 }
 
-/// Guards against a restarted gate that knows no limit while entries have been told, and
+/// Guards against a restarted gate that knows no limit while entries have received it, and
 /// against a word of entries that outlasts the target's own.
 #[test]
 fn a_restarted_gate_learns_the_limit_from_entries_until_the_target_answers() {
--- a/crates/edge/src/gate/statements.rs
+++ b/crates/edge/src/gate/statements.rs
@@ -49,7 +49,7 @@
         }
     }
 
-    /// Records what an entry has heard from the target, which counts until the target
+    /// Records what an entry has received from the target, which counts until the target
     /// answers a request of this process.
     pub(super) fn note_entry_notice(&self, state: &mut GateState, notice: &TargetNotice) {
         let stated_limit = state.admission.stated_limit();
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -85,7 +85,7 @@
     /// The part of this run that repeats an earlier one, in percent: 100 for a retry or a
     /// hedge, and an expected value for a call that a repeated run may have made.
     pub repeated_percent: u8,
-    /// What the entry last heard from the target about itself.
+    /// What the target last stated about itself to the entry.
     pub notice: TargetNotice,
 }
 
