A node that reads alone accepts subscribers

Cause: readers::role makes a node of a list of eight VMs read alone, and such a node closed its feed. Ruled out: agreeing on the list, which no two nodes share while a fleet starts. Change: being a reader decides who reads; whoever reads accepts subscribers, also alone. A node that knows nothing yet keeps its feed closed.

--- a/crates/dispatch/src/readers.rs
+++ b/crates/dispatch/src/readers.rs
@@ -14,7 +14,8 @@
 //! readers.
 //!
 //! The choice needs no agreement. Nodes with different lists choose different readers for
-//! a while, and a node that gets a subscription without being a reader reports that.
+//! a while. A node that reads the source accepts every subscriber, and a node that gets a
+//! subscription without reading reports that.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
@@ -47,7 +48,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Role {
-    /// The node reads for itself, and no other node depends on it.
+    /// The node reads for itself and subscribes to no other node.
     Alone,
     /// The node reads and serves subscribers; it also subscribes to other readers.
     Reader {
@@ -96,10 +97,13 @@
         matches!(self, Self::Reader { .. })
     }
 
-    /// Returns whether other nodes subscribe to this node.
+    /// Returns whether this node accepts subscribers.
+    ///
+    /// A node that reads alone accepts them too: nodes that know one more VM may count it
+    /// among their readers.
     #[must_use]
     pub const fn accepts_subscribers(&self) -> bool {
-        matches!(self, Self::Reader { .. }) || self.is_reserve()
+        matches!(self, Self::Alone | Self::Reader { .. }) || self.is_reserve()
     }
 
     /// Returns whether this node reads while the readers cannot.
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -37,7 +37,7 @@
 /// Whether a node's feed accepts subscribers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum FeedStatus {
-    /// The node is neither a reader nor a reserve.
+    /// The node does not read the source, or knows nothing yet.
     #[default]
     Closed,
     /// The node accepts subscribers, and its last read succeeded.
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -303,6 +303,7 @@
         let members = self.known.members();
         let role = readers::role(&members, settings.own_ip, &settings.data_centre);
         if role == self.role {
+            self.update_feed_status();
             return;
         }
         let name: &str = (&role).into();
@@ -315,9 +316,12 @@
         self.update_feed_status();
     }
 
-    /// Publishes whether this node is a reader and whether its reads succeed.
+    /// Publishes whether this node accepts subscribers and whether its reads succeed.
     fn update_feed_status(&self) {
-        let status = match (self.role.accepts_subscribers(), self.failures) {
+        // A node that knows nothing has nothing to publish, whatever its role.
+        let knows_state = self.known.revision() != Revision::ZERO;
+        let accepts_subscribers = knows_state && self.role.accepts_subscribers();
+        let status = match (accepts_subscribers, self.failures) {
             (false, _) => FeedStatus::Closed,
             (true, 0) => FeedStatus::Open,
             (true, _) => FeedStatus::Unhealthy,
