--- a/crates/dispatch/src/routes.rs
+++ b/crates/dispatch/src/routes.rs
@@ -32,13 +32,15 @@
     NonIdempotent,
     /// A call with a large body; otherwise as [`Self::NonIdempotent`].
     Upload,
+    /// A call with a large answer; otherwise as [`Self::Idempotent`].
+    Download,
 }
 
 impl CallKind {
     /// Returns whether a run may be repeated.
     #[must_use]
     pub const fn is_idempotent(self) -> bool {
-        matches!(self, Self::Idempotent)
+        matches!(self, Self::Idempotent | Self::Download)
     }
 }
 
--- a/crates/edge/src/entry/ended.rs
+++ b/crates/edge/src/entry/ended.rs
@@ -133,7 +133,7 @@
 /// Returns the class under which histograms count a route's calls.
 pub(super) fn class_of(route: &Route) -> CallClass {
     match route.kind {
-        CallKind::Idempotent => CallClass::Interactive,
+        CallKind::Idempotent | CallKind::Download => CallClass::Interactive,
         CallKind::NonIdempotent => CallClass::Payment,
         CallKind::Upload => CallClass::Upload,
     }
--- a/crates/text/src/change/consequence.rs
+++ b/crates/text/src/change/consequence.rs
@@ -51,6 +51,8 @@
         }
         ("idempotent", "true") => "its requests may run more than once",
         ("idempotent", _) => "each of its requests runs at most once",
+        ("download", "true") => "its answers are expected to be large",
+        ("download", _) => "its answers are no longer expected to be large",
         ("timeout_ms", _) => "requests in flight keep their previous timeout",
         _ => return None,
     };
--- a/crates/text/src/diff.rs
+++ b/crates/text/src/diff.rs
@@ -3,6 +3,7 @@
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
+use hornbeamhitch_dispatch::routes::{CallKind, Route};
 use strum::VariantArray;
 
 use crate::change::{CallChange, Change, pattern};
@@ -48,6 +49,10 @@
     }
 }
 
+fn is_download(route: &Route) -> bool {
+    route.kind == CallKind::Download
+}
+
 fn diff_route(before: &HostRoute, after: &HostRoute, changes: &mut Vec<Change>) {
     let values = |host_route: &HostRoute| {
         let route = &host_route.route;
@@ -55,6 +60,7 @@
             ("name", route.name.clone()),
             ("to", host_route.destinations()),
             ("idempotent", route.kind.is_idempotent().to_string()),
+            ("download", is_download(route).to_string()),
             ("timeout_ms", route.timeout_ms.0.to_string()),
             ("objective_ms", route.objective_ms.0.to_string()),
             ("attempts", route.max_attempts.to_string()),
--- a/crates/text/src/draft.rs
+++ b/crates/text/src/draft.rs
@@ -1,5 +1,6 @@
 //! The parsed content of a text before it is resolved.
 
+use hornbeamhitch_dispatch::routes::CallKind;
 use hornbeamhitch_types::policy::CallClass;
 use strum::EnumCount;
 
@@ -34,7 +35,7 @@
     pub(crate) host: Located<&'v str>,
     pub(crate) prefix: Located<&'v str>,
     pub(crate) to: Vec<DestinationDraft<'v>>,
-    pub(crate) idempotent: bool,
+    pub(crate) kind: CallKind,
     pub(crate) timeout_ms: f64,
     pub(crate) objective_ms: f64,
     pub(crate) attempts: f64,
--- a/crates/text/src/explanation.rs
+++ b/crates/text/src/explanation.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use hornbeamhitch_dispatch::routes::CallKind;
 use serde::Serialize;
 use thiserror::Error;
 
@@ -142,9 +143,11 @@
                 host_route.line
             )?;
             let idempotent = route.kind.is_idempotent();
+            let is_download = route.kind == CallKind::Download;
             for (key, value) in [
                 ("  to", host_route.destinations()),
                 ("  idempotent", idempotent.to_string()),
+                ("  download", is_download.to_string()),
                 ("  timeout_ms", route.timeout_ms.0.to_string()),
                 ("  objective_ms", route.objective_ms.0.to_string()),
                 ("  attempts", route.max_attempts.to_string()),
--- a/crates/text/src/fault.rs
+++ b/crates/text/src/fault.rs
@@ -247,6 +247,9 @@
         /// Name of the route.
         route: String,
     },
+    /// A route of downloads forbids that its requests are repeated.
+    #[error("downloads are idempotent")]
+    NonIdempotentDownload,
     /// A distance is from or to a data centre that the text does not list.
     #[error("unknown data centre {}{}", quoted(data_centre), suggestion(nearest.as_deref()))]
     UnknownDataCentre {
@@ -311,6 +314,7 @@
             }
             Self::UnknownDestination { .. } => "names of services of this text".to_owned(),
             Self::NoDestination { .. } => "at least one service with a weight above 0".to_owned(),
+            Self::NonIdempotentDownload => "idempotent true, or none".to_owned(),
             Self::UnknownDataCentre { .. } => "names listed in data_centres".to_owned(),
             Self::EjectionOrder { .. } => "base_ejection_ms of at most max_ejection_ms".to_owned(),
         }
--- a/crates/text/src/keys.rs
+++ b/crates/text/src/keys.rs
@@ -45,6 +45,7 @@
     Prefix,
     To,
     Idempotent,
+    Download,
     TimeoutMs,
     ObjectiveMs,
     Attempts,
--- a/crates/text/src/read/route.rs
+++ b/crates/text/src/read/route.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use hornbeamhitch_dispatch::routes::CallKind;
 use jsonc_parser::ast::Value;
 use jsonc_parser::common::Ranged;
 use strum::VariantArray;
@@ -69,7 +70,8 @@
 ) -> Option<RouteDraft<'v>> {
     let object = reader.object(value)?;
     let (mut name, mut host, mut prefix, mut to) = (None, None, None, None);
-    let (mut idempotent, mut timeout_ms, mut objective_ms) = (None, None, None);
+    let (mut idempotent, mut download) = (None, None);
+    let (mut timeout_ms, mut objective_ms) = (None, None);
     let (mut attempts, mut priority) = (None, None);
     let deadline = Setting::DeadlineMs.range();
     for (key, prop) in reader.entries(object, RouteKey::VARIANTS) {
@@ -80,6 +82,7 @@
             RouteKey::Prefix => prefix = read_prefix(reader, value),
             RouteKey::To => to = Some(destinations(reader, value)),
             RouteKey::Idempotent => idempotent = reader.boolean(value),
+            RouteKey::Download => download = reader.boolean(value),
             RouteKey::TimeoutMs => timeout_ms = reader.number(value, deadline),
             RouteKey::ObjectiveMs => objective_ms = reader.number(value, deadline),
             RouteKey::Attempts => attempts = reader.number(value, ATTEMPTS),
@@ -100,9 +103,7 @@
         host: host?,
         prefix: prefix?,
         to: to?,
-        // Routes are not idempotent by default, so that requests are only repeated
-        // where the text allows it.
-        idempotent: idempotent.is_some_and(|found| found.value),
+        kind: kind(reader, idempotent, download),
         timeout_ms,
         objective_ms: objective_ms.map_or(timeout_ms, |found| found.value),
         attempts: attempts.map_or(DEFAULT_ATTEMPTS, |found| found.value),
@@ -110,6 +111,24 @@
     })
 }
 
+/// Returns the kind of a route's calls. Routes are not idempotent by default, so that
+/// requests are only repeated where the text allows it.
+fn kind(
+    reader: &mut Reader<'_, '_, '_, '_>,
+    idempotent: Option<Located<bool>>,
+    download: Option<Located<bool>>,
+) -> CallKind {
+    match (idempotent.map(|found| found.value), download) {
+        (Some(false), Some(download)) if download.value => {
+            reader.fault(download.offset, || FaultKind::NonIdempotentDownload);
+            CallKind::NonIdempotent
+        }
+        (_, Some(download)) if download.value => CallKind::Download,
+        (Some(true), _) => CallKind::Idempotent,
+        _ => CallKind::NonIdempotent,
+    }
+}
+
 fn destinations<'v>(
     reader: &mut Reader<'_, '_, '_, 'v>,
     value: &'v Value<'v>,
--- a/crates/text/src/resolve.rs
+++ b/crates/text/src/resolve.rs
@@ -1,6 +1,6 @@
 //! Resolves a draft to the policies that the nodes apply.
 
-use hornbeamhitch_dispatch::routes::{CallKind, Destination, Route};
+use hornbeamhitch_dispatch::routes::{Destination, Route};
 use strum::{EnumCount, VariantArray};
 
 use crate::checked::{CallSources, CheckedText, FollowedValue, HostRoute, Origin, ServiceSources};
@@ -95,17 +95,13 @@
                 weight: to_u32(destination.weight),
             });
         }
-        let kind = match written.idempotent {
-            true => CallKind::Idempotent,
-            false => CallKind::NonIdempotent,
-        };
         routes.push(HostRoute {
             host: written.host.value.to_owned(),
             line: lines.line(written.name.offset),
             route: Route {
                 name: written.name.value.to_owned(),
                 prefix: written.prefix.value.to_owned(),
-                kind,
+                kind: written.kind,
                 objective_ms: to_millis(written.objective_ms),
                 priority: u8::try_from(to_u32(written.priority)).unwrap_or(u8::MAX),
                 destinations,
--- a/crates/text/tests/all/routes.rs
+++ b/crates/text/tests/all/routes.rs
@@ -1,5 +1,6 @@
 //! Tests of routes by host and path prefix.
 
+use hornbeamhitch_dispatch::routes::CallKind;
 use hornbeamhitch_text::{check, diff, explain};
 use insta::assert_snapshot;
 
@@ -53,6 +54,27 @@
     assert_snapshot!(check(&nowhere).expect_err("faults"));
 }
 
+#[test]
+fn downloads_are_idempotent() {
+    let as_download = TEXT.replace("\"idempotent\": true", "\"download\": true");
+    let text = checked(&as_download);
+    let routes = text.route_set(7);
+    let route = routes
+        .find("print.example", "/templates/a4")
+        .expect("a route");
+    assert_eq!(route.kind, CallKind::Download);
+    assert!(route.kind.is_idempotent());
+    let changes: Vec<String> = diff(&checked(TEXT), &text)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(changes.len(), 1, "{changes:?}");
+    assert!(changes[0].contains("download"), "{changes:?}");
+    let forbidden = as_download.replace("\"download\"", "\"idempotent\": false, \"download\"");
+    let fault = check(&forbidden).expect_err("a fault").to_string();
+    assert!(fault.contains("downloads are idempotent"), "{fault}");
+}
+
 #[test]
 fn route_changes_are_reported_with_consequences() {
     let after = TEXT
