Keep former readers until a new one is healthy

Ruled out: changing roles less often, by which new readers come late. Change: former readers are kept until one of the new ones is healthy, and a node whose readers have just changed waits a tenth of the bound for their first update while its state is young. That wait is the one that a lost reader has already, so the sums of waits hold as they are.

--- a/crates/edge/src/feed/subscriptions.rs
+++ b/crates/edge/src/feed/subscriptions.rs
@@ -74,6 +74,14 @@
 struct Subscription {
     task: AbortHandle,
     health: ReaderHealth,
+    /// Whether this is one of the present readers, in contrast to a former one.
+    is_wanted: bool,
+}
+
+impl Subscription {
+    fn is_healthy(&self) -> bool {
+        self.health == ReaderHealth::Healthy
+    }
 }
 
 /// Health of a reader, as seen by a subscriber.
@@ -120,9 +128,13 @@
         *self.known_revision.lock() = revision;
     }
 
-    /// Subscribes to exactly these readers.
+    /// Subscribes to these readers. The former ones are kept until one of these is healthy,
+    /// so that a node whose readers change receives updates meanwhile.
     pub fn set_readers(&mut self, wanted: &[IpAddr]) {
-        self.readers.retain(|reader, _| wanted.contains(reader));
+        for (reader, subscription) in &mut self.readers {
+            subscription.is_wanted = wanted.contains(reader);
+        }
+        self.drop_former(wanted.is_empty());
         let mut delay = Duration::ZERO;
         for reader in wanted {
             if self.readers.contains_key(reader) {
@@ -139,11 +151,21 @@
             let subscription = Subscription {
                 task: tokio::spawn(subscription_task).abort_handle(),
                 health: ReaderHealth::Lost,
+                is_wanted: true,
             };
             self.readers.insert(*reader, subscription);
         }
     }
 
+    /// Drops former readers that are not healthy, or all of them once they are not needed.
+    fn drop_former(&mut self, is_any_needless: bool) {
+        let mut readers = self.readers.values();
+        let is_replaced = readers.any(|reader| reader.is_wanted && reader.is_healthy());
+        self.readers.retain(|_, reader| {
+            reader.is_wanted || !(is_any_needless || is_replaced) && reader.is_healthy()
+        });
+    }
+
     /// Delay between consecutive new subscriptions. A node without state receives the
     /// complete state from every reader that it subscribes to before the first update.
     /// When a whole fleet starts, that would saturate the readers' links.
@@ -188,6 +210,7 @@
         };
         if let Some(subscription) = self.readers.get_mut(reader) {
             subscription.health = health;
+            self.drop_former(false);
         }
         event
     }
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -91,6 +91,7 @@
         settings,
         failures: 0,
         has_watched: false,
+        has_new_readers: false,
         debounces: 0,
     };
     let is_synced = sync.bootstrap().await;
@@ -115,6 +116,8 @@
     failures: u32,
     /// Whether a watch has succeeded since the complete listing was read.
     has_watched: bool,
+    /// Whether the readers have changed since this node last read or received updates.
+    has_new_readers: bool,
     /// Debounced batches since this node started, up to [`MAX_DEBOUNCE_DOUBLINGS`].
     debounces: u32,
 }
@@ -141,6 +144,7 @@
         loop {
             self.update_role();
             if self.is_fed_by_readers() {
+                self.has_new_readers = false;
                 self.apply_next_update().await;
                 if !self.is_fed_by_readers() && self.role.is_follower() {
                     // A random delay keeps the subscribers of the same readers from
@@ -149,6 +153,12 @@
                 }
                 continue;
             }
+            if std::mem::take(&mut self.has_new_readers) && self.known.age_ms() < self.max_age_ms()
+            {
+                // The first update of the new readers is on its way.
+                self.pause(self.waits.lost_readers_delay_ms()).await;
+                continue;
+            }
             if self.defers_probing() {
                 self.await_recovery().await;
                 continue;
@@ -318,6 +328,7 @@
         let subscriptions = role.subscriptions();
         self.subscriptions.set_readers(&subscriptions);
         self.known.set_readers(&subscriptions);
+        self.has_new_readers = !role.readers().is_empty();
         self.role = role;
         self.update_feed_status();
     }
--- a/crates/edge/src/following/tests/calls.rs
+++ b/crates/edge/src/following/tests/calls.rs
@@ -118,3 +118,19 @@
 const fn cost(calls: Calls) -> u64 {
     calls.current + calls.stale / 10
 }
+
+/// Guards against nodes that all read the store when their readers change, which happens
+/// several times to each while hundreds of targets register.
+#[test]
+fn changing_readers_cost_few_reads_at_the_start_of_a_fleet() {
+    const LARGE_FLEET: usize = 500;
+    in_virtual_time(async {
+        let mut fleet = Fleet::unstarted(LARGE_FLEET);
+        let registration_span = Duration::from_secs(6);
+        fleet.start_staggered(START_SPAN, registration_span).await;
+        tokio::time::sleep(SYNC_DEADLINE).await;
+        assert_eq!(fleet.nodes_missing_targets(), 0);
+        let watches = fleet.calls().current - fleet.listings();
+        assert!(watches < LARGE_FLEET as u64 / 4, "{watches} watches");
+    });
+}
--- a/crates/edge/src/following/tests/fleet.rs
+++ b/crates/edge/src/following/tests/fleet.rs
@@ -107,11 +107,14 @@
             if responding.map_or(LinkState::Closed, |link_state| *link_state) == LinkState::Closed {
                 return Err(LinkFault::Closed);
             }
-            let (sender, messages) = mpsc::unbounded_channel();
+            let (sender, sent) = mpsc::unbounded_channel();
+            let (in_transit, messages) = mpsc::unbounded_channel();
+            tokio::spawn(transmit(endpoint.line.clone(), sent, in_transit));
             let stream = NetworkFeedStream {
                 endpoint,
                 sender,
                 messages,
+                next: None,
                 link_state,
             };
             stream.serve(request);
@@ -125,10 +128,27 @@
 struct NetworkFeedStream {
     endpoint: Endpoint,
     sender: mpsc::UnboundedSender<ToEntry>,
-    messages: mpsc::UnboundedReceiver<ToEntry>,
+    /// Messages with the times at which they arrive.
+    messages: mpsc::UnboundedReceiver<(Instant, ToEntry)>,
+    /// The next message, which has not arrived yet.
+    next: Option<(Instant, ToEntry)>,
     link_state: watch::Receiver<LinkState>,
 }
 
+/// Puts the messages of a connection on the line of their sender.
+async fn transmit(
+    line: Line,
+    mut sent: mpsc::UnboundedReceiver<ToEntry>,
+    in_transit: mpsc::UnboundedSender<(Instant, ToEntry)>,
+) {
+    while let Some(message) = sent.recv().await {
+        let arrives_at = line.enqueue(&message) + ONE_WAY;
+        if in_transit.send((arrives_at, message)).is_err() {
+            return;
+        }
+    }
+}
+
 impl NetworkFeedStream {
     /// Serves a request as the link server does.
     fn serve(&self, request: ToGate) {
@@ -166,17 +186,20 @@
     fn next(&mut self) -> LinkFuture<'_, ToEntry> {
         Box::pin(async {
             let mut link_state = self.link_state.clone();
-            let message = tokio::select! {
-                biased;
-                _ = link_state.wait_for(|link_state| *link_state == LinkState::Closed) => None,
-                message = self.messages.recv() => message,
-            };
-            let message = message.ok_or(LinkFault::Closed)?;
+            if self.next.is_none() {
+                self.next = tokio::select! {
+                    biased;
+                    _ = link_state.wait_for(|link_state| *link_state == LinkState::Closed) => None,
+                    message = self.messages.recv() => message,
+                };
+            }
+            let arrives_at = self.next.as_ref().ok_or(LinkFault::Closed)?.0;
             let _ = self
                 .link_state
                 .wait_for(|link_state| *link_state != LinkState::Frozen)
                 .await;
-            tokio::time::sleep_until(self.endpoint.line.enqueue(&message) + ONE_WAY).await;
+            tokio::time::sleep_until(arrives_at).await;
+            let (_, message) = self.next.take().ok_or(LinkFault::Closed)?;
             Ok(message)
         })
     }
@@ -346,6 +369,11 @@
         self.ips.len() - self.nodes.values().filter(has_all).count()
     }
 
+    /// Reads of the complete listing by the running nodes.
+    pub(super) fn listings(&self) -> u64 {
+        self.nodes.values().map(|node| node.source.listings()).sum()
+    }
+
     /// Reads of only the configuration by the running nodes.
     pub(super) fn route_reads(&self) -> u64 {
         self.nodes
