Send a state above one frame to a node that has none

Cause, read in the code and shown by the test: a node that starts while the store is away receives its state from a peer in one frame of 256 KiB. The fleet's 984 targets and 250 routes are above it, so the peer logged a warning and sent nothing, and the node refused every call until the store returned. Ruled out: a larger frame, which holds up the calls behind it on the link. Change: a larger state goes in parts between which other frames are sent, with its length and digest; a link puts it together and drops what does not match. Not done: a transfer that breaks begins again with the next peer.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -180,6 +180,7 @@
         suspicion,
         directory: Arc::clone(&directory),
         feed,
+        facts_requests: Arc::default(),
     };
     let status = StatusServer {
         directory,
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -42,9 +42,6 @@
     }
 }
 
-/// Largest encoded size of [`Facts`]: a frame, less room for the message around them.
-const MAX_FACTS_BYTES: usize = hornbeamhitch_wire::link::MAX_FRAME_BYTES - 1024;
-
 /// The state that a node sends to another node that has none.
 #[derive(Serialize, Deserialize)]
 struct Facts {
@@ -54,9 +51,7 @@
 }
 
 impl Directory {
-    /// Encodes the known state for a node that has none. Returns `None` without routes,
-    /// or if the state exceeds one frame: sending an oversized frame would close the link
-    /// and fail all calls on it.
+    /// Encodes the known state for a node that has none. Returns `None` without routes.
     #[must_use]
     pub fn to_facts(&self) -> Option<Bytes> {
         let facts = Facts {
@@ -69,13 +64,6 @@
             evacuated: self.members.evacuated().clone(),
         };
         match postcard::to_stdvec(&facts) {
-            Ok(encoded) if encoded.len() > MAX_FACTS_BYTES => {
-                log::warn!(
-                    "{} bytes of facts are too large to send to other nodes",
-                    encoded.len()
-                );
-                None
-            }
             Ok(encoded) => Some(Bytes::from(encoded)),
             Err(error) => {
                 log::error!("facts cannot be encoded: {error}");
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -13,6 +13,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use super::facts;
 use super::framed::{
     FrameReader, LinkFault, PartialBody, forward_notices, next_part, write_frames,
 };
@@ -357,7 +358,7 @@
             ToEntry::Suspect(notice) => self.suspicion.merge_notice(&notice),
             ToEntry::WantsFacts => {
                 if let Some(encoded) = self.directory.load().to_facts() {
-                    self.push(ToGate::Facts(encoded));
+                    facts::send(encoded, |frame| self.push(frame));
                 }
             }
             ToEntry::WantsContent { id } => self.send_deferred(id),
--- a/crates/edge/src/link/framed.rs
+++ b/crates/edge/src/link/framed.rs
@@ -119,7 +119,7 @@
         }
     }
 
-    pub(super) fn push(&mut self, part: &Bytes) {
+    pub(super) fn push(&mut self, part: &[u8]) {
         self.parts.extend_from_slice(part);
     }
 
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -10,6 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 
+use super::facts::{FactsRequests, PartialFacts};
 use super::framed::{
     FrameReader, LinkFault, PartialBody, forward_notices, next_part, write_frames,
 };
@@ -37,6 +38,8 @@
     pub directory: SharedDirectory,
     /// Changes for subscribers.
     pub feed: Arc<ChangeFeed>,
+    /// Requests for the state of other nodes.
+    pub facts_requests: Arc<FactsRequests>,
 }
 
 /// Interval at which a node without routes requests them from a peer with a link.
@@ -77,13 +80,19 @@
             let _ = answers.send(ToEntry::Suspect(notice));
         }
         let forwarding = forward_notices(updates, answers.clone(), ToEntry::Suspect);
-        let requesting = request_facts(Arc::clone(&self.directory), answers.clone());
+        let requesting = request_facts(
+            Arc::clone(&self.directory),
+            Arc::clone(&self.facts_requests),
+            answers.clone(),
+        );
         let link = Link {
             gate: Arc::clone(&self.gate),
             directory: Arc::clone(&self.directory),
             suspicion: Arc::clone(&self.suspicion),
             feed: Arc::clone(&self.feed),
             answers,
+            facts: PartialFacts::default(),
+            facts_requests: Arc::clone(&self.facts_requests),
             active_calls: ActiveCalls::default(),
             partial: HashMap::new(),
         };
@@ -103,12 +112,15 @@
 
 /// Requests routes and targets from the peer for as long as this node knows none.
 /// Does not return before the link ends.
-async fn request_facts(directory: SharedDirectory, answers: Answers) {
+async fn request_facts(directory: SharedDirectory, requests: Arc<FactsRequests>, answers: Answers) {
     loop {
         tokio::time::sleep(REQUEST_FACTS_INTERVAL).await;
         if directory.load().routes.is_some() {
             std::future::pending::<()>().await;
         }
+        if !requests.begin(REQUEST_FACTS_INTERVAL) {
+            continue;
+        }
         if answers.send(ToEntry::WantsFacts).is_err() {
             return;
         }
@@ -121,6 +133,8 @@
     suspicion: Arc<Suspicion>,
     feed: Arc<ChangeFeed>,
     answers: Answers,
+    facts: PartialFacts,
+    facts_requests: Arc<FactsRequests>,
     active_calls: ActiveCalls,
     partial: HashMap<CallId, PartialCall>,
 }
@@ -170,6 +184,16 @@
                 }
                 ToGate::Suspect(notice) => self.suspicion.merge_notice(&notice),
                 ToGate::Facts(encoded) => adopt_facts(&self.directory, &encoded),
+                ToGate::FactsPart {
+                    digest,
+                    whole_bytes,
+                    part,
+                } => {
+                    self.facts_requests.note_progress();
+                    if let Some(encoded) = self.facts.add(digest, whole_bytes, &part) {
+                        adopt_facts(&self.directory, &encoded);
+                    }
+                }
                 ToGate::Ping => {
                     let _ = self.answers.send(ToEntry::Pong);
                 }
--- a/crates/edge/tests/all/links.rs
+++ b/crates/edge/tests/all/links.rs
@@ -189,6 +189,19 @@
 /// configuration in force.
 #[tokio::test]
 async fn a_node_without_configuration_gets_it_from_a_peer() {
+    receive_configuration_from_a_peer(0).await;
+}
+
+/// Guards against a node that restarts in a fleet whose state exceeds one frame while the
+/// store is unavailable, and receives nothing.
+#[tokio::test]
+async fn a_node_without_configuration_gets_a_state_of_many_targets() {
+    receive_configuration_from_a_peer(4_000).await;
+}
+
+/// Starts a node without configuration beside peers that know this many targets of another
+/// service.
+async fn receive_configuration_from_a_peer(other_targets: usize) {
     let fleet = fleet(&["s", "s"]).await;
     let ip = "127.202.0.1".parse().expect("an address");
     let listener = TcpListener::bind((ip, fleet.gate_port))
@@ -216,6 +229,9 @@
     for (number, known) in fleet.vms.iter().enumerate() {
         members.push(member(number, "s", known.target.address));
     }
+    for number in 0..other_targets {
+        members.push(member(100 + number, "other", ([127, 0, 0, 1], 9).into()));
+    }
     set_directory(&fleet.directory, "s", members);
     for number in 0..40 {
         request(
@@ -230,7 +246,7 @@
         empty_directory.load().routes.is_some()
     })
     .await;
-    assert_eq!(empty_directory.load().members.len(), 3);
+    assert_eq!(empty_directory.load().members.len(), 3 + other_targets);
     assert_eq!(
         request(vm.callers, "GET", "/read/x", "id-2").await.status(),
         200
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -246,6 +246,7 @@
         directory: Arc::clone(&parts.directory),
         gate: Arc::new(Gate::new(parts)),
         feed,
+        facts_requests: Arc::default(),
     }
 }
 
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -253,6 +253,15 @@
         /// Whether the answer may refer to another node in place of sending parts.
         may_refer: bool,
     },
+    /// A part of facts that exceed one frame, in answer to [`ToEntry::WantsFacts`].
+    FactsPart {
+        /// Digest of the whole encoded facts.
+        digest: PartDigest,
+        /// Length of the whole encoded facts.
+        whole_bytes: u64,
+        /// The next part.
+        part: Bytes,
+    },
 }
 
 /// A message from a gate to an entry or a subscriber.
--- a/crates/wire/src/link/tests.rs
+++ b/crates/wire/src/link/tests.rs
@@ -17,6 +17,13 @@
             key: CallKey(key)
         }),
         bytes().prop_map(ToGate::Facts),
+        (any::<u128>(), any::<u64>(), bytes()).prop_map(|(hash, whole_bytes, part)| {
+            ToGate::FactsPart {
+                digest: PartDigest::new(hash),
+                whole_bytes,
+                part,
+            }
+        }),
         Just(ToGate::Ping),
     ]
 }
