Let entries use a share of the retry slack below one token

Cause: the slack of 1,040 retries in 10 s is 0.32 of a token at each of 984 entries, and refilling ends at that share, so no entry could ever use any of it: when targets crashed, an entry that sends a service a call in five seconds had no retry, while the fleet had a thousand. Ruled out: saving shares up to a whole token, by which 984 entries have 984 tokens at one moment; and drawing for the tokens of the ratio as well, which a failed draw would waste. Change: a share below one is granted with a probability and spent either way. The probability leaves four standard deviations of the number that is granted. Fleets whose share is a token or more do as before.

--- a/crates/dispatch/src/retry_budget.rs
+++ b/crates/dispatch/src/retry_budget.rs
@@ -37,6 +37,8 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     tokens: f64,
+    /// Share of the slack if that is below one token, which is not among the tokens.
+    slack_fraction: f64,
     refilled_at: Millis,
 }
 
@@ -44,8 +46,11 @@
     /// Creates a budget that holds its share of the slack.
     #[must_use]
     pub fn new(limit: &RetryLimit, entries: usize, now: Millis) -> Self {
+        let share = slack_share(limit, entries);
+        let is_whole = share >= 1.0;
         Self {
-            tokens: slack_share(limit, entries),
+            tokens: if is_whole { share } else { 0.0 },
+            slack_fraction: if is_whole { 0.0 } else { share },
             refilled_at: now,
         }
     }
@@ -71,14 +76,19 @@
         self.tokens = (self.tokens - f64::from(percent) / 100.0).max(lowest);
     }
 
-    /// Takes a token for one extra arrival; returns false if none is left.
-    pub fn try_take(&mut self, limit: &RetryLimit, entries: usize, now: Millis) -> bool {
+    /// Takes a token for one extra arrival; returns false if none is granted. `draw` is
+    /// random, from 0 to 1.
+    ///
+    /// A share of the slack below one token is granted with a probability, and spent either
+    /// way. Otherwise the slack would be lost in a fleet of more entries than it has tokens.
+    pub fn try_take(&mut self, limit: &RetryLimit, entries: usize, now: Millis, draw: f64) -> bool {
         self.refill(limit, entries, now);
-        if self.tokens < 1.0 {
-            return false;
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return true;
         }
-        self.tokens -= 1.0;
-        true
+        let fraction = std::mem::take(&mut self.slack_fraction);
+        draw < fraction * draw_confidence(limit)
     }
 
     /// Returns a token that led to no arrival.
@@ -93,10 +103,24 @@
         // Half of the slack is available at first, and half is added over a window, so
         // that no window sees more than the whole.
         let gained = share * elapsed;
-        self.tokens = (self.tokens + gained).min(self.tokens.max(share));
+        if share >= 1.0 {
+            self.tokens = (self.tokens + gained).min(self.tokens.max(share));
+        } else {
+            self.slack_fraction = (self.slack_fraction + gained).min(share);
+        }
     }
 }
 
+/// Returns the part of a fraction of a token that is its probability of being granted.
+///
+/// The number of fractions that are granted in a window varies with the square root of its
+/// mean. The mean is lower than the used part of the slack by four standard deviations.
+fn draw_confidence(limit: &RetryLimit) -> f64 {
+    const STANDARD_DEVIATIONS: f64 = 4.0;
+    let mean = limit.slack * USED_SLACK_SHARE;
+    (1.0 - STANDARD_DEVIATIONS / mean.sqrt()).max(0.0)
+}
+
 fn slack_share(limit: &RetryLimit, entries: usize) -> f64 {
     limit.slack * USED_SLACK_SHARE / 2.0 / entries.max(1) as f64
 }
--- a/crates/dispatch/src/retry_budget/tests.rs
+++ b/crates/dispatch/src/retry_budget/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the retry budget, summed over entries.
 
 use proptest::prelude::*;
+use rand::rngs::Xoshiro256PlusPlus;
+use rand::{RngExt, SeedableRng};
 
 use super::*;
 
@@ -18,7 +20,9 @@
     fn all_entries_together_keep_the_shared_limit(
         entries in 1_usize..40,
         requests_per_window in 0_u64..4_000,
+        seed in any::<u64>(),
     ) {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
         let mut budgets = Vec::new();
         for _ in 0..entries {
             budgets.push(RetryBudget::new(&LIMIT, entries, Millis(0)));
@@ -36,7 +40,7 @@
                 sent += 1;
             }
             for budget in &mut budgets {
-                while budget.try_take(&LIMIT, entries, now) {
+                while budget.try_take(&LIMIT, entries, now, rng.random()) {
                     granted.push(step);
                 }
             }
@@ -60,7 +64,9 @@
         entries in 1_usize..30,
         requests_per_window in 0_u64..3_000,
         calls_per_run in 0_u64..=2,
+        seed in any::<u64>(),
     ) {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
         let mut outer: Vec<RetryBudget> = Vec::new();
         let mut inner: Vec<RetryBudget> = Vec::new();
         for _ in 0..entries {
@@ -83,7 +89,7 @@
             }
             for at in 0..entries {
                 let mut repeats = 0;
-                while outer[at].try_take(&LIMIT, entries, now) {
+                while outer[at].try_take(&LIMIT, entries, now, rng.random()) {
                     repeats += 1;
                 }
                 for run in 0..runs_at[at] + repeats {
@@ -97,7 +103,7 @@
                         }
                     }
                 }
-                while inner[at].try_take(&LIMIT, entries, now) {
+                while inner[at].try_take(&LIMIT, entries, now, rng.random()) {
                     extra[step] += 1;
                 }
             }
@@ -114,8 +120,58 @@
 #[test]
 fn an_unused_token_is_refunded() {
     let mut budget = RetryBudget::new(&LIMIT, 19, Millis(0));
-    assert!(budget.try_take(&LIMIT, 19, Millis(0)));
-    assert!(!budget.try_take(&LIMIT, 19, Millis(0)));
+    assert!(budget.try_take(&LIMIT, 19, Millis(0), 0.5));
+    assert!(!budget.try_take(&LIMIT, 19, Millis(0), 0.5));
     budget.refund();
-    assert!(budget.try_take(&LIMIT, 19, Millis(0)));
+    assert!(budget.try_take(&LIMIT, 19, Millis(0), 0.5));
+}
+
+/// Returns the limit of a large fleet, whose entries each have less than one token.
+const fn fleet_limit(entries: usize) -> RetryLimit {
+    RetryLimit {
+        ratio: 0.2,
+        slack: entries as f64,
+        window_ms: Millis(10_000),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(40))]
+
+    /// Each entry of a large fleet sends about a request a second, all of which fail. In
+    /// any window the sum of all retries stays within the common limit, and the slack is
+    /// used although no entry has a whole token of it.
+    #[test]
+    fn entries_with_less_than_one_token_use_the_slack_and_keep_the_limit(
+        entries in 900_usize..2_100,
+        requests_per_entry in 0_u64..12,
+        seed in any::<u64>(),
+    ) {
+        const STEPS: u64 = 40;
+        const STEPS_PER_WINDOW: u64 = 10;
+        let limit = fleet_limit(entries);
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let mut granted = vec![0_u64; STEPS as usize];
+        for _ in 0..entries {
+            let mut budget = RetryBudget::new(&limit, entries, Millis(0));
+            let mut sent = 0;
+            for step in 0..STEPS {
+                let now = Millis(step * 1_000);
+                while sent < requests_per_entry * (step + 1) / STEPS_PER_WINDOW {
+                    budget.count_first_attempt(&limit, entries);
+                    sent += 1;
+                }
+                while budget.try_take(&limit, entries, now, rng.random()) {
+                    granted[step as usize] += 1;
+                }
+            }
+        }
+        let requests = (requests_per_entry * entries as u64) as f64;
+        let added = USED_SLACK_SHARE / 2.0 * limit.slack * draw_confidence(&limit);
+        for window in granted.windows(STEPS_PER_WINDOW as usize) {
+            let found = window.iter().sum::<u64>() as f64;
+            prop_assert!(found <= limit.ratio * requests + limit.slack, "{found}");
+            prop_assert!(found >= added / 2.0, "{found} of {added}");
+        }
+    }
 }
--- a/crates/edge/src/entry/state.rs
+++ b/crates/edge/src/entry/state.rs
@@ -10,8 +10,8 @@
 use hornbeamhitch_dispatch::returning::ReturningCallers;
 use hornbeamhitch_dispatch::split::Splitter;
 use hornbeamhitch_dispatch::work::WorkEstimates;
-use rand::SeedableRng;
 use rand::rngs::Xoshiro256PlusPlus;
+use rand::{RngExt, SeedableRng};
 
 use crate::directory::Directory;
 use crate::prelude::*;
@@ -71,8 +71,9 @@
     /// if none is left.
     pub(super) fn try_retry(&mut self, service: &ServiceName, entries: usize, now: Millis) -> bool {
         let limit = self.retry_limit;
+        let draw = self.rng.random();
         let budget = self.budget(service, entries, now);
-        budget.try_take(&limit, entries, now)
+        budget.try_take(&limit, entries, now, draw)
     }
 
     /// Returns the token of an attempt that reached no target.
