--- a/crates/edge/src/following/large_routes.rs
+++ b/crates/edge/src/following/large_routes.rs
@@ -170,6 +170,7 @@
             last_progress: Instant::now(),
             parts: 0,
             bytes: 0,
+            sender: None,
         };
         let max_stall = self.access.waits.parts_max_stall_ms().to_duration();
         let mut nodes = nodes.iter().cycle();
@@ -187,7 +188,8 @@
         match parts.join(manifest) {
             Ok(routes) => {
                 let (fetched, of, bytes) = (fetch.parts, manifest.parts().len(), fetch.bytes);
-                log::info!(version, parts = fetched, of, bytes; "fetched a configuration from other nodes");
+                let sender = fetch.sender.map(|sender| sender.to_string());
+                log::info!(version, parts = fetched, of, bytes, sender; "fetched a configuration from other nodes");
                 Some(routes)
             }
             Err(fault) => {
@@ -253,7 +255,7 @@
                     ToEntry::Part(part) => {
                         let bytes = part.len();
                         if parts.add(part) {
-                            fetch.note_part(bytes);
+                            fetch.note_part(bytes, node);
                         }
                     }
                     ToEntry::PartsEnd { referral } => break referral,
@@ -301,10 +303,13 @@
     parts: usize,
     /// Bytes of these parts.
     bytes: usize,
+    /// Node that sent the last of them.
+    sender: Option<IpAddr>,
 }
 
 impl Fetch<'_> {
-    fn note_part(&mut self, bytes: usize) {
+    fn note_part(&mut self, bytes: usize, sender: IpAddr) {
+        self.sender = Some(sender);
         self.parts += 1;
         self.bytes += bytes;
         self.last_progress = Instant::now();
