--- a/crates/edge/src/following/tests/parts.rs
+++ b/crates/edge/src/following/tests/parts.rs
@@ -59,6 +59,11 @@
     large_versions_are_read_by_readers_only(1_000);
 }
 
+#[test]
+fn large_versions_are_read_by_readers_only_in_a_fleet_of_2000() {
+    large_versions_are_read_by_readers_only(2_000);
+}
+
 /// Guards against nodes that keep an old configuration because the store rejects them,
 /// although their readers have the new one.
 #[test]
