A former reader whose update was skipped stays skipped

Ruled out: dropping such a former reader, which brings the store's calls back. Change: the note lasts as long as the subscription. Why it holds: the test fails with the safeguard off (revision 12 in place of 7); pairs and triples of faults pass.

--- a/crates/edge/src/feed/subscriptions.rs
+++ b/crates/edge/src/feed/subscriptions.rs
@@ -1,6 +1,6 @@
 //! Subscriptions to the change feeds of readers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -157,15 +157,22 @@
         }
     }
 
-    /// Drops former readers that are not healthy, or all of them once they are not needed.
-    fn drop_former(&mut self, is_any_needless: bool) {
+    /// Drops former readers that are not healthy, and all of them if a present one is healthy
+    /// or there is none.
+    fn drop_former(&mut self, has_no_readers: bool) {
         let mut readers = self.readers.values();
         let is_replaced = readers.any(|reader| reader.is_wanted && reader.is_healthy());
         self.readers.retain(|_, reader| {
-            reader.is_wanted || !(is_any_needless || is_replaced) && reader.is_healthy()
+            reader.is_wanted || !(has_no_readers || is_replaced) && reader.is_healthy()
         });
     }
 
+    /// Returns the nodes to which this node is subscribed, former readers included.
+    #[must_use]
+    pub fn nodes(&self) -> BTreeSet<IpAddr> {
+        self.readers.keys().copied().collect()
+    }
+
     /// Delay between consecutive new subscriptions. A node without state receives the
     /// complete state from every reader that it subscribes to before the first update.
     /// When a whole fleet starts, that would saturate the readers' links.
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -337,7 +337,8 @@
         log::info!(role = name, readers = reader_ips.join(" "); "role of this node in reading the source");
         let subscriptions = role.subscriptions();
         self.subscriptions.set_readers(&subscriptions);
-        self.known.set_readers(&subscriptions);
+        let subscribed = self.subscriptions.nodes();
+        self.known.set_readers(&subscriptions, &subscribed);
         self.has_new_readers = !role.readers().is_empty();
         self.role = role;
         self.update_feed_status();
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -1,7 +1,7 @@
 //! The state that this node knows, whether it was read from the source or received from
 //! readers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::sync::Arc;
 
@@ -336,11 +336,12 @@
         needed.any(|needed| *needed > self.revision)
     }
 
-    /// Sets the nodes to which this node subscribes, and forgets skipped updates of others.
-    pub(super) fn set_readers(&mut self, readers: &[IpAddr]) {
+    /// Sets the readers of this node, and forgets skipped updates of nodes to which it is not
+    /// subscribed. A former reader that still publishes lacks what its skipped updates lacked.
+    pub(super) fn set_readers(&mut self, readers: &[IpAddr], subscribed: &BTreeSet<IpAddr>) {
         self.readers = readers.to_vec();
         self.missing_before
-            .retain(|reader, _| readers.contains(reader));
+            .retain(|reader, _| subscribed.contains(reader));
     }
 
     /// Whether an update of a reader contains every change after the revision that this
--- a/crates/edge/src/following/tests.rs
+++ b/crates/edge/src/following/tests.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod era;
 mod fleet;
+mod knowledge;
 mod parts;
 #[path = "../../tests/all/support/source.rs"]
 #[allow(dead_code, reason = "only tests with sockets use all of it")]
