--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use hornbeamhitch_dispatch::routes::parts::PartFault;
 use hornbeamhitch_dispatch::waits::Waits;
-use hornbeamhitch_wire::link::ToEntry;
+use hornbeamhitch_wire::link::{PartsRequest, ToEntry};
 use parking_lot::Mutex;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
@@ -23,15 +23,15 @@
 #[cfg(test)]
 pub(crate) use links::LinkFuture;
 pub(crate) use links::{FeedLinks, FeedStream, TcpFeedLinks};
-pub(crate) use parts::{PartStore, PartsRequest};
+pub(crate) use parts::PartStore;
 pub use subscriptions::{FeedEvent, Subscriptions};
 
 #[cfg(test)]
 mod tests;
 
 /// Largest encoded change. For a larger configuration only the digests of its parts are
-/// published. A reader has about 48 subscribers, so a change of this size takes 0.3 s on a link of 10
-/// Mbit/s.
+/// published. A reader has about 48 subscribers, so a change of this size takes 0.3 s on a
+/// link of 10 Mbit/s.
 ///
 /// A configuration of thousands of routes would occupy the readers' links for seconds and
 /// delay the removals of targets that are published after it.
--- a/crates/edge/src/feed/parts.rs
+++ b/crates/edge/src/feed/parts.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hornbeamhitch_dispatch::routes::parts::{self, PartFault, RoutesManifest};
-use hornbeamhitch_wire::link::ToEntry;
+use hornbeamhitch_wire::link::{PartsRequest, ToEntry};
 use parking_lot::Mutex;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
@@ -62,14 +62,6 @@
     Referral(IpAddr),
 }
 
-/// A request of another node for parts.
-#[derive(Debug)]
-pub(crate) struct PartsRequest {
-    pub(crate) node: IpAddr,
-    pub(crate) digests: Vec<PartDigest>,
-    pub(crate) may_refer: bool,
-}
-
 impl Default for PartStore {
     fn default() -> Self {
         Self {
--- a/crates/edge/src/feed/parts/tests.rs
+++ b/crates/edge/src/feed/parts/tests.rs
@@ -1,25 +1,14 @@
 //! Tests of the parts that a node keeps and sends.
 
-use hornbeamhitch_dispatch::routes::Destination;
-
 use super::*;
+use crate::feed::tests::route;
 
 fn routes(version: u64, count: usize) -> RouteSet {
     let mut routes = RouteSet::new(version, CallerLimits::default());
     for number in 0..count {
         let route = Route {
-            name: format!("route-{number}"),
-            prefix: format!("/prefix-{number}/"),
-            kind: CallKind::Idempotent,
-            objective_ms: Millis(500),
-            priority: 1,
-            destinations: vec![Destination {
-                service: ServiceName::new("s"),
-                weight: 1,
-            }],
             timeout_ms: Millis(2_000 + version),
-            max_attempts: 2,
-            allowed_regions: None,
+            ..route(number)
         };
         routes.add("h", route);
     }
--- a/crates/edge/src/feed/tests.rs
+++ b/crates/edge/src/feed/tests.rs
@@ -171,7 +171,7 @@
     }
 }
 
-fn route(number: usize) -> Route {
+pub(super) fn route(number: usize) -> Route {
     Route {
         name: format!("route-{number}"),
         prefix: format!("/prefix-{number}/"),
--- a/crates/edge/src/following/large_routes.rs
+++ b/crates/edge/src/following/large_routes.rs
@@ -6,7 +6,7 @@
 
 use hornbeamhitch_dispatch::routes::parts::RoutesManifest;
 use hornbeamhitch_dispatch::waits::Waits;
-use hornbeamhitch_wire::link::{ToEntry, ToGate};
+use hornbeamhitch_wire::link::{PartsRequest, ToEntry, ToGate};
 use rand::RngExt;
 use rand::seq::SliceRandom;
 use tokio::sync::{mpsc, watch};
@@ -275,11 +275,11 @@
         let mut digests = missing;
         digests.shuffle(&mut rand::rng());
         digests.truncate(MAX_REQUESTED_PARTS);
-        ToGate::FetchParts {
+        ToGate::FetchParts(PartsRequest {
             node: self.access.own_ip,
             digests,
             may_refer,
-        }
+        })
     }
 
     /// Fails an operation that makes no progress for too long.
--- a/crates/edge/src/following/tests/fleet.rs
+++ b/crates/edge/src/following/tests/fleet.rs
@@ -19,7 +19,7 @@
 use super::source::{self, Published, SourceMode, TestSource};
 use super::{Fault, FaultWindow, IN_FORCE_MS};
 use crate::directory::{Directory, DirectoryWriter, adopt_facts};
-use crate::feed::{ChangeFeed, FeedLinks, FeedStream, LinkFuture, PartsRequest};
+use crate::feed::{ChangeFeed, FeedLinks, FeedStream, LinkFuture};
 use crate::following::{FollowSettings, follow_over};
 use crate::link::LinkFault;
 use crate::prelude::*;
@@ -156,16 +156,7 @@
         tokio::spawn(async move {
             match request {
                 ToGate::Subscribe { revision } => feed.serve(revision, &sender).await,
-                ToGate::FetchParts {
-                    node,
-                    digests,
-                    may_refer,
-                } => {
-                    let request = PartsRequest {
-                        node,
-                        digests,
-                        may_refer,
-                    };
+                ToGate::FetchParts(request) => {
                     feed.serve_parts(&request, &sender).await;
                 }
                 request => panic!("no feed serves {request:?}"),
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -15,7 +15,7 @@
     FrameReader, LinkFault, PartialBody, forward_notices, next_part, write_frames,
 };
 use crate::directory::adopt_facts;
-use crate::feed::{ChangeFeed, PartsRequest};
+use crate::feed::ChangeFeed;
 use crate::gate::{CallContent, CallGuard, EventSink, Gate, GateEvent, GateRequest, WholeCall};
 use crate::prelude::*;
 use crate::sockets;
@@ -202,16 +202,7 @@
                     let answers = self.answers.clone();
                     tokio::spawn(async move { feed.serve(revision, &answers).await });
                 }
-                ToGate::FetchParts {
-                    node,
-                    digests,
-                    may_refer,
-                } => {
-                    let request = PartsRequest {
-                        node,
-                        digests,
-                        may_refer,
-                    };
+                ToGate::FetchParts(request) => {
                     let feed = Arc::clone(&self.feed);
                     let answers = self.answers.clone();
                     tokio::spawn(async move { feed.serve_parts(&request, &answers).await });
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -176,6 +176,17 @@
     }
 }
 
+/// A request for parts of a configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartsRequest {
+    /// The requesting node, to which other nodes may be referred.
+    pub node: IpAddr,
+    /// The parts.
+    pub digests: Vec<PartDigest>,
+    /// Whether the answer may refer to another node in place of sending parts.
+    pub may_refer: bool,
+}
+
 /// A message from an entry to a gate.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToGate {
@@ -245,14 +256,7 @@
     },
     /// Requests parts of a configuration, answered by [`ToEntry::Part`] for some of them and
     /// then [`ToEntry::PartsEnd`].
-    FetchParts {
-        /// The requesting node, to which other nodes may be referred.
-        node: IpAddr,
-        /// The parts.
-        digests: Vec<PartDigest>,
-        /// Whether the answer may refer to another node in place of sending parts.
-        may_refer: bool,
-    },
+    FetchParts(PartsRequest),
     /// A part of facts that exceed one frame, in answer to [`ToEntry::WantsFacts`].
     FactsPart {
         /// Digest of the whole encoded facts.
