Log what a node knows of a request that was in flight in a crash

Now also when such a request starts in a target (with its mark), when a success clears it, when another node's report changes the mark, and when a broken run is not taken for a crash. No decision changes.

--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -128,6 +128,7 @@
     /// Runs a call and checks whether it has crashed the target.
     pub(super) async fn run(&self, run: &Run<'_>) -> GateEvent {
         let fingerprint = run.terms.fingerprint;
+        self.suspicion.log_start(fingerprint, &run.terms.request_id);
         let _running = RunningGuard::register(self, run.terms);
         let event = self.run_in_target(run).await;
         match &event {
@@ -146,6 +147,7 @@
     /// together.
     async fn detect_crash(&self) {
         if self.target.accepts_connections().await {
+            log::info!("the target accepts connections after a broken run");
             return;
         }
         let mut state = self.state.lock();
--- a/crates/edge/src/suspicion.rs
+++ b/crates/edge/src/suspicion.rs
@@ -55,14 +55,37 @@
             .lock()
             .observe_crash(fingerprints, is_only_request, now);
         for entry in &entries {
-            let standing: &'static str = entry.level.into();
-            let crashes = entry.crashes;
-            let fingerprint = format!("{:016x}", entry.fingerprint);
+            let LoggedEntry {
+                fingerprint,
+                standing,
+                crashes,
+            } = LoggedEntry::from(entry);
             log::warn!(fingerprint, standing, crashes; "a target crashed with a request in flight");
             self.broadcast(entry);
         }
     }
 
+    /// Logs that a request starts in the target if it was in flight in a crash.
+    pub fn log_start(&self, fingerprint: u64, request: &str) {
+        let suspects = self.suspects.lock();
+        if suspects.level(fingerprint) == SuspicionLevel::Clear {
+            return;
+        }
+        let known = suspects.entries(self.clock.now());
+        let Some(entry) = known
+            .into_iter()
+            .find(|entry| entry.fingerprint == fingerprint)
+        else {
+            return;
+        };
+        let LoggedEntry {
+            fingerprint,
+            standing,
+            crashes,
+        } = LoggedEntry::from(&entry);
+        log::info!(request, fingerprint, standing, crashes; "starting a request that was in flight in a crash");
+    }
+
     /// Records that a request succeeded. Other requests may share its fingerprint, so any
     /// success clears it, not only that of a request running on its own.
     pub fn note_success(&self, fingerprint: u64) {
@@ -73,6 +96,8 @@
         let cleared = suspects.clear(fingerprint, self.clock.now());
         drop(suspects);
         if let Some(entry) = cleared {
+            let fingerprint = LoggedEntry::from(&entry).fingerprint;
+            log::info!(fingerprint; "a request that was in flight in a crash has succeeded");
             self.broadcast(&entry);
         }
     }
@@ -84,6 +109,12 @@
             return;
         };
         if self.suspects.lock().merge(&entry, self.clock.now()) {
+            let LoggedEntry {
+                fingerprint,
+                standing,
+                crashes,
+            } = LoggedEntry::from(&entry);
+            log::debug!(fingerprint, standing, crashes; "another node has reported a request");
             self.broadcast(&entry);
         }
     }
@@ -103,6 +134,23 @@
     }
 }
 
+/// The fields of an entry that log lines contain.
+struct LoggedEntry {
+    fingerprint: String,
+    standing: &'static str,
+    crashes: u8,
+}
+
+impl From<&SuspectEntry> for LoggedEntry {
+    fn from(entry: &SuspectEntry) -> Self {
+        Self {
+            fingerprint: format!("{:016x}", entry.fingerprint),
+            standing: entry.level.into(),
+            crashes: entry.crashes,
+        }
+    }
+}
+
 /// Hash of the properties that a request shares with its retries: method, path, body and
 /// the service of the caller.
 #[must_use]
