--- a/crates/edge/src/suspicion/tests.rs
+++ b/crates/edge/src/suspicion/tests.rs
@@ -41,6 +41,27 @@
     assert!(one.is_convicted(7));
 }
 
+/// Guards against merging crashes that several nodes observe at the same time into one.
+#[test]
+fn crashes_on_several_nodes_at_the_same_time_are_all_counted() {
+    let clock = ProcessClock::start();
+    let nodes: Vec<Suspicion> = (0..4).map(|_| Suspicion::new(clock)).collect();
+    for node in &nodes {
+        // A second request is in flight, and a different one on each node.
+        node.observe_crash(&[7, 8]);
+    }
+    for _ in 0..2 {
+        for from in &nodes {
+            for to in &nodes {
+                send_all_notices(from, to);
+            }
+        }
+    }
+    for node in &nodes {
+        assert!(node.is_convicted(7));
+    }
+}
+
 #[test]
 fn a_notice_with_an_unknown_standing_is_dropped() {
     let (node, _) = two_nodes();
--- a/crates/edge/tests/all/crash_request.rs
+++ b/crates/edge/tests/all/crash_request.rs
@@ -1,8 +1,54 @@
 //! Requests that crash the targets in which they run.
 
+use std::time::Duration;
+
 use crate::support::caller::request;
-use crate::support::fleet;
 use crate::support::target::until;
+use crate::support::{Fleet, fleet};
+
+/// Number of targets that one request may crash before it has to be stopped.
+const TOLERATED_CRASHES: usize = 3;
+/// Number of times that such a request may be sent to a target afterwards.
+const TOLERATED_RETRIES: usize = 3;
+/// Time after the last tolerated crash from which on retries are counted.
+const RETRIES_COUNT_AFTER: Duration = Duration::from_secs(3);
+
+/// Sixteen targets of the service that the routes lead to, and four VMs of other services.
+const SERVICES: [&str; 20] = [
+    "s", "s", "s", "s", "s", "s", "s", "s", "s", "s", "s", "s", "s", "s", "s", "s", "a", "b", "c",
+    "d",
+];
+
+fn crashed(fleet: &Fleet) -> usize {
+    let targets = fleet.vms.iter();
+    targets.filter(|vm| vm.target.has_crashed()).count()
+}
+
+/// Sends ordinary lookups through all VMs until the returned task is aborted. Each VM
+/// sends the same lookup again and again.
+fn keep_sending_lookups(fleet: &Fleet) -> tokio::task::JoinSet<()> {
+    let mut senders = tokio::task::JoinSet::new();
+    for vm in &fleet.vms {
+        let callers = vm.callers;
+        senders.spawn(async move {
+            let mut number = 0;
+            loop {
+                number += 1;
+                request(callers, "GET", "/read/slow", &format!("{callers}-{number}")).await;
+            }
+        });
+    }
+    senders
+}
+
+/// Waits until each VM has served a lookup, which also opens links between the VMs.
+async fn warm_up(fleet: &Fleet) {
+    for vm in &fleet.vms {
+        for number in 0..12 {
+            request(vm.callers, "GET", "/read/ok", &format!("warm-{number}")).await;
+        }
+    }
+}
 
 /// Guards against a request that crashes one target after the other. Its caller
 /// retries it through several nodes. After at most four crashes every node refuses it,
@@ -75,3 +121,72 @@
         assert!(!again.body.contains("crash-suspect"), "{}", again.body);
     }
 }
+
+/// Guards against counting the crashes of one request separately for each service from
+/// whose VMs it is sent.
+#[tokio::test]
+async fn a_crashing_request_from_vms_of_several_services_is_one_request() {
+    let fleet = fleet(&SERVICES).await;
+    warm_up(&fleet).await;
+    let lookups = keep_sending_lookups(&fleet);
+    for number in 0..12 {
+        let caller = fleet.vms[16 + number % 4].callers;
+        request(caller, "GET", "/read/one/crash", &format!("id-{number}")).await;
+    }
+    drop(lookups);
+    let crashed = crashed(&fleet);
+    assert!(
+        crashed <= TOLERATED_CRASHES + TOLERATED_RETRIES,
+        "{crashed} targets crashed"
+    );
+}
+
+/// Guards against counting simultaneous crashes on several targets as one, so that a
+/// request that several clients send at a time continues to crash targets.
+#[tokio::test]
+async fn simultaneous_crashes_of_one_request_are_all_counted() {
+    let fleet = fleet(&SERVICES).await;
+    warm_up(&fleet).await;
+    let lookups = keep_sending_lookups(&fleet);
+    let send_at_once = async |round: usize| {
+        let mut senders = tokio::task::JoinSet::new();
+        for vm in &fleet.vms[16..19] {
+            let callers = vm.callers;
+            senders.spawn(async move {
+                let id = format!("{callers}-{round}");
+                request(callers, "GET", "/read/one/crash", &id).await;
+            });
+        }
+        senders.join_all().await;
+    };
+    send_at_once(0).await;
+    let tolerated = crashed(&fleet).max(TOLERATED_CRASHES) + TOLERATED_RETRIES;
+    tokio::time::sleep(RETRIES_COUNT_AFTER).await;
+    for round in 1..6 {
+        send_at_once(round).await;
+    }
+    drop(lookups);
+    let crashed = crashed(&fleet);
+    assert!(crashed <= tolerated, "{crashed} of {tolerated} crashed");
+}
+
+/// Guards against refusing a common lookup that was in flight in each of many crashes
+/// while it succeeded on other targets.
+#[tokio::test]
+async fn a_common_lookup_that_is_in_flight_in_each_crash_is_still_served() {
+    let fleet = fleet(&SERVICES).await;
+    warm_up(&fleet).await;
+    let lookups = keep_sending_lookups(&fleet);
+    for number in 0..6 {
+        let caller = fleet.vms[number].callers;
+        let path = format!("/read/{number}/crash");
+        request(caller, "GET", &path, &format!("id-{number}")).await;
+    }
+    drop(lookups);
+    let mut refused = 0;
+    for vm in &fleet.vms {
+        let answer = request(vm.callers, "GET", "/read/slow", "id-last").await;
+        refused += usize::from(answer.body.contains("crash-suspect"));
+    }
+    assert_eq!(refused, 0, "refused on this many VMs");
+}
