Name each crash of a target, and run a suspected request as a trial

What callers saw: a request under which three targets had crashed was sent to targets again and again, and crashed them (BUDGET on a mesh).

Cause: a count that was merged as a maximum, on a key that was too narrow. Each node counted crashes by a version of its own, and a merge kept the greater one, so crashes that several nodes saw at the same time counted as one. The fingerprint held the service of the VM at which the request entered, so one request was counted once per service. Four counted crashes were needed where other requests were in flight, though the rule counts from the third. Clearances by version undid crashes that their node had not heard of, while a common lookup could lose its clearances the same way.

Ruled out: that three crashes are simply too many to notice (nodes in contact know of a crash within milliseconds), and the retry budget, which counts arrivals and not crashes.

Change: a crash is a named fact (target and number); nodes exchange the facts, and the union counts each once. A success clears the crashes that its node knows, and those it learns of within 2 s. After two crashes without a success the request runs only as a trial: on one target that all nodes choose alike (rendezvous hashing; targets that crashed under it come last), one at a time; a crash in a trial refuses it. So a fleet that has forgotten everything loses three targets, not four and more. The fingerprint is host, method, path and body. A run that was cancelled up to 250 ms before counts as in flight, and one that was never written does not; a refused connection is a crash as well. A link that lags is sent everything anew rather than losing notices.

Of the unit tests, 'a second crash as the only request convicts' becomes 'a crash in a trial refuses'; and a success during a conviction now lifts it, since what crashes targets never succeeds.

Older versions send and ignore other notices: in a mixed fleet each version counts for itself.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,10 +7,12 @@
 //! ([`patience`]). The gate of the target decides when the request starts
 //! ([`admission`]), and limits the requests to a target that warms up ([`warm_up`]) or
 //! states a limit ([`stated_limit`]). What targets state about themselves reaches the
-//! entries too ([`notices`]). A route may be confined to regions ([`regions`]).
+//! entries too ([`notices`]). Requests that crash targets are recognised and kept from
+//! further ones ([`crashes`]). A route may be confined to regions ([`regions`]).
 
 pub mod admission;
 pub mod contention;
+pub mod crashes;
 pub mod departure;
 pub mod failures;
 pub mod knee;
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use bytes::Bytes;
-use hornbeamhitch_core::suspects::CONVICTED_RETRY_AFTER_MS;
+use hornbeamhitch_dispatch::crashes::CrashLevel;
 use hornbeamhitch_dispatch::regions::Regions;
 use hornbeamhitch_dispatch::retry_budget::RetryLimit;
 use hornbeamhitch_node::metrics::Metrics;
@@ -302,11 +302,12 @@
         let Some(request_id) = http1::field(&head.fields, names.request_id) else {
             return Err(CallOutcome::without_retry(ResultCode::BadRequest));
         };
-        let fingerprint = suspicion::fingerprint(&head.method, &head.path, body, &self.service);
-        if self.suspicion.is_convicted(fingerprint) {
+        let fingerprint = suspicion::fingerprint(host, &head.method, &head.path, body);
+        let level = self.suspicion.level(fingerprint);
+        if level == CrashLevel::Refused {
             return Err(CallOutcome::refused(
                 ResultCode::CrashSuspect,
-                CONVICTED_RETRY_AFTER_MS,
+                Suspicion::retry_after_ms(level),
             ));
         }
         Ok(RoutedRequest {
--- a/crates/edge/src/entry/call/ending.rs
+++ b/crates/edge/src/entry/call/ending.rs
@@ -8,6 +8,7 @@
 use crate::entry::answer::CallOutcome;
 use crate::entry::progress;
 use crate::prelude::*;
+use crate::suspicion::Suspicion;
 use crate::target::{is_server_error, is_success};
 
 /// Range of `Retry-After` of a refusal. Slow spells and queues last about this
@@ -32,6 +33,7 @@
             state.failures.note_success(&target, now);
             let slowness = started.map_or(100, |(_, slowness)| slowness);
             if is_success(head.status) {
+                self.entry.suspicion.note_success(self.request.fingerprint);
                 let bytes = body.len();
                 state
                     .work_estimates
@@ -77,6 +79,9 @@
             let mut state = self.entry.state.lock();
             state.failures.note_unreachable(&target, now);
         }
+        if end == CallEnd::Convicted && self.is_restricted() {
+            return Some(self.final_outcome());
+        }
         if !end.reached_target() {
             if had_started {
                 // It was counted as an arrival when the gate reported its start, but the
@@ -229,6 +234,11 @@
             Some(CallEnd::Convicted) => ResultCode::CrashSuspect,
             Some(_) => ResultCode::Overloaded,
         };
+        if code == ResultCode::CrashSuspect {
+            let level = self.entry.suspicion.level(self.request.fingerprint);
+            let wait = Suspicion::retry_after_ms(level);
+            return CallOutcome::refused(code, wait).with_reason(reason);
+        }
         let now = self.entry.now();
         let random_ms = self.entry.state.lock().rng.random_range(RETRY_AFTER_MS);
         let free_in_ms = self.history.free_at.map_or(0, |at| at.since(now).0);
--- a/crates/edge/src/entry/call/selection.rs
+++ b/crates/edge/src/entry/call/selection.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use hornbeamhitch_dispatch::crashes::{AllowedTargets, CrashLevel};
 use hornbeamhitch_dispatch::order::{self, Candidate, View};
 use hornbeamhitch_dispatch::refusals::{Throttle, ThrottleCause};
 use hornbeamhitch_node::metrics::AttemptKind;
@@ -61,6 +62,9 @@
             }
         }
         let candidates = self.candidates(now);
+        if candidates.is_empty() && self.is_restricted() {
+            self.history.last_end = Some(CallEnd::Convicted);
+        }
         let is_usable = |candidate: &Candidate| candidate.throttle.is_none();
         self.rounds.has_free_gate = candidates.iter().any(is_usable);
         self.rounds.remaining = candidates.into();
@@ -118,8 +122,22 @@
         self.history.last_end != Some(CallEnd::Slow) && now >= self.wait_plan.busy_until
     }
 
+    /// Whether the request runs only as a trial, or not at all, because it was in flight in
+    /// crashes.
+    pub(super) fn is_restricted(&self) -> bool {
+        self.entry.suspicion.level(self.request.fingerprint) >= CrashLevel::Trial
+    }
+
     pub(super) fn candidates(&self, now: Millis) -> Vec<Candidate> {
         let directory = self.entry.directory.load();
+        let available = directory.members.available(&self.request.service);
+        let suspicion = &self.entry.suspicion;
+        let allowed = suspicion.allowed_targets(self.request.fingerprint, available);
+        let available = match &allowed {
+            AllowedTargets::Any => available,
+            AllowedTargets::Only(target) => std::slice::from_ref(target),
+            AllowedTargets::None => &[],
+        };
         let mut state = self.entry.state.lock();
         let EntryState {
             failures,
@@ -129,7 +147,7 @@
             ..
         } = &mut *state;
         let view = View {
-            available: directory.members.available(&self.request.service),
+            available,
             route: &self.request.route,
             regions: &self.entry.regions,
             data_centre: &self.entry.data_centre,
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -6,6 +6,7 @@
 mod records;
 mod request;
 mod run;
+mod running;
 mod speed;
 mod statements;
 
@@ -14,21 +15,24 @@
 use std::time::Duration;
 
 use hornbeamhitch_dispatch::admission::{Admission, GateCall, QueuePosition, Refused, Verdict};
+use hornbeamhitch_dispatch::crashes::{AllowedTargets, CrashLevel, TrialDenied};
 use hornbeamhitch_dispatch::departure::Departure;
 use hornbeamhitch_dispatch::waits::Waits;
 use hornbeamhitch_dispatch::warm_up::WarmUpTolerance;
 use hornbeamhitch_node::metrics::{GateLevels, Metrics};
+use hornbeamhitch_types::status::SuspectState;
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
 use crate::prelude::*;
 use crate::source::SharedSource;
-use crate::suspicion::Suspicion;
+use crate::suspicion::{Suspicion, TrialGuard};
 use crate::target::TargetClient;
 use guards::{QueueGuard, SlotGuard};
 use records::{FenceResult, Records};
 pub use request::{CallContent, CallGuard, EventSink, GateEvent, GateRequest, WholeCall};
 use run::Run;
+use running::RunningCalls;
 use speed::SpeedProbe;
 
 /// Everything that [`Gate::new`] needs.
@@ -81,8 +85,7 @@
 
 #[derive(Debug)]
 struct GateState {
-    /// Calls that are running in the target.
-    running: Vec<RunningCall>,
+    running: RunningCalls,
     admission: Admission,
     records: Records,
     /// Incarnations of the target that the target itself has said are over.
@@ -94,7 +97,7 @@
 impl GateState {
     fn new(admission: Admission) -> Self {
         Self {
-            running: Vec::new(),
+            running: RunningCalls::default(),
             admission,
             records: Records::default(),
             ended_incarnations: VecDeque::new(),
@@ -103,14 +106,6 @@
     }
 }
 
-/// What the gate records about a call while it runs.
-#[derive(Clone, Copy, Debug)]
-struct RunningCall {
-    fingerprint: u64,
-    /// Probability in percent that this run repeats an earlier one.
-    repeated_percent: u8,
-}
-
 impl Gate {
     /// Creates the gate for a target.
     #[must_use]
@@ -174,13 +169,7 @@
     /// probability.
     #[must_use]
     pub fn repeated_percent(&self) -> u8 {
-        let state = self.state.lock();
-        let mut sum = 0;
-        for call in &state.running {
-            sum += usize::from(call.repeated_percent);
-        }
-        let mean = sum / state.running.len().max(1);
-        u8::try_from(mean).unwrap_or(u8::MAX)
+        self.state.lock().running.repeated_percent()
     }
 
     /// Whether no call is queued or running.
@@ -196,6 +185,13 @@
         let mut state = self.state.lock();
         let is_cold = state.admission.warm_up().is_cold(now);
         self.metrics.target_warming_up(is_cold);
+        let held = self.suspicion.requests_at(CrashLevel::Trial)
+            + self.suspicion.requests_at(CrashLevel::Refused);
+        let suspected = self.suspicion.requests_at(CrashLevel::Suspect);
+        let gauge = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        self.metrics.suspects(SuspectState::Convicted, gauge(held));
+        self.metrics
+            .suspects(SuspectState::Suspected, gauge(suspected));
         let limit = state.admission.stated_limit().per_1000_s();
         self.metrics.target_request_limit(limit);
         self.metrics.gate_levels(&GateLevels {
@@ -248,6 +244,10 @@
             Ok(admitted) => admitted,
             Err(end) => return self.refuse(end, sink),
         };
+        let trial = match self.begin_trial_if_due(&terms) {
+            Ok(trial) => trial,
+            Err(end) => return self.refuse(end, sink),
+        };
         if !terms.idempotent && !self.record_start(&terms) {
             return self.refuse(CallEnd::Fenced, sink);
         }
@@ -263,6 +263,7 @@
             running: self.state.lock().admission.in_flight(),
             waited_ms: started.since(arrived),
             started,
+            is_trial: trial.is_some(),
         };
         if terms.idempotent {
             self.run_until_cancelled(&run, sink, caller_left).await;
@@ -337,7 +338,7 @@
             if self.rejects_new_work(terms) {
                 return Err(CallEnd::Leaving);
             }
-            if self.suspicion.is_convicted(terms.fingerprint) {
+            if !self.may_run(terms) {
                 return Err(CallEnd::Convicted);
             }
             let mut changed = std::pin::pin!(self.changed.notified());
@@ -364,6 +365,31 @@
         }
     }
 
+    /// Whether a request that was in flight in crashes may run in this target.
+    fn may_run(&self, terms: &CallTerms) -> bool {
+        let directory = self.directory.load();
+        let available = directory.members.available(&self.service);
+        match self.suspicion.allowed_targets(terms.fingerprint, available) {
+            AllowedTargets::Any => true,
+            AllowedTargets::Only(target) => target.id.as_str() == terms.target_id,
+            AllowedTargets::None => false,
+        }
+    }
+
+    /// Starts a trial if the request runs only as one.
+    fn begin_trial_if_due(&self, terms: &CallTerms) -> Result<Option<TrialGuard>, CallEnd> {
+        if self.suspicion.level(terms.fingerprint) < CrashLevel::Trial {
+            return Ok(None);
+        }
+        if !self.may_run(terms) {
+            return Err(CallEnd::Convicted);
+        }
+        match self.suspicion.begin_trial(terms.fingerprint) {
+            Ok(trial) => Ok(Some(trial)),
+            Err(TrialDenied) => Err(CallEnd::Convicted),
+        }
+    }
+
     fn take_slot(&self, queued: &mut QueueGuard<'_>, now: Millis) -> u32 {
         queued.start();
         let state = self.state.lock();
--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -6,8 +6,9 @@
 use hornbeamhitch_types::prelude::CallClass;
 
 use super::guards::SlotGuard;
+use super::running::RunningCall;
 use super::statements::Statement;
-use super::{Gate, GateEvent, RunningCall};
+use super::{Gate, GateEvent};
 use crate::dialect::TargetLoad;
 use crate::http1;
 use crate::prelude::*;
@@ -31,35 +32,43 @@
     /// Time that the call was queued.
     pub(super) waited_ms: Millis,
     pub(super) started: Millis,
+    /// Whether the request runs as a trial.
+    pub(super) is_trial: bool,
 }
 
 /// Lists a call among the running ones until it is dropped.
 struct RunningGuard<'a> {
     gate: &'a Gate,
-    fingerprint: u64,
+    number: u64,
 }
 
 impl<'a> RunningGuard<'a> {
-    fn register(gate: &'a Gate, terms: &CallTerms) -> Self {
-        let fingerprint = terms.fingerprint;
-        gate.state.lock().running.push(RunningCall {
-            fingerprint,
-            repeated_percent: terms.repeated_percent,
+    fn register(gate: &'a Gate, run: &Run<'_>) -> Self {
+        let number = gate.state.lock().running.add(RunningCall {
+            fingerprint: run.terms.fingerprint,
+            repeated_percent: run.terms.repeated_percent,
+            is_trial: run.is_trial,
+            is_sent: false,
         });
-        Self { gate, fingerprint }
+        Self { gate, number }
+    }
+
+    /// Records that the target may have received the request.
+    fn note_sent(&self) {
+        self.gate.state.lock().running.note_sent(self.number);
+    }
+
+    /// Records that the target has answered.
+    fn finish(&self) {
+        self.gate.state.lock().running.finish(self.number);
     }
 }
 
 impl Drop for RunningGuard<'_> {
     fn drop(&mut self) {
+        let now = self.gate.clock.now();
         let mut state = self.gate.state.lock();
-        let index = state
-            .running
-            .iter()
-            .position(|call| call.fingerprint == self.fingerprint);
-        if let Some(index) = index {
-            state.running.swap_remove(index);
-        }
+        state.running.abandon(self.number, now);
     }
 }
 
@@ -129,13 +138,16 @@
     pub(super) async fn run(&self, run: &Run<'_>) -> GateEvent {
         let fingerprint = run.terms.fingerprint;
         self.suspicion.log_start(fingerprint, &run.terms.request_id);
-        let _running = RunningGuard::register(self, run.terms);
-        let event = self.run_in_target(run).await;
+        let running = RunningGuard::register(self, run);
+        let event = self.run_in_target(run, &running).await;
         match &event {
-            GateEvent::Answered { head, .. } if is_success(head.status) => {
-                self.suspicion.note_success(fingerprint);
+            GateEvent::Answered { head, .. } => {
+                running.finish();
+                if is_success(head.status) {
+                    self.suspicion.note_success(fingerprint);
+                }
             }
-            GateEvent::Ended(CallEnd::Broken) => self.detect_crash().await,
+            GateEvent::Ended(CallEnd::Broken) => self.detect_crash(&run.terms.target_id).await,
             _ => {}
         }
         event
@@ -145,30 +157,45 @@
     /// also refuses a connection. All running requests are then suspected. The broken
     /// run must still be listed as running, so that all runs of one crash are suspected
     /// together.
-    async fn detect_crash(&self) {
+    async fn detect_crash(&self, target_id: &str) {
         if self.target.accepts_connections().await {
             log::info!("the target accepts connections after a broken run");
             return;
         }
         let mut state = self.state.lock();
         state.admission.note_connection_refused(self.clock.now());
-        let running = std::mem::take(&mut state.running);
         drop(state);
-        let in_flight: Vec<u64> = running.iter().map(|call| call.fingerprint).collect();
-        self.suspicion.observe_crash(&in_flight);
+        self.note_crash(target_id);
     }
 
-    async fn run_in_target(&self, run: &Run<'_>) -> GateEvent {
+    /// Records that the target has crashed with all requests that it was sent and has not
+    /// answered.
+    fn note_crash(&self, target_id: &str) {
+        let now = self.clock.now();
+        let in_flight = self.state.lock().running.take_unanswered(now);
+        if !in_flight.is_empty() {
+            self.suspicion
+                .observe_crash(&TargetId::new(target_id), &in_flight);
+        }
+    }
+
+    async fn run_in_target(&self, run: &Run<'_>, running: &RunningGuard<'_>) -> GateEvent {
         let started = self.clock.now();
         let exchange = self.exchange_for(run, run.deadline_at.since(started));
         let deadline = self.clock.to_instant(run.deadline_at);
         run.slot.begin_sending();
-        let exchanging = self.target.exchange(&exchange, || run.slot.note_sent());
+        let exchanging = self.target.exchange(&exchange, || {
+            run.slot.note_sent();
+            running.note_sent();
+        });
         match tokio::time::timeout_at(deadline, exchanging).await {
             Err(_) => GateEvent::Ended(CallEnd::TimedOut),
             Ok(Ok(answer)) => self.classify_answer(run.terms, answer, started),
-            Ok(Err(ExchangeFault::Unreachable)) => {
+            Ok(Err(fault @ (ExchangeFault::Unreachable | ExchangeFault::Refused))) => {
                 run.slot.cancel_sending();
+                if fault == ExchangeFault::Refused {
+                    self.note_crash(&run.terms.target_id);
+                }
                 self.state
                     .lock()
                     .admission
--- a/crates/edge/src/gate/speed.rs
+++ b/crates/edge/src/gate/speed.rs
@@ -161,7 +161,7 @@
         let exchanging = probe.target.exchange(&exchange, || {});
         let answer = match tokio::time::timeout(PROBE_TIMEOUT, exchanging).await {
             Ok(Ok(answer)) => answer,
-            Ok(Err(ExchangeFault::Unreachable)) => return Err(TargetDown),
+            Ok(Err(ExchangeFault::Unreachable | ExchangeFault::Refused)) => return Err(TargetDown),
             // An endpoint that breaks or hangs says nothing about the speed. The calls
             // themselves will show whether the target works.
             Ok(Err(ExchangeFault::Broken(_))) | Err(_) => return Ok(None),
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -15,7 +15,8 @@
 
 use super::facts;
 use super::framed::{
-    FrameReader, LinkFault, PartialBody, forward_notices, next_part, write_frames,
+    FrameReader, LinkFault, PartialBody, forward_notices, next_part, send_known_notices,
+    write_frames,
 };
 use super::liveness::Liveness;
 use super::outgoing::{DeferredContent, OutgoingCall, call_frame};
@@ -228,11 +229,13 @@
             unresponsive: AtomicBool::new(false),
             request_sent: tokio::sync::Notify::new(),
         });
-        let (known, updates) = suspicion.subscribe();
-        for notice in known {
-            link.push(ToGate::Suspect(notice));
-        }
-        let forwarding = forward_notices(updates, link.frames.clone(), ToGate::Suspect);
+        let notices = send_known_notices(suspicion, &link.frames, ToGate::Crashes);
+        let forwarding = forward_notices(
+            Arc::clone(suspicion),
+            notices,
+            link.frames.clone(),
+            ToGate::Crashes,
+        );
         let driver = Arc::clone(&link);
         tokio::spawn(async move {
             let ended = tokio::select! {
@@ -355,7 +358,8 @@
     fn handle(&self, frame: ToEntry) {
         match frame {
             ToEntry::Hello { .. } | ToEntry::Pong => {}
-            ToEntry::Suspect(notice) => self.suspicion.merge_notice(&notice),
+            ToEntry::Crashes(notice) => self.suspicion.merge_notice(&notice),
+            ToEntry::Suspect(_) => {}
             ToEntry::WantsFacts => {
                 if let Some(encoded) = self.directory.load().to_facts() {
                     facts::send(encoded, |frame| self.push(frame));
--- a/crates/edge/src/link/framed.rs
+++ b/crates/edge/src/link/framed.rs
@@ -1,14 +1,19 @@
 //! Reading and writing of length-prefixed frames on a TCP connection.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
+use hornbeamhitch_types::crash::CrashNotice;
 use hornbeamhitch_wire::WireError;
-use hornbeamhitch_wire::link::{self, BODY_PART_BYTES, SuspectNotice};
+use hornbeamhitch_wire::link::{self, BODY_PART_BYTES};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{broadcast, mpsc};
 
+use crate::suspicion::Suspicion;
+
 const READ_BYTES: usize = 32 * 1024;
 /// Queued frames are written in one batch of up to about this many bytes.
 const WRITE_BYTES: usize = 64 * 1024;
@@ -79,11 +84,28 @@
     Ok(())
 }
 
-/// Sends each notice as a frame. Returns once the link's frame channel is closed.
+/// Sends all known notices of crashes as frames, and returns a receiver of new ones. If the
+/// link's frame channel is closed, the notices are dropped.
+pub(super) fn send_known_notices<T>(
+    suspicion: &Suspicion,
+    frames: &mpsc::UnboundedSender<T>,
+    to_frame: fn(CrashNotice) -> T,
+) -> broadcast::Receiver<CrashNotice> {
+    let (known, notices) = suspicion.subscribe();
+    for notice in known {
+        // Fails only if the link has ended, which its tasks notice themselves.
+        let _ = frames.send(to_frame(notice));
+    }
+    notices
+}
+
+/// Sends each new notice of crashes as a frame. Returns once the link's frame channel is
+/// closed.
 pub(super) async fn forward_notices<T>(
-    mut notices: broadcast::Receiver<SuspectNotice>,
+    suspicion: Arc<Suspicion>,
+    mut notices: broadcast::Receiver<CrashNotice>,
     frames: mpsc::UnboundedSender<T>,
-    to_frame: fn(SuspectNotice) -> T,
+    to_frame: fn(CrashNotice) -> T,
 ) {
     loop {
         match notices.recv().await {
@@ -92,8 +114,10 @@
                     return;
                 }
             }
-            // The peer receives the missed notices over other links.
-            Err(broadcast::error::RecvError::Lagged(_)) => {}
+            // What is known now includes the missed notices.
+            Err(broadcast::error::RecvError::Lagged(_)) => {
+                notices = send_known_notices(&suspicion, &frames, to_frame);
+            }
             Err(broadcast::error::RecvError::Closed) => return,
         }
     }
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -12,7 +12,8 @@
 
 use super::facts::{FactsRequests, PartialFacts};
 use super::framed::{
-    FrameReader, LinkFault, PartialBody, forward_notices, next_part, write_frames,
+    FrameReader, LinkFault, PartialBody, forward_notices, next_part, send_known_notices,
+    write_frames,
 };
 use crate::directory::adopt_facts;
 use crate::feed::ChangeFeed;
@@ -75,11 +76,13 @@
             incarnation: self.incarnation,
         };
         let _ = answers.send(hello);
-        let (known, updates) = self.suspicion.subscribe();
-        for notice in known {
-            let _ = answers.send(ToEntry::Suspect(notice));
-        }
-        let forwarding = forward_notices(updates, answers.clone(), ToEntry::Suspect);
+        let notices = send_known_notices(&self.suspicion, &answers, ToEntry::Crashes);
+        let forwarding = forward_notices(
+            Arc::clone(&self.suspicion),
+            notices,
+            answers.clone(),
+            ToEntry::Crashes,
+        );
         let requesting = request_facts(
             Arc::clone(&self.directory),
             Arc::clone(&self.facts_requests),
@@ -182,7 +185,8 @@
                     let sink = answer_sink(id, self.answers.clone(), ActiveCalls::default());
                     self.gate.fence(key, sink);
                 }
-                ToGate::Suspect(notice) => self.suspicion.merge_notice(&notice),
+                ToGate::Crashes(notice) => self.suspicion.merge_notice(&notice),
+                ToGate::Suspect(_) => {}
                 ToGate::Facts(encoded) => adopt_facts(&self.directory, &encoded),
                 ToGate::FactsPart {
                     digest,
--- a/crates/edge/src/suspicion.rs
+++ b/crates/edge/src/suspicion.rs
@@ -1,8 +1,12 @@
-//! Requests that are suspected of crashing targets, and the notices by which nodes share
-//! them.
+//! Requests that crash targets, and the notices by which nodes share what they know of them.
 
-use hornbeamhitch_core::suspects::{SuspectEntry, Suspects, SuspicionLevel};
-use hornbeamhitch_wire::link::SuspectNotice;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use hornbeamhitch_dispatch::crashes::{
+    AllowedTargets, CrashHistory, CrashLevel, CrashedRun, TrialDenied, target_hash,
+};
+use hornbeamhitch_types::crash::{CrashId, CrashNotice};
 use parking_lot::Mutex;
 use tokio::sync::broadcast;
 use xxhash_rust::xxh3::Xxh3;
@@ -12,188 +16,192 @@
 #[cfg(test)]
 mod tests;
 
-/// Notices queued for a slow link. A link that lags further has already sent most of
-/// them, and its peer receives the rest from other nodes.
+/// Notices queued for a slow link. A link that lags further is sent everything anew.
 const NOTICE_CAPACITY: usize = 256;
+/// Time after which the caller of a request that runs only as a trial may retry.
+const TRIAL_RETRY_AFTER_MS: Millis = Millis::from_secs(1);
+/// Time after which the caller of a refused request may retry.
+const REFUSED_RETRY_AFTER_MS: Millis = hornbeamhitch_core::suspects::CONVICTED_RETRY_AFTER_MS;
 
-/// The suspected requests, shared by this node's entry, gate and links.
+/// The requests that crash targets, shared by this node's entry, gate and links.
 ///
 /// A request may crash each target that runs it while its caller retries it at any node.
-/// All nodes that learn of the crashes reject it. Notices are sent over all open links,
-/// and each node forwards them. Links exist wherever calls are sent, so each node that
-/// could send the request to a target receives the notice.
+/// Notices are sent over all open links, and each node forwards what is new to it. Links
+/// exist wherever calls are sent, so each node that could send the request to a target
+/// receives them.
 #[derive(Debug)]
 pub struct Suspicion {
-    suspects: Mutex<Suspects>,
-    notices: broadcast::Sender<SuspectNotice>,
+    history: Mutex<CrashHistory>,
+    notices: broadcast::Sender<CrashNotice>,
     clock: ProcessClock,
+    /// Number of the next crash. It starts at random, so that crashes that two processes
+    /// observe at one target differ.
+    next_number: AtomicU64,
 }
 
 impl Suspicion {
-    /// Creates an empty set of suspected requests.
+    /// Creates a history without any crashes.
     #[must_use]
     pub fn new(clock: ProcessClock) -> Self {
         Self {
-            suspects: Mutex::new(Suspects::new()),
+            history: Mutex::new(CrashHistory::default()),
             notices: broadcast::channel(NOTICE_CAPACITY).0,
             clock,
+            next_number: AtomicU64::new(rand::random()),
         }
     }
 
-    /// Whether the request is rejected by all nodes.
+    /// Returns how a request may run.
     #[must_use]
-    pub fn is_convicted(&self, fingerprint: u64) -> bool {
-        self.suspects.lock().level(fingerprint) == SuspicionLevel::Convicted
+    pub fn level(&self, fingerprint: u64) -> CrashLevel {
+        let history = self.history.lock();
+        if history.is_empty() {
+            return CrashLevel::Clear;
+        }
+        history.level(fingerprint, self.clock.now())
     }
 
-    /// Records that the target crashed with these requests in flight.
-    pub fn observe_crash(&self, fingerprints: &[u64]) {
-        let is_only_request = fingerprints.len() == 1;
-        let now = self.clock.now();
-        let entries = self
-            .suspects
-            .lock()
-            .observe_crash(fingerprints, is_only_request, now);
-        for entry in &entries {
-            let LoggedEntry {
-                fingerprint,
-                standing,
-                crashes,
-            } = LoggedEntry::from(entry);
-            log::warn!(fingerprint, standing, crashes; "a target crashed with a request in flight");
-            self.broadcast(entry);
+    /// Returns on which of the available targets of its service a request may run.
+    #[must_use]
+    pub fn allowed_targets(&self, fingerprint: u64, available: &[Arc<Member>]) -> AllowedTargets {
+        let history = self.history.lock();
+        if history.is_empty() {
+            return AllowedTargets::Any;
         }
+        history.allowed_targets(fingerprint, available, self.clock.now())
     }
 
-    /// Logs that a request starts in the target if it was in flight in a crash.
-    pub fn log_start(&self, fingerprint: u64, request: &str) {
-        let suspects = self.suspects.lock();
-        if suspects.level(fingerprint) == SuspicionLevel::Clear {
-            return;
+    /// Returns after which time the caller of a request at this level may retry.
+    #[must_use]
+    pub const fn retry_after_ms(level: CrashLevel) -> Millis {
+        match level {
+            CrashLevel::Refused => REFUSED_RETRY_AFTER_MS,
+            CrashLevel::Trial | CrashLevel::Suspect | CrashLevel::Clear => TRIAL_RETRY_AFTER_MS,
         }
-        let known = suspects.entries(self.clock.now());
-        let Some(entry) = known
-            .into_iter()
-            .find(|entry| entry.fingerprint == fingerprint)
-        else {
-            return;
-        };
-        let LoggedEntry {
+    }
+
+    /// Returns the number of requests at a level.
+    #[must_use]
+    pub fn requests_at(&self, level: CrashLevel) -> usize {
+        self.history.lock().requests_at(level, self.clock.now())
+    }
+
+    /// Starts a trial of a request on this node's target. The trial ends when the returned
+    /// guard is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Another trial is running, or the last one ended without a result a short time ago.
+    pub fn begin_trial(self: &Arc<Self>, fingerprint: u64) -> Result<TrialGuard, TrialDenied> {
+        let mut history = self.history.lock();
+        history.begin_trial(fingerprint, self.clock.now())?;
+        Ok(TrialGuard {
+            suspicion: Arc::clone(self),
             fingerprint,
-            standing,
-            crashes,
-        } = LoggedEntry::from(&entry);
-        log::info!(request, fingerprint, standing, crashes; "starting a request that was in flight in a crash");
+        })
+    }
+
+    /// Records that the target crashed with these requests in flight.
+    pub fn observe_crash(&self, target: &TargetId, runs: &[CrashedRun]) {
+        let id = CrashId {
+            target: target_hash(target),
+            number: self.next_number.fetch_add(1, Ordering::Relaxed),
+        };
+        let now = self.clock.now();
+        let notices = self.history.lock().observe(runs, id, now);
+        let target_id = target.as_str();
+        for notice in notices {
+            let (fingerprint, standing, crashes) = self.describe(notice.fingerprint);
+            log::warn!(
+                target_id, fingerprint, standing, crashes;
+                "a target crashed with a request in flight"
+            );
+            self.broadcast(notice);
+        }
     }
 
     /// Records that a request succeeded. Other requests may share its fingerprint, so any
-    /// success clears it, not only that of a request running on its own.
+    /// success clears it, not only that of a trial.
     pub fn note_success(&self, fingerprint: u64) {
-        let mut suspects = self.suspects.lock();
-        if suspects.is_empty() {
-            return;
-        }
-        let cleared = suspects.clear(fingerprint, self.clock.now());
-        drop(suspects);
-        if let Some(entry) = cleared {
-            let fingerprint = LoggedEntry::from(&entry).fingerprint;
+        let mut history = self.history.lock();
+        let cleared = history.clear(fingerprint, self.clock.now());
+        drop(history);
+        if let Some(notice) = cleared {
+            let (fingerprint, ..) = self.describe(fingerprint);
             log::info!(fingerprint; "a request that was in flight in a crash has succeeded");
-            self.broadcast(&entry);
+            self.broadcast(notice);
         }
     }
 
-    /// Merges a notice from another node, and forwards it if it is new.
-    pub fn merge_notice(&self, notice: &SuspectNotice) {
-        let Some(entry) = from_notice(notice) else {
-            log::warn!("dropped a notice with an unknown standing");
-            return;
-        };
-        if self.suspects.lock().merge(&entry, self.clock.now()) {
-            let LoggedEntry {
-                fingerprint,
-                standing,
-                crashes,
-            } = LoggedEntry::from(&entry);
+    /// Merges a notice from another node, and forwards what is new.
+    pub fn merge_notice(&self, notice: &CrashNotice) {
+        let merged = self.history.lock().merge(notice, self.clock.now());
+        if let Some(notice) = merged {
+            let (fingerprint, standing, crashes) = self.describe(notice.fingerprint);
             log::debug!(fingerprint, standing, crashes; "another node has reported a request");
-            self.broadcast(&entry);
+            self.broadcast(notice);
         }
     }
 
+    /// Logs that a request starts in the target if it was in flight in a crash.
+    pub fn log_start(&self, fingerprint: u64, request: &str) {
+        if self.level(fingerprint) == CrashLevel::Clear {
+            return;
+        }
+        let (fingerprint, standing, crashes) = self.describe(fingerprint);
+        log::info!(
+            request, fingerprint, standing, crashes;
+            "starting a request that was in flight in a crash"
+        );
+    }
+
     /// Returns all current notices, for a link that has just opened, and a receiver of
     /// later ones.
-    pub fn subscribe(&self) -> (Vec<SuspectNotice>, broadcast::Receiver<SuspectNotice>) {
+    pub fn subscribe(&self) -> (Vec<CrashNotice>, broadcast::Receiver<CrashNotice>) {
         let notices = self.notices.subscribe();
-        let suspects = self.suspects.lock();
-        let entries = suspects.entries(self.clock.now());
-        (entries.map(|entry| to_notice(&entry)).collect(), notices)
+        let known = self.history.lock().notices(self.clock.now());
+        (known, notices)
     }
 
-    fn broadcast(&self, entry: &SuspectEntry) {
+    /// Returns the fingerprint, the level and the number of crashes of a request for the log.
+    fn describe(&self, fingerprint: u64) -> (String, &'static str, usize) {
+        let now = self.clock.now();
+        let history = self.history.lock();
+        let level = history.level(fingerprint, now);
+        let crashes = history.count(fingerprint, now);
+        (format!("{fingerprint:016x}"), level.into(), crashes)
+    }
+
+    fn broadcast(&self, notice: CrashNotice) {
         // Sending fails only if there are no links.
-        let _ = self.notices.send(to_notice(entry));
+        let _ = self.notices.send(notice);
     }
 }
 
-/// The fields of an entry that log lines contain.
-struct LoggedEntry {
-    fingerprint: String,
-    standing: &'static str,
-    crashes: u8,
+/// Ends a trial when dropped.
+#[derive(Debug)]
+pub struct TrialGuard {
+    suspicion: Arc<Suspicion>,
+    fingerprint: u64,
 }
 
-impl From<&SuspectEntry> for LoggedEntry {
-    fn from(entry: &SuspectEntry) -> Self {
-        Self {
-            fingerprint: format!("{:016x}", entry.fingerprint),
-            standing: entry.level.into(),
-            crashes: entry.crashes,
-        }
+impl Drop for TrialGuard {
+    fn drop(&mut self) {
+        let now = self.suspicion.clock.now();
+        let mut history = self.suspicion.history.lock();
+        history.end_trial(self.fingerprint, now);
     }
 }
 
-/// Hash of the properties that a request shares with its retries: method, path, body and
-/// the service of the caller.
+/// Hash of the properties that a request shares with its retries: host, method, path and
+/// body. The VM at which it enters is none of them, since a retry may enter at any VM.
 #[must_use]
-pub fn fingerprint(method: &str, path: &str, body: &[u8], caller: &ServiceName) -> u64 {
+pub fn fingerprint(host: &str, method: &str, path: &str, body: &[u8]) -> u64 {
     let mut hash = Xxh3::new();
-    for part in [
-        method.as_bytes(),
-        path.as_bytes(),
-        caller.as_str().as_bytes(),
-    ] {
-        hash.update(part);
+    for part in [host.to_ascii_lowercase().as_str(), method, path] {
+        hash.update(part.as_bytes());
         hash.update(b"\0");
     }
     hash.update(body);
     hash.digest()
 }
-
-fn to_notice(entry: &SuspectEntry) -> SuspectNotice {
-    let standing: &'static str = entry.level.into();
-    SuspectNotice {
-        fingerprint: entry.fingerprint,
-        version: entry.version,
-        standing: standing.to_owned(),
-        crashes: entry.crashes,
-        age_ms: entry.age_ms,
-    }
-}
-
-fn from_notice(notice: &SuspectNotice) -> Option<SuspectEntry> {
-    let all = [
-        SuspicionLevel::Clear,
-        SuspicionLevel::Suspect,
-        SuspicionLevel::Convicted,
-    ];
-    let level = all.into_iter().find(|level| {
-        let name: &'static str = level.into();
-        name == notice.standing
-    })?;
-    Some(SuspectEntry {
-        fingerprint: notice.fingerprint,
-        version: notice.version,
-        level,
-        crashes: notice.crashes,
-        age_ms: notice.age_ms,
-    })
-}
--- a/crates/edge/src/suspicion/tests.rs
+++ b/crates/edge/src/suspicion/tests.rs
@@ -1,94 +1,120 @@
-//! Tests of suspected requests, on nodes that exchange notices directly.
+//! Tests of requests that crash targets, on nodes that exchange notices directly.
 
 use super::*;
 
-fn two_nodes() -> (Suspicion, Suspicion) {
+fn nodes(count: usize) -> Vec<Arc<Suspicion>> {
     let clock = ProcessClock::start();
-    (Suspicion::new(clock), Suspicion::new(clock))
+    (0..count)
+        .map(|_| Arc::new(Suspicion::new(clock)))
+        .collect()
 }
 
-/// Delivers all notices of one node to another.
-fn send_all_notices(from: &Suspicion, to: &Suspicion) {
-    for notice in from.subscribe().0 {
-        to.merge_notice(&notice);
+/// Records a crash of a target with these requests in flight, none of them in a trial.
+fn crash(node: &Suspicion, target: &str, fingerprints: &[u64]) {
+    let mut runs = Vec::new();
+    for fingerprint in fingerprints {
+        runs.push(CrashedRun {
+            fingerprint: *fingerprint,
+            was_trial: false,
+        });
+    }
+    node.observe_crash(&TargetId::new(target), &runs);
+}
+
+/// Delivers all notices of each node to all others.
+fn exchange_notices(nodes: &[Arc<Suspicion>]) {
+    for from in nodes {
+        for to in nodes {
+            for notice in from.subscribe().0 {
+                to.merge_notice(&notice);
+            }
+        }
     }
 }
 
 /// Targets crash repeatedly for unrelated reasons while a common lookup is in flight. The
-/// lookup succeeds between the crashes, so no node rejects it.
+/// lookup succeeds between the crashes, so it runs freely.
 #[test]
-fn a_request_that_also_succeeds_is_never_convicted() {
-    let (node, _) = two_nodes();
-    for _ in 0..10 {
-        node.observe_crash(&[7, 8]);
+fn a_request_that_also_succeeds_is_never_restricted() {
+    let node = &nodes(1)[0];
+    node.note_success(7);
+    for number in 0..10 {
+        crash(node, &format!("t{number}"), &[7, 8]);
         node.note_success(7);
     }
-    assert!(!node.is_convicted(7));
-    assert!(node.is_convicted(8));
+    assert_eq!(node.level(7), CrashLevel::Clear);
+    assert!(node.level(8) >= CrashLevel::Trial);
 }
 
 #[test]
-fn a_second_crash_as_the_only_request_convicts_on_every_node() {
-    let (one, other) = two_nodes();
-    one.observe_crash(&[7]);
-    send_all_notices(&one, &other);
-    assert!(!other.is_convicted(7));
-    other.observe_crash(&[7]);
-    send_all_notices(&other, &one);
-    assert!(one.is_convicted(7) && other.is_convicted(7));
-    // A successful request with the same fingerprint does not lift the conviction.
-    one.note_success(7);
-    assert!(one.is_convicted(7));
+fn a_crash_in_a_trial_refuses_the_request_on_every_node() {
+    let nodes = nodes(2);
+    crash(&nodes[0], "a", &[7]);
+    exchange_notices(&nodes);
+    assert_eq!(nodes[1].level(7), CrashLevel::Suspect);
+    crash(&nodes[1], "b", &[7]);
+    exchange_notices(&nodes);
+    for node in &nodes {
+        assert_eq!(node.level(7), CrashLevel::Trial);
+    }
+    let trial = nodes[0].begin_trial(7).expect("the first trial");
+    assert_eq!(nodes[0].begin_trial(7).err(), Some(TrialDenied));
+    let run = CrashedRun {
+        fingerprint: 7,
+        was_trial: true,
+    };
+    nodes[0].observe_crash(&TargetId::new("c"), &[run]);
+    drop(trial);
+    exchange_notices(&nodes);
+    for node in &nodes {
+        assert_eq!(node.level(7), CrashLevel::Refused);
+    }
 }
 
 /// Guards against merging crashes that several nodes observe at the same time into one.
 #[test]
 fn crashes_on_several_nodes_at_the_same_time_are_all_counted() {
-    let clock = ProcessClock::start();
-    let nodes: Vec<Suspicion> = (0..4).map(|_| Suspicion::new(clock)).collect();
-    for node in &nodes {
+    let nodes = nodes(4);
+    for (number, node) in nodes.iter().enumerate() {
         // A second request is in flight, and a different one on each node.
-        node.observe_crash(&[7, 8]);
-    }
-    for _ in 0..2 {
-        for from in &nodes {
-            for to in &nodes {
-                send_all_notices(from, to);
-            }
-        }
+        let other = 100 + number as u64;
+        crash(node, &format!("t{number}"), &[7, other]);
     }
+    exchange_notices(&nodes);
+    exchange_notices(&nodes);
     for node in &nodes {
-        assert!(node.is_convicted(7));
+        assert!(node.level(7) >= CrashLevel::Trial);
+        assert_eq!(node.history.lock().count(7, node.clock.now()), 4);
+        assert_eq!(node.level(100), CrashLevel::Suspect);
     }
 }
 
-#[test]
-fn a_notice_with_an_unknown_standing_is_dropped() {
-    let (node, _) = two_nodes();
-    let mut notice = SuspectNotice {
-        fingerprint: 7,
-        version: 1,
-        standing: "unheard-of".to_owned(),
-        crashes: 9,
-        age_ms: Millis::ZERO,
-    };
-    node.merge_notice(&notice);
-    assert!(!node.is_convicted(7));
-    notice.standing = "convicted".to_owned();
-    node.merge_notice(&notice);
-    assert!(node.is_convicted(7));
+/// Guards against a link that has lagged and lacks notices for good.
+#[tokio::test]
+async fn a_receiver_that_lags_can_subscribe_anew_and_misses_nothing() {
+    let node = &nodes(1)[0];
+    let (known, mut notices) = node.subscribe();
+    assert!(known.is_empty());
+    for fingerprint in 1..=2 * NOTICE_CAPACITY as u64 {
+        crash(node, "a", &[fingerprint]);
+    }
+    let lagged = notices.recv().await;
+    assert!(matches!(
+        lagged,
+        Err(broadcast::error::RecvError::Lagged(_))
+    ));
+    assert_eq!(node.subscribe().0.len(), 2 * NOTICE_CAPACITY);
 }
 
 #[test]
 fn fingerprints_distinguish_requests_by_repeated_parts() {
-    let service = ServiceName::new("s");
-    let base = fingerprint("GET", "/a", b"", &service);
-    assert_eq!(base, fingerprint("GET", "/a", b"", &service));
+    let base = fingerprint("h", "GET", "/a", b"");
+    assert_eq!(base, fingerprint("H", "GET", "/a", b""));
     for other in [
-        fingerprint("POST", "/a", b"", &service),
-        fingerprint("GET", "/b", b"", &service),
-        fingerprint("GET", "/a", b"x", &service),
-        fingerprint("GET", "/a", b"", &ServiceName::new("t")),
+        fingerprint("h", "POST", "/a", b""),
+        fingerprint("h", "GET", "/b", b""),
+        fingerprint("h", "GET", "/a", b"x"),
+        fingerprint("i", "GET", "/a", b""),
     ] {
         assert_ne!(base, other);
     }
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -42,8 +42,10 @@
 /// Why an exchange failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExchangeFault {
-    /// No connection could be opened. Nothing was sent.
+    /// No connection could be opened in time. Nothing was sent.
     Unreachable,
+    /// Nothing listens at the target's address. Nothing was sent.
+    Refused,
     /// The request was sent at least in part, but no valid answer arrived.
     Broken(&'static str),
 }
@@ -194,7 +196,10 @@
             }
             Err(error) => {
                 log::debug!("the target cannot be reached: {error}");
-                Err(ExchangeFault::Unreachable)
+                match error.kind() {
+                    std::io::ErrorKind::ConnectionRefused => Err(ExchangeFault::Refused),
+                    _ => Err(ExchangeFault::Unreachable),
+                }
             }
         }
     }
--- a/crates/edge/tests/all/crash_request.rs
+++ b/crates/edge/tests/all/crash_request.rs
@@ -1,5 +1,7 @@
 //! Requests that crash the targets in which they run.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use crate::support::caller::request;
@@ -24,20 +26,32 @@
     targets.filter(|vm| vm.target.has_crashed()).count()
 }
 
-/// Sends ordinary lookups through all VMs until the returned task is aborted. Each VM
-/// sends the same lookup again and again.
-fn keep_sending_lookups(fleet: &Fleet) -> tokio::task::JoinSet<()> {
+/// Sends the same lookup through all VMs, again and again, until the returned tasks are
+/// dropped. Returns once each VM has served it.
+async fn keep_sending_lookups(fleet: &Fleet) -> tokio::task::JoinSet<()> {
+    let served = Arc::new(AtomicUsize::new(0));
     let mut senders = tokio::task::JoinSet::new();
     for vm in &fleet.vms {
         let callers = vm.callers;
+        let served = Arc::clone(&served);
         senders.spawn(async move {
             let mut number = 0;
+            let mut is_served = false;
             loop {
                 number += 1;
-                request(callers, "GET", "/read/slow", &format!("{callers}-{number}")).await;
+                let id = format!("{callers}-{number}");
+                let answer = request(callers, "GET", "/read/slow", &id).await;
+                if !is_served && answer.status() == 200 {
+                    is_served = true;
+                    served.fetch_add(1, Ordering::Relaxed);
+                }
             }
         });
     }
+    until("each VM has served a lookup", || {
+        served.load(Ordering::Relaxed) == fleet.vms.len()
+    })
+    .await;
     senders
 }
 
@@ -128,7 +142,7 @@
 async fn a_crashing_request_from_vms_of_several_services_is_one_request() {
     let fleet = fleet(&SERVICES).await;
     warm_up(&fleet).await;
-    let lookups = keep_sending_lookups(&fleet);
+    let lookups = keep_sending_lookups(&fleet).await;
     for number in 0..12 {
         let caller = fleet.vms[16 + number % 4].callers;
         request(caller, "GET", "/read/one/crash", &format!("id-{number}")).await;
@@ -147,7 +161,7 @@
 async fn simultaneous_crashes_of_one_request_are_all_counted() {
     let fleet = fleet(&SERVICES).await;
     warm_up(&fleet).await;
-    let lookups = keep_sending_lookups(&fleet);
+    let lookups = keep_sending_lookups(&fleet).await;
     let send_at_once = async |round: usize| {
         let mut senders = tokio::task::JoinSet::new();
         for vm in &fleet.vms[16..19] {
@@ -176,7 +190,7 @@
 async fn a_common_lookup_that_is_in_flight_in_each_crash_is_still_served() {
     let fleet = fleet(&SERVICES).await;
     warm_up(&fleet).await;
-    let lookups = keep_sending_lookups(&fleet);
+    let lookups = keep_sending_lookups(&fleet).await;
     for number in 0..6 {
         let caller = fleet.vms[number].callers;
         let path = format!("/read/{number}/crash");
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod clock;
 pub mod code;
+pub mod crash;
 pub mod digest;
 pub mod id;
 pub mod notice;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -9,6 +9,7 @@
 use std::net::IpAddr;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use hornbeamhitch_types::crash::CrashNotice;
 use hornbeamhitch_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -104,7 +105,7 @@
     pub notice: TargetNotice,
 }
 
-/// A node's observation about a request that may crash targets.
+/// What earlier versions sent about a request that may crash targets. It is ignored.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectNotice {
     /// Hash of the parts of the request that do not change when it is sent again.
@@ -242,7 +243,7 @@
         /// The key.
         key: CallKey,
     },
-    /// A new observation about a request that may crash targets.
+    /// Sent by earlier versions and ignored.
     Suspect(SuspectNotice),
     /// The routes and targets that the entry knows, in answer to
     /// [`ToEntry::WantsFacts`].
@@ -266,6 +267,8 @@
         /// The next part.
         part: Bytes,
     },
+    /// The crashes in which a request was in flight.
+    Crashes(CrashNotice),
 }
 
 /// A message from a gate to an entry or a subscriber.
@@ -313,7 +316,7 @@
         /// The reason.
         end: CallEnd,
     },
-    /// A new observation about a request that may crash targets.
+    /// Sent by earlier versions and ignored.
     Suspect(SuspectNotice),
     /// This node has no configuration, cannot read one, and requests
     /// [`ToGate::Facts`].
@@ -343,6 +346,8 @@
         /// Another node that has the parts or receives them now.
         referral: Option<IpAddr>,
     },
+    /// The crashes in which a request was in flight.
+    Crashes(CrashNotice),
 }
 
 /// Appends a message as a frame.
--- a/crates/wire/src/link/tests.rs
+++ b/crates/wire/src/link/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of decoding frames that arrive in pieces, and of malformed input.
 
+use hornbeamhitch_types::crash::{CrashId, CrashRecord};
 use proptest::prelude::*;
 
 use super::*;
@@ -25,6 +26,17 @@
             }
         }),
         Just(ToGate::Ping),
+        (any::<u64>(), any::<u64>(), any::<bool>()).prop_map(|(fingerprint, number, flag)| {
+            ToGate::Crashes(CrashNotice {
+                fingerprint,
+                crashes: vec![CrashRecord {
+                    id: CrashId { target: 1, number },
+                    was_trial: flag,
+                    is_cleared: !flag,
+                    age_ms: Millis(number),
+                }],
+            })
+        }),
     ]
 }
 
