Try a suspected request after its first crash, and a second time after a pause

Cause: a crash in a trial was taken as proof, although another request may have crashed that target. Ruled out: telling the two apart within one crash; neither has succeeded, and the innocent one was in more crashes.

Change: the trial comes after one crash instead of two, and a crash in a trial refuses the request for 4 s only; the second refuses it for as long as crashes count. So one request still loses three targets at most where clients send it one after the other, also on a fleet that has forgotten everything, and an innocent one is back after 4 s or its first success. Retry-After names the time until the next trial.

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -8,8 +8,9 @@
 //!
 //! A request that was in flight in [`CRASHES_BEFORE_TRIAL`] crashes without a success since
 //! then runs only as a trial: on one target, which all nodes choose alike, and once at a
-//! time. If that target crashes too, the request is refused; if the trial succeeds, the
-//! request runs as before.
+//! time. If that target crashes too, the request is refused for [`RETRIAL_PAUSE_MS`], since
+//! another request may have crashed it; after [`MAX_TRIAL_CRASHES`] such crashes it is
+//! refused for as long as they count. If a trial succeeds, the request runs as before.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -24,7 +25,12 @@
 mod tests;
 
 /// Number of crashes without a success since after which a request runs only as a trial.
-pub const CRASHES_BEFORE_TRIAL: usize = 2;
+pub const CRASHES_BEFORE_TRIAL: usize = 1;
+/// Number of crashes in trials after which a request is refused for good.
+pub const MAX_TRIAL_CRASHES: usize = 2;
+/// Time between a crash in a trial and the next trial. Crashes that other requests cause at
+/// the same time are over by then.
+pub const RETRIAL_PAUSE_MS: Millis = Millis::from_secs(4);
 /// How long a crash counts.
 pub const CRASH_LIFETIME_MS: Millis = Millis::from_secs(10 * 60);
 /// How long an expired record is kept, so that a copy of it, which is younger by its time
@@ -55,11 +61,9 @@
     /// The request was in flight in no crash, or has succeeded since.
     #[default]
     Clear,
-    /// The request was in flight in fewer crashes than a trial takes. It runs as usual.
-    Suspect,
     /// The request runs only as a trial.
     Trial,
-    /// The request has crashed a target in a trial and does not run.
+    /// A target crashed in a trial of the request, which does not run now.
     Refused,
 }
 
@@ -118,21 +122,37 @@
 
 impl RequestCrashes {
     fn level(&self, now: Millis) -> CrashLevel {
+        let count = self.count(now);
+        match self.next_trial_at(now) {
+            Some(at) if now < at => CrashLevel::Refused,
+            _ if count < CRASHES_BEFORE_TRIAL => CrashLevel::Clear,
+            _ => CrashLevel::Trial,
+        }
+    }
+
+    fn count(&self, now: Millis) -> usize {
+        let counted = self.crashes.iter().filter(|crash| crash.counts(now));
+        counted.count()
+    }
+
+    /// Returns until when the request is refused after crashes in trials; `None` if there
+    /// were none.
+    fn next_trial_at(&self, now: Millis) -> Option<Millis> {
         let mut count = 0;
+        let mut next_at = None;
         for crash in &self.crashes {
-            if !crash.counts(now) {
+            if !crash.was_trial || !crash.counts(now) {
                 continue;
             }
-            if crash.was_trial {
-                return CrashLevel::Refused;
-            }
             count += 1;
+            next_at = next_at.max(Some(match count < MAX_TRIAL_CRASHES {
+                true => crash
+                    .expires_at
+                    .minus(CRASH_LIFETIME_MS.minus(RETRIAL_PAUSE_MS)),
+                false => crash.expires_at,
+            }));
         }
-        match count {
-            0 => CrashLevel::Clear,
-            _ if count < CRASHES_BEFORE_TRIAL => CrashLevel::Suspect,
-            _ => CrashLevel::Trial,
-        }
+        next_at
     }
 
     /// Adds a record; returns whether anything changed.
@@ -312,11 +332,16 @@
     /// Returns the number of crashes that are held against a request.
     #[must_use]
     pub fn count(&self, fingerprint: u64, now: Millis) -> usize {
-        let Some(request) = self.by_request.get(&fingerprint) else {
-            return 0;
-        };
-        let counted = request.crashes.iter().filter(|crash| crash.counts(now));
-        counted.count()
+        let request = self.by_request.get(&fingerprint);
+        request.map_or(0, |request| request.count(now))
+    }
+
+    /// Returns how long a request is refused after crashes in trials; zero if it is not.
+    #[must_use]
+    pub fn refused_for_ms(&self, fingerprint: u64, now: Millis) -> Millis {
+        let request = self.by_request.get(&fingerprint);
+        let next_at = request.and_then(|request| request.next_trial_at(now));
+        next_at.map_or(Millis::ZERO, |at| at.since(now))
     }
 
     /// Returns the number of requests at a level.
@@ -337,7 +362,7 @@
         now: Millis,
     ) -> AllowedTargets {
         match self.level(fingerprint, now) {
-            CrashLevel::Clear | CrashLevel::Suspect => AllowedTargets::Any,
+            CrashLevel::Clear => AllowedTargets::Any,
             CrashLevel::Refused => AllowedTargets::None,
             CrashLevel::Trial => match self.trial_target(fingerprint, available, now) {
                 Some(target) => AllowedTargets::Only(target),
@@ -433,7 +458,7 @@
     }
 
     /// Drops expired records, and then the least severe and oldest request if there is no
-    /// room for another one. Returns false if only requests are left that do not run freely.
+    /// room for another one. Returns false if only refused requests are left.
     fn make_room(&mut self, now: Millis) -> bool {
         for request in self.by_request.values_mut() {
             let is_kept = |crash: &StoredCrash| now < crash.expires_at + EXPIRED_RETENTION_MS;
@@ -453,7 +478,7 @@
         let Some((fingerprint, request)) = least else {
             return true;
         };
-        if request.level(now) > CrashLevel::Suspect {
+        if request.level(now) > CrashLevel::Trial {
             return false;
         }
         let fingerprint = *fingerprint;
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -303,11 +303,10 @@
             return Err(CallOutcome::without_retry(ResultCode::BadRequest));
         };
         let fingerprint = suspicion::fingerprint(host, &head.method, &head.path, body);
-        let level = self.suspicion.level(fingerprint);
-        if level == CrashLevel::Refused {
+        if self.suspicion.level(fingerprint) == CrashLevel::Refused {
             return Err(CallOutcome::refused(
                 ResultCode::CrashSuspect,
-                Suspicion::retry_after_ms(level),
+                self.suspicion.retry_after_ms(fingerprint),
             ));
         }
         Ok(RoutedRequest {
--- a/crates/edge/src/entry/call/ending.rs
+++ b/crates/edge/src/entry/call/ending.rs
@@ -8,7 +8,6 @@
 use crate::entry::answer::CallOutcome;
 use crate::entry::progress;
 use crate::prelude::*;
-use crate::suspicion::Suspicion;
 use crate::target::{is_server_error, is_success};
 
 /// Range of `Retry-After` of a refusal. Slow spells and queues last about this
@@ -235,8 +234,8 @@
             Some(_) => ResultCode::Overloaded,
         };
         if code == ResultCode::CrashSuspect {
-            let level = self.entry.suspicion.level(self.request.fingerprint);
-            let wait = Suspicion::retry_after_ms(level);
+            let suspicion = &self.entry.suspicion;
+            let wait = suspicion.retry_after_ms(self.request.fingerprint);
             return CallOutcome::refused(code, wait).with_reason(reason);
         }
         let now = self.entry.now();
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -185,13 +185,14 @@
         let mut state = self.state.lock();
         let is_cold = state.admission.warm_up().is_cold(now);
         self.metrics.target_warming_up(is_cold);
-        let held = self.suspicion.requests_at(CrashLevel::Trial)
-            + self.suspicion.requests_at(CrashLevel::Refused);
-        let suspected = self.suspicion.requests_at(CrashLevel::Suspect);
-        let gauge = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
-        self.metrics.suspects(SuspectState::Convicted, gauge(held));
-        self.metrics
-            .suspects(SuspectState::Suspected, gauge(suspected));
+        for (state, level) in [
+            (SuspectState::Suspected, CrashLevel::Trial),
+            (SuspectState::Convicted, CrashLevel::Refused),
+        ] {
+            let count = self.suspicion.requests_at(level);
+            let count = u32::try_from(count).unwrap_or(u32::MAX);
+            self.metrics.suspects(state, count);
+        }
         let limit = state.admission.stated_limit().per_1000_s();
         self.metrics.target_request_limit(limit);
         self.metrics.gate_levels(&GateLevels {
--- a/crates/edge/src/suspicion.rs
+++ b/crates/edge/src/suspicion.rs
@@ -20,8 +20,6 @@
 const NOTICE_CAPACITY: usize = 256;
 /// Time after which the caller of a request that runs only as a trial may retry.
 const TRIAL_RETRY_AFTER_MS: Millis = Millis::from_secs(1);
-/// Time after which the caller of a refused request may retry.
-const REFUSED_RETRY_AFTER_MS: Millis = hornbeamhitch_core::suspects::CONVICTED_RETRY_AFTER_MS;
 
 /// The requests that crash targets, shared by this node's entry, gate and links.
 ///
@@ -71,13 +69,12 @@
         history.allowed_targets(fingerprint, available, self.clock.now())
     }
 
-    /// Returns after which time the caller of a request at this level may retry.
+    /// Returns after which time the caller of a restricted request may retry.
     #[must_use]
-    pub const fn retry_after_ms(level: CrashLevel) -> Millis {
-        match level {
-            CrashLevel::Refused => REFUSED_RETRY_AFTER_MS,
-            CrashLevel::Trial | CrashLevel::Suspect | CrashLevel::Clear => TRIAL_RETRY_AFTER_MS,
-        }
+    pub fn retry_after_ms(&self, fingerprint: u64) -> Millis {
+        let history = self.history.lock();
+        let refused_for_ms = history.refused_for_ms(fingerprint, self.clock.now());
+        refused_for_ms.max(TRIAL_RETRY_AFTER_MS)
     }
 
     /// Returns the number of requests at a level.
