--- a/crates/edge/src/suspicion.rs
+++ b/crates/edge/src/suspicion.rs
@@ -108,7 +108,11 @@
         let notices = self.history.lock().observe(runs, id, now);
         let target_id = target.as_str();
         for notice in notices {
-            let (fingerprint, standing, crashes) = self.describe(notice.fingerprint);
+            let LoggedRequest {
+                fingerprint,
+                standing,
+                crashes,
+            } = self.describe(notice.fingerprint);
             log::warn!(
                 target_id, fingerprint, standing, crashes;
                 "a target crashed with a request in flight"
@@ -124,7 +128,7 @@
         let cleared = history.clear(fingerprint, self.clock.now());
         drop(history);
         if let Some(notice) = cleared {
-            let (fingerprint, ..) = self.describe(fingerprint);
+            let LoggedRequest { fingerprint, .. } = self.describe(fingerprint);
             log::info!(fingerprint; "a request that was in flight in a crash has succeeded");
             self.broadcast(notice);
         }
@@ -134,7 +138,11 @@
     pub fn merge_notice(&self, notice: &CrashNotice) {
         let merged = self.history.lock().merge(notice, self.clock.now());
         if let Some(notice) = merged {
-            let (fingerprint, standing, crashes) = self.describe(notice.fingerprint);
+            let LoggedRequest {
+                fingerprint,
+                standing,
+                crashes,
+            } = self.describe(notice.fingerprint);
             log::debug!(fingerprint, standing, crashes; "another node has reported a request");
             self.broadcast(notice);
         }
@@ -145,7 +153,11 @@
         if self.level(fingerprint) == CrashLevel::Clear {
             return;
         }
-        let (fingerprint, standing, crashes) = self.describe(fingerprint);
+        let LoggedRequest {
+            fingerprint,
+            standing,
+            crashes,
+        } = self.describe(fingerprint);
         log::info!(
             request, fingerprint, standing, crashes;
             "starting a request that was in flight in a crash"
@@ -160,13 +172,15 @@
         (known, notices)
     }
 
-    /// Returns the fingerprint, the level and the number of crashes of a request for the log.
-    fn describe(&self, fingerprint: u64) -> (String, &'static str, usize) {
+    /// Returns what log lines say about a request.
+    fn describe(&self, fingerprint: u64) -> LoggedRequest {
         let now = self.clock.now();
         let history = self.history.lock();
-        let level = history.level(fingerprint, now);
-        let crashes = history.count(fingerprint, now);
-        (format!("{fingerprint:016x}"), level.into(), crashes)
+        LoggedRequest {
+            fingerprint: format!("{fingerprint:016x}"),
+            standing: history.level(fingerprint, now).into(),
+            crashes: history.count(fingerprint, now),
+        }
     }
 
     fn broadcast(&self, notice: CrashNotice) {
@@ -175,6 +189,15 @@
     }
 }
 
+/// What log lines say about a request that was in flight in crashes.
+struct LoggedRequest {
+    fingerprint: String,
+    /// Name of its [`CrashLevel`].
+    standing: &'static str,
+    /// Number of crashes that are held against it.
+    crashes: usize,
+}
+
 /// Ends a trial when dropped.
 #[derive(Debug)]
 pub struct TrialGuard {
