Log and measure how far routes lag behind the versions that are known

A node that has applied the change which names a large configuration counts as current (known_ms is small) while the parts are still on their way, and no line said when it had first heard of the version, why a transfer ended, or how long it took. hitch_routes_lag_milliseconds and lag_ms tell it now, and each transfer logs its start and its end with parts, bytes, failures and duration. Logic is unchanged.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -240,6 +240,8 @@
         let directory = gauges.directory.load();
         let age_ms = directory.as_of.age_ms(gauges.clock.now());
         gauges.metrics.known_age(age_ms.0);
+        let lag_ms = directory.routes_lag.lag_ms(gauges.clock.now());
+        gauges.metrics.routes_lag(lag_ms.0);
         let members = &directory.members;
         gauges
             .metrics
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -21,6 +21,8 @@
     pub members: Arc<Members>,
     /// Time as of which both are complete.
     pub as_of: AsOf,
+    /// Lag of the routes behind the versions that this node has heard of.
+    pub routes_lag: RoutesLag,
 }
 
 /// Time as of which a node knows everything that the source has published. All
@@ -42,6 +44,41 @@
     }
 }
 
+/// How long this node has known of a configuration that it has not obtained yet. All
+/// directories of a process share one value.
+///
+/// A large configuration is transferred after the change that names it, so a node that knows
+/// all changes may still use older routes.
+#[derive(Clone, Debug, Default)]
+pub struct RoutesLag(Arc<AtomicU64>);
+
+impl RoutesLag {
+    const NONE: u64 = 0;
+
+    /// Records at `now` that a newer configuration is known than the one in force.
+    pub fn note_behind(&self, now: Millis) {
+        let since = now.0.max(1);
+        // Fails if a configuration has been outstanding for longer, and that time counts.
+        let _ = self
+            .0
+            .compare_exchange(Self::NONE, since, Ordering::Relaxed, Ordering::Relaxed);
+    }
+
+    /// Records that the newest known configuration is in force.
+    pub fn note_current(&self) {
+        self.0.store(Self::NONE, Ordering::Relaxed);
+    }
+
+    /// Returns how long the routes in force have been outdated, zero if they are current.
+    #[must_use]
+    pub fn lag_ms(&self, now: Millis) -> Millis {
+        match self.0.load(Ordering::Relaxed) {
+            Self::NONE => Millis::ZERO,
+            since => now.since(Millis(since)),
+        }
+    }
+}
+
 /// The state that a node sends to another node that has none.
 #[derive(Serialize, Deserialize)]
 struct Facts {
@@ -99,6 +136,7 @@
         routes: Some(Arc::new(facts.routes)),
         members: Arc::new(tracker.snapshot()),
         as_of: directory.load().as_of.clone(),
+        routes_lag: directory.load().routes_lag.clone(),
     });
     let before = directory.rcu(|known| match known.routes {
         Some(_) => Arc::clone(known),
@@ -161,7 +199,8 @@
             log::debug!(offered = routes.version(), in_force; "ignored a configuration that is not newer than the one in force");
             return;
         }
-        log::info!(version = routes.version(), before = in_force; "configuration in force");
+        let lag_ms = directory.routes_lag.lag_ms(self.clock.now()).0;
+        log::info!(version = routes.version(), before = in_force, lag_ms; "configuration in force");
         let routes = Arc::new(routes);
         // The configuration may name services whose targets were listed before it.
         let members = Arc::new(self.tracker.snapshot_for(&routes));
@@ -173,6 +212,7 @@
                 false => Arc::clone(&known.members),
             },
             as_of: known.as_of.clone(),
+            routes_lag: known.routes_lag.clone(),
         });
     }
 
@@ -196,6 +236,7 @@
                 routes: Some(Arc::clone(&routes)),
                 members: Arc::clone(&members),
                 as_of: known.as_of.clone(),
+                routes_lag: known.routes_lag.clone(),
             })
         });
         if before.routes.is_none() {
@@ -295,6 +336,7 @@
             routes: known.routes.clone(),
             members: Arc::clone(&members),
             as_of: known.as_of.clone(),
+            routes_lag: known.routes_lag.clone(),
         });
     }
 
@@ -303,6 +345,15 @@
         self.directory.load().as_of.note(at);
     }
 
+    /// Records whether a newer configuration is known than the one in force.
+    pub fn note_newest_routes(&self, newest: Option<u64>) {
+        let lag = &self.directory.load().routes_lag;
+        match newest > self.version() {
+            true => lag.note_behind(self.clock.now()),
+            false => lag.note_current(),
+        }
+    }
+
     /// Age of the known state.
     #[must_use]
     pub fn age_ms(&self) -> Millis {
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -239,6 +239,7 @@
         for written in routes {
             self.directory.set_routes(written);
         }
+        self.directory.note_newest_routes(self.routes_version);
     }
 
     /// Requests a configuration that is too large for the change feed, unless the one in
@@ -305,7 +306,11 @@
                 last_read_failed,
                 as_of,
             } => (reader, changes, revision, last_read_failed, as_of),
-            FeedEvent::RoutesRead(routes) => return self.directory.set_routes(routes),
+            FeedEvent::RoutesRead(routes) => {
+                self.directory.set_routes(routes);
+                self.directory.note_newest_routes(self.routes_version);
+                return;
+            }
             FeedEvent::Lost { reader } => {
                 self.missing_before.remove(&reader);
                 return;
--- a/crates/edge/src/following/large_routes.rs
+++ b/crates/edge/src/following/large_routes.rs
@@ -116,6 +116,7 @@
             return Some(routes);
         }
         if self.is_superseded(wanted) {
+            log::info!(version = wanted.version; "a newer configuration replaces one that is not complete");
             return None;
         }
         self.read(wanted.version).await
@@ -167,29 +168,33 @@
         parts.expect(manifest);
         let mut fetch = Fetch {
             manifest,
+            started: Instant::now(),
             last_progress: Instant::now(),
             parts: 0,
             bytes: 0,
             sender: None,
+            failures: 0,
         };
+        let (version, of) = (manifest.version(), manifest.parts().len());
+        let missing = parts.missing(manifest).len();
+        log::info!(version, missing, of; "fetching a configuration from other nodes");
         let max_stall = self.access.waits.parts_max_stall_ms().to_duration();
         let mut nodes = nodes.iter().cycle();
         while !parts.missing(manifest).is_empty() {
             if self.is_outdated() || fetch.last_progress.elapsed() > max_stall {
+                fetch.log("a configuration was not fetched from other nodes");
                 return None;
             }
             let node = nodes.next()?;
             if let Err(fault) = self.fetch_from_tree(*node, &mut fetch).await {
                 log::debug!("fetching parts from {node} failed: {fault}");
+                fetch.failures += 1;
                 pause_up_to(self.access.waits.part_retry_ms()).await;
             }
         }
-        let version = manifest.version();
         match parts.join(manifest) {
             Ok(routes) => {
-                let (fetched, of, bytes) = (fetch.parts, manifest.parts().len(), fetch.bytes);
-                let sender = fetch.sender.map(|sender| sender.to_string());
-                log::info!(version, parts = fetched, of, bytes, sender; "fetched a configuration from other nodes");
+                fetch.log("fetched a configuration from other nodes");
                 Some(routes)
             }
             Err(fault) => {
@@ -215,6 +220,7 @@
         while fetch.last_progress.elapsed() < patience {
             if let Err(fault) = self.fetch_from(parent, false, fetch).await {
                 log::debug!("fetching parts from {parent} failed: {fault}");
+                fetch.failures += 1;
                 break;
             }
             if self.access.feed.parts().missing(fetch.manifest).is_empty() || self.is_outdated() {
@@ -298,6 +304,7 @@
 /// Progress of fetching one configuration.
 struct Fetch<'a> {
     manifest: &'a RoutesManifest,
+    started: Instant,
     last_progress: Instant,
     /// Number of parts that were received.
     parts: usize,
@@ -305,9 +312,19 @@
     bytes: usize,
     /// Node that sent the last of them.
     sender: Option<IpAddr>,
+    /// Number of nodes that did not respond in time.
+    failures: u32,
 }
 
 impl Fetch<'_> {
+    fn log(&self, message: &str) {
+        let (version, of) = (self.manifest.version(), self.manifest.parts().len());
+        let (parts, bytes, failures) = (self.parts, self.bytes, self.failures);
+        let sender = self.sender.map(|sender| sender.to_string());
+        let took_ms = Millis::from_duration(self.started.elapsed()).0;
+        log::info!(version, parts, of, bytes, sender, failures, took_ms; "{message}");
+    }
+
     fn note_part(&mut self, bytes: usize, sender: IpAddr) {
         self.sender = Some(sender);
         self.parts += 1;
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -165,6 +165,7 @@
         routes: Some(Arc::new(routes)),
         members: Arc::new(tracker.snapshot()),
         as_of: directory.load().as_of.clone(),
+        routes_lag: directory.load().routes_lag.clone(),
     }));
 }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -290,6 +290,11 @@
         self.instruments.known_age.record(age_ms, &[]);
     }
 
+    /// Sets the time for which a newer configuration than the one in force has been known.
+    pub fn routes_lag(&self, lag_ms: u64) {
+        self.instruments.routes_lag.record(lag_ms, &[]);
+    }
+
     /// Sets the number of evacuated data centres.
     pub fn evacuated_data_centres(&self, count: usize) {
         let count = u64::try_from(count).unwrap_or(u64::MAX);
--- a/crates/node/src/metrics/instruments.rs
+++ b/crates/node/src/metrics/instruments.rs
@@ -47,6 +47,7 @@
     pub(super) platform_reads: Counter<u64>,
     pub(super) config_in_force: Gauge<u64>,
     pub(super) known_age: Gauge<u64>,
+    pub(super) routes_lag: Gauge<u64>,
     pub(super) evacuated_data_centres: Gauge<u64>,
     pub(super) target_warming_up: Gauge<u64>,
     pub(super) target_request_limit: Gauge<u64>,
@@ -121,6 +122,11 @@
                 "hitch.known.age_milliseconds",
                 "Age of what is known of configuration and targets.",
             ),
+            routes_lag: gauge(
+                &meter,
+                "hitch.routes.lag_milliseconds",
+                "Time since a newer configuration than the one in force became known.",
+            ),
             evacuated_data_centres: gauge(
                 &meter,
                 "hitch.data_centres.evacuated",
--- a/crates/node/src/metrics/tests.rs
+++ b/crates/node/src/metrics/tests.rs
@@ -81,6 +81,7 @@
     metrics.platform_read(PlatformRead::Stale);
     metrics.control_busy(1_234);
     metrics.known_age(640);
+    metrics.routes_lag(90);
     metrics.evacuated_data_centres(1);
     metrics.target_warming_up(true);
     metrics.target_request_limit(Some(6_800));
