Send a configuration to few nodes at a time, whoever asks

Seen by callers: routes of an older version for seconds after a newer one was confirmed. A node whose parent was silent for 8% of the bound asked the root to send everything itself. The root's line was then shared by dozens, each answer took longer than the same 8%, and all of them ended in reading the whole configuration from the store, over lines that were full already.

Now a node sends to three others at a time and refers all others to them, also those that come back. A place is free again after the last part, or when its holder has been silent for the parts' timeout. An empty answer keeps the requester for that long, since a parent may wait for its own first part, and an answer is 8 KiB, which is what each level of the tree waits for.

The megabyte on 300 nodes passes.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -207,8 +207,11 @@
         request: &PartsRequest,
         requester: &UnboundedSender<ToEntry>,
     ) {
-        let max_wait_ms = self.waits.part_retry_ms();
-        self.parts.serve(request, max_wait_ms, requester).await;
+        let (max_wait_ms, idle_timeout_ms) =
+            (self.waits.part_retry_ms(), self.waits.part_timeout_ms());
+        self.parts
+            .serve(request, max_wait_ms, idle_timeout_ms, requester)
+            .await;
     }
 
     fn wake(&self) {
--- a/crates/edge/src/feed/parts.rs
+++ b/crates/edge/src/feed/parts.rs
@@ -11,7 +11,9 @@
 use tokio::sync::watch;
 
 use crate::prelude::*;
+use receivers::Receivers;
 
+mod receivers;
 #[cfg(test)]
 mod tests;
 
@@ -19,11 +21,11 @@
 /// that subscribers may still fetch.
 const MAX_MANIFESTS: usize = 3;
 /// An answer ends after this many bytes of parts, so that what a node has requested never
-/// occupies the sender's link for long.
-const MAX_ANSWER_BYTES: usize = 16 * 1024;
-/// Number of nodes to which a node sends more than one answer of the same configuration,
-/// and number of nodes that it refers to each of those. What a node sends thus grows with
-/// the configuration and not with the number of nodes that fetch it.
+/// occupies the sender's link for long. It is also what a node receives before it can send
+/// anything to its own receivers.
+const MAX_ANSWER_BYTES: usize = 8 * 1024;
+/// Number of nodes to which a node sends a configuration at the same time. It refers others to
+/// these, so the queue on its link stays short however many nodes ask.
 const MAX_RECEIVERS: usize = 3;
 
 /// Known parts of configurations.
@@ -39,27 +41,7 @@
     /// Configurations whose parts are kept, oldest first.
     manifests: VecDeque<RoutesManifest>,
     parts: HashMap<PartDigest, Bytes>,
-    referrals: Referrals,
-}
-
-/// Distribution tree of the newest configuration below this node.
-#[derive(Debug, Default)]
-struct Referrals {
-    /// Nodes that fetch from this one.
-    receivers: Vec<IpAddr>,
-    /// Parent of each node that was referred.
-    parents: HashMap<IpAddr, IpAddr>,
-    /// Nodes that may become parents, and how many further nodes may be referred to them.
-    capacities: VecDeque<(IpAddr, usize)>,
-}
-
-/// Answer to a request for parts.
-#[derive(Debug, PartialEq, Eq)]
-pub(crate) enum PartsAnswer {
-    /// Some of the requested parts, or none if this node has none.
-    Parts(Vec<Bytes>),
-    /// Another node that has or receives the parts.
-    Referral(IpAddr),
+    receivers: Receivers,
 }
 
 impl Default for PartStore {
@@ -134,50 +116,59 @@
         parts::join(manifest, &self.state.lock().parts)
     }
 
-    /// Answers a request with the parts that are known, or with a node that has them.
-    pub(crate) fn answer(&self, request: &PartsRequest) -> PartsAnswer {
+    /// Decides whether this node serves a request, or returns the node that should.
+    ///
+    /// A request that one answer completes is always served: a referral would take as long.
+    fn admit(&self, request: &PartsRequest, idle_timeout_ms: Millis) -> Option<IpAddr> {
         let mut state = self.state.lock();
-        let mut answer = Vec::new();
+        if state.completes(request) {
+            state.receivers.finish(request.node);
+            return None;
+        }
+        let idle_timeout = idle_timeout_ms.to_duration();
+        match state.receivers.admit(request.node, idle_timeout) {
+            Err(receiver) if request.may_refer => Some(receiver),
+            _ => None,
+        }
+    }
+
+    /// Returns requested parts that are known, up to the size of one answer.
+    fn known_parts(&self, digests: &[PartDigest]) -> Vec<Bytes> {
+        let state = self.state.lock();
+        let mut known = Vec::new();
         let mut bytes = 0;
-        for digest in &request.digests {
+        for digest in digests {
             let Some(part) = state.parts.get(digest) else {
                 continue;
             };
-            if bytes < MAX_ANSWER_BYTES {
-                answer.push(part.clone());
+            if bytes >= MAX_ANSWER_BYTES {
+                break;
             }
             bytes += part.len();
+            known.push(part.clone());
         }
-        if bytes > MAX_ANSWER_BYTES
-            && request.may_refer
-            && let Some(parent) = state.referrals.refer(request.node)
-        {
-            return PartsAnswer::Referral(parent);
-        }
-        PartsAnswer::Parts(answer)
+        known
     }
 
     /// Sends the answer to a request, after waiting up to `max_wait_ms` for parts that this
-    /// node is about to receive itself.
+    /// node is about to receive itself. A node that requests nothing for `idle_timeout_ms`
+    /// makes room for another one.
     pub(crate) async fn serve(
         &self,
         request: &PartsRequest,
         max_wait_ms: Millis,
+        idle_timeout_ms: Millis,
         requester: &UnboundedSender<ToEntry>,
     ) {
-        let mut added = self.added.subscribe();
-        let until_known = added.wait_for(|()| self.knows_any(&request.digests));
-        // Without any known part the answer is empty, and the node asks elsewhere.
-        let _ = tokio::time::timeout(max_wait_ms.to_duration(), until_known).await;
-        let mut referral = None;
-        match self.answer(request) {
-            PartsAnswer::Referral(parent) => referral = Some(parent),
-            PartsAnswer::Parts(parts) => {
-                for part in parts {
-                    // A send fails only if the link has closed, and then no answer is
-                    // needed.
-                    let _ = requester.send(ToEntry::Part(part));
-                }
+        let referral = self.admit(request, idle_timeout_ms);
+        if referral.is_none() {
+            let mut added = self.added.subscribe();
+            let until_known = added.wait_for(|()| self.knows_any(&request.digests));
+            // Without any known part the answer is empty, and the node asks elsewhere.
+            let _ = tokio::time::timeout(max_wait_ms.to_duration(), until_known).await;
+            for part in self.known_parts(&request.digests) {
+                // A send fails only if the link has closed, and then no answer is needed.
+                let _ = requester.send(ToEntry::Part(part));
             }
         }
         let _ = requester.send(ToEntry::PartsEnd { referral });
@@ -198,7 +189,7 @@
             return;
         }
         self.manifests.push_back(manifest.clone());
-        self.referrals = Referrals::default();
+        self.receivers = Receivers::default();
         if self.manifests.len() <= MAX_MANIFESTS {
             return;
         }
@@ -208,35 +199,20 @@
         self.parts.retain(|digest, _| named.contains(digest));
     }
 
+    /// Whether one answer contains all requested parts.
+    fn completes(&self, request: &PartsRequest) -> bool {
+        let mut bytes = 0;
+        for digest in &request.digests {
+            let Some(part) = self.parts.get(digest) else {
+                return false;
+            };
+            bytes += part.len();
+        }
+        bytes <= MAX_ANSWER_BYTES
+    }
+
     fn names(&self, digest: &PartDigest) -> bool {
         let mut manifests = self.manifests.iter();
         manifests.any(|manifest| manifest.parts().contains(digest))
     }
 }
-
-impl Referrals {
-    /// Returns the node that is to send the parts to `node`, or `None` if this node is.
-    fn refer(&mut self, node: IpAddr) -> Option<IpAddr> {
-        if let Some(parent) = self.parents.get(&node) {
-            return Some(*parent);
-        }
-        if self.receivers.contains(&node) {
-            return None;
-        }
-        let mut parent = None;
-        if self.receivers.len() < MAX_RECEIVERS {
-            self.receivers.push(node);
-        } else if let Some((candidate, capacity)) = self.capacities.front_mut() {
-            parent = Some(*candidate);
-            *capacity -= 1;
-            if *capacity == 0 {
-                self.capacities.pop_front();
-            }
-        }
-        if let Some(parent) = parent {
-            self.parents.insert(node, parent);
-        }
-        self.capacities.push_back((node, MAX_RECEIVERS));
-        parent
-    }
-}
--- /dev/null
+++ b/crates/edge/src/feed/parts/receivers.rs
@@ -0,0 +1,59 @@
+//! Chooses the nodes to which this node sends a configuration, and refers others to them.
+//!
+//! The nodes that fetch a configuration thus form a tree, through which parts pass as soon as
+//! they arrive. A node whose parent is slow or gone asks again and takes a place that has
+//! become free anywhere in the tree. It is never sent parts beyond the limit: on a link that
+//! is already full, that would delay all others until they give up too.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::IpAddr;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::MAX_RECEIVERS;
+
+/// Nodes that fetch the newest configuration from this one.
+#[derive(Debug, Default)]
+pub(super) struct Receivers {
+    /// Time of the last request of each node that is being sent parts.
+    active: HashMap<IpAddr, Instant>,
+    /// Nodes that have been sent parts, the one that was named longest ago first.
+    referrals: VecDeque<IpAddr>,
+}
+
+impl Receivers {
+    /// Admits a node that requests parts.
+    ///
+    /// # Errors
+    ///
+    /// Returns another node that has some of the parts if there is no room.
+    pub(super) fn admit(&mut self, node: IpAddr, idle_timeout: Duration) -> Result<(), IpAddr> {
+        self.active
+            .retain(|_, requested_at| requested_at.elapsed() < idle_timeout);
+        if self.active.len() >= MAX_RECEIVERS
+            && !self.active.contains_key(&node)
+            && let Some(receiver) = self.next_referral(node)
+        {
+            return Err(receiver);
+        }
+        self.active.insert(node, Instant::now());
+        if !self.referrals.contains(&node) {
+            self.referrals.push_back(node);
+        }
+        Ok(())
+    }
+
+    /// Records that a node has all parts after this answer.
+    pub(super) fn finish(&mut self, node: IpAddr) {
+        self.active.remove(&node);
+    }
+
+    /// Returns the receiver to which a node was referred longest ago.
+    fn next_referral(&mut self, requester: IpAddr) -> Option<IpAddr> {
+        let index = self.referrals.iter().position(|node| *node != requester)?;
+        let receiver = self.referrals.remove(index)?;
+        self.referrals.push_back(receiver);
+        Some(receiver)
+    }
+}
--- a/crates/edge/src/feed/parts/tests.rs
+++ b/crates/edge/src/feed/parts/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the parts that a node keeps and sends.
 
+use std::collections::HashMap;
+
 use super::*;
 use crate::feed::tests::route;
 
@@ -67,51 +69,112 @@
     assert!(state.parts.len() <= most, "{} parts", state.parts.len());
 }
 
+/// Time after which a node that requests nothing makes room for another one.
+const IDLE_TIMEOUT_MS: Millis = Millis(200);
+
+/// Requests parts. Returns them, and the node that was named in place of them.
+async fn fetch(store: &PartStore, request: &PartsRequest) -> (Vec<Bytes>, Option<IpAddr>) {
+    let (sender, mut answers) = tokio::sync::mpsc::unbounded_channel();
+    store
+        .serve(request, Millis(100), IDLE_TIMEOUT_MS, &sender)
+        .await;
+    let mut parts = Vec::new();
+    loop {
+        match answers.try_recv().expect("an answer") {
+            ToEntry::Part(part) => parts.push(part),
+            ToEntry::PartsEnd { referral } => return (parts, referral),
+            answer => panic!("{answer:?}"),
+        }
+    }
+}
+
+fn sender_of_2000_routes() -> (PartStore, RoutesManifest) {
+    let store = PartStore::default();
+    let manifest = store.add_routes(&routes(3, 2_000));
+    (store, manifest.expect("encodable routes"))
+}
+
 /// Guards against a node whose line is occupied by a configuration that all other nodes
 /// fetch from it.
-#[test]
-fn a_node_sends_a_large_configuration_to_few_others() {
+#[tokio::test(start_paused = true)]
+async fn a_node_sends_a_large_configuration_to_few_others() {
     const NODES: u8 = 100;
-    let store = PartStore::default();
-    let manifest = store
-        .add_routes(&routes(3, 2_000))
-        .expect("encodable routes");
-    let mut children: HashMap<IpAddr, usize> = HashMap::new();
+    let (store, manifest) = sender_of_2000_routes();
+    let mut referred: HashMap<IpAddr, usize> = HashMap::new();
     let mut served = 0;
     for number in 0..NODES {
-        match store.answer(&request(node(number), &manifest, true)) {
-            PartsAnswer::Parts(parts) => {
+        let (parts, referral) = fetch(&store, &request(node(number), &manifest, true)).await;
+        let bytes: usize = parts.iter().map(Bytes::len).sum();
+        match referral {
+            None => {
                 served += 1;
-                let bytes: usize = parts.iter().map(Bytes::len).sum();
                 assert!((1..2 * MAX_ANSWER_BYTES).contains(&bytes), "{bytes} bytes");
             }
-            PartsAnswer::Referral(parent) => {
-                assert!(parent < node(number), "a node that asked before");
-                *children.entry(parent).or_default() += 1;
+            Some(receiver) => {
+                assert_eq!(bytes, 0);
+                assert!(receiver < node(number), "a node that asked before");
+                *referred.entry(receiver).or_default() += 1;
             }
         }
     }
     assert_eq!(served, MAX_RECEIVERS);
-    assert!(children.values().all(|count| *count <= MAX_RECEIVERS));
-    // A node that asks again gets the same answer, unless it does not accept a referral.
-    let again = store.answer(&request(node(NODES - 1), &manifest, true));
-    assert!(matches!(again, PartsAnswer::Referral(_)));
-    let direct = store.answer(&request(node(NODES - 1), &manifest, false));
-    assert!(matches!(direct, PartsAnswer::Parts(parts) if !parts.is_empty()));
+    assert_eq!(referred.len(), MAX_RECEIVERS, "{referred:?}");
+    let most = usize::from(NODES).div_ceil(MAX_RECEIVERS);
+    assert!(
+        referred.values().all(|count| *count <= most),
+        "{referred:?}"
+    );
+    // A node of an earlier program may refuse a referral.
+    let (parts, _) = fetch(&store, &request(node(NODES - 1), &manifest, false)).await;
+    assert!(!parts.is_empty());
 }
 
-#[test]
-fn a_small_difference_is_sent_to_all() {
-    let store = PartStore::default();
-    let manifest = store
-        .add_routes(&routes(3, 2_000))
-        .expect("encodable routes");
+/// Guards against a node that sends parts to everyone whose parent is slow, which delays its
+/// own receivers until they come back to it too.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_comes_back_is_served_once_there_is_room() {
+    let (store, manifest) = sender_of_2000_routes();
+    for number in 0..3 {
+        let (_, referral) = fetch(&store, &request(node(number), &manifest, true)).await;
+        assert_eq!(referral, None);
+    }
+    let late = request(node(9), &manifest, true);
+    for _ in 0..3 {
+        let (parts, referral) = fetch(&store, &late).await;
+        assert!(parts.is_empty() && referral.is_some());
+    }
+    tokio::time::sleep(IDLE_TIMEOUT_MS.to_duration()).await;
+    let (parts, referral) = fetch(&store, &late).await;
+    assert!(!parts.is_empty() && referral.is_none());
+}
+
+/// Guards against a place that stays taken after the last part was sent.
+#[tokio::test(start_paused = true)]
+async fn the_last_parts_of_a_node_make_room_for_another() {
+    let (store, manifest) = sender_of_2000_routes();
+    for number in 0..3 {
+        fetch(&store, &request(node(number), &manifest, true)).await;
+    }
+    let last = PartsRequest {
+        node: node(0),
+        digests: manifest.parts()[..2].to_vec(),
+        may_refer: true,
+    };
+    fetch(&store, &last).await;
+    let (parts, _) = fetch(&store, &request(node(9), &manifest, true)).await;
+    assert!(!parts.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_small_difference_is_sent_to_all() {
+    let (store, manifest) = sender_of_2000_routes();
     for number in 0..100 {
-        let answer = store.answer(&PartsRequest {
+        let small = PartsRequest {
             node: node(number),
             digests: manifest.parts()[..2].to_vec(),
             may_refer: true,
-        });
-        assert!(matches!(answer, PartsAnswer::Parts(parts) if parts.len() == 2));
+        };
+        let (parts, _) = fetch(&store, &small).await;
+        assert_eq!(parts.len(), 2);
     }
 }
--- a/crates/edge/src/following/large_routes.rs
+++ b/crates/edge/src/following/large_routes.rs
@@ -19,6 +19,9 @@
 
 /// Maximum number of parts in one request. The answer is usually shorter.
 const MAX_REQUESTED_PARTS: usize = 64;
+/// Maximum number of referrals that are followed before the first node is asked again. Trees of
+/// transfers are less deep.
+const MAX_REFERRALS: usize = 12;
 
 /// A configuration that this node wants.
 #[derive(Clone, Debug)]
@@ -186,9 +189,12 @@
                 return None;
             }
             let node = nodes.next()?;
+            let before = fetch.parts;
             if let Err(fault) = self.fetch_from_tree(*node, &mut fetch).await {
-                log::debug!("fetching parts from {node} failed: {fault}");
+                log::debug!("fetching parts by way of {node} failed: {fault}");
                 fetch.failures += 1;
+            }
+            if fetch.parts == before {
                 pause_up_to(self.access.waits.part_retry_ms()).await;
             }
         }
@@ -209,25 +215,15 @@
         self.wanted.has_changed().unwrap_or(true)
     }
 
-    /// Fetches parts from a node or from the node to which it refers. If the latter sends
-    /// nothing, the former is asked to send the parts itself.
+    /// Fetches parts from a node or from those to which it refers one after the other.
     async fn fetch_from_tree(&self, root: IpAddr, fetch: &mut Fetch<'_>) -> Result<(), LinkFault> {
-        let Some(parent) = self.fetch_from(root, true, fetch).await? else {
-            return Ok(());
-        };
-        // The parent may still wait for parts itself.
-        let patience = self.access.waits.part_timeout_ms().to_duration();
-        while fetch.last_progress.elapsed() < patience {
-            if let Err(fault) = self.fetch_from(parent, false, fetch).await {
-                log::debug!("fetching parts from {parent} failed: {fault}");
-                fetch.failures += 1;
-                break;
-            }
-            if self.access.feed.parts().missing(fetch.manifest).is_empty() || self.is_outdated() {
-                return Ok(());
+        let mut node = root;
+        for _ in 0..MAX_REFERRALS {
+            match self.fetch_from(node, fetch).await? {
+                Some(referral) if referral != self.access.own_ip => node = referral,
+                _ => break,
             }
         }
-        self.fetch_from(root, false, fetch).await?;
         Ok(())
     }
 
@@ -236,17 +232,17 @@
     async fn fetch_from(
         &self,
         node: IpAddr,
-        may_refer: bool,
         fetch: &mut Fetch<'_>,
     ) -> Result<Option<IpAddr>, LinkFault> {
         let parts = self.access.feed.parts();
+        let patience = self.access.waits.part_timeout_ms().to_duration();
         let mut stream: Option<Box<dyn FeedStream>> = None;
         loop {
             let missing = parts.missing(fetch.manifest);
             if missing.is_empty() || self.is_outdated() {
                 return Ok(None);
             }
-            let request = self.request_for(missing, may_refer);
+            let request = self.request_for(missing);
             let connected = match stream.take() {
                 None => self.in_time(self.access.links.open(node, request)).await?,
                 Some(mut connected) => {
@@ -269,7 +265,9 @@
                     _ => {}
                 }
             };
-            if fetch.parts == before {
+            // The node may still wait for its own first part.
+            let may_wait = referral.is_none() && fetch.last_progress.elapsed() < patience;
+            if fetch.parts == before && !may_wait {
                 return Ok(referral);
             }
         }
@@ -277,14 +275,14 @@
 
     /// Requests parts in random order. Nodes that fetch from each other then rarely lack the
     /// same ones.
-    fn request_for(&self, missing: Vec<PartDigest>, may_refer: bool) -> ToGate {
+    fn request_for(&self, missing: Vec<PartDigest>) -> ToGate {
         let mut digests = missing;
         digests.shuffle(&mut rand::rng());
         digests.truncate(MAX_REQUESTED_PARTS);
         ToGate::FetchParts(PartsRequest {
             node: self.access.own_ip,
             digests,
-            may_refer,
+            may_refer: true,
         })
     }
 
--- a/crates/edge/src/following/tests/parts.rs
+++ b/crates/edge/src/following/tests/parts.rs
@@ -22,9 +22,9 @@
 const SETTLE: Duration = Duration::from_secs(5);
 const IN_FORCE: Duration = IN_FORCE_MS.to_duration();
 
-async fn settled_fleet(nodes: usize) -> Fleet {
+async fn settled_fleet(nodes: usize, line_bytes_per_ms: u64) -> Fleet {
     let mut fleet = Fleet::unstarted(nodes);
-    fleet.limit_lines(LINE_BYTES_PER_MS);
+    fleet.limit_lines(line_bytes_per_ms);
     fleet.list_all_targets();
     tokio::time::sleep(SETTLE).await;
     fleet.restart_staggered(Duration::from_millis(300)).await;
@@ -36,7 +36,7 @@
 /// Guards against a version of a large configuration that each node reads from the store.
 fn large_versions_are_read_by_readers_only(nodes: usize) {
     in_virtual_time(async move {
-        let mut fleet = settled_fleet(nodes).await;
+        let mut fleet = settled_fleet(nodes, LINE_BYTES_PER_MS).await;
         for _ in 0..VERSIONS {
             let before = fleet.max_sent_bytes();
             fleet.put_next_large_version(ROUTES);
@@ -69,7 +69,7 @@
 #[test]
 fn nodes_that_the_store_rejects_receive_large_versions() {
     in_virtual_time(async {
-        let mut fleet = settled_fleet(100).await;
+        let mut fleet = settled_fleet(100, LINE_BYTES_PER_MS).await;
         fleet.set_mode_of_followers(SourceMode::Failing);
         fleet.put_next_large_version(ROUTES);
         tokio::time::sleep(IN_FORCE).await;
@@ -82,7 +82,7 @@
 #[test]
 fn versions_in_quick_succession_reach_all_nodes() {
     in_virtual_time(async {
-        let mut fleet = settled_fleet(100).await;
+        let mut fleet = settled_fleet(100, LINE_BYTES_PER_MS).await;
         for _ in 0..20 {
             fleet.put_next_large_version(ROUTES);
             tokio::time::sleep(Duration::from_millis(3)).await;
@@ -98,7 +98,7 @@
 #[test]
 fn a_megabyte_is_in_force_on_300_nodes_in_time() {
     in_virtual_time(async {
-        let mut fleet = settled_fleet(300).await;
+        let mut fleet = settled_fleet(300, LINE_BYTES_PER_MS).await;
         let before = fleet.max_sent_bytes();
         fleet.put_next_large_version(MEGABYTE_ROUTES);
         tokio::time::sleep(SLOW_LINES_IN_FORCE).await;
@@ -108,3 +108,25 @@
         assert_eq!(fleet.route_reads(), 0);
     });
 }
+
+/// 10 Mbit/s, a third of which is used by calls.
+const THIN_LINE_BYTES_PER_MS: u64 = 830;
+/// Routes of a configuration of some 300 kB.
+const SEVERAL_HUNDRED_KB_ROUTES: usize = 3_500;
+/// Number of fleets. Requests for parts are random, and so is who becomes slow.
+const FLEETS: u64 = 6;
+
+/// Guards against transfers that stall on thin lines and are replaced by reads of all nodes
+/// from the source.
+#[test]
+fn several_hundred_kilobytes_are_in_force_on_thin_lines_in_time() {
+    for _ in 0..FLEETS {
+        in_virtual_time(async {
+            let mut fleet = settled_fleet(70, THIN_LINE_BYTES_PER_MS).await;
+            fleet.put_next_large_version(SEVERAL_HUNDRED_KB_ROUTES);
+            tokio::time::sleep(IN_FORCE).await;
+            assert_eq!(fleet.nodes_missing_routes(SEVERAL_HUNDRED_KB_ROUTES), 0);
+            assert_eq!(fleet.route_reads(), 0);
+        });
+    }
+}
