Fetch the manifest of a large configuration like its parts

A reader published the digests of all parts, 4 kB for 257 parts, to each of up to 59 subscribers, and each subscriber received them from three readers: 0.2 s of a line of 10 Mbit/s, in front of the first part.

Now the feed names the manifest by its digest if it has more than 64 parts, and the manifest is fetched along the tree. Two faults came up on the way, both seen in the tests on thin lines (66 reads by 70 nodes, 13 of 300 nodes without the megabyte): after the manifest each node went back to the root, so that places were held by nodes that had gone elsewhere, and nodes waited for each other. A transfer now stays with the node that sent the manifest, and a place ends with its link.

--- a/crates/dispatch/src/routes/parts.rs
+++ b/crates/dispatch/src/routes/parts.rs
@@ -36,6 +36,24 @@
         self.version
     }
 
+    /// Encodes the manifest, so that it can be fetched by its digest like a part.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the manifest cannot be encoded.
+    pub fn encode(&self) -> Result<Bytes, PartFault> {
+        Ok(Bytes::from(postcard::to_stdvec(self)?))
+    }
+
+    /// Decodes a manifest.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are not a manifest.
+    pub fn decode(encoded: &[u8]) -> Result<Self, PartFault> {
+        Ok(postcard::from_bytes(encoded)?)
+    }
+
     /// Returns the digests of all parts.
     #[must_use]
     pub fn parts(&self) -> &[PartDigest] {
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -37,6 +37,10 @@
 /// delay the removals of targets that are published after it.
 const MAX_CHANGE_BYTES: usize = 8 * 1024;
 
+/// Largest number of parts of a configuration whose manifest is published as a whole. A reader
+/// sends each change to all of its subscribers, before any of them fetches a part.
+const MAX_INLINE_PARTS: usize = 64;
+
 /// Whether a node's feed accepts subscribers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum FeedStatus {
@@ -243,9 +247,16 @@
     if encoded.len() <= MAX_CHANGE_BYTES {
         return Ok(encoded.into());
     }
+    let added = parts.add_routes(routes)?;
     let reference = Change {
         revision: change.revision,
-        fact: Fact::RoutesInParts(parts.add_routes(routes)?),
+        fact: match added.manifest.parts().len() {
+            ..=MAX_INLINE_PARTS => Fact::RoutesInParts(added.manifest),
+            _ => Fact::RoutesByDigest {
+                version: routes.version(),
+                manifest: added.digest,
+            },
+        },
     };
     Ok(postcard::to_stdvec(&reference)?.into())
 }
--- a/crates/edge/src/feed/change_log.rs
+++ b/crates/edge/src/feed/change_log.rs
@@ -28,7 +28,10 @@
 impl Key {
     fn of(change: &Change) -> Self {
         match &change.fact {
-            Fact::Routes(_) | Fact::LargeRoutes(_) | Fact::RoutesInParts(_) => Self::Routes,
+            Fact::Routes(_)
+            | Fact::LargeRoutes(_)
+            | Fact::RoutesInParts(_)
+            | Fact::RoutesByDigest { .. } => Self::Routes,
             Fact::Listed(member) => Self::Target(member.id.clone()),
             Fact::Removed(id) => Self::Target(id.clone()),
             Fact::EvacuationStarted(data_centre) | Fact::EvacuationEnded(data_centre) => {
--- a/crates/edge/src/feed/parts.rs
+++ b/crates/edge/src/feed/parts.rs
@@ -41,9 +41,19 @@
     /// Configurations whose parts are kept, oldest first.
     manifests: VecDeque<RoutesManifest>,
     parts: HashMap<PartDigest, Bytes>,
+    /// Manifest that this node is about to fetch.
+    expected_manifest: Option<PartDigest>,
     receivers: Receivers,
 }
 
+/// A configuration whose parts were added.
+#[derive(Debug)]
+pub(crate) struct AddedRoutes {
+    pub(crate) manifest: RoutesManifest,
+    /// Digest of the encoded manifest.
+    pub(crate) digest: PartDigest,
+}
+
 impl Default for PartStore {
     fn default() -> Self {
         Self {
@@ -54,19 +64,45 @@
 }
 
 impl PartStore {
-    /// Adds the parts of a complete configuration and returns its manifest.
+    /// Adds the parts of a complete configuration, and its manifest as a further part.
     ///
     /// # Errors
     ///
     /// Returns an error if the configuration cannot be encoded.
-    pub(crate) fn add_routes(&self, routes: &RouteSet) -> Result<RoutesManifest, PartFault> {
+    pub(crate) fn add_routes(&self, routes: &RouteSet) -> Result<AddedRoutes, PartFault> {
         let split = parts::split(routes)?;
+        let encoded = split.manifest.encode()?;
+        let digest = parts::digest(&encoded);
         let mut state = self.state.lock();
         state.parts.extend(split.parts);
+        state.parts.insert(digest, encoded);
         state.keep(&split.manifest);
         drop(state);
         self.added.send_replace(());
-        Ok(split.manifest)
+        Ok(AddedRoutes {
+            manifest: split.manifest,
+            digest,
+        })
+    }
+
+    /// Accepts a manifest of this digest from now on.
+    pub(crate) fn expect_manifest(&self, digest: PartDigest) {
+        self.state.lock().expected_manifest = Some(digest);
+    }
+
+    /// Returns the manifest of this digest, or `None` if it is not known.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the part of this digest is not a manifest.
+    pub(crate) fn manifest(
+        &self,
+        digest: &PartDigest,
+    ) -> Result<Option<RoutesManifest>, PartFault> {
+        let encoded = self.state.lock().parts.get(digest).cloned();
+        encoded
+            .map(|encoded| RoutesManifest::decode(&encoded))
+            .transpose()
     }
 
     /// Keeps the parts of a configuration from now on.
@@ -94,11 +130,11 @@
         true
     }
 
-    /// Returns the parts of a configuration that are not known.
-    pub(crate) fn missing(&self, manifest: &RoutesManifest) -> Vec<PartDigest> {
+    /// Returns those of the wanted parts that are not known.
+    pub(crate) fn missing(&self, wanted: &[PartDigest]) -> Vec<PartDigest> {
         let state = self.state.lock();
-        let digests = manifest.parts().iter();
-        let mut missing: Vec<PartDigest> = digests
+        let mut missing: Vec<PartDigest> = wanted
+            .iter()
             .filter(|digest| !state.parts.contains_key(digest))
             .copied()
             .collect();
@@ -119,17 +155,22 @@
     /// Decides whether this node serves a request, or returns the node that should.
     ///
     /// A request that one answer completes is always served: a referral would take as long.
-    fn admit(&self, request: &PartsRequest, idle_timeout_ms: Millis) -> Option<IpAddr> {
+    fn admit(
+        &self,
+        request: &PartsRequest,
+        idle_timeout_ms: Millis,
+        link: &UnboundedSender<ToEntry>,
+    ) -> Option<IpAddr> {
         let mut state = self.state.lock();
         if state.completes(request) {
             state.receivers.finish(request.node);
             return None;
         }
         let idle_timeout = idle_timeout_ms.to_duration();
-        match state.receivers.admit(request.node, idle_timeout) {
-            Err(receiver) if request.may_refer => Some(receiver),
-            _ => None,
-        }
+        state
+            .receivers
+            .admit(request.node, link, idle_timeout)
+            .err()
     }
 
     /// Returns requested parts that are known, up to the size of one answer.
@@ -160,7 +201,7 @@
         idle_timeout_ms: Millis,
         requester: &UnboundedSender<ToEntry>,
     ) {
-        let referral = self.admit(request, idle_timeout_ms);
+        let referral = self.admit(request, idle_timeout_ms, requester);
         if referral.is_none() {
             let mut added = self.added.subscribe();
             let until_known = added.wait_for(|()| self.knows_any(&request.digests));
@@ -195,12 +236,19 @@
         }
         self.manifests.pop_front();
         let named = self.manifests.iter().flat_map(RoutesManifest::parts);
-        let named: HashSet<PartDigest> = named.copied().collect();
+        let mut named: HashSet<PartDigest> = named.copied().collect();
+        for manifest in &self.manifests {
+            // A manifest that cannot be encoded is not among the parts either.
+            named.extend(manifest.encode().map(|encoded| parts::digest(&encoded)));
+        }
         self.parts.retain(|digest, _| named.contains(digest));
     }
 
-    /// Whether one answer contains all requested parts.
+    /// Whether one answer contains all parts that the requester lacks.
     fn completes(&self, request: &PartsRequest) -> bool {
+        if !request.is_last {
+            return false;
+        }
         let mut bytes = 0;
         for digest in &request.digests {
             let Some(part) = self.parts.get(digest) else {
@@ -213,6 +261,7 @@
 
     fn names(&self, digest: &PartDigest) -> bool {
         let mut manifests = self.manifests.iter();
-        manifests.any(|manifest| manifest.parts().contains(digest))
+        self.expected_manifest == Some(*digest)
+            || manifests.any(|manifest| manifest.parts().contains(digest))
     }
 }
--- a/crates/edge/src/feed/parts/receivers.rs
+++ b/crates/edge/src/feed/parts/receivers.rs
@@ -9,6 +9,8 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
+use hornbeamhitch_wire::link::ToEntry;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::Instant;
 
 use super::MAX_RECEIVERS;
@@ -16,28 +18,50 @@
 /// Nodes that fetch the newest configuration from this one.
 #[derive(Debug, Default)]
 pub(super) struct Receivers {
-    /// Time of the last request of each node that is being sent parts.
-    active: HashMap<IpAddr, Instant>,
+    /// Nodes that are being sent parts.
+    active: HashMap<IpAddr, ActiveReceiver>,
     /// Nodes that have been sent parts, the one that was named longest ago first.
     referrals: VecDeque<IpAddr>,
 }
 
+#[derive(Debug)]
+struct ActiveReceiver {
+    link: UnboundedSender<ToEntry>,
+    /// Time of its last request.
+    requested_at: Instant,
+}
+
+impl ActiveReceiver {
+    fn is_connected(&self, idle_timeout: Duration) -> bool {
+        !self.link.is_closed() && self.requested_at.elapsed() < idle_timeout
+    }
+}
+
 impl Receivers {
     /// Admits a node that requests parts.
     ///
     /// # Errors
     ///
     /// Returns another node that has some of the parts if there is no room.
-    pub(super) fn admit(&mut self, node: IpAddr, idle_timeout: Duration) -> Result<(), IpAddr> {
+    pub(super) fn admit(
+        &mut self,
+        node: IpAddr,
+        link: &UnboundedSender<ToEntry>,
+        idle_timeout: Duration,
+    ) -> Result<(), IpAddr> {
         self.active
-            .retain(|_, requested_at| requested_at.elapsed() < idle_timeout);
+            .retain(|_, receiver| receiver.is_connected(idle_timeout));
         if self.active.len() >= MAX_RECEIVERS
             && !self.active.contains_key(&node)
             && let Some(receiver) = self.next_referral(node)
         {
             return Err(receiver);
         }
-        self.active.insert(node, Instant::now());
+        let receiver = ActiveReceiver {
+            link: link.clone(),
+            requested_at: Instant::now(),
+        };
+        self.active.insert(node, receiver);
         if !self.referrals.contains(&node) {
             self.referrals.push_back(node);
         }
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -5,10 +5,9 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
-use hornbeamhitch_dispatch::routes::parts::RoutesManifest;
 use hornbeamhitch_dispatch::waits::Waits;
 
-use super::large_routes::{LargeRoutes, WantedRoutes};
+use super::large_routes::{LargeRoutes, ManifestSource, WantedRoutes};
 use crate::directory::DirectoryWriter;
 use crate::feed::{ChangeFeed, FeedEvent};
 use crate::prelude::*;
@@ -208,7 +207,11 @@
                 }
                 Fact::LargeRoutes(version) => self.request_routes(version, None, sender),
                 Fact::RoutesInParts(manifest) => {
-                    self.request_routes(manifest.version(), Some(manifest), sender);
+                    let version = manifest.version();
+                    self.request_routes(version, Some(ManifestSource::Known(manifest)), sender);
+                }
+                Fact::RoutesByDigest { version, manifest } => {
+                    self.request_routes(version, Some(ManifestSource::Digest(manifest)), sender);
                 }
                 Fact::Listed(member) => {
                     self.directory.upsert(member);
@@ -247,7 +250,7 @@
     fn request_routes(
         &mut self,
         version: u64,
-        manifest: Option<RoutesManifest>,
+        manifest: Option<ManifestSource>,
         sender: Option<IpAddr>,
     ) {
         self.routes_version = self.routes_version.max(Some(version));
--- a/crates/edge/src/following/large_routes.rs
+++ b/crates/edge/src/following/large_routes.rs
@@ -29,11 +29,20 @@
     /// Version of the configuration.
     pub(super) version: u64,
     /// Parts of the configuration; `None` if it can only be read from the source.
-    pub(super) manifest: Option<RoutesManifest>,
+    pub(super) manifest: Option<ManifestSource>,
     /// Nodes that may have the parts, most promising first.
     pub(super) sources: Vec<IpAddr>,
 }
 
+/// How this node learns which parts a configuration has.
+#[derive(Clone, Debug)]
+pub(super) enum ManifestSource {
+    /// The manifest is known.
+    Known(RoutesManifest),
+    /// Other nodes have a manifest of this digest.
+    Digest(PartDigest),
+}
+
 /// Access to the source and to other nodes.
 #[derive(Clone, Debug)]
 pub(super) struct RoutesAccess {
@@ -114,7 +123,7 @@
 
     async fn obtain(&mut self, wanted: &WantedRoutes) -> Option<RouteSet> {
         if let Some(manifest) = &wanted.manifest
-            && let Some(routes) = self.fetch(manifest, &wanted.sources).await
+            && let Some(routes) = self.fetch(wanted, manifest).await
         {
             return Some(routes);
         }
@@ -164,33 +173,67 @@
         }
     }
 
-    /// Fetches the missing parts of a configuration from other nodes. Returns `None` if a
-    /// newer one is wanted, or if no part has arrived for too long.
-    async fn fetch(&self, manifest: &RoutesManifest, nodes: &[IpAddr]) -> Option<RouteSet> {
+    /// Fetches a configuration from other nodes. Returns `None` if a newer one is wanted, or if
+    /// no part has arrived for too long.
+    async fn fetch(&self, wanted: &WantedRoutes, source: &ManifestSource) -> Option<RouteSet> {
         let parts = self.access.feed.parts();
-        parts.expect(manifest);
-        let mut fetch = Fetch {
-            manifest,
-            started: Instant::now(),
-            last_progress: Instant::now(),
-            parts: 0,
-            bytes: 0,
-            sender: None,
-            failures: 0,
+        let mut fetch = Fetch::new(wanted);
+        log::info!(version = wanted.version; "fetching a configuration from other nodes");
+        let manifest = match source {
+            ManifestSource::Known(manifest) => manifest.clone(),
+            ManifestSource::Digest(digest) => self.fetch_manifest(*digest, &mut fetch).await?,
         };
-        let (version, of) = (manifest.version(), manifest.parts().len());
-        let missing = parts.missing(manifest).len();
-        log::info!(version, missing, of; "fetching a configuration from other nodes");
+        parts.expect(&manifest);
+        fetch.want_parts_of(&manifest);
+        self.fetch_wanted(&mut fetch).await?;
+        match parts.join(&manifest) {
+            Ok(routes) => {
+                fetch.log("fetched a configuration from other nodes");
+                Some(routes)
+            }
+            Err(fault) => {
+                log::error!(version = wanted.version; "the parts of a configuration are unusable: {fault}");
+                None
+            }
+        }
+    }
+
+    async fn fetch_manifest(
+        &self,
+        digest: PartDigest,
+        fetch: &mut Fetch<'_>,
+    ) -> Option<RoutesManifest> {
+        let parts = self.access.feed.parts();
+        parts.expect_manifest(digest);
+        fetch.wanted_parts = vec![digest];
+        self.fetch_wanted(fetch).await?;
+        match parts.manifest(&digest) {
+            Ok(manifest) => manifest,
+            Err(fault) => {
+                log::error!("the manifest of a configuration is unusable: {fault}");
+                None
+            }
+        }
+    }
+
+    /// Fetches until no wanted part is missing. Returns `None` if a newer configuration is
+    /// wanted, or if no part has arrived for too long.
+    async fn fetch_wanted(&self, fetch: &mut Fetch<'_>) -> Option<()> {
+        let parts = self.access.feed.parts();
         let max_stall = self.access.waits.parts_max_stall_ms().to_duration();
-        let mut nodes = nodes.iter().cycle();
-        while !parts.missing(manifest).is_empty() {
+        // The node that has sent the manifest has a place for this node.
+        let mut nodes = fetch
+            .sender
+            .into_iter()
+            .chain(fetch.nodes.iter().copied().cycle());
+        while !parts.missing(&fetch.wanted_parts).is_empty() {
             if self.is_outdated() || fetch.last_progress.elapsed() > max_stall {
                 fetch.log("a configuration was not fetched from other nodes");
                 return None;
             }
             let node = nodes.next()?;
             let before = fetch.parts;
-            if let Err(fault) = self.fetch_from_tree(*node, &mut fetch).await {
+            if let Err(fault) = self.fetch_from_tree(node, fetch).await {
                 log::debug!("fetching parts by way of {node} failed: {fault}");
                 fetch.failures += 1;
             }
@@ -198,16 +241,7 @@
                 pause_up_to(self.access.waits.part_retry_ms()).await;
             }
         }
-        match parts.join(manifest) {
-            Ok(routes) => {
-                fetch.log("fetched a configuration from other nodes");
-                Some(routes)
-            }
-            Err(fault) => {
-                log::error!(version; "the parts of a configuration are unusable: {fault}");
-                None
-            }
-        }
+        Some(())
     }
 
     /// Whether a newer configuration than the one that is being fetched is wanted.
@@ -238,11 +272,11 @@
         let patience = self.access.waits.part_timeout_ms().to_duration();
         let mut stream: Option<Box<dyn FeedStream>> = None;
         loop {
-            let missing = parts.missing(fetch.manifest);
+            let missing = parts.missing(&fetch.wanted_parts);
             if missing.is_empty() || self.is_outdated() {
                 return Ok(None);
             }
-            let request = self.request_for(missing);
+            let request = self.request_for(missing, fetch.has_manifest);
             let connected = match stream.take() {
                 None => self.in_time(self.access.links.open(node, request)).await?,
                 Some(mut connected) => {
@@ -275,14 +309,15 @@
 
     /// Requests parts in random order. Nodes that fetch from each other then rarely lack the
     /// same ones.
-    fn request_for(&self, missing: Vec<PartDigest>) -> ToGate {
+    fn request_for(&self, missing: Vec<PartDigest>, has_manifest: bool) -> ToGate {
         let mut digests = missing;
+        let is_last = has_manifest && digests.len() <= MAX_REQUESTED_PARTS;
         digests.shuffle(&mut rand::rng());
         digests.truncate(MAX_REQUESTED_PARTS);
         ToGate::FetchParts(PartsRequest {
             node: self.access.own_ip,
             digests,
-            may_refer: true,
+            is_last,
         })
     }
 
@@ -301,7 +336,12 @@
 
 /// Progress of fetching one configuration.
 struct Fetch<'a> {
-    manifest: &'a RoutesManifest,
+    version: u64,
+    /// Nodes that are asked in turn.
+    nodes: &'a [IpAddr],
+    /// The parts of the configuration, or only the manifest until that is known.
+    wanted_parts: Vec<PartDigest>,
+    has_manifest: bool,
     started: Instant,
     last_progress: Instant,
     /// Number of parts that were received.
@@ -314,9 +354,29 @@
     failures: u32,
 }
 
-impl Fetch<'_> {
+impl<'a> Fetch<'a> {
+    fn new(wanted: &'a WantedRoutes) -> Self {
+        Self {
+            version: wanted.version,
+            nodes: &wanted.sources,
+            wanted_parts: Vec::new(),
+            has_manifest: false,
+            started: Instant::now(),
+            last_progress: Instant::now(),
+            parts: 0,
+            bytes: 0,
+            sender: None,
+            failures: 0,
+        }
+    }
+
+    fn want_parts_of(&mut self, manifest: &RoutesManifest) {
+        self.wanted_parts = manifest.parts().to_vec();
+        self.has_manifest = true;
+    }
+
     fn log(&self, message: &str) {
-        let (version, of) = (self.manifest.version(), self.manifest.parts().len());
+        let (version, of) = (self.version, self.wanted_parts.len());
         let (parts, bytes, failures) = (self.parts, self.bytes, self.failures);
         let sender = self.sender.map(|sender| sender.to_string());
         let took_ms = Millis::from_duration(self.started.elapsed()).0;
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -131,4 +131,12 @@
     /// this change fetch the parts that they lack from other nodes. Only the change feed
     /// contains this.
     RoutesInParts(RoutesManifest),
+    /// The same for a configuration whose manifest is large. Nodes that receive this change
+    /// fetch the manifest before the parts.
+    RoutesByDigest {
+        /// Version of the configuration.
+        version: u64,
+        /// Digest of the encoded manifest.
+        manifest: PartDigest,
+    },
 }
--- a/crates/edge/tests/all/support/source.rs
+++ b/crates/edge/tests/all/support/source.rs
@@ -209,7 +209,10 @@
     fn put(&mut self, fact: Fact) {
         match &fact {
             Fact::Routes(routes) => self.routes = Some(routes.clone()),
-            Fact::LargeRoutes(_) | Fact::RoutesInParts(_) | Fact::DerivedFromListing { .. } => {
+            Fact::LargeRoutes(_)
+            | Fact::RoutesInParts(_)
+            | Fact::RoutesByDigest { .. }
+            | Fact::DerivedFromListing { .. } => {
                 panic!("the platform publishes no such change")
             }
             Fact::Listed(member) => {
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -184,8 +184,8 @@
     pub node: IpAddr,
     /// The parts.
     pub digests: Vec<PartDigest>,
-    /// Whether the answer may refer to another node in place of sending parts.
-    pub may_refer: bool,
+    /// Whether the requester lacks no other parts of the configuration.
+    pub is_last: bool,
 }
 
 /// A message from an entry to a gate.
