Draw further nodes to probe the source when all that usually read it fail

The source rejected two nodes of five, all seven readers and probing reserves among them. The others leave probing to these as long as they report that the source fails, for four times the bound: the rule that keeps probes few had no bound in age.

Now a node probes itself at an age that it draws: four nodes at 56% of the bound, then twice as many in each of five steps, so that a served node is found before the bound (asserted in dispatch::waits). Who succeeds offers its feed to its readers; they subscribe to it and publish what it reads, with its age, until they read the source themselves. A reserve that failed leaves probing to the draw too.

an_outage_of_all_pollers_delays_no_change failed before with 70 of 70 nodes outdated (rejecting source); now none is, with a rejecting and with a silent source, at eight moments each. The limits on calls during an outage of the whole source hold unchanged.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod members;
 pub mod notices;
 pub mod order;
+pub mod outage_probes;
 pub mod patience;
 pub mod prelude;
 pub mod reach;
--- a/crates/dispatch/src/waits.rs
+++ b/crates/dispatch/src/waits.rs
@@ -10,6 +10,7 @@
 //!
 //! The time to transfer a large answer over a link is not included.
 
+use crate::outage_probes::OUTAGE_PROBE_STEPS;
 use crate::prelude::*;
 
 /// Shares in percent of the time within which a change must be in force.
@@ -32,6 +33,8 @@
 const OWN_ENTRY_INTERVAL: u64 = 40;
 const STARTUP_MAX_STALE: u64 = 50;
 const MAX_OUTAGE: u64 = 400;
+const FIRST_OUTAGE_PROBE: u64 = 56;
+const OUTAGE_PROBE_STEP: u64 = 4;
 const WHOLE: u64 = 100;
 
 /// A read that is lost as it begins: its timeout, a backoff, and the read that replaces
@@ -58,6 +61,12 @@
 /// Readers whose state becomes too old, for whatever reason, even if they do not report
 /// it.
 const _: () = assert!(FOLLOWER_MAX_AGE + LOST_READERS_DELAY + IDLE_TIMEOUT < WHOLE);
+/// A node that probes the source last of all, since the others were rejected.
+const _: () = assert!(
+    FIRST_OUTAGE_PROBE + (OUTAGE_PROBE_STEPS as u64 - 1) * OUTAGE_PROBE_STEP + IDLE_TIMEOUT < WHOLE
+);
+/// While a substitute reads for the readers, updates arrive before others probe too.
+const _: () = assert!(REFRESH_INTERVAL + 2 * PUBLISH_INTERVAL < FIRST_OUTAGE_PROBE);
 /// Readers that stop sending just after an update.
 const _: () = assert!(READER_TIMEOUT + LOST_READERS_DELAY + IDLE_TIMEOUT < WHOLE);
 /// A removal that a failing reader relays: the read, two updates, and the hold.
@@ -165,6 +174,19 @@
         self.share(MAX_OUTAGE)
     }
 
+    /// Returns the time within which a change must be in force.
+    #[must_use]
+    pub const fn in_force_ms(&self) -> Millis {
+        self.in_force_ms
+    }
+
+    /// Returns the age of its state at which a node probes the source although its readers
+    /// cannot read it, in one of [`OUTAGE_PROBE_STEPS`] steps.
+    #[must_use]
+    pub const fn outage_probe_age_ms(&self, step: u32) -> Millis {
+        self.share(FIRST_OUTAGE_PROBE + step as u64 * OUTAGE_PROBE_STEP)
+    }
+
     /// Returns the delay after which a node that lost its readers reads for itself. A
     /// reader whose read failed reads again within this time, so that one failed call of
     /// a reader does not cause a call of each of its subscribers.
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -8,6 +8,9 @@
 mod parts;
 mod subscriptions;
 
+use std::net::IpAddr;
+use std::sync::OnceLock;
+
 use bytes::Bytes;
 use hornbeamhitch_dispatch::routes::parts::PartFault;
 use hornbeamhitch_dispatch::waits::Waits;
@@ -61,6 +64,8 @@
     state: Mutex<State>,
     parts: PartStore,
     changed: watch::Sender<()>,
+    /// Receives offers of other nodes to read the source in place of this one.
+    offers: OnceLock<UnboundedSender<FeedEvent>>,
 }
 
 #[derive(Debug, Default)]
@@ -98,6 +103,22 @@
             state: Mutex::default(),
             parts: PartStore::default(),
             changed,
+            offers: OnceLock::new(),
+        }
+    }
+
+    /// Passes offers of other nodes to the subscriptions of this node. Only the first call has
+    /// an effect.
+    pub(crate) fn forward_offers(&self, events: UnboundedSender<FeedEvent>) {
+        // A node follows its source once.
+        let _ = self.offers.set(events);
+    }
+
+    /// Accepts an offer of a node that reads the source.
+    pub(crate) fn accept_offer(&self, node: IpAddr) {
+        if let Some(offers) = self.offers.get() {
+            // Fails only if this node no longer follows the source.
+            let _ = offers.send(FeedEvent::Offer { node });
         }
     }
 
--- a/crates/edge/src/feed/subscriptions.rs
+++ b/crates/edge/src/feed/subscriptions.rs
@@ -49,6 +49,11 @@
         /// The reader.
         reader: IpAddr,
     },
+    /// A node offers to read the source in place of this node's readers.
+    Offer {
+        /// The node.
+        node: IpAddr,
+    },
 }
 
 /// Subscriptions to the readers of this node.
@@ -74,8 +79,18 @@
 struct Subscription {
     task: AbortHandle,
     health: ReaderHealth,
-    /// Whether this is one of the present readers, in contrast to a former one.
-    is_wanted: bool,
+    kind: SubscriptionKind,
+}
+
+/// Why a node is subscribed to another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SubscriptionKind {
+    /// It is one of the present readers.
+    Wanted,
+    /// It was a reader before.
+    Former,
+    /// It reads while the readers cannot.
+    Substitute,
 }
 
 impl Subscription {
@@ -132,7 +147,11 @@
     /// so that a node whose readers change receives updates meanwhile.
     pub fn set_readers(&mut self, wanted: &[IpAddr]) {
         for (reader, subscription) in &mut self.readers {
-            subscription.is_wanted = wanted.contains(reader);
+            subscription.kind = match (wanted.contains(reader), subscription.kind) {
+                (true, _) => SubscriptionKind::Wanted,
+                (false, SubscriptionKind::Substitute) => SubscriptionKind::Substitute,
+                (false, _) => SubscriptionKind::Former,
+            };
         }
         self.drop_former(wanted.is_empty());
         let mut delay = Duration::ZERO;
@@ -140,30 +159,51 @@
             if self.readers.contains_key(reader) {
                 continue;
             }
-            let subscription_task = run_subscription(
-                *reader,
-                delay,
-                self.context.clone(),
-                Arc::clone(&self.known_revision),
-                self.event_sender.clone(),
-            );
+            self.subscribe(*reader, delay, SubscriptionKind::Wanted);
             delay += self.next_subscription_delay();
-            let subscription = Subscription {
-                task: tokio::spawn(subscription_task).abort_handle(),
-                health: ReaderHealth::Lost,
-                is_wanted: true,
-            };
-            self.readers.insert(*reader, subscription);
         }
     }
 
+    fn subscribe(&mut self, reader: IpAddr, delay: Duration, kind: SubscriptionKind) {
+        let subscription_task = run_subscription(
+            reader,
+            delay,
+            self.context.clone(),
+            Arc::clone(&self.known_revision),
+            self.event_sender.clone(),
+        );
+        let subscription = Subscription {
+            task: tokio::spawn(subscription_task).abort_handle(),
+            health: ReaderHealth::Lost,
+            kind,
+        };
+        self.readers.insert(reader, subscription);
+    }
+
+    /// Subscribes to a node that reads the source while this node's readers cannot.
+    fn accept_substitute(&mut self, node: IpAddr) {
+        if self.readers.contains_key(&node) {
+            return;
+        }
+        log::info!("subscribing to {node}, which reads the source in place of the readers");
+        self.subscribe(node, Duration::ZERO, SubscriptionKind::Substitute);
+    }
+
+    /// Drops substitutes, since this node reads the source again.
+    pub fn drop_substitutes(&mut self) {
+        self.readers
+            .retain(|_, reader| reader.kind != SubscriptionKind::Substitute);
+    }
+
     /// Drops former readers that are not healthy, and all of them if a present one is healthy
     /// or there is none.
     fn drop_former(&mut self, has_no_readers: bool) {
         let mut readers = self.readers.values();
-        let is_replaced = readers.any(|reader| reader.is_wanted && reader.is_healthy());
-        self.readers.retain(|_, reader| {
-            reader.is_wanted || !(has_no_readers || is_replaced) && reader.is_healthy()
+        let is_replaced =
+            readers.any(|reader| reader.kind == SubscriptionKind::Wanted && reader.is_healthy());
+        self.readers.retain(|_, reader| match reader.kind {
+            SubscriptionKind::Wanted | SubscriptionKind::Substitute => true,
+            SubscriptionKind::Former => !(has_no_readers || is_replaced) && reader.is_healthy(),
         });
     }
 
@@ -213,6 +253,10 @@
         let event = self.events.recv().await;
         let event = event.expect("this struct holds a sender");
         let (reader, health) = match &event {
+            FeedEvent::Offer { node } => {
+                self.accept_substitute(*node);
+                return event;
+            }
             FeedEvent::Update {
                 reader,
                 last_read_failed: true,
@@ -222,10 +266,14 @@
             FeedEvent::Lost { reader } => (reader, ReaderHealth::Lost),
             FeedEvent::RoutesRead(_) => return event,
         };
-        if let Some(subscription) = self.readers.get_mut(reader) {
-            subscription.health = health;
-            self.drop_former(false);
+        let Some(subscription) = self.readers.get_mut(reader) else {
+            return event;
+        };
+        subscription.health = health;
+        if health == ReaderHealth::Lost && subscription.kind == SubscriptionKind::Substitute {
+            self.readers.remove(reader);
         }
+        self.drop_former(false);
         event
     }
 }
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -11,8 +11,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hornbeamhitch_dispatch::outage_probes::OutageProbes;
 use hornbeamhitch_dispatch::readers::{self, Role};
 use hornbeamhitch_dispatch::waits::Waits;
+use hornbeamhitch_wire::link::ToGate;
 use rand::RngExt;
 
 use crate::directory::DirectoryWriter;
@@ -77,12 +79,14 @@
     let access = RoutesAccess {
         own_ip: settings.own_ip,
         source: Arc::clone(&source),
-        links,
+        links: Arc::clone(&links),
         feed: Arc::clone(&feed),
         waits,
     };
     let large_routes = LargeRoutes::start(access, subscriptions.event_sender());
+    feed.forward_offers(subscriptions.event_sender());
     let mut sync = DirectorySync {
+        links,
         source,
         known: KnownState::new(directory, feed, large_routes, settings.own_ip, waits),
         subscriptions,
@@ -93,6 +97,8 @@
         has_watched: false,
         has_new_readers: false,
         debounces: 0,
+        outage_probes: OutageProbes::default(),
+        is_substitute: false,
     };
     let is_synced = sync.bootstrap().await;
     log::info!(is_told = is_synced; "bootstrap complete");
@@ -106,6 +112,7 @@
 }
 
 struct DirectorySync {
+    links: Arc<dyn FeedLinks>,
     source: SharedSource,
     waits: Waits,
     known: KnownState,
@@ -120,6 +127,10 @@
     has_new_readers: bool,
     /// Debounced batches since this node started, up to [`MAX_DEBOUNCE_DOUBLINGS`].
     debounces: u32,
+    /// When this node probes the source while its readers cannot read it.
+    outage_probes: OutageProbes,
+    /// Whether this follower reads the source in place of its readers.
+    is_substitute: bool,
 }
 
 impl DirectorySync {
@@ -155,6 +166,7 @@
             self.update_role();
             if self.is_fed_by_readers() {
                 self.has_new_readers = false;
+                self.end_substitution();
                 self.apply_next_update().await;
                 if !self.is_fed_by_readers() && self.role.is_follower() {
                     // A random delay keeps the subscribers of the same readers from
@@ -169,10 +181,11 @@
                 self.pause(self.waits.lost_readers_delay_ms()).await;
                 continue;
             }
-            if self.defers_probing() {
+            if self.defers_probing() && !self.is_probe_due() {
                 self.await_recovery().await;
                 continue;
             }
+            self.outage_probes.note_probed();
             match self.watch().await {
                 Ok(()) if self.known.take_deferred_removals() => {
                     log::info!("the source is reachable again; reading the complete listing");
@@ -209,27 +222,78 @@
     /// report it as unreachable.
     ///
     /// Readers publish as soon as one of them reaches the source. Reserves cover a source
-    /// that rejects only the readers. If every node probed, a source that recovers would
-    /// receive hundreds of calls a second.
+    /// that rejects only the readers, and single other nodes one that rejects reserves too
+    /// ([`OutageProbes`]). If every node probed, a source that recovers would receive hundreds
+    /// of calls a second.
     fn defers_probing(&self) -> bool {
+        // A reserve reads before the others and then leaves probing to them too.
+        let is_reserve_due = self.role.is_reserve() && self.known.own_reads() != OwnReads::Failed;
         self.role.is_follower()
-            && !self.role.is_reserve()
+            && !is_reserve_due
+            && !self.is_substitute
             && !self.known.is_missing_changes()
             && self.subscriptions.all_unhealthy()
-            && self.known.own_reads() == OwnReads::Good
+            && self.known.own_reads() != OwnReads::Doubtful
             && self.known.age_ms() < self.waits.max_outage_ms()
     }
 
-    /// Applies what unhealthy readers publish until one of them recovers.
+    /// Age of the known state at which this node probes the source next.
+    fn next_probe_age_ms(&mut self) -> Option<Millis> {
+        let nodes = self.known.members().vms().len();
+        let age_ms = self.known.age_ms();
+        let draw = || rand::rng().random();
+        self.outage_probes
+            .due_age_ms(age_ms, nodes, &self.waits, draw)
+    }
+
+    fn is_probe_due(&mut self) -> bool {
+        let due_age_ms = self.next_probe_age_ms();
+        due_age_ms.is_some_and(|due_age_ms| self.known.age_ms() >= due_age_ms)
+    }
+
+    /// Applies what unhealthy readers publish until one of them recovers, or until this node
+    /// has to probe the source.
     async fn await_recovery(&mut self) {
         if self.known.age_ms() >= self.max_age_ms() {
             // Entries may expire during an outage although their targets are alive.
             self.known.note_entries_may_expire();
         }
-        let delay = tokio::time::sleep(self.waits.publish_interval_ms().to_duration());
+        let mut delay_ms = self.waits.publish_interval_ms();
+        if let Some(due_age_ms) = self.next_probe_age_ms() {
+            let remaining_ms = due_age_ms.minus(self.known.age_ms());
+            delay_ms = delay_ms.min(remaining_ms.max(MIN_WATCH_MS));
+        }
+        let delay = tokio::time::sleep(delay_ms.to_duration());
         with_updates(delay, &mut self.known, &mut self.subscriptions).await;
     }
 
+    /// Reads the source in place of the readers, which cannot, and lets them subscribe to this
+    /// node.
+    fn begin_substitution(&mut self) {
+        let may_begin = self.role.is_follower() && self.subscriptions.all_unhealthy();
+        if self.is_substitute || !may_begin {
+            return;
+        }
+        log::info!("reading the source in place of the readers, which cannot read it");
+        self.is_substitute = true;
+        self.update_feed_status();
+        for reader in self.subscriptions.nodes() {
+            tokio::spawn(offer_feed(
+                Arc::clone(&self.links),
+                reader,
+                self.settings.own_ip,
+                self.waits.idle_timeout_ms(),
+            ));
+        }
+    }
+
+    fn end_substitution(&mut self) {
+        if std::mem::take(&mut self.is_substitute) {
+            log::info!("no longer reading the source in place of the readers");
+            self.update_feed_status();
+        }
+    }
+
     /// Age of the known state from which on this node reads the source itself.
     fn max_age_ms(&self) -> Millis {
         match &self.role {
@@ -254,6 +318,7 @@
             return Err(SourceFault::HistoryGone);
         }
         self.note_success();
+        self.begin_substitution();
         self.has_watched = true;
         let has_new_changes = !batch.changes.is_empty() && !self.known.has_deferred_removals();
         self.known.apply_new(batch.changes, batch.revision, None);
@@ -348,7 +413,8 @@
     fn update_feed_status(&self) {
         // A node that knows nothing has nothing to publish, whatever its role.
         let knows_state = self.known.revision() != Revision::ZERO;
-        let accepts_subscribers = knows_state && self.role.accepts_subscribers();
+        let is_reading = self.role.accepts_subscribers() || self.is_substitute;
+        let accepts_subscribers = knows_state && is_reading;
         let status = match (accepts_subscribers, self.failures) {
             (false, _) => FeedStatus::Closed,
             (true, 0) => FeedStatus::Open,
@@ -359,6 +425,7 @@
 
     fn note_success(&mut self) {
         self.known.note_good_read();
+        self.subscriptions.drop_substitutes();
         if self.failures == 0 {
             return;
         }
@@ -385,6 +452,7 @@
         let backoff_ms =
             Millis(self.waits.initial_backoff_ms().0 << self.failures.min(MAX_BACKOFF_DOUBLINGS));
         self.failures += 1;
+        self.end_substitution();
         self.update_feed_status();
         self.pause(backoff_ms.min(max_backoff_ms)).await;
     }
@@ -396,6 +464,18 @@
     }
 }
 
+/// Offers a reader that cannot read the source to subscribe to this node. An offer that is lost
+/// is not repeated: the other readers get one too.
+async fn offer_feed(links: Arc<dyn FeedLinks>, reader: IpAddr, own_ip: IpAddr, timeout_ms: Millis) {
+    let offer = ToGate::OfferFeed { node: own_ip };
+    let opening = tokio::time::timeout(timeout_ms.to_duration(), links.open(reader, offer));
+    match opening.await {
+        Ok(Ok(_)) => {}
+        Ok(Err(fault)) => log::info!("the reader {reader} was not reached: {fault}"),
+        Err(_) => log::info!("the reader {reader} was not reached in time"),
+    }
+}
+
 /// Returns a random duration between half of `max_ms` and `max_ms`.
 fn jittered(max_ms: Millis) -> Duration {
     Millis(rand::rng().random_range(max_ms.0 / 2..=max_ms.0)).to_duration()
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -318,6 +318,7 @@
                 self.missing_before.remove(&reader);
                 return;
             }
+            FeedEvent::Offer { .. } => return,
         };
         if last_read_failed {
             // Entries may expire now, as after a failed read of this node.
--- a/crates/edge/src/following/tests.rs
+++ b/crates/edge/src/following/tests.rs
@@ -4,6 +4,7 @@
 mod era;
 mod fleet;
 mod knowledge;
+mod partial_outage;
 mod parts;
 #[path = "../../tests/all/support/source.rs"]
 #[allow(dead_code, reason = "only tests with sockets use all of it")]
--- a/crates/edge/src/following/tests/fleet.rs
+++ b/crates/edge/src/following/tests/fleet.rs
@@ -159,6 +159,7 @@
                 ToGate::FetchParts(request) => {
                     feed.serve_parts(&request, &sender).await;
                 }
+                ToGate::OfferFeed { node } => feed.accept_offer(node),
                 request => panic!("no feed serves {request:?}"),
             }
         });
@@ -419,6 +420,16 @@
         }
     }
 
+    /// Sets how the store treats readers and reserves, which poll it during an outage.
+    pub(super) fn set_mode_of_pollers(&self, mode: SourceMode) {
+        for (own_ip, node) in &self.nodes {
+            let members = &node.directory.load().members;
+            if readers::role(members, *own_ip, &data_centre(*own_ip)).accepts_subscribers() {
+                node.source.set_mode(mode);
+            }
+        }
+    }
+
     /// Replaces the store by an older copy, as [`Published::restore_copy`] does.
     pub(super) fn restore_store_from_copy(&self, lag: Duration) {
         self.store.restore_copy(lag);
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -206,6 +206,7 @@
                     let answers = self.answers.clone();
                     tokio::spawn(async move { feed.serve(revision, &answers).await });
                 }
+                ToGate::OfferFeed { node } => self.feed.accept_offer(node),
                 ToGate::FetchParts(request) => {
                     let feed = Arc::clone(&self.feed);
                     let answers = self.answers.clone();
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -269,6 +269,11 @@
     },
     /// The crashes in which a request was in flight.
     Crashes(CrashNotice),
+    /// A node reads the source, which the receiver cannot, and accepts it as a subscriber.
+    OfferFeed {
+        /// The node that reads.
+        node: IpAddr,
+    },
 }
 
 /// A message from a gate to an entry or a subscriber.
