Tests: departures and quick versions beside a large configuration on thin lines

Both pass on the code as it is. They guard two hypotheses of the incident that were not reproduced: a departure that waits behind a configuration, and versions that come quicker than a transfer ends.

--- a/crates/edge/src/following/tests/fleet.rs
+++ b/crates/edge/src/following/tests/fleet.rs
@@ -351,6 +351,28 @@
         self.published.push_back((Instant::now(), self.version));
     }
 
+    /// Lists the first target as draining.
+    pub(super) fn drain_first_target(&self) {
+        let draining = Member {
+            draining: true,
+            ..member(&self.ips[0])
+        };
+        self.store.put(Fact::Listed(draining));
+    }
+
+    /// Number of nodes that do not know that the first target is draining.
+    pub(super) fn nodes_using_first_target(&self) -> usize {
+        let id = member(&self.ips[0]).id;
+        let uses_target = |node: &&RunningNode| {
+            let directory = node.directory.load();
+            directory
+                .members
+                .get(&id)
+                .is_some_and(|known| !known.draining)
+        };
+        self.nodes.values().filter(uses_target).count()
+    }
+
     /// Number of nodes whose configuration in force lacks one of these routes.
     pub(super) fn nodes_missing_routes(&self, routes: usize) -> usize {
         let has_all = |node: &&RunningNode| {
@@ -445,7 +467,17 @@
 
     /// Number of nodes that do not use the newest version.
     pub(super) fn outdated_nodes(&self) -> usize {
-        let is_behind = |node: &&RunningNode| node.version() < self.version;
+        self.nodes_before_version(self.version)
+    }
+
+    /// Version that was published `count` versions before the newest one.
+    pub(super) const fn version_before(&self, count: u64) -> u64 {
+        self.version - count
+    }
+
+    /// Number of nodes that use an older version than this one.
+    pub(super) fn nodes_before_version(&self, version: u64) -> usize {
+        let is_behind = |node: &&RunningNode| node.version() < version;
         self.nodes.values().filter(is_behind).count()
     }
 
--- a/crates/edge/src/following/tests/parts.rs
+++ b/crates/edge/src/following/tests/parts.rs
@@ -130,3 +130,42 @@
         });
     }
 }
+
+/// Guards against a configuration that is never in force, since a newer one ends each transfer.
+#[test]
+fn changes_in_quick_succession_reach_thin_lines_in_time() {
+    const INTERVAL: Duration = Duration::from_millis(200);
+    in_virtual_time(async {
+        let mut fleet = settled_fleet(70, THIN_LINE_BYTES_PER_MS).await;
+        let intervals_in_force = IN_FORCE.as_millis() / INTERVAL.as_millis();
+        for version in 0..3 * intervals_in_force {
+            fleet.put_next_large_version(SEVERAL_HUNDRED_KB_ROUTES);
+            tokio::time::sleep(INTERVAL).await;
+            if version >= intervals_in_force {
+                let due = fleet.version_before(intervals_in_force as u64);
+                assert_eq!(fleet.nodes_before_version(due), 0, "version {due}");
+            }
+        }
+    });
+}
+
+/// Guards against departures that wait behind a configuration on the readers' lines.
+#[test]
+fn a_departure_is_known_in_time_while_a_large_configuration_is_transferred() {
+    const DELAYS: [Duration; 4] = [
+        Duration::from_millis(0),
+        Duration::from_millis(200),
+        Duration::from_millis(500),
+        Duration::from_millis(900),
+    ];
+    for delay in DELAYS {
+        in_virtual_time(async move {
+            let mut fleet = settled_fleet(70, THIN_LINE_BYTES_PER_MS).await;
+            fleet.put_next_large_version(SEVERAL_HUNDRED_KB_ROUTES);
+            tokio::time::sleep(delay).await;
+            fleet.drain_first_target();
+            tokio::time::sleep(IN_FORCE).await;
+            assert_eq!(fleet.nodes_using_first_target(), 0, "after {delay:?}");
+        });
+    }
+}
