--- a/crates/edge/src/feed/parts/receivers.rs
+++ b/crates/edge/src/feed/parts/receivers.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use hornbeamhitch_wire::link::ToEntry;
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::{UnboundedSender, WeakUnboundedSender};
 use tokio::time::Instant;
 
 use super::MAX_RECEIVERS;
@@ -26,14 +26,15 @@
 
 #[derive(Debug)]
 struct ActiveReceiver {
-    link: UnboundedSender<ToEntry>,
+    /// Has no senders left once the link has ended.
+    link: WeakUnboundedSender<ToEntry>,
     /// Time of its last request.
     requested_at: Instant,
 }
 
 impl ActiveReceiver {
     fn is_connected(&self, idle_timeout: Duration) -> bool {
-        !self.link.is_closed() && self.requested_at.elapsed() < idle_timeout
+        self.link.strong_count() > 0 && self.requested_at.elapsed() < idle_timeout
     }
 }
 
@@ -58,7 +59,7 @@
             return Err(receiver);
         }
         let receiver = ActiveReceiver {
-            link: link.clone(),
+            link: link.downgrade(),
             requested_at: Instant::now(),
         };
         self.active.insert(node, receiver);
--- a/crates/edge/src/feed/parts/tests.rs
+++ b/crates/edge/src/feed/parts/tests.rs
@@ -2,8 +2,6 @@
 
 use std::collections::HashMap;
 
-use tokio::sync::mpsc::UnboundedReceiver;
-
 use super::*;
 use crate::feed::tests::route;
 
@@ -78,7 +76,7 @@
 const IDLE_TIMEOUT_MS: Millis = Millis(200);
 
 /// A link to a node that has not been closed.
-struct OpenLink(#[allow(dead_code, reason = "keeps the link open")] UnboundedReceiver<ToEntry>);
+struct OpenLink(#[allow(dead_code, reason = "keeps the link open")] UnboundedSender<ToEntry>);
 
 /// Requests parts. Returns them, and the node that was named in place of them.
 async fn fetch(store: &PartStore, request: &PartsRequest) -> (Vec<Bytes>, Option<IpAddr>) {
@@ -100,7 +98,7 @@
     loop {
         match answers.try_recv().expect("an answer") {
             ToEntry::Part(part) => parts.push(part),
-            ToEntry::PartsEnd { referral } => return (parts, referral, OpenLink(answers)),
+            ToEntry::PartsEnd { referral } => return (parts, referral, OpenLink(sender)),
             answer => panic!("{answer:?}"),
         }
     }
