--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -274,6 +274,7 @@
             class: ended::class_of(routed.route),
             config_version: routed.config_version,
             known_ms: directory.as_of.age_ms(arrived),
+            routes_lag_ms: directory.routes_lag.lag_ms(arrived),
             arrived,
             trail,
         };
--- a/crates/edge/src/entry/ended.rs
+++ b/crates/edge/src/entry/ended.rs
@@ -39,8 +39,10 @@
             return outcome.answer;
         }
         let reason = outcome.reason;
+        // Not zero while a newer configuration is known that is not in force yet.
+        let routes_lag_ms = record.routes_lag_ms.0;
         log::warn!(
-            request, route, service, config, known_ms, code, status, took_ms, tried, reason;
+            request, route, service, config, known_ms, routes_lag_ms, code, status, took_ms, tried, reason;
             "not served: {}", outcome.code
         );
         outcome.answer
@@ -102,6 +104,8 @@
     pub(super) config_version: u64,
     /// Age of the entry's routes and targets when the call arrived.
     pub(super) known_ms: Millis,
+    /// How long a newer configuration had been known when the call arrived.
+    pub(super) routes_lag_ms: Millis,
     pub(super) arrived: Millis,
     pub(super) trail: Trail,
 }
@@ -124,6 +128,7 @@
                 .as_ref()
                 .map_or(0, |routes| routes.version()),
             known_ms: directory.as_of.age_ms(request.arrived),
+            routes_lag_ms: directory.routes_lag.lag_ms(request.arrived),
             arrived: request.arrived,
             trail: Trail::default(),
         }
