--- a/crates/edge/src/following/tests.rs
+++ b/crates/edge/src/following/tests.rs
@@ -4,6 +4,7 @@
 mod era;
 mod fleet;
 mod knowledge;
+mod large_answers;
 mod partial_outage;
 mod parts;
 #[path = "../../tests/all/support/source.rs"]
--- a/crates/edge/src/following/tests/fleet.rs
+++ b/crates/edge/src/following/tests/fleet.rs
@@ -334,6 +334,25 @@
         self.line_bytes_per_ms = Some(bytes_per_ms);
     }
 
+    /// Limits the rate at which each node receives large answers of the store.
+    pub(super) fn limit_store_answers(&self, bytes_per_ms: u64) {
+        self.store.limit_answers(bytes_per_ms);
+    }
+
+    /// Number of followers other than reserves that have received a large configuration from
+    /// the store since they started.
+    pub(super) fn followers_that_received_routes(&self) -> usize {
+        let mut count = 0;
+        for (own_ip, node) in &self.nodes {
+            let members = &node.directory.load().members;
+            let role = readers::role(members, *own_ip, &data_centre(*own_ip));
+            if role.is_follower() && !role.is_reserve() && node.source.received_routes() > 0 {
+                count += 1;
+            }
+        }
+        count
+    }
+
     /// Largest number of bytes that a node has sent.
     pub(super) fn max_sent_bytes(&self) -> u64 {
         let sent = self
--- a/crates/edge/tests/all/routing.rs
+++ b/crates/edge/tests/all/routing.rs
@@ -4,6 +4,7 @@
 
 use hornbeamhitch_edge::directory::Directory;
 use hornbeamhitch_edge::http1;
+use hornbeamhitch_edge::prelude::*;
 
 use crate::support::caller::{Caller, request, send_lookups};
 use crate::support::{
@@ -77,6 +78,26 @@
     assert!(fleet.vms[0].target.ran().is_empty());
 }
 
+/// Guards against a 404 for a route that was added, from a node that knows of a newer
+/// configuration and does not have it yet.
+#[tokio::test]
+async fn an_unknown_route_may_be_retried_while_a_newer_configuration_is_known() {
+    let fleet = fleet(&["s"]).await;
+    let callers = fleet.vms[0].callers;
+    let routes_lag = fleet.directory.load().routes_lag.clone();
+    routes_lag.note_behind(Millis(1));
+    let answer = request(callers, "GET", "/none/x", "id-1").await;
+    assert_eq!(answer.status(), 503);
+    assert!(answer.field("Retry-After").is_some());
+    assert_eq!(
+        request(callers, "GET", "/read/x", "id-2").await.status(),
+        200
+    );
+    routes_lag.note_current();
+    let answer = request(callers, "GET", "/none/x", "id-3").await;
+    assert_eq!(answer.status(), 404);
+}
+
 /// Guards against request smuggling. A request states its length in two ways, so that
 /// one reader takes the rest for the body and the next one for a second request.
 #[tokio::test]
--- a/crates/edge/tests/all/support/source.rs
+++ b/crates/edge/tests/all/support/source.rs
@@ -36,6 +36,8 @@
 pub struct Published {
     state: Arc<Mutex<State>>,
     changed: Arc<watch::Sender<()>>,
+    /// Rate at which a node receives answers that contain a configuration; unlimited if zero.
+    answer_bytes_per_ms: Arc<AtomicU64>,
 }
 
 #[derive(Debug, Default)]
@@ -59,6 +61,7 @@
         Self {
             state: Arc::default(),
             changed: Arc::new(changed),
+            answer_bytes_per_ms: Arc::default(),
         }
     }
 
@@ -126,6 +129,13 @@
         self.put(version_fact(version));
     }
 
+    /// Limits the rate at which each node receives answers that contain a configuration.
+    #[allow(dead_code, reason = "only tests in virtual time use it")]
+    pub fn limit_answers(&self, bytes_per_ms: u64) {
+        self.answer_bytes_per_ms
+            .store(bytes_per_ms, Ordering::Relaxed);
+    }
+
     /// Returns a source by which one node reads the published state.
     pub fn source(&self) -> TestSource {
         TestSource {
@@ -137,6 +147,8 @@
             listings: Arc::default(),
             stale_reads: Arc::default(),
             replica_lag: Arc::new(Mutex::new(REPLICA_LAG)),
+            line_free_at: Arc::new(Mutex::new(Instant::now())),
+            received_routes: Arc::default(),
         }
     }
 }
@@ -177,6 +189,10 @@
 
 /// Time that the source takes to answer with a complete listing.
 const LISTING_TIME: Duration = Duration::from_millis(4);
+/// Size of a published text in relation to the encoding that nodes use between them.
+const TEXT_BYTES_PER_ENCODED_BYTE: u64 = 4;
+/// Size from which a text takes time to receive. It is more than one change of the feed.
+const LARGE_TEXT_BYTES: u64 = 64 * 1024;
 /// Default lag of the source's replica.
 const REPLICA_LAG: Duration = Duration::from_secs(1);
 
@@ -247,6 +263,10 @@
     listings: Arc<AtomicU64>,
     stale_reads: Arc<AtomicU64>,
     replica_lag: Arc<Mutex<Duration>>,
+    /// When the node's line has received the answers that are on their way.
+    line_free_at: Arc<Mutex<Instant>>,
+    /// Number of complete answers with a configuration of more than one change of the feed.
+    received_routes: Arc<AtomicU64>,
 }
 
 impl TestSource {
@@ -279,6 +299,12 @@
         self.stale_reads.load(Ordering::Relaxed)
     }
 
+    /// Number of answers with a large configuration that the node has received.
+    #[allow(dead_code, reason = "only tests in virtual time use it")]
+    pub fn received_routes(&self) -> u64 {
+        self.received_routes.load(Ordering::Relaxed)
+    }
+
     /// Number of reads of only the configuration.
     pub fn route_reads(&self) -> u64 {
         self.route_reads.load(Ordering::Relaxed)
@@ -288,6 +314,31 @@
         Millis(self.last_wait_ms.load(Ordering::Relaxed))
     }
 
+    /// Receives the body of an answer with these configurations over the node's line.
+    async fn receive<'a>(&self, routes: impl Iterator<Item = &'a RouteSet>) {
+        let mut bytes = 0;
+        for routes in routes {
+            let encoded = postcard::to_stdvec(routes).expect("encodable routes");
+            bytes += encoded.len() as u64 * TEXT_BYTES_PER_ENCODED_BYTE;
+        }
+        if bytes < LARGE_TEXT_BYTES {
+            return;
+        }
+        if let Some(received_at) = self.enqueue(bytes) {
+            tokio::time::sleep_until(received_at).await;
+        }
+        self.received_routes.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns when the node's line has received this many bytes.
+    fn enqueue(&self, bytes: u64) -> Option<Instant> {
+        let bytes_per_ms = self.published.answer_bytes_per_ms.load(Ordering::Relaxed);
+        let transfer_us = (bytes * 1_000).checked_div(bytes_per_ms)?;
+        let mut free_at = self.line_free_at.lock();
+        *free_at = Instant::now().max(*free_at) + Duration::from_micros(transfer_us);
+        Some(*free_at)
+    }
+
     /// Returns immediately unless the source is silent.
     async fn until_responsive(&self) -> Result<(), SourceFault> {
         let mut mode = self.mode.subscribe();
@@ -359,7 +410,11 @@
             self.until_responsive().await?;
             // A node that reads without a pause would otherwise stop virtual time.
             tokio::time::sleep(LISTING_TIME).await;
-            Ok(self.published.state.lock().listing())
+            let mut listing = self.published.state.lock().listing();
+            let began = Instant::now();
+            self.receive(listing.routes.iter()).await;
+            listing.age_ms = Millis::from_duration(began.elapsed());
+            Ok(listing)
         }))
     }
 
@@ -400,7 +455,18 @@
                     }
                 };
                 let waited = tokio::time::timeout(wait_ms.to_duration(), waiting).await;
-                waited.unwrap_or_else(|_| self.after(after))
+                let mut changes = waited.unwrap_or_else(|_| self.after(after))?;
+                let routes = changes
+                    .changes
+                    .iter()
+                    .filter_map(|change| match &change.fact {
+                        Fact::Routes(routes) => Some(routes),
+                        _ => None,
+                    });
+                let began = Instant::now();
+                self.receive(routes).await;
+                changes.age_ms = Millis::from_duration(began.elapsed());
+                Ok(changes)
             }),
         )
     }
@@ -420,7 +486,9 @@
         self.route_reads.fetch_add(1, Ordering::Relaxed);
         Box::pin(self.run_call(&self.calls, false, idle_timeout_ms, async {
             self.until_responsive().await?;
-            Ok(self.published.state.lock().routes.clone())
+            let routes = self.published.state.lock().routes.clone();
+            self.receive(routes.iter()).await;
+            Ok(routes)
         }))
     }
 }
