Leave a large answer of the store to the readers that receive it

Cause: a reader renews its state when an answer is complete.

Change: while an answer arrives, a reader says so with its updates, and followers leave reading to it until the bound has passed; from then on a few probe, as in an outage. Reserves and led readers still read for themselves. A reader that hangs without an answer does not say so, and nothing changes for its followers.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -20,7 +20,7 @@
 use tokio::sync::watch;
 
 use crate::prelude::*;
-use crate::source::{Change, Fact};
+use crate::source::{Change, Fact, SharedSource};
 use change_log::ChangeLog;
 
 #[cfg(test)]
@@ -66,6 +66,8 @@
     changed: watch::Sender<()>,
     /// Receives offers of other nodes to read the source in place of this one.
     offers: OnceLock<UnboundedSender<FeedEvent>>,
+    /// The source that this node reads.
+    source: OnceLock<SharedSource>,
 }
 
 #[derive(Debug, Default)]
@@ -87,6 +89,8 @@
     pub revision: Revision,
     /// Whether the reader's own last read of the source failed.
     pub last_read_failed: bool,
+    /// Whether a longer answer of the source is arriving at the reader.
+    pub is_receiving: bool,
     /// Time since the known changes were confirmed to be all that the source has
     /// published.
     pub age_ms: Millis,
@@ -104,9 +108,17 @@
             parts: PartStore::default(),
             changed,
             offers: OnceLock::new(),
+            source: OnceLock::new(),
         }
     }
 
+    /// Reports to subscribers whether answers of this source are arriving. Only the first call
+    /// has an effect.
+    pub(crate) fn observe(&self, source: SharedSource) {
+        // A node follows its source once.
+        let _ = self.source.set(source);
+    }
+
     /// Passes offers of other nodes to the subscriptions of this node. Only the first call has
     /// an effect.
     pub(crate) fn forward_offers(&self, events: UnboundedSender<FeedEvent>) {
@@ -178,6 +190,10 @@
             changes: state.log.after(revision)?,
             revision: state.revision,
             last_read_failed: state.status == FeedStatus::Unhealthy,
+            is_receiving: self
+                .source
+                .get()
+                .is_some_and(|source| source.is_receiving()),
             age_ms: self.clock.now().since(state.as_of),
         })
     }
@@ -206,6 +222,9 @@
             for change in update.changes {
                 let _ = subscriber.send(ToEntry::Change(change));
             }
+            if update.is_receiving {
+                let _ = subscriber.send(ToEntry::ReceivingAnswer);
+            }
             let progress = ToEntry::Progress {
                 revision: update.revision,
                 last_read_failed: update.last_read_failed,
--- a/crates/edge/src/feed/subscriptions.rs
+++ b/crates/edge/src/feed/subscriptions.rs
@@ -38,6 +38,8 @@
         revision: Revision,
         /// Whether the reader's own last read of the source failed.
         last_read_failed: bool,
+        /// Whether a longer answer of the source is arriving at the reader.
+        is_receiving: bool,
         /// Time as of which the source had published nothing newer, not corrected for the
         /// network delay of the update.
         as_of: Millis,
@@ -95,7 +97,7 @@
 
 impl Subscription {
     fn is_healthy(&self) -> bool {
-        self.health == ReaderHealth::Healthy
+        matches!(self.health, ReaderHealth::Healthy | ReaderHealth::Receiving)
     }
 }
 
@@ -106,6 +108,8 @@
     Lost,
     /// The reader publishes, but its own last read failed.
     Unhealthy,
+    /// The reader publishes, and a longer answer of the source is arriving at it.
+    Receiving,
     /// The reader publishes, and its own reads succeed.
     Healthy,
 }
@@ -223,10 +227,17 @@
         }
     }
 
-    /// Number of readers that publish and whose own reads succeed.
+    /// Number of readers that publish and whose own reads succeed or make progress.
     #[must_use]
     pub fn healthy_readers(&self) -> usize {
-        self.count(ReaderHealth::Healthy)
+        let readers = self.readers.values();
+        readers.filter(|reader| reader.is_healthy()).count()
+    }
+
+    /// Whether an answer of the source is arriving at one of the readers.
+    #[must_use]
+    pub fn is_answer_arriving(&self) -> bool {
+        self.count(ReaderHealth::Receiving) > 0
     }
 
     /// Whether at least one reader publishes and none of the publishing readers reaches
@@ -257,6 +268,11 @@
                 self.accept_substitute(*node);
                 return event;
             }
+            FeedEvent::Update {
+                reader,
+                is_receiving: true,
+                ..
+            } => (reader, ReaderHealth::Receiving),
             FeedEvent::Update {
                 reader,
                 last_read_failed: true,
@@ -331,6 +347,7 @@
         Err(elapsed) => return LinkFault::Io(elapsed.into()),
     };
     let mut changes = Vec::new();
+    let mut is_receiving = false;
     loop {
         let reader_timeout = context.waits.reader_timeout_ms().to_duration();
         let frame = match tokio::time::timeout(reader_timeout, stream.next()).await {
@@ -343,6 +360,7 @@
                 Ok(change) => changes.push(change),
                 Err(fault) => return fault,
             },
+            ToEntry::ReceivingAnswer => is_receiving = true,
             ToEntry::Progress {
                 revision,
                 last_read_failed,
@@ -357,6 +375,7 @@
                     changes: std::mem::take(&mut changes),
                     revision,
                     last_read_failed,
+                    is_receiving: std::mem::take(&mut is_receiving),
                     as_of: context.clock.now().minus(age_ms),
                 };
                 if event_sender.send(event).is_err() {
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -85,6 +85,7 @@
     };
     let large_routes = LargeRoutes::start(access, subscriptions.event_sender());
     feed.forward_offers(subscriptions.event_sender());
+    feed.observe(Arc::clone(&source));
     let mut sync = DirectorySync {
         links,
         source,
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -308,6 +308,7 @@
                 revision,
                 last_read_failed,
                 as_of,
+                is_receiving: _,
             } => (reader, changes, revision, last_read_failed, as_of),
             FeedEvent::RoutesRead(routes) => {
                 self.directory.set_routes(routes);
--- a/crates/edge/src/following/outage.rs
+++ b/crates/edge/src/following/outage.rs
@@ -17,7 +17,11 @@
 
 impl DirectorySync {
     /// Whether only readers and reserves probe the source while all subscribed readers
-    /// report it as unreachable.
+    /// report it as unreachable, or while one of them receives a long answer.
+    ///
+    /// An answer that takes long at a reader, such as one with a large configuration, takes as
+    /// long at any other node. If every follower requested it too, each would receive the whole
+    /// configuration over the link on which its parts arrive, and all from the source at once.
     ///
     /// Readers publish as soon as one of them reaches the source. Reserves cover a source
     /// that rejects only the readers, and single other nodes one that rejects reserves too
@@ -30,7 +34,7 @@
             && !is_reserve_due
             && !self.is_substitute
             && !self.known.is_missing_changes()
-            && self.subscriptions.all_unhealthy()
+            && (self.subscriptions.all_unhealthy() || self.subscriptions.is_answer_arriving())
             && self.known.own_reads() != OwnReads::Doubtful
             && self.known.age_ms() < self.waits.max_outage_ms()
     }
@@ -40,8 +44,14 @@
         let nodes = self.known.members().vms().len();
         let age_ms = self.known.age_ms();
         let draw = || rand::rng().random();
-        self.outage_probes
-            .due_age_ms(age_ms, nodes, &self.waits, draw)
+        let due_age_ms = self
+            .outage_probes
+            .due_age_ms(age_ms, nodes, &self.waits, draw)?;
+        Some(match self.subscriptions.is_answer_arriving() {
+            // Until then, a read of this node would not be complete before that of the reader.
+            true => due_age_ms.max(self.waits.in_force_ms()),
+            false => due_age_ms,
+        })
     }
 
     pub(super) fn is_probe_due(&mut self) -> bool {
@@ -52,7 +62,7 @@
     /// Applies what unhealthy readers publish until one of them recovers, or until this node
     /// has to probe the source.
     pub(super) async fn await_recovery(&mut self) {
-        if self.known.age_ms() >= self.max_age_ms() {
+        if self.known.age_ms() >= self.max_age_ms() && self.subscriptions.all_unhealthy() {
             // Entries may expire during an outage although their targets are alive.
             self.known.note_entries_may_expire();
         }
--- a/crates/edge/src/following/tests/knowledge.rs
+++ b/crates/edge/src/following/tests/knowledge.rs
@@ -46,6 +46,7 @@
         changes: changes.into_iter().map(change).collect(),
         revision: Revision::new(0, revision),
         last_read_failed: false,
+        is_receiving: false,
         as_of: Millis::ZERO,
     }
 }
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -396,6 +396,7 @@
             // Subscriptions and requests for parts use separate connections.
             ToEntry::Change(_)
             | ToEntry::Progress { .. }
+            | ToEntry::ReceivingAnswer
             | ToEntry::FeedUnavailable
             | ToEntry::Part(_)
             | ToEntry::PartsEnd { .. } => {}
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -50,6 +50,10 @@
 
     /// Reads only the configuration. Returns `None` if there is no valid one.
     fn read_routes(&self, idle_timeout_ms: Millis) -> ReadFuture<'_, Option<RouteSet>>;
+
+    /// Whether an answer has begun to arrive and is not complete yet. This is false again
+    /// once the answer has not continued within its idle timeout.
+    fn is_receiving(&self) -> bool;
 }
 
 /// A source shared by several parts of a node.
--- a/crates/edge/tests/all/support/source.rs
+++ b/crates/edge/tests/all/support/source.rs
@@ -491,4 +491,8 @@
             Ok(routes)
         }))
     }
+
+    fn is_receiving(&self) -> bool {
+        *self.line_free_at.lock() > Instant::now()
+    }
 }
--- a/crates/routed/src/source.rs
+++ b/crates/routed/src/source.rs
@@ -240,6 +240,11 @@
             Ok(read.map_err(read_failed)?.as_ref().and_then(route_set))
         }))
     }
+
+    fn is_receiving(&self) -> bool {
+        // A time limit holds for each answer as a whole.
+        false
+    }
 }
 
 /// Returns the routes of a text, or `None` if it has faults.
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -353,6 +353,9 @@
     },
     /// The crashes in which a request was in flight.
     Crashes(CrashNotice),
+    /// Precedes a [`Self::Progress`] whose age grows because a long answer of the source is
+    /// arriving, not because the source is silent.
+    ReceivingAnswer,
 }
 
 /// Appends a message as a frame.
