Count the debounce interval from the beginning of an answer

Cause: after an answer that had taken 1.2 s a reader waited for the whole debounce interval (750 ms of 2,500) before its next read. Changes that were published just after the answer had begun, a departure or the small version behind a large one, then waited for both, and the followers' state became too old between two answers, while nothing arrived that a reader could report.

--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -253,7 +253,8 @@
             // readers. Otherwise each node of a starting fleet would fetch the next
             // change itself after it.
             self.update_role();
-            let debounce = tokio::time::sleep(self.next_debounce().to_duration());
+            let debounce_ms = self.next_debounce().minus(self.known.age_ms());
+            let debounce = tokio::time::sleep(debounce_ms.to_duration());
             with_updates(debounce, &mut self.known, &mut self.subscriptions).await;
         }
         Ok(())
@@ -289,7 +290,8 @@
         self.subscriptions.set_known_revision(self.known.revision());
     }
 
-    /// Returns the debounce interval for the changes that were just received.
+    /// Returns the debounce interval for the changes that were just received, counted from the
+    /// beginning of the answer: what was published while a large one arrived has waited since.
     ///
     /// The interval starts short: when all VMs restart after a power loss, the first
     /// nodes read a listing that mostly names targets from before the outage, and new
