Answer 404 only from a configuration that is known to be current

Callers saw 404 for a route that had been added, 140 and 374 ms after the bound. Cause: the entry looked routes up in the configuration in force, whether or not the node knew of a newer one that it was still fetching, or had heard nothing for longer than the bound, or had only the state of another node since its start. A 404 is final for callers, so they did not come back.

Change: in these three cases the answer is 503 with Retry-After and a result code of its own (1114). Requests that have a route are served as before.

--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -57,7 +57,8 @@
             ResultCode::NoTarget
             | ResultCode::WrongGate
             | ResultCode::UnknownService
-            | ResultCode::NoConfiguration => Self::Failure,
+            | ResultCode::NoConfiguration
+            | ResultCode::OutdatedConfiguration => Self::Failure,
             _ => Self::Inconclusive,
         }
     }
--- a/crates/core/src/entry/retry.rs
+++ b/crates/core/src/entry/retry.rs
@@ -50,6 +50,7 @@
             | ResultCode::WrongGate
             | ResultCode::UnknownService
             | ResultCode::NoConfiguration
+            | ResultCode::OutdatedConfiguration
     )
 }
 
@@ -89,6 +90,7 @@
             | ResultCode::Leaving
             | ResultCode::NoTarget
             | ResultCode::NoConfiguration
+            | ResultCode::OutdatedConfiguration
             | ResultCode::RecordsFull
             | ResultCode::AttemptsFailed
             | ResultCode::DeadlinePassed
@@ -114,9 +116,10 @@
 /// because the caller did not choose that gate.
 fn code_for_caller(code: ResultCode) -> ResultCode {
     match code {
-        ResultCode::WrongGate | ResultCode::UnknownService | ResultCode::NoConfiguration => {
-            ResultCode::NoTarget
-        }
+        ResultCode::WrongGate
+        | ResultCode::UnknownService
+        | ResultCode::NoConfiguration
+        | ResultCode::OutdatedConfiguration => ResultCode::NoTarget,
         code => code,
     }
 }
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -31,11 +31,19 @@
 pub struct AsOf(Arc<AtomicU64>);
 
 impl AsOf {
+    const UNKNOWN: u64 = 0;
+
     /// Records that everything published by `at` is known.
     pub fn note(&self, at: Millis) {
         self.0.fetch_max(at.0, Ordering::Relaxed);
     }
 
+    /// Whether the source has confirmed any state of this node.
+    #[must_use]
+    pub fn is_confirmed(&self) -> bool {
+        self.0.load(Ordering::Relaxed) != Self::UNKNOWN
+    }
+
     /// Age of the known state, counted from the start of the process while nothing is
     /// known.
     #[must_use]
@@ -69,6 +77,12 @@
         self.0.store(Self::NONE, Ordering::Relaxed);
     }
 
+    /// Whether a newer configuration is known than the one in force.
+    #[must_use]
+    pub fn is_behind(&self) -> bool {
+        self.0.load(Ordering::Relaxed) != Self::NONE
+    }
+
     /// Returns how long the routes in force have been outdated, zero if they are current.
     #[must_use]
     pub fn lag_ms(&self, now: Millis) -> Millis {
@@ -88,6 +102,15 @@
 }
 
 impl Directory {
+    /// Whether a configuration that should be in force by now may contain routes that this
+    /// node does not have. It cannot tell then that a service does not exist.
+    #[must_use]
+    pub fn may_lack_routes(&self, in_force_ms: Millis, now: Millis) -> bool {
+        self.routes_lag.is_behind()
+            || !self.as_of.is_confirmed()
+            || self.as_of.age_ms(now) > in_force_ms
+    }
+
     /// Encodes the known state for a node that has none. Returns `None` without routes.
     #[must_use]
     pub fn to_facts(&self) -> Option<Bytes> {
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -34,6 +34,9 @@
 /// `Retry-After` of refusals while the node has no configuration. A reachable
 /// store answers within milliseconds.
 const NO_CONFIGURATION_RETRY_MS: Millis = Millis(300);
+/// `Retry-After` of refusals while the configuration in force may be outdated. The
+/// transfer of the newer one takes tenths of a second.
+const OUTDATED_CONFIGURATION_RETRY_MS: Millis = Millis(300);
 /// `Retry-After` of refusals while no memory is left for a body. The bodies that
 /// fill the memory belong to calls that end within a second.
 const BODY_MEMORY_RETRY_MS: Millis = Millis(500);
@@ -72,6 +75,8 @@
     pub directory: SharedDirectory,
     /// Header names of the deployment.
     pub dialect: Arc<dyn Dialect>,
+    /// Time within which a configuration must be in force.
+    pub in_force_ms: Millis,
     /// Clock of the process.
     pub clock: ProcessClock,
     /// Incarnation of this process, part of every call key.
@@ -100,6 +105,7 @@
     links: Arc<LinkPool>,
     directory: SharedDirectory,
     dialect: Arc<dyn Dialect>,
+    in_force_ms: Millis,
     clock: ProcessClock,
     incarnation: Incarnation,
     metrics: Arc<Metrics>,
@@ -126,6 +132,7 @@
             )),
             directory: parts.directory,
             dialect: parts.dialect,
+            in_force_ms: parts.in_force_ms,
             clock: parts.clock,
             incarnation: parts.incarnation,
             metrics: parts.metrics,
@@ -297,7 +304,7 @@
         };
         let host = http1::field(&head.fields, "host").unwrap_or_default();
         let Some(route) = routes.find(host, head.path_only()) else {
-            return Err(CallOutcome::without_retry(ResultCode::UnknownService));
+            return Err(self.unknown_route(directory));
         };
         let names = self.dialect.names();
         let Some(request_id) = http1::field(&head.fields, names.request_id) else {
@@ -318,6 +325,17 @@
         })
     }
 
+    /// Returns the outcome of a request that has no route.
+    fn unknown_route(&self, directory: &Directory) -> CallOutcome {
+        match directory.may_lack_routes(self.in_force_ms, self.clock.now()) {
+            true => CallOutcome::refused(
+                ResultCode::OutdatedConfiguration,
+                OUTDATED_CONFIGURATION_RETRY_MS,
+            ),
+            false => CallOutcome::without_retry(ResultCode::UnknownService),
+        }
+    }
+
     /// Returns when the caller first sent this request. A retry of a refused request
     /// is recognised by its fingerprint and its deadline.
     fn first_arrived(&self, fingerprint: u64, requested_until: Millis, arrived: Millis) -> Millis {
--- a/crates/edge/tests/all/routing.rs
+++ b/crates/edge/tests/all/routing.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use hornbeamhitch_edge::directory::Directory;
+use hornbeamhitch_edge::directory::{AsOf, Directory};
 use hornbeamhitch_edge::http1;
 use hornbeamhitch_edge::prelude::*;
 
@@ -98,6 +98,24 @@
     assert_eq!(answer.status(), 404);
 }
 
+/// Guards against a 404 from a node that has just started with the state of another node, which
+/// no source has confirmed.
+#[tokio::test]
+async fn an_unknown_route_may_be_retried_while_the_configuration_is_unconfirmed() {
+    let fleet = fleet(&["s"]).await;
+    let callers = fleet.vms[0].callers;
+    let known = fleet.directory.load_full();
+    fleet.directory.store(Arc::new(Directory {
+        as_of: AsOf::default(),
+        ..Directory::clone(&known)
+    }));
+    let answer = request(callers, "GET", "/none/x", "id-1").await;
+    assert_eq!(answer.status(), 503);
+    assert!(answer.field("Retry-After").is_some());
+    let answer = request(callers, "GET", "/read/x", "id-2").await;
+    assert_eq!(answer.status(), 200);
+}
+
 /// Guards against request smuggling. A request states its length in two ways, so that
 /// one reader takes the rest for the body and the next one for a second request.
 #[tokio::test]
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -104,6 +104,8 @@
 /// Starts a VM for each service. Callers' routes lead to the first service.
 pub async fn fleet(services: &[&str]) -> Fleet {
     let directory: SharedDirectory = Arc::new(ArcSwap::from_pointee(Directory::default()));
+    // As confirmed by a source.
+    directory.load().as_of.note(Millis(1));
     let (gate_port, mut listeners) = bind_same_port(services.len()).await;
     // Only gates read this source, as tests of fleets set the directory of all nodes.
     let published = Published::new();
@@ -292,6 +294,7 @@
         gate: Arc::clone(&gate),
         directory: Arc::clone(directory),
         dialect,
+        in_force_ms: IN_FORCE_MS,
         clock,
         incarnation,
         metrics,
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -76,6 +76,9 @@
     KeyReused = 1112,
     /// The node has not accepted any configuration yet.
     NoConfiguration = 1113,
+    /// The configuration in force does not contain the service, but it may be
+    /// outdated.
+    OutdatedConfiguration = 1114,
     /// The gate's record store is full; the same ticket may be sent again.
     RecordsFull = 1201,
     /// The gate could not be reached; nothing was sent to it.
@@ -155,7 +158,8 @@
             Self::TooLarge => 413,
             Self::KeyReused | Self::CrashSuspect => 422,
             Self::Overloaded | Self::RecordsFull | Self::GateUnreachable => 503,
-            Self::Leaving | Self::NoTarget | Self::NoConfiguration => 503,
+            Self::Leaving | Self::NoTarget => 503,
+            Self::NoConfiguration | Self::OutdatedConfiguration => 503,
             Self::GateLost | Self::RunBroken | Self::AttemptsFailed | Self::AnswerCut => 502,
             Self::DeadlineTooShort | Self::DeadlinePassed => 504,
         }
