Ask other nodes than the readers for parts of a configuration

Change: up to four random other nodes are asked in turn with the readers. They send to three nodes at a time and refer others, as everyone does.

--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use hornbeamhitch_dispatch::waits::Waits;
+use rand::seq::IndexedRandom;
 
 use super::large_routes::{LargeRoutes, ManifestSource, WantedRoutes};
 use crate::directory::DirectoryWriter;
@@ -17,6 +18,8 @@
 /// problem between VMs and the platform is likelier than the failure of single targets.
 const MASS_EXPIRY_COUNT: usize = 3;
 const MASS_EXPIRY_DIVISOR: usize = 8;
+/// Number of nodes other than readers that are asked for the parts of a configuration.
+const MAX_OTHER_SOURCES: usize = 4;
 
 /// State of this node's own reads of the source.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -260,17 +263,32 @@
         if manifest.is_some() {
             self.keep_parts_in_force();
         }
+        self.large_routes.request(WantedRoutes {
+            version,
+            manifest,
+            sources: self.sources_of_parts(sender),
+        });
+    }
+
+    /// Returns the nodes to ask for parts: the sender of the manifest, then other nodes and
+    /// readers in turn. Readers refer to the same nodes, all of which may be slow or gone.
+    fn sources_of_parts(&self, sender: Option<IpAddr>) -> Vec<IpAddr> {
+        let mut others = self.directory.members().vms();
+        others.remove(&self.own_ip);
+        for known in sender.iter().chain(&self.readers) {
+            others.remove(known);
+        }
+        let others: Vec<IpAddr> = others.into_iter().collect();
+        let mut others = others.sample(&mut rand::rng(), MAX_OTHER_SOURCES);
         let mut sources: Vec<IpAddr> = sender.into_iter().collect();
         for reader in &self.readers {
+            sources.extend(others.next());
             if !sources.contains(reader) {
                 sources.push(*reader);
             }
         }
-        self.large_routes.request(WantedRoutes {
-            version,
-            manifest,
-            sources,
-        });
+        sources.extend(others);
+        sources
     }
 
     /// Keeps the parts of the configuration in force, most of which are usually also parts
--- a/crates/edge/src/following/tests/fleet.rs
+++ b/crates/edge/src/following/tests/fleet.rs
@@ -48,6 +48,8 @@
     feed: Arc<ChangeFeed>,
     link_state: Arc<watch::Sender<LinkState>>,
     line: Line,
+    /// Node whose requests for parts are lost on their way to this one.
+    ignored_requester: Arc<Mutex<Option<IpAddr>>>,
 }
 
 /// The sending direction of a VM's network line.
@@ -94,6 +96,13 @@
 #[derive(Clone, Debug, Default)]
 struct Network(Arc<Mutex<BTreeMap<IpAddr, Endpoint>>>);
 
+/// To whom a node's requests for parts are lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Lost {
+    ToReaders,
+    ToAllNodes,
+}
+
 impl FeedLinks for Network {
     fn open(&self, node: IpAddr, request: ToGate) -> LinkFuture<'_, Box<dyn FeedStream>> {
         Box::pin(async move {
@@ -153,9 +162,14 @@
     /// Serves a request as the link server does.
     fn serve(&self, request: ToGate) {
         let (feed, sender) = (Arc::clone(&self.endpoint.feed), self.sender.clone());
+        let ignored_requester = *self.endpoint.ignored_requester.lock();
         tokio::spawn(async move {
             match request {
                 ToGate::Subscribe { revision } => feed.serve(revision, &sender).await,
+                ToGate::FetchParts(request) if ignored_requester == Some(request.node) => {
+                    // The connection stays open without an answer.
+                    sender.closed().await;
+                }
                 ToGate::FetchParts(request) => {
                     feed.serve_parts(&request, &sender).await;
                 }
@@ -334,6 +348,34 @@
         self.line_bytes_per_ms = Some(bytes_per_ms);
     }
 
+    /// Loses the requests for parts of one follower to these nodes, or to all other nodes.
+    pub(super) fn lose_part_requests(&self, to: Lost) -> IpAddr {
+        let is_follower = |own_ip: &&IpAddr| {
+            let members = &self.nodes[*own_ip].directory.load().members;
+            let role = readers::role(members, **own_ip, &data_centre(**own_ip));
+            role.is_follower() && !role.is_reserve()
+        };
+        let requester = *self.ips.iter().find(is_follower).expect("a follower");
+        for (node_ip, endpoint) in self.network.0.lock().iter() {
+            let members = &self.nodes[node_ip].directory.load().members;
+            let is_reader = readers::role(members, *node_ip, &data_centre(*node_ip)).is_reader();
+            if to == Lost::ToAllNodes || is_reader {
+                *endpoint.ignored_requester.lock() = Some(requester);
+            }
+        }
+        requester
+    }
+
+    /// Version that a node uses.
+    pub(super) fn version_of(&self, own_ip: IpAddr) -> u64 {
+        self.nodes[&own_ip].version()
+    }
+
+    /// Newest version that is published.
+    pub(super) const fn newest_version(&self) -> u64 {
+        self.version
+    }
+
     /// Limits the rate at which each node receives large answers of the store.
     pub(super) fn limit_store_answers(&self, bytes_per_ms: u64) {
         self.store.limit_answers(bytes_per_ms);
@@ -545,6 +587,7 @@
             feed: Arc::clone(&feed),
             link_state: Arc::clone(&link_state),
             line: line.clone(),
+            ignored_requester: Arc::default(),
         };
         self.network.0.lock().insert(own_ip, endpoint);
         let following = tokio::spawn(follow_over(
--- a/crates/edge/src/following/tests/parts.rs
+++ b/crates/edge/src/following/tests/parts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::fleet::Fleet;
+use super::fleet::{Fleet, Lost};
 use super::source::SourceMode;
 use super::{IN_FORCE_MS, in_virtual_time};
 
@@ -169,3 +169,36 @@
         });
     }
 }
+
+/// Guards against a node that reads everything from the source because its readers send it no
+/// parts, although all other nodes have them.
+#[test]
+fn a_node_fetches_parts_from_others_than_its_readers() {
+    for _ in 0..FLEETS {
+        in_virtual_time(async {
+            let mut fleet = settled_fleet(70, THIN_LINE_BYTES_PER_MS).await;
+            let requester = fleet.lose_part_requests(Lost::ToReaders);
+            fleet.put_next_large_version(ROUTES);
+            tokio::time::sleep(IN_FORCE).await;
+            assert_eq!(fleet.version_of(requester), fleet.newest_version());
+            assert_eq!(fleet.route_reads(), 0);
+        });
+    }
+}
+
+/// Guards against a node that receives no parts and never reads the source either, since each
+/// new version starts its time limit again.
+#[test]
+fn a_stalled_transfer_is_replaced_by_a_read_although_versions_keep_coming() {
+    const INTERVAL: Duration = Duration::from_millis(300);
+    in_virtual_time(async {
+        let mut fleet = settled_fleet(70, LINE_BYTES_PER_MS).await;
+        let requester = fleet.lose_part_requests(Lost::ToAllNodes);
+        let first = fleet.newest_version() + 1;
+        for _ in 0..2 * IN_FORCE.as_millis() / INTERVAL.as_millis() {
+            fleet.put_next_large_version(ROUTES);
+            tokio::time::sleep(INTERVAL).await;
+        }
+        assert!(fleet.version_of(requester) >= first);
+    });
+}
