Use routes of an overdue configuration part by part

No time limit on a transfer can hold on every line.

Change: once a node knows which parts the newest configuration has, and half of the bound has passed since it first heard of it, a request is routed by the parts that may contain its route. If one is missing, it is fetched before the others and the request waits up to 8% of the bound, then gets 503 with Retry-After. So no request is routed by a replaced route, whatever the transfer does. Until then the configuration in force is used as before. The lag now counts from the oldest version that is not in force, instead of the first time the node was ever behind.

Why by prefix: a part holds the routes whose host and prefix have the same hash, so the parts that may have the route of a path are those of its prefixes.

--- a/crates/dispatch/src/routes.rs
+++ b/crates/dispatch/src/routes.rs
@@ -105,6 +105,11 @@
     }
 }
 
+/// Returns a host without its port.
+fn host_name(host: &str) -> &str {
+    host.split(':').next().unwrap_or(host)
+}
+
 /// Sorts the routes of a host, longest prefix first. Of two routes with the same prefix,
 /// the one that was added first counts.
 fn sort(routes: &mut [Arc<Route>]) {
@@ -181,7 +186,7 @@
     /// host is ignored; `path` comes without its query.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let name = host.split(':').next().unwrap_or(host);
+        let name = host_name(host);
         let routes = match self.hosts.get(name) {
             Some(routes) => routes,
             None => self.hosts.get(name.to_ascii_lowercase().as_str())?,
--- a/crates/dispatch/src/routes/parts.rs
+++ b/crates/dispatch/src/routes/parts.rs
@@ -126,7 +126,7 @@
     let count = bucket_count(sorted.len());
     let mut buckets: Vec<Vec<(String, Arc<Route>)>> = vec![Vec::new(); count];
     for (host, route) in sorted {
-        let bucket = &mut buckets[bucket_of(host, route, count)];
+        let bucket = &mut buckets[bucket_of(host, &route.prefix, count)];
         bucket.push((host.clone(), Arc::clone(route)));
     }
     let common = Part::Common {
@@ -192,6 +192,49 @@
     Ok(routes)
 }
 
+/// Result of looking up a route among some of the parts of a configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PartLookup {
+    /// The route that the whole configuration has for the request.
+    Found(Arc<Route>),
+    /// The whole configuration has no route for the request.
+    NoRoute,
+    /// This part is missing or malformed, and may contain the route.
+    Missing(PartDigest),
+    /// The manifest is malformed.
+    Unknown,
+}
+
+/// Returns the route with the longest prefix of a path, as [`RouteSet::find`] does with the
+/// whole configuration, from those parts that may contain it.
+#[must_use]
+pub fn find(
+    manifest: &RoutesManifest,
+    parts: &HashMap<PartDigest, Bytes>,
+    host: &str,
+    path: &str,
+) -> PartLookup {
+    let Some((_, buckets @ [_, ..])) = manifest.parts.split_first() else {
+        return PartLookup::Unknown;
+    };
+    let host = super::host_name(host).to_ascii_lowercase();
+    // A prefix ends with a slash. Longer ones first: the first that has a route decides.
+    for (index, _) in path.rmatch_indices('/') {
+        let prefix = &path[..=index];
+        let digest = buckets[bucket_of(&host, prefix, buckets.len())];
+        let decoded = parts.get(&digest).map(|part| postcard::from_bytes(part));
+        let Some(Ok(Part::Routes(routes))) = decoded else {
+            return PartLookup::Missing(digest);
+        };
+        for (of_host, route) in routes {
+            if of_host == host && route.prefix == prefix {
+                return PartLookup::Found(route);
+            }
+        }
+    }
+    PartLookup::NoRoute
+}
+
 /// Returns the number of parts for this many routes: a power of two, so that it rarely
 /// changes between versions.
 const fn bucket_count(routes: usize) -> usize {
@@ -203,11 +246,11 @@
     }
 }
 
-fn bucket_of(host: &str, route: &Route, count: usize) -> usize {
+fn bucket_of(host: &str, prefix: &str, count: usize) -> usize {
     let mut hasher = Xxh3::new();
     hasher.update(host.as_bytes());
     // No host contains this byte.
     hasher.update(&[0]);
-    hasher.update(route.prefix.as_bytes());
+    hasher.update(prefix.as_bytes());
     (hasher.digest() % count as u64) as usize
 }
--- a/crates/dispatch/src/routes/parts/tests.rs
+++ b/crates/dispatch/src/routes/parts/tests.rs
@@ -97,3 +97,57 @@
         Err(PartFault::Count(0))
     ));
 }
+
+/// Guards against a route that is found in the parts but not in the whole configuration, or the
+/// other way round.
+#[test]
+fn all_parts_have_the_routes_of_the_whole_configuration() {
+    let mut written = routes(3, 300, 2_000);
+    for prefix in ["/", "/prefix-7/deeper/", "/prefix-8/a/b/"] {
+        let deeper = Route {
+            prefix: prefix.to_owned(),
+            ..route(1_000, 700)
+        };
+        written.add("h-2", deeper);
+    }
+    let split = split(&written).expect("an encodable configuration");
+    for host in ["h-0", "H-2:80", "h-2", "h-3", "unknown"] {
+        for path in [
+            "/",
+            "/prefix-7",
+            "/prefix-7/",
+            "/prefix-7/deeper/x",
+            "/prefix-7/deeper",
+            "/prefix-8/a/b/c/d",
+            "/prefix-12/x",
+            "/none/x",
+            "*",
+        ] {
+            let expected = match written.find(host, path) {
+                Some(route) => PartLookup::Found(Arc::clone(route)),
+                None => PartLookup::NoRoute,
+            };
+            let found = find(&split.manifest, &split.parts, host, path);
+            assert_eq!(found, expected, "{host}{path}");
+        }
+    }
+}
+
+/// Guards against a route of a shorter prefix that is used while the part of a longer one is
+/// missing.
+#[test]
+fn a_missing_part_that_may_have_the_route_decides_nothing() {
+    let mut written = routes(3, 300, 2_000);
+    let shorter = Route {
+        prefix: "/".to_owned(),
+        ..route(1_000, 700)
+    };
+    written.add("h-2", shorter);
+    let split = split(&written).expect("an encodable configuration");
+    let longer = bucket_of("h-2", "/prefix-7/", split.manifest.parts.len() - 1);
+    let mut parts = split.parts;
+    let missing = split.manifest.parts[1 + longer];
+    parts.remove(&missing);
+    let found = find(&split.manifest, &parts, "h-2", "/prefix-7/x");
+    assert_eq!(found, PartLookup::Missing(missing));
+}
--- a/crates/dispatch/src/waits.rs
+++ b/crates/dispatch/src/waits.rs
@@ -28,6 +28,7 @@
 const PART_TIMEOUT: u64 = 8;
 const PARTS_MAX_STALL: u64 = 20;
 const PART_RETRY: u64 = 4;
+const ROUTES_MAX_LAG: u64 = 50;
 const RELAYED_REMOVAL_HOLD: u64 = 40;
 const OWN_HEALTH_INTERVAL: u64 = 10;
 const OWN_ENTRY_INTERVAL: u64 = 40;
@@ -56,6 +57,9 @@
         + IDLE_TIMEOUT
         < WHOLE
 );
+/// A configuration whose parts arrive slowly, after a debounce interval at the reader. The
+/// whole text is confirmed to the operator no earlier than a reader receives it.
+const _: () = assert!(REFRESH_INTERVAL + PUBLISH_INTERVAL + ROUTES_MAX_LAG < WHOLE);
 /// A node that waits for parts which it is about to send answers in time.
 const _: () = assert!(PART_RETRY < PART_TIMEOUT);
 /// Readers whose state becomes too old, for whatever reason, even if they do not report
@@ -230,6 +234,13 @@
         self.share(PART_RETRY)
     }
 
+    /// Returns the time from which on a node uses no routes older than the newest configuration
+    /// that it knows of, counted from when it first heard of that configuration.
+    #[must_use]
+    pub const fn routes_max_lag_ms(&self) -> Millis {
+        self.share(ROUTES_MAX_LAG)
+    }
+
     /// Returns how long a removal is held if a failing reader relayed it.
     #[must_use]
     pub const fn relayed_removal_hold_ms(&self) -> Millis {
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -163,7 +163,7 @@
         gate: Arc::clone(&gate),
         directory: Arc::clone(&directory),
         dialect,
-        in_force_ms: config.in_force_ms,
+        waits,
         clock,
         incarnation,
         metrics: Arc::clone(&metrics),
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -1,6 +1,6 @@
 //! The configuration and targets that traffic uses, and the writer that updates them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -12,6 +12,10 @@
 use crate::prelude::*;
 use crate::source::{Fact, Listing};
 
+mod lookup;
+
+pub use lookup::{PendingRoutes, RouteLookup};
+
 /// Configuration and targets in force. The control thread replaces the value as a whole.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
@@ -21,6 +25,8 @@
     pub members: Arc<Members>,
     /// Time as of which both are complete.
     pub as_of: AsOf,
+    /// A newer configuration whose parts are being fetched.
+    pub pending: Option<Arc<PendingRoutes>>,
     /// Lag of the routes behind the versions that this node has heard of.
     pub routes_lag: RoutesLag,
 }
@@ -63,13 +69,9 @@
 impl RoutesLag {
     const NONE: u64 = 0;
 
-    /// Records at `now` that a newer configuration is known than the one in force.
-    pub fn note_behind(&self, now: Millis) {
-        let since = now.0.max(1);
-        // Fails if a configuration has been outstanding for longer, and that time counts.
-        let _ = self
-            .0
-            .compare_exchange(Self::NONE, since, Ordering::Relaxed, Ordering::Relaxed);
+    /// Records that a newer configuration than the one in force was first heard of at `since`.
+    pub fn note_behind(&self, since: Millis) {
+        self.0.store(since.0.max(1), Ordering::Relaxed);
     }
 
     /// Records that the newest known configuration is in force.
@@ -102,15 +104,6 @@
 }
 
 impl Directory {
-    /// Whether a configuration that should be in force by now may contain routes that this
-    /// node does not have. It cannot tell then that a service does not exist.
-    #[must_use]
-    pub fn may_lack_routes(&self, in_force_ms: Millis, now: Millis) -> bool {
-        self.routes_lag.is_behind()
-            || !self.as_of.is_confirmed()
-            || self.as_of.age_ms(now) > in_force_ms
-    }
-
     /// Encodes the known state for a node that has none. Returns `None` without routes.
     #[must_use]
     pub fn to_facts(&self) -> Option<Bytes> {
@@ -159,6 +152,7 @@
         routes: Some(Arc::new(facts.routes)),
         members: Arc::new(tracker.snapshot()),
         as_of: directory.load().as_of.clone(),
+        pending: None,
         routes_lag: directory.load().routes_lag.clone(),
     });
     let before = directory.rcu(|known| match known.routes {
@@ -194,6 +188,8 @@
     directory: SharedDirectory,
     tracker: MemberTracker,
     clock: ProcessClock,
+    /// Versions newer than the one in force, and when this node first heard of each.
+    heard: VecDeque<(u64, Millis)>,
     /// Whether the state in force comes from a stale listing.
     serves_stale: bool,
 }
@@ -206,6 +202,7 @@
             directory,
             tracker: MemberTracker::default(),
             clock,
+            heard: VecDeque::new(),
             serves_stale: false,
         }
     }
@@ -228,14 +225,30 @@
         // The configuration may name services whose targets were listed before it.
         let members = Arc::new(self.tracker.snapshot_for(&routes));
         let is_tracking = !self.tracker.is_empty();
+        self.directory.rcu(|known| {
+            let pending = known.pending.as_ref();
+            let pending = pending.filter(|pending| pending.version() > routes.version());
+            Directory {
+                routes: Some(Arc::clone(&routes)),
+                members: match is_tracking {
+                    true => Arc::clone(&members),
+                    false => Arc::clone(&known.members),
+                },
+                pending: pending.cloned(),
+                ..Directory::clone(known)
+            }
+        });
+    }
+
+    /// Sets the newest configuration whose parts are being fetched.
+    pub fn set_pending(&self, pending: PendingRoutes) {
+        if Some(pending.version()) <= self.version() {
+            return;
+        }
+        let pending = Arc::new(pending);
         self.directory.rcu(|known| Directory {
-            routes: Some(Arc::clone(&routes)),
-            members: match is_tracking {
-                true => Arc::clone(&members),
-                false => Arc::clone(&known.members),
-            },
-            as_of: known.as_of.clone(),
-            routes_lag: known.routes_lag.clone(),
+            pending: Some(Arc::clone(&pending)),
+            ..Directory::clone(known)
         });
     }
 
@@ -258,8 +271,7 @@
             Arc::new(Directory {
                 routes: Some(Arc::clone(&routes)),
                 members: Arc::clone(&members),
-                as_of: known.as_of.clone(),
-                routes_lag: known.routes_lag.clone(),
+                ..Directory::clone(known)
             })
         });
         if before.routes.is_none() {
@@ -356,10 +368,8 @@
         });
         log::info!(targets = members.len(); "targets in force");
         self.directory.rcu(|known| Directory {
-            routes: known.routes.clone(),
             members: Arc::clone(&members),
-            as_of: known.as_of.clone(),
-            routes_lag: known.routes_lag.clone(),
+            ..Directory::clone(known)
         });
     }
 
@@ -368,12 +378,18 @@
         self.directory.load().as_of.note(at);
     }
 
-    /// Records whether a newer configuration is known than the one in force.
-    pub fn note_newest_routes(&self, newest: Option<u64>) {
+    /// Records the newest version that is known, which may not be in force yet.
+    pub fn note_newest_routes(&mut self, newest: Option<u64>) {
+        let last_heard = self.heard.back().map(|(version, _)| *version);
+        if let Some(newest) = newest.filter(|newest| Some(*newest) > last_heard) {
+            self.heard.push_back((newest, self.clock.now()));
+        }
+        let in_force = self.version();
+        self.heard.retain(|(version, _)| Some(*version) > in_force);
         let lag = &self.directory.load().routes_lag;
-        match newest > self.version() {
-            true => lag.note_behind(self.clock.now()),
-            false => lag.note_current(),
+        match self.heard.front() {
+            Some((_, heard_at)) => lag.note_behind(*heard_at),
+            None => lag.note_current(),
         }
     }
 
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -14,12 +14,13 @@
 use hornbeamhitch_dispatch::crashes::CrashLevel;
 use hornbeamhitch_dispatch::regions::Regions;
 use hornbeamhitch_dispatch::retry_budget::RetryLimit;
+use hornbeamhitch_dispatch::waits::Waits;
 use hornbeamhitch_node::metrics::Metrics;
 use hornbeamhitch_node::uploads::{Reservation, UploadLimits};
 use parking_lot::Mutex;
 use rand::RngExt;
 
-use crate::directory::Directory;
+use crate::directory::{Directory, RouteLookup};
 use crate::gate::Gate;
 use crate::http1::{self, RequestHead};
 use crate::link::LinkPool;
@@ -75,8 +76,8 @@
     pub directory: SharedDirectory,
     /// Header names of the deployment.
     pub dialect: Arc<dyn Dialect>,
-    /// Time within which a configuration must be in force.
-    pub in_force_ms: Millis,
+    /// Times within which a configuration must be in force.
+    pub waits: Waits,
     /// Clock of the process.
     pub clock: ProcessClock,
     /// Incarnation of this process, part of every call key.
@@ -105,7 +106,7 @@
     links: Arc<LinkPool>,
     directory: SharedDirectory,
     dialect: Arc<dyn Dialect>,
-    in_force_ms: Millis,
+    waits: Waits,
     clock: ProcessClock,
     incarnation: Incarnation,
     metrics: Arc<Metrics>,
@@ -132,7 +133,7 @@
             )),
             directory: parts.directory,
             dialect: parts.dialect,
-            in_force_ms: parts.in_force_ms,
+            waits: parts.waits,
             clock: parts.clock,
             incarnation: parts.incarnation,
             metrics: parts.metrics,
@@ -235,6 +236,7 @@
 
     /// Serves one request and returns the answer for its caller.
     pub async fn serve(self: &Arc<Self>, request: CallerRequest) -> CallerAnswer {
+        self.await_route(&request.head).await;
         let directory = self.directory.load_full();
         let routed = match self.resolve(&directory, &request) {
             Ok(routed) => routed,
@@ -248,12 +250,12 @@
         let requested_ms = self.requested_deadline_ms(&request.head);
         let requested_until = arrived + requested_ms.unwrap_or(timeout_ms);
         let deadline_ms = requested_ms.unwrap_or(timeout_ms).min(timeout_ms);
-        let service = self.state.lock().splitter.choose(routed.route);
+        let service = self.state.lock().splitter.choose(&routed.route);
         let first_arrived = self.first_arrived(routed.fingerprint, requested_until, arrived);
         let driver = CallDriver::new(
             self,
             call::CallParts {
-                route: Arc::clone(routed.route),
+                route: Arc::clone(&routed.route),
                 service: service.clone(),
                 request_id: routed.request_id.clone(),
                 fingerprint: routed.fingerprint,
@@ -278,7 +280,7 @@
             request_id: routed.request_id,
             service: service.as_str(),
             route: &routed.route.name,
-            class: ended::class_of(routed.route),
+            class: ended::class_of(&routed.route),
             config_version: routed.config_version,
             known_ms: directory.as_of.age_ms(arrived),
             routes_lag_ms: directory.routes_lag.lag_ms(arrived),
@@ -288,23 +290,56 @@
         self.log_call(&record, outcome)
     }
 
+    /// Waits for the parts of an overdue configuration that may contain the route of a request.
+    async fn await_route(&self, head: &RequestHead) {
+        if self.directory.load().pending.is_none() {
+            return;
+        }
+        let host = http1::field(&head.fields, "host").unwrap_or_default();
+        let max_wait_ms = self.waits.part_timeout_ms();
+        let until = self.clock.now() + max_wait_ms;
+        loop {
+            let now = self.clock.now();
+            let found = self
+                .directory
+                .load()
+                .find(host, head.path_only(), &self.waits, now);
+            match found {
+                RouteLookup::Arriving { pending, part } if now < until => {
+                    pending.parts.await_part(part, until.since(now)).await;
+                }
+                _ => return,
+            }
+        }
+    }
+
     /// Finds the route of a request, or returns the refusal if it has none or must
     /// not run.
-    fn resolve<'a>(
+    fn resolve(
         &self,
-        directory: &'a Directory,
+        directory: &Directory,
         request: &CallerRequest,
-    ) -> Result<RoutedRequest<'a>, CallOutcome> {
+    ) -> Result<RoutedRequest, CallOutcome> {
         let CallerRequest { head, body, .. } = request;
-        let Some(routes) = directory.routes.as_ref() else {
-            return Err(CallOutcome::refused(
-                ResultCode::NoConfiguration,
-                NO_CONFIGURATION_RETRY_MS,
-            ));
-        };
         let host = http1::field(&head.fields, "host").unwrap_or_default();
-        let Some(route) = routes.find(host, head.path_only()) else {
-            return Err(self.unknown_route(directory));
+        let found = directory.find(host, head.path_only(), &self.waits, self.clock.now());
+        let (route, config_version) = match found {
+            RouteLookup::Found { route, version } => (route, version),
+            RouteLookup::NoRoute => {
+                return Err(CallOutcome::without_retry(ResultCode::UnknownService));
+            }
+            RouteLookup::Arriving { .. } | RouteLookup::Outdated => {
+                return Err(CallOutcome::refused(
+                    ResultCode::OutdatedConfiguration,
+                    OUTDATED_CONFIGURATION_RETRY_MS,
+                ));
+            }
+            RouteLookup::NoConfiguration => {
+                return Err(CallOutcome::refused(
+                    ResultCode::NoConfiguration,
+                    NO_CONFIGURATION_RETRY_MS,
+                ));
+            }
         };
         let names = self.dialect.names();
         let Some(request_id) = http1::field(&head.fields, names.request_id) else {
@@ -319,23 +354,12 @@
         }
         Ok(RoutedRequest {
             route,
-            config_version: routes.version(),
+            config_version,
             request_id: request_id.to_owned(),
             fingerprint,
         })
     }
 
-    /// Returns the outcome of a request that has no route.
-    fn unknown_route(&self, directory: &Directory) -> CallOutcome {
-        match directory.may_lack_routes(self.in_force_ms, self.clock.now()) {
-            true => CallOutcome::refused(
-                ResultCode::OutdatedConfiguration,
-                OUTDATED_CONFIGURATION_RETRY_MS,
-            ),
-            false => CallOutcome::without_retry(ResultCode::UnknownService),
-        }
-    }
-
     /// Returns when the caller first sent this request. A retry of a refused request
     /// is recognised by its fingerprint and its deadline.
     fn first_arrived(&self, fingerprint: u64, requested_until: Millis, arrived: Millis) -> Millis {
@@ -361,8 +385,8 @@
 }
 
 /// A request that has a route.
-struct RoutedRequest<'a> {
-    route: &'a Arc<Route>,
+struct RoutedRequest {
+    route: Arc<Route>,
     config_version: u64,
     request_id: String,
     /// Identifies the request if it is suspected of crashing targets.
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -9,7 +9,7 @@
 mod subscriptions;
 
 use std::net::IpAddr;
-use std::sync::OnceLock;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use hornbeamhitch_dispatch::routes::parts::PartFault;
@@ -26,7 +26,7 @@
 #[cfg(test)]
 pub(crate) use links::LinkFuture;
 pub(crate) use links::{FeedLinks, FeedStream, TcpFeedLinks};
-pub(crate) use parts::PartStore;
+pub use parts::PartStore;
 pub use subscriptions::{FeedEvent, Subscriptions};
 
 #[cfg(test)]
@@ -62,7 +62,7 @@
     clock: ProcessClock,
     waits: Waits,
     state: Mutex<State>,
-    parts: PartStore,
+    parts: Arc<PartStore>,
     changed: watch::Sender<()>,
     /// Receives offers of other nodes to read the source in place of this one.
     offers: OnceLock<UnboundedSender<FeedEvent>>,
@@ -105,7 +105,7 @@
             clock,
             waits,
             state: Mutex::default(),
-            parts: PartStore::default(),
+            parts: Arc::default(),
             changed,
             offers: OnceLock::new(),
             source: OnceLock::new(),
@@ -241,7 +241,7 @@
     }
 
     /// The parts of configurations that other nodes fetch from this one.
-    pub(crate) const fn parts(&self) -> &PartStore {
+    pub(crate) const fn parts(&self) -> &Arc<PartStore> {
         &self.parts
     }
 
--- a/crates/edge/src/feed/parts.rs
+++ b/crates/edge/src/feed/parts.rs
@@ -4,7 +4,7 @@
 use std::net::IpAddr;
 
 use bytes::Bytes;
-use hornbeamhitch_dispatch::routes::parts::{self, PartFault, RoutesManifest};
+use hornbeamhitch_dispatch::routes::parts::{self, PartFault, PartLookup, RoutesManifest};
 use hornbeamhitch_wire::link::{PartsRequest, ToEntry};
 use parking_lot::Mutex;
 use tokio::sync::mpsc::UnboundedSender;
@@ -24,13 +24,15 @@
 /// occupies the sender's link for long. It is also what a node receives before it can send
 /// anything to its own receivers.
 const MAX_ANSWER_BYTES: usize = 8 * 1024;
+/// Maximum number of parts that are fetched before others. Older demands are dropped.
+const MAX_DEMANDED: usize = 16;
 /// Number of nodes to which a node sends a configuration at the same time. It refers others to
 /// these, so the queue on its link stays short however many nodes ask.
 const MAX_RECEIVERS: usize = 3;
 
 /// Known parts of configurations.
 #[derive(Debug)]
-pub(crate) struct PartStore {
+pub struct PartStore {
     state: Mutex<State>,
     /// Notified when a part is added.
     added: watch::Sender<()>,
@@ -43,6 +45,8 @@
     parts: HashMap<PartDigest, Bytes>,
     /// Manifest that this node is about to fetch.
     expected_manifest: Option<PartDigest>,
+    /// Parts for which requests of callers wait, the one that was requested first in front.
+    demanded: VecDeque<PartDigest>,
     receivers: Receivers,
 }
 
@@ -125,11 +129,27 @@
             return false;
         }
         state.parts.insert(digest, part);
+        state.demanded.retain(|demanded| *demanded != digest);
         drop(state);
         self.added.send_replace(());
         true
     }
 
+    /// Waits up to `max_wait_ms` for a part, which is fetched before others that are missing.
+    pub(crate) async fn await_part(&self, digest: PartDigest, max_wait_ms: Millis) {
+        let mut added = self.added.subscribe();
+        self.state.lock().demand(digest);
+        let until_added = added.wait_for(|()| self.state.lock().parts.contains_key(&digest));
+        // The caller looks the part up again, whether or not it has arrived.
+        let _ = tokio::time::timeout(max_wait_ms.to_duration(), until_added).await;
+    }
+
+    /// Moves those of the missing parts to the front for which requests of callers wait.
+    pub(crate) fn move_demanded_first(&self, missing: &mut [PartDigest]) {
+        let state = self.state.lock();
+        missing.sort_by_key(|digest| !state.demanded.contains(digest));
+    }
+
     /// Returns those of the wanted parts that are not known.
     pub(crate) fn missing(&self, wanted: &[PartDigest]) -> Vec<PartDigest> {
         let state = self.state.lock();
@@ -152,6 +172,11 @@
         parts::join(manifest, &self.state.lock().parts)
     }
 
+    /// Looks up the route of a request in the known parts of a configuration.
+    pub(crate) fn find(&self, manifest: &RoutesManifest, host: &str, path: &str) -> PartLookup {
+        parts::find(manifest, &self.state.lock().parts, host, path)
+    }
+
     /// Decides whether this node serves a request, or returns the node that should.
     ///
     /// A request that one answer completes is always served: a referral would take as long.
@@ -244,6 +269,17 @@
         self.parts.retain(|digest, _| named.contains(digest));
     }
 
+    /// Records that requests of callers wait for a part.
+    fn demand(&mut self, digest: PartDigest) {
+        if self.demanded.contains(&digest) {
+            return;
+        }
+        if self.demanded.len() >= MAX_DEMANDED {
+            self.demanded.pop_front();
+        }
+        self.demanded.push_back(digest);
+    }
+
     /// Whether one answer contains all parts that the requester lacks.
     fn completes(&self, request: &PartsRequest) -> bool {
         if !request.is_last {
--- a/crates/edge/src/feed/subscriptions.rs
+++ b/crates/edge/src/feed/subscriptions.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hornbeamhitch_dispatch::routes::parts::RoutesManifest;
 use hornbeamhitch_dispatch::waits::Waits;
 use hornbeamhitch_wire::link::{ToEntry, ToGate};
 use parking_lot::Mutex;
@@ -44,6 +45,8 @@
         /// network delay of the update.
         as_of: Millis,
     },
+    /// This node has learnt which parts a configuration has, and is about to fetch them.
+    ManifestKnown(RoutesManifest),
     /// This node has obtained a configuration that was too large for the change feed.
     RoutesRead(RouteSet),
     /// The connection to the reader was lost.
@@ -280,7 +283,7 @@
             } => (reader, ReaderHealth::Unhealthy),
             FeedEvent::Update { reader, .. } => (reader, ReaderHealth::Healthy),
             FeedEvent::Lost { reader } => (reader, ReaderHealth::Lost),
-            FeedEvent::RoutesRead(_) => return event,
+            FeedEvent::ManifestKnown(_) | FeedEvent::RoutesRead(_) => return event,
         };
         let Some(subscription) = self.readers.get_mut(reader) else {
             return event;
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -9,7 +9,7 @@
 use rand::seq::IndexedRandom;
 
 use super::large_routes::{LargeRoutes, ManifestSource, WantedRoutes};
-use crate::directory::DirectoryWriter;
+use crate::directory::{DirectoryWriter, PendingRoutes};
 use crate::feed::{ChangeFeed, FeedEvent};
 use crate::prelude::*;
 use crate::source::{Change, Fact, Listing};
@@ -328,6 +328,12 @@
                 as_of,
                 is_receiving: _,
             } => (reader, changes, revision, last_read_failed, as_of),
+            FeedEvent::ManifestKnown(manifest) => {
+                let parts = Arc::clone(self.feed.parts());
+                self.directory
+                    .set_pending(PendingRoutes { manifest, parts });
+                return;
+            }
             FeedEvent::RoutesRead(routes) => {
                 self.directory.set_routes(routes);
                 self.directory.note_newest_routes(self.routes_version);
--- a/crates/edge/src/following/large_routes.rs
+++ b/crates/edge/src/following/large_routes.rs
@@ -67,10 +67,11 @@
         let (wanted, wanted_routes) = watch::channel(None);
         let task = Task {
             access,
+            events,
             wanted: wanted_routes,
             obtained: 0,
         };
-        tokio::spawn(task.run(events));
+        tokio::spawn(task.run());
         Self { wanted }
     }
 
@@ -90,19 +91,20 @@
 
 struct Task {
     access: RoutesAccess,
+    events: mpsc::UnboundedSender<FeedEvent>,
     wanted: watch::Receiver<Option<WantedRoutes>>,
     /// Newest version that was obtained, or that cannot be used.
     obtained: u64,
 }
 
 impl Task {
-    async fn run(mut self, events: mpsc::UnboundedSender<FeedEvent>) {
+    async fn run(mut self) {
         while let Some(wanted) = self.next_wanted().await {
             let Some(routes) = self.obtain(&wanted).await else {
                 continue;
             };
             self.obtained = self.obtained.max(routes.version());
-            if events.send(FeedEvent::RoutesRead(routes)).is_err() {
+            if self.events.send(FeedEvent::RoutesRead(routes)).is_err() {
                 return;
             }
         }
@@ -184,6 +186,8 @@
             ManifestSource::Digest(digest) => self.fetch_manifest(*digest, &mut fetch).await?,
         };
         parts.expect(&manifest);
+        // Fails only if the node no longer follows its source.
+        let _ = self.events.send(FeedEvent::ManifestKnown(manifest.clone()));
         fetch.want_parts_of(&manifest);
         self.fetch_wanted(&mut fetch).await?;
         match parts.join(&manifest) {
@@ -307,12 +311,13 @@
         }
     }
 
-    /// Requests parts in random order. Nodes that fetch from each other then rarely lack the
-    /// same ones.
+    /// Requests parts in random order, except for those that callers wait for. Nodes that fetch
+    /// from each other then rarely lack the same ones.
     fn request_for(&self, missing: Vec<PartDigest>, has_manifest: bool) -> ToGate {
         let mut digests = missing;
         let is_last = has_manifest && digests.len() <= MAX_REQUESTED_PARTS;
         digests.shuffle(&mut rand::rng());
+        self.access.feed.parts().move_demanded_first(&mut digests);
         digests.truncate(MAX_REQUESTED_PARTS);
         ToGate::FetchParts(PartsRequest {
             node: self.access.own_ip,
--- a/crates/edge/src/following/tests/fleet.rs
+++ b/crates/edge/src/following/tests/fleet.rs
@@ -18,7 +18,7 @@
 
 use super::source::{self, Published, SourceMode, TestSource};
 use super::{Fault, FaultWindow, IN_FORCE_MS};
-use crate::directory::{Directory, DirectoryWriter, adopt_facts};
+use crate::directory::{Directory, DirectoryWriter, RouteLookup, adopt_facts};
 use crate::feed::{ChangeFeed, FeedLinks, FeedStream, LinkFuture};
 use crate::following::{FollowSettings, follow_over};
 use crate::link::LinkFault;
@@ -214,6 +214,7 @@
 /// A node between its start and its stop.
 struct RunningNode {
     directory: SharedDirectory,
+    clock: ProcessClock,
     source: TestSource,
     line: Line,
     link_state: Arc<watch::Sender<LinkState>>,
@@ -366,6 +367,26 @@
         requester
     }
 
+    /// Number of the routes of large versions that a node takes from an older version than this
+    /// one.
+    pub(super) fn routes_before_version(
+        &self,
+        own_ip: IpAddr,
+        routes: usize,
+        version: u64,
+    ) -> usize {
+        let node = &self.nodes[&own_ip];
+        let directory = node.directory.load();
+        let (waits, now) = (Waits::new(IN_FORCE_MS), node.clock.now());
+        let is_old = |number: &usize| {
+            let host = format!("host-{number}.example");
+            let path = format!("/prefix-{number}/x");
+            let found = directory.find(&host, &path, &waits, now);
+            matches!(found, RouteLookup::Found { version: known, .. } if known < version)
+        };
+        (0..routes).filter(is_old).count()
+    }
+
     /// Version that a node uses.
     pub(super) fn version_of(&self, own_ip: IpAddr) -> u64 {
         self.nodes[&own_ip].version()
@@ -599,6 +620,7 @@
         ));
         let node = RunningNode {
             directory,
+            clock,
             line,
             source,
             link_state,
--- a/crates/edge/src/following/tests/parts.rs
+++ b/crates/edge/src/following/tests/parts.rs
@@ -186,6 +186,27 @@
     }
 }
 
+/// Guards against a node that acts on replaced routes because nobody sends it the parts of the
+/// newer ones.
+#[test]
+fn a_node_without_parts_uses_no_replaced_routes_after_the_bound() {
+    const INLINE_MANIFEST_ROUTES: usize = 200;
+    in_virtual_time(async {
+        let mut fleet = settled_fleet(70, THIN_LINE_BYTES_PER_MS).await;
+        fleet.put_next_large_version(INLINE_MANIFEST_ROUTES);
+        tokio::time::sleep(IN_FORCE).await;
+        assert_eq!(fleet.outdated_nodes(), 0);
+        let requester = fleet.lose_part_requests(Lost::ToAllNodes);
+        fleet.set_mode_of_followers(SourceMode::Failing);
+        fleet.put_next_large_version(INLINE_MANIFEST_ROUTES);
+        let due = fleet.newest_version();
+        tokio::time::sleep(IN_FORCE).await;
+        assert_eq!(fleet.outdated_nodes(), 1);
+        let old = fleet.routes_before_version(requester, INLINE_MANIFEST_ROUTES, due);
+        assert_eq!(old, 0);
+    });
+}
+
 /// Guards against a node that receives no parts and never reads the source either, since each
 /// new version starts its time limit again.
 #[test]
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -166,8 +166,7 @@
     directory.store(Arc::new(Directory {
         routes: Some(Arc::new(routes)),
         members: Arc::new(tracker.snapshot()),
-        as_of: directory.load().as_of.clone(),
-        routes_lag: directory.load().routes_lag.clone(),
+        ..Directory::clone(&directory.load())
     }));
 }
 
@@ -294,7 +293,7 @@
         gate: Arc::clone(&gate),
         directory: Arc::clone(directory),
         dialect,
-        in_force_ms: IN_FORCE_MS,
+        waits: Waits::new(IN_FORCE_MS),
         clock,
         incarnation,
         metrics,
