--- a/crates/edge/src/following/tests/fleet.rs
+++ b/crates/edge/src/following/tests/fleet.rs
@@ -48,8 +48,8 @@
     feed: Arc<ChangeFeed>,
     link_state: Arc<watch::Sender<LinkState>>,
     line: Line,
-    /// Node whose requests for parts are lost on their way to this one.
-    ignored_requester: Arc<Mutex<Option<IpAddr>>>,
+    /// Requests for parts that are lost on their way to this node.
+    ignored: Arc<Mutex<IgnoredRequests>>,
 }
 
 /// The sending direction of a VM's network line.
@@ -96,6 +96,26 @@
 #[derive(Clone, Debug, Default)]
 struct Network(Arc<Mutex<BTreeMap<IpAddr, Endpoint>>>);
 
+/// Requests for parts that a node does not receive.
+#[derive(Clone, Copy, Debug, Default)]
+enum IgnoredRequests {
+    #[default]
+    None,
+    /// Those of one node.
+    Of(IpAddr),
+    OfAll,
+}
+
+impl IgnoredRequests {
+    fn contains(self, requester: IpAddr) -> bool {
+        match self {
+            Self::None => false,
+            Self::Of(node) => node == requester,
+            Self::OfAll => true,
+        }
+    }
+}
+
 /// To whom a node's requests for parts are lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Lost {
@@ -162,11 +182,11 @@
     /// Serves a request as the link server does.
     fn serve(&self, request: ToGate) {
         let (feed, sender) = (Arc::clone(&self.endpoint.feed), self.sender.clone());
-        let ignored_requester = *self.endpoint.ignored_requester.lock();
+        let ignored = *self.endpoint.ignored.lock();
         tokio::spawn(async move {
             match request {
                 ToGate::Subscribe { revision } => feed.serve(revision, &sender).await,
-                ToGate::FetchParts(request) if ignored_requester == Some(request.node) => {
+                ToGate::FetchParts(request) if ignored.contains(request.node) => {
                     // The connection stays open without an answer.
                     sender.closed().await;
                 }
@@ -361,12 +381,22 @@
             let members = &self.nodes[node_ip].directory.load().members;
             let is_reader = readers::role(members, *node_ip, &data_centre(*node_ip)).is_reader();
             if to == Lost::ToAllNodes || is_reader {
-                *endpoint.ignored_requester.lock() = Some(requester);
+                *endpoint.ignored.lock() = IgnoredRequests::Of(requester);
             }
         }
         requester
     }
 
+    /// Loses the requests for parts of all nodes, or of none.
+    pub(super) fn lose_all_part_requests(&self, is_lost: bool) {
+        for endpoint in self.network.0.lock().values() {
+            *endpoint.ignored.lock() = match is_lost {
+                true => IgnoredRequests::OfAll,
+                false => IgnoredRequests::None,
+            };
+        }
+    }
+
     /// Number of the routes of large versions that a node takes from an older version than this
     /// one.
     pub(super) fn routes_before_version(
@@ -608,7 +638,7 @@
             feed: Arc::clone(&feed),
             link_state: Arc::clone(&link_state),
             line: line.clone(),
-            ignored_requester: Arc::default(),
+            ignored: Arc::default(),
         };
         self.network.0.lock().insert(own_ip, endpoint);
         let following = tokio::spawn(follow_over(
--- a/crates/edge/src/following/tests/parts.rs
+++ b/crates/edge/src/following/tests/parts.rs
@@ -223,3 +223,23 @@
         assert!(fleet.version_of(requester) >= first);
     });
 }
+
+/// Guards against a short stall of all transfers after which each node reads everything from the
+/// source at the same time.
+#[test]
+fn a_stall_of_all_transfers_makes_few_nodes_read_the_source() {
+    const NODES: usize = 70;
+    const MAX_READS: u64 = NODES as u64 / 4;
+    const STALL: Duration = Duration::from_millis(1_100);
+    in_virtual_time(async {
+        let mut fleet = settled_fleet(NODES, THIN_LINE_BYTES_PER_MS).await;
+        fleet.lose_all_part_requests(true);
+        fleet.put_next_large_version(ROUTES);
+        tokio::time::sleep(STALL).await;
+        fleet.lose_all_part_requests(false);
+        tokio::time::sleep(IN_FORCE).await;
+        assert_eq!(fleet.outdated_nodes(), 0);
+        let reads = fleet.route_reads();
+        assert!(reads <= MAX_READS, "{reads} reads");
+    });
+}
