Keep routing by a pending configuration when an older one arrives late

Found on reading the diff: requests are routed by the parts of version 3 since version 2 is overdue; then version 2 comes from the store, the lag counts from version 3 alone, and the next requests are routed by version 2.

The pending version inherits the time of the oldest one. The new test fails without that line (routed by 'old' after 'new').

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -384,9 +384,18 @@
         if let Some(newest) = newest.filter(|newest| Some(*newest) > last_heard) {
             self.heard.push_back((newest, self.clock.now()));
         }
+        let oldest = self.heard.front().map(|(_, heard_at)| *heard_at);
         let in_force = self.version();
         self.heard.retain(|(version, _)| Some(*version) > in_force);
-        let lag = &self.directory.load().routes_lag;
+        let directory = self.directory.load();
+        if directory.pending.is_some()
+            && let (Some((_, heard_at)), Some(oldest)) = (self.heard.front_mut(), oldest)
+        {
+            // Requests may have been routed by the pending configuration, so the one before it
+            // must not be used now.
+            *heard_at = oldest.min(*heard_at);
+        }
+        let lag = &directory.routes_lag;
         match self.heard.front() {
             Some((_, heard_at)) => lag.note_behind(*heard_at),
             None => lag.note_current(),
--- a/crates/edge/src/directory/lookup/tests.rs
+++ b/crates/edge/src/directory/lookup/tests.rs
@@ -141,3 +141,35 @@
     writer.note_newest_routes(Some(3));
     assert_eq!(lag_ms(), Millis::ZERO);
 }
+
+/// Guards against a request that is routed by an older version than one before it: the version
+/// before a pending one arrives late, when requests are already routed by the pending one.
+#[tokio::test(start_paused = true)]
+async fn a_late_version_does_not_replace_a_pending_one_that_is_in_use() {
+    let shared = SharedDirectory::default();
+    let clock = ProcessClock::start();
+    let mut writer = crate::directory::DirectoryWriter::new(Arc::clone(&shared), clock);
+    writer.set_routes(routes(1, "oldest", None));
+    writer.note_newest_routes(Some(1));
+    writer.note_newest_routes(Some(2));
+    tokio::time::sleep(2 * WAITS.routes_max_lag_ms().to_duration()).await;
+    let newest = routes(3, "new", None);
+    let store = PartStore::default();
+    let added = store.add_routes(&newest).expect("encodable routes");
+    writer.note_newest_routes(Some(3));
+    writer.set_pending(PendingRoutes {
+        manifest: added.manifest,
+        parts: Arc::new(store),
+    });
+    let service = || {
+        let found = shared.load().find("h", "/p-1/x", &WAITS, clock.now());
+        service_of(&found).map(str::to_owned)
+    };
+    assert_eq!(service().as_deref(), Some("new"));
+    writer.set_routes(routes(2, "old", None));
+    writer.note_newest_routes(Some(3));
+    assert_eq!(service().as_deref(), Some("new"));
+    writer.set_routes(newest);
+    writer.note_newest_routes(Some(3));
+    assert_eq!(service().as_deref(), Some("new"));
+}
