Tests: lose the requests for parts to the readers of the node in question only

The test lost the requests to all readers of the fleet, two of which the node does not subscribe to. If one of these is drawn first among the other nodes, the time limit passes with two silent nodes. The text of the test says its own readers, and all other nodes have the parts.

--- a/crates/edge/src/following/tests/fleet.rs
+++ b/crates/edge/src/following/tests/fleet.rs
@@ -119,7 +119,8 @@
 /// To whom a node's requests for parts are lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Lost {
-    ToReaders,
+    /// To the readers that it subscribes to.
+    ToItsReaders,
     ToAllNodes,
 }
 
@@ -377,10 +378,10 @@
             role.is_follower() && !role.is_reserve()
         };
         let requester = *self.ips.iter().find(is_follower).expect("a follower");
+        let members = &self.nodes[&requester].directory.load().members;
+        let role = readers::role(members, requester, &data_centre(requester));
         for (node_ip, endpoint) in self.network.0.lock().iter() {
-            let members = &self.nodes[node_ip].directory.load().members;
-            let is_reader = readers::role(members, *node_ip, &data_centre(*node_ip)).is_reader();
-            if to == Lost::ToAllNodes || is_reader {
+            if to == Lost::ToAllNodes || role.readers().contains(node_ip) {
                 *endpoint.ignored.lock() = IgnoredRequests::Of(requester);
             }
         }
--- a/crates/edge/src/following/tests/parts.rs
+++ b/crates/edge/src/following/tests/parts.rs
@@ -177,7 +177,7 @@
     for _ in 0..FLEETS {
         in_virtual_time(async {
             let mut fleet = settled_fleet(70, THIN_LINE_BYTES_PER_MS).await;
-            let requester = fleet.lose_part_requests(Lost::ToReaders);
+            let requester = fleet.lose_part_requests(Lost::ToItsReaders);
             fleet.put_next_large_version(ROUTES);
             tokio::time::sleep(IN_FORCE).await;
             assert_eq!(fleet.version_of(requester), fleet.newest_version());
