Tests share one settled fleet; versions that are not in force are called outstanding

Found on reading the whole change. large_answers built the same fleet as parts: it calls settled_fleet now and limits the store's answers after it, which matters to large texts only. Names of the change feed's 'heard' versions follow CONTRIBUTING's wording. No behaviour changes.

--- a/crates/dispatch/src/waits.rs
+++ b/crates/dispatch/src/waits.rs
@@ -235,7 +235,7 @@
     }
 
     /// Returns the time from which on a node uses no routes older than the newest configuration
-    /// that it knows of, counted from when it first heard of that configuration.
+    /// that it knows of, counted from when it first knew of that configuration.
     #[must_use]
     pub const fn routes_max_lag_ms(&self) -> Millis {
         self.share(ROUTES_MAX_LAG)
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -69,7 +69,7 @@
 impl RoutesLag {
     const NONE: u64 = 0;
 
-    /// Records that a newer configuration than the one in force was first heard of at `since`.
+    /// Records that a newer configuration than the one in force was first known at `since`.
     pub fn note_behind(&self, since: Millis) {
         self.0.store(since.0.max(1), Ordering::Relaxed);
     }
@@ -188,8 +188,8 @@
     directory: SharedDirectory,
     tracker: MemberTracker,
     clock: ProcessClock,
-    /// Versions newer than the one in force, and when this node first heard of each.
-    heard: VecDeque<(u64, Millis)>,
+    /// Versions newer than the one in force, and when this node first knew of each.
+    outstanding: VecDeque<(u64, Millis)>,
     /// Whether the state in force comes from a stale listing.
     serves_stale: bool,
 }
@@ -202,7 +202,7 @@
             directory,
             tracker: MemberTracker::default(),
             clock,
-            heard: VecDeque::new(),
+            outstanding: VecDeque::new(),
             serves_stale: false,
         }
     }
@@ -380,24 +380,25 @@
 
     /// Records the newest version that is known, which may not be in force yet.
     pub fn note_newest_routes(&mut self, newest: Option<u64>) {
-        let last_heard = self.heard.back().map(|(version, _)| *version);
-        if let Some(newest) = newest.filter(|newest| Some(*newest) > last_heard) {
-            self.heard.push_back((newest, self.clock.now()));
+        let last_known = self.outstanding.back().map(|(version, _)| *version);
+        if let Some(newest) = newest.filter(|newest| Some(*newest) > last_known) {
+            self.outstanding.push_back((newest, self.clock.now()));
         }
-        let oldest = self.heard.front().map(|(_, heard_at)| *heard_at);
+        let oldest = self.outstanding.front().map(|(_, known_at)| *known_at);
         let in_force = self.version();
-        self.heard.retain(|(version, _)| Some(*version) > in_force);
+        self.outstanding
+            .retain(|(version, _)| Some(*version) > in_force);
         let directory = self.directory.load();
         if directory.pending.is_some()
-            && let (Some((_, heard_at)), Some(oldest)) = (self.heard.front_mut(), oldest)
+            && let (Some((_, known_at)), Some(oldest)) = (self.outstanding.front_mut(), oldest)
         {
             // Requests may have been routed by the pending configuration, so the one before it
             // must not be used now.
-            *heard_at = oldest.min(*heard_at);
+            *known_at = oldest.min(*known_at);
         }
         let lag = &directory.routes_lag;
-        match self.heard.front() {
-            Some((_, heard_at)) => lag.note_behind(*heard_at),
+        match self.outstanding.front() {
+            Some((_, known_at)) => lag.note_behind(*known_at),
             None => lag.note_current(),
         }
     }
--- a/crates/edge/src/directory/lookup/tests.rs
+++ b/crates/edge/src/directory/lookup/tests.rs
@@ -7,8 +7,8 @@
 use crate::directory::AsOf;
 
 const WAITS: Waits = Waits::new(Millis(2_000));
-/// When the node heard of the newer version.
-const HEARD_AT: Millis = Millis(10_000);
+/// When the node first knew of the newer version.
+const KNOWN_AT: Millis = Millis(10_000);
 const ROUTES: usize = 40;
 const DROPPED: usize = 7;
 
@@ -59,14 +59,14 @@
         })),
         ..Directory::default()
     };
-    directory.as_of.note(HEARD_AT);
-    directory.routes_lag.note_behind(HEARD_AT);
+    directory.as_of.note(KNOWN_AT);
+    directory.routes_lag.note_behind(KNOWN_AT);
     directory
 }
 
 fn find(directory: &Directory, number: usize, lag_ms: Millis) -> RouteLookup {
     let path = format!("/p-{number}/x");
-    directory.find("h", &path, &WAITS, HEARD_AT + lag_ms)
+    directory.find("h", &path, &WAITS, KNOWN_AT + lag_ms)
 }
 
 fn service_of(found: &RouteLookup) -> Option<&str> {
--- a/crates/edge/src/following/tests/large_answers.rs
+++ b/crates/edge/src/following/tests/large_answers.rs
@@ -3,29 +3,20 @@
 use std::time::Duration;
 
 use super::fleet::Fleet;
-use super::{IN_FORCE_MS, in_virtual_time};
+use super::in_virtual_time;
+use super::parts::{IN_FORCE, THIN_LINE_BYTES_PER_MS, settled_fleet};
 
 const NODES: usize = 70;
 /// Routes of a configuration of some 600 kB at the store and 150 kB between nodes.
 const ROUTES: usize = 2_800;
 /// 10 Mbit/s, half of which is used by calls and bodies.
 const ANSWER_BYTES_PER_MS: u64 = 600;
-/// 10 Mbit/s, a third of which is used by calls.
-const LINE_BYTES_PER_MS: u64 = 830;
-const SETTLE: Duration = Duration::from_secs(5);
-const IN_FORCE: Duration = IN_FORCE_MS.to_duration();
 /// Time that the operator's line needs for the same text. The platform confirms it then.
 const CONFIRMATION: Duration = Duration::from_secs(1);
 
-async fn settled_fleet() -> Fleet {
-    let mut fleet = Fleet::unstarted(NODES);
-    fleet.limit_lines(LINE_BYTES_PER_MS);
+async fn fleet_with_slow_answers() -> Fleet {
+    let fleet = settled_fleet(NODES, THIN_LINE_BYTES_PER_MS).await;
     fleet.limit_store_answers(ANSWER_BYTES_PER_MS);
-    fleet.list_all_targets();
-    tokio::time::sleep(SETTLE).await;
-    fleet.restart_staggered(Duration::from_millis(300)).await;
-    tokio::time::sleep(SETTLE).await;
-    assert_eq!(fleet.nodes_missing_targets(), 0);
     fleet
 }
 
@@ -34,7 +25,7 @@
 #[test]
 fn followers_leave_a_large_answer_to_their_readers() {
     in_virtual_time(async {
-        let mut fleet = settled_fleet().await;
+        let mut fleet = fleet_with_slow_answers().await;
         for _ in 0..3 {
             fleet.put_next_large_version(ROUTES);
             tokio::time::sleep(CONFIRMATION + IN_FORCE).await;
@@ -50,7 +41,7 @@
 #[test]
 fn a_version_right_behind_a_large_one_is_in_force_in_time() {
     in_virtual_time(async {
-        let mut fleet = settled_fleet().await;
+        let mut fleet = fleet_with_slow_answers().await;
         for _ in 0..3 {
             fleet.put_next_large_version(ROUTES);
             tokio::time::sleep(CONFIRMATION).await;
--- a/crates/edge/src/following/tests/parts.rs
+++ b/crates/edge/src/following/tests/parts.rs
@@ -20,9 +20,10 @@
 /// Number of versions, each of which changes a route.
 const VERSIONS: u64 = 5;
 const SETTLE: Duration = Duration::from_secs(5);
-const IN_FORCE: Duration = IN_FORCE_MS.to_duration();
+pub(super) const IN_FORCE: Duration = IN_FORCE_MS.to_duration();
 
-async fn settled_fleet(nodes: usize, line_bytes_per_ms: u64) -> Fleet {
+/// Returns a fleet in which each node knows all targets, and whose lines have this rate.
+pub(super) async fn settled_fleet(nodes: usize, line_bytes_per_ms: u64) -> Fleet {
     let mut fleet = Fleet::unstarted(nodes);
     fleet.limit_lines(line_bytes_per_ms);
     fleet.list_all_targets();
@@ -110,7 +111,7 @@
 }
 
 /// 10 Mbit/s, a third of which is used by calls.
-const THIN_LINE_BYTES_PER_MS: u64 = 830;
+pub(super) const THIN_LINE_BYTES_PER_MS: u64 = 830;
 /// Routes of a configuration of some 300 kB.
 const SEVERAL_HUNDRED_KB_ROUTES: usize = 3_500;
 /// Number of fleets. Requests for parts are random, and so is who becomes slow.
