Group the modules of dispatch by what they decide

Cause: 27 files of crates/dispatch stand in one row, and new parts would come beside them. A reader cannot see which of them a call meets, and in which order.

Change: moves alone, into routing, overload, placement, gate, knowledge and faults. The paths in code and documentation follow. The number of probe steps moves from outage_probes to waits, whose schedule uses it; the two no longer depend on each other.

Ruled out: a crate for each group. Most groups use members and routes, so the crates would form a chain without a border.

No behaviour changes; cargo check of the workspace with all targets passes.

--- a/crates/dispatch/src/failures/tests.rs
+++ b/crates/dispatch/src/faults/failures/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of failure scores.
 
 use super::*;
-use crate::members::tests::incarnation;
+use crate::knowledge::members::tests::incarnation;
 
 fn target() -> Member {
     incarnation(1)
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/gate/admission.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeSet;
 
-use crate::contention::{Chance, Contention};
-use crate::knee::KneeEstimator;
+use crate::gate::contention::{Chance, Contention};
+use crate::gate::knee::KneeEstimator;
+use crate::gate::send_log::SendLog;
+use crate::gate::short_work::ShortWork;
+use crate::gate::stated_limit::StatedLimit;
+use crate::gate::warm_up::{Pace, WarmUpLimiter};
 use crate::prelude::*;
-use crate::send_log::SendLog;
-use crate::short_work::ShortWork;
-use crate::stated_limit::StatedLimit;
-use crate::warm_up::{Pace, WarmUpLimiter};
 
 #[cfg(test)]
 mod tests;
--- a/crates/dispatch/src/admission/tests.rs
+++ b/crates/dispatch/src/gate/admission/tests.rs
@@ -4,8 +4,8 @@
 mod properties;
 
 use super::*;
-use crate::short_work::RECENT_WINDOW_MS;
-use crate::stated_limit::LimitSource;
+use crate::gate::short_work::RECENT_WINDOW_MS;
+use crate::gate::stated_limit::LimitSource;
 
 fn call(queue_ms: u64, slow_from_ms: u64) -> GateCall {
     GateCall {
--- a/crates/dispatch/src/contention.rs
+++ b/crates/dispatch/src/gate/contention.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::admission::GateCall;
+use crate::gate::admission::GateCall;
 use crate::prelude::*;
 
 #[cfg(test)]
--- a/crates/dispatch/src/departure.rs
+++ b/crates/dispatch/src/gate/departure.rs
@@ -13,8 +13,8 @@
 //!
 //! A target may also state in its answers that it leaves. Either word is enough.
 
+use crate::knowledge::waits::Waits;
 use crate::prelude::*;
-use crate::waits::Waits;
 
 #[cfg(test)]
 mod tests;
--- a/crates/dispatch/src/stated_limit.rs
+++ b/crates/dispatch/src/gate/stated_limit.rs
@@ -4,8 +4,8 @@
 //! together. All requests pass the target's gate, so the gate alone can keep it. A gate
 //! that has just started learns it with the calls of entries that have received it.
 
+use crate::gate::send_log::{MAX_WINDOW_MS, RateBound, SendLog};
 use crate::prelude::*;
-use crate::send_log::{MAX_WINDOW_MS, RateBound, SendLog};
 
 #[cfg(test)]
 mod tests;
--- a/crates/dispatch/src/warm_up.rs
+++ b/crates/dispatch/src/gate/warm_up.rs
@@ -7,8 +7,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gate::send_log::{RateBound, SendLog};
 use crate::prelude::*;
-use crate::send_log::{RateBound, SendLog};
 
 #[cfg(test)]
 mod tests;
--- a/crates/dispatch/src/members/tests.rs
+++ b/crates/dispatch/src/knowledge/members/tests.rs
@@ -220,7 +220,7 @@
 #[test]
 fn an_entry_of_an_unknown_service_takes_no_target_out_of_use() {
     let routes = {
-        let mut routes = RouteSet::new(1, crate::routes::CallerLimits::default());
+        let mut routes = RouteSet::new(1, crate::routing::routes::CallerLimits::default());
         routes.set_health_path(ServiceName::new("cashier"), "/healthz");
         routes
     };
--- a/crates/dispatch/src/outage_probes.rs
+++ b/crates/dispatch/src/knowledge/outage_probes.rs
@@ -10,14 +10,12 @@
 //! larger one this many have: if the source serves one node in ten, the probability that all of
 //! them are rejected is below one in 100,000.
 
+use crate::knowledge::waits::{OUTAGE_PROBE_STEPS, Waits};
 use crate::prelude::*;
-use crate::waits::Waits;
 
 #[cfg(test)]
 mod tests;
 
-/// Number of steps in which the number of probes doubles.
-pub const OUTAGE_PROBE_STEPS: u32 = 5;
 /// Number of steps in each further round. When all probes of the first round have failed, the
 /// source is most likely unavailable to everyone, and readers and reserves notice its return.
 const LATER_STEPS: u32 = 2;
--- a/crates/dispatch/src/readers/tests.rs
+++ b/crates/dispatch/src/knowledge/readers/tests.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 
 use super::*;
-use crate::members::MemberTracker;
+use crate::knowledge::members::MemberTracker;
 
 fn vm(data_centre: usize, number: usize) -> IpAddr {
     let octet = |count: usize| u8::try_from(count).expect("below 256");
--- a/crates/dispatch/src/waits.rs
+++ b/crates/dispatch/src/knowledge/waits.rs
@@ -10,9 +10,11 @@
 //!
 //! The time to transfer a large answer over a link is not included.
 
-use crate::outage_probes::OUTAGE_PROBE_STEPS;
 use crate::prelude::*;
 
+/// Number of steps in which the number of probes doubles while readers cannot read the
+/// source.
+pub const OUTAGE_PROBE_STEPS: u32 = 5;
 /// Shares in percent of the time within which a change must be in force.
 const REFRESH_INTERVAL: u64 = 30;
 const LED_READER_MAX_AGE: u64 = 42;
--- a/crates/dispatch/src/patience.rs
+++ b/crates/dispatch/src/overload/patience.rs
@@ -1,7 +1,7 @@
 //! Plans how long a call may wait for a suitable target.
 
+use crate::overload::work::WorkEstimate;
 use crate::prelude::*;
-use crate::work::WorkEstimate;
 
 #[cfg(test)]
 mod tests;
--- a/crates/dispatch/src/patience/tests.rs
+++ b/crates/dispatch/src/overload/patience/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the times up to which a call waits.
 
 use super::*;
-use crate::routes::tests::route;
+use crate::routing::routes::tests::route;
 
 fn plan(request_bytes: usize, deadline_ms: u64) -> WaitPlan {
     let route = route("r", "/", &[("s", 1)]);
--- a/crates/dispatch/src/work/tests.rs
+++ b/crates/dispatch/src/overload/work/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of learnt run times and sizes.
 
 use super::*;
-use crate::routes::tests::route;
+use crate::routing::routes::tests::route;
 
 #[test]
 fn runs_are_learnt_at_usual_speed() {
--- a/crates/dispatch/src/notices/tests.rs
+++ b/crates/dispatch/src/placement/notices/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of what an entry remembers of targets' statements.
 
 use super::*;
-use crate::members::tests::incarnation;
+use crate::knowledge::members::tests::incarnation;
 
 const LEAVING: TargetNotice = TargetNotice {
     max_requests_per_1000_s: None,
--- a/crates/dispatch/src/order.rs
+++ b/crates/dispatch/src/placement/order.rs
@@ -5,11 +5,11 @@
 use rand::RngExt;
 use rand::seq::SliceRandom;
 
-use crate::failures::Failures;
-use crate::notices::TargetNotices;
+use crate::faults::failures::Failures;
+use crate::placement::notices::TargetNotices;
+use crate::placement::refusals::{Refusals, Throttle};
 use crate::prelude::*;
-use crate::refusals::{Refusals, Throttle};
-use crate::regions::Regions;
+use crate::routing::regions::Regions;
 
 #[cfg(test)]
 mod tests;
--- a/crates/dispatch/src/order/tests.rs
+++ b/crates/dispatch/src/placement/order/tests.rs
@@ -4,7 +4,7 @@
 use rand::rngs::Xoshiro256PlusPlus;
 
 use super::*;
-use crate::routes::tests::route;
+use crate::routing::routes::tests::route;
 
 fn members() -> Vec<Arc<Member>> {
     let mut members = Vec::new();
--- a/crates/dispatch/src/refusals/tests.rs
+++ b/crates/dispatch/src/placement/refusals/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of remembered refusals, in virtual time.
 
 use super::*;
-use crate::members::tests::incarnation;
+use crate::knowledge::members::tests::incarnation;
 
 /// In an overload, a refusal makes the next offers small until a call is accepted or the
 /// refusal is too old.
--- a/crates/dispatch/src/prelude.rs
+++ b/crates/dispatch/src/prelude.rs
@@ -1,7 +1,7 @@
 //! Types that almost every module of this crate and its users need.
 
-pub use crate::members::{Member, Members, TargetId, TargetIncarnation};
-pub use crate::routes::{CallKind, CallerLimits, Route, RouteSet};
+pub use crate::knowledge::members::{Member, Members, TargetId, TargetIncarnation};
+pub use crate::routing::routes::{CallKind, CallerLimits, Route, RouteSet};
 pub use hornbeamhitch_types::prelude::{
     DataCentre, Millis, PartDigest, Region, ResultCode, Revision, ServiceName, TargetNotice,
 };
--- a/crates/dispatch/src/regions/tests.rs
+++ b/crates/dispatch/src/routing/regions/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of routes that are confined to regions.
 
 use super::*;
-use crate::routes::tests::route;
+use crate::routing::routes::tests::route;
 
 fn regions() -> Regions {
     let mut by_data_centre = BTreeMap::new();
--- a/crates/dispatch/src/routes.rs
+++ b/crates/dispatch/src/routing/routes.rs
@@ -6,8 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gate::warm_up::WarmUp;
 use crate::prelude::*;
-use crate::warm_up::WarmUp;
 
 pub mod parts;
 
--- a/crates/dispatch/src/routes/parts.rs
+++ b/crates/dispatch/src/routing/routes/parts.rs
@@ -12,8 +12,8 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_128};
 
 use super::{CallerLimits, Route, RouteSet};
+use crate::gate::warm_up::WarmUp;
 use crate::prelude::*;
-use crate::warm_up::WarmUp;
 
 #[cfg(test)]
 mod tests;
--- a/crates/dispatch/src/routes/parts/tests.rs
+++ b/crates/dispatch/src/routing/routes/parts/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of configurations in parts.
 
 use super::*;
-use crate::routes::Destination;
+use crate::routing::routes::Destination;
 
 fn route(number: usize, timeout_ms: u64) -> Route {
     Route {
--- a/crates/dispatch/src/split.rs
+++ b/crates/dispatch/src/routing/split.rs
@@ -26,7 +26,7 @@
 /// Deficit of each destination of one route, in millionths of a request.
 #[derive(Debug)]
 struct RouteDeficits {
-    destinations: Vec<crate::routes::Destination>,
+    destinations: Vec<crate::routing::routes::Destination>,
     deficits: Vec<i64>,
 }
 
--- a/crates/dispatch/src/split/tests.rs
+++ b/crates/dispatch/src/routing/split/tests.rs
@@ -3,7 +3,7 @@
 mod properties;
 
 use super::*;
-use crate::routes::tests::route;
+use crate::routing::routes::tests::route;
 
 /// An operator gives a new version a tenth of a route. A random choice would miss this
 /// share by a third of it over a few hundred requests.
--- a/crates/dispatch/src/split/tests/properties.rs
+++ b/crates/dispatch/src/routing/split/tests/properties.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 
 use super::super::*;
-use crate::routes::tests::route;
+use crate::routing::routes::tests::route;
 
 proptest! {
     /// For any weights, the number of requests of each destination differs from its share
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::ArcSwap;
 use eyre::{Result, WrapErr};
-use hornbeamhitch_dispatch::waits::Waits;
+use hornbeamhitch_dispatch::knowledge::waits::Waits;
 use hornbeamhitch_node::listener::bind_std;
 use hornbeamhitch_node::logs::LogHandle;
 use hornbeamhitch_node::metrics::{MemberLevels, Metrics};
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use hornbeamhitch_dispatch::members::{Difference, MemberTracker};
+use hornbeamhitch_dispatch::knowledge::members::{Difference, MemberTracker};
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
--- a/crates/edge/src/directory/lookup.rs
+++ b/crates/edge/src/directory/lookup.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use hornbeamhitch_dispatch::routes::parts::{PartLookup, RoutesManifest};
-use hornbeamhitch_dispatch::waits::Waits;
+use hornbeamhitch_dispatch::knowledge::waits::Waits;
+use hornbeamhitch_dispatch::routing::routes::parts::{PartLookup, RoutesManifest};
 
 use super::Directory;
 use crate::feed::PartStore;
--- a/crates/edge/src/directory/lookup/tests.rs
+++ b/crates/edge/src/directory/lookup/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of routes while a configuration is being transferred.
 
-use hornbeamhitch_dispatch::routes::Destination;
-use hornbeamhitch_dispatch::routes::parts;
+use hornbeamhitch_dispatch::routing::routes::Destination;
+use hornbeamhitch_dispatch::routing::routes::parts;
 
 use super::*;
 use crate::directory::AsOf;
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -11,10 +11,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use bytes::Bytes;
-use hornbeamhitch_dispatch::crashes::CrashLevel;
-use hornbeamhitch_dispatch::regions::Regions;
-use hornbeamhitch_dispatch::retry_budget::RetryLimit;
-use hornbeamhitch_dispatch::waits::Waits;
+use hornbeamhitch_dispatch::faults::crashes::CrashLevel;
+use hornbeamhitch_dispatch::knowledge::waits::Waits;
+use hornbeamhitch_dispatch::overload::retry_budget::RetryLimit;
+use hornbeamhitch_dispatch::routing::regions::Regions;
 use hornbeamhitch_node::metrics::Metrics;
 use hornbeamhitch_node::uploads::{Reservation, UploadLimits};
 use parking_lot::Mutex;
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hornbeamhitch_dispatch::order::Candidate;
-use hornbeamhitch_dispatch::patience::WaitPlan;
-use hornbeamhitch_dispatch::work::WorkEstimate;
+use hornbeamhitch_dispatch::overload::patience::WaitPlan;
+use hornbeamhitch_dispatch::overload::work::WorkEstimate;
+use hornbeamhitch_dispatch::placement::order::Candidate;
 use hornbeamhitch_node::uploads::Reservation;
 use tokio::sync::mpsc;
 
--- a/crates/edge/src/entry/call/ending.rs
+++ b/crates/edge/src/entry/call/ending.rs
@@ -1,7 +1,7 @@
 //! Handles the end of attempts and decides the outcome of the call.
 
 use bytes::Bytes;
-use hornbeamhitch_dispatch::refusals::{Throttle, ThrottleCause};
+use hornbeamhitch_dispatch::placement::refusals::{Throttle, ThrottleCause};
 use rand::RngExt;
 
 use super::{CallDriver, STUCK_AFTER_RUNS};
--- a/crates/edge/src/entry/call/selection.rs
+++ b/crates/edge/src/entry/call/selection.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use hornbeamhitch_dispatch::crashes::{AllowedTargets, CrashLevel};
-use hornbeamhitch_dispatch::order::{self, Candidate, View};
-use hornbeamhitch_dispatch::refusals::{Throttle, ThrottleCause};
+use hornbeamhitch_dispatch::faults::crashes::{AllowedTargets, CrashLevel};
+use hornbeamhitch_dispatch::placement::order::{self, Candidate, View};
+use hornbeamhitch_dispatch::placement::refusals::{Throttle, ThrottleCause};
 use hornbeamhitch_node::metrics::AttemptKind;
 
 use super::CallDriver;
--- a/crates/edge/src/entry/progress.rs
+++ b/crates/edge/src/entry/progress.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use hornbeamhitch_dispatch::order::Candidate;
+use hornbeamhitch_dispatch::placement::order::Candidate;
 use tokio::sync::mpsc;
 
 use super::Entry;
--- a/crates/edge/src/entry/state.rs
+++ b/crates/edge/src/entry/state.rs
@@ -2,14 +2,14 @@
 
 use std::collections::HashMap;
 
-use hornbeamhitch_dispatch::failures::Failures;
-use hornbeamhitch_dispatch::notices::TargetNotices;
-use hornbeamhitch_dispatch::reach::Reachability;
-use hornbeamhitch_dispatch::refusals::Refusals;
-use hornbeamhitch_dispatch::retry_budget::{RetryBudget, RetryLimit};
-use hornbeamhitch_dispatch::returning::ReturningCallers;
-use hornbeamhitch_dispatch::split::Splitter;
-use hornbeamhitch_dispatch::work::WorkEstimates;
+use hornbeamhitch_dispatch::faults::failures::Failures;
+use hornbeamhitch_dispatch::faults::reach::Reachability;
+use hornbeamhitch_dispatch::overload::retry_budget::{RetryBudget, RetryLimit};
+use hornbeamhitch_dispatch::overload::returning::ReturningCallers;
+use hornbeamhitch_dispatch::overload::work::WorkEstimates;
+use hornbeamhitch_dispatch::placement::notices::TargetNotices;
+use hornbeamhitch_dispatch::placement::refusals::Refusals;
+use hornbeamhitch_dispatch::routing::split::Splitter;
 use rand::rngs::Xoshiro256PlusPlus;
 use rand::{RngExt, SeedableRng};
 
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -12,8 +12,8 @@
 use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
-use hornbeamhitch_dispatch::routes::parts::PartFault;
-use hornbeamhitch_dispatch::waits::Waits;
+use hornbeamhitch_dispatch::knowledge::waits::Waits;
+use hornbeamhitch_dispatch::routing::routes::parts::PartFault;
 use hornbeamhitch_wire::link::{PartsRequest, ToEntry};
 use parking_lot::Mutex;
 use tokio::sync::mpsc::UnboundedSender;
--- a/crates/edge/src/feed/parts.rs
+++ b/crates/edge/src/feed/parts.rs
@@ -4,7 +4,7 @@
 use std::net::IpAddr;
 
 use bytes::Bytes;
-use hornbeamhitch_dispatch::routes::parts::{self, PartFault, PartLookup, RoutesManifest};
+use hornbeamhitch_dispatch::routing::routes::parts::{self, PartFault, PartLookup, RoutesManifest};
 use hornbeamhitch_wire::link::{PartsRequest, ToEntry};
 use parking_lot::Mutex;
 use tokio::sync::mpsc::UnboundedSender;
--- a/crates/edge/src/feed/subscriptions.rs
+++ b/crates/edge/src/feed/subscriptions.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hornbeamhitch_dispatch::routes::parts::RoutesManifest;
-use hornbeamhitch_dispatch::waits::Waits;
+use hornbeamhitch_dispatch::knowledge::waits::Waits;
+use hornbeamhitch_dispatch::routing::routes::parts::RoutesManifest;
 use hornbeamhitch_wire::link::{ToEntry, ToGate};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
--- a/crates/edge/src/feed/tests.rs
+++ b/crates/edge/src/feed/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the updates that a feed provides to subscribers.
 
 use hornbeamhitch_dispatch::prelude::*;
-use hornbeamhitch_dispatch::routes::Destination;
+use hornbeamhitch_dispatch::routing::routes::Destination;
 
 use super::*;
 use crate::source::Fact;
--- a/crates/edge/src/following.rs
+++ b/crates/edge/src/following.rs
@@ -12,9 +12,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeamhitch_dispatch::outage_probes::OutageProbes;
-use hornbeamhitch_dispatch::readers::{self, Role};
-use hornbeamhitch_dispatch::waits::Waits;
+use hornbeamhitch_dispatch::knowledge::outage_probes::OutageProbes;
+use hornbeamhitch_dispatch::knowledge::readers::{self, Role};
+use hornbeamhitch_dispatch::knowledge::waits::Waits;
 use rand::RngExt;
 
 use crate::directory::DirectoryWriter;
--- a/crates/edge/src/following/bootstrap.rs
+++ b/crates/edge/src/following/bootstrap.rs
@@ -3,7 +3,7 @@
 //! A stale listing costs a fraction of a current one and names the readers. A node that
 //! is not a reader itself receives the current state from one of them.
 
-use hornbeamhitch_dispatch::readers::{self, Role};
+use hornbeamhitch_dispatch::knowledge::readers::{self, Role};
 
 use super::DirectorySync;
 use crate::directory::members_of;
--- a/crates/edge/src/following/knowledge.rs
+++ b/crates/edge/src/following/knowledge.rs
@@ -5,7 +5,7 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
-use hornbeamhitch_dispatch::waits::Waits;
+use hornbeamhitch_dispatch::knowledge::waits::Waits;
 use rand::seq::IndexedRandom;
 
 use super::large_routes::{LargeRoutes, ManifestSource, WantedRoutes};
--- a/crates/edge/src/following/large_routes.rs
+++ b/crates/edge/src/following/large_routes.rs
@@ -4,8 +4,8 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
-use hornbeamhitch_dispatch::routes::parts::RoutesManifest;
-use hornbeamhitch_dispatch::waits::Waits;
+use hornbeamhitch_dispatch::knowledge::waits::Waits;
+use hornbeamhitch_dispatch::routing::routes::parts::RoutesManifest;
 use hornbeamhitch_wire::link::{PartsRequest, ToEntry, ToGate};
 use rand::RngExt;
 use rand::seq::SliceRandom;
--- a/crates/edge/src/following/tests/fleet.rs
+++ b/crates/edge/src/following/tests/fleet.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use hornbeamhitch_dispatch::members::MemberTracker;
-use hornbeamhitch_dispatch::readers;
-use hornbeamhitch_dispatch::waits::Waits;
+use hornbeamhitch_dispatch::knowledge::members::MemberTracker;
+use hornbeamhitch_dispatch::knowledge::readers;
+use hornbeamhitch_dispatch::knowledge::waits::Waits;
 use hornbeamhitch_wire::link::{ToEntry, ToGate};
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, watch};
--- a/crates/edge/src/following/tests/knowledge.rs
+++ b/crates/edge/src/following/tests/knowledge.rs
@@ -4,7 +4,7 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
-use hornbeamhitch_dispatch::waits::Waits;
+use hornbeamhitch_dispatch::knowledge::waits::Waits;
 
 use super::source::Published;
 use super::{IN_FORCE_MS, in_virtual_time};
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -14,11 +14,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeamhitch_dispatch::admission::{Admission, GateCall, QueuePosition, Refused, Verdict};
-use hornbeamhitch_dispatch::crashes::{AllowedTargets, CrashLevel, TrialDenied};
-use hornbeamhitch_dispatch::departure::Departure;
-use hornbeamhitch_dispatch::waits::Waits;
-use hornbeamhitch_dispatch::warm_up::WarmUpTolerance;
+use hornbeamhitch_dispatch::faults::crashes::{AllowedTargets, CrashLevel, TrialDenied};
+use hornbeamhitch_dispatch::gate::admission::{
+    Admission, GateCall, QueuePosition, Refused, Verdict,
+};
+use hornbeamhitch_dispatch::gate::departure::Departure;
+use hornbeamhitch_dispatch::gate::warm_up::WarmUpTolerance;
+use hornbeamhitch_dispatch::knowledge::waits::Waits;
 use hornbeamhitch_node::metrics::{GateLevels, Metrics};
 use hornbeamhitch_types::status::SuspectState;
 use parking_lot::Mutex;
--- a/crates/edge/src/gate/guards.rs
+++ b/crates/edge/src/gate/guards.rs
@@ -1,6 +1,6 @@
 //! Guards that release a call's slot in the target and its position in the queue.
 
-use hornbeamhitch_dispatch::admission::QueuePosition;
+use hornbeamhitch_dispatch::gate::admission::QueuePosition;
 
 use parking_lot::Mutex;
 
--- a/crates/edge/src/gate/health.rs
+++ b/crates/edge/src/gate/health.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use hornbeamhitch_dispatch::departure::ListingState;
+use hornbeamhitch_dispatch::gate::departure::ListingState;
 
 use super::speed::{self, HealthProbe, HealthReading};
 use super::{Gate, GateState};
--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use hornbeamhitch_dispatch::stated_limit::LimitSource;
+use hornbeamhitch_dispatch::gate::stated_limit::LimitSource;
 use hornbeamhitch_types::prelude::CallClass;
 
 use super::guards::SlotGuard;
@@ -295,7 +295,7 @@
         let Some(slowness_percent) = load.slowness_percent else {
             return;
         };
-        let reading = hornbeamhitch_dispatch::admission::SpeedReading {
+        let reading = hornbeamhitch_dispatch::gate::admission::SpeedReading {
             slowness_percent,
             read_at: now,
         };
--- a/crates/edge/src/gate/running.rs
+++ b/crates/edge/src/gate/running.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use hornbeamhitch_dispatch::crashes::CrashedRun;
+use hornbeamhitch_dispatch::faults::crashes::CrashedRun;
 
 use crate::prelude::*;
 
--- a/crates/edge/src/gate/speed.rs
+++ b/crates/edge/src/gate/speed.rs
@@ -4,8 +4,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use hornbeamhitch_dispatch::admission::SpeedReading;
-use hornbeamhitch_dispatch::stated_limit::LimitSource;
+use hornbeamhitch_dispatch::gate::admission::SpeedReading;
+use hornbeamhitch_dispatch::gate::stated_limit::LimitSource;
 
 use super::statements::Statement;
 use crate::http1;
--- a/crates/edge/src/gate/statements.rs
+++ b/crates/edge/src/gate/statements.rs
@@ -1,6 +1,6 @@
 //! Acts on what the target states about itself in its answers and health checks.
 
-use hornbeamhitch_dispatch::stated_limit::LimitSource;
+use hornbeamhitch_dispatch::gate::stated_limit::LimitSource;
 
 use super::{Gate, GateState};
 use crate::prelude::*;
--- a/crates/edge/src/link/facts.rs
+++ b/crates/edge/src/link/facts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hornbeamhitch_dispatch::routes::parts::digest;
+use hornbeamhitch_dispatch::routing::routes::parts::digest;
 use hornbeamhitch_wire::link::{MAX_FRAME_BYTES, ToGate};
 use parking_lot::Mutex;
 use tokio::time::Instant;
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
-use hornbeamhitch_dispatch::routes::parts::RoutesManifest;
+use hornbeamhitch_dispatch::routing::routes::parts::RoutesManifest;
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
--- a/crates/edge/src/suspicion.rs
+++ b/crates/edge/src/suspicion.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use hornbeamhitch_dispatch::crashes::{
+use hornbeamhitch_dispatch::faults::crashes::{
     AllowedTargets, CrashHistory, CrashLevel, CrashedRun, TrialDenied, target_hash,
 };
 use hornbeamhitch_types::crash::{CrashId, CrashNotice};
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -13,11 +13,11 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use hornbeamhitch_dispatch::regions::Regions;
-use hornbeamhitch_dispatch::retry_budget::RetryLimit;
-use hornbeamhitch_dispatch::routes::Destination;
-use hornbeamhitch_dispatch::waits::Waits;
-use hornbeamhitch_dispatch::warm_up::{WarmUp, WarmUpTolerance};
+use hornbeamhitch_dispatch::gate::warm_up::{WarmUp, WarmUpTolerance};
+use hornbeamhitch_dispatch::knowledge::waits::Waits;
+use hornbeamhitch_dispatch::overload::retry_budget::RetryLimit;
+use hornbeamhitch_dispatch::routing::regions::Regions;
+use hornbeamhitch_dispatch::routing::routes::Destination;
 use hornbeamhitch_edge::callers::{CallerServer, DrainPhase};
 use hornbeamhitch_edge::dialect::TargetLoad;
 use hornbeamhitch_edge::directory::{Directory, DirectoryWriter};
@@ -145,7 +145,7 @@
 /// Sets a directory whose routes `/read/`, `/pay/` and `/short/` of the host `h` lead to
 /// the service.
 pub fn set_directory(directory: &SharedDirectory, service: &str, members: Vec<Member>) {
-    let mut tracker = hornbeamhitch_dispatch::members::MemberTracker::default();
+    let mut tracker = hornbeamhitch_dispatch::knowledge::members::MemberTracker::default();
     for member in members {
         tracker.upsert(member);
     }
@@ -173,7 +173,7 @@
 /// Sets which data centres are evacuated.
 pub fn set_evacuated(directory: &SharedDirectory, data_centres: &[&str]) {
     let known = directory.load_full();
-    let mut tracker = hornbeamhitch_dispatch::members::MemberTracker::default();
+    let mut tracker = hornbeamhitch_dispatch::knowledge::members::MemberTracker::default();
     for member in known.members.iter() {
         tracker.upsert(Member::clone(member));
     }
--- a/crates/edge/tests/all/support/follower.rs
+++ b/crates/edge/tests/all/support/follower.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use hornbeamhitch_dispatch::readers::{self, Role};
-use hornbeamhitch_dispatch::waits::Waits;
-use hornbeamhitch_dispatch::warm_up::WarmUpTolerance;
+use hornbeamhitch_dispatch::gate::warm_up::WarmUpTolerance;
+use hornbeamhitch_dispatch::knowledge::readers::{self, Role};
+use hornbeamhitch_dispatch::knowledge::waits::Waits;
 use hornbeamhitch_edge::directory::{Directory, DirectoryWriter};
 use hornbeamhitch_edge::feed::ChangeFeed;
 use hornbeamhitch_edge::following::{self, FollowSettings};
--- a/crates/edge/tests/all/support/source.rs
+++ b/crates/edge/tests/all/support/source.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use hornbeamhitch_dispatch::routes::Destination;
+use hornbeamhitch_dispatch::routing::routes::Destination;
 use hornbeamhitch_edge::prelude::*;
 use hornbeamhitch_edge::source::{Change, Changes, Fact, Listing, ReadFuture, Source, SourceFault};
 use parking_lot::Mutex;
--- a/crates/edge/tests/all/warm_up.rs
+++ b/crates/edge/tests/all/warm_up.rs
@@ -1,6 +1,6 @@
 //! Cold targets, which crash if they receive many requests in a second.
 
-use hornbeamhitch_dispatch::warm_up::WarmUp;
+use hornbeamhitch_dispatch::gate::warm_up::WarmUp;
 use hornbeamhitch_edge::prelude::*;
 use hornbeamhitch_wire::link::{CallId, ToEntry, ToGate};
 
--- a/crates/routed/src/program.rs
+++ b/crates/routed/src/program.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 
 use gumdrop::Options;
-use hornbeamhitch_dispatch::regions::Regions;
-use hornbeamhitch_dispatch::retry_budget::RetryLimit;
-use hornbeamhitch_dispatch::warm_up::WarmUpTolerance;
+use hornbeamhitch_dispatch::gate::warm_up::WarmUpTolerance;
+use hornbeamhitch_dispatch::overload::retry_budget::RetryLimit;
+use hornbeamhitch_dispatch::routing::regions::Regions;
 use hornbeamhitch_edge::config::{EdgeConfig, Tunables};
 use hornbeamhitch_edge::daemon::{self, Deployment};
 use hornbeamhitch_node::logs;
--- a/crates/text/src/checked.rs
+++ b/crates/text/src/checked.rs
@@ -1,6 +1,6 @@
 //! A text that passed all checks.
 
-use hornbeamhitch_dispatch::routes::{CallerLimits, Route, RouteSet};
+use hornbeamhitch_dispatch::routing::routes::{CallerLimits, Route, RouteSet};
 use serde::Serialize;
 use strum::EnumCount;
 
--- a/crates/text/src/diff.rs
+++ b/crates/text/src/diff.rs
@@ -3,7 +3,7 @@
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
-use hornbeamhitch_dispatch::routes::{CallKind, Route};
+use hornbeamhitch_dispatch::routing::routes::{CallKind, Route};
 use strum::VariantArray;
 
 use crate::change::{CallChange, Change, pattern};
--- a/crates/text/src/draft.rs
+++ b/crates/text/src/draft.rs
@@ -1,6 +1,6 @@
 //! The parsed content of a text before it is resolved.
 
-use hornbeamhitch_dispatch::routes::CallKind;
+use hornbeamhitch_dispatch::routing::routes::CallKind;
 use hornbeamhitch_types::policy::CallClass;
 use strum::EnumCount;
 
--- a/crates/text/src/explanation.rs
+++ b/crates/text/src/explanation.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use hornbeamhitch_dispatch::routes::CallKind;
+use hornbeamhitch_dispatch::routing::routes::CallKind;
 use serde::Serialize;
 use thiserror::Error;
 
--- a/crates/text/src/read/route.rs
+++ b/crates/text/src/read/route.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use hornbeamhitch_dispatch::routes::CallKind;
+use hornbeamhitch_dispatch::routing::routes::CallKind;
 use jsonc_parser::ast::Value;
 use jsonc_parser::common::Ranged;
 use strum::VariantArray;
--- a/crates/text/src/resolve.rs
+++ b/crates/text/src/resolve.rs
@@ -1,6 +1,6 @@
 //! Resolves a draft to the policies that the nodes apply.
 
-use hornbeamhitch_dispatch::routes::{Destination, Route};
+use hornbeamhitch_dispatch::routing::routes::{Destination, Route};
 use strum::{EnumCount, VariantArray};
 
 use crate::checked::{CallSources, CheckedText, FollowedValue, HostRoute, Origin, ServiceSources};
--- a/crates/text/tests/all/routes.rs
+++ b/crates/text/tests/all/routes.rs
@@ -1,6 +1,6 @@
 //! Tests of routes by host and path prefix.
 
-use hornbeamhitch_dispatch::routes::CallKind;
+use hornbeamhitch_dispatch::routing::routes::CallKind;
 use hornbeamhitch_text::{check, diff, explain};
 use insta::assert_snapshot;
 
