Frame of overload control: settings, decision order, frames between nodes

Cause: each call finds out about an overload alone, and nothing decides for a service where calls enter.

The link protocol gets the frames Demand, Silence, Received and Load at its ends; nothing sends them yet.

Ruled out: fields in CallTerms, which earlier programs could not decode; a switch by the name or size of a deployment.

--- /dev/null
+++ b/crates/dispatch/src/overload/entry_admission.rs
@@ -0,0 +1,265 @@
+//! Admission at the entry: the order in which the parts of overload control decide.
+//!
+//! A retry at its reserved time and a call that is made by a run pass all parts. Other
+//! calls are checked against the share of their caller, then against the level of their
+//! service. Each part reads a signal of its own, so that no two of them steer by the same
+//! one: the offered work of callers, the load that gates report, and the reservations of
+//! this entry.
+
+use strum::IntoStaticStr;
+
+use super::caller_shares::{CallerId, CallerShares};
+use super::nested::NestedRoutes;
+use super::return_schedule::{Arrival, RequestKey, RetryTime, RetryWish, ReturnSchedule};
+use super::service_level::{Level, ServiceLevels};
+use super::settings::{OverloadPart, OverloadParts};
+use crate::prelude::*;
+
+#[cfg(test)]
+mod tests;
+
+/// Part of an entry's capacity that is set aside for callers that retry.
+const RETRY_SHARE: f64 = 0.2;
+/// Retry time of a caller that is refused while retries are not scheduled.
+const UNSCHEDULED_RETRY_MS: Millis = Millis(1_000);
+
+/// A call that enters.
+#[derive(Clone, Copy, Debug)]
+pub struct EnteringCall<'a> {
+    /// Service to which it goes.
+    pub service: &'a ServiceName,
+    /// Its route.
+    pub route: &'a Route,
+    /// Identifies the request across its caller's attempts.
+    pub key: RequestKey,
+    /// Its caller.
+    pub caller: CallerId,
+    /// Expected run time at usual speed.
+    pub work_ms: Millis,
+    /// Number of available targets of the service.
+    pub targets: usize,
+    /// Whether the own target runs nothing.
+    pub target_is_idle: bool,
+}
+
+/// Why the entry refuses a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum EntryRefusal {
+    /// The service has no capacity for calls of this class.
+    Level,
+    /// The caller has used more than its share.
+    Share,
+    /// The caller retries before the time that it was given.
+    EarlyReturn,
+}
+
+/// How a call continues.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Entering {
+    /// It is sent to a target.
+    Admitted(Admitted),
+    /// It is refused and has not run.
+    Refused {
+        /// The reason.
+        reason: EntryRefusal,
+        /// When the caller may retry.
+        retry_at: Millis,
+    },
+}
+
+/// How an admitted call is placed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Admitted {
+    /// Class of the call.
+    pub class: LoadClass,
+    /// Whether the service refuses calls now, so that the call tries only few gates.
+    pub is_overloaded: bool,
+}
+
+/// State of all parts at one entry.
+#[derive(Debug)]
+pub struct EntryAdmission {
+    switched_off: OverloadParts,
+    called_for: OverloadParts,
+    /// Version of the configuration for which `called_for` was determined.
+    version: Option<u64>,
+    levels: ServiceLevels,
+    schedule: ReturnSchedule,
+    shares: CallerShares,
+    nested: NestedRoutes,
+}
+
+impl EntryAdmission {
+    /// Creates the admission of an entry that has seen no call.
+    #[must_use]
+    pub fn new(switched_off: OverloadParts) -> Self {
+        Self {
+            switched_off,
+            called_for: OverloadParts::NONE.with(OverloadPart::SilenceBound),
+            version: None,
+            levels: ServiceLevels::default(),
+            schedule: ReturnSchedule::default(),
+            shares: CallerShares::default(),
+            nested: NestedRoutes::default(),
+        }
+    }
+
+    /// Replaces the parts that the settings switch off.
+    pub const fn switch_off(&mut self, parts: OverloadParts) {
+        self.switched_off = parts;
+    }
+
+    /// Adopts the parts that a configuration calls for.
+    pub fn adopt(&mut self, routes: &RouteSet) {
+        if self.version == Some(routes.version()) {
+            return;
+        }
+        self.version = Some(routes.version());
+        self.called_for = OverloadParts::called_for_by(routes);
+        self.nested.forget();
+    }
+
+    /// Returns whether a part is in force.
+    #[must_use]
+    pub const fn has(&self, part: OverloadPart) -> bool {
+        self.called_for.without(self.switched_off).has(part)
+    }
+
+    /// Decides whether a call is sent to a target.
+    pub fn enter(&mut self, call: &EnteringCall<'_>, now: Millis) -> Entering {
+        self.nested
+            .note_arrival(&call.route.name, call.target_is_idle);
+        let class = self.class_of(call.route);
+        let level = self.note_arrival(call, class, now);
+        let is_overloaded = level.is_some_and(|level| level.is_overloaded());
+        let admitted = Entering::Admitted(Admitted {
+            class,
+            is_overloaded,
+        });
+        if class == LoadClass::NESTED {
+            return admitted;
+        }
+        if self.has(OverloadPart::ScheduledReturns) {
+            match self.schedule.arrive(call.key, now) {
+                Arrival::OnTime => return admitted,
+                Arrival::Early(retry_at) => return refused(EntryRefusal::EarlyReturn, retry_at),
+                Arrival::New => {}
+            }
+        }
+        if self.has(OverloadPart::CallerShares) {
+            let (service, caller) = (call.service, call.caller);
+            self.shares.note_offered(service, caller, call.work_ms, now);
+            let is_contended = level.is_some_and(|level| level.refuses(class));
+            if is_contended && self.shares.exceeds_share(service, caller, now) {
+                return refused(EntryRefusal::Share, self.retry_at(call, now));
+            }
+        }
+        if let Some(level) = &level
+            && !self.levels.admits(call.service, class, level)
+        {
+            return refused(EntryRefusal::Level, self.retry_at(call, now));
+        }
+        if self.has(OverloadPart::CallerShares) {
+            self.shares.note_admitted(call.service, call.work_ms, now);
+        }
+        admitted
+    }
+
+    /// Returns when the caller of a refused call may retry, or `None` if no overload is
+    /// known.
+    pub fn retry_time(&mut self, call: &EnteringCall<'_>, now: Millis) -> Option<RetryTime> {
+        if !self.has(OverloadPart::ScheduledReturns) {
+            return None;
+        }
+        let level = self.current_level(call, now)?;
+        if !level.is_overloaded() {
+            return None;
+        }
+        let class = self.class_of(call.route);
+        let share = self.levels.own_share(call.service, &level, now);
+        let work_ms = call.work_ms.0.max(1) as f64;
+        let rate_per_s = level.room_slots * share * RETRY_SHARE * 1_000.0 / work_ms;
+        let wish = RetryWish {
+            key: call.key,
+            service: call.service,
+            class,
+            work_ms: call.work_ms,
+            rate_per_s,
+        };
+        Some(self.schedule.reserve(&wish, now))
+    }
+
+    fn retry_at(&mut self, call: &EnteringCall<'_>, now: Millis) -> Millis {
+        match self.retry_time(call, now) {
+            Some(RetryTime::Reserved(at) | RetryTime::Unreserved(at)) => at,
+            None => now + UNSCHEDULED_RETRY_MS,
+        }
+    }
+
+    /// Returns the class of a route's calls.
+    #[must_use]
+    pub fn class_of(&self, route: &Route) -> LoadClass {
+        let is_nested = self.has(OverloadPart::NestedFirst) && self.nested.is_nested(&route.name);
+        match is_nested {
+            true => LoadClass::NESTED,
+            false => LoadClass::of_priority(route.priority),
+        }
+    }
+
+    fn note_arrival(
+        &mut self,
+        call: &EnteringCall<'_>,
+        class: LoadClass,
+        now: Millis,
+    ) -> Option<Level> {
+        if !self.has(OverloadPart::ServiceLevel) {
+            return None;
+        }
+        self.levels
+            .note_arrival(call.service, class, call.work_ms, now);
+        self.levels.level(call.service, call.targets, now)
+    }
+
+    fn current_level(&mut self, call: &EnteringCall<'_>, now: Millis) -> Option<Level> {
+        if !self.has(OverloadPart::ServiceLevel) {
+            return None;
+        }
+        self.levels.level(call.service, call.targets, now)
+    }
+
+    /// Records a report of the target's gate.
+    pub fn note_load(&mut self, target: &Member, load: GateLoad, now: Millis) {
+        self.levels.note_load(target, load, now);
+    }
+
+    /// Returns the work to report to a gate of the service, if a report is due.
+    pub fn take_demand(&mut self, service: &ServiceName, now: Millis) -> Option<DemandReport> {
+        if !self.has(OverloadPart::ServiceLevel) {
+            return None;
+        }
+        self.levels.take_demand(service, now)
+    }
+
+    /// Returns the reports of gates and the levels.
+    #[must_use]
+    pub const fn levels(&self) -> &ServiceLevels {
+        &self.levels
+    }
+
+    /// Returns the reservations.
+    #[must_use]
+    pub const fn schedule(&self) -> &ReturnSchedule {
+        &self.schedule
+    }
+
+    /// Discards what is past or concerns targets that are no longer listed.
+    pub fn retain(&mut self, members: &Members, now: Millis) {
+        self.levels.retain(members);
+        self.schedule.forget_expired(now);
+    }
+}
+
+const fn refused(reason: EntryRefusal, retry_at: Millis) -> Entering {
+    Entering::Refused { reason, retry_at }
+}
--- a/crates/dispatch/src/prelude.rs
+++ b/crates/dispatch/src/prelude.rs
@@ -3,5 +3,6 @@
 pub use crate::knowledge::members::{Member, Members, TargetId, TargetIncarnation};
 pub use crate::routing::routes::{CallKind, CallerLimits, Route, RouteSet};
 pub use hornbeamhitch_types::prelude::{
-    DataCentre, Millis, PartDigest, Region, ResultCode, Revision, ServiceName, TargetNotice,
+    DataCentre, DemandReport, GateLoad, LOAD_CLASSES, LoadClass, Millis, PartDigest, Region,
+    ResultCode, Revision, ServiceName, TargetNotice,
 };
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use hornbeamhitch_dispatch::gate::warm_up::WarmUpTolerance;
+use hornbeamhitch_dispatch::overload::OverloadParts;
 use hornbeamhitch_dispatch::overload::retry_budget::RetryLimit;
 use hornbeamhitch_dispatch::routing::regions::Regions;
 
@@ -51,6 +52,8 @@
     pub retry_limit: RetryLimit,
     /// How far the requests to a cold target may exceed its admission rate.
     pub warm_up_tolerance: WarmUpTolerance,
+    /// Parts of overload control that are switched off.
+    pub overload_off: OverloadParts,
 }
 
 /// Rereads the tunables. Returns `None` if the settings are invalid; the implementation
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -169,6 +169,7 @@
         metrics: Arc::clone(&metrics),
         suspicion: Arc::clone(&suspicion),
         retry_limit: config.tunables.retry_limit,
+        overload_off: config.tunables.overload_off,
         uploads: UploadLimits::new(BODY_IDLE_TIMEOUT, config.buffered_bytes),
         seed: rand::random(),
     }));
@@ -301,6 +302,7 @@
             log::info!("changed settings are in force: {read:?}");
             entry.set_retry_limit(read.retry_limit);
             gate.set_warm_up_tolerance(read.warm_up_tolerance);
+            entry.switch_overload_off(read.overload_off);
             tunables = read;
         }
     }
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod call;
 mod ended;
+mod entering;
 mod progress;
 mod state;
 mod trail;
@@ -13,6 +14,8 @@
 use bytes::Bytes;
 use hornbeamhitch_dispatch::faults::crashes::CrashLevel;
 use hornbeamhitch_dispatch::knowledge::waits::Waits;
+use hornbeamhitch_dispatch::overload::OverloadParts;
+use hornbeamhitch_dispatch::overload::entry_admission::Entering;
 use hornbeamhitch_dispatch::overload::retry_budget::RetryLimit;
 use hornbeamhitch_dispatch::routing::regions::Regions;
 use hornbeamhitch_node::metrics::Metrics;
@@ -30,7 +33,9 @@
 pub use answer::CallerAnswer;
 use call::CallDriver;
 use ended::{AbandonedCallLog, CallRecord};
+use entering::Arrival;
 use state::EntryState;
+use trail::Trail;
 
 /// `Retry-After` of refusals while the node has no configuration. A reachable
 /// store answers within milliseconds.
@@ -88,6 +93,8 @@
     pub suspicion: Arc<Suspicion>,
     /// Limit on retries and hedges per service.
     pub retry_limit: RetryLimit,
+    /// Parts of overload control that are switched off.
+    pub overload_off: OverloadParts,
     /// Memory and time limits on request bodies.
     pub uploads: UploadLimits,
     /// Seed of the entry's random numbers.
@@ -139,7 +146,11 @@
             metrics: parts.metrics,
             suspicion: parts.suspicion,
             uploads: parts.uploads,
-            state: Mutex::new(EntryState::new(parts.seed, parts.retry_limit)),
+            state: Mutex::new(EntryState::new(
+                parts.seed,
+                parts.retry_limit,
+                parts.overload_off,
+            )),
             last_key: AtomicU64::new(0),
         }
     }
@@ -185,6 +196,11 @@
         self.state.lock().set_retry_limit(limit);
     }
 
+    /// Replaces the parts of overload control that are switched off after a reload.
+    pub fn switch_overload_off(&self, parts: OverloadParts) {
+        self.state.lock().admission.switch_off(parts);
+    }
+
     /// Drops statistics and links of targets and routes that no longer exist.
     pub fn forget_departed(&self) {
         let directory = self.directory.load();
@@ -252,22 +268,44 @@
         let deadline_ms = requested_ms.unwrap_or(timeout_ms).min(timeout_ms);
         let service = self.state.lock().splitter.choose(&routed.route);
         let first_arrived = self.first_arrived(routed.fingerprint, requested_until, arrived);
-        let driver = CallDriver::new(
-            self,
-            call::CallParts {
-                route: Arc::clone(&routed.route),
-                service: service.clone(),
-                request_id: routed.request_id.clone(),
-                fingerprint: routed.fingerprint,
-                deadline_at: arrived + deadline_ms,
-                first_arrived,
-                request,
-            },
-        );
-        let abandoned_log =
-            AbandonedCallLog::arm(&routed.request_id, service.as_str(), arrived, self.clock);
-        let (outcome, trail) = driver.serve().await;
-        abandoned_log.disarm();
+        let arrival = Arrival {
+            route: &routed.route,
+            service: &service,
+            fingerprint: routed.fingerprint,
+            requested_until,
+        };
+        let (outcome, trail) = match self.enter(&arrival, &directory) {
+            Entering::Refused { reason, retry_at } => {
+                let retry_after_ms = retry_at.since(self.now());
+                let outcome = CallOutcome::refused(ResultCode::Overloaded, retry_after_ms);
+                (outcome.with_reason(reason.into()), Trail::default())
+            }
+            Entering::Admitted(admitted) => {
+                let driver = CallDriver::new(
+                    self,
+                    call::CallParts {
+                        route: Arc::clone(&routed.route),
+                        service: service.clone(),
+                        request_id: routed.request_id.clone(),
+                        fingerprint: routed.fingerprint,
+                        deadline_at: arrived + deadline_ms,
+                        requested_until,
+                        first_arrived,
+                        admitted,
+                        request,
+                    },
+                );
+                let abandoned_log = AbandonedCallLog::arm(
+                    &routed.request_id,
+                    service.as_str(),
+                    arrived,
+                    self.clock,
+                );
+                let ended = driver.serve().await;
+                abandoned_log.disarm();
+                ended
+            }
+        };
         if outcome.may_be_retried() {
             let mut state = self.state.lock();
             state.returning_callers.note_refused(
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use hornbeamhitch_dispatch::overload::entry_admission::Admitted;
 use hornbeamhitch_dispatch::overload::patience::WaitPlan;
 use hornbeamhitch_dispatch::overload::work::WorkEstimate;
 use hornbeamhitch_dispatch::placement::order::Candidate;
@@ -38,6 +39,10 @@
     pub(super) request_id: String,
     pub(super) fingerprint: u64,
     pub(super) deadline_at: Millis,
+    /// End of the deadline that the caller has stated.
+    pub(super) requested_until: Millis,
+    /// How the call is placed.
+    pub(super) admitted: Admitted,
     /// When the caller first sent this request, before any refusals.
     pub(super) first_arrived: Millis,
     pub(super) request: CallerRequest,
@@ -55,6 +60,10 @@
     /// Memory reserved for the body until the call ends.
     _reservation: Reservation,
     deadline_at: Millis,
+    /// End of the deadline that the caller has stated.
+    requested_until: Millis,
+    /// How the call is placed.
+    admitted: Admitted,
     /// Probability in percent that this request repeats an earlier one: the share of
     /// repeated runs in this VM's target when the request arrived.
     repeated_percent: u8,
@@ -131,6 +140,8 @@
             request_id: parts.request_id,
             fingerprint: parts.fingerprint,
             deadline_at: parts.deadline_at,
+            requested_until: parts.requested_until,
+            admitted: parts.admitted,
             repeated_percent: entry.gate.repeated_percent(),
         };
         let rounds = Rounds {
@@ -250,7 +261,17 @@
     fn handle_gate_event(&mut self, number: usize, event: GateEvent) -> Option<CallOutcome> {
         match event {
             // The link client sends the body itself.
-            GateEvent::WantsContent => None,
+            GateEvent::WantsContent | GateEvent::Received => None,
+            GateEvent::Load(load) => {
+                let now = self.entry.now();
+                let target = &self.attempts[number].member;
+                self.entry
+                    .state
+                    .lock()
+                    .admission
+                    .note_load(target, load, now);
+                None
+            }
             GateEvent::Started { slowness_percent } => {
                 self.handle_start(number, slowness_percent);
                 None
--- a/crates/edge/src/entry/call/ending.rs
+++ b/crates/edge/src/entry/call/ending.rs
@@ -1,11 +1,13 @@
 //! Handles the end of attempts and decides the outcome of the call.
 
 use bytes::Bytes;
+use hornbeamhitch_dispatch::overload::return_schedule::RetryTime;
 use hornbeamhitch_dispatch::placement::refusals::{Throttle, ThrottleCause};
 use rand::RngExt;
 
 use super::{CallDriver, STUCK_AFTER_RUNS};
 use crate::entry::answer::CallOutcome;
+use crate::entry::entering::Arrival;
 use crate::entry::progress;
 use crate::prelude::*;
 use crate::target::{is_server_error, is_success};
@@ -239,6 +241,9 @@
             return CallOutcome::refused(code, wait).with_reason(reason);
         }
         let now = self.entry.now();
+        if let Some(RetryTime::Reserved(at) | RetryTime::Unreserved(at)) = self.scheduled_retry() {
+            return CallOutcome::refused(code, at.since(now)).with_reason(reason);
+        }
         let random_ms = self.entry.state.lock().rng.random_range(RETRY_AFTER_MS);
         let free_in_ms = self.history.free_at.map_or(0, |at| at.since(now).0);
         let left_ms = self.request.deadline_at.since(now);
@@ -246,6 +251,19 @@
         CallOutcome::refused(code, wait).with_reason(reason)
     }
 
+    /// Returns when the caller may retry, if the service is known to be overloaded.
+    fn scheduled_retry(&self) -> Option<RetryTime> {
+        if self.request.admitted.class == LoadClass::NESTED {
+            return None;
+        }
+        self.entry.retry_time(&Arrival {
+            route: &self.request.route,
+            service: &self.request.service,
+            fingerprint: self.request.fingerprint,
+            requested_until: self.request.requested_until,
+        })
+    }
+
     /// Returns the outcome of a call whose deadline has passed.
     pub(super) fn deadline_outcome(&mut self) -> CallOutcome {
         let now = self.entry.now();
--- /dev/null
+++ b/crates/edge/src/entry/entering.rs
@@ -0,0 +1,65 @@
+//! Decides whether a request that has entered is sent to a target.
+
+use hornbeamhitch_dispatch::overload::caller_shares::CallerId;
+use hornbeamhitch_dispatch::overload::entry_admission::{Entering, EnteringCall};
+use hornbeamhitch_dispatch::overload::return_schedule::{RequestKey, RetryTime};
+
+use super::Entry;
+use crate::directory::Directory;
+use crate::prelude::*;
+
+/// A request with its route and service.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Arrival<'a> {
+    pub(super) route: &'a Route,
+    pub(super) service: &'a ServiceName,
+    /// Hash of the parts of the request that its retries have in common.
+    pub(super) fingerprint: u64,
+    /// End of the deadline that the caller has stated.
+    pub(super) requested_until: Millis,
+}
+
+impl Entry {
+    /// Decides whether the request is sent to a target.
+    pub(super) fn enter(&self, arrival: &Arrival<'_>, directory: &Directory) -> Entering {
+        let now = self.now();
+        let call = self.entering_call(arrival, directory);
+        let mut state = self.state.lock();
+        if let Some(routes) = &directory.routes {
+            state.admission.adopt(routes);
+        }
+        state.admission.enter(&call, now)
+    }
+
+    /// Returns when the caller of a request that found no capacity may retry, or `None` if
+    /// the service is not known to be overloaded.
+    pub(super) fn retry_time(&self, arrival: &Arrival<'_>) -> Option<RetryTime> {
+        let directory = self.directory.load();
+        let call = self.entering_call(arrival, &directory);
+        self.state.lock().admission.retry_time(&call, self.now())
+    }
+
+    fn entering_call<'a>(&self, arrival: &Arrival<'a>, directory: &Directory) -> EnteringCall<'a> {
+        let Arrival {
+            route,
+            service,
+            fingerprint,
+            requested_until,
+        } = *arrival;
+        let work = self.state.lock().work_estimates.estimate(route);
+        EnteringCall {
+            service,
+            route,
+            key: RequestKey {
+                fingerprint,
+                deadline_at: requested_until,
+            },
+            // Callers share the address of their VM, so that only the content of a request
+            // tells them apart.
+            caller: CallerId(fingerprint),
+            work_ms: work.run_at(100),
+            targets: directory.members.available(service).len(),
+            target_is_idle: self.gate.is_idle(),
+        }
+    }
+}
--- a/crates/edge/src/entry/state.rs
+++ b/crates/edge/src/entry/state.rs
@@ -4,6 +4,8 @@
 
 use hornbeamhitch_dispatch::faults::failures::Failures;
 use hornbeamhitch_dispatch::faults::reach::Reachability;
+use hornbeamhitch_dispatch::overload::OverloadParts;
+use hornbeamhitch_dispatch::overload::entry_admission::EntryAdmission;
 use hornbeamhitch_dispatch::overload::retry_budget::{RetryBudget, RetryLimit};
 use hornbeamhitch_dispatch::overload::returning::ReturningCallers;
 use hornbeamhitch_dispatch::overload::work::WorkEstimates;
@@ -25,6 +27,7 @@
     pub(super) notices: TargetNotices,
     pub(super) returning_callers: ReturningCallers,
     pub(super) work_estimates: WorkEstimates,
+    pub(super) admission: EntryAdmission,
     pub(super) rng: Xoshiro256PlusPlus,
     pub(super) reachability: Reachability,
     retry_limit: RetryLimit,
@@ -32,7 +35,7 @@
 }
 
 impl EntryState {
-    pub(super) fn new(seed: u64, retry_limit: RetryLimit) -> Self {
+    pub(super) fn new(seed: u64, retry_limit: RetryLimit, overload_off: OverloadParts) -> Self {
         Self {
             splitter: Splitter::new(seed),
             failures: Failures::default(),
@@ -40,6 +43,7 @@
             notices: TargetNotices::default(),
             returning_callers: ReturningCallers::default(),
             work_estimates: WorkEstimates::default(),
+            admission: EntryAdmission::new(overload_off),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             reachability: Reachability::default(),
             retry_limit,
@@ -89,6 +93,7 @@
         self.failures.retain(&directory.members);
         self.refusals.retain(&directory.members);
         self.notices.retain(&directory.members);
+        self.admission.retain(&directory.members, now);
         if let Some(routes) = &directory.routes {
             self.work_estimates.retain(routes);
             self.splitter.retain(routes);
--- a/crates/edge/src/gate/request.rs
+++ b/crates/edge/src/gate/request.rs
@@ -51,6 +51,10 @@
     },
     /// The call ended without an answer. No further event follows.
     Ended(CallEnd),
+    /// The call has arrived and waits for a decision.
+    Received,
+    /// Load of the gate's target.
+    Load(GateLoad),
 }
 
 impl GateEvent {
--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -108,7 +108,12 @@
                 end = <&'static str>::from(*end);
                 "ended without an answer"
             ),
-            Some(GateEvent::WantsContent | GateEvent::Started { .. }) => {}
+            Some(
+                GateEvent::WantsContent
+                | GateEvent::Started { .. }
+                | GateEvent::Received
+                | GateEvent::Load(_),
+            ) => {}
             None => log::info!(
                 request, target_id, slowness_percent, waited_ms, ran_ms;
                 "cancelled: the caller left or another attempt won"
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -369,12 +369,7 @@
             ToEntry::Started {
                 id,
                 slowness_percent,
-            } => {
-                if let Some(open) = self.calls.lock().get(&id) {
-                    let started = GateEvent::Started { slowness_percent };
-                    (open.sink)(LinkEvent::Gate(started, self.incarnation));
-                }
-            }
+            } => self.deliver(id, GateEvent::Started { slowness_percent }),
             ToEntry::Answered {
                 id,
                 head,
@@ -393,6 +388,9 @@
                 self.deliver_if_complete(id);
             }
             ToEntry::Ended { id, end } => self.deliver_last(id, GateEvent::Ended(end)),
+            ToEntry::Received { id } => self.deliver(id, GateEvent::Received),
+            ToEntry::Load { id, load } => self.deliver(id, GateEvent::Load(load)),
+            ToEntry::Silence(_) => {}
             // Subscriptions and requests for parts use separate connections.
             ToEntry::Change(_)
             | ToEntry::Progress { .. }
@@ -445,6 +443,13 @@
         }
     }
 
+    /// Delivers an event that is not the last of its call.
+    fn deliver(&self, id: CallId, event: GateEvent) {
+        if let Some(open) = self.calls.lock().get(&id) {
+            (open.sink)(LinkEvent::Gate(event, self.incarnation));
+        }
+    }
+
     fn deliver_last(&self, id: CallId, event: GateEvent) {
         let open = self.calls.lock().remove(&id);
         if let Some(open) = open {
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -186,7 +186,7 @@
                     self.gate.fence(key, sink);
                 }
                 ToGate::Crashes(notice) => self.suspicion.merge_notice(&notice),
-                ToGate::Suspect(_) => {}
+                ToGate::Suspect(_) | ToGate::Demand(_) | ToGate::Silence(_) => {}
                 ToGate::Facts(encoded) => adopt_facts(&self.directory, &encoded),
                 ToGate::FactsPart {
                     digest,
@@ -292,6 +292,12 @@
             GateEvent::Ended(end) => {
                 let _ = answers.send(ToEntry::Ended { id, end });
             }
+            GateEvent::Received => {
+                let _ = answers.send(ToEntry::Received { id });
+            }
+            GateEvent::Load(load) => {
+                let _ = answers.send(ToEntry::Load { id, load });
+            }
         }
     })
 }
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -15,6 +15,7 @@
 use arc_swap::ArcSwap;
 use hornbeamhitch_dispatch::gate::warm_up::{WarmUp, WarmUpTolerance};
 use hornbeamhitch_dispatch::knowledge::waits::Waits;
+use hornbeamhitch_dispatch::overload::OverloadParts;
 use hornbeamhitch_dispatch::overload::retry_budget::RetryLimit;
 use hornbeamhitch_dispatch::routing::regions::Regions;
 use hornbeamhitch_dispatch::routing::routes::Destination;
@@ -304,6 +305,7 @@
             slack: 64.0,
             window_ms: Millis(10_000),
         },
+        overload_off: OverloadParts::NONE,
         seed: 1,
     }));
     tokio::spawn(server.accept(links));
--- a/crates/routed/src/program.rs
+++ b/crates/routed/src/program.rs
@@ -6,6 +6,7 @@
 
 use gumdrop::Options;
 use hornbeamhitch_dispatch::gate::warm_up::WarmUpTolerance;
+use hornbeamhitch_dispatch::overload::OverloadParts;
 use hornbeamhitch_dispatch::overload::retry_budget::RetryLimit;
 use hornbeamhitch_dispatch::routing::regions::Regions;
 use hornbeamhitch_edge::config::{EdgeConfig, Tunables};
@@ -99,6 +100,7 @@
         retry_limit: RETRY_LIMIT,
         // No service of the configuration text has a warm-up.
         warm_up_tolerance: WarmUpTolerance::NONE,
+        overload_off: OverloadParts::NONE,
     }
 }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod crash;
 pub mod digest;
 pub mod id;
+pub mod load;
 pub mod notice;
 pub mod policy;
 pub mod prelude;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -274,6 +274,10 @@
         /// The node that reads.
         node: IpAddr,
     },
+    /// Work that has entered at the sender for the receiver's service.
+    Demand(DemandReport),
+    /// The silent VMs that the sender knows of.
+    Silence(SilenceReport),
 }
 
 /// A message from a gate to an entry or a subscriber.
@@ -356,6 +360,20 @@
     /// Precedes a [`Self::Progress`] whose age grows because a long answer of the source is
     /// arriving, not because the source is silent.
     ReceivingAnswer,
+    /// The call has arrived and neither started nor ended within a short time.
+    Received {
+        /// The call.
+        id: CallId,
+    },
+    /// Load of the gate's target, before another event of the call.
+    Load {
+        /// The call.
+        id: CallId,
+        /// The load.
+        load: GateLoad,
+    },
+    /// The silent VMs that the sender knows of.
+    Silence(SilenceReport),
 }
 
 /// Appends a message as a frame.
