Let callers retry almost at once after a target has rejected their request

Ruled out: more tokens (0.55 of a token for each request would be needed where the limit is 0.2), other targets (all reject alike).

Change: overload::reject_rate counts rejections by service. A retry time of 1 to 20 ms while less than 0.8 is rejected; from a rate of 0.2 on, tokens only for calls that can meet their objective. Part reject-rates, in force where routes compete.

--- a/crates/dispatch/src/overload.rs
+++ b/crates/dispatch/src/overload.rs
@@ -5,13 +5,14 @@
 //! level of its service ([`service_level`]) and the time that its caller was given to retry
 //! ([`return_schedule`]). Calls that are made by runs ([`nested`]) go first. [`patience`]
 //! then decides how long the call may wait for a suitable target, [`retry_budget`] limits
-//! retries and hedges, and [`returning`] recognises callers that were refused and retry.
+//! retries and hedges, [`reject_rate`] uses them where targets reject requests, and [`returning`] recognises callers that were refused and retry.
 //! [`settings`] names the parts that can be switched off.
 
 pub mod caller_shares;
 pub mod entry_admission;
 pub mod nested;
 pub mod patience;
+pub mod reject_rate;
 pub mod retry_budget;
 pub mod return_schedule;
 pub mod returning;
--- a/crates/dispatch/src/overload/settings.rs
+++ b/crates/dispatch/src/overload/settings.rs
@@ -27,6 +27,8 @@
     NestedFirst,
     /// A call inherits the priority of those that wait behind it on a connection.
     AnswerOrder,
+    /// Rejections by targets decide which calls are retried, and when callers retry.
+    RejectRates,
 }
 
 /// An unknown name of a part.
--- a/crates/edge/src/entry/call/ending.rs
+++ b/crates/edge/src/entry/call/ending.rs
@@ -1,6 +1,7 @@
 //! Handles the end of attempts and decides the outcome of the call.
 
 use bytes::Bytes;
+use hornbeamhitch_dispatch::overload::OverloadPart;
 use hornbeamhitch_dispatch::overload::return_schedule::RetryTime;
 use hornbeamhitch_dispatch::placement::refusals::{Throttle, ThrottleCause};
 use rand::RngExt;
@@ -9,12 +10,15 @@
 use crate::entry::answer::CallOutcome;
 use crate::entry::entering::Arrival;
 use crate::entry::progress;
+use crate::entry::state::EntryState;
 use crate::prelude::*;
 use crate::target::{is_server_error, is_success};
 
 /// Range of `Retry-After` of a refusal. Slow spells and queues last about this
 /// long; the random spread keeps callers from retrying in lockstep.
 const RETRY_AFTER_MS: std::ops::Range<u64> = 60..260;
+/// Reason of calls that a target rejected.
+const REJECTED_BY_TARGET: &str = "the target did not run the request";
 
 impl CallDriver<'_> {
     pub(super) fn handle_answer(
@@ -30,6 +34,7 @@
         let asked_at = started.map_or(now, |(started_at, _)| started_at);
         let mut state = self.entry.state.lock();
         state.notices.note(&target, head.notice, asked_at, now);
+        state.reject_rates.note_accepted(&self.request.service, now);
         if !is_server_error(head.status) {
             state.failures.note_success(&target, now);
             let slowness = started.map_or(100, |(_, slowness)| slowness);
@@ -93,9 +98,50 @@
             return None;
         }
         if end == CallEnd::Shed {
-            self.entry.state.lock().failures.note_failure(&target, now);
+            let mut state = self.entry.state.lock();
+            state.failures.note_failure(&target, now);
+            state.reject_rates.note_rejected(&self.request.service, now);
+            if !self.may_retry_rejected(&state, now) {
+                drop(state);
+                return self.end_rejected();
+            }
+        }
+        self.fail_over(REJECTED_BY_TARGET)
+    }
+
+    /// Whether a call that a target rejected may take a token of the retry budget.
+    fn may_retry_rejected(&self, state: &EntryState, now: Millis) -> bool {
+        if !state.admission.has(OverloadPart::RejectRates) {
+            return true;
         }
-        self.fail_over("the target did not run the request")
+        let meets_objective = now + self.work.run_at(100) <= self.wait_plan.objective_at;
+        state
+            .reject_rates
+            .may_retry(&self.request.service, meets_objective, now)
+    }
+
+    /// Ends a call that a target rejected and that is not retried.
+    fn end_rejected(&mut self) -> Option<CallOutcome> {
+        if self.has_open_attempt() {
+            return None;
+        }
+        Some(self.final_outcome().with_reason(REJECTED_BY_TARGET))
+    }
+
+    /// Returns how long the caller waits before it retries if a target has rejected the
+    /// request and an immediate retry is likely to be accepted.
+    fn prompt_retry_ms(&self, now: Millis) -> Option<Millis> {
+        if self.history.last_end != Some(CallEnd::Shed) {
+            return None;
+        }
+        let mut state = self.entry.state.lock();
+        if !state.admission.has(OverloadPart::RejectRates) {
+            return None;
+        }
+        let draw = state.rng.random();
+        state
+            .reject_rates
+            .prompt_retry_ms(&self.request.service, draw, now)
     }
 
     /// Remembers a refusal of a gate that may accept other calls later.
@@ -244,6 +290,9 @@
         if let Some(RetryTime::Reserved(at) | RetryTime::Unreserved(at)) = self.scheduled_retry() {
             return CallOutcome::refused(code, at.since(now)).with_reason(reason);
         }
+        if let Some(wait_ms) = self.prompt_retry_ms(now) {
+            return CallOutcome::refused(code, wait_ms).with_reason(reason);
+        }
         let random_ms = self.entry.state.lock().rng.random_range(RETRY_AFTER_MS);
         let free_in_ms = self.history.free_at.map_or(0, |at| at.since(now).0);
         let left_ms = self.request.deadline_at.since(now);
--- a/crates/edge/src/entry/state.rs
+++ b/crates/edge/src/entry/state.rs
@@ -6,6 +6,7 @@
 use hornbeamhitch_dispatch::faults::reach::Reachability;
 use hornbeamhitch_dispatch::overload::OverloadParts;
 use hornbeamhitch_dispatch::overload::entry_admission::EntryAdmission;
+use hornbeamhitch_dispatch::overload::reject_rate::RejectRates;
 use hornbeamhitch_dispatch::overload::retry_budget::{RetryBudget, RetryLimit};
 use hornbeamhitch_dispatch::overload::returning::ReturningCallers;
 use hornbeamhitch_dispatch::overload::work::WorkEstimates;
@@ -28,6 +29,7 @@
     pub(super) returning_callers: ReturningCallers,
     pub(super) work_estimates: WorkEstimates,
     pub(super) admission: EntryAdmission,
+    pub(super) reject_rates: RejectRates,
     pub(super) rng: Xoshiro256PlusPlus,
     pub(super) reachability: Reachability,
     retry_limit: RetryLimit,
@@ -44,6 +46,7 @@
             returning_callers: ReturningCallers::default(),
             work_estimates: WorkEstimates::default(),
             admission: EntryAdmission::new(overload_off),
+            reject_rates: RejectRates::default(),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             reachability: Reachability::default(),
             retry_limit,
@@ -94,6 +97,7 @@
         self.refusals.retain(&directory.members);
         self.notices.retain(&directory.members);
         self.admission.retain(&directory.members, now);
+        self.reject_rates.forget_old(now);
         if let Some(routes) = &directory.routes {
             self.work_estimates.retain(routes);
             self.splitter.retain(routes);
