Decide what a call inherits from the requests behind it on its connection

Cause: answers leave in the order of requests, so the answer to an urgent request waits for calls of low urgency before it, which gates place last.

Ruled out: refusing the call before sooner (busy_until of the waiting call): it would cost a call that could be served. Inheriting an objective that the call cannot meet any longer: gates queue calls that miss their objective behind others, so it would be slowed down instead.

Not used yet.

--- a/crates/dispatch/src/overload.rs
+++ b/crates/dispatch/src/overload.rs
@@ -6,6 +6,7 @@
 //! ([`return_schedule`]). Calls that are made by runs ([`nested`]) go first. [`patience`]
 //! then decides how long the call may wait for a suitable target, [`retry_budget`] limits
 //! retries and hedges, and [`returning`] recognises callers that were refused and retry.
+//! A call that others wait behind on its connection inherits their [`urgency`].
 //! [`settings`] names the parts that can be switched off.
 
 pub mod caller_shares;
@@ -17,6 +18,7 @@
 pub mod returning;
 pub mod service_level;
 pub mod settings;
+pub mod urgency;
 pub mod work;
 
 pub use settings::{OverloadPart, OverloadParts};
--- a/crates/dispatch/src/overload/patience.rs
+++ b/crates/dispatch/src/overload/patience.rs
@@ -66,7 +66,7 @@
         arrived: Millis,
         deadline_at: Millis,
     ) -> Self {
-        let margin = Millis((work.run_ms * RUN_TIME_MARGIN) as u64);
+        let margin = run_with_margin(work);
         let whole_objective_ms = route.objective_ms.minus(CALLER_ROUND_TRIP_MS);
         let objective_at = arrived + whole_objective_ms;
         let fast_until = Millis(objective_at.0.saturating_sub(margin.0)).max(arrived);
@@ -110,4 +110,31 @@
             ..self
         }
     }
+
+    /// Adjusts the plan for the objective of a call that waits behind this one on its
+    /// connection.
+    ///
+    /// The call then waits for near and fast targets only as long as the earlier objective
+    /// allows, but is refused no sooner than on its own. An objective that a run would no
+    /// longer meet changes nothing: gates would place the call behind those that still
+    /// meet theirs.
+    #[must_use]
+    pub fn with_objective(self, objective_at: Millis, work: &WorkEstimate, now: Millis) -> Self {
+        let fast_until = objective_at.minus(run_with_margin(work));
+        if objective_at >= self.objective_at || fast_until <= now {
+            return self;
+        }
+        Self {
+            near_until: self.near_until.min(fast_until),
+            fast_until: self.fast_until.min(fast_until),
+            objective_at,
+            ..self
+        }
+    }
+}
+
+/// Returns the time within which nine in ten runs end at usual speed.
+#[must_use]
+pub fn run_with_margin(work: &WorkEstimate) -> Millis {
+    Millis((work.run_ms * RUN_TIME_MARGIN) as u64)
 }
--- a/crates/dispatch/src/overload/patience/tests.rs
+++ b/crates/dispatch/src/overload/patience/tests.rs
@@ -72,3 +72,39 @@
     let plan = WaitPlan::plan(&route, &work, 0, Millis(1_000), Millis(2_200));
     assert_eq!(plan.busy_until, Millis(1_154));
 }
+
+fn work() -> WorkEstimate {
+    WorkEstimate {
+        run_ms: 90.0,
+        answer_bytes: 1_500.0,
+        samples: 20,
+    }
+}
+
+/// Guards against an urgent answer that is held while the call before it waits for a better
+/// target.
+#[test]
+fn an_earlier_objective_of_a_waiting_call_shortens_the_wait_for_better_targets() {
+    let own = plan(60_000, 2_000);
+    let raised = own.with_objective(Millis(1_250), &work(), Millis(1_020));
+    assert_eq!(
+        raised,
+        WaitPlan {
+            near_until: Millis(1_120),
+            fast_until: Millis(1_120),
+            objective_at: Millis(1_250),
+            ..own
+        }
+    );
+}
+
+/// Guards against harm to a call by those behind it: it is refused no sooner, and an
+/// objective that it cannot meet does not move it back at gates.
+#[test]
+fn an_objective_that_is_later_or_cannot_be_met_changes_nothing() {
+    let own = plan(60_000, 2_000);
+    for (objective_at, now) in [(1_284, 1_000), (9_000, 1_000), (1_250, 1_120), (900, 1_000)] {
+        let raised = own.with_objective(Millis(objective_at), &work(), Millis(now));
+        assert_eq!(raised, own, "objective {objective_at} at {now}");
+    }
+}
