A call inherits the urgency of those behind it on its connection

Ruled out: one cell allocated for each call, which calls without pipelining would pay for; resolving routes in the connection, since a route may still arrive when its request is read.

Change: each connection has one watch channel with its open calls. A call that was admitted passes its priority and objective to those before it while answer-order is in force. They use it for the terms of attempts sent from then on, for the wait for near and fast targets and for the time of their hedge, which is brought forward at once. Without pipelining, a call adds and removes one element and reads it at each step.

Shown by: answer_order in edge (4 tests): terms of a call that is sent again, also after the urgent call has ended; no change while the part is switched off or not called for; callers that leave; the time of a hedge.

--- a/crates/dispatch/src/overload/patience.rs
+++ b/crates/dispatch/src/overload/patience.rs
@@ -66,7 +66,7 @@
         arrived: Millis,
         deadline_at: Millis,
     ) -> Self {
-        let margin = run_with_margin(work);
+        let margin = run_with_margin(work.run_ms);
         let whole_objective_ms = route.objective_ms.minus(CALLER_ROUND_TRIP_MS);
         let objective_at = arrived + whole_objective_ms;
         let fast_until = Millis(objective_at.0.saturating_sub(margin.0)).max(arrived);
@@ -120,7 +120,7 @@
     /// meet theirs.
     #[must_use]
     pub fn with_objective(self, objective_at: Millis, work: &WorkEstimate, now: Millis) -> Self {
-        let fast_until = objective_at.minus(run_with_margin(work));
+        let fast_until = objective_at.minus(run_with_margin(work.run_ms));
         if objective_at >= self.objective_at || fast_until <= now {
             return self;
         }
@@ -133,8 +133,8 @@
     }
 }
 
-/// Returns the time within which nine in ten runs end at usual speed.
+/// Returns the time within which nine in ten runs end whose mean is `run_ms`.
 #[must_use]
-pub fn run_with_margin(work: &WorkEstimate) -> Millis {
-    Millis((work.run_ms * RUN_TIME_MARGIN) as u64)
+pub fn run_with_margin(run_ms: f64) -> Millis {
+    Millis((run_ms * RUN_TIME_MARGIN) as u64)
 }
--- a/crates/edge/src/callers/connection.rs
+++ b/crates/edge/src/callers/connection.rs
@@ -12,7 +12,9 @@
 use tokio::time::Instant;
 
 use super::DrainPhase;
-use crate::entry::{AnsweredRequest, CallerAnswer, CallerRequest, Entry, ServedAnswer};
+use crate::entry::{
+    AnsweredRequest, CallerAnswer, CallerRequest, ConnectionCalls, Entry, ServedAnswer,
+};
 use crate::http1::{self, HeadFault, HttpReader, ReadFault, RequestHead};
 use crate::prelude::*;
 
@@ -82,6 +84,7 @@
             outgoing,
             unanswered: Arc::clone(&unanswered),
             calls: JoinSet::new(),
+            open_calls: ConnectionCalls::default(),
         };
         let answer_writer = AnswerWriter {
             entry: self.entry,
@@ -128,6 +131,8 @@
     unanswered: Arc<AtomicUsize>,
     /// Calls in flight; dropping them cancels them.
     calls: JoinSet<()>,
+    /// Those calls in the order of their requests.
+    open_calls: ConnectionCalls,
 }
 
 impl RequestReader {
@@ -233,6 +238,7 @@
                 body,
                 arrived,
                 reservation,
+                on_connection: self.open_calls.open(),
             },
             sender,
         );
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -4,6 +4,7 @@
 mod call;
 mod ended;
 mod entering;
+mod on_connection;
 mod progress;
 mod state;
 mod trail;
@@ -34,6 +35,7 @@
 use call::CallDriver;
 use ended::{AbandonedCallLog, CallRecord};
 use entering::Arrival;
+pub use on_connection::{ConnectionCall, ConnectionCalls};
 use state::EntryState;
 use trail::Trail;
 
@@ -60,6 +62,8 @@
     pub arrived: Millis,
     /// Memory reserved for the body, released once the answer is known.
     pub reservation: Reservation,
+    /// Place of the call on its connection.
+    pub on_connection: ConnectionCall,
 }
 
 /// Everything that [`Entry::new`] needs.
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -2,6 +2,7 @@
 
 mod ending;
 mod selection;
+mod urgency;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -9,6 +10,7 @@
 use bytes::Bytes;
 use hornbeamhitch_dispatch::overload::entry_admission::Admitted;
 use hornbeamhitch_dispatch::overload::patience::WaitPlan;
+use hornbeamhitch_dispatch::overload::urgency::Urgency;
 use hornbeamhitch_dispatch::overload::work::WorkEstimate;
 use hornbeamhitch_dispatch::placement::order::Candidate;
 use hornbeamhitch_node::uploads::Reservation;
@@ -17,7 +19,7 @@
 use super::answer::CallOutcome;
 use super::progress::{Attempt, Progress};
 use super::trail::Trail;
-use super::{CallerRequest, Entry};
+use super::{CallerRequest, ConnectionCall, Entry};
 use crate::gate::GateEvent;
 use crate::http1;
 use crate::link::LinkEvent;
@@ -57,6 +59,8 @@
     fingerprint: u64,
     head: CallHead,
     body: Bytes,
+    /// Place of the call on its connection.
+    on_connection: ConnectionCall,
     /// Memory reserved for the body until the call ends.
     _reservation: Reservation,
     deadline_at: Millis,
@@ -108,7 +112,12 @@
     entry: &'a Arc<Entry>,
     request: Request,
     work: WorkEstimate,
+    /// The plan in force, with what the call has inherited.
     wait_plan: WaitPlan,
+    /// The plan without what the call has inherited.
+    own_wait_plan: WaitPlan,
+    /// What the call has inherited from those behind it on its connection.
+    inherited: Option<Urgency>,
     events: mpsc::UnboundedReceiver<Progress>,
     sender: mpsc::UnboundedSender<Progress>,
     attempts: Vec<Attempt>,
@@ -126,6 +135,7 @@
             body,
             arrived,
             reservation,
+            on_connection,
         } = parts.request;
         let work = entry.state.lock().work_estimates.estimate(&parts.route);
         let wait_plan = WaitPlan::plan(&parts.route, &work, body.len(), arrived, parts.deadline_at);
@@ -134,6 +144,7 @@
         let request = Request {
             head: outgoing_head(entry, head),
             body,
+            on_connection,
             _reservation: reservation,
             route: parts.route,
             service: parts.service,
@@ -155,6 +166,8 @@
             request,
             work,
             wait_plan,
+            own_wait_plan: wait_plan,
+            inherited: None,
             events,
             sender,
             attempts: Vec::new(),
@@ -177,8 +190,10 @@
     }
 
     async fn drive(&mut self) -> CallOutcome {
+        self.raise_calls_before();
         loop {
             if !self.has_open_attempt() {
+                self.adopt_inherited(self.entry.now());
                 match self.next_step() {
                     Step::Send(candidate, max_queue_ms) => self.send(&candidate, max_queue_ms),
                     Step::End(outcome) => return outcome,
@@ -194,8 +209,13 @@
                 biased;
                 progress = self.events.recv() => progress,
                 () = tokio::time::sleep_until(hedge_at), if self.hedge_at.is_some() => None,
+                () = self.request.on_connection.raised(), if self.hedge_at.is_some() => {
+                    self.bring_hedge_forward();
+                    continue;
+                }
             };
             let Some(progress) = progress else {
+                self.adopt_inherited(self.entry.now());
                 self.hedge();
                 continue;
             };
@@ -289,10 +309,9 @@
         let target = Arc::clone(&attempt.member);
         self.entry.state.lock().refusals.note_accepted(&target);
         self.count_arrival(target.id.clone());
-        let expected_ms = self.work.run_at(slowness_percent).0 as f64 * STUCK_AFTER_RUNS;
-        let stuck_after = Millis(expected_ms as u64).max(MIN_STUCK_AFTER_MS);
         if self.request.route.kind.is_idempotent() {
-            self.hedge_at = Some(now + stuck_after);
+            self.adopt_inherited(now);
+            self.hedge_at = Some(self.hedge_time(now, slowness_percent));
         }
     }
 
--- a/crates/edge/src/entry/call/selection.rs
+++ b/crates/edge/src/entry/call/selection.rs
@@ -198,10 +198,7 @@
                 key,
                 fingerprint: self.request.fingerprint,
                 idempotent: self.request.route.kind.is_idempotent(),
-                priority: match self.request.admitted.class {
-                    LoadClass::NESTED => 0,
-                    _ => self.request.route.priority,
-                },
+                priority: self.priority(),
                 work_ms: self.work.run_at(100),
                 max_queue_ms,
                 objective_ms: self.wait_plan.objective_at.since(now),
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the path from a caller's socket to a target's socket, in one
 //! process. Sockets are real and on loopback, and the tests act as the targets.
 
+mod answer_order;
 mod answers;
 mod asking;
 mod at_most_once;
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -92,6 +92,7 @@
 pub struct Vm {
     pub target: FakeTarget,
     pub metrics: Arc<Metrics>,
+    pub entry: Arc<Entry>,
     pub callers: SocketAddr,
     pub drain_phase: watch::Sender<DrainPhase>,
 }
@@ -324,6 +325,7 @@
     Vm {
         target,
         metrics,
+        entry,
         callers,
         drain_phase,
     }
