Native path: the settings switch off parts of overload control

Cause: hornbeamhitch-routed had no way to switch a part off; tunables() always gave OverloadParts::NONE.

Ruled out: crates/node depending on dispatch (edge and routed depend on node, and dispatch is the other path's decisions); checking the names in routed only, where the position in the file is lost.

Change: overload_off, a list of names, in the node's settings.

Shown by: settings::tests::unknown_parts_of_overload_control_are_refused_with_ the_allowed_ones; program::tests in routed, where one test compares the names of both crates and one reloads a file.

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -26,7 +26,9 @@
 
 pub use self::fault::{Fault, FaultKind, SettingsFaults};
 use self::reader::Section;
-use self::units::{BoundAddress, CountIn, HostAddress, ListenAddress, LogLevel, MillisIn, Name};
+use self::units::{
+    BoundAddress, CountIn, HostAddress, ListenAddress, LogLevel, MillisIn, Name, OverloadPartName,
+};
 
 /// Larger files are rejected unread: no settings file comes near this size, so
 /// the path must be wrong.
@@ -38,6 +40,17 @@
 const DEFAULT_TRAFFIC_THREADS: usize = 4;
 const DEFAULT_DRAIN_TIMEOUT_MS: Millis = Millis(30_000);
 
+/// Names of the parts of overload control on the routed path. That path depends on this
+/// crate and parses them; a test there compares them with its own.
+pub const OVERLOAD_PARTS: [&str; 6] = [
+    "silence-bound",
+    "service-level",
+    "scheduled-returns",
+    "caller-shares",
+    "nested-first",
+    "answer-order",
+];
+
 /// All settings of a node.
 ///
 /// `docs/operators/settings.md` lists them for operators, with the consequences
@@ -79,6 +92,9 @@
     /// How long a leaving node waits for calls in flight (100 ms to 1 hour).
     /// Calls that take longer are aborted. Default: 30 s.
     pub drain_timeout_ms: Millis,
+    /// Parts of overload control that are switched off on the routed path, each one of
+    /// [`OVERLOAD_PARTS`]. Default: none.
+    pub overload_off: Vec<String>,
     /// Limits on the resources that others can occupy on this node.
     pub limits: Limits,
     /// Settings of the log.
@@ -185,6 +201,7 @@
     seeds: Vec<SocketAddr>,
     traffic_threads: usize,
     drain_timeout_ms: Millis,
+    overload_off: Vec<String>,
     limits: Limits,
     log: LogSettings,
 }
@@ -205,6 +222,7 @@
             seeds: self.seeds,
             traffic_threads: self.traffic_threads,
             drain_timeout_ms: self.drain_timeout_ms,
+            overload_off: self.overload_off,
             limits: self.limits,
             log: self.log,
         })
@@ -231,6 +249,7 @@
         drain_timeout_ms: root
             .optional::<_, MillisIn<100, 3_600_000>>("drain_timeout_ms")
             .unwrap_or(DEFAULT_DRAIN_TIMEOUT_MS),
+        overload_off: root.list::<_, OverloadPartName>("overload_off"),
         limits: root.section("limits", read_limits),
         log: root.section("log", read_log),
     }
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -35,6 +35,7 @@
     assert_eq!(config.log, LogSettings::default());
     assert_eq!(config.drain_timeout_ms, Millis(30_000));
     assert!(config.seeds.is_empty());
+    assert!(config.overload_off.is_empty());
     assert!((1..=4).contains(&config.traffic_threads));
 }
 
@@ -44,6 +45,7 @@
         r#"// a comment, and a trailing comma at the end
         "seeds": ["10.0.0.1:7002", "[::1]:7002"], /* IPv6 too */
         "traffic_threads": 64, "drain_timeout_ms": 100,
+        "overload_off": ["service-level", "answer-order"],
         "limits": { "header_bytes": 8192, "header_count": 16, "max_connections": 1,
             "max_peer_connections": 2, "streams_per_connection": 3, "head_timeout_ms": 101,
             "body_timeout_ms": 102, "idle_timeout_ms": 1003, "buffered_bodies_bytes": 1048576,
@@ -76,6 +78,14 @@
     ));
 }
 
+/// Guards against a misspelt name, with which the part would stay on.
+#[test]
+fn unknown_parts_of_overload_control_are_refused_with_the_allowed_ones() {
+    assert_snapshot!(faults_of(&with_required(
+        r#""overload_off": ["answer-order", "answer-ordr", 6]"#
+    )));
+}
+
 #[test]
 fn ports_must_differ() {
     let text = with_required("").replace("127.0.0.1:7001", "127.0.0.1:7002");
--- a/crates/node/src/settings/units.rs
+++ b/crates/node/src/settings/units.rs
@@ -10,6 +10,8 @@
 use serde::de::{Deserialize, Deserializer, Error};
 use serde_with::DeserializeAs;
 
+use super::OVERLOAD_PARTS;
+
 const MAX_NAME_CHARS: usize = 64;
 
 /// An adapter that describes the values it allows.
@@ -165,6 +167,25 @@
     text.parse().map_err(Error::custom)
 }
 
+/// The name of a part of overload control.
+pub(super) struct OverloadPartName;
+
+impl Allowed for OverloadPartName {
+    fn allowed() -> String {
+        format!("one of \"{}\"", OVERLOAD_PARTS.join("\", \""))
+    }
+}
+
+impl<'de> DeserializeAs<'de, String> for OverloadPartName {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<String, D::Error> {
+        let name = String::deserialize(deserializer)?;
+        if !OVERLOAD_PARTS.contains(&name.as_str()) {
+            return Err(Error::custom("not a part of overload control"));
+        }
+        Ok(name)
+    }
+}
+
 /// A log level.
 pub(super) struct LogLevel;
 
--- a/crates/routed/src/program.rs
+++ b/crates/routed/src/program.rs
@@ -20,6 +20,9 @@
 use crate::dialect::NativeDialect;
 use crate::source::NativeSource;
 
+#[cfg(test)]
+mod tests;
+
 /// Path of the readiness endpoint. `hornbeamhitch-node` uses the same path.
 const READINESS_PATH: &str = "/v1/ready";
 /// Time within which a change of the text or the VM list is in force. Callers that are
@@ -86,7 +89,7 @@
         dialect: Arc::new(NativeDialect),
         source: Arc::new(NativeSource::new(reader, config.peer_address.port())),
         reload: Box::new(move || match Config::load(&path) {
-            Ok(_) => Some(tunables()),
+            Ok(config) => Some(tunables(&config)),
             Err(faults) => {
                 log::error!("changed settings are not used: {faults}");
                 None
@@ -95,15 +98,21 @@
     }
 }
 
-const fn tunables() -> Tunables {
+fn tunables(config: &Config) -> Tunables {
     Tunables {
         retry_limit: RETRY_LIMIT,
         // No service of the configuration text has a warm-up.
         warm_up_tolerance: WarmUpTolerance::NONE,
-        overload_off: OverloadParts::NONE,
+        overload_off: overload_off(config),
     }
 }
 
+/// Returns the parts of overload control that the settings switch off.
+fn overload_off(config: &Config) -> OverloadParts {
+    let parts = OverloadParts::parse(&config.overload_off.join(","));
+    parts.expect("the settings are checked for the names of parts")
+}
+
 fn edge_config(config: &Config) -> EdgeConfig {
     EdgeConfig {
         vm: config.vm.clone(),
@@ -121,6 +130,6 @@
         buffered_bytes: config.limits.buffered_bodies_bytes,
         in_force_ms: IN_FORCE_MS,
         grace_ms: config.drain_timeout_ms,
-        tunables: tunables(),
+        tunables: tunables(config),
     }
 }
