--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -4,6 +4,7 @@
 mod call;
 mod ended;
 mod entering;
+mod on_connection;
 mod progress;
 mod state;
 mod trail;
@@ -30,10 +31,11 @@
 use crate::prelude::*;
 use crate::suspicion::{self, Suspicion};
 use answer::CallOutcome;
-pub use answer::CallerAnswer;
+pub use answer::{AnsweredRequest, CallerAnswer, ServedAnswer};
 use call::CallDriver;
 use ended::{AbandonedCallLog, CallRecord};
 use entering::Arrival;
+pub use on_connection::{ConnectionCall, ConnectionCalls};
 use state::EntryState;
 use trail::Trail;
 
@@ -60,6 +62,8 @@
     pub arrived: Millis,
     /// Memory reserved for the body, released once the answer is known.
     pub reservation: Reservation,
+    /// Place of the call on its connection.
+    pub on_connection: ConnectionCall,
 }
 
 /// Everything that [`Entry::new`] needs.
@@ -251,14 +255,20 @@
     }
 
     /// Serves one request and returns the answer for its caller.
-    pub async fn serve(self: &Arc<Self>, request: CallerRequest) -> CallerAnswer {
+    pub async fn serve(self: &Arc<Self>, request: CallerRequest) -> ServedAnswer {
         self.await_route(&request.head).await;
         let directory = self.directory.load_full();
         let routed = match self.resolve(&directory, &request) {
             Ok(routed) => routed,
             Err(outcome) => {
                 let record = CallRecord::unrouted(&request, &directory, self.dialect.names());
-                return self.log_call(&record, outcome);
+                return ServedAnswer {
+                    answer: self.log_call(&record, outcome),
+                    request: AnsweredRequest {
+                        request_id: record.request_id,
+                        route: None,
+                    },
+                };
             }
         };
         let arrived = request.arrived;
@@ -325,7 +335,13 @@
             arrived,
             trail,
         };
-        self.log_call(&record, outcome)
+        ServedAnswer {
+            answer: self.log_call(&record, outcome),
+            request: AnsweredRequest {
+                request_id: record.request_id,
+                route: Some(Arc::clone(&routed.route)),
+            },
+        }
     }
 
     /// Waits for the parts of an overdue configuration that may contain the route of a request.
