Routes of nested calls are learnt from arrivals at a busy target

Cause: nested calls arrive like callers' calls, and a run whose nested call is refused ends as 500 after its work is done.

Ruled out: 30 calls without one at an idle target as the only evidence. At an idle share of a tenth, 0.9^30 = 4% of callers' routes pass it by chance.

The own target counts as idle only when runs that were cancelled, timed out, broke off or failed have passed their deadline, 10 ms after an answer, and 5 s after the start of the process, since a late nested call ends the classification. A new configuration keeps the nested routes that still exist; nothing could be learnt again in an overload. The gate's slots for short work are unchanged.

Shows: overload::nested::tests and gate::idleness::tests in virtual time, and idle_target in edge with real sockets.

--- a/crates/dispatch/src/gate.rs
+++ b/crates/dispatch/src/gate.rs
@@ -4,11 +4,12 @@
 //! times ([`knee`]), keeps slots for calls with a better chance ([`contention`]) and for
 //! short work ([`short_work`]), and limits the requests ([`send_log`]) to a target that
 //! warms up ([`warm_up`]) or states a limit ([`stated_limit`]). [`departure`] recognises
-//! that the target leaves.
+//! that the target leaves, and [`idleness`] whether it certainly runs nothing.
 
 pub mod admission;
 pub mod contention;
 pub mod departure;
+pub mod idleness;
 pub mod knee;
 pub mod send_log;
 pub mod short_work;
--- a/crates/dispatch/src/overload/entry_admission.rs
+++ b/crates/dispatch/src/overload/entry_admission.rs
@@ -117,7 +117,7 @@
         }
         self.version = Some(routes.version());
         self.called_for = OverloadParts::called_for_by(routes);
-        self.nested.forget();
+        self.nested.adopt(routes);
     }
 
     /// Returns whether a part is in force.
--- a/crates/edge/src/entry/entering.rs
+++ b/crates/edge/src/entry/entering.rs
@@ -59,7 +59,7 @@
             caller: CallerId(fingerprint),
             work_ms: work.run_at(100),
             targets: directory.members.available(service).len(),
-            target_is_idle: self.gate.is_idle(),
+            target_is_idle: self.gate.is_target_idle(),
         }
     }
 }
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -19,6 +19,7 @@
     Admission, GateCall, QueuePosition, Refused, Verdict,
 };
 use hornbeamhitch_dispatch::gate::departure::Departure;
+use hornbeamhitch_dispatch::gate::idleness::TargetIdleness;
 use hornbeamhitch_dispatch::gate::warm_up::WarmUpTolerance;
 use hornbeamhitch_dispatch::knowledge::waits::Waits;
 use hornbeamhitch_node::metrics::{GateLevels, Metrics};
@@ -88,6 +89,7 @@
 #[derive(Debug)]
 struct GateState {
     running: RunningCalls,
+    idleness: TargetIdleness,
     admission: Admission,
     records: Records,
     /// Incarnations of the target that the target itself has said are over.
@@ -97,9 +99,10 @@
 }
 
 impl GateState {
-    fn new(admission: Admission) -> Self {
+    fn new(admission: Admission, started_at: Millis) -> Self {
         Self {
             running: RunningCalls::default(),
+            idleness: TargetIdleness::new(started_at),
             admission,
             records: Records::default(),
             ended_incarnations: VecDeque::new(),
@@ -112,7 +115,8 @@
     /// Creates the gate for a target.
     #[must_use]
     pub fn new(parts: GateParts) -> Self {
-        let mut admission = Admission::new(parts.clock.now());
+        let started_at = parts.clock.now();
+        let mut admission = Admission::new(started_at);
         admission.warm_up().set_tolerance(parts.warm_up_tolerance);
         Self {
             service: parts.service,
@@ -121,7 +125,7 @@
             directory: parts.directory,
             dialect: parts.dialect,
             clock: parts.clock,
-            state: Mutex::new(GateState::new(admission)),
+            state: Mutex::new(GateState::new(admission, started_at)),
             changed: Notify::new(),
             speed: SpeedProbe::default(),
             suspicion: parts.suspicion,
@@ -181,6 +185,17 @@
         state.admission.in_flight() == 0 && state.admission.queued() == 0
     }
 
+    /// Whether the target certainly runs nothing: no call is queued or running, and the
+    /// target has finished the runs that ended without an answer. A call that arrives at
+    /// this node now was not made by a run of the target.
+    #[must_use]
+    pub fn is_target_idle(&self) -> bool {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let calls = state.admission.in_flight() as usize + state.admission.queued();
+        state.idleness.is_idle(calls, now)
+    }
+
     /// Updates the gauges of running and queued calls and of the target's warm-up.
     pub fn refresh_gauges(&self) {
         let now = self.clock.now();
--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -40,6 +40,7 @@
 struct RunningGuard<'a> {
     gate: &'a Gate,
     number: u64,
+    deadline_at: Millis,
 }
 
 impl<'a> RunningGuard<'a> {
@@ -50,7 +51,11 @@
             is_trial: run.is_trial,
             is_sent: false,
         });
-        Self { gate, number }
+        Self {
+            gate,
+            number,
+            deadline_at: run.deadline_at,
+        }
     }
 
     /// Records that the target may have received the request.
@@ -58,9 +63,16 @@
         self.gate.state.lock().running.note_sent(self.number);
     }
 
-    /// Records that the target has answered.
-    fn finish(&self) {
-        self.gate.state.lock().running.finish(self.number);
+    /// Records that the target has answered with this status.
+    fn finish(&self, status: u16) {
+        let now = self.gate.clock.now();
+        let mut state = self.gate.state.lock();
+        state.running.finish(self.number);
+        // A target that answers with an error may not have waited for its own calls.
+        match is_server_error(status) {
+            true => state.idleness.note_abandoned(self.deadline_at, now),
+            false => state.idleness.note_answered(now),
+        }
     }
 }
 
@@ -68,7 +80,9 @@
     fn drop(&mut self) {
         let now = self.gate.clock.now();
         let mut state = self.gate.state.lock();
-        state.running.abandon(self.number, now);
+        if state.running.abandon(self.number, now) {
+            state.idleness.note_abandoned(self.deadline_at, now);
+        }
     }
 }
 
@@ -147,7 +161,7 @@
         let event = self.run_in_target(run, &running).await;
         match &event {
             GateEvent::Answered { head, .. } => {
-                running.finish();
+                running.finish(head.status);
                 if is_success(head.status) {
                     self.suspicion.note_success(fingerprint);
                 }
--- a/crates/edge/src/gate/running.rs
+++ b/crates/edge/src/gate/running.rs
@@ -54,15 +54,18 @@
         self.calls.remove(&number);
     }
 
-    /// Removes a call that ended without an answer, unless it was removed before.
-    pub(super) fn abandon(&mut self, number: u64, now: Millis) {
+    /// Removes a call that ended without an answer, unless it was removed before. Returns
+    /// whether the target may still work on it.
+    pub(super) fn abandon(&mut self, number: u64, now: Millis) -> bool {
         self.unanswered
             .retain(|(_, ended_at)| now.since(*ended_at) < UNANSWERED_RETENTION_MS);
-        if let Some(call) = self.calls.remove(&number)
-            && call.is_sent
-        {
+        let Some(call) = self.calls.remove(&number) else {
+            return false;
+        };
+        if call.is_sent {
             self.unanswered.push((call, now));
         }
+        call.is_sent
     }
 
     /// Removes and returns all calls that were sent and not answered, after a crash.
--- a/crates/edge/src/gate/running/tests.rs
+++ b/crates/edge/src/gate/running/tests.rs
@@ -51,3 +51,19 @@
     running.abandon(number, Millis(1));
     assert!(running.take_unanswered(Millis(2)).is_empty());
 }
+
+/// Guards against taking a target for idle that goes on with a run whose caller has left,
+/// or for busy with a call that it never received or has answered.
+#[test]
+fn only_a_call_that_was_sent_and_not_answered_may_go_on() {
+    let mut running = RunningCalls::default();
+    let unsent = running.add(CALL);
+    assert!(!running.abandon(unsent, Millis(100)));
+    let sent = running.add(CALL);
+    running.note_sent(sent);
+    assert!(running.abandon(sent, Millis(100)));
+    let answered = running.add(CALL);
+    running.note_sent(answered);
+    running.finish(answered);
+    assert!(!running.abandon(answered, Millis(100)));
+}
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod evacuation;
 mod following;
 mod giving_up;
+mod idle_target;
 mod links;
 mod lives;
 mod routing;
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -90,6 +90,7 @@
 /// A VM with its target, gate and entry.
 pub struct Vm {
     pub target: FakeTarget,
+    pub gate: Arc<Gate>,
     pub callers: SocketAddr,
     pub drain_phase: watch::Sender<DrainPhase>,
 }
@@ -321,6 +322,7 @@
     tokio::spawn(server.serve(listener));
     Vm {
         target,
+        gate,
         callers,
         drain_phase,
     }
