--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -93,6 +93,7 @@
     pub target: FakeTarget,
     pub metrics: Arc<Metrics>,
     pub entry: Arc<Entry>,
+    pub gate: Arc<Gate>,
     pub callers: SocketAddr,
     pub drain_phase: watch::Sender<DrainPhase>,
 }
@@ -326,6 +327,7 @@
         target,
         metrics,
         entry,
+        gate,
         callers,
         drain_phase,
     }
