Tests of promised spans with mixed classes and run times

Cause: with the end of removed spans ignored, or the order of classes switched off, all tests of return_schedule passed.

Change: one test for a gap before a more urgent reservation, one that plays mixed classes, run times and used reservations, and a span that is longer than its reservation is kept. No behaviour changes.

--- a/crates/dispatch/src/overload/return_schedule.rs
+++ b/crates/dispatch/src/overload/return_schedule.rs
@@ -1,7 +1,7 @@
 //! Schedules when refused callers may retry.
 //!
 //! An entry sets a part of its capacity aside for callers that it has refused. Each
-//! reservation takes as much of this capacity's time as its run needs ([`timeline`]), so
+//! reservation takes as much of this capacity's time as its run needs (`timeline`), so
 //! that the retries come one after the other and find a slot. All times are of this
 //! process; a deadline is the time of arrival plus the time that the caller has left.
 
--- a/crates/dispatch/src/overload/return_schedule/tests.rs
+++ b/crates/dispatch/src/overload/return_schedule/tests.rs
@@ -223,6 +223,58 @@
     assert_eq!(next, second + SPAN_MS);
 }
 
+/// Guards against a less urgent caller that goes first through a gap that a rising rate has
+/// opened before a more urgent one.
+#[test]
+fn less_urgent_classes_use_no_gap_before_more_urgent_ones() {
+    let mut scheduler = Scheduler::new();
+    scheduler.rate_per_s = RATE_PER_S / 2.0;
+    scheduler.must_reserve(key(1, 4_000), 0);
+    let urgent = scheduler.must_reserve(key(2, 4_000), 0);
+    scheduler.rate_per_s = RATE_PER_S * 2.0;
+    let last = reserved(scheduler.reserve_in(last_class(), key(3, 4_000), 0));
+    assert!(last > urgent, "{last} before {urgent}");
+    let next = scheduler.must_reserve(key(4, 4_000), 0);
+    assert!(next < urgent, "the gap is left unused");
+}
+
+/// Guards against promises of more than the rate when classes and run times are mixed,
+/// callers are refused at random times, and retries use their reservations meanwhile.
+#[test]
+fn spans_of_all_classes_and_run_times_never_overlap() {
+    const SLOTS: u64 = 2;
+    let mut state = 7_u64;
+    let mut scheduler = Scheduler::new();
+    let mut spans = Vec::new();
+    let mut now = 0;
+    for number in 0..3_000 {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        let draw = state >> 33;
+        now += draw % 40;
+        let work_ms = 10 + draw / 40 % 400;
+        let wish = RetryWish {
+            key: key(number, now + 2_000),
+            service: &scheduler.service,
+            class: LoadClass::of_priority((draw / 7 % 3) as u8),
+            work_ms: Millis(work_ms),
+            rate_per_s: SLOTS as f64 * 1_000.0 / work_ms as f64,
+        };
+        if let RetryTime::Reserved(at) = scheduler.schedule.reserve(&wish, Millis(now)) {
+            spans.push((at.0, at.0 + work_ms / SLOTS));
+            if number % 3 == 0 {
+                let _ = scheduler.arrive(key(number, now + 2_000), at.0);
+            }
+        }
+    }
+    assert!(spans.len() > 100, "only {} reservations", spans.len());
+    spans.sort_unstable();
+    for pair in spans.windows(2) {
+        assert!(pair[0].1 <= pair[1].0, "{pair:?} overlap");
+    }
+}
+
 /// Guards against reservations for less urgent callers while more urgent ones claim all of
 /// the capacity that is set aside.
 #[test]
@@ -249,6 +301,11 @@
     assert_eq!(scheduler.open(), 0);
     let next = scheduler.must_reserve(key(2, 2_000), at);
     assert!(next >= at + 100, "{next} within the span from {at}");
+    // A span that is longer than a reservation is remembered.
+    scheduler.rate_per_s = 1.0;
+    let next = scheduler.must_reserve(key(3, 9_000), at + 100);
+    let last = scheduler.must_reserve(key(4, 9_000), next + 200);
+    assert!(last >= next + 1_000, "{last} within the span from {next}");
 }
 
 /// Guards against a rate that falls and revokes what was promised, or promises more
