Test that a nested call passes the schedule of retries

Cause: a_nested_call_passes_all_parts checked the class only, not that the call is admitted while an equal request has a reservation.

Change: the test makes such a reservation. With nested-first off, the same call is refused as early. No behaviour changes.

Shows: the test passes; overload::entry_admission::tests run.

--- a/crates/dispatch/src/overload/entry_admission/tests.rs
+++ b/crates/dispatch/src/overload/entry_admission/tests.rs
@@ -108,6 +108,20 @@
         }
         assert_eq!(admission.class_of(&nested), expected);
         assert_eq!(admission.class_of(&callers), LoadClass::of_priority(1));
+        let call = call_of(&service, &nested, 1_000);
+        let wish = RetryWish {
+            key: call.key,
+            service: &service,
+            class: LoadClass::of_priority(1),
+            work_ms: call.work_ms,
+            rate_per_s: 20.0,
+        };
+        let _ = admission.schedule.reserve(&wish, Millis(200));
+        let is_admitted = matches!(
+            admission.enter(&call, Millis(201)),
+            Entering::Admitted(Admitted { class, .. }) if class == expected
+        );
+        assert_eq!(is_admitted, expected == LoadClass::NESTED);
     }
 }
 
