Fair shares of callers that compete at an entry

Cause: in an overload the admission level admits one call in n whoever sends it, so a caller that sends each request three times at once gets three times as much as others.

A caller that offers more than twice the equal share of its class gets no more turns at the admission level than an average caller. PartsInForce keeps what a configuration calls for, by version.

Ruled out: comparing offered work with twice the share alone, since beyond twice the capacity every caller exceeds it and all would be refused; refusing by share before the level counts the call, since the level admits by all demand and would admit too little; limiting the admitted work of a caller, since copies of a single request are then lots in a draw.

--- a/crates/dispatch/src/overload.rs
+++ b/crates/dispatch/src/overload.rs
@@ -19,4 +19,4 @@
 pub mod settings;
 pub mod work;
 
-pub use settings::{OverloadPart, OverloadParts};
+pub use settings::{OverloadPart, OverloadParts, PartsInForce};
--- a/crates/dispatch/src/overload/entry_admission.rs
+++ b/crates/dispatch/src/overload/entry_admission.rs
@@ -8,11 +8,11 @@
 
 use strum::IntoStaticStr;
 
-use super::caller_shares::{CallerId, CallerShares};
+use super::caller_shares::{CallerId, CallerShares, Offer, ShareVerdict};
 use super::nested::NestedRoutes;
 use super::return_schedule::{Arrival, RequestKey, RetryTime, RetryWish, ReturnSchedule};
 use super::service_level::{Level, ServiceLevels};
-use super::settings::{OverloadPart, OverloadParts};
+use super::settings::{OverloadPart, OverloadParts, PartsInForce};
 use crate::prelude::*;
 
 #[cfg(test)]
@@ -80,10 +80,7 @@
 /// State of all parts at one entry.
 #[derive(Debug)]
 pub struct EntryAdmission {
-    switched_off: OverloadParts,
-    called_for: OverloadParts,
-    /// Version of the configuration for which `called_for` was determined.
-    version: Option<u64>,
+    parts: PartsInForce,
     levels: ServiceLevels,
     schedule: ReturnSchedule,
     shares: CallerShares,
@@ -95,9 +92,7 @@
     #[must_use]
     pub fn new(switched_off: OverloadParts) -> Self {
         Self {
-            switched_off,
-            called_for: OverloadParts::NONE.with(OverloadPart::SilenceBound),
-            version: None,
+            parts: PartsInForce::new(switched_off),
             levels: ServiceLevels::default(),
             schedule: ReturnSchedule::default(),
             shares: CallerShares::default(),
@@ -107,23 +102,20 @@
 
     /// Replaces the parts that the settings switch off.
     pub const fn switch_off(&mut self, parts: OverloadParts) {
-        self.switched_off = parts;
+        self.parts.switch_off(parts);
     }
 
     /// Adopts the parts that a configuration calls for.
     pub fn adopt(&mut self, routes: &RouteSet) {
-        if self.version == Some(routes.version()) {
-            return;
+        if self.parts.adopt(routes) {
+            self.nested.forget();
         }
-        self.version = Some(routes.version());
-        self.called_for = OverloadParts::called_for_by(routes);
-        self.nested.forget();
     }
 
     /// Returns whether a part is in force.
     #[must_use]
     pub const fn has(&self, part: OverloadPart) -> bool {
-        self.called_for.without(self.switched_off).has(part)
+        self.parts.has(part)
     }
 
     /// Decides whether a call is sent to a target.
@@ -147,23 +139,41 @@
                 Arrival::New => {}
             }
         }
-        if self.has(OverloadPart::CallerShares) {
-            let (service, caller) = (call.service, call.caller);
-            self.shares.note_offered(service, caller, call.work_ms, now);
-            let is_contended = level.is_some_and(|level| level.refuses(class));
-            if is_contended && self.shares.exceeds_share(service, caller, now) {
-                return refused(EntryRefusal::Share, self.retry_at(call, now));
-            }
-        }
-        if let Some(level) = &level
-            && !self.levels.admits(call.service, class, level)
-        {
-            return refused(EntryRefusal::Level, self.retry_at(call, now));
+        match self.share_verdict(call, class, level.as_ref(), now) {
+            ShareVerdict::Admitted => admitted,
+            ShareVerdict::ExceedsShare => refused(EntryRefusal::Share, self.retry_at(call, now)),
+            ShareVerdict::NoTurn => refused(EntryRefusal::Level, self.retry_at(call, now)),
         }
-        if self.has(OverloadPart::CallerShares) {
-            self.shares.note_admitted(call.service, call.work_ms, now);
+    }
+
+    /// Decides by the share of the caller and by the level of the service. The level is
+    /// asked also for a caller above its share, since the turn of that call goes to another
+    /// caller.
+    fn share_verdict(
+        &mut self,
+        call: &EnteringCall<'_>,
+        class: LoadClass,
+        level: Option<&Level>,
+        now: Millis,
+    ) -> ShareVerdict {
+        let has_turn = level.is_none_or(|level| self.levels.admits(call.service, class, level));
+        if !self.has(OverloadPart::CallerShares) {
+            return ShareVerdict::by_level(has_turn);
         }
-        admitted
+        let offer = Offer {
+            service: call.service,
+            class,
+            caller: call.caller,
+            work_ms: call.work_ms,
+            is_contended: level.is_some_and(|level| level.refuses(class)),
+            has_turn,
+        };
+        self.shares.decide(&offer, now)
+    }
+
+    /// Returns the caller of a request that only its content identifies.
+    pub fn caller_by_content(&mut self, key: RequestKey, now: Millis) -> CallerId {
+        self.shares.caller_by_content(key, now)
     }
 
     /// Returns when the caller of a refused call may retry, or `None` if no overload is
@@ -257,6 +267,7 @@
     pub fn retain(&mut self, members: &Members, now: Millis) {
         self.levels.retain(members);
         self.schedule.forget_expired(now);
+        self.shares.forget_idle(now);
     }
 }
 
--- a/crates/dispatch/src/overload/settings.rs
+++ b/crates/dispatch/src/overload/settings.rs
@@ -105,6 +105,52 @@
     }
 }
 
+/// The parts that are called for and not switched off.
+///
+/// Determining what a configuration calls for visits all its routes, so the result is kept
+/// until the configuration changes.
+#[derive(Clone, Debug)]
+pub struct PartsInForce {
+    switched_off: OverloadParts,
+    called_for: OverloadParts,
+    /// Version of the configuration for which `called_for` was determined.
+    version: Option<u64>,
+}
+
+impl PartsInForce {
+    /// Creates the parts of a node that has no configuration.
+    #[must_use]
+    pub const fn new(switched_off: OverloadParts) -> Self {
+        Self {
+            switched_off,
+            called_for: OverloadParts::NONE.with(OverloadPart::SilenceBound),
+            version: None,
+        }
+    }
+
+    /// Replaces the parts that the settings switch off.
+    pub const fn switch_off(&mut self, parts: OverloadParts) {
+        self.switched_off = parts;
+    }
+
+    /// Adopts the parts that a configuration calls for. Returns whether it is another
+    /// configuration than before.
+    pub fn adopt(&mut self, routes: &RouteSet) -> bool {
+        if self.version == Some(routes.version()) {
+            return false;
+        }
+        self.version = Some(routes.version());
+        self.called_for = OverloadParts::called_for_by(routes);
+        true
+    }
+
+    /// Returns whether a part is in force.
+    #[must_use]
+    pub const fn has(&self, part: OverloadPart) -> bool {
+        self.called_for.without(self.switched_off).has(part)
+    }
+}
+
 /// Whether routes of different priority lead to one service.
 fn has_competing_routes(routes: &RouteSet) -> bool {
     let mut priorities: HashMap<&ServiceName, u8> = HashMap::new();
--- a/crates/dispatch/src/overload/settings/tests.rs
+++ b/crates/dispatch/src/overload/settings/tests.rs
@@ -28,3 +28,27 @@
         "{error}"
     );
 }
+
+/// Guards against parts that stay in force although the settings or the configuration have
+/// changed, and against a visit of all routes for each call.
+#[test]
+fn parts_follow_the_settings_and_the_configuration() {
+    let part = OverloadPart::CallerShares;
+    let mut routes = RouteSet::new(1, CallerLimits::default());
+    routes.add("a.example", route("one", "/a/", &[("books", 1)]));
+    let mut parts = PartsInForce::new(OverloadParts::NONE);
+    assert!(!parts.has(part) && parts.has(OverloadPart::SilenceBound));
+    assert!(parts.adopt(&routes) && !parts.has(part));
+    let mut competing = RouteSet::new(2, CallerLimits::default());
+    competing.add("a.example", route("one", "/a/", &[("books", 1)]));
+    let mut urgent = route("two", "/b/", &[("books", 1)]);
+    urgent.priority = 0;
+    competing.add("a.example", urgent);
+    assert!(parts.adopt(&competing) && parts.has(part));
+    assert!(!parts.adopt(&competing));
+    parts.switch_off(OverloadParts::NONE.with(part));
+    assert!(!parts.has(part) && parts.has(OverloadPart::ServiceLevel));
+    parts.switch_off(OverloadParts::NONE);
+    assert!(parts.has(part));
+    assert!(parts.adopt(&routes) && !parts.has(part));
+}
