--- a/crates/dispatch/src/gate/admission/tests.rs
+++ b/crates/dispatch/src/gate/admission/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of admission control in virtual time.
 
 mod overload;
+mod priorities;
 mod properties;
 
 use super::*;
