Identity of callers, and priority at the gates of nodes

Cause: the entry identified callers by the content of their requests alone, and gates did not know which parts of overload control are in force.

Change: HeaderNames names the header of the client account, which is the tenant on the native platform and none on the users' platform. The address of a caller's connection reaches the entry, which identifies a caller by its account, else by its address unless it is this VM's or a loopback address, else by content.

Ruled out: looking up the caller by content when the retry time of a refused call is computed, which would count the call as a return.

Shown by: edge::entry::caller::tests; tests/all/priorities.rs with a gate that is full, with and without routes of different priority.

--- a/crates/edge/src/callers.rs
+++ b/crates/edge/src/callers.rs
@@ -51,8 +51,8 @@
                 accepted = listener.accept() => accepted,
                 _ = drain_phase.wait_for(|drain_phase| *drain_phase == DrainPhase::Closing) => break,
             };
-            let stream = match accepted {
-                Ok((stream, _)) => stream,
+            let (stream, peer) = match accepted {
+                Ok(accepted) => accepted,
                 Err(error) => {
                     log::warn!("cannot accept a caller's connection: {error}");
                     tokio::time::sleep(sockets::ACCEPT_PAUSE).await;
@@ -63,6 +63,7 @@
             let connection = Connection {
                 entry: Arc::clone(&entry),
                 drain_phase: drain_phase.clone(),
+                peer: peer.ip(),
             };
             let open = open.clone();
             tokio::spawn(async move {
--- a/crates/edge/src/callers/connection.rs
+++ b/crates/edge/src/callers/connection.rs
@@ -1,5 +1,6 @@
 //! One connection of a caller.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -43,6 +44,8 @@
 pub(super) struct Connection {
     pub(super) entry: Arc<Entry>,
     pub(super) drain_phase: watch::Receiver<DrainPhase>,
+    /// Address of the caller.
+    pub(super) peer: IpAddr,
 }
 
 /// Why no further request is read.
@@ -62,6 +65,7 @@
         let mut request_reader = RequestReader {
             entry: self.entry,
             drain_phase: self.drain_phase.clone(),
+            peer: self.peer,
             reader: HttpReader::new(reader),
             outgoing,
             unanswered: Arc::clone(&unanswered),
@@ -100,6 +104,7 @@
 struct RequestReader {
     entry: Arc<Entry>,
     drain_phase: watch::Receiver<DrainPhase>,
+    peer: IpAddr,
     reader: HttpReader<OwnedReadHalf>,
     outgoing: mpsc::Sender<Outgoing>,
     /// Number of requests that were read and not answered yet.
@@ -210,6 +215,7 @@
                 head,
                 body,
                 arrived,
+                peer: self.peer,
                 reservation,
             },
             sender,
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -20,6 +20,9 @@
     pub not_run: &'static str,
     /// Service on the VM from which the request originates.
     pub caller_service: &'static str,
+    /// Client account on whose behalf a caller sends a request; `None` if callers do not
+    /// state it.
+    pub client_account: Option<&'static str>,
     /// Milliseconds for which the target stays cold; the first name that an answer has
     /// counts. Empty if targets do not report it.
     pub warm_up_left_ms: &'static [&'static str],
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod call;
+mod caller;
 mod ended;
 mod entering;
 mod progress;
@@ -58,6 +59,8 @@
     pub body: Bytes,
     /// When the first byte of the head arrived.
     pub arrived: Millis,
+    /// Address from which the connection was opened.
+    pub peer: std::net::IpAddr,
     /// Memory reserved for the body, released once the answer is known.
     pub reservation: Reservation,
 }
@@ -274,7 +277,13 @@
             fingerprint: routed.fingerprint,
             requested_until,
         };
-        let (outcome, trail) = match self.enter(&arrival, &directory) {
+        let caller = caller::stated(
+            &request.head.fields,
+            request.peer,
+            self.dialect.names(),
+            self.listed_address.ip(),
+        );
+        let (outcome, trail) = match self.enter(&arrival, caller, &directory) {
             Entering::Refused { reason, retry_at } => {
                 let retry_after_ms = retry_at.since(self.now());
                 let outcome = CallOutcome::refused(ResultCode::Overloaded, retry_after_ms);
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -126,6 +126,7 @@
             body,
             arrived,
             reservation,
+            ..
         } = parts.request;
         let work = entry.state.lock().work_estimates.estimate(&parts.route);
         let wait_plan = WaitPlan::plan(&parts.route, &work, body.len(), arrived, parts.deadline_at);
--- a/crates/edge/src/entry/entering.rs
+++ b/crates/edge/src/entry/entering.rs
@@ -20,11 +20,18 @@
 }
 
 impl Entry {
-    /// Decides whether the request is sent to a target.
-    pub(super) fn enter(&self, arrival: &Arrival<'_>, directory: &Directory) -> Entering {
+    /// Decides whether the request is sent to a target. `caller` is `None` if only the
+    /// content of the request identifies its caller.
+    pub(super) fn enter(
+        &self,
+        arrival: &Arrival<'_>,
+        caller: Option<CallerId>,
+        directory: &Directory,
+    ) -> Entering {
         let now = self.now();
-        let call = self.entering_call(arrival, directory);
+        let mut call = self.entering_call(arrival, directory);
         let mut state = self.state.lock();
+        call.caller = caller.unwrap_or_else(|| state.admission.caller_by_content(call.key, now));
         if let Some(routes) = &directory.routes {
             state.admission.adopt(routes);
         }
@@ -54,8 +61,6 @@
                 fingerprint,
                 deadline_at: requested_until,
             },
-            // Callers share the address of their VM, so that only the content of a request
-            // tells them apart.
             caller: CallerId(fingerprint),
             work_ms: work.run_at(100),
             targets: directory.members.available(service).len(),
--- a/crates/edge/src/target_report/tests.rs
+++ b/crates/edge/src/target_report/tests.rs
@@ -16,6 +16,7 @@
     load: "T-Load",
     not_run: "T-Not-Run",
     caller_service: "T-From",
+    client_account: None,
     warm_up_left_ms: &["T-Cold"],
     max_requests_per_s: &["T-Limit", "T-Old-Limit"],
     leaving: &["T-Leaving"],
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod giving_up;
 mod links;
 mod lives;
+mod priorities;
 mod routing;
 mod statements;
 mod support;
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -64,6 +64,7 @@
             load: LOAD,
             not_run: NOT_RUN,
             caller_service: CALLER_SERVICE,
+            client_account: None,
             warm_up_left_ms: &[WARM_UP_LEFT_MS],
             max_requests_per_s: &[MAX_REQUESTS_PER_S],
             leaving: &[LEAVING],
@@ -280,6 +281,7 @@
         source: Arc::new(source.clone()),
         waits: Waits::new(IN_FORCE_MS),
         warm_up_tolerance: WarmUpTolerance::default(),
+        overload_off: OverloadParts::NONE,
     };
     let feed = ChangeFeed::new(clock, Waits::new(IN_FORCE_MS));
     let server = link_server(parts, Arc::new(feed));
--- a/crates/edge/tests/all/support/entry_end.rs
+++ b/crates/edge/tests/all/support/entry_end.rs
@@ -34,29 +34,40 @@
 
     /// Sends a lookup for the target `life-0`, which the gate must not queue.
     pub async fn send_lookup(&mut self) -> CallId {
+        let terms = self.lookup_terms();
+        self.send_call("/read/", terms).await
+    }
+
+    /// Returns the terms of the next lookup.
+    pub fn lookup_terms(&mut self) -> CallTerms {
         self.calls += 1;
+        CallTerms {
+            target_id: "life-0".to_owned(),
+            request_id: format!("id-{}", self.calls),
+            key: CallKey(u128::from(self.calls)),
+            fingerprint: self.calls,
+            idempotent: true,
+            priority: 1,
+            work_ms: Millis(1),
+            max_queue_ms: Millis::ZERO,
+            objective_ms: Millis(500),
+            whole_objective_ms: Millis(500),
+            slow_after_ms: Millis::MAX,
+            deadline_ms: Millis(2_000),
+            repeated_percent: 0,
+            notice: self.notice,
+        }
+    }
+
+    /// Sends a `GET` with the last terms.
+    pub async fn send_call(&mut self, path: &str, terms: CallTerms) -> CallId {
         let id = CallId(self.calls);
         let call = ToGate::Call {
             id,
-            terms: CallTerms {
-                target_id: "life-0".to_owned(),
-                request_id: format!("id-{}", self.calls),
-                key: CallKey(u128::from(self.calls)),
-                fingerprint: self.calls,
-                idempotent: true,
-                priority: 1,
-                work_ms: Millis(1),
-                max_queue_ms: Millis::ZERO,
-                objective_ms: Millis(500),
-                whole_objective_ms: Millis(500),
-                slow_after_ms: Millis::MAX,
-                deadline_ms: Millis(2_000),
-                repeated_percent: 0,
-                notice: self.notice,
-            },
+            terms,
             head: CallHead {
                 method: "GET".to_owned(),
-                path: "/read/".to_owned(),
+                path: path.to_owned(),
                 fields: vec![HeaderField {
                     name: "Host".to_owned(),
                     value: Bytes::from_static(b"h"),
@@ -65,10 +76,30 @@
             body_bytes: 0,
             body: Bytes::new(),
         };
+        self.send(&call).await;
+        id
+    }
+
+    /// Cancels a call.
+    pub async fn cancel(&mut self, id: CallId) {
+        self.send(&ToGate::Cancel { id }).await;
+    }
+
+    /// Waits until a call has started.
+    pub async fn started(&mut self, expected: CallId) {
+        loop {
+            match self.next().await {
+                ToEntry::Started { id, .. } if id == expected => return,
+                ToEntry::Ended { id, end } if id == expected => panic!("not started: {end:?}"),
+                _ => {}
+            }
+        }
+    }
+
+    async fn send(&mut self, frame: &ToGate) {
         let mut bytes = BytesMut::new();
-        link::encode(&call, &mut bytes).expect("a frame");
+        link::encode(frame, &mut bytes).expect("a frame");
         self.stream.write_all(&bytes).await.expect("written");
-        id
     }
 
     /// Returns how a call ended: `None` if the target answered it.
--- a/crates/routed/src/dialect.rs
+++ b/crates/routed/src/dialect.rs
@@ -11,6 +11,7 @@
     load: header::LOAD,
     not_run: header::NOT_RUN,
     caller_service: header::CALLER_SERVICE,
+    client_account: Some(header::TENANT),
     warm_up_left_ms: &[],
     max_requests_per_s: &[],
     leaving: &[],
