Shares: no loss to callers of usual work in a deep overload

Cause: at a quarter of the needed capacity every caller offers more than twice the equal share, so callers of usual work were limited to the mean too. A new sketch compared decayed work with callers that do not decay and set the share too low in its first two seconds.

Change: a limited caller may present 1.1 of the mean. Recent callers are weighted by the age of the sketch.

--- a/crates/dispatch/src/overload/caller_shares/decay.rs
+++ b/crates/dispatch/src/overload/caller_shares/decay.rs
@@ -3,11 +3,17 @@
 use crate::prelude::*;
 
 /// Time in which recorded work loses half of its weight.
-pub(super) const HALF_LIFE_MS: f64 = 1_000.0;
+const HALF_LIFE_MS: f64 = 1_000.0;
 /// Number of half-lives after which the weights are related to a new origin, so that they
 /// stay within the range of exact arithmetic.
 const MAX_HALF_LIVES: f64 = 20.0;
 
+/// Returns the weight of the work of `age_ms`, if one unit is recorded in each millisecond.
+pub(super) fn total_weight_ms(age_ms: f64) -> f64 {
+    let rest = (-age_ms / HALF_LIFE_MS).exp2();
+    (1.0 - rest) * HALF_LIFE_MS / std::f64::consts::LN_2
+}
+
 /// Weight of work that is recorded now, relative to work at an origin.
 ///
 /// New work is weighted up instead of weighting all earlier sums down, so that sums of one
--- a/crates/dispatch/src/overload/caller_shares/recent_callers.rs
+++ b/crates/dispatch/src/overload/caller_shares/recent_callers.rs
@@ -7,10 +7,11 @@
 
 /// Number of windows. With 12 of them, the covered time varies by 4% either way.
 const WINDOWS: usize = 12;
-/// Duration of a window. The covered time is 1,437 ms in the mean. Work that decays with a
-/// half-life of 1 s adds up to that of 1,443 ms, so that work divided by callers is the
-/// work of a caller.
+/// Duration of a window.
 const WINDOW_MS: u64 = 125;
+/// Mean time that the windows cover: 1,437 ms. Work that decays with a half-life of 1 s adds
+/// up to that of 1,443 ms, so that work divided by callers is the work of a caller.
+pub(super) const COVERED_MS: f64 = (WINDOWS as f64 - 0.5) * WINDOW_MS as f64;
 /// Number of 64-bit words of a window. 512 bits estimate up to some 1,500 callers within a
 /// tenth.
 const WORDS: usize = 8;
--- a/crates/dispatch/src/overload/caller_shares/service_shares.rs
+++ b/crates/dispatch/src/overload/caller_shares/service_shares.rs
@@ -1,7 +1,7 @@
 //! Work of the callers of one service.
 
-use super::decay::Decay;
-use super::recent_callers::RecentCallers;
+use super::decay::{self, Decay};
+use super::recent_callers::{COVERED_MS, RecentCallers};
 use super::{CallerId, Offer, ShareVerdict};
 use crate::prelude::*;
 
@@ -9,6 +9,11 @@
 const COUNTERS: usize = 64;
 /// A caller that offers more than this many times the equal share is limited.
 const MAX_SHARES: f64 = 2.0;
+/// Number of means that a limited caller may present to the admission level. The number of
+/// callers is estimated, with an error of about a twentieth. At 1, callers of usual work are
+/// limited as well in a deep overload, and turns that they cannot take go back to those who
+/// offer most.
+const MEAN_TOLERANCE: f64 = 1.1;
 /// Time for which a new sketch limits nobody, since it has seen too little.
 const WARM_UP_MS: Millis = Millis(1_000);
 /// Maximum number of turns that wait for another caller. Further ones are left to the
@@ -133,19 +138,29 @@
         }
         let counter = &self.counters[index];
         let class = &self.classes[counter.class.index()];
-        let callers = class.callers.count(now).round();
-        if callers < 2.0 {
+        let callers = class.callers.count(now);
+        if callers.round() < 2.0 {
             return false;
         }
+        let callers = callers * self.caller_weight(now);
         let own_work = counter.offered - counter.error;
         if own_work <= MAX_SHARES * class.admitted / callers {
             return false;
         }
         // In a deep overload every caller offers more than twice what it can get. All of
         // them then get the same number of turns. A call counts if the greater part of it
-        // is beyond the mean, since callers of few calls would be rounded up or down.
+        // is beyond the limit, since callers of few calls would be rounded up or down.
         let is_first = counter.presented <= 0.0;
-        !is_first && counter.presented + work / 2.0 > class.presented / callers
+        let limit = MEAN_TOLERANCE * class.presented / callers;
+        !is_first && counter.presented + work / 2.0 > limit
+    }
+
+    /// Returns the weight of a caller among the recent ones, so that work divided by callers
+    /// is the work of a caller also while the sketch is new: the first work has lost some
+    /// of its weight, but the first callers are still counted.
+    fn caller_weight(&self, now: Millis) -> f64 {
+        let age_ms = now.since(self.first_offer_at).0 as f64;
+        decay::total_weight_ms(age_ms) / age_ms.min(COVERED_MS)
     }
 
     /// Returns the index of the counter of a caller. If there are more callers than
