--- a/crates/dispatch/src/overload.rs
+++ b/crates/dispatch/src/overload.rs
@@ -24,4 +24,4 @@
 pub mod urgency;
 pub mod work;
 
-pub use settings::{OverloadPart, OverloadParts};
+pub use settings::{OverloadPart, OverloadParts, PartsInForce};
--- a/crates/dispatch/src/overload/entry_admission/tests.rs
+++ b/crates/dispatch/src/overload/entry_admission/tests.rs
@@ -1,6 +1,17 @@
 use super::*;
 use crate::routing::routes::tests::route;
 
+/// Returns a configuration that calls for all parts.
+fn competing_routes() -> RouteSet {
+    let mut routes = RouteSet::new(1, CallerLimits::default());
+    for (name, priority) in [("lookup", 1), ("report", 2)] {
+        let mut route = route(name, &format!("/{name}/"), &[("books", 1)]);
+        route.priority = priority;
+        routes.add("a.example", route);
+    }
+    routes
+}
+
 /// Guards against an entry that knows no load and refuses calls: it has just started or is
 /// cut off from all gates.
 #[test]
@@ -32,7 +43,7 @@
 #[test]
 fn a_retry_passes_at_its_time_and_is_refused_before() {
     let mut admission = EntryAdmission::new(OverloadParts::NONE);
-    admission.called_for = OverloadParts::ALL;
+    admission.adopt(&competing_routes());
     let route = route("lookup", "/lookup/", &[("books", 1)]);
     let service = ServiceName::new("books");
     let call = call_of(&service, &route, 7);
@@ -66,7 +77,7 @@
 fn reservations_have_no_effect_while_their_part_is_off() {
     let off = OverloadParts::NONE.with(OverloadPart::ScheduledReturns);
     let mut admission = EntryAdmission::new(off);
-    admission.called_for = OverloadParts::ALL;
+    admission.adopt(&competing_routes());
     let route = route("lookup", "/lookup/", &[("books", 1)]);
     let service = ServiceName::new("books");
     let call = call_of(&service, &route, 7);
@@ -97,7 +108,7 @@
         (off, LoadClass::of_priority(1)),
     ] {
         let mut admission = EntryAdmission::new(switched_off);
-        admission.called_for = OverloadParts::ALL;
+        admission.adopt(&competing_routes());
         for number in 0..100 {
             let call = EnteringCall {
                 target_is_idle: true,
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod idle_target;
 mod links;
 mod lives;
+mod priorities;
 mod routing;
 mod statements;
 mod support;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -42,13 +42,14 @@
 
 /// Names of the parts of overload control on the routed path. That path depends on this
 /// crate and parses them; a test there compares them with its own.
-pub const OVERLOAD_PARTS: [&str; 6] = [
+pub const OVERLOAD_PARTS: [&str; 7] = [
     "silence-bound",
     "service-level",
     "scheduled-returns",
     "caller-shares",
     "nested-first",
     "answer-order",
+    "reject-rates",
 ];
 
 /// All settings of a node.
