Gates report their load, entries report demand and try few gates in an overload

Cause: the admission level had no inputs, since no node sent the frames of load and demand.

Change: a gate measures running calls and what refused or queued calls lack, takes in `ToGate::Demand`, and sends `ToEntry::Load` before `Started` or `Ended`, at most every 20 ms on a link on which demand was reported within 10 s. An entry reports demand with the next call, at most every 50 ms for each service; a call on a link without a report in the last 5 s brings an empty one, so that the gate reports its load there too. The gate in the entry's own process is treated alike. While a service refuses calls, a call that is not nested ends after three gates without capacity and queues at the last one. Gauges, a counter of refusals by reason and a log line show the level.

Ruled out: counting unreachable or leaving gates among the three, since they say nothing about capacity.

Shown by: the four tests of `tests/all/service_level.rs` in edge, among them that no demand is sent while the configuration does not call for the part.

--- a/crates/dispatch/src/gate/admission.rs
+++ b/crates/dispatch/src/gate/admission.rs
@@ -4,7 +4,7 @@
 
 use crate::gate::contention::{Chance, Contention};
 use crate::gate::knee::KneeEstimator;
-use crate::gate::room::TargetBounds;
+use crate::gate::room::{Lack, TargetBounds};
 use crate::gate::send_log::SendLog;
 use crate::gate::short_work::ShortWork;
 use crate::gate::stated_limit::StatedLimit;
@@ -219,6 +219,23 @@
         self.leaving
     }
 
+    /// Returns what a call with this verdict lacks, if it was refused or has to wait for lack
+    /// of a slot or of speed. A limit on the rate of requests is no such lack.
+    #[must_use]
+    pub fn lack_of(&self, verdict: Verdict, now: Millis) -> Option<Lack> {
+        match verdict {
+            Verdict::Refuse(Refused::Slow) => Some(Lack::Speed),
+            Verdict::Refuse(Refused::Busy) => Some(Lack::Slot),
+            Verdict::Wait(_) if self.bounds(now).max_requests_per_s.is_some() => None,
+            Verdict::Wait(_) => {
+                let speed = self.fresh_speed(now);
+                let is_slow = speed.is_some_and(|speed| speed.slowness_percent > MAX_FAST_PERCENT);
+                Some(if is_slow { Lack::Speed } else { Lack::Slot })
+            }
+            Verdict::Start | Verdict::ReadSpeed | Verdict::Refuse(_) => None,
+        }
+    }
+
     /// Returns what bounds the room of the target now.
     #[must_use]
     pub fn bounds(&self, now: Millis) -> TargetBounds {
--- a/crates/dispatch/src/overload/entry_admission.rs
+++ b/crates/dispatch/src/overload/entry_admission.rs
@@ -6,12 +6,14 @@
 //! one: the offered work of callers, the load that gates report, and the reservations of
 //! this entry.
 
+use std::sync::Arc;
+
 use strum::IntoStaticStr;
 
 use super::caller_shares::{CallerId, CallerShares};
 use super::nested::NestedRoutes;
 use super::return_schedule::{Arrival, RequestKey, RetryTime, RetryWish, ReturnSchedule};
-use super::service_level::{Level, ServiceLevels};
+use super::service_level::{Level, LevelChange, ServiceLevels};
 use super::settings::{OverloadPart, OverloadParts};
 use crate::prelude::*;
 
@@ -228,6 +230,31 @@
         self.levels.level(call.service, call.targets, now)
     }
 
+    /// Replaces the targets of a service that take new work.
+    pub fn note_targets(&mut self, service: &ServiceName, available: &[Arc<Member>]) {
+        if self.has(OverloadPart::ServiceLevel) {
+            self.levels.note_targets(service, available);
+        }
+    }
+
+    /// Returns a change of the service's level that is to be logged.
+    pub fn take_level_change(&mut self, service: &ServiceName, now: Millis) -> Option<LevelChange> {
+        if !self.has(OverloadPart::ServiceLevel) {
+            return None;
+        }
+        self.levels.take_change(service, now)
+    }
+
+    /// Returns the current level of each service that calls have entered for.
+    pub fn current_levels(&mut self, now: Millis) -> Vec<(ServiceName, Option<Level>)> {
+        let is_on = self.has(OverloadPart::ServiceLevel);
+        let mut levels = Vec::new();
+        for (service, level) in self.levels.levels(now) {
+            levels.push((service.clone(), level.filter(|_| is_on)));
+        }
+        levels
+    }
+
     /// Records a report of the target's gate.
     pub fn note_load(&mut self, target: &Member, load: GateLoad, now: Millis) {
         self.levels.note_load(target, load, now);
--- a/crates/dispatch/src/overload/service_level.rs
+++ b/crates/dispatch/src/overload/service_level.rs
@@ -71,9 +71,24 @@
     }
 }
 
+impl LevelChange {
+    /// Returns what the change is, in words.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        let admits_all = |admitted: &[f64]| admitted.iter().all(|admitted| *admitted >= 1.0);
+        match (admits_all(&self.before), admits_all(&self.admitted)) {
+            (true, _) => "begins",
+            (_, true) => "ends",
+            (false, false) => "has changed",
+        }
+    }
+}
+
 /// A change of a service's level, for the log.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LevelChange {
+    /// Part of the calls that was admitted at the last reported change, by class.
+    pub before: [f64; LOAD_CLASSES],
     /// Part of the calls that is admitted now, by class.
     pub admitted: [f64; LOAD_CLASSES],
     /// What it was determined from, or `None` if too few gates have reported.
@@ -296,9 +311,10 @@
         if !is_change {
             return None;
         }
-        self.reported = self.admitted;
+        let before = std::mem::replace(&mut self.reported, self.admitted);
         self.reported_at = Some(now);
         Some(LevelChange {
+            before,
             admitted: self.admitted,
             inputs: self.inputs,
         })
--- a/crates/dispatch/src/overload/service_level/tests/fleet.rs
+++ b/crates/dispatch/src/overload/service_level/tests/fleet.rs
@@ -12,7 +12,7 @@
 
 use super::super::*;
 use crate::gate::room::RoomMeter;
-use crate::placement::order::{Candidate, few_by_free_capacity};
+use crate::placement::order::{Candidate, by_free_capacity};
 use gates::{Gate, gate};
 
 pub const WORK_MS: u64 = 86;
@@ -265,7 +265,8 @@
             let levels = &self.entries[entry];
             let now = Millis(self.now);
             let free = |member: &Member| levels.free_centislots(member, now);
-            candidates = few_by_free_capacity(candidates, MAX_GATES, free, &mut self.rng);
+            candidates = by_free_capacity(candidates, MAX_GATES, free, &mut self.rng);
+            candidates.truncate(MAX_GATES);
         }
         candidates.reverse();
         candidates.iter().map(number).collect()
--- a/crates/dispatch/src/overload/service_level/tests/fleet/gates.rs
+++ b/crates/dispatch/src/overload/service_level/tests/fleet/gates.rs
@@ -1,8 +1,8 @@
 //! The gates of the fleet: admission, runs and reports.
 
 use super::*;
-use crate::gate::admission::{Admission, GateCall, QueuePosition, Refused, SpeedReading, Verdict};
-use crate::gate::room::{Lack, RoomMeter};
+use crate::gate::admission::{Admission, GateCall, QueuePosition, SpeedReading, Verdict};
+use crate::gate::room::RoomMeter;
 
 pub(super) struct Gate {
     pub(super) member: Arc<Member>,
@@ -89,7 +89,11 @@
         waiting.sort_by_key(|waiting| waiting.position);
         for one in waiting {
             let gate = &mut self.gates[number];
-            match gate.admission.decide(one.position, &one.terms, now) {
+            let verdict = gate.admission.decide(one.position, &one.terms, now);
+            if let Some(lack) = gate.admission.lack_of(verdict, now) {
+                gate.meter.note_refused(lack, now);
+            }
+            match verdict {
                 Verdict::Start => {
                     gate.admission.start(one.position);
                     let (running, limit) = (gate.admission.in_flight(), gate.admission.limit());
@@ -98,16 +102,8 @@
                     self.calls[one.call].started = self.now;
                     self.report_load(number, one.call);
                 }
-                Verdict::Wait(_) | Verdict::ReadSpeed => {
-                    let has_slot = gate.admission.in_flight() < gate.admission.limit();
-                    let lack = if has_slot { Lack::Speed } else { Lack::Slot };
-                    gate.meter.note_refused(lack, now);
-                    gate.waiting.push(one);
-                }
-                Verdict::Refuse(refused) => {
-                    let is_slow = refused == Refused::Slow;
-                    let lack = if is_slow { Lack::Speed } else { Lack::Slot };
-                    gate.meter.note_refused(lack, now);
+                Verdict::Wait(_) | Verdict::ReadSpeed => gate.waiting.push(one),
+                Verdict::Refuse(_) => {
                     gate.admission.dequeue(one.position);
                     self.report_load(number, one.call);
                     let latency_ms = self.latency_ms(self.calls[one.call].entry, number);
--- a/crates/dispatch/src/placement/order.rs
+++ b/crates/dispatch/src/placement/order.rs
@@ -128,9 +128,8 @@
     ordered
 }
 
-/// Selects the targets of a call that tries only few of them, from all in their usual order:
-/// near before far ones, and by a draw that is weighted with their free capacity, those with
-/// the most first on average.
+/// Reorders the targets for a call that tries only few of them: near before far ones, and by a
+/// draw that is weighted with their free capacity, those with the most first on average.
 ///
 /// If all calls went to the gate with the most free capacity, it would be full before its next
 /// report, and the reports of the others would grow old and show too much demand.
@@ -141,7 +140,7 @@
 ///
 /// Avoided targets and those whose gates accept no calls yet stay last, and a probe of an
 /// avoided target stays first.
-pub fn few_by_free_capacity(
+pub fn by_free_capacity(
     mut candidates: Vec<Candidate>,
     attempts: usize,
     free_centislots: impl Fn(&Member) -> Option<u32>,
@@ -178,7 +177,6 @@
     if let Some(unknown) = unknown.filter(|unknown| is_near_full && *unknown >= attempts) {
         candidates.swap(unknown, attempts - 1);
     }
-    candidates.truncate(attempts);
     candidates
 }
 
--- a/crates/dispatch/src/placement/order/tests.rs
+++ b/crates/dispatch/src/placement/order/tests.rs
@@ -98,12 +98,12 @@
     assert!(orders(&failures, &[]).iter().all(|order| order.len() == 4));
 }
 
-/// Selects the targets for a call that tries two gates, many times.
+/// Orders the targets for a call that tries two gates, many times.
 fn few(free_centislots: impl Fn(&Member) -> Option<u32>) -> Vec<Vec<Candidate>> {
     let mut rng = Xoshiro256PlusPlus::seed_from_u64(2);
     let mut selected = Vec::new();
     for order in orders(&Failures::default(), &[]) {
-        selected.push(few_by_free_capacity(order, 2, &free_centislots, &mut rng));
+        selected.push(by_free_capacity(order, 2, &free_centislots, &mut rng));
     }
     selected
 }
@@ -119,7 +119,7 @@
     });
     let mut first = 0;
     for order in &selected {
-        assert_eq!(order.len(), 2);
+        assert_eq!(order.len(), 4);
         assert!(order[0].is_near && order[1].is_near);
         first += usize::from(order[0].member.id.as_str() == "i-1");
     }
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -204,6 +204,7 @@
     tokio::spawn(probe_other_vms(Arc::clone(&entry)));
     tokio::spawn(refresh_gauges(Gauges {
         gate: Arc::clone(&gate),
+        entry: Arc::clone(&entry),
         directory: gauges_directory,
         metrics: gauges_metrics,
         clock,
@@ -227,6 +228,7 @@
 /// The state from which gauges are read.
 struct Gauges {
     gate: Arc<Gate>,
+    entry: Arc<Entry>,
     directory: SharedDirectory,
     metrics: Arc<Metrics>,
     clock: ProcessClock,
@@ -239,6 +241,9 @@
     loop {
         interval.tick().await;
         gauges.gate.refresh_gauges();
+        if version.is_some() {
+            gauges.entry.refresh_gauges();
+        }
         let directory = gauges.directory.load();
         let age_ms = directory.as_of.age_ms(gauges.clock.now());
         gauges.metrics.known_age(age_ms.0);
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -4,6 +4,7 @@
 mod call;
 mod ended;
 mod entering;
+mod levels;
 mod progress;
 mod state;
 mod trail;
@@ -24,7 +25,7 @@
 use rand::RngExt;
 
 use crate::directory::{Directory, RouteLookup};
-use crate::gate::Gate;
+use crate::gate::{Gate, LoadReports};
 use crate::http1::{self, RequestHead};
 use crate::link::LinkPool;
 use crate::prelude::*;
@@ -46,6 +47,8 @@
 /// `Retry-After` of refusals while no memory is left for a body. The bodies that
 /// fill the memory belong to calls that end within a second.
 const BODY_MEMORY_RETRY_MS: Millis = Millis(500);
+/// Reason under which the refusal of a call that no gate accepted is counted.
+const NO_ROOM: &str = "no-room";
 /// Upper limit on the deadline that a caller may request.
 const MAX_DEADLINE_MS: Millis = Millis::from_secs(600);
 
@@ -110,6 +113,8 @@
     gate_port: u16,
     listed_address: std::net::SocketAddr,
     gate: Arc<Gate>,
+    /// Reports of the own gate's load to this entry.
+    own_load: Arc<LoadReports>,
     links: Arc<LinkPool>,
     directory: SharedDirectory,
     dialect: Arc<dyn Dialect>,
@@ -133,6 +138,7 @@
             regions: parts.regions,
             gate_port: parts.gate_port,
             listed_address: parts.listed_address,
+            own_load: Arc::new(LoadReports::new(Arc::clone(&parts.gate))),
             gate: parts.gate,
             links: Arc::new(LinkPool::new(
                 Arc::clone(&parts.suspicion),
@@ -276,6 +282,7 @@
         };
         let (outcome, trail) = match self.enter(&arrival, &directory) {
             Entering::Refused { reason, retry_at } => {
+                self.metrics.entry_refused(service.as_str(), reason.into());
                 let retry_after_ms = retry_at.since(self.now());
                 let outcome = CallOutcome::refused(ResultCode::Overloaded, retry_after_ms);
                 (outcome.with_reason(reason.into()), Trail::default())
@@ -303,6 +310,9 @@
                 );
                 let ended = driver.serve().await;
                 abandoned_log.disarm();
+                if ended.0.code == ResultCode::Overloaded {
+                    self.metrics.entry_refused(service.as_str(), NO_ROOM);
+                }
                 ended
             }
         };
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -1,6 +1,7 @@
 //! Drives one call through its attempts until its answer is known.
 
 mod ending;
+mod few_gates;
 mod selection;
 
 use std::collections::VecDeque;
@@ -93,6 +94,8 @@
     unused_tokens: u32,
     /// Number of attempts at gates that were to queue the call until they are free.
     queued_attempts: u32,
+    /// Number of attempts at gates that had no capacity.
+    full_gates: u32,
     /// When the first of the gates that were not asked accepts calls.
     free_at: Option<Millis>,
     /// Whether the request may have run in some target.
--- a/crates/edge/src/entry/call/ending.rs
+++ b/crates/edge/src/entry/call/ending.rs
@@ -80,6 +80,8 @@
             let mut state = self.entry.state.lock();
             state.failures.note_unreachable(&target, now);
         }
+        let lacks_capacity = !refuses_all_work && !end.reached_target();
+        self.history.full_gates += u32::from(lacks_capacity);
         if end == CallEnd::Convicted && self.is_restricted() {
             return Some(self.final_outcome());
         }
@@ -179,6 +181,7 @@
             // The remaining candidates were ordered without knowing of this failure.
             self.rounds.remaining.clear();
             self.rounds.count = 0;
+            self.history.full_gates = 0;
             log::debug!(
                 request = self.request.request_id.as_str(), reason;
                 "retrying on another target"
--- a/crates/edge/src/entry/call/selection.rs
+++ b/crates/edge/src/entry/call/selection.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use hornbeamhitch_dispatch::faults::crashes::{AllowedTargets, CrashLevel};
+use hornbeamhitch_dispatch::overload::OverloadPart;
 use hornbeamhitch_dispatch::placement::order::{self, Candidate, View};
 use hornbeamhitch_dispatch::placement::refusals::{Throttle, ThrottleCause};
 use hornbeamhitch_node::metrics::AttemptKind;
@@ -48,6 +49,9 @@
         if now >= self.wait_plan.last_start && self.rounds.count > 0 {
             return Step::End(self.final_outcome());
         }
+        if self.tries_few_gates() {
+            return self.next_of_few(now);
+        }
         if let Some(step) = self.next_candidate(now) {
             return step;
         }
@@ -62,6 +66,14 @@
             }
         }
         let candidates = self.candidates(now);
+        self.begin_round(candidates, now);
+        match self.next_candidate(now) {
+            Some(step) => step,
+            None => Step::End(self.final_outcome()),
+        }
+    }
+
+    pub(super) fn begin_round(&mut self, candidates: Vec<Candidate>, now: Millis) {
         if candidates.is_empty() && self.is_restricted() {
             self.history.last_end = Some(CallEnd::Convicted);
         }
@@ -70,10 +82,6 @@
         self.rounds.remaining = candidates.into();
         self.rounds.count += 1;
         self.rounds.started_at = now;
-        match self.next_candidate(now) {
-            Some(step) => step,
-            None => Step::End(self.final_outcome()),
-        }
     }
 
     /// Returns the next candidate of the current round that can accept the call in time.
@@ -81,7 +89,7 @@
     /// A gate that accepts no call before a stated time is asked once, and may queue the
     /// call until then. If it were asked again and again, each call would ask every gate
     /// dozens of times while all targets of a service warm up.
-    fn next_candidate(&mut self, now: Millis) -> Option<Step> {
+    pub(super) fn next_candidate(&mut self, now: Millis) -> Option<Step> {
         while let Some(candidate) = self.rounds.remaining.pop_front() {
             let Some(throttle) = candidate.throttle else {
                 let max_queue_ms = self.max_queue_time(&candidate, now);
@@ -164,6 +172,9 @@
     /// gate queues it for as long as that is better than sending it to a far one.
     pub(super) fn max_queue_time(&self, candidate: &Candidate, now: Millis) -> Millis {
         let left_ms = self.wait_plan.last_start.since(now);
+        if self.tries_few_gates() {
+            return self.max_queue_time_of_few(now);
+        }
         if self.rounds.count > 1 {
             let is_first = self.rounds.started_at == now;
             let max_queue_ms = if is_first {
@@ -187,7 +198,9 @@
             Millis::MAX => Millis::MAX,
             at => at.since(now),
         };
-        let state = self.entry.state.lock();
+        let mut state = self.entry.state.lock();
+        let wants_load = state.admission.has(OverloadPart::ServiceLevel);
+        let demand = state.admission.take_demand(&self.request.service, now);
         let notice = state.notices.of(&candidate.member);
         let offers_terms_first = state.refusals.is_refusal_likely(&candidate.member, now);
         drop(state);
@@ -217,6 +230,8 @@
             head: self.request.head.clone(),
             body: self.request.body.clone(),
             offers_terms_first,
+            wants_load,
+            demand,
         };
         let kind = match (self.has_open_attempt(), self.history.arrivals) {
             (true, _) => AttemptKind::Hedge,
--- a/crates/edge/src/entry/entering.rs
+++ b/crates/edge/src/entry/entering.rs
@@ -4,7 +4,7 @@
 use hornbeamhitch_dispatch::overload::entry_admission::{Entering, EnteringCall};
 use hornbeamhitch_dispatch::overload::return_schedule::{RequestKey, RetryTime};
 
-use super::Entry;
+use super::{Entry, levels};
 use crate::directory::Directory;
 use crate::prelude::*;
 
@@ -28,7 +28,15 @@
         if let Some(routes) = &directory.routes {
             state.admission.adopt(routes);
         }
-        state.admission.enter(&call, now)
+        let available = directory.members.available(arrival.service);
+        state.admission.note_targets(arrival.service, available);
+        let entering = state.admission.enter(&call, now);
+        let change = state.admission.take_level_change(arrival.service, now);
+        drop(state);
+        if let Some(change) = change {
+            levels::log_change(arrival.service, &change);
+        }
+        entering
     }
 
     /// Returns when the caller of a request that found no capacity may retry, or `None` if
--- a/crates/edge/src/entry/progress.rs
+++ b/crates/edge/src/entry/progress.rs
@@ -7,7 +7,7 @@
 use tokio::sync::mpsc;
 
 use super::Entry;
-use crate::gate::{CallContent, CallGuard, EventSink, GateRequest, WholeCall};
+use crate::gate::{CallContent, CallGuard, EventSink, GateEvent, GateRequest, WholeCall};
 use crate::link::{LinkEvent, OutgoingCall, PendingRequest};
 use crate::prelude::*;
 
@@ -53,7 +53,15 @@
     let events = events.clone();
     if candidate.member.address == entry.listed_address {
         let incarnation = entry.incarnation;
+        let load = Arc::clone(&entry.own_load);
+        if call.wants_load {
+            load.note_demand(&call.demand.unwrap_or_default());
+        }
         let sink: EventSink = Box::new(move |event| {
+            if let Some(load) = load.due_before(&event) {
+                let event = LinkEvent::Gate(GateEvent::Load(load), incarnation);
+                let _ = events.send(Progress { attempt, event });
+            }
             let event = LinkEvent::Gate(event, incarnation);
             let _ = events.send(Progress { attempt, event });
         });
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -3,6 +3,7 @@
 mod guards;
 mod health;
 mod lives;
+mod load;
 mod records;
 mod request;
 mod run;
@@ -19,6 +20,7 @@
     Admission, GateCall, QueuePosition, Refused, Verdict,
 };
 use hornbeamhitch_dispatch::gate::departure::Departure;
+use hornbeamhitch_dispatch::gate::room::RoomMeter;
 use hornbeamhitch_dispatch::gate::warm_up::WarmUpTolerance;
 use hornbeamhitch_dispatch::knowledge::waits::Waits;
 use hornbeamhitch_node::metrics::{GateLevels, Metrics};
@@ -31,6 +33,7 @@
 use crate::suspicion::{Suspicion, TrialGuard};
 use crate::target::TargetClient;
 use guards::{QueueGuard, SlotGuard};
+pub use load::LoadReports;
 use records::{FenceResult, Records};
 pub use request::{CallContent, CallGuard, EventSink, GateEvent, GateRequest, WholeCall};
 use run::Run;
@@ -89,6 +92,7 @@
 struct GateState {
     running: RunningCalls,
     admission: Admission,
+    room: RoomMeter,
     records: Records,
     /// Incarnations of the target that the target itself has said are over.
     ended_incarnations: VecDeque<TargetIncarnation>,
@@ -97,10 +101,11 @@
 }
 
 impl GateState {
-    fn new(admission: Admission) -> Self {
+    fn new(admission: Admission, started_at: Millis) -> Self {
         Self {
             running: RunningCalls::default(),
             admission,
+            room: RoomMeter::new(started_at),
             records: Records::default(),
             ended_incarnations: VecDeque::new(),
             incarnation: None,
@@ -121,7 +126,7 @@
             directory: parts.directory,
             dialect: parts.dialect,
             clock: parts.clock,
-            state: Mutex::new(GateState::new(admission)),
+            state: Mutex::new(GateState::new(admission, parts.clock.now())),
             changed: Notify::new(),
             speed: SpeedProbe::default(),
             suspicion: parts.suspicion,
@@ -349,7 +354,7 @@
             // missed.
             changed.as_mut().enable();
             let now = self.clock.now();
-            let verdict = self.state.lock().admission.decide(position, call, now);
+            let verdict = self.state.lock().decide(position, call, now);
             match verdict {
                 Verdict::Start if self.departure.lock().health_is_due(now) => {
                     self.read_speed().await;
--- a/crates/edge/src/gate/guards.rs
+++ b/crates/edge/src/gate/guards.rs
@@ -64,6 +64,7 @@
             SendState::Admitted => state.admission.withdraw(),
             SendState::Sending | SendState::Sent => state.admission.finish(),
         }
+        state.note_running(self.gate.clock.now());
         drop(state);
         self.gate.changed.notify_waiters();
     }
@@ -79,7 +80,8 @@
     /// Moves the call from the queue to the running calls.
     pub(super) fn start(&mut self) {
         if let Some(position) = self.position.take() {
-            self.gate.state.lock().admission.start(position);
+            let now = self.gate.clock.now();
+            self.gate.state.lock().start(position, now);
         }
     }
 }
--- a/crates/edge/src/gate/lives.rs
+++ b/crates/edge/src/gate/lives.rs
@@ -19,6 +19,7 @@
         }
         if state.incarnation.replace(incarnation).is_some() {
             state.admission.forget_target();
+            state.room.forget_target();
             self.target.close_idle();
             self.departure.lock().forget_target();
             log::info!(
--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -130,6 +130,7 @@
         state
             .admission
             .learn_run(run.running, run.slowness_percent, work_ms, ran_ms, now);
+        state.room.note_run(work_ms, ran_ms, now);
         let limit = state.admission.limit();
         drop(state);
         if limit != before {
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -30,6 +30,9 @@
 /// Data centres of one region are milliseconds apart. A VM that does not answer
 /// within this time is down or its accept queue is full.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after which a call brings an empty report of demand if no other was sent, so that the
+/// gate continues to report its load.
+const DEMAND_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Progress of a call, as its entry sees it.
 #[derive(Debug)]
@@ -182,6 +185,8 @@
     frames: mpsc::UnboundedSender<ToGate>,
     calls: Mutex<HashMap<CallId, OpenCall>>,
     last_id: AtomicU64,
+    /// When demand was last reported on this link.
+    demand_sent_at: Mutex<Option<Instant>>,
     /// Whether the link has ended.
     dead: AtomicBool,
     /// Whether the gate has failed to answer the last ping in time.
@@ -225,6 +230,7 @@
             frames,
             calls: Mutex::default(),
             last_id: AtomicU64::new(0),
+            demand_sent_at: Mutex::default(),
             dead: AtomicBool::new(false),
             unresponsive: AtomicBool::new(false),
             request_sent: tokio::sync::Notify::new(),
@@ -275,7 +281,10 @@
         let id = CallId(self.last_id.fetch_add(1, Ordering::Relaxed) + 1);
         let (frame, deferred) = match request {
             LinkRequest::Fence(key) => (ToGate::Fence { id, key }, DeferredContent::default()),
-            LinkRequest::Call(call) => call_frame(id, *call),
+            LinkRequest::Call(call) => {
+                self.send_demand(&call);
+                call_frame(id, *call)
+            }
         };
         let open = OpenCall {
             sink,
@@ -293,6 +302,20 @@
         id
     }
 
+    /// Sends the report of demand that is due with a call.
+    fn send_demand(&self, call: &OutgoingCall) {
+        if !call.wants_load {
+            return;
+        }
+        let mut sent_at = self.demand_sent_at.lock();
+        let is_recent = sent_at.is_some_and(|at| at.elapsed() < DEMAND_INTERVAL);
+        if call.demand.is_none() && is_recent {
+            return;
+        }
+        *sent_at = Some(Instant::now());
+        self.push(ToGate::Demand(call.demand.unwrap_or_default()));
+    }
+
     fn push(&self, frame: ToGate) {
         // A closed channel means that the link has ended. `end` reports that to every
         // open call.
--- a/crates/edge/src/link/outgoing.rs
+++ b/crates/edge/src/link/outgoing.rs
@@ -18,6 +18,10 @@
     /// Whether only the terms are sent at first, because the gate is likely to refuse
     /// the call.
     pub offers_terms_first: bool,
+    /// Whether the gate is to report its load.
+    pub wants_load: bool,
+    /// Demand to report to the gate before the call.
+    pub demand: Option<DemandReport>,
 }
 
 /// The part of a call that is sent only when the gate requests it.
@@ -34,6 +38,7 @@
         head,
         body,
         offers_terms_first,
+        ..
     } = call;
     let body_bytes = body.len() as u64;
     if offers_terms_first {
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -17,7 +17,9 @@
 };
 use crate::directory::adopt_facts;
 use crate::feed::ChangeFeed;
-use crate::gate::{CallContent, CallGuard, EventSink, Gate, GateEvent, GateRequest, WholeCall};
+use crate::gate::{
+    CallContent, CallGuard, EventSink, Gate, GateEvent, GateRequest, LoadReports, WholeCall,
+};
 use crate::prelude::*;
 use crate::sockets;
 use crate::suspicion::Suspicion;
@@ -94,6 +96,7 @@
             suspicion: Arc::clone(&self.suspicion),
             feed: Arc::clone(&self.feed),
             answers,
+            load: Arc::new(LoadReports::new(Arc::clone(&self.gate))),
             facts: PartialFacts::default(),
             facts_requests: Arc::clone(&self.facts_requests),
             active_calls: ActiveCalls::default(),
@@ -136,6 +139,7 @@
     suspicion: Arc<Suspicion>,
     feed: Arc<ChangeFeed>,
     answers: Answers,
+    load: Arc<LoadReports>,
     facts: PartialFacts,
     facts_requests: Arc<FactsRequests>,
     active_calls: ActiveCalls,
@@ -182,11 +186,12 @@
                     self.active_calls.lock().remove(&id);
                 }
                 ToGate::Fence { id, key } => {
-                    let sink = answer_sink(id, self.answers.clone(), ActiveCalls::default());
+                    let sink = self.answer_sink(id, ActiveCalls::default());
                     self.gate.fence(key, sink);
                 }
                 ToGate::Crashes(notice) => self.suspicion.merge_notice(&notice),
-                ToGate::Suspect(_) | ToGate::Demand(_) | ToGate::Silence(_) => {}
+                ToGate::Demand(report) => self.load.note_demand(&report),
+                ToGate::Suspect(_) | ToGate::Silence(_) => {}
                 ToGate::Facts(encoded) => adopt_facts(&self.directory, &encoded),
                 ToGate::FactsPart {
                     digest,
@@ -263,18 +268,35 @@
     }
 
     fn submit(&mut self, id: CallId, request: GateRequest) {
-        let sink = answer_sink(id, self.answers.clone(), Arc::clone(&self.active_calls));
+        let sink = self.answer_sink(id, Arc::clone(&self.active_calls));
         let guard = self.gate.submit(request, sink);
         self.active_calls.lock().insert(id, guard);
     }
+
+    fn answer_sink(&self, id: CallId, active_calls: ActiveCalls) -> EventSink {
+        answer_sink(
+            id,
+            self.answers.clone(),
+            active_calls,
+            Arc::clone(&self.load),
+        )
+    }
 }
 
 /// Creates a sink that sends a call's events as frames.
 ///
 /// A send fails silently when the link has ended. The entry then requests the
 /// outcomes that it needs over a new link.
-fn answer_sink(id: CallId, answers: Answers, active_calls: ActiveCalls) -> EventSink {
+fn answer_sink(
+    id: CallId,
+    answers: Answers,
+    active_calls: ActiveCalls,
+    load: Arc<LoadReports>,
+) -> EventSink {
     Box::new(move |event| {
+        if let Some(load) = load.due_before(&event) {
+            let _ = answers.send(ToEntry::Load { id, load });
+        }
         if event.is_last() {
             active_calls.lock().remove(&id);
         }
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod links;
 mod lives;
 mod routing;
+mod service_level;
 mod statements;
 mod support;
 mod warm_up;
--- a/crates/edge/tests/all/support/entry_end.rs
+++ b/crates/edge/tests/all/support/entry_end.rs
@@ -65,10 +65,15 @@
             body_bytes: 0,
             body: Bytes::new(),
         };
+        self.send(&call).await;
+        id
+    }
+
+    /// Sends a frame.
+    pub async fn send(&mut self, frame: &ToGate) {
         let mut bytes = BytesMut::new();
-        link::encode(&call, &mut bytes).expect("a frame");
+        link::encode(frame, &mut bytes).expect("a frame");
         self.stream.write_all(&bytes).await.expect("written");
-        id
     }
 
     /// Returns how a call ended: `None` if the target answered it.
@@ -82,7 +87,8 @@
         }
     }
 
-    async fn next(&mut self) -> ToEntry {
+    /// Returns the next frame.
+    pub async fn next(&mut self) -> ToEntry {
         loop {
             if let Some(frame) = link::decode(&mut self.buffer).expect("a frame") {
                 return frame;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -106,6 +106,28 @@
     pub stored_bytes: u64,
 }
 
+/// Load of a service and what is admitted, as an entry sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceLevel {
+    /// Number of requests that all targets can run at once.
+    pub room_slots: f64,
+    /// Offered work per time.
+    pub demand_slots: f64,
+    /// Part of the calls that is admitted, by class, the most urgent one first.
+    pub admitted: [f64; LOAD_CLASSES],
+}
+
+impl Default for ServiceLevel {
+    /// Returns the values while the load is not known and all calls are admitted.
+    fn default() -> Self {
+        Self {
+            room_slots: 0.0,
+            demand_slots: 0.0,
+            admitted: [1.0; LOAD_CLASSES],
+        }
+    }
+}
+
 /// Number of members known to this node, by state.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct MemberLevels {
@@ -234,6 +256,29 @@
         self.instruments.gate_refused.add(1, &code_labels(code));
     }
 
+    /// Counts a call that the entry refused.
+    pub fn entry_refused(&self, service: &str, reason: &'static str) {
+        let reason = KeyValue::new("reason", reason);
+        self.instruments
+            .entry_refused
+            .add(1, &[self.labels.service(service), reason]);
+    }
+
+    /// Sets the gauges of a service's admission level.
+    pub fn service_level(&self, service: &str, level: &ServiceLevel) {
+        let gauges = &self.instruments;
+        let service = self.labels.service(service);
+        let labels = std::slice::from_ref(&service);
+        gauges.service_room.record(level.room_slots, labels);
+        gauges.service_demand.record(level.demand_slots, labels);
+        for (class, admitted) in (0_i64..).zip(level.admitted) {
+            let class = KeyValue::new("class", class);
+            gauges
+                .service_admitted
+                .record(admitted, &[service.clone(), class]);
+        }
+    }
+
     /// Sets the gauges of the gate.
     pub fn gate_levels(&self, levels: &GateLevels) {
         let gauges = &self.instruments;
--- a/crates/node/src/metrics/instruments.rs
+++ b/crates/node/src/metrics/instruments.rs
@@ -56,6 +56,10 @@
     pub(super) members: Gauge<u64>,
     pub(super) targets: Gauge<u64>,
     pub(super) suspects: Gauge<u64>,
+    pub(super) entry_refused: Counter<u64>,
+    pub(super) service_room: Gauge<f64>,
+    pub(super) service_demand: Gauge<f64>,
+    pub(super) service_admitted: Gauge<f64>,
 }
 
 impl Instruments {
@@ -172,6 +176,26 @@
                 "hitch.suspects",
                 "Requests suspected of crashing targets, by state.",
             ),
+            entry_refused: counter(
+                &meter,
+                "hitch.entry.refused",
+                "Calls that this entry refused, by reason.",
+            ),
+            service_room: real_gauge(
+                &meter,
+                "hitch.service.room_slots",
+                "Requests that a service's targets can run at once; 0 while unknown.",
+            ),
+            service_demand: real_gauge(
+                &meter,
+                "hitch.service.demand_slots",
+                "Offered work per time for a service, in slots; 0 while unknown.",
+            ),
+            service_admitted: real_gauge(
+                &meter,
+                "hitch.service.admitted_ratio",
+                "Part of the calls for a service that this entry admits, by class.",
+            ),
         }
     }
 }
@@ -187,6 +211,10 @@
     meter.u64_gauge(name).with_description(description).build()
 }
 
+fn real_gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<f64> {
+    meter.f64_gauge(name).with_description(description).build()
+}
+
 fn latency(meter: &Meter, name: &'static str, description: &'static str) -> Histogram<f64> {
     histogram(meter, name, description, &LATENCY_BOUNDS_MS)
 }
