--- a/crates/dispatch/src/overload/service_level/tests.rs
+++ b/crates/dispatch/src/overload/service_level/tests.rs
@@ -3,7 +3,7 @@
 mod fleet;
 
 use super::*;
-use fleet::{Counts, Fault, Fleet, Settings};
+use fleet::{Counts, Fault, Fleet, Settings, WORK_MS};
 
 /// Part of its peak that goodput must keep in an overload.
 const MIN_OF_PEAK: f64 = 0.95;
@@ -148,6 +148,24 @@
     assert_nothing_refused(&fleet.run(3_000, mixed(0.9)));
 }
 
+/// Guards against refusals on a fleet that has just started and whose expected run times are
+/// too high or too low, also while they are learnt.
+#[test]
+fn nothing_is_refused_while_run_times_are_learnt() {
+    for wrong_ms in [WORK_MS / 3, 2 * WORK_MS] {
+        let mut fleet = Fleet::new(Settings::default());
+        fleet.expected_ms = wrong_ms;
+        let mut counts = vec![sum(&fleet.run(1_000, mixed(0.85)))];
+        for step in 0..10 {
+            fleet.expected_ms = (wrong_ms * (10 - step) + WORK_MS * step) / 10;
+            counts.push(sum(&fleet.run(100, mixed(0.85))));
+        }
+        fleet.expected_ms = WORK_MS;
+        counts.push(sum(&fleet.run(2_000, mixed(0.85))));
+        assert_nothing_refused(&counts);
+    }
+}
+
 /// Guards against refusals for a burst that the queues take up.
 #[test]
 fn nothing_is_refused_for_a_short_burst() {
--- a/crates/dispatch/src/overload/service_level/tests/fleet.rs
+++ b/crates/dispatch/src/overload/service_level/tests/fleet.rs
@@ -114,6 +114,8 @@
 
 pub struct Fleet {
     pub now: u64,
+    /// Run time that entries expect.
+    pub expected_ms: u64,
     settings: Settings,
     service: ServiceName,
     gates: Vec<Gate>,
@@ -135,6 +137,7 @@
         }
         Self {
             now: 0,
+            expected_ms: WORK_MS,
             service: ServiceName::new("s"),
             gates,
             entries: (0..settings.entries)
@@ -229,7 +232,7 @@
         let now = Millis(self.now);
         let levels = &mut self.entries[entry];
         levels.note_targets(&self.service, &available);
-        levels.note_arrival(&self.service, class, Millis(WORK_MS), now);
+        levels.note_arrival(&self.service, class, Millis(self.expected_ms), now);
         let level = levels.level(&self.service, available.len(), now);
         if let Some(level) = &level
             && class != LoadClass::NESTED
--- a/crates/dispatch/src/overload/service_level/tests/fleet/gates.rs
+++ b/crates/dispatch/src/overload/service_level/tests/fleet/gates.rs
@@ -26,7 +26,7 @@
         let arrived = self.calls[call].arrived;
         let terms = GateCall {
             priority: self.calls[call].class.index() as u8,
-            work_ms: Millis(WORK_MS),
+            work_ms: Millis(self.expected_ms),
             queue_until: Millis(queue_until),
             objective_at: Millis(arrived + OBJECTIVE_MS),
             whole_objective_ms: Millis(OBJECTIVE_MS),
@@ -77,7 +77,7 @@
             let (running, limit) = (gate.admission.in_flight(), gate.admission.limit());
             gate.meter.note_running(running, limit, now);
             let ran_ms = now.since(Millis(self.calls[call].started));
-            gate.meter.note_run(Millis(WORK_MS), ran_ms, now);
+            gate.meter.note_run(Millis(self.expected_ms), ran_ms, now);
             let latency_ms = self.latency_ms(self.calls[call].entry, number);
             self.send(latency_ms, Message::Answered(call));
         }
--- a/crates/node/src/metrics/tests.rs
+++ b/crates/node/src/metrics/tests.rs
@@ -94,6 +94,15 @@
     });
     metrics.targets("ledger", TargetState::Ejected, 1);
     metrics.suspects(SuspectState::Convicted, 1);
+    metrics.entry_refused("cashier", "level");
+    metrics.service_level(
+        "ledger",
+        &ServiceLevel {
+            room_slots: 95.5,
+            demand_slots: 180.25,
+            admitted: [1.0, 1.0, 0.25, 0.0],
+        },
+    );
 
     insta::assert_snapshot!(without_varying_lines(&render(&metrics)));
 }
