--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -242,7 +242,9 @@
     loop {
         interval.tick().await;
         gauges.gate.refresh_gauges();
-        gauges.entry.refresh_gauges();
+        if version.is_some() {
+            gauges.entry.refresh_gauges();
+        }
         let directory = gauges.directory.load();
         let age_ms = directory.as_of.age_ms(gauges.clock.now());
         gauges.metrics.known_age(age_ms.0);
--- a/crates/edge/src/entry/entering.rs
+++ b/crates/edge/src/entry/entering.rs
@@ -5,8 +5,8 @@
 use hornbeamhitch_dispatch::overload::return_schedule::{RequestKey, RetryTime};
 use hornbeamhitch_node::metrics::ReturnResult;
 
-use super::Entry;
 use super::answer::CallOutcome;
+use super::{Entry, levels};
 use crate::directory::Directory;
 use crate::prelude::*;
 
@@ -37,7 +37,15 @@
         if let Some(routes) = &directory.routes {
             state.admission.adopt(routes);
         }
-        state.admission.enter(&call, now)
+        let available = directory.members.available(arrival.service);
+        state.admission.note_targets(arrival.service, available);
+        let entering = state.admission.enter(&call, now);
+        let change = state.admission.take_level_change(arrival.service, now);
+        drop(state);
+        if let Some(change) = change {
+            levels::log_change(arrival.service, &change);
+        }
+        entering
     }
 
     /// Returns when the caller of a request that found no capacity may retry, or `None` if
@@ -66,7 +74,7 @@
     }
 
     /// Updates the gauges of the open reservations.
-    pub fn refresh_gauges(&self) {
+    pub(super) fn refresh_reservations(&self) {
         let directory = self.directory.load();
         let Some(routes) = &directory.routes else {
             return;
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -3,6 +3,7 @@
 mod guards;
 mod health;
 mod lives;
+mod load;
 mod records;
 mod request;
 mod run;
@@ -20,6 +21,7 @@
 };
 use hornbeamhitch_dispatch::gate::departure::Departure;
 use hornbeamhitch_dispatch::gate::idleness::TargetIdleness;
+use hornbeamhitch_dispatch::gate::room::RoomMeter;
 use hornbeamhitch_dispatch::gate::warm_up::WarmUpTolerance;
 use hornbeamhitch_dispatch::knowledge::waits::Waits;
 use hornbeamhitch_dispatch::overload::{OverloadPart, OverloadParts, PartsInForce};
@@ -33,6 +35,7 @@
 use crate::suspicion::{Suspicion, TrialGuard};
 use crate::target::TargetClient;
 use guards::{QueueGuard, SlotGuard};
+pub use load::LoadReports;
 use records::{FenceResult, Records};
 pub use request::{CallContent, CallGuard, EventSink, GateEvent, GateRequest, WholeCall};
 use run::Run;
@@ -95,6 +98,7 @@
     idleness: TargetIdleness,
     admission: Admission,
     overload_parts: PartsInForce,
+    room: RoomMeter,
     records: Records,
     /// Incarnations of the target that the target itself has said are over.
     ended_incarnations: VecDeque<TargetIncarnation>,
@@ -109,6 +113,7 @@
             idleness: TargetIdleness::new(started_at),
             admission,
             overload_parts: PartsInForce::new(overload_off),
+            room: RoomMeter::new(started_at),
             records: Records::default(),
             ended_incarnations: VecDeque::new(),
             incarnation: None,
@@ -379,7 +384,7 @@
             // missed.
             changed.as_mut().enable();
             let now = self.clock.now();
-            let verdict = self.state.lock().admission.decide(position, call, now);
+            let verdict = self.state.lock().decide(position, call, now);
             match verdict {
                 Verdict::Start if self.departure.lock().health_is_due(now) => {
                     self.read_speed().await;
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod lives;
 mod priorities;
 mod routing;
+mod service_level;
 mod statements;
 mod support;
 mod warm_up;
--- a/crates/edge/tests/all/support/entry_end.rs
+++ b/crates/edge/tests/all/support/entry_end.rs
@@ -96,7 +96,8 @@
         }
     }
 
-    async fn send(&mut self, frame: &ToGate) {
+    /// Sends a frame.
+    pub async fn send(&mut self, frame: &ToGate) {
         let mut bytes = BytesMut::new();
         link::encode(frame, &mut bytes).expect("a frame");
         self.stream.write_all(&bytes).await.expect("written");
@@ -113,7 +114,8 @@
         }
     }
 
-    async fn next(&mut self) -> ToEntry {
+    /// Returns the next frame.
+    pub async fn next(&mut self) -> ToEntry {
         loop {
             if let Some(frame) = link::decode(&mut self.buffer).expect("a frame") {
                 return frame;
