Decide which VMs are silent, and try those that two others report last

Cause: a gate whose VM has lost power holds a call for up to 1,100 ms, and each entry detects each silent VM at the cost of its own calls.

Ruled out: a demotion without limit, by which one faulty observer leaves a service without targets; accepting every report that looks younger, since each transfer makes a report look younger by its delay and two nodes would return it to each other for ever.

`placement::order` leaves out VMs that are silent by own observation while another target remains, and tries those last that two others report, at most a third of a service's targets. Metrics `hitch_asks_withdrawn_total` and `hitch_silent_vms`. Nothing uses them yet.

--- a/crates/dispatch/src/placement/order/tests.rs
+++ b/crates/dispatch/src/placement/order/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the order of targets.
 
+use hornbeamhitch_types::load::{SilenceReport, SilentVm};
 use rand::SeedableRng;
 use rand::rngs::Xoshiro256PlusPlus;
 
@@ -24,6 +25,14 @@
 }
 
 fn orders(failures: &Failures, tried: &[TargetId]) -> Vec<Vec<Candidate>> {
+    orders_with(failures, tried, None)
+}
+
+fn orders_with(
+    failures: &Failures,
+    tried: &[TargetId],
+    silent: Option<&SilentVms>,
+) -> Vec<Vec<Candidate>> {
     let available = members();
     let data_centre = DataCentre::new("near");
     let route = route("r", "/", &[("s", 1)]);
@@ -36,6 +45,7 @@
         failures,
         refusals: &Refusals::default(),
         notices: &TargetNotices::default(),
+        silent,
         tried,
         now: Millis(100),
     };
@@ -97,3 +107,64 @@
     }
     assert!(orders(&failures, &[]).iter().all(|order| order.len() == 4));
 }
+
+/// Returns what a node knows after two others have reported the VMs of these targets.
+fn reported(ids: &[&str]) -> SilentVms {
+    let mut silent = SilentVms::new([10, 0, 1, 1].into());
+    for observer in [2, 3] {
+        let mut report = SilenceReport::default();
+        for id in ids {
+            report.vms.push(SilentVm {
+                vm: member(id).vm_ip(),
+                observer: [10, 0, 1, observer].into(),
+                age_ms: Millis::ZERO,
+            });
+        }
+        silent.merge(&report, |_| None, Millis(90));
+    }
+    silent
+}
+
+/// Guards against calls to a VM that others found silent while another target is free.
+#[test]
+fn a_reported_target_goes_last_and_is_no_probe() {
+    let mut failures = Failures::default();
+    for _ in 0..2 {
+        failures.note_failure(&member("i-1"), Millis(50));
+        failures.note_failure(&member("i-0"), Millis(50));
+    }
+    let silent = reported(&["i-1"]);
+    let mut probes = 0;
+    for order in orders_with(&failures, &[], Some(&silent)) {
+        assert_eq!(order.len(), 4);
+        assert!(order[3].is_demoted && order[3].member.id.as_str() == "i-1");
+        probes += u32::from(order[0].member.id.as_str() == "i-0");
+    }
+    assert!(probes > 0, "the other failing target is still probed");
+}
+
+/// Guards against a faulty observer that reports all targets of a service.
+#[test]
+fn at_most_a_third_of_the_targets_is_demoted() {
+    let silent = reported(&["i-0", "i-1", "i-2", "i-3"]);
+    for order in orders_with(&Failures::default(), &[], Some(&silent)) {
+        let demoted = order.iter().filter(|candidate| candidate.is_demoted);
+        assert_eq!(demoted.count(), 1);
+    }
+}
+
+/// Guards against calls to a VM that is silent for this node while another target is left.
+#[test]
+fn a_target_that_is_silent_here_is_left_out_unless_all_are() {
+    let mut silent = SilentVms::new([10, 0, 1, 1].into());
+    silent.note_silent(member("i-1").vm_ip(), Millis(90));
+    for order in orders_with(&Failures::default(), &[], Some(&silent)) {
+        assert_eq!(order.len(), 3);
+        assert!(order.iter().all(|other| other.member.id.as_str() != "i-1"));
+    }
+    for member in members() {
+        silent.note_silent(member.vm_ip(), Millis(90));
+    }
+    let orders = orders_with(&Failures::default(), &[], Some(&silent));
+    assert!(orders.iter().all(|order| order.len() == 4));
+}
--- a/crates/edge/src/entry/call/selection.rs
+++ b/crates/edge/src/entry/call/selection.rs
@@ -154,6 +154,7 @@
             failures,
             refusals,
             notices,
+            silent: None,
             tried: &self.history.tried,
             now,
         };
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -215,6 +215,19 @@
             .add(1, &[self.labels.service(service)]);
     }
 
+    /// Counts an attempt that was withdrawn because its gate did not confirm it in time.
+    pub fn ask_withdrawn(&self, service: &str) {
+        self.instruments
+            .asks_withdrawn
+            .add(1, &[self.labels.service(service)]);
+    }
+
+    /// Sets the number of silent VMs.
+    pub fn silent_vms(&self, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.instruments.silent_vms.record(count, &[]);
+    }
+
     /// Records the time that the target ran a call, from its start to the
     /// complete answer.
     pub fn gate_ran(&self, class: CallClass, run_us: u64) {
--- a/crates/node/src/metrics/instruments.rs
+++ b/crates/node/src/metrics/instruments.rs
@@ -35,6 +35,8 @@
     pub(super) added_latency: Histogram<f64>,
     pub(super) attempts: Counter<u64>,
     pub(super) losers_cancelled: Counter<u64>,
+    pub(super) asks_withdrawn: Counter<u64>,
+    pub(super) silent_vms: Gauge<u64>,
     pub(super) gate_run: Histogram<f64>,
     pub(super) gate_wait: Histogram<f64>,
     pub(super) gate_refused: Counter<u64>,
@@ -87,6 +89,16 @@
                 "hitch.losers.cancelled",
                 "Losers of hedges that were cancelled.",
             ),
+            asks_withdrawn: counter(
+                &meter,
+                "hitch.asks.withdrawn",
+                "Attempts that were withdrawn because their gate did not confirm them in time.",
+            ),
+            silent_vms: gauge(
+                &meter,
+                "hitch.silent_vms",
+                "VMs that are silent for this node or by the reports of others.",
+            ),
             gate_run: latency(&meter, "hitch.gate.run", "Time that the target ran a call."),
             gate_wait: latency(
                 &meter,
--- a/crates/node/src/metrics/tests.rs
+++ b/crates/node/src/metrics/tests.rs
@@ -63,6 +63,8 @@
     metrics.attempt_sent("cashier", AttemptKind::Retry);
     metrics.attempt_sent("cashier", AttemptKind::Hedge);
     metrics.loser_cancelled("cashier");
+    metrics.ask_withdrawn("cashier");
+    metrics.silent_vms(6);
     metrics.gate_ran(CallClass::Payment, 6_000);
     metrics.gate_waited(CallClass::Payment, 400);
     metrics.gate_refused(ResultCode::RecordsFull);
