Withdraw attempts that no gate confirms in time

Cause: an attempt at a VM that has lost power waited until its link was given up, beyond most deadlines, and calls waited one after the other for a link that could not be opened.

Ruled out: counting the time from the sending instead of the start of the attempt, by which the opening of a link would come on top; excluding a target for a fixed time after its silence, since a VM that is slow for 300 ms gets calls again from its next frame on; withdrawing a second attempt whose content was sent, which would use up the route's attempts.

Change: the entry expects a frame for each attempt within the confirmation timeout. Calls that may run once are offered, and so are calls that may repeat once one attempt was withdrawn. The state of a request is changed under one lock, so that a request that was cancelled unsent is never sent; before, a cancellation could miss a request that was being sent on another thread. Links are opened in the background (`link::pool`, split off `link::client`). Links carry reports of silent VMs. Switched off, nothing of this is in force.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -14,9 +14,9 @@
 use bytes::Bytes;
 use hornbeamhitch_dispatch::faults::crashes::CrashLevel;
 use hornbeamhitch_dispatch::knowledge::waits::Waits;
-use hornbeamhitch_dispatch::overload::OverloadParts;
 use hornbeamhitch_dispatch::overload::entry_admission::Entering;
 use hornbeamhitch_dispatch::overload::retry_budget::RetryLimit;
+use hornbeamhitch_dispatch::overload::{OverloadPart, OverloadParts};
 use hornbeamhitch_dispatch::routing::regions::Regions;
 use hornbeamhitch_node::metrics::Metrics;
 use hornbeamhitch_node::uploads::{Reservation, UploadLimits};
@@ -28,6 +28,7 @@
 use crate::http1::{self, RequestHead};
 use crate::link::LinkPool;
 use crate::prelude::*;
+use crate::silence::Silence;
 use crate::suspicion::{self, Suspicion};
 use answer::CallOutcome;
 pub use answer::CallerAnswer;
@@ -111,6 +112,7 @@
     listed_address: std::net::SocketAddr,
     gate: Arc<Gate>,
     links: Arc<LinkPool>,
+    silence: Arc<Silence>,
     directory: SharedDirectory,
     dialect: Arc<dyn Dialect>,
     waits: Waits,
@@ -127,6 +129,9 @@
     /// Creates an entry without any statistics about its targets.
     #[must_use]
     pub fn new(parts: EntryParts) -> Self {
+        let silence = Arc::clone(parts.gate.silence());
+        let state = EntryState::new(parts.seed, parts.retry_limit, parts.overload_off);
+        silence.set_enabled(state.admission.has(OverloadPart::SilenceBound));
         Self {
             service: parts.service,
             data_centre: parts.data_centre,
@@ -137,7 +142,9 @@
             links: Arc::new(LinkPool::new(
                 Arc::clone(&parts.suspicion),
                 Arc::clone(&parts.directory),
+                Arc::clone(&silence),
             )),
+            silence,
             directory: parts.directory,
             dialect: parts.dialect,
             waits: parts.waits,
@@ -146,11 +153,7 @@
             metrics: parts.metrics,
             suspicion: parts.suspicion,
             uploads: parts.uploads,
-            state: Mutex::new(EntryState::new(
-                parts.seed,
-                parts.retry_limit,
-                parts.overload_off,
-            )),
+            state: Mutex::new(state),
             last_key: AtomicU64::new(0),
         }
     }
@@ -198,7 +201,10 @@
 
     /// Replaces the parts of overload control that are switched off after a reload.
     pub fn switch_overload_off(&self, parts: OverloadParts) {
-        self.state.lock().admission.switch_off(parts);
+        let mut state = self.state.lock();
+        state.admission.switch_off(parts);
+        let is_enabled = state.admission.has(OverloadPart::SilenceBound);
+        self.silence.set_enabled(is_enabled);
     }
 
     /// Drops statistics and links of targets and routes that no longer exist.
@@ -209,6 +215,7 @@
         drop(state);
         let vms = directory.members.vms();
         let port = self.gate_port;
+        self.silence.retain(|vm| vms.contains(vm));
         self.links
             .retain(|gate| gate.port() == port && vms.contains(&gate.ip()));
     }
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -2,6 +2,7 @@
 
 mod ending;
 mod selection;
+mod withdrawal;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -97,6 +98,8 @@
     free_at: Option<Millis>,
     /// Whether the request may have run in some target.
     may_have_run: bool,
+    /// Whether an attempt was withdrawn after its content had been sent.
+    has_withdrawn_content: bool,
     /// How the last attempt ended, for the log and for choosing the result code.
     last_end: Option<CallEnd>,
     /// A target's error answer, relayed if no other attempt succeeds.
@@ -188,15 +191,16 @@
                     }
                 }
             }
-            let hedge_at = self.hedge_at.unwrap_or(self.request.deadline_at);
-            let hedge_at = self.entry.clock.to_instant(hedge_at);
+            let wake_at = self.next_timer();
+            let timer_at = wake_at.unwrap_or(self.request.deadline_at);
+            let timer_at = self.entry.clock.to_instant(timer_at);
             let progress = tokio::select! {
                 biased;
                 progress = self.events.recv() => progress,
-                () = tokio::time::sleep_until(hedge_at), if self.hedge_at.is_some() => None,
+                () = tokio::time::sleep_until(timer_at), if wake_at.is_some() => None,
             };
             let Some(progress) = progress else {
-                self.hedge();
+                self.handle_timers();
                 continue;
             };
             if let Some(outcome) = self.handle_progress(progress) {
@@ -205,6 +209,20 @@
         }
     }
 
+    /// Returns when the next hedge or confirmation is due.
+    fn next_timer(&self) -> Option<Millis> {
+        let due = self.next_confirmation();
+        due.into_iter().chain(self.hedge_at).min()
+    }
+
+    fn handle_timers(&mut self) {
+        let now = self.entry.now();
+        self.withdraw_overdue(now);
+        if self.hedge_at.is_some_and(|at| at <= now) {
+            self.hedge();
+        }
+    }
+
     fn has_open_attempt(&self) -> bool {
         self.attempts.iter().any(|attempt| attempt.guard.is_some())
     }
@@ -213,21 +231,24 @@
     fn handle_progress(&mut self, progress: Progress) -> Option<CallOutcome> {
         let number = progress.attempt;
         self.attempts[number].guard.as_ref()?;
+        self.attempts[number].confirmation = None;
         self.record_reachability(number, &progress.event);
         match progress.event {
+            LinkEvent::Silent => {
+                self.end_without_run(number, "silent");
+                None
+            }
             LinkEvent::Unreachable if self.attempts[number].lost_incarnation.is_some() => {
                 self.handle_unknown_outcome(number, CallEnd::Broken)
             }
             LinkEvent::Unreachable => {
                 let now = self.entry.now();
-                let target = self.close_attempt(number);
-                self.trail.push(&target.id, "unreachable");
+                let target = self.end_without_run(number, "unreachable");
                 self.entry
                     .state
                     .lock()
                     .failures
                     .note_unreachable(&target, now);
-                self.history.last_end = Some(CallEnd::Down);
                 None
             }
             LinkEvent::Lost(incarnation) => self.handle_link_loss(number, incarnation),
@@ -252,7 +273,7 @@
         let mut state = self.entry.state.lock();
         match event {
             LinkEvent::Gate(..) => state.reachability.note_reached(self.entry.now()),
-            LinkEvent::Unreachable | LinkEvent::Lost(_) => {
+            LinkEvent::Unreachable | LinkEvent::Silent | LinkEvent::Lost(_) => {
                 state.reachability.note_unreachable(member.vm_ip());
             }
         }
@@ -319,6 +340,14 @@
         self.entry.directory.load().members.len()
     }
 
+    /// Ends an attempt that does not run. The call goes on elsewhere.
+    fn end_without_run(&mut self, number: usize, end: &str) -> Arc<Member> {
+        let target = self.close_attempt(number);
+        self.trail.push(&target.id, end);
+        self.history.last_end = Some(CallEnd::Down);
+        target
+    }
+
     fn close_attempt(&mut self, number: usize) -> Arc<Member> {
         let attempt = &mut self.attempts[number];
         attempt.guard = None;
--- a/crates/edge/src/entry/call/selection.rs
+++ b/crates/edge/src/entry/call/selection.rs
@@ -65,7 +65,8 @@
         if candidates.is_empty() && self.is_restricted() {
             self.history.last_end = Some(CallEnd::Convicted);
         }
-        let is_usable = |candidate: &Candidate| candidate.throttle.is_none();
+        let is_usable =
+            |candidate: &Candidate| candidate.throttle.is_none() && !candidate.is_demoted;
         self.rounds.has_free_gate = candidates.iter().any(is_usable);
         self.rounds.remaining = candidates.into();
         self.rounds.count += 1;
@@ -139,6 +140,7 @@
             AllowedTargets::None => &[],
         };
         let mut state = self.entry.state.lock();
+        let silent = self.entry.silence.known();
         let EntryState {
             failures,
             refusals,
@@ -154,7 +156,7 @@
             failures,
             refusals,
             notices,
-            silent: None,
+            silent: silent.as_deref(),
             tried: &self.history.tried,
             now,
         };
@@ -190,7 +192,7 @@
         };
         let state = self.entry.state.lock();
         let notice = state.notices.of(&candidate.member);
-        let offers_terms_first = state.refusals.is_refusal_likely(&candidate.member, now);
+        let is_refusal_likely = state.refusals.is_refusal_likely(&candidate.member, now);
         drop(state);
         let call = OutgoingCall {
             terms: CallTerms {
@@ -217,7 +219,7 @@
             },
             head: self.request.head.clone(),
             body: self.request.body.clone(),
-            offers_terms_first,
+            offers_terms_first: is_refusal_likely || self.must_offer(),
         };
         let kind = match (self.has_open_attempt(), self.history.arrivals) {
             (true, _) => AttemptKind::Hedge,
@@ -232,6 +234,8 @@
         self.attempts.push(Attempt {
             member: Arc::clone(&candidate.member),
             key,
+            sent_at: now,
+            confirmation: self.expect_confirmation(&guard, now),
             started: None,
             lost_incarnation: None,
             guard: Some(guard),
@@ -267,7 +271,8 @@
         let Some(candidate) = self.candidates(now).into_iter().next() else {
             return;
         };
-        if candidate.is_avoided || !self.take_retry_token(now) {
+        let is_doubtful = candidate.is_avoided || candidate.is_demoted;
+        if is_doubtful || !self.take_retry_token(now) {
             return;
         }
         self.send(&candidate, Millis::ZERO);
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -1,5 +1,6 @@
 //! The gate: admits calls to this VM's target and runs each attempt at most once.
 
+mod confirmation;
 mod guards;
 mod health;
 mod lives;
@@ -27,6 +28,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::prelude::*;
+use crate::silence::Silence;
 use crate::source::SharedSource;
 use crate::suspicion::{Suspicion, TrialGuard};
 use crate::target::TargetClient;
@@ -83,6 +85,7 @@
     source: SharedSource,
     waits: Waits,
     departure: Mutex<Departure>,
+    silence: Arc<Silence>,
 }
 
 #[derive(Debug)]
@@ -129,9 +132,16 @@
             source: parts.source,
             waits: parts.waits,
             departure: Mutex::new(Departure::new(parts.waits)),
+            silence: Arc::new(Silence::new(parts.clock, parts.listed_address.ip())),
         }
     }
 
+    /// Returns the silent VMs that this node knows of. Its entry and its links share them.
+    #[must_use]
+    pub const fn silence(&self) -> &Arc<Silence> {
+        &self.silence
+    }
+
     /// Accepts a call and reports its events to `sink`. Dropping the returned guard
     /// cancels the call.
     pub fn submit(self: &Arc<Self>, request: GateRequest, sink: EventSink) -> CallGuard {
@@ -184,6 +194,7 @@
     /// Updates the gauges of running and queued calls and of the target's warm-up.
     pub fn refresh_gauges(&self) {
         let now = self.clock.now();
+        self.metrics.silent_vms(self.silence.count());
         let mut state = self.state.lock();
         let is_cold = state.admission.warm_up().is_cold(now);
         self.metrics.target_warming_up(is_cold);
@@ -241,7 +252,7 @@
         let admitted = tokio::select! {
             biased;
             _ = caller_left.changed() => return,
-            admitted = admitting => admitted,
+            admitted = self.confirming(admitting, sink) => admitted,
         };
         let (slowness_percent, slot, whole) = match admitted {
             Ok(admitted) => admitted,
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -5,11 +5,16 @@
 mod framed;
 mod liveness;
 mod outgoing;
+mod pending;
+mod pool;
 mod server;
+mod slot;
 
 pub(crate) use framed::{FrameReader, LinkFault};
 
-pub use client::{LinkEvent, LinkPool, PendingRequest};
+pub use client::LinkEvent;
 pub use facts::FactsRequests;
 pub use outgoing::OutgoingCall;
+pub use pending::{PendingRequest, Withdrawal};
+pub use pool::LinkPool;
 pub use server::LinkServer;
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -1,16 +1,16 @@
-//! The entry's side of links: a pool of connections to gates.
+//! The entry's side of a link.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
+use hornbeamhitch_dispatch::faults::silence::ReportCursor;
 use hornbeamhitch_wire::link::{CallId, ToEntry, ToGate};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
-use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 use super::facts;
@@ -20,8 +20,12 @@
 };
 use super::liveness::Liveness;
 use super::outgoing::{DeferredContent, OutgoingCall, call_frame};
+use super::pending::Withdrawal;
+use super::pool::LinkPool;
+use super::slot::LinkSlot;
 use crate::gate::GateEvent;
 use crate::prelude::*;
+use crate::silence::{LastFrame, Silence};
 use crate::sockets;
 use crate::suspicion::Suspicion;
 
@@ -36,8 +40,11 @@
 pub enum LinkEvent {
     /// The gate with this incarnation reported an event.
     Gate(GateEvent, Incarnation),
-    /// No usable link to the gate could be opened. Nothing was sent.
+    /// No usable link to the gate could be opened, or it broke before the gate requested
+    /// the content of the call. The call does not run.
     Unreachable,
+    /// The gate is silent, so the call was not sent.
+    Silent,
     /// The link broke after the call was sent to the gate with this incarnation.
     Lost(Incarnation),
 }
@@ -45,140 +52,22 @@
 /// Receives the events of one call.
 pub type LinkSink = Box<dyn Fn(LinkEvent) + Send + Sync>;
 
-/// Handle of a request to a gate. Dropping it cancels the request.
-#[derive(Debug)]
-pub struct PendingRequest {
-    task: AbortHandle,
-    sent: SentRequest,
-}
-
-/// The link and id of a request, once it was sent.
-///
-/// The sending task does not await between sending and setting this, so a drop
-/// finds a request that is either unsent or recorded here.
-type SentRequest = Arc<Mutex<Option<(Arc<Link>, CallId)>>>;
-
-impl Drop for PendingRequest {
-    fn drop(&mut self) {
-        self.task.abort();
-        if let Some((link, id)) = self.sent.lock().take() {
-            link.cancel(id);
-        }
-    }
-}
-
-/// Links by the gate's address. A link is opened on first use and then reused.
-#[derive(Debug)]
-pub struct LinkPool {
-    suspicion: Arc<Suspicion>,
-    directory: SharedDirectory,
-    links: Mutex<HashMap<SocketAddr, Arc<LinkSlot>>>,
-}
-
-#[derive(Debug, Default)]
-struct LinkSlot {
-    /// Locked while connecting, so that a burst of calls opens only one link.
-    link: tokio::sync::Mutex<Option<Arc<Link>>>,
-}
-
 /// A request to a gate.
-enum LinkRequest {
+pub(super) enum LinkRequest {
     Call(Box<OutgoingCall>),
     Fence(CallKey),
 }
 
-impl LinkPool {
-    /// Creates a pool without links.
-    #[must_use]
-    pub fn new(suspicion: Arc<Suspicion>, directory: SharedDirectory) -> Self {
-        Self {
-            suspicion,
-            directory,
-            links: Mutex::default(),
-        }
-    }
-
-    /// Sends a call to a gate.
-    pub fn call(
-        self: &Arc<Self>,
-        gate: SocketAddr,
-        call: OutgoingCall,
-        sink: LinkSink,
-    ) -> PendingRequest {
-        self.start(gate, LinkRequest::Call(Box::new(call)), sink)
-    }
-
-    /// Asks a gate for the outcome of a key and fences the key: a call with it that
-    /// has not started will never run.
-    pub fn fence(
-        self: &Arc<Self>,
-        gate: SocketAddr,
-        key: CallKey,
-        sink: LinkSink,
-    ) -> PendingRequest {
-        self.start(gate, LinkRequest::Fence(key), sink)
-    }
-
-    fn start(
-        self: &Arc<Self>,
-        gate: SocketAddr,
-        request: LinkRequest,
-        sink: LinkSink,
-    ) -> PendingRequest {
-        let sent = SentRequest::default();
-        let pool = Arc::clone(self);
-        let sent_by_task = Arc::clone(&sent);
-        let task = tokio::spawn(async move {
-            match pool.link(gate).await {
-                Ok(link) if link.must_withhold(&request) => sink(LinkEvent::Unreachable),
-                Ok(link) => {
-                    let id = link.send(request, sink);
-                    *sent_by_task.lock() = Some((link, id));
-                }
-                Err(fault) => {
-                    log::debug!("no link to {gate}: {fault}");
-                    sink(LinkEvent::Unreachable);
-                }
-            }
-        });
-        PendingRequest {
-            task: task.abort_handle(),
-            sent,
-        }
-    }
-
-    /// Whether the gate has a responsive link now or one can be opened.
-    pub async fn is_reachable(&self, gate: SocketAddr) -> bool {
-        self.link(gate)
-            .await
-            .is_ok_and(|link| !link.is_unresponsive())
-    }
-
-    /// Drops the links to gates for which `known` returns false.
-    pub fn retain(&self, known: impl Fn(&SocketAddr) -> bool) {
-        self.links.lock().retain(|address, _| known(address));
-    }
-
-    async fn link(&self, gate: SocketAddr) -> Result<Arc<Link>, LinkFault> {
-        let slot = Arc::clone(self.links.lock().entry(gate).or_default());
-        let mut current = slot.link.lock().await;
-        if let Some(link) = current.as_ref()
-            && !link.is_dead()
-        {
-            return Ok(Arc::clone(link));
-        }
-        let link = Link::open(gate, &self.suspicion, &self.directory).await?;
-        *current = Some(Arc::clone(&link));
-        Ok(link)
-    }
-}
-
 /// One open link.
 #[derive(Debug)]
-struct Link {
+pub(super) struct Link {
+    vm: IpAddr,
     incarnation: Incarnation,
     suspicion: Arc<Suspicion>,
     directory: SharedDirectory,
+    silence: Arc<Silence>,
+    last_frame: Arc<LastFrame>,
+    reported: Mutex<ReportCursor>,
     frames: mpsc::UnboundedSender<ToGate>,
     calls: Mutex<HashMap<CallId, OpenCall>>,
     last_id: AtomicU64,
@@ -188,10 +77,14 @@
     unresponsive: AtomicBool,
     /// Wakes the reading task after a request, since a response is now due.
     request_sent: tokio::sync::Notify,
+    /// Wakes the reading task after an attempt was not confirmed and nothing was received.
+    silence_observed: tokio::sync::Notify,
 }
 
 struct OpenCall {
     sink: LinkSink,
+    /// Whether any frame for the call has arrived.
+    is_confirmed: bool,
     deferred: DeferredContent,
     answer: Option<(AnswerHead, PartialBody)>,
 }
@@ -203,12 +96,14 @@
 }
 
 impl Link {
-    async fn open(
+    pub(super) async fn open(
         gate: SocketAddr,
-        suspicion: &Arc<Suspicion>,
-        directory: &SharedDirectory,
+        pool: &LinkPool,
+        slot: &LinkSlot,
     ) -> Result<Arc<Self>, LinkFault> {
+        let connecting_since = Instant::now();
         let stream = sockets::connect(gate, CONNECT_TIMEOUT).await?;
+        slot.set_round_trip(connecting_since.elapsed());
         let (reader, writer) = stream.into_split();
         let mut reader = FrameReader::new(reader);
         // The kernel of a paused gate still accepts connections, but the gate sends no
@@ -217,21 +112,27 @@
         let ToEntry::Hello { incarnation } = hello.map_err(std::io::Error::from)?? else {
             return Err(LinkFault::Closed);
         };
+        pool.silence.note_frame(gate.ip(), &slot.last_frame);
         let (frames, to_write) = mpsc::unbounded_channel();
         let link = Arc::new(Self {
+            vm: gate.ip(),
             incarnation,
-            suspicion: Arc::clone(suspicion),
-            directory: Arc::clone(directory),
+            suspicion: Arc::clone(&pool.suspicion),
+            directory: Arc::clone(&pool.directory),
+            silence: Arc::clone(&pool.silence),
+            last_frame: Arc::clone(&slot.last_frame),
+            reported: Mutex::default(),
             frames,
             calls: Mutex::default(),
             last_id: AtomicU64::new(0),
             dead: AtomicBool::new(false),
             unresponsive: AtomicBool::new(false),
             request_sent: tokio::sync::Notify::new(),
+            silence_observed: tokio::sync::Notify::new(),
         });
-        let notices = send_known_notices(suspicion, &link.frames, ToGate::Crashes);
+        let notices = send_known_notices(&pool.suspicion, &link.frames, ToGate::Crashes);
         let forwarding = forward_notices(
-            Arc::clone(suspicion),
+            Arc::clone(&pool.suspicion),
             notices,
             link.frames.clone(),
             ToGate::Crashes,
@@ -251,11 +152,11 @@
         Ok(link)
     }
 
-    fn is_dead(&self) -> bool {
+    pub(super) fn is_dead(&self) -> bool {
         self.dead.load(Ordering::Acquire)
     }
 
-    fn is_unresponsive(&self) -> bool {
+    pub(super) fn is_unresponsive(&self) -> bool {
         self.unresponsive.load(Ordering::Acquire)
     }
 
@@ -267,11 +168,11 @@
     /// and may not repeat a payment. A call that was never sent goes to another
     /// target without using the retry budget. A fence request is always sent,
     /// because only this gate can answer it.
-    fn must_withhold(&self, request: &LinkRequest) -> bool {
+    pub(super) fn must_withhold(&self, request: &LinkRequest) -> bool {
         matches!(request, LinkRequest::Call(_)) && self.is_unresponsive()
     }
 
-    fn send(&self, request: LinkRequest, sink: LinkSink) -> CallId {
+    pub(super) fn send(&self, request: LinkRequest, sink: LinkSink) -> CallId {
         let id = CallId(self.last_id.fetch_add(1, Ordering::Relaxed) + 1);
         let (frame, deferred) = match request {
             LinkRequest::Fence(key) => (ToGate::Fence { id, key }, DeferredContent::default()),
@@ -279,11 +180,14 @@
         };
         let open = OpenCall {
             sink,
+            is_confirmed: false,
             deferred,
             answer: None,
         };
         self.calls.lock().insert(id, open);
         self.push(frame);
+        self.silence
+            .report(&self.reported, |report| self.push(ToGate::Silence(report)));
         self.request_sent.notify_one();
         if self.is_dead() {
             // The link ended while the call was inserted, so nothing else notifies its
@@ -299,12 +203,44 @@
         let _ = self.frames.send(frame);
     }
 
-    fn cancel(&self, id: CallId) {
+    pub(super) fn cancel(&self, id: CallId) {
         if self.calls.lock().remove(&id).is_some() {
             self.push(ToGate::Cancel { id });
         }
     }
 
+    /// Whether the gate may have received the content of an open call.
+    pub(super) fn has_sent_content(&self, id: CallId) -> bool {
+        let calls = self.calls.lock();
+        calls
+            .get(&id)
+            .is_none_or(|open| !open.deferred.is_outstanding())
+    }
+
+    /// Withdraws a call that the gate has not confirmed. Its content, if it was deferred,
+    /// is never sent, since a late request for it finds no open call.
+    pub(super) fn withdraw(&self, id: CallId) -> Withdrawal {
+        let mut calls = self.calls.lock();
+        if calls.get(&id).is_none_or(|open| open.is_confirmed) {
+            return Withdrawal::Confirmed;
+        }
+        calls.remove(&id);
+        drop(calls);
+        self.push(ToGate::Cancel { id });
+        Withdrawal::Withdrawn
+    }
+
+    /// Makes the link unresponsive, unless a frame has arrived since this time. Returns
+    /// whether it is unresponsive.
+    pub(super) fn observe_silence(&self, since: Millis) -> bool {
+        if !self.silence.observe(self.vm, &self.last_frame, since) {
+            return false;
+        }
+        self.unresponsive.store(true, Ordering::Release);
+        self.silence_observed.notify_one();
+        true
+    }
+
     /// Reads frames until the link ends or the gate stays silent for too long.
     ///
     /// After a power loss, a network partition or a process freeze, the link stays
@@ -323,8 +259,13 @@
                 biased;
                 frame = reader.next() => {
                     liveness = Liveness::Alive(Instant::now());
+                    let frame = frame?;
                     self.unresponsive.store(false, Ordering::Release);
-                    self.handle(frame?);
+                    self.silence.note_frame(self.vm, &self.last_frame);
+                    self.handle(frame);
+                }
+                () = self.silence_observed.notified() => {
+                    liveness = self.ping_if_silent(liveness);
                 }
                 () = self.request_sent.notified(), if !is_awaiting => {
                     liveness = Liveness::Alive(Instant::now());
@@ -349,12 +290,24 @@
             }
             Liveness::Pinged(at) => {
                 self.unresponsive.store(true, Ordering::Release);
+                let pinged_ms = Millis::from_duration(at.elapsed());
+                let pinged_at = self.silence.now().minus(pinged_ms);
+                self.silence.observe(self.vm, &self.last_frame, pinged_at);
                 Ok(Liveness::Unresponsive(at))
             }
             Liveness::Unresponsive(_) => Err(LinkFault::Closed),
         }
     }
 
+    /// Pings a gate that is silent by an attempt that it has not confirmed.
+    fn ping_if_silent(&self, liveness: Liveness) -> Liveness {
+        if !self.is_unresponsive() || matches!(liveness, Liveness::Unresponsive(_)) {
+            return liveness;
+        }
+        self.push(ToGate::Ping);
+        Liveness::Unresponsive(Instant::now())
+    }
+
     fn handle(&self, frame: ToEntry) {
         match frame {
             ToEntry::Hello { .. } | ToEntry::Pong => {}
@@ -365,7 +318,10 @@
                     facts::send(encoded, |frame| self.push(frame));
                 }
             }
-            ToEntry::WantsContent { id } => self.send_deferred(id),
+            ToEntry::WantsContent { id } => {
+                self.send_deferred(id);
+                self.deliver(id, GateEvent::WantsContent);
+            }
             ToEntry::Started {
                 id,
                 slowness_percent,
@@ -379,6 +335,7 @@
                 let mut body = PartialBody::new(body_bytes);
                 body.push(&part);
                 if let Some(open) = self.calls.lock().get_mut(&id) {
+                    open.is_confirmed = true;
                     open.answer = Some((head, body));
                 }
                 self.deliver_if_complete(id);
@@ -390,7 +347,7 @@
             ToEntry::Ended { id, end } => self.deliver_last(id, GateEvent::Ended(end)),
             ToEntry::Received { id } => self.deliver(id, GateEvent::Received),
             ToEntry::Load { id, load } => self.deliver(id, GateEvent::Load(load)),
-            ToEntry::Silence(_) => {}
+            ToEntry::Silence(report) => self.silence.merge(&report),
             // Subscriptions and requests for parts use separate connections.
             ToEntry::Change(_)
             | ToEntry::Progress { .. }
@@ -403,7 +360,10 @@
 
     fn send_deferred(&self, id: CallId) {
         let DeferredContent { head, mut body } = match self.calls.lock().get_mut(&id) {
-            Some(open) => std::mem::take(&mut open.deferred),
+            Some(open) => {
+                open.is_confirmed = true;
+                std::mem::take(&mut open.deferred)
+            }
             None => return,
         };
         if let Some(head) = head {
@@ -445,7 +405,8 @@
 
     /// Delivers an event that is not the last of its call.
     fn deliver(&self, id: CallId, event: GateEvent) {
-        if let Some(open) = self.calls.lock().get(&id) {
+        if let Some(open) = self.calls.lock().get_mut(&id) {
+            open.is_confirmed = true;
             (open.sink)(LinkEvent::Gate(event, self.incarnation));
         }
     }
@@ -461,7 +422,12 @@
         self.dead.store(true, Ordering::Release);
         let calls = std::mem::take(&mut *self.calls.lock());
         for open in calls.into_values() {
-            (open.sink)(LinkEvent::Lost(self.incarnation));
+            let was_incomplete = open.deferred.is_outstanding();
+            let event = match was_incomplete && self.silence.is_enabled() {
+                true => LinkEvent::Unreachable,
+                false => LinkEvent::Lost(self.incarnation),
+            };
+            (open.sink)(event);
         }
     }
 }
--- a/crates/edge/src/link/outgoing.rs
+++ b/crates/edge/src/link/outgoing.rs
@@ -27,6 +27,13 @@
     pub(super) body: Bytes,
 }
 
+impl DeferredContent {
+    /// Whether the gate still lacks a part of the call, so that it cannot start it.
+    pub(super) fn is_outstanding(&self) -> bool {
+        self.head.is_some() || !self.body.is_empty()
+    }
+}
+
 /// Returns the first frame of a call and the part that is deferred.
 pub(super) fn call_frame(id: CallId, call: OutgoingCall) -> (ToGate, DeferredContent) {
     let OutgoingCall {
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hornbeamhitch_dispatch::faults::silence::ReportCursor;
 use hornbeamhitch_wire::link::{CallId, ToEntry, ToGate};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
@@ -98,6 +99,7 @@
             facts_requests: Arc::clone(&self.facts_requests),
             active_calls: ActiveCalls::default(),
             partial: HashMap::new(),
+            reported: Arc::default(),
         };
         tokio::spawn(async move {
             let ended = tokio::select! {
@@ -140,6 +142,7 @@
     facts_requests: Arc<FactsRequests>,
     active_calls: ActiveCalls,
     partial: HashMap<CallId, PartialCall>,
+    reported: Arc<Mutex<ReportCursor>>,
 }
 
 impl Link {
@@ -186,7 +189,8 @@
                     self.gate.fence(key, sink);
                 }
                 ToGate::Crashes(notice) => self.suspicion.merge_notice(&notice),
-                ToGate::Suspect(_) | ToGate::Demand(_) | ToGate::Silence(_) => {}
+                ToGate::Silence(report) => self.gate.silence().merge(&report),
+                ToGate::Suspect(_) | ToGate::Demand(_) => {}
                 ToGate::Facts(encoded) => adopt_facts(&self.directory, &encoded),
                 ToGate::FactsPart {
                     digest,
@@ -264,9 +268,26 @@
 
     fn submit(&mut self, id: CallId, request: GateRequest) {
         let sink = answer_sink(id, self.answers.clone(), Arc::clone(&self.active_calls));
+        let sink = self.reporting_sink(sink);
         let guard = self.gate.submit(request, sink);
         self.active_calls.lock().insert(id, guard);
     }
+
+    /// Extends a sink so that the end of its call is preceded by the silent VMs that the
+    /// entry was not told on this link.
+    fn reporting_sink(&self, sink: EventSink) -> EventSink {
+        let answers = self.answers.clone();
+        let reported = Arc::clone(&self.reported);
+        let silence = Arc::clone(self.gate.silence());
+        Box::new(move |event| {
+            if event.is_last() {
+                silence.report(&reported, |report| {
+                    let _ = answers.send(ToEntry::Silence(report));
+                });
+            }
+            sink(event);
+        })
+    }
 }
 
 /// Creates a sink that sends a call's events as frames.
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod links;
 mod lives;
 mod routing;
+mod silence;
 mod statements;
 mod support;
 mod warm_up;
--- a/crates/edge/tests/all/support/gate_end.rs
+++ b/crates/edge/tests/all/support/gate_end.rs
@@ -47,6 +47,31 @@
         }
     }
 
+    /// Returns the next call with its terms, once its whole content has arrived. The content
+    /// of an offer is requested.
+    pub async fn next_call(&mut self) -> (link::CallId, CallTerms) {
+        let (id, terms, body_bytes) = match self.next().await {
+            ToGate::Call { id, terms, .. } => return (id, terms),
+            ToGate::Offer {
+                id,
+                terms,
+                body_bytes,
+            } => (id, terms, body_bytes),
+            frame => panic!("a call was expected instead of {frame:?}"),
+        };
+        self.send(&ToEntry::WantsContent { id }).await;
+        let frame = self.next().await;
+        assert!(matches!(frame, ToGate::Head { .. }), "{frame:?}");
+        let mut received = 0;
+        while received < body_bytes {
+            let ToGate::Body { part, .. } = self.next().await else {
+                panic!("a part of the body was expected");
+            };
+            received += part.len() as u64;
+        }
+        (id, terms)
+    }
+
     /// Returns the next frame of any kind.
     pub async fn next_including_pings(&mut self) -> ToGate {
         let frame = self.next_unless_closed().await;
