--- a/crates/dispatch/src/overload/service_level/tests/fleet.rs
+++ b/crates/dispatch/src/overload/service_level/tests/fleet.rs
@@ -256,6 +256,7 @@
                 is_near: gate.member.data_centre.as_str() == own,
                 member: Arc::clone(&gate.member),
                 is_avoided: false,
+                is_demoted: false,
                 throttle: None,
             });
         }
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hornbeamhitch_dispatch::faults::silence::ReportCursor;
 use hornbeamhitch_wire::link::{CallId, ToEntry, ToGate};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
@@ -101,6 +102,7 @@
             facts_requests: Arc::clone(&self.facts_requests),
             active_calls: ActiveCalls::default(),
             partial: HashMap::new(),
+            reported: Arc::default(),
         };
         tokio::spawn(async move {
             let ended = tokio::select! {
@@ -144,6 +146,7 @@
     facts_requests: Arc<FactsRequests>,
     active_calls: ActiveCalls,
     partial: HashMap<CallId, PartialCall>,
+    reported: Arc<Mutex<ReportCursor>>,
 }
 
 impl Link {
@@ -191,7 +194,8 @@
                 }
                 ToGate::Crashes(notice) => self.suspicion.merge_notice(&notice),
                 ToGate::Demand(report) => self.load.note_demand(&report),
-                ToGate::Suspect(_) | ToGate::Silence(_) => {}
+                ToGate::Silence(report) => self.gate.silence().merge(&report),
+                ToGate::Suspect(_) => {}
                 ToGate::Facts(encoded) => adopt_facts(&self.directory, &encoded),
                 ToGate::FactsPart {
                     digest,
@@ -269,6 +273,7 @@
 
     fn submit(&mut self, id: CallId, request: GateRequest) {
         let sink = self.answer_sink(id, Arc::clone(&self.active_calls));
+        let sink = self.reporting_sink(sink);
         let guard = self.gate.submit(request, sink);
         self.active_calls.lock().insert(id, guard);
     }
@@ -281,6 +286,22 @@
             Arc::clone(&self.load),
         )
     }
+
+    /// Extends a sink so that the end of its call is preceded by the silent VMs that the
+    /// entry was not told on this link.
+    fn reporting_sink(&self, sink: EventSink) -> EventSink {
+        let answers = self.answers.clone();
+        let reported = Arc::clone(&self.reported);
+        let silence = Arc::clone(self.gate.silence());
+        Box::new(move |event| {
+            if event.is_last() {
+                silence.report(&reported, |report| {
+                    let _ = answers.send(ToEntry::Silence(report));
+                });
+            }
+            sink(event);
+        })
+    }
 }
 
 /// Creates a sink that sends a call's events as frames.
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod priorities;
 mod routing;
 mod service_level;
+mod silence;
 mod statements;
 mod support;
 mod warm_up;
--- a/crates/edge/tests/all/support/entry_end.rs
+++ b/crates/edge/tests/all/support/entry_end.rs
@@ -65,14 +65,7 @@
         let call = ToGate::Call {
             id,
             terms,
-            head: CallHead {
-                method: "GET".to_owned(),
-                path: path.to_owned(),
-                fields: vec![HeaderField {
-                    name: "Host".to_owned(),
-                    value: Bytes::from_static(b"h"),
-                }],
-            },
+            head: Self::head_of(path),
             body_bytes: 0,
             body: Bytes::new(),
         };
@@ -96,6 +89,22 @@
         }
     }
 
+    /// Offers a payment without a body for the target `life-0`.
+    pub async fn send_offer(&mut self) -> CallId {
+        let terms = CallTerms {
+            idempotent: false,
+            ..self.lookup_terms()
+        };
+        let id = CallId(self.calls);
+        let offer = ToGate::Offer {
+            id,
+            terms,
+            body_bytes: 0,
+        };
+        self.send(&offer).await;
+        id
+    }
+
     /// Sends a frame.
     pub async fn send(&mut self, frame: &ToGate) {
         let mut bytes = BytesMut::new();
@@ -103,6 +112,22 @@
         self.stream.write_all(&bytes).await.expect("written");
     }
 
+    /// Returns the head of the calls.
+    pub fn head() -> CallHead {
+        Self::head_of("/read/")
+    }
+
+    fn head_of(path: &str) -> CallHead {
+        CallHead {
+            method: "GET".to_owned(),
+            path: path.to_owned(),
+            fields: vec![HeaderField {
+                name: "Host".to_owned(),
+                value: Bytes::from_static(b"h"),
+            }],
+        }
+    }
+
     /// Returns how a call ended: `None` if the target answered it.
     pub async fn end_of(&mut self, expected: CallId) -> Option<CallEnd> {
         loop {
--- a/crates/node/src/metrics/instruments.rs
+++ b/crates/node/src/metrics/instruments.rs
@@ -38,6 +38,8 @@
     pub(super) losers_cancelled: Counter<u64>,
     pub(super) returns: Counter<u64>,
     pub(super) promised_returns: Gauge<u64>,
+    pub(super) asks_withdrawn: Counter<u64>,
+    pub(super) silent_vms: Gauge<u64>,
     pub(super) gate_run: Histogram<f64>,
     pub(super) gate_wait: Histogram<f64>,
     pub(super) gate_refused: Counter<u64>,
@@ -109,6 +111,16 @@
                 "hitch.promised_returns",
                 "Open reservations of refused callers.",
             ),
+            asks_withdrawn: counter(
+                &meter,
+                "hitch.asks.withdrawn",
+                "Attempts that were withdrawn because their gate did not confirm them in time.",
+            ),
+            silent_vms: gauge(
+                &meter,
+                "hitch.silent_vms",
+                "VMs that are silent for this node or by the reports of others.",
+            ),
             gate_run: latency(&meter, "hitch.gate.run", "Time that the target ran a call."),
             gate_wait: latency(
                 &meter,
--- a/crates/node/src/metrics/tests.rs
+++ b/crates/node/src/metrics/tests.rs
@@ -67,6 +67,8 @@
     metrics.return_ended("cashier", ReturnResult::Kept);
     metrics.return_ended("cashier", ReturnResult::Missed);
     metrics.promised_returns("cashier", 3);
+    metrics.ask_withdrawn("cashier");
+    metrics.silent_vms(6);
     metrics.gate_ran(CallClass::Payment, 6_000);
     metrics.gate_waited(CallClass::Payment, 400);
     metrics.gate_refused(ResultCode::RecordsFull);
