Gates hold no slots for calls of a higher priority; these wait in a queue instead

Ruled out: shorter holds, which are too short for the call to come back.

Change: the hold is taken out with its tests. While a level refuses less urgent calls only, a call of a class that is admitted whole waits in the queue of the first gate, which orders by priority.

--- a/crates/dispatch/src/gate/admission.rs
+++ b/crates/dispatch/src/gate/admission.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::gate::contention::{Chance, Contention, meets_objective};
+use crate::gate::contention::{Chance, Contention};
 use crate::gate::knee::KneeEstimator;
 use crate::gate::room::{Lack, TargetBounds};
 use crate::gate::send_log::SendLog;
@@ -131,10 +131,6 @@
     in_flight: u32,
     knee: KneeEstimator,
     contention: Contention,
-    /// Whether slots are held for calls of a higher priority.
-    holds_for_priority: bool,
-    /// Last time at which a decision found no slot free.
-    full_at: Option<Millis>,
     /// Queued calls.
     queue: BTreeSet<QueuePosition>,
     last_sequence: u64,
@@ -156,8 +152,6 @@
             in_flight: 0,
             knee: KneeEstimator::default(),
             contention: Contention::default(),
-            holds_for_priority: false,
-            full_at: None,
             queue: BTreeSet::new(),
             last_sequence: 0,
             speed: None,
@@ -214,11 +208,6 @@
         &mut self.stated_limit
     }
 
-    /// Sets whether slots are held for calls of a higher priority that were just rejected.
-    pub const fn set_holds_for_priority(&mut self, holds: bool) {
-        self.holds_for_priority = holds;
-    }
-
     /// Starts or stops refusing new work.
     pub const fn set_leaving(&mut self, leaving: bool) {
         self.leaving = leaving;
@@ -369,9 +358,6 @@
         if let Some(free_at) = limited_until.filter(|free_at| *free_at > call.queue_until) {
             return Verdict::Refuse(Refused::RateLimited { free_at });
         }
-        if self.in_flight >= self.limit() {
-            self.full_at = Some(now);
-        }
         let free_slots = limit.saturating_sub(self.in_flight);
         if ahead >= free_slots {
             let verdict = self.wait_for_slot(call, ahead - free_slots, limit, now);
@@ -396,9 +382,6 @@
         }
         if is_fast_enough(call, speed.slowness_percent, now) {
             let run_ms = call.run_at(speed.slowness_percent);
-            if let Some(verdict) = self.yield_to_priority(call, run_ms, now) {
-                return verdict;
-            }
             let chance = Chance::of(call, run_ms, now);
             if self.contention.must_yield(call.priority, chance, now) {
                 return Verdict::Refuse(Refused::Busy);
@@ -430,41 +413,6 @@
         let chance = Chance::of(call, run_ms, now);
         self.contention
             .note_rejected(call.priority, chance, run_ms, now);
-        self.hold_for(call, run_ms, now);
-    }
-
-    /// Holds slots for a call that is rejected, unless it misses its objective anyway.
-    ///
-    /// A call is also rejected while slots are left free for short work. These are not held,
-    /// since no slot has become free that the call could use.
-    fn hold_for(&mut self, call: &GateCall, run_ms: Millis, now: Millis) {
-        let Some(full_at) = self.full_at.filter(|_| self.holds_for_priority) else {
-            return;
-        };
-        if meets_objective(call, run_ms, now) {
-            self.contention
-                .note_in_time_rejected(call.priority, run_ms, full_at);
-        }
-    }
-
-    /// Returns how a call that may start now makes way for calls of a higher priority that
-    /// were just rejected, if there are any. It waits if it may, so that the slot is used as
-    /// soon as it is no longer held.
-    fn yield_to_priority(
-        &mut self,
-        call: &GateCall,
-        run_ms: Millis,
-        now: Millis,
-    ) -> Option<Verdict> {
-        if !self.holds_for_priority {
-            return None;
-        }
-        let until = self.contention.held_until(call.priority, now)?;
-        if until <= call.queue_until {
-            return Some(Verdict::Wait(until));
-        }
-        self.hold_for(call, run_ms, now);
-        Some(Verdict::Refuse(Refused::Busy))
     }
 
     /// Returns [`Verdict::Wait`] if the call can expect a slot in time; refuses a call
--- a/crates/dispatch/src/gate/admission/tests.rs
+++ b/crates/dispatch/src/gate/admission/tests.rs
@@ -1,7 +1,6 @@
 //! Tests of admission control in virtual time.
 
 mod overload;
-mod priorities;
 mod properties;
 
 use super::*;
--- a/crates/dispatch/src/gate/contention.rs
+++ b/crates/dispatch/src/gate/contention.rs
@@ -31,12 +31,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub struct Chance(f64);
 
-/// Returns whether a call that takes `run_ms` and starts now meets its objective.
-#[must_use]
-pub fn meets_objective(call: &GateCall, run_ms: Millis, now: Millis) -> bool {
-    now + run_ms <= call.objective_at
-}
-
 impl Chance {
     /// Returns the chance of a call that takes `run_ms` at the present speed of the
     /// target.
@@ -74,9 +68,6 @@
 #[derive(Debug, Default)]
 pub struct Contention {
     by_priority: BTreeMap<u8, RejectedCalls>,
-    /// Time until which slots are held for rejected calls that could still meet their
-    /// objective, by priority.
-    held_until: BTreeMap<u8, Millis>,
 }
 
 impl Contention {
@@ -106,22 +97,4 @@
         }
         false
     }
-
-    /// Records that a call which could still meet its objective was rejected. `full_at` is
-    /// the last time at which no slot was free: a slot that is free since then is held for a
-    /// part of a run only, however many calls are rejected meanwhile.
-    pub fn note_in_time_rejected(&mut self, priority: u8, run_ms: Millis, full_at: Millis) {
-        let until = full_at + Millis(run_ms.0 / HOLD_DIVISOR);
-        let held = self.held_until.entry(priority).or_insert(until);
-        *held = until.max(*held);
-    }
-
-    /// Returns the time until which a call must leave slots to calls of a strictly higher
-    /// priority, if it must.
-    #[must_use]
-    pub fn held_until(&self, priority: u8, now: Millis) -> Option<Millis> {
-        let higher = self.held_until.range(..priority);
-        let until = higher.map(|(_, until)| *until).max()?;
-        (now < until).then_some(until)
-    }
 }
--- a/crates/dispatch/src/overload/entry_admission.rs
+++ b/crates/dispatch/src/overload/entry_admission.rs
@@ -44,6 +44,8 @@
     pub targets: usize,
     /// Whether the own target runs nothing.
     pub target_is_idle: bool,
+    /// Part of the recent requests for the service that targets rejected, from 0 to 1.
+    pub rejected_part: f64,
 }
 
 /// Why the entry refuses a call.
@@ -79,6 +81,10 @@
     pub class: LoadClass,
     /// Whether the service refuses calls now, so that the call tries only few gates.
     pub is_overloaded: bool,
+    /// Whether only less urgent calls are refused. The call then waits in the queue of the
+    /// first gate, where it goes before those, instead of competing with them for slots that
+    /// become free elsewhere.
+    pub is_preferred: bool,
     /// Whether the call is a caller's retry at its reserved time.
     pub has_reservation: bool,
 }
@@ -136,6 +142,7 @@
         let admitted = Admitted {
             class,
             is_overloaded,
+            is_preferred: is_overloaded && level.is_some_and(|level| !level.refuses(class)),
             has_reservation: false,
         };
         if class == LoadClass::NESTED {
@@ -258,8 +265,10 @@
         if !self.has(OverloadPart::ServiceLevel) {
             return None;
         }
+        // A request that its target rejects takes no slot.
+        let run_ms = call.work_ms.0 as f64 * (1.0 - call.rejected_part);
         self.levels
-            .note_arrival(call.service, class, call.work_ms, now);
+            .note_arrival(call.service, class, Millis(run_ms as u64), now);
         self.levels.level(call.service, call.targets, now)
     }
 
--- a/crates/dispatch/src/overload/entry_admission/tests.rs
+++ b/crates/dispatch/src/overload/entry_admission/tests.rs
@@ -31,6 +31,7 @@
             work_ms: Millis(100),
             targets: 20,
             target_is_idle: false,
+            rejected_part: 0.0,
         };
         let entering = admission.enter(&call, Millis(number));
         assert!(matches!(entering, Entering::Admitted(_)), "{entering:?}");
@@ -166,5 +167,6 @@
         work_ms: Millis(100),
         targets: 20,
         target_is_idle: false,
+        rejected_part: 0.0,
     }
 }
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -153,7 +153,6 @@
         source,
         waits,
         warm_up_tolerance: config.tunables.warm_up_tolerance,
-        overload_off: config.tunables.overload_off,
     }));
     let entry = Arc::new(Entry::new(EntryParts {
         service: config.service.clone(),
@@ -309,7 +308,6 @@
             entry.set_retry_limit(read.retry_limit);
             gate.set_warm_up_tolerance(read.warm_up_tolerance);
             entry.switch_overload_off(read.overload_off);
-            gate.switch_overload_off(read.overload_off);
             tunables = read;
         }
     }
--- a/crates/edge/src/entry/call/few_gates.rs
+++ b/crates/edge/src/entry/call/few_gates.rs
@@ -35,10 +35,12 @@
     }
 
     /// Returns how long the gate of the candidate that was just taken may queue the call: the
-    /// last one until the call is refused because all targets are busy.
+    /// last one until the call is refused because all targets are busy, and each one if the
+    /// call goes before those that are refused.
     pub(super) fn max_queue_time_of_few(&self, now: Millis) -> Millis {
         let is_last = self.history.full_gates + 1 >= MAX_FULL_GATES;
-        if is_last || self.rounds.remaining.is_empty() {
+        let is_preferred = self.request.admitted.is_preferred;
+        if is_last || is_preferred || self.rounds.remaining.is_empty() {
             return self.wait_plan.busy_until.since(now);
         }
         Millis::ZERO
--- a/crates/edge/src/entry/entering.rs
+++ b/crates/edge/src/entry/entering.rs
@@ -93,7 +93,11 @@
             fingerprint,
             requested_until,
         } = *arrival;
-        let work = self.state.lock().work_estimates.estimate(route);
+        let now = self.now();
+        let state = self.state.lock();
+        let work = state.work_estimates.estimate(route);
+        let rejected_part = state.reject_rates.rate(service, now).unwrap_or_default();
+        drop(state);
         EnteringCall {
             service,
             route,
@@ -105,6 +109,7 @@
             work_ms: work.run_at(100),
             targets: directory.members.available(service).len(),
             target_is_idle: self.gate.is_target_idle(),
+            rejected_part,
         }
     }
 }
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -25,7 +25,6 @@
 use hornbeamhitch_dispatch::gate::room::RoomMeter;
 use hornbeamhitch_dispatch::gate::warm_up::WarmUpTolerance;
 use hornbeamhitch_dispatch::knowledge::waits::Waits;
-use hornbeamhitch_dispatch::overload::{OverloadPart, OverloadParts, PartsInForce};
 use hornbeamhitch_node::metrics::{GateLevels, Metrics};
 use hornbeamhitch_types::status::SuspectState;
 use parking_lot::Mutex;
@@ -69,8 +68,6 @@
     pub waits: Waits,
     /// How far the requests to a cold target may exceed its admission rate.
     pub warm_up_tolerance: WarmUpTolerance,
-    /// Parts of overload control that are switched off.
-    pub overload_off: OverloadParts,
 }
 
 /// Admits calls to this VM's target and runs them.
@@ -100,7 +97,6 @@
     running: RunningCalls,
     idleness: TargetIdleness,
     admission: Admission,
-    overload_parts: PartsInForce,
     room: RoomMeter,
     records: Records,
     /// Incarnations of the target that the target itself has said are over.
@@ -110,12 +106,11 @@
 }
 
 impl GateState {
-    fn new(admission: Admission, started_at: Millis, overload_off: OverloadParts) -> Self {
+    fn new(admission: Admission, started_at: Millis) -> Self {
         Self {
             running: RunningCalls::default(),
             idleness: TargetIdleness::new(started_at),
             admission,
-            overload_parts: PartsInForce::new(overload_off),
             room: RoomMeter::new(started_at),
             records: Records::default(),
             ended_incarnations: VecDeque::new(),
@@ -138,7 +133,7 @@
             directory: parts.directory,
             dialect: parts.dialect,
             clock: parts.clock,
-            state: Mutex::new(GateState::new(admission, started_at, parts.overload_off)),
+            state: Mutex::new(GateState::new(admission, started_at)),
             changed: Notify::new(),
             speed: SpeedProbe::default(),
             suspicion: parts.suspicion,
@@ -190,11 +185,6 @@
         state.admission.warm_up().set_tolerance(tolerance);
     }
 
-    /// Replaces the parts of overload control that are switched off after a reload.
-    pub fn switch_overload_off(&self, parts: OverloadParts) {
-        self.state.lock().overload_parts.switch_off(parts);
-    }
-
     /// Returns the mean share of the running calls that repeats earlier runs, in
     /// percent. A call that the target makes now belongs to such a run with this
     /// probability.
@@ -359,11 +349,6 @@
         let warm_up = routes.and_then(|routes| routes.warm_up(&self.service));
         let mut state = self.state.lock();
         state.admission.warm_up().set_warm_up(warm_up);
-        if let Some(routes) = routes {
-            state.overload_parts.adopt(routes);
-        }
-        let holds = state.overload_parts.has(OverloadPart::CallerShares);
-        state.admission.set_holds_for_priority(holds);
         if let Some(member) = listed {
             state.admission.set_slots(member.slots);
             self.note_incarnation(&mut state, member);
