Test that calls are told at once of a gate whose link is being opened; ping a silent gate once

Cause: with calls that wait for the link to open, all tests passed, because the call's own timer ends the wait too.

Ruled out: a test over callers' sockets, since the outcome of the calls is the same.

Change: a test of the link pool compares the waits of two calls. A ping that is under way is not repeated.

Shown by: the new test fails when calls wait for the link. On changed code, one change at a time, tests of `silence.rs` fail: without withdrawal (6), with a withdrawn call left open (2), without `Received` (1), with an offer on a lost link taken for a lost call (1), and with reports ignored (3, one of them probably by the double ping).

--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -299,13 +299,19 @@
         }
     }
 
-    /// Pings a gate that is silent by an attempt that it has not confirmed.
+    /// Pings a gate that is silent by an attempt that it has not confirmed, unless a ping is
+    /// under way.
     fn ping_if_silent(&self, liveness: Liveness) -> Liveness {
-        if !self.is_unresponsive() || matches!(liveness, Liveness::Unresponsive(_)) {
+        if !self.is_unresponsive() {
             return liveness;
         }
-        self.push(ToGate::Ping);
-        Liveness::Unresponsive(Instant::now())
+        match liveness {
+            Liveness::Alive(_) => {
+                self.push(ToGate::Ping);
+                Liveness::Unresponsive(Instant::now())
+            }
+            Liveness::Pinged(at) | Liveness::Unresponsive(at) => Liveness::Unresponsive(at),
+        }
     }
 
     fn handle(&self, frame: ToEntry) {
--- a/crates/edge/src/link/pool.rs
+++ b/crates/edge/src/link/pool.rs
@@ -16,6 +16,9 @@
 use crate::silence::Silence;
 use crate::suspicion::Suspicion;
 
+#[cfg(test)]
+mod tests;
+
 /// Links by the gate's address. A link is opened on first use and then reused.
 #[derive(Debug)]
 pub struct LinkPool {
