Split the test support off the tests of silent gates

Change: the scripted fleet and the answering gate are in silence/stage.rs; no test changes. Ruled out: the shared support, which unit tests of the crate include too.

--- a/crates/edge/tests/all/silence.rs
+++ b/crates/edge/tests/all/silence.rs
@@ -1,22 +1,19 @@
 //! Attempts that their gates do not confirm in time, with gates played by the test.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use hornbeamhitch_dispatch::overload::{OverloadPart, OverloadParts};
 use hornbeamhitch_edge::prelude::*;
-use hornbeamhitch_standins::raw_caller::RawAnswer;
 use hornbeamhitch_types::load::{SilenceReport, SilentVm};
 use hornbeamhitch_wire::link::{CallId, ToEntry, ToGate};
-use parking_lot::Mutex;
-use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
 
 use crate::support::caller::{Caller, request};
 use crate::support::entry_end::FakeEntry;
 use crate::support::gate_end::{FakeGate, answer};
-use crate::support::{Fleet, fleet, fleet_without, member, set_directory};
+use crate::support::{fleet, fleet_without};
+use stage::{Healthy, Stage};
+
+mod stage;
 
 /// Twice the time after which a gate confirms a call that it has not decided.
 const CONFIRMED: Duration = Duration::from_millis(40);
@@ -25,107 +22,6 @@
 /// Time for which a slow VM sends nothing.
 const SLOW: Duration = Duration::from_millis(300);
 
-/// A fleet in which the targets of service `s` are behind gates that the test plays.
-struct Stage {
-    fleet: Fleet,
-}
-
-impl Stage {
-    async fn new() -> Self {
-        let fleet = fleet(&["other"]).await;
-        Self { fleet }
-    }
-
-    fn ip(number: u8) -> String {
-        format!("127.203.0.{number}")
-    }
-
-    fn member(number: u8) -> Member {
-        let target: SocketAddr = format!("{}:1", Self::ip(number))
-            .parse()
-            .expect("an address");
-        member(usize::from(number), "s", target)
-    }
-
-    /// Binds the gate of a target.
-    async fn listen(&self, number: u8) -> TcpListener {
-        let address = (Self::ip(number), self.fleet.gate_port);
-        let listener = TcpListener::bind((address.0.as_str(), address.1)).await;
-        listener.expect("the gate's port")
-    }
-
-    /// Lists the targets with these numbers.
-    fn list(&self, numbers: &[u8]) {
-        let members = numbers.iter().map(|number| Self::member(*number)).collect();
-        set_directory(&self.fleet.directory, "s", members);
-    }
-
-    fn callers(&self) -> SocketAddr {
-        self.fleet.vms[0].callers
-    }
-
-    fn start(&self, method: &'static str, path: &'static str, id: &'static str) -> Answer {
-        tokio::spawn(request(self.callers(), method, path, id))
-    }
-
-    /// Starts a gate that answers all calls.
-    async fn start_healthy(&self, number: u8) -> Healthy {
-        let listener = self.listen(number).await;
-        let healthy = Healthy::default();
-        let frames = healthy.clone();
-        tokio::spawn(async move {
-            loop {
-                let gate = FakeGate::accept(&listener, 100).await;
-                tokio::spawn(frames.clone().answer_all(gate));
-            }
-        });
-        healthy
-    }
-}
-
-type Answer = JoinHandle<RawAnswer>;
-
-/// A gate that answers all calls, and what it has received.
-#[derive(Clone, Default)]
-struct Healthy {
-    /// Request ids of the calls whose content has arrived.
-    ran: Arc<Mutex<Vec<String>>>,
-    reports: Arc<Mutex<Vec<SilentVm>>>,
-    /// Sent before each answer.
-    report: Arc<Mutex<SilenceReport>>,
-}
-
-impl Healthy {
-    async fn answer_all(self, mut gate: FakeGate) {
-        let mut offers = std::collections::BTreeMap::new();
-        while let Some(frame) = gate.next_unless_closed().await {
-            match frame {
-                ToGate::Ping => gate.send(&ToEntry::Pong).await,
-                ToGate::Call { id, terms, .. } => self.answer(&mut gate, id, &terms).await,
-                ToGate::Offer { id, terms, .. } => {
-                    offers.insert(id, terms);
-                    gate.send(&ToEntry::WantsContent { id }).await;
-                }
-                ToGate::Head { id, .. } => {
-                    let terms = offers.remove(&id).expect("an offer");
-                    self.answer(&mut gate, id, &terms).await;
-                }
-                ToGate::Silence(report) => self.reports.lock().extend(report.vms),
-                _ => {}
-            }
-        }
-    }
-
-    async fn answer(&self, gate: &mut FakeGate, id: CallId, terms: &CallTerms) {
-        self.ran.lock().push(terms.request_id.clone());
-        let report = self.report.lock().clone();
-        if !report.vms.is_empty() {
-            gate.send(&ToEntry::Silence(report)).await;
-        }
-        gate.send(&answer(id, &terms.request_id)).await;
-    }
-}
-
 async fn next_offer(gate: &mut FakeGate) -> CallId {
     match gate.next_including_pings().await {
         ToGate::Offer { id, .. } => id,
