Withdraw attempts without a gap between look and action; further findings of the review

Cause: a review of the merged parts. An attempt that had not been sent at the first look could be sent with its content before it was withdrawn, and then counted as not run. An attempt that found no token of the retry budget was never looked at again. A frame that arrived while silence was recorded was overlooked. One short run at its reserved time erased what long ones owe. A level could begin on two samples around a pause.

Change: the withdrawal decides under the lock that the sending task holds; it is tried again after 50 ms; the last frame is checked again under the lock; the debt is capped by the larger of its bound and itself; a gap of 600 ms restarts the wait for a level.

--- a/crates/dispatch/src/overload/entry_admission.rs
+++ b/crates/dispatch/src/overload/entry_admission.rs
@@ -268,7 +268,7 @@
         // A request that its target rejects takes no slot.
         let run_ms = call.work_ms.0 as f64 * (1.0 - call.rejected_part);
         self.levels
-            .note_arrival(call.service, class, Millis(run_ms as u64), now);
+            .note_arrival(call.service, class, Millis(run_ms.ceil() as u64), now);
         self.levels.level(call.service, call.targets, now)
     }
 
--- a/crates/dispatch/src/overload/service_level.rs
+++ b/crates/dispatch/src/overload/service_level.rs
@@ -28,6 +28,9 @@
 const REPORT_ERROR: f64 = 0.6;
 /// Time for which the demand must exceed the room before calls are refused.
 const BEGIN_AFTER_MS: Millis = Millis(300);
+/// Time without a call after which the demand must exceed the room for that long again. The
+/// process may have been paused, and what it reads then is old.
+const MAX_CALL_GAP_MS: Millis = Millis(600);
 /// Part of the room that is admitted beyond it. Some admitted calls find no free gate in the
 /// few attempts that they have; without a surplus, their slots would stay idle.
 const SURPLUS: f64 = 0.06;
@@ -249,6 +252,9 @@
             self.end();
             return None;
         };
+        if span_ms > MAX_CALL_GAP_MS {
+            self.exceeds_since = None;
+        }
         if !self.is_overloaded {
             self.begin_if_due(&inputs, now);
         }
--- a/crates/dispatch/src/overload/set_aside.rs
+++ b/crates/dispatch/src/overload/set_aside.rs
@@ -34,7 +34,9 @@
         let work_ms = work_ms.0 as f64;
         let refused_part = 1.0 - level.admitted[class.index()].clamp(0.0, 1.0);
         let owed_ms = self.owed_ms.entry(service.clone()).or_default();
-        *owed_ms = (*owed_ms + work_ms * refused_part).min(MAX_OWED_RUNS * work_ms);
+        // A short run does not reduce what is owed for long ones.
+        let max_owed_ms = (MAX_OWED_RUNS * work_ms).max(*owed_ms);
+        *owed_ms = (*owed_ms + work_ms * refused_part).min(max_owed_ms);
     }
 
     /// Returns whether a new call that the level admits must be refused instead, because
--- a/crates/edge/src/entry/call/withdrawal.rs
+++ b/crates/edge/src/entry/call/withdrawal.rs
@@ -8,6 +8,9 @@
 use crate::link::{PendingRequest, Withdrawal};
 use crate::prelude::*;
 
+/// Interval at which an attempt that could not be withdrawn is checked again.
+const RECHECK_INTERVAL_MS: Millis = Millis(50);
+
 impl CallDriver<'_> {
     /// Whether the content of the call is sent only when a gate requests it, so that an
     /// attempt that is withdrawn before then never runs.
@@ -69,11 +72,15 @@
         let is_silent = request.observe_silence(self.attempts[number].sent_at);
         let has_sent_content = request.has_sent_content();
         if has_sent_content && !self.may_repeat_elsewhere(number, now) {
+            // A token of the retry budget may come free.
+            self.check_again(number, now);
             return;
         }
-        let withdrawal = self.pending_request(number).map(PendingRequest::withdraw);
-        if withdrawal != Some(Withdrawal::Withdrawn) {
-            return;
+        let request = self.pending_request(number);
+        match request.map(|request| request.withdraw(has_sent_content)) {
+            Some(Withdrawal::Withdrawn) => {}
+            Some(Withdrawal::ContentSent) => return self.check_again(number, now),
+            Some(Withdrawal::Confirmed) | None => return,
         }
         let service = self.request.service.as_str();
         self.entry.metrics.ask_withdrawn(service);
@@ -91,6 +98,17 @@
         }
     }
 
+    /// Checks an attempt that could not be withdrawn again after a while, if it may be then.
+    fn check_again(&mut self, number: usize, now: Millis) {
+        let route = &self.request.route;
+        let may_repeat =
+            route.kind.is_idempotent() && self.history.arrivals + 1 < route.max_attempts;
+        if may_repeat && now < self.wait_plan.last_start {
+            let confirmation = Confirmation::expect(RECHECK_INTERVAL_MS, now);
+            self.attempts[number].confirmation = Some(confirmation);
+        }
+    }
+
     /// Orders the targets again, without the pause between rounds: no gate has refused the
     /// call, and the remaining candidates were ordered without knowing of this silence.
     fn begin_anew(&mut self) {
--- a/crates/edge/src/link/pending.rs
+++ b/crates/edge/src/link/pending.rs
@@ -50,6 +50,8 @@
     Confirmed,
     /// The attempt was withdrawn. If its content was not sent, it never runs.
     Withdrawn,
+    /// The content was sent meanwhile, so the attempt was not withdrawn.
+    ContentSent,
 }
 
 /// Handle of a request to a gate. Dropping it cancels the request.
@@ -78,10 +80,14 @@
         }
     }
 
-    /// Withdraws the attempt, unless its gate has confirmed it.
-    pub fn withdraw(&self) -> Withdrawal {
+    /// Withdraws the attempt, unless its gate has confirmed it. Where the caller relies on
+    /// the content not being sent, an attempt whose content was sent is not withdrawn.
+    pub fn withdraw(&self, may_have_content: bool) -> Withdrawal {
         let mut state = self.state.0.lock();
         match &*state {
+            SendState::Sent(link, id) if !may_have_content && link.has_sent_content(*id) => {
+                Withdrawal::ContentSent
+            }
             SendState::Sent(link, id) => link.withdraw(*id),
             SendState::Unsent | SendState::Cancelled => {
                 *state = SendState::Cancelled;
--- a/crates/edge/src/link/pool/tests.rs
+++ b/crates/edge/src/link/pool/tests.rs
@@ -19,6 +19,8 @@
 
 fn lookup() -> OutgoingCall {
     OutgoingCall {
+        demand: None,
+        wants_load: false,
         terms: CallTerms {
             target_id: "life-0".to_owned(),
             request_id: "id-1".to_owned(),
--- a/crates/edge/src/silence.rs
+++ b/crates/edge/src/silence.rs
@@ -109,6 +109,10 @@
         }
         let now = self.clock.now();
         let mut known = self.known.lock();
+        // A frame may have arrived since the first look.
+        if last_frame.at().is_some_and(|at| at >= since) {
+            return false;
+        }
         let is_new = known.note_silent(vm, now);
         self.update_flag(&known);
         drop(known);
