Keep an unconfirmed attempt whose content was sent, and hedge it

Ruled out: a longer timeout, which only makes it rarer.

Change: an attempt that its gate has not confirmed is withdrawn only while its content was not sent. Otherwise it counts as an arrival, stays open, and another target is tried beside it with a token of the retry budget, as for a hedge; checked again every 50 ms. A first answer ends the other attempt. Each attempt knows whether it was counted.

--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -105,8 +105,8 @@
     free_at: Option<Millis>,
     /// Whether the request may have run in some target.
     may_have_run: bool,
-    /// Whether an attempt was withdrawn after its content had been sent.
-    has_withdrawn_content: bool,
+    /// Whether a gate did not confirm an attempt whose content was sent.
+    has_unconfirmed_content: bool,
     /// How the last attempt ended, for the log and for choosing the result code.
     last_end: Option<CallEnd>,
     /// A target's error answer, relayed if no other attempt succeeds.
@@ -332,8 +332,11 @@
         let attempt = &mut self.attempts[number];
         attempt.started = Some((now, slowness_percent));
         let target = Arc::clone(&attempt.member);
+        let was_counted = std::mem::replace(&mut attempt.is_counted, true);
         self.entry.state.lock().refusals.note_accepted(&target);
-        self.count_arrival(target.id.clone());
+        if !was_counted {
+            self.count_arrival(target.id.clone());
+        }
         if self.request.route.kind.is_idempotent() {
             self.adopt_inherited(now);
             self.hedge_at = Some(self.hedge_time(now, slowness_percent));
--- a/crates/edge/src/entry/call/ending.rs
+++ b/crates/edge/src/entry/call/ending.rs
@@ -70,7 +70,7 @@
 
     pub(super) fn handle_refusal(&mut self, number: usize, end: CallEnd) -> Option<CallOutcome> {
         let now = self.entry.now();
-        let had_started = self.attempts[number].started.is_some();
+        let was_counted = self.attempts[number].is_counted;
         let target = self.close_attempt(number);
         self.trail.push(&target.id, end.into());
         self.history.last_end = Some(end);
@@ -91,7 +91,7 @@
             return Some(self.final_outcome());
         }
         if !end.reached_target() {
-            if had_started {
+            if was_counted {
                 // It was counted as an arrival when the gate reported its start, but the
                 // gate could not connect to the target.
                 self.history.arrivals = self.history.arrivals.saturating_sub(1);
@@ -166,7 +166,7 @@
         end: CallEnd,
     ) -> Option<CallOutcome> {
         let now = self.entry.now();
-        let was_counted = self.attempts[number].started.is_some();
+        let was_counted = self.attempts[number].is_counted;
         let target = self.close_attempt(number);
         self.trail.push(&target.id, end.into());
         self.entry.state.lock().failures.note_failure(&target, now);
--- a/crates/edge/src/entry/call/selection.rs
+++ b/crates/edge/src/entry/call/selection.rs
@@ -248,6 +248,7 @@
             key,
             sent_at: now,
             confirmation: self.expect_confirmation(&guard, now),
+            is_counted: false,
             started: None,
             lost_incarnation: None,
             guard: Some(guard),
--- a/crates/edge/src/entry/call/withdrawal.rs
+++ b/crates/edge/src/entry/call/withdrawal.rs
@@ -8,7 +8,8 @@
 use crate::link::{PendingRequest, Withdrawal};
 use crate::prelude::*;
 
-/// Interval at which an attempt that could not be withdrawn is checked again.
+/// Interval at which an attempt is checked again that was not withdrawn because its content
+/// was sent.
 const RECHECK_INTERVAL_MS: Millis = Millis(50);
 
 impl CallDriver<'_> {
@@ -21,7 +22,7 @@
         if !self.entry.silence.is_enabled() {
             return false;
         }
-        !self.request.route.kind.is_idempotent() || self.history.has_withdrawn_content
+        !self.request.route.kind.is_idempotent() || self.history.has_unconfirmed_content
     }
 
     /// Returns the confirmation that an attempt needs; none if its gate is in this process.
@@ -70,17 +71,13 @@
             return;
         };
         let is_silent = request.observe_silence(self.attempts[number].sent_at);
-        let has_sent_content = request.has_sent_content();
-        if has_sent_content && !self.may_repeat_elsewhere(number, now) {
-            // A token of the retry budget may come free.
-            self.check_again(number, now);
-            return;
+        if request.has_sent_content() {
+            return self.hedge_unconfirmed(number, now);
         }
-        let request = self.pending_request(number);
-        match request.map(|request| request.withdraw(has_sent_content)) {
-            Some(Withdrawal::Withdrawn) => {}
-            Some(Withdrawal::ContentSent) => return self.check_again(number, now),
-            Some(Withdrawal::Confirmed) | None => return,
+        match request.withdraw() {
+            Withdrawal::Withdrawn => {}
+            Withdrawal::ContentSent => return self.hedge_unconfirmed(number, now),
+            Withdrawal::Confirmed => return,
         }
         let service = self.request.service.as_str();
         self.entry.metrics.ask_withdrawn(service);
@@ -89,23 +86,39 @@
             let mut state = self.entry.state.lock();
             state.reachability.note_unreachable(target.vm_ip());
         }
-        if has_sent_content {
-            self.note_withdrawn_content(target.id.clone());
+        if self.has_open_attempt() {
+            self.hedge_at = Some(now);
+            return;
         }
-        let has_time = now < self.wait_plan.last_start;
-        if has_sent_content || has_time && self.has_other_target(number, now) {
+        if now < self.wait_plan.last_start && self.has_other_target(number, now) {
             self.begin_anew();
         }
     }
 
-    /// Checks an attempt that could not be withdrawn again after a while, if it may be then.
-    fn check_again(&mut self, number: usize, now: Millis) {
-        let route = &self.request.route;
-        let may_repeat =
-            route.kind.is_idempotent() && self.history.arrivals + 1 < route.max_attempts;
-        if may_repeat && now < self.wait_plan.last_start {
-            let confirmation = Confirmation::expect(RECHECK_INTERVAL_MS, now);
-            self.attempts[number].confirmation = Some(confirmation);
+    /// Tries another target beside an attempt whose content was sent and that its gate has
+    /// not confirmed.
+    ///
+    /// The attempt is kept, since its target may run the call: cancelling it would break off
+    /// that run, and the call might find no other target. It counts as an arrival, and the
+    /// hedge needs a token of the retry budget.
+    fn hedge_unconfirmed(&mut self, number: usize, now: Millis) {
+        if !self.request.route.kind.is_idempotent() || now >= self.wait_plan.last_start {
+            return;
+        }
+        let attempt = &mut self.attempts[number];
+        attempt.confirmation = Some(Confirmation::expect(RECHECK_INTERVAL_MS, now));
+        if !attempt.is_counted {
+            attempt.is_counted = true;
+            let target = attempt.member.id.clone();
+            self.history.has_unconfirmed_content = true;
+            self.count_arrival(target);
+        }
+        let open = self
+            .attempts
+            .iter()
+            .filter(|attempt| attempt.guard.is_some());
+        if open.count() == 1 {
+            self.hedge_at = Some(now);
         }
     }
 
@@ -124,30 +137,6 @@
         self.attempts[number].guard.as_ref()?.request()
     }
 
-    /// Whether the call can go on without an attempt whose content was sent. The attempt
-    /// counts as an arrival, and the next one needs a token of the retry budget. Where it
-    /// cannot go on, the call waits for the silent gate.
-    fn may_repeat_elsewhere(&mut self, number: usize, now: Millis) -> bool {
-        let mut others = self.attempts.iter().enumerate();
-        if others.any(|(other, attempt)| other != number && attempt.guard.is_some()) {
-            return true;
-        }
-        let route = &self.request.route;
-        let is_allowed = route.kind.is_idempotent()
-            && self.history.arrivals + 1 < route.max_attempts
-            && now < self.wait_plan.last_start;
-        if !is_allowed || !self.has_other_target(number, now) {
-            return false;
-        }
-        let entries = self.entries();
-        let mut state = self.entry.state.lock();
-        if !state.try_retry(&self.request.service, entries, now) {
-            return false;
-        }
-        self.history.unused_tokens += 1;
-        true
-    }
-
     /// Whether another target can be tried whose VM is not silent.
     fn has_other_target(&self, number: usize, now: Millis) -> bool {
         let tried = &self.attempts[number].member.id;
@@ -164,13 +153,4 @@
         }
         false
     }
-
-    /// Counts an attempt that was withdrawn after its content had been sent. It may have
-    /// run, so its target is not tried again.
-    fn note_withdrawn_content(&mut self, target: TargetId) {
-        self.count_arrival(target);
-        self.history.may_have_run = true;
-        self.history.has_withdrawn_content = true;
-        self.history.last_end = Some(CallEnd::Broken);
-    }
 }
--- a/crates/edge/src/entry/progress.rs
+++ b/crates/edge/src/entry/progress.rs
@@ -46,6 +46,8 @@
     pub(super) sent_at: Millis,
     /// When its gate must have confirmed it; `None` once it has, and if it need not.
     pub(super) confirmation: Option<Confirmation>,
+    /// Whether the attempt counts as an arrival at its target.
+    pub(super) is_counted: bool,
     /// When the target started the call, and its slowness just before, in percent of
     /// its usual time; `None` until it has started.
     pub(super) started: Option<(Millis, u32)>,
--- a/crates/edge/src/link/pending.rs
+++ b/crates/edge/src/link/pending.rs
@@ -48,9 +48,9 @@
 pub enum Withdrawal {
     /// A frame for the attempt has arrived, so it was not withdrawn. Its event follows.
     Confirmed,
-    /// The attempt was withdrawn. If its content was not sent, it never runs.
+    /// The attempt was withdrawn. It never runs.
     Withdrawn,
-    /// The content was sent meanwhile, so the attempt was not withdrawn.
+    /// The content was sent, so the attempt may run and was not withdrawn.
     ContentSent,
 }
 
@@ -80,14 +80,11 @@
         }
     }
 
-    /// Withdraws the attempt, unless its gate has confirmed it. Where the caller relies on
-    /// the content not being sent, an attempt whose content was sent is not withdrawn.
-    pub fn withdraw(&self, may_have_content: bool) -> Withdrawal {
+    /// Withdraws the attempt, unless its gate has confirmed it or its content was sent.
+    pub fn withdraw(&self) -> Withdrawal {
         let mut state = self.state.0.lock();
         match &*state {
-            SendState::Sent(link, id) if !may_have_content && link.has_sent_content(*id) => {
-                Withdrawal::ContentSent
-            }
+            SendState::Sent(link, id) if link.has_sent_content(*id) => Withdrawal::ContentSent,
             SendState::Sent(link, id) => link.withdraw(*id),
             SendState::Unsent | SendState::Cancelled => {
                 *state = SendState::Cancelled;
