--- a/crates/dispatch/src/faults/silence.rs
+++ b/crates/dispatch/src/faults/silence.rs
@@ -1,6 +1,7 @@
 //! Silent VMs: those from which nothing is received in time, as this node and others observe.
 //!
-//! An attempt that its gate does not confirm within [`confirmation_timeout_ms`] is withdrawn.
+//! An attempt that its gate does not confirm within [`confirmation_timeout_ms`] is withdrawn,
+//! or another target is tried beside it if its content was sent.
 //! If no frame at all arrived on the link since the attempt, its VM is silent for this node
 //! until the next frame. Nodes report such observations to each other, so that a VM that two
 //! of them found silent is tried last by the others.
--- a/crates/dispatch/src/gate/room.rs
+++ b/crates/dispatch/src/gate/room.rs
@@ -123,7 +123,7 @@
         self.demand.add(report, now);
     }
 
-    /// Discards what was measured of the target, after the target has restarted.
+    /// Discards the measurements of the target, after the target has restarted.
     pub fn forget_target(&mut self) {
         self.usable = 1.0;
         self.slow_at = None;
--- a/crates/dispatch/src/overload/reject_rate.rs
+++ b/crates/dispatch/src/overload/reject_rate.rs
@@ -3,8 +3,8 @@
 //! A gate sends no more requests than its target has slots, so a rejection by the target
 //! itself is no sign of a queue: the next target, or the same one a moment later, may accept.
 //! The retry budget is too small for all rejected requests once targets reject many. So the
-//! budget goes to calls that can still meet their objective, and a refused caller is told to
-//! retry almost at once, as long as a retry is likely to be accepted.
+//! budget goes to calls that can still meet their objective, and a refusal states a retry time
+//! of a few milliseconds, as long as a retry is likely to be accepted.
 
 use std::collections::HashMap;
 
--- a/crates/dispatch/src/overload/return_schedule.rs
+++ b/crates/dispatch/src/overload/return_schedule.rs
@@ -30,7 +30,7 @@
 const MAX_RESERVATIONS: usize = 4_096;
 /// Wait of a caller while no capacity is expected at all.
 const NO_CAPACITY_WAIT_MS: Millis = Millis(1_000);
-/// Maximum wait that a refused caller is told.
+/// Maximum wait that a refusal states.
 const MAX_WAIT_MS: Millis = Millis(10_000);
 
 /// Identifies a request of a caller across its attempts: its content and its deadline.
--- a/crates/dispatch/src/overload/service_level.rs
+++ b/crates/dispatch/src/overload/service_level.rs
@@ -1,6 +1,6 @@
 //! The admission level of each service, from the load that its gates report.
 //!
-//! All gates report their room and the demand that entries have told them. Demand above the
+//! All gates report their room and the demand that entries have reported to them. Demand above the
 //! room begins a level: the classes are admitted in their order until the room is used up.
 //! Sampling errors must not begin one, so the demand has to exceed the room by more than the
 //! error of a mean of that many reports, and for some time. Once a level has begun, it follows
@@ -23,7 +23,7 @@
 /// targets have reported. Errors of the expected run times are smaller.
 const BEGIN_MARGIN: f64 = 0.1;
 /// Two standard deviations of the demand that a single gate reports, relative to the mean.
-/// An entry reports to one gate at a time, so that a gate hears of some dozen reports in its
+/// An entry reports to one gate at a time, so that a gate receives some dozen reports in its
 /// windows.
 const REPORT_ERROR: f64 = 0.6;
 /// Time for which the demand must exceed the room before calls are refused.
--- a/crates/dispatch/src/overload/service_level/reports.rs
+++ b/crates/dispatch/src/overload/service_level/reports.rs
@@ -106,7 +106,7 @@
     ///
     /// Targets of one data centre are called by the same entries, so the mean of each data
     /// centre stands for its own targets. Otherwise an entry whose near targets are full
-    /// would take the few far ones that it hears of for full as well.
+    /// would take the few far ones that it has reports of for full as well.
     pub(super) fn inputs(&self, targets: usize, now: Millis) -> Option<Inputs> {
         let by_data_centre = self.weigh_fresh(now);
         let reports: usize = by_data_centre.values().map(|weights| weights.reports).sum();
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -288,7 +288,7 @@
     }
 
     /// Extends a sink so that the end of its call is preceded by the silent VMs that the
-    /// entry was not told on this link.
+    /// entry has not received on this link.
     fn reporting_sink(&self, sink: EventSink) -> EventSink {
         let answers = self.answers.clone();
         let reported = Arc::clone(&self.reported);
