Review, cases 2 and 3: bodies and answers that nothing bounds end the process

Cause: a gate holds the bodies of all entries twice and without a bound; an entry holds answers for slow clients without a bound. Beyond memory_mb the platform ends the process, and all other requests on its connections are cut.

Done: two scripts with eight nodes, whose memory a stand-in of the platform limits. Case 1 uses the same start of nodes now.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,5 +1,7 @@
 //! Runs the cases of the review that are scripts.
 
+mod downloads;
+mod memory;
 mod second_answer;
 mod support;
 mod uploads;
@@ -13,6 +15,7 @@
     let path = std::path::Path::new(record);
     let status = match case.as_str() {
         "second-answer" => second_answer::run(path),
+        "downloads" => downloads::run(path),
         "uploads" => uploads::run(path),
         _ => Ok(support::cannot_run("no such case")),
     };
--- a/review/standins/second_answer.rs
+++ b/review/standins/second_answer.rs
@@ -33,15 +33,21 @@
     let record = Record::create(record_path)?;
     let folder = Folder::create("second-answer")?;
     let store = Store::start()?;
-    let ips: Vec<_> = (1..=MACHINES).map(machine_ip).collect();
     let mut servers = Vec::new();
-    for (index, ip) in ips.iter().enumerate() {
+    for index in 0..MACHINES {
         let work: Work = Arc::new(|head, stream| {
             work_for(WORK, stream)?;
             stream.write_all(format!("{}paid\n", ok_head(head, 5)).as_bytes())
         });
         let id = format!("i-{index}");
-        servers.push(Server::start(&id, "cashier", *ip, SLOTS, &record, work)?);
+        servers.push(Server::start(
+            &id,
+            "cashier",
+            machine_ip(index + 1),
+            SLOTS,
+            &record,
+            work,
+        )?);
     }
     let rule = Rule {
         name: "pay",
@@ -51,26 +57,13 @@
         timeout: "1500ms",
     };
     store.put("op/config", &configuration(7, &[rule], &["cashier"]));
-    for server in &servers {
-        server.list(&store);
-    }
-    let ports = Ports::find(&ips)?;
     let bounds = Bounds {
         memory_mb: 260,
         grace: "6s",
     };
-    let mut nodes = Vec::new();
-    for (index, server) in servers.iter().enumerate() {
-        let name = format!("sidecar-{index}");
-        nodes.push(Node::start(
-            &folder.0, &name, server, ports, &store, &bounds,
-        )?);
-    }
-    for node in &nodes {
-        if !node.wait_until_ready() {
-            return Ok(cannot_run("a node did not become ready"));
-        }
-    }
+    let Some(nodes) = start_nodes(&folder, &servers, &store, &bounds)? else {
+        return Ok(cannot_run("a node did not become ready"));
+    };
     // Longer than `stable_window`, so that all machines are in touch.
     thread::sleep(Duration::from_secs(4));
 
--- a/review/standins/support.rs
+++ b/review/standins/support.rs
@@ -800,6 +800,24 @@
     }
 }
 
+/// Lists the servers and starts a node beside each. Returns `None` if one is not ready in time.
+pub fn start_nodes(
+    folder: &Folder,
+    servers: &[Server],
+    store: &Store,
+    bounds: &Bounds,
+) -> io::Result<Option<Vec<Node>>> {
+    let ips: Vec<_> = servers.iter().map(|server| server.address.ip()).collect();
+    let ports = Ports::find(&ips)?;
+    let mut nodes = Vec::new();
+    for (index, server) in servers.iter().enumerate() {
+        server.list(store);
+        let name = format!("sidecar-{index}");
+        nodes.push(Node::start(&folder.0, &name, server, ports, store, bounds)?);
+    }
+    Ok(nodes.iter().all(Node::wait_until_ready).then_some(nodes))
+}
+
 /// A temporary folder, which is removed at the end.
 pub struct Folder(pub PathBuf);
 
