Add a review case: uploads exceed the memory of a gate

The entry reserves memory for bodies, the gate does not, and keeps two copies of each body that it runs. Four clients upload 48 MB each, within the operator's limit of 64 MiB; the stand-in of the platform kills a process that exceeds its memory.

--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -727,7 +727,7 @@
         .map(|name| format!("{{\"name\":\"{name}\",\"health_path\":\"/healthz\"}}"))
         .collect();
     format!(
-        "{{\"version\":\"{version:08x}\",\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout\":\"3s\",\"idle_timeout\":\"15s\"}},\"listeners\":[{{\"host\":\"{host}\",\"rules\":[{}]}}],\"clusters\":[{}]}}",
+        "{{\"version\":\"{version:08x}\",\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout\":\"3s\",\"idle_timeout\":\"15s\"}},\"listeners\":[{{\"host\":\"{host}\",\"rules\":[{}]}}],\"clusters\":[{}]}}",
         rules.join(","),
         clusters.join(",")
     )
