Add a review case: a node never catches up after a burst of configurations

A watch returns all events since the revision that the node knows. Above 16 MiB the response is refused, and the node repeats the same watch until the store drops its history. Done: a script with six real nodes. The store turns two of them away for 3 s while 25 versions of 0.76 MB are acknowledged.

--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -168,7 +168,51 @@
 struct StoreState {
     revision: u64,
     items: BTreeMap<String, Item>,
-    history: Vec<(u64, String, Option<Item>)>,
+    history: Vec<Event>,
+    /// Watches from an earlier revision get status 410.
+    oldest: u64,
+}
+
+/// A change, which the store remembers for [`HISTORY`].
+struct Event {
+    at: Instant,
+    rev: u64,
+    key: String,
+    item: Option<Item>,
+}
+
+/// `platform.history` of the settings.
+const HISTORY: Duration = Duration::from_secs(20);
+
+impl StoreState {
+    fn add_event(&mut self, rev: u64, key: &str, item: Option<Item>) {
+        let now = Instant::now();
+        let key = key.to_owned();
+        self.history.push(Event {
+            at: now,
+            rev,
+            key,
+            item,
+        });
+        while let Some(first) = self.history.first() {
+            if now - first.at < HISTORY {
+                break;
+            }
+            self.oldest = first.rev;
+            self.history.remove(0);
+        }
+    }
+
+    fn drop_old_events(&mut self) {
+        let now = Instant::now();
+        while let Some(first) = self.history.first() {
+            if now - first.at < HISTORY {
+                break;
+            }
+            self.oldest = first.rev;
+            self.history.remove(0);
+        }
+    }
 }
 
 /// The platform's store.
@@ -178,6 +222,19 @@
     state: Arc<(Mutex<StoreState>, Condvar)>,
 }
 
+/// An address of the store.
+pub struct Door {
+    pub address: SocketAddr,
+    closed_until: Arc<Mutex<Option<Instant>>>,
+}
+
+impl Door {
+    /// Answers all reads at this address with status 503 for this long.
+    pub fn close_for(&self, span: Duration) {
+        *self.closed_until.lock().unwrap() = Some(Instant::now() + span);
+    }
+}
+
 fn base64(bytes: &[u8]) -> String {
     const SET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
@@ -212,7 +269,7 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = serving.clone();
-                thread::spawn(move || store.serve(stream));
+                thread::spawn(move || store.serve(stream, &Mutex::default()));
             }
         });
         store
@@ -229,7 +286,7 @@
             created,
         };
         state.items.insert(key.to_owned(), item.clone());
-        state.history.push((rev, key.to_owned(), Some(item)));
+        state.add_event(rev, key, Some(item));
         self.state.1.notify_all();
     }
 
@@ -238,15 +295,44 @@
         state.revision += 1;
         let rev = state.revision;
         state.items.remove(key);
-        state.history.push((rev, key.to_owned(), None));
+        state.add_event(rev, key, None);
         self.state.1.notify_all();
     }
 
-    fn serve(&self, stream: TcpStream) {
+    /// Opens another address of the store, which can turn away whoever reads there.
+    pub fn open_door(&self, ip: IpAddr) -> Door {
+        let listener = TcpListener::bind((ip, 0)).expect("a port for the store");
+        let door = Door {
+            address: listener.local_addr().unwrap(),
+            closed_until: Arc::default(),
+        };
+        let (store, closed_until) = (self.clone(), Arc::clone(&door.closed_until));
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (store, closed_until) = (store.clone(), Arc::clone(&closed_until));
+                thread::spawn(move || store.serve(stream, &closed_until));
+            }
+        });
+        door
+    }
+
+    fn serve(&self, stream: TcpStream, closed_until: &Mutex<Option<Instant>>) {
         let mut conn = Conn::new(stream);
         while let Ok(Some(head)) = conn.head() {
             let path = head.path().to_owned();
-            let (status, body) = self.respond(&path);
+            let is_closed = || {
+                closed_until
+                    .lock()
+                    .unwrap()
+                    .is_some_and(|at| Instant::now() < at)
+            };
+            let (mut status, mut body) = match is_closed() {
+                true => (503, "{}".to_owned()),
+                false => self.respond(&path),
+            };
+            if is_closed() {
+                (status, body) = (503, "{}".to_owned());
+            }
             let text = format!(
                 "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
@@ -267,6 +353,7 @@
                 .unwrap_or_default()
         };
         let mut state = self.state.0.lock().unwrap();
+        state.drop_old_events();
         let prefix = parameter("prefix");
         match endpoint {
             "/v1/kv-range" => {
@@ -306,10 +393,13 @@
             "/v1/kv-watch" => {
                 let after: u64 = parameter("after").parse().unwrap_or(0);
                 let wait_ms: u64 = parameter("wait_ms").parse().unwrap_or(0);
+                if after < state.oldest {
+                    return (410, "{}".to_owned());
+                }
                 let until = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
                 loop {
                     let mut events = Vec::new();
-                    for (rev, key, item) in &state.history {
+                    for Event { rev, key, item, .. } in &state.history {
                         if *rev > after && key.starts_with(&prefix) {
                             events.push(item_json(key, item.as_ref(), *rev));
                         }
