--- a/review/standins-2/cold_gate.rs
+++ b/review/standins-2/cold_gate.rs
@@ -1,5 +1,5 @@
-//! The process beside a cold upstream is killed and started again while the store turns its
-//! machine away.
+//! The process beside a cold upstream is killed and started again; with AWAY=1 while the store
+//! turns its machine away.
 
 #![allow(dead_code)]
 mod rig;
@@ -14,15 +14,15 @@
 
 use rig::{Conn, Journal, Net, Node, Record, Store, TempFolder, Upstream};
 
-const HOST: &str = "kiosk.example";
+const HOST: &str = "results.example";
 /// `warmup` and `warmup_per_s` of the configuration, `cold_over` and `cold_slack` of the bounds.
 const WARMUP: Duration = Duration::from_secs(3);
-const WARMUP_PER_S: f64 = 7.3;
+const WARMUP_PER_S: f64 = 16.0;
 const COLD_OVER: f64 = 1.5;
 const COLD_SLACK: f64 = 8.0;
-/// Work of a short lookup (32 ms on the sheet) at a cold upstream, which takes twice as long.
-const WORK: Duration = Duration::from_millis(64);
-const SLOTS: u32 = 12;
+/// Work of a short lookup (22 ms on the sheet) at a cold upstream, which takes twice as long.
+const WORK: Duration = Duration::from_millis(44);
+const SLOTS: u32 = 8;
 const CLIENTS: usize = 40;
 /// Time until the platform starts an ended process again.
 const RESTART: Duration = Duration::from_millis(300);
@@ -36,7 +36,7 @@
 
 fn configuration() -> String {
     format!(
-        "{{\"version\":\"00000001\",\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}},\"listeners\":[{{\"host\":\"{HOST}\",\"rules\":[{{\"name\":\"fee-check\",\"kind\":\"idempotent\",\"target_latency\":\"600ms\",\"priority\":1,\"match\":{{\"prefix\":\"/pay/\"}},\"action\":{{\"service\":\"cashier\",\"timeout\":\"1500ms\",\"max_attempts\":2}}}}]}}],\"clusters\":[{{\"name\":\"cashier\",\"health_path\":\"/healthz\",\"warmup\":\"3s\",\"warmup_per_s\":{WARMUP_PER_S}}},{{\"name\":\"layouts\",\"health_path\":\"/healthz\",\"warmup\":\"3s\",\"warmup_per_s\":{WARMUP_PER_S}}}]}}"
+        "{{\"version\":\"00000001\",\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}},\"listeners\":[{{\"host\":\"{HOST}\",\"rules\":[{{\"name\":\"precinct-lookup\",\"kind\":\"idempotent\",\"target_latency\":\"600ms\",\"priority\":1,\"match\":{{\"prefix\":\"/lookup/\"}},\"action\":{{\"service\":\"actas\",\"timeout\":\"1500ms\",\"max_attempts\":2}}}}]}}],\"clusters\":[{{\"name\":\"actas\",\"health_path\":\"/healthz\",\"warmup\":\"3s\",\"warmup_per_s\":{WARMUP_PER_S}}},{{\"name\":\"portal\",\"health_path\":\"/healthz\",\"warmup\":\"3s\",\"warmup_per_s\":{WARMUP_PER_S}}}]}}"
     )
 }
 
@@ -44,7 +44,7 @@
     let folder = std::env::args().nth(1).unwrap_or_else(|| ".".to_owned());
     let record = Record::create(Path::new(&folder));
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let is_away = trouble && std::env::var("AWAY").as_deref() != Ok("0");
+    let is_away = trouble && std::env::var("AWAY").as_deref() == Ok("1");
     rig::limit_time();
     let temp = TempFolder::create();
     let net = Net::find(5);
@@ -56,7 +56,7 @@
     let mut nodes = Vec::new();
     let mut doors = Vec::new();
     for (index, ip) in net.ips.iter().enumerate() {
-        let service = if index == 0 { "cashier" } else { "layouts" };
+        let service = if index == 0 { "actas" } else { "portal" };
         let work: rig::Work = Arc::new(|_| b"done".to_vec());
         let mut upstream = Upstream::start(*ip, &format!("i-{index}"), SLOTS, &journal, work);
         if index == 0 {
@@ -76,23 +76,25 @@
         doors.push(door);
     }
     rig::wait_ready(&nodes);
-    record.line("five nodes are ready; one upstream of cashier");
+    record.line("five nodes are ready; one upstream of actas");
     let stop = Arc::new(AtomicBool::new(false));
     let served = Arc::new(AtomicUsize::new(0));
     let mut clients = Vec::new();
     for number in 0..CLIENTS {
         let entry = nodes[1 + number % 4].outbound;
         let (stop, served) = (Arc::clone(&stop), Arc::clone(&served));
-        clients.push(thread::spawn(move || pay(entry, number, &stop, &served)));
+        clients.push(thread::spawn(move || {
+            look_up(entry, number, &stop, &served)
+        }));
     }
     thread::sleep(Duration::from_secs(2));
     seen.lock().unwrap().cold_until = Some(Instant::now() + WARMUP);
     let cold_at = Instant::now();
-    record.line("the upstream of cashier becomes cold");
+    record.line("the upstream of actas becomes cold");
     let kill_ms = std::env::var("KILL_MS")
         .ok()
         .and_then(|text| text.parse().ok());
-    thread::sleep(Duration::from_millis(kill_ms.unwrap_or(1_500)));
+    thread::sleep(Duration::from_millis(kill_ms.unwrap_or(1_250)));
     if is_away {
         doors[0].close_for(Duration::from_secs(5));
         record.line("the store answers 503 to the machine of that upstream for 5 s");
@@ -111,8 +113,8 @@
     }
     let seen = seen.lock().unwrap();
     let cold_until = cold_at + WARMUP;
-    // The first second is left out: its window begins before the upstream became cold.
-    let from = cold_at + Duration::from_secs(1);
+    // The first tenth is left out, in which the node learns that the upstream is cold.
+    let from = cold_at + Duration::from_millis(100);
     let cold: Vec<Instant> = seen
         .arrivals
         .iter()
@@ -126,7 +128,7 @@
             .filter(|at| *at >= first && **at - *first < Duration::from_secs(1));
         most = most.max(window.count());
     }
-    for tenth in 10..30 {
+    for tenth in 1..30 {
         let (begin, end) = (
             Duration::from_millis(tenth * 100),
             Duration::from_millis(tenth * 100 + 100),
@@ -142,7 +144,7 @@
     }
     let bound = (WARMUP_PER_S * COLD_OVER + COLD_SLACK).floor() as usize;
     record.line(&format!(
-        "most requests in one second at the cold upstream: {most}, allowed {bound}; payments served {}",
+        "most requests in one second at the cold upstream: {most}, allowed {bound}; lookups served {}",
         served.load(Ordering::Relaxed)
     ));
     drop(nodes);
@@ -167,7 +169,7 @@
 }
 
 fn serve_connection(conn: &mut Conn, seen: &Mutex<Seen>) -> std::io::Result<()> {
-    let load = "X-Hornbeamhitch-Server-Load: 0,0,12,100\r\n";
+    let load = "X-Hornbeamhitch-Server-Load: 0,0,8,100\r\n";
     while let Some(head) = conn.head()? {
         if head.path() == "/healthz" {
             let until = seen.lock().unwrap().cold_until;
@@ -186,16 +188,16 @@
         thread::sleep(WORK);
         let request = head.field("X-Hornbeamhitch-Request-Id").unwrap_or("");
         let text = format!(
-            "HTTP/1.1 200 OK\r\nX-Hornbeamhitch-Request-Id: {request}\r\nX-Hornbeamhitch-Response-Signature: {}\r\n{load}Content-Length: 4\r\n\r\npaid",
-            rig::digest(b"paid")
+            "HTTP/1.1 200 OK\r\nX-Hornbeamhitch-Request-Id: {request}\r\nX-Hornbeamhitch-Response-Signature: {}\r\n{load}Content-Length: 4\r\n\r\nseen",
+            rig::digest(b"seen")
         );
         conn.stream.write_all(text.as_bytes())?;
     }
     Ok(())
 }
 
-/// Sends payments one after the other; waits a tenth of a second after each refusal.
-fn pay(entry: SocketAddr, client: usize, stop: &AtomicBool, served: &AtomicUsize) {
+/// Sends lookups one after the other; waits a tenth of a second after each refusal.
+fn look_up(entry: SocketAddr, client: usize, stop: &AtomicBool, served: &AtomicUsize) {
     for at in 0.. {
         if stop.load(Ordering::Relaxed) {
             return;
@@ -206,7 +208,7 @@
         let _ = stream.set_read_timeout(Some(Duration::from_secs(2)));
         let mut conn = Conn::new(stream);
         let request = format!(
-            "POST /pay/x HTTP/1.1\r\nHost: {HOST}\r\nX-Hornbeamhitch-Request-Id: pay-{client}-{at}\r\nX-Hornbeamhitch-Deadline-Ms: 1500\r\nContent-Length: 4\r\nConnection: close\r\n\r\ncard"
+            "POST /lookup/x HTTP/1.1\r\nHost: {HOST}\r\nX-Hornbeamhitch-Request-Id: lookup-{client}-{at}\r\nX-Hornbeamhitch-Deadline-Ms: 1500\r\nContent-Length: 4\r\nConnection: close\r\n\r\ncard"
         );
         let _ = conn.stream.write_all(request.as_bytes());
         match conn.head() {
