--- a/crates/edge/src/callers.rs
+++ b/crates/edge/src/callers.rs
@@ -2,6 +2,7 @@
 //! in the order of their requests.
 
 mod connection;
+mod phase;
 
 use std::sync::Arc;
 
@@ -11,6 +12,8 @@
 use crate::entry::Entry;
 use crate::sockets;
 use connection::Connection;
+use hornbeamhitch_dispatch::resources::limits::Listener;
+use phase::ConnectionPhase;
 
 /// How far a node has come in its shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -36,7 +39,7 @@
 
 impl CallerServer {
     /// Serves until every connection has ended after [`DrainPhase::Closing`].
-    pub async fn serve(self, listener: TcpListener) {
+    pub async fn serve(self, socket: TcpListener) {
         let Self {
             entry,
             mut drain_phase,
@@ -48,22 +51,17 @@
             // Closing it would reset callers that may have sent requests already.
             let accepted = tokio::select! {
                 biased;
-                accepted = listener.accept() => accepted,
+                accepted = sockets::accept(&socket, Listener::Callers, entry.resources()) => accepted,
                 _ = drain_phase.wait_for(|drain_phase| *drain_phase == DrainPhase::Closing) => break,
             };
-            let (stream, peer) = match accepted {
-                Ok(accepted) => accepted,
-                Err(error) => {
-                    log::warn!("cannot accept a caller's connection: {error}");
-                    tokio::time::sleep(sockets::ACCEPT_PAUSE).await;
-                    continue;
-                }
+            let Some((stream, peer, registration)) = accepted else {
+                continue;
             };
-            sockets::prepare(&stream);
             let connection = Connection {
                 entry: Arc::clone(&entry),
                 drain_phase: drain_phase.clone(),
                 peer: peer.ip(),
+                phase: Arc::new(ConnectionPhase::new(registration)),
             };
             let open = open.clone();
             tokio::spawn(async move {
@@ -71,7 +69,7 @@
                 drop(open);
             });
         }
-        drop((listener, open));
+        drop((socket, open));
         let _ = all_closed.recv().await;
     }
 }
--- a/crates/edge/src/callers/connection.rs
+++ b/crates/edge/src/callers/connection.rs
@@ -2,9 +2,10 @@
 
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use bytes::Buf;
+use hornbeamhitch_dispatch::resources::limits::{ORDINARY_BODY_BYTES, ORDINARY_REQUEST_BYTES};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -13,16 +14,18 @@
 use tokio::time::Instant;
 
 use super::DrainPhase;
+use super::phase::ConnectionPhase;
 use crate::entry::{
     AnsweredRequest, CallerAnswer, CallerRequest, ConnectionCalls, Entry, ServedAnswer,
 };
 use crate::http1::{self, HeadFault, HttpReader, ReadFault, RequestHead};
 use crate::prelude::*;
+use crate::resources::{Charge, ChargedBody, Patience};
 
 /// Maximum number of requests of one connection that are served concurrently.
 /// Further ones are not read, so that one caller cannot exhaust the node's memory.
 const MAX_PIPELINED: usize = 32;
-/// A connection is closed if writing one answer takes longer than this.
+/// A connection is closed if its caller reads nothing of an answer for this long.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// How long a connection that the node closes waits for the caller to close it too.
@@ -46,14 +49,26 @@
 struct ReadyAnswer {
     served: ServedAnswer,
     ready_at: Instant,
+    /// The memory of the request and its answer; `None` if the request was not read.
+    charge: Option<Charge>,
 }
 
 impl ReadyAnswer {
     /// Creates an answer that is ready now.
-    fn now(served: ServedAnswer) -> Self {
+    fn now(served: ServedAnswer, charge: Option<Charge>) -> Self {
         Self {
             served,
             ready_at: Instant::now(),
+            charge,
+        }
+    }
+
+    /// Memory that is released once the answer is written, in bytes.
+    fn held_bytes(&self) -> u64 {
+        let body_bytes = self.served.answer.body.len() as u64;
+        match body_bytes > ORDINARY_BODY_BYTES {
+            true => ORDINARY_REQUEST_BYTES + body_bytes,
+            false => ORDINARY_REQUEST_BYTES,
         }
     }
 }
@@ -64,6 +79,8 @@
     pub(super) drain_phase: watch::Receiver<DrainPhase>,
     /// Address of the caller.
     pub(super) peer: IpAddr,
+    /// What the connection does.
+    pub(super) phase: Arc<ConnectionPhase>,
 }
 
 /// Why no further request is read.
@@ -75,25 +92,32 @@
 }
 
 impl Connection {
-    /// Serves requests until either side ends the connection.
+    /// Serves requests until either side ends the connection, or it is closed for others.
     pub(super) async fn serve(self, stream: TcpStream) {
+        let phase = Arc::clone(&self.phase);
+        tokio::select! {
+            () = self.serve_requests(stream) => {}
+            () = phase.registration().must_close() => {}
+        }
+    }
+
+    async fn serve_requests(self, stream: TcpStream) {
         let (reader, writer) = stream.into_split();
         let (outgoing, to_write) = mpsc::channel(MAX_PIPELINED);
-        let unanswered = Arc::new(AtomicUsize::new(0));
         let mut request_reader = RequestReader {
             entry: Arc::clone(&self.entry),
             drain_phase: self.drain_phase.clone(),
             peer: self.peer,
             reader: HttpReader::new(reader),
             outgoing,
-            unanswered: Arc::clone(&unanswered),
+            phase: Arc::clone(&self.phase),
             calls: JoinSet::new(),
             open_calls: ConnectionCalls::default(),
         };
         let answer_writer = AnswerWriter {
             entry: self.entry,
             writer,
-            unanswered,
+            phase: self.phase,
             previous: AnsweredRequest::default(),
         };
         let writing = answer_writer.run(to_write);
@@ -132,8 +156,7 @@
     peer: IpAddr,
     reader: HttpReader<OwnedReadHalf>,
     outgoing: mpsc::Sender<Outgoing>,
-    /// Number of requests that were read and not answered yet.
-    unanswered: Arc<AtomicUsize>,
+    phase: Arc<ConnectionPhase>,
     /// Calls in flight; dropping them cancels them.
     calls: JoinSet<()>,
     /// Those calls in the order of their requests.
@@ -152,6 +175,7 @@
             // from the complete head, a slow head would let the target work beyond
             // the time that the caller waits.
             let arrived = self.entry.now();
+            self.phase.begin_request();
             let limits = self.entry.caller_limits();
             let head_timeout = limits.header_timeout_ms.to_duration();
             let reading = self.reader.request_head(limits.header_bytes);
@@ -186,7 +210,7 @@
                 }
                 () = tokio::time::sleep(idle_timeout.to_duration()) => {}
             }
-            if self.unanswered.load(Ordering::Acquire) == 0 {
+            if self.phase.is_answered() {
                 return Ok(false);
             }
         }
@@ -208,12 +232,13 @@
             return Err(Stop::CallerLeft);
         }
         let body_timeout = self.entry.body_timeout_ms(&head).to_duration();
-        let mut reservation = self.entry.reserve_body();
-        let reading = self
-            .reader
-            .body_within(framing, limits.body_bytes, |bytes| {
-                reservation.grow_to(bytes)
-            });
+        let resources = self.entry.resources();
+        let Some(charge) = resources.hold_request().await else {
+            return Err(self.refuse(&ReadFault::NoRoom).await);
+        };
+        let memory = ChargedBody::new(resources, Patience::Relief);
+        let memory = memory.from_connection(self.phase.registration());
+        let reading = self.reader.body_within(framing, limits.body_bytes, memory);
         let body = match tokio::time::timeout(body_timeout, reading).await {
             Ok(Ok(body)) => body,
             Ok(Err(fault)) => return Err(self.refuse(&fault).await),
@@ -233,30 +258,35 @@
             is_head: head.method == "HEAD",
             keep_alive,
         };
-        self.unanswered.fetch_add(1, Ordering::AcqRel);
+        self.phase.end_request();
         if self.outgoing.send(outgoing).await.is_err() {
             return Err(Stop::CallerLeft);
         }
-        self.start(
-            CallerRequest {
-                head,
-                body,
-                arrived,
-                peer: self.peer,
-                reservation,
-                on_connection: self.open_calls.open(),
-            },
-            sender,
-        );
+        let request = CallerRequest {
+            head,
+            body,
+            arrived,
+            peer: self.peer,
+            on_connection: self.open_calls.open(),
+        };
+        self.start(request, charge, sender);
         Ok(keep_alive)
     }
 
-    fn start(&mut self, request: CallerRequest, sender: oneshot::Sender<ReadyAnswer>) {
+    fn start(
+        &mut self,
+        request: CallerRequest,
+        charge: Charge,
+        sender: oneshot::Sender<ReadyAnswer>,
+    ) {
         let entry = Arc::clone(&self.entry);
+        let phase = Arc::clone(&self.phase);
         self.calls.spawn(async move {
             let served = entry.serve(request).await;
+            let ready = ReadyAnswer::now(served, Some(charge));
+            phase.registration().add_held(ready.held_bytes());
             // Sending fails if the connection has ended in the meantime.
-            let _ = sender.send(ReadyAnswer::now(served));
+            let _ = sender.send(ready);
         });
     }
 
@@ -267,7 +297,7 @@
             ReadFault::Head(HeadFault::TooLarge) => CallerAnswer::plain(431, "head too large"),
             ReadFault::Head(fault) => CallerAnswer::plain(400, &fault.to_string()),
             ReadFault::BodyTooLarge => CallerAnswer::plain(413, "body too large"),
-            ReadFault::NoRoom => self.entry.body_memory_exhausted(),
+            ReadFault::NoRoom => self.entry.memory_exhausted(),
         };
         log::info!("rejected a request that could not be read: {fault}");
         self.answer_and_stop(answer).await
@@ -277,13 +307,13 @@
     async fn answer_and_stop(&mut self, answer: CallerAnswer) -> Stop {
         let (sender, receiver) = oneshot::channel();
         let request = AnsweredRequest::default();
-        let _ = sender.send(ReadyAnswer::now(ServedAnswer { answer, request }));
+        let _ = sender.send(ReadyAnswer::now(ServedAnswer { answer, request }, None));
         let outgoing = Outgoing::Answer {
             answer: receiver,
             is_head: false,
             keep_alive: false,
         };
-        self.unanswered.fetch_add(1, Ordering::AcqRel);
+        self.phase.end_request();
         match self.outgoing.send(outgoing).await {
             Ok(()) => Stop::AnswersDue,
             Err(_) => Stop::CallerLeft,
@@ -295,8 +325,7 @@
 struct AnswerWriter {
     entry: Arc<Entry>,
     writer: OwnedWriteHalf,
-    /// Number of requests that were read and not answered yet.
-    unanswered: Arc<AtomicUsize>,
+    phase: Arc<ConnectionPhase>,
     /// The request that was answered last.
     previous: AnsweredRequest,
 }
@@ -309,7 +338,7 @@
     async fn run(mut self, mut to_write: mpsc::Receiver<Outgoing>) {
         while let Some(outgoing) = to_write.recv().await {
             let is_written = match outgoing {
-                Outgoing::Continue => self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await,
+                Outgoing::Continue => self.write(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await,
                 Outgoing::Answer {
                     answer,
                     is_head,
@@ -319,7 +348,6 @@
                     let Ok(ready) = answer.await else {
                         return;
                     };
-                    self.unanswered.fetch_sub(1, Ordering::AcqRel);
                     self.write_answer(ready, is_head, keep_alive).await
                 }
             };
@@ -333,24 +361,41 @@
 
     /// Writes an answer. Returns false if the connection is broken.
     async fn write_answer(&mut self, ready: ReadyAnswer, is_head: bool, keep_alive: bool) -> bool {
-        let ServedAnswer { answer, request } = ready.served;
-        let body = (!is_head).then_some(answer.body.as_ref());
-        let bytes = http1::response_bytes(answer.status, &answer.fields, body, !keep_alive);
-        if !self.write(&bytes).await {
+        self.phase.begin_answer();
+        let held_bytes = ready.held_bytes();
+        let ReadyAnswer {
+            served: ServedAnswer { answer, request },
+            ready_at,
+            charge,
+        } = ready;
+        let body = (!is_head).then_some(answer.body);
+        let encoded = http1::response(answer.status, &answer.fields, body, !keep_alive);
+        if !self.write(encoded.into_buf()).await {
             return false;
         }
-        let held = ready.ready_at.elapsed();
+        if charge.is_some() {
+            self.phase.registration().remove_held(held_bytes);
+        }
+        self.phase.end_answer();
+        let held = ready_at.elapsed();
         self.entry.record_held(&request, &self.previous, held);
         self.previous = request;
         true
     }
 
     /// Writes bytes. Returns false if the connection is broken or its caller reads nothing.
-    async fn write(&mut self, bytes: &[u8]) -> bool {
-        let writing = self.writer.write_all(bytes);
-        matches!(
-            tokio::time::timeout(WRITE_TIMEOUT, writing).await,
-            Ok(Ok(()))
-        )
+    async fn write(&mut self, mut bytes: impl Buf) -> bool {
+        let mut written_bytes = 0;
+        while bytes.has_remaining() {
+            let writing = self.writer.write_buf(&mut bytes);
+            match tokio::time::timeout(WRITE_TIMEOUT, writing).await {
+                Ok(Ok(count)) if count > 0 => written_bytes += count as u64,
+                _ => return false,
+            }
+            if bytes.has_remaining() {
+                self.phase.registration().set_moved(written_bytes);
+            }
+        }
+        true
     }
 }
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -5,6 +5,7 @@
 use hornbeamhitch_dispatch::gate::warm_up::WarmUpTolerance;
 use hornbeamhitch_dispatch::overload::OverloadParts;
 use hornbeamhitch_dispatch::overload::retry_budget::RetryLimit;
+use hornbeamhitch_dispatch::resources::limits::ResourceLimits;
 use hornbeamhitch_dispatch::routing::regions::Regions;
 
 use crate::prelude::*;
@@ -35,8 +36,8 @@
     pub metrics_address: Option<SocketAddr>,
     /// Address at which this node connects to the target on its VM.
     pub target_address: SocketAddr,
-    /// Maximum number of bytes of request bodies that the node buffers at once.
-    pub buffered_bytes: u64,
+    /// Limits on what the process holds for its peers.
+    pub resources: ResourceLimits,
     /// Time within which a change of configuration or targets must be in force.
     pub in_force_ms: Millis,
     /// Time between SIGTERM and SIGKILL.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -9,10 +9,10 @@
 use arc_swap::ArcSwap;
 use eyre::{Result, WrapErr};
 use hornbeamhitch_dispatch::knowledge::waits::Waits;
+use hornbeamhitch_dispatch::resources::limits::Listener;
 use hornbeamhitch_node::listener::bind_std;
 use hornbeamhitch_node::logs::LogHandle;
 use hornbeamhitch_node::metrics::{MemberLevels, Metrics};
-use hornbeamhitch_node::uploads::UploadLimits;
 use hornbeamhitch_types::prelude::ConfigVersion;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -27,14 +27,12 @@
 use crate::gate::{Gate, GateParts};
 use crate::link::LinkServer;
 use crate::prelude::*;
+use crate::resources::Resources;
 use crate::source::SharedSource;
 use crate::status::StatusServer;
 use crate::suspicion::Suspicion;
 use crate::target::TargetClient;
 
-/// A request body of which nothing arrives for this long is abandoned. The caller's
-/// deadline nearly always ends it sooner.
-const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Interval at which settings are reread, since they may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval at which the state of removed targets and routes is dropped.
@@ -141,9 +139,15 @@
         settings,
     ))?;
     let suspicion = Arc::new(Suspicion::new(clock));
+    let resources = Resources::new(config.resources, clock);
     let gate = Arc::new(Gate::new(GateParts {
         service: config.service.clone(),
-        target: TargetClient::new(config.target_address, Arc::clone(&dialect), clock),
+        target: TargetClient::new(
+            config.target_address,
+            Arc::clone(&dialect),
+            clock,
+            resources,
+        ),
         directory: Arc::clone(&directory),
         dialect: Arc::clone(&dialect),
         clock,
@@ -170,7 +174,6 @@
         suspicion: Arc::clone(&suspicion),
         retry_limit: config.tunables.retry_limit,
         overload_off: config.tunables.overload_off,
-        uploads: UploadLimits::new(BODY_IDLE_TIMEOUT, config.buffered_bytes),
         seed: rand::random(),
     }));
     let gauges_directory = Arc::clone(&directory);
@@ -196,9 +199,13 @@
         drain_phase,
     };
     tokio::spawn(links.accept(listen(sockets.links)?));
-    tokio::spawn(status.clone().accept(listen(sockets.readiness)?));
+    tokio::spawn(
+        status
+            .clone()
+            .accept(listen(sockets.readiness)?, Listener::Readiness),
+    );
     if let Some(metrics) = sockets.metrics {
-        tokio::spawn(status.accept(listen(metrics)?));
+        tokio::spawn(status.accept(listen(metrics)?, Listener::Metrics));
     }
     let serving = tokio::spawn(callers.serve(listen(sockets.callers)?));
     tokio::spawn(probe_other_vms(Arc::clone(&entry)));
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -22,7 +22,6 @@
 use hornbeamhitch_dispatch::overload::{OverloadPart, OverloadParts};
 use hornbeamhitch_dispatch::routing::regions::Regions;
 use hornbeamhitch_node::metrics::Metrics;
-use hornbeamhitch_node::uploads::{Reservation, UploadLimits};
 use parking_lot::Mutex;
 use rand::RngExt;
 
@@ -31,6 +30,7 @@
 use crate::http1::{self, RequestHead};
 use crate::link::LinkPool;
 use crate::prelude::*;
+use crate::resources::Resources;
 use crate::silence::Silence;
 use crate::suspicion::{self, Suspicion};
 use answer::CallOutcome;
@@ -48,9 +48,9 @@
 /// `Retry-After` of refusals while the configuration in force may be outdated. The
 /// transfer of the newer one takes tenths of a second.
 const OUTDATED_CONFIGURATION_RETRY_MS: Millis = Millis(300);
-/// `Retry-After` of refusals while no memory is left for a body. The bodies that
-/// fill the memory belong to calls that end within a second.
-const BODY_MEMORY_RETRY_MS: Millis = Millis(500);
+/// `Retry-After` of refusals while no memory is left. What fills the memory belongs to
+/// calls that end within a second, or to slow peers that are closed after as long.
+const MEMORY_RETRY_MS: Millis = Millis(500);
 /// Reason under which the refusal of a call that no gate accepted is counted.
 const NO_ROOM: &str = "no-room";
 /// Upper limit on the deadline that a caller may request.
@@ -67,8 +67,6 @@
     pub arrived: Millis,
     /// Address from which the connection was opened.
     pub peer: std::net::IpAddr,
-    /// Memory reserved for the body, released once the answer is known.
-    pub reservation: Reservation,
     /// Place of the call on its connection.
     pub on_connection: ConnectionCall,
 }
@@ -106,8 +104,6 @@
     pub retry_limit: RetryLimit,
     /// Parts of overload control that are switched off.
     pub overload_off: OverloadParts,
-    /// Memory and time limits on request bodies.
-    pub uploads: UploadLimits,
     /// Seed of the entry's random numbers.
     pub seed: u64,
 }
@@ -132,7 +128,6 @@
     incarnation: Incarnation,
     metrics: Arc<Metrics>,
     suspicion: Arc<Suspicion>,
-    uploads: UploadLimits,
     state: Mutex<EntryState>,
     last_key: AtomicU64,
 }
@@ -142,6 +137,7 @@
     #[must_use]
     pub fn new(parts: EntryParts) -> Self {
         let silence = Arc::clone(parts.gate.silence());
+        let resources = Arc::clone(parts.gate.resources());
         let state = EntryState::new(parts.seed, parts.retry_limit, parts.overload_off);
         silence.set_enabled(state.admission.has(OverloadPart::SilenceBound));
         Self {
@@ -156,6 +152,7 @@
                 Arc::clone(&parts.suspicion),
                 Arc::clone(&parts.directory),
                 Arc::clone(&silence),
+                resources,
             )),
             silence,
             directory: parts.directory,
@@ -165,7 +162,6 @@
             incarnation: parts.incarnation,
             metrics: parts.metrics,
             suspicion: parts.suspicion,
-            uploads: parts.uploads,
             state: Mutex::new(state),
             last_key: AtomicU64::new(0),
         }
@@ -186,17 +182,17 @@
         routes.map_or_else(CallerLimits::default, |routes| *routes.limits())
     }
 
-    /// Creates an empty memory reservation that grows while a body arrives.
+    /// Returns what the process holds for its peers.
     #[must_use]
-    pub fn reserve_body(&self) -> Reservation {
-        self.uploads.reserve()
+    pub fn resources(&self) -> &Arc<Resources> {
+        self.gate.resources()
     }
 
-    /// Returns the refusal for a request whose body does not fit into memory. The
-    /// request has not run.
+    /// Returns the refusal for a request that does not fit into memory. The request has
+    /// not run.
     #[must_use]
-    pub fn body_memory_exhausted(&self) -> CallerAnswer {
-        CallOutcome::refused(ResultCode::Overloaded, BODY_MEMORY_RETRY_MS).answer
+    pub fn memory_exhausted(&self) -> CallerAnswer {
+        CallOutcome::refused(ResultCode::Overloaded, MEMORY_RETRY_MS).answer
     }
 
     /// Returns how long the body may take to arrive: the caller's own deadline, or
--- a/crates/edge/src/entry/call.rs
+++ b/crates/edge/src/entry/call.rs
@@ -15,7 +15,6 @@
 use hornbeamhitch_dispatch::overload::urgency::Urgency;
 use hornbeamhitch_dispatch::overload::work::WorkEstimate;
 use hornbeamhitch_dispatch::placement::order::Candidate;
-use hornbeamhitch_node::uploads::Reservation;
 use tokio::sync::mpsc;
 
 use super::answer::CallOutcome;
@@ -63,8 +62,6 @@
     body: Bytes,
     /// Place of the call on its connection.
     on_connection: ConnectionCall,
-    /// Memory reserved for the body until the call ends.
-    _reservation: Reservation,
     deadline_at: Millis,
     /// End of the deadline that the caller has stated.
     requested_until: Millis,
@@ -140,7 +137,6 @@
             head,
             body,
             arrived,
-            reservation,
             on_connection,
             ..
         } = parts.request;
@@ -152,7 +148,6 @@
             head: outgoing_head(entry, head),
             body,
             on_connection,
-            _reservation: reservation,
             route: parts.route,
             service: parts.service,
             request_id: parts.request_id,
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -25,12 +25,14 @@
 use hornbeamhitch_dispatch::gate::room::RoomMeter;
 use hornbeamhitch_dispatch::gate::warm_up::WarmUpTolerance;
 use hornbeamhitch_dispatch::knowledge::waits::Waits;
+use hornbeamhitch_dispatch::resources::limits::ORDINARY_BODY_BYTES;
 use hornbeamhitch_node::metrics::{GateLevels, Metrics};
 use hornbeamhitch_types::status::SuspectState;
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
 use crate::prelude::*;
+use crate::resources::{Patience, Resources};
 use crate::silence::Silence;
 use crate::source::SharedSource;
 use crate::suspicion::{Suspicion, TrialGuard};
@@ -38,7 +40,9 @@
 use guards::{QueueGuard, SlotGuard};
 pub use load::LoadReports;
 use records::{FenceResult, Records};
-pub use request::{CallContent, CallGuard, EventSink, GateEvent, GateRequest, WholeCall};
+pub use request::{
+    CallContent, CallGuard, DeferredCall, EventSink, GateEvent, GateRequest, WholeCall,
+};
 use run::Run;
 use running::RunningCalls;
 use speed::SpeedProbe;
@@ -145,6 +149,12 @@
         }
     }
 
+    /// Returns what the process holds for its peers.
+    #[must_use]
+    pub const fn resources(&self) -> &Arc<Resources> {
+        self.target.resources()
+    }
+
     /// Returns the silent VMs that this node knows of. Its entry and its links share them.
     #[must_use]
     pub const fn silence(&self) -> &Arc<Silence> {
@@ -432,7 +442,7 @@
     }
 
     /// Returns the call's head and body, and requests them from the entry if they were
-    /// deferred.
+    /// deferred. A long body is requested only if there is memory for it.
     async fn receive_whole_call(
         &self,
         content: CallContent,
@@ -443,9 +453,20 @@
             CallContent::Whole(whole) => return Ok(whole),
             CallContent::Deferred(deferred) => deferred,
         };
+        let DeferredCall {
+            body_bytes,
+            permit,
+            whole,
+        } = deferred;
+        let mut charge = None;
+        if body_bytes > ORDINARY_BODY_BYTES {
+            let holding = self.resources().hold_body(body_bytes, Patience::Relief);
+            charge = Some(holding.await.ok_or(CallEnd::Busy)?);
+        }
+        permit(charge);
         sink(GateEvent::WantsContent);
         let deadline = self.clock.to_instant(deadline_at);
-        match tokio::time::timeout_at(deadline, deferred).await {
+        match tokio::time::timeout_at(deadline, whole).await {
             Ok(Ok(whole)) => Ok(whole),
             // The link was lost, or the deadline has passed.
             Ok(Err(_)) | Err(_) => Err(CallEnd::Late),
--- a/crates/edge/src/gate/request.rs
+++ b/crates/edge/src/gate/request.rs
@@ -4,6 +4,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::prelude::*;
+use crate::resources::Charge;
 
 /// A call that is submitted to the gate.
 #[derive(Debug)]
@@ -20,7 +21,25 @@
     /// Head and body are available.
     Whole(WholeCall),
     /// Head and body follow after [`GateEvent::WantsContent`].
-    Deferred(oneshot::Receiver<WholeCall>),
+    Deferred(DeferredCall),
+}
+
+/// A request whose head or body follows.
+pub struct DeferredCall {
+    /// Length of the body.
+    pub body_bytes: u64,
+    /// Permits the content to arrive, with the memory of a long body.
+    pub permit: Box<dyn FnOnce(Option<Charge>) + Send>,
+    /// Receives the content.
+    pub whole: oneshot::Receiver<WholeCall>,
+}
+
+impl std::fmt::Debug for DeferredCall {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("DeferredCall")
+            .field("body_bytes", &self.body_bytes)
+            .finish_non_exhaustive()
+    }
 }
 
 /// A request with its complete body.
--- a/crates/edge/src/gate/run.rs
+++ b/crates/edge/src/gate/run.rs
@@ -23,7 +23,7 @@
     pub(super) slot: &'a SlotGuard<'a>,
     pub(super) terms: &'a CallTerms,
     pub(super) head: &'a CallHead,
-    pub(super) body: &'a [u8],
+    pub(super) body: &'a Bytes,
     pub(super) deadline_at: Millis,
     /// Slowness of the target at the start, in percent of its usual run time.
     pub(super) slowness_percent: u32,
@@ -249,7 +249,7 @@
             method: method.clone(),
             request_id: Some(run.terms.request_id.clone()),
             is_idempotent: run.terms.idempotent,
-            bytes: http1::request_bytes(method, path, &fields, run.body).freeze(),
+            encoded: http1::request(method, path, &fields, run.body.clone()),
         }
     }
 
--- a/crates/edge/src/gate/speed.rs
+++ b/crates/edge/src/gate/speed.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use hornbeamhitch_dispatch::gate::admission::SpeedReading;
 use hornbeamhitch_dispatch::gate::stated_limit::LimitSource;
 
@@ -156,7 +157,7 @@
             method: "GET".to_owned(),
             request_id: None,
             is_idempotent: true,
-            bytes: http1::request_bytes("GET", path, &[host], &[]).freeze(),
+            encoded: http1::request("GET", path, &[host], Bytes::new()),
         };
         let exchanging = probe.target.exchange(&exchange, || {});
         let answer = match tokio::time::timeout(PROBE_TIMEOUT, exchanging).await {
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -15,5 +15,5 @@
 
 pub use body::Framing;
 pub use head::{HeadFault, RequestHead, ResponseHead, field, has_token, strip_hop_by_hop};
-pub use stream::{HttpReader, ReadFault};
-pub use write::{request_bytes, response_bytes};
+pub use stream::{BodyMemory, HttpReader, ReadFault};
+pub use write::{Encoded, request, response};
--- a/crates/edge/src/http1/stream.rs
+++ b/crates/edge/src/http1/stream.rs
@@ -31,6 +31,41 @@
     Io(#[from] std::io::Error),
 }
 
+/// The memory that a body takes while it arrives.
+pub trait BodyMemory: Send {
+    /// Reserves memory for a body of this length in bytes; returns false if none is left.
+    fn make_room(&mut self, bytes: u64) -> impl Future<Output = bool> + Send;
+
+    /// Returns the capacity that a body of at least this length gets, so that it need not be
+    /// copied while it grows.
+    fn capacity(&self, bytes: u64) -> usize;
+
+    /// Observes how many bytes have been received.
+    fn note_received(&mut self, bytes: u64);
+
+    /// Returns the complete body.
+    fn finish(self, body: BytesMut) -> Bytes;
+}
+
+/// The memory of a body that is limited by its length alone.
+struct UnboundedMemory;
+
+impl BodyMemory for UnboundedMemory {
+    async fn make_room(&mut self, _: u64) -> bool {
+        true
+    }
+
+    fn capacity(&self, _: u64) -> usize {
+        0
+    }
+
+    fn note_received(&mut self, _: u64) {}
+
+    fn finish(self, body: BytesMut) -> Bytes {
+        body.freeze()
+    }
+}
+
 /// Buffered reader of HTTP/1 messages.
 #[derive(Debug)]
 pub struct HttpReader<R> {
@@ -124,13 +159,11 @@
     ///
     /// The body is truncated, exceeds `max_bytes`, or its framing is malformed.
     pub async fn body(&mut self, framing: Framing, max_bytes: u64) -> Result<Bytes, ReadFault> {
-        self.body_within(framing, max_bytes, |_| true).await
+        self.body_within(framing, max_bytes, UnboundedMemory).await
     }
 
-    /// Reads a whole body, as [`Self::body`] does, while `has_room` allows it.
-    ///
-    /// `has_room` gets the length that was read so far and returns whether memory for
-    /// it is available.
+    /// Reads a whole body, as [`Self::body`] does, into memory that is limited. The memory
+    /// for a body of stated length is reserved before any of it is read.
     ///
     /// # Errors
     ///
@@ -139,32 +172,42 @@
         &mut self,
         framing: Framing,
         max_bytes: u64,
-        mut has_room: impl FnMut(usize) -> bool,
+        mut memory: impl BodyMemory,
     ) -> Result<Bytes, ReadFault> {
-        if let Framing::Length(length) = framing
-            && length > max_bytes
-        {
-            return Err(ReadFault::BodyTooLarge);
+        let mut body = BytesMut::new();
+        if let Framing::Length(length) = framing {
+            if length > max_bytes {
+                return Err(ReadFault::BodyTooLarge);
+            }
+            if !memory.make_room(length).await {
+                return Err(ReadFault::NoRoom);
+            }
+            body.reserve(memory.capacity(length));
         }
         let mut decoder = Decoder::new(framing);
-        let mut body = BytesMut::new();
         loop {
             let step = decoder.step(&mut self.buffer, &mut body)?;
-            if body.len() as u64 > max_bytes {
+            let received_bytes = body.len() as u64;
+            if received_bytes > max_bytes {
                 return Err(ReadFault::BodyTooLarge);
             }
-            if !has_room(body.len()) {
+            if !memory.make_room(received_bytes).await {
                 return Err(ReadFault::NoRoom);
             }
+            let capacity = memory.capacity(received_bytes);
+            if capacity > body.capacity() {
+                body.reserve(capacity - body.len());
+            }
+            memory.note_received(received_bytes);
             if step == Step::Done {
-                return Ok(body.freeze());
+                return Ok(memory.finish(body));
             }
             if self.fill().await? > 0 {
                 continue;
             }
             // `fill` fails on a reset, so only a clean close ends such a body.
             if framing == Framing::UntilClose {
-                return Ok(body.freeze());
+                return Ok(memory.finish(body));
             }
             return Err(ReadFault::Truncated);
         }
--- a/crates/edge/src/http1/tests/properties.rs
+++ b/crates/edge/src/http1/tests/properties.rs
@@ -1,5 +1,6 @@
 //! Property tests with arbitrary bytes, and with requests that are split anywhere.
 
+use bytes::Buf;
 use bytes::Bytes;
 use proptest::prelude::*;
 
@@ -121,7 +122,8 @@
                 value: value.clone().into(),
             });
         }
-        let bytes = request_bytes("POST", &path, &fields, &body);
+        let mut encoded = request("POST", &path, &fields, body.clone().into()).into_buf();
+        let bytes = encoded.copy_to_bytes(encoded.remaining());
         let (head, read) = runtime().block_on(async {
             let mut reader = HttpReader::new(OneByteReader(bytes.to_vec(), 0));
             let head = reader.request_head(MAX_HEAD_BYTES).await.expect("a head");
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod http1;
 pub mod link;
 pub mod prelude;
+pub mod resources;
 pub mod silence;
 pub mod sockets;
 pub mod source;
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -8,9 +8,10 @@
 
 use bytes::Bytes;
 use hornbeamhitch_dispatch::faults::silence::ReportCursor;
-use hornbeamhitch_wire::link::{CallId, ToEntry, ToGate};
+use hornbeamhitch_wire::link::{BODY_PART_BYTES, CallId, ToEntry, ToGate};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 use super::facts;
@@ -25,6 +26,7 @@
 use super::slot::LinkSlot;
 use crate::gate::GateEvent;
 use crate::prelude::*;
+use crate::resources::{Patience, Resources};
 use crate::silence::{LastFrame, Silence};
 use crate::sockets;
 use crate::suspicion::Suspicion;
@@ -34,6 +36,8 @@
 /// Data centres of one region are milliseconds apart. A VM that does not answer
 /// within this time is down or its accept queue is full.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long an answer waits for memory. It has run, so that a refusal would lose it.
+const ANSWER_PATIENCE: Patience = Patience::Until(Duration::from_secs(2));
 /// Time after which a call brings an empty report of demand if no other was sent, so that the
 /// gate continues to report its load.
 const DEMAND_INTERVAL: Duration = Duration::from_secs(5);
@@ -70,6 +74,7 @@
     directory: SharedDirectory,
     silence: Arc<Silence>,
     last_frame: Arc<LastFrame>,
+    resources: Arc<Resources>,
     reported: Mutex<ReportCursor>,
     frames: mpsc::UnboundedSender<ToGate>,
     calls: Mutex<HashMap<CallId, OpenCall>>,
@@ -92,6 +97,17 @@
     is_confirmed: bool,
     deferred: DeferredContent,
     answer: Option<(AnswerHead, PartialBody)>,
+    /// Waits for the memory of a long answer.
+    waiting: Option<MemoryWait>,
+}
+
+/// A task that waits for memory, which ends when this is dropped.
+struct MemoryWait(AbortHandle);
+
+impl Drop for MemoryWait {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
 }
 
 impl std::fmt::Debug for OpenCall {
@@ -126,6 +142,7 @@
             directory: Arc::clone(&pool.directory),
             silence: Arc::clone(&pool.silence),
             last_frame: Arc::clone(&slot.last_frame),
+            resources: Arc::clone(&pool.resources),
             reported: Mutex::default(),
             frames,
             calls: Mutex::default(),
@@ -192,6 +209,7 @@
             is_confirmed: false,
             deferred,
             answer: None,
+            waiting: None,
         };
         self.calls.lock().insert(id, open);
         self.push(frame);
@@ -272,7 +290,7 @@
     /// [`Liveness`]); an idle link causes no traffic. An unresponsive link is
     /// monitored without open calls too, because it would otherwise stay
     /// unresponsive for ever.
-    async fn read(&self, mut reader: FrameReader) -> Result<(), LinkFault> {
+    async fn read(self: &Arc<Self>, mut reader: FrameReader) -> Result<(), LinkFault> {
         let mut liveness = Liveness::Alive(Instant::now());
         loop {
             let is_awaiting = !self.calls.lock().is_empty() || self.is_unresponsive();
@@ -285,7 +303,7 @@
                     let frame = frame?;
                     self.unresponsive.store(false, Ordering::Release);
                     self.silence.note_frame(self.vm, &self.last_frame);
-                    self.handle(frame);
+                    self.handle(frame)?;
                 }
                 () = self.silence_observed.notified() => {
                     liveness = self.ping_if_silent(liveness);
@@ -337,7 +355,7 @@
         }
     }
 
-    fn handle(&self, frame: ToEntry) {
+    fn handle(self: &Arc<Self>, frame: ToEntry) -> Result<(), LinkFault> {
         match frame {
             ToEntry::Hello { .. } | ToEntry::Pong => {}
             ToEntry::Crashes(notice) => self.suspicion.merge_notice(&notice),
@@ -361,16 +379,11 @@
                 body_bytes,
                 part,
             } => {
-                let mut body = PartialBody::new(body_bytes);
-                body.push(&part);
-                if let Some(open) = self.calls.lock().get_mut(&id) {
-                    open.is_confirmed = true;
-                    open.answer = Some((head, body));
-                }
+                self.begin_answer(id, head, body_bytes, &part)?;
                 self.deliver_if_complete(id);
             }
             ToEntry::Body { id, part } => {
-                self.push_part(id, &part);
+                self.push_part(id, &part)?;
                 self.deliver_if_complete(id);
             }
             ToEntry::Ended { id, end } => self.deliver_last(id, GateEvent::Ended(end)),
@@ -385,6 +398,48 @@
             | ToEntry::Part(_)
             | ToEntry::PartsEnd { .. } => {}
         }
+        Ok(())
+    }
+
+    /// Takes the first part of an answer and requests the rest, once there is memory for it.
+    fn begin_answer(
+        self: &Arc<Self>,
+        id: CallId,
+        head: AnswerHead,
+        body_bytes: u64,
+        part: &Bytes,
+    ) -> Result<(), LinkFault> {
+        let mut body = PartialBody::new(body_bytes, BODY_PART_BYTES as u64);
+        body.push(part)?;
+        let mut calls = self.calls.lock();
+        let Some(open) = calls.get_mut(&id) else {
+            return Ok(());
+        };
+        open.is_confirmed = true;
+        if !body.is_complete() {
+            let link = Arc::clone(self);
+            let waiting = tokio::spawn(async move { link.request_rest(id, body_bytes).await });
+            open.waiting = Some(MemoryWait(waiting.abort_handle()));
+        }
+        open.answer = Some((head, body));
+        Ok(())
+    }
+
+    async fn request_rest(&self, id: CallId, body_bytes: u64) {
+        let holding = self.resources.hold_body(body_bytes, ANSWER_PATIENCE);
+        let Some(charge) = holding.await else {
+            log::warn!("no memory is left for an answer of {body_bytes} bytes");
+            self.push(ToGate::Cancel { id });
+            return self.deliver_last(id, GateEvent::Ended(CallEnd::Broken));
+        };
+        let mut calls = self.calls.lock();
+        let answer = calls.get_mut(&id).and_then(|open| open.answer.as_mut());
+        let Some((_, body)) = answer else {
+            return;
+        };
+        body.permit(Some(charge));
+        drop(calls);
+        self.push(ToGate::WantsRest { id });
     }
 
     fn send_deferred(&self, id: CallId) {
@@ -404,11 +459,12 @@
         }
     }
 
-    fn push_part(&self, id: CallId, part: &Bytes) {
+    fn push_part(&self, id: CallId, part: &Bytes) -> Result<(), LinkFault> {
         let mut calls = self.calls.lock();
         let answer = calls.get_mut(&id).and_then(|open| open.answer.as_mut());
-        if let Some((_, body)) = answer {
-            body.push(part);
+        match answer {
+            Some((_, body)) => body.push(part),
+            None => Ok(()),
         }
     }
 
--- a/crates/edge/src/link/facts.rs
+++ b/crates/edge/src/link/facts.rs
@@ -57,10 +57,14 @@
             .as_ref()
             .is_none_or(|(known, _)| *known != whole_digest)
         {
-            self.0 = Some((whole_digest, PartialBody::new(whole_bytes)));
+            self.0 = Some((whole_digest, PartialBody::new(whole_bytes, whole_bytes)));
         }
         let (_, body) = self.0.as_mut()?;
-        body.push(part);
+        if let Err(fault) = body.push(part) {
+            log::warn!("facts received from another node are longer than stated: {fault}");
+            self.0 = None;
+            return None;
+        }
         if !body.is_complete() {
             return None;
         }
--- a/crates/edge/src/link/framed.rs
+++ b/crates/edge/src/link/framed.rs
@@ -12,6 +12,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{broadcast, mpsc};
 
+use crate::resources::{Charge, body_capacity};
 use crate::suspicion::Suspicion;
 
 const READ_BYTES: usize = 32 * 1024;
@@ -27,6 +28,8 @@
     Io(#[from] std::io::Error),
     #[error(transparent)]
     Wire(#[from] WireError),
+    #[error("the peer sent a part of a body that was not requested")]
+    Unrequested,
 }
 
 /// Decodes frames from the read half of a connection.
@@ -132,19 +135,45 @@
 #[derive(Debug)]
 pub(super) struct PartialBody {
     expected_bytes: u64,
+    /// Number of bytes that may arrive now.
+    permitted_bytes: u64,
     parts: BytesMut,
+    /// The memory of the body, if it is charged here.
+    charge: Option<Charge>,
 }
 
 impl PartialBody {
-    pub(super) fn new(expected_bytes: u64) -> Self {
+    /// Expects a body of which this many bytes may arrive before the rest is permitted.
+    pub(super) fn new(expected_bytes: u64, permitted_bytes: u64) -> Self {
         Self {
             expected_bytes,
+            permitted_bytes,
             parts: BytesMut::new(),
+            charge: None,
         }
     }
 
-    pub(super) fn push(&mut self, part: &[u8]) {
+    /// Permits the whole body. `charge` holds its memory, unless the call's own charge does.
+    pub(super) fn permit(&mut self, charge: Option<Charge>) {
+        let capacity = body_capacity(self.expected_bytes);
+        self.parts
+            .reserve(capacity.saturating_sub(self.parts.len()));
+        self.permitted_bytes = self.expected_bytes;
+        self.charge = charge;
+    }
+
+    /// Adds the next part.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkFault::Unrequested`] if the body becomes longer than is permitted now.
+    pub(super) fn push(&mut self, part: &[u8]) -> Result<(), LinkFault> {
+        let length = (self.parts.len() + part.len()) as u64;
+        if length > self.permitted_bytes {
+            return Err(LinkFault::Unrequested);
+        }
         self.parts.extend_from_slice(part);
+        Ok(())
     }
 
     pub(super) fn is_complete(&self) -> bool {
@@ -152,6 +181,9 @@
     }
 
     pub(super) fn into_bytes(self) -> Bytes {
-        self.parts.freeze()
+        match self.charge {
+            Some(charge) => charge.attach(self.parts),
+            None => self.parts.freeze(),
+        }
     }
 }
--- a/crates/edge/src/link/pool.rs
+++ b/crates/edge/src/link/pool.rs
@@ -13,6 +13,7 @@
 use super::pending::{PendingRequest, SharedSendState};
 use super::slot::{LinkSlot, Opening};
 use crate::prelude::*;
+use crate::resources::Resources;
 use crate::silence::Silence;
 use crate::suspicion::Suspicion;
 
@@ -25,6 +26,7 @@
     pub(super) suspicion: Arc<Suspicion>,
     pub(super) directory: SharedDirectory,
     pub(super) silence: Arc<Silence>,
+    pub(super) resources: Arc<Resources>,
     links: Mutex<HashMap<SocketAddr, Arc<LinkSlot>>>,
 }
 
@@ -35,11 +37,13 @@
         suspicion: Arc<Suspicion>,
         directory: SharedDirectory,
         silence: Arc<Silence>,
+        resources: Arc<Resources>,
     ) -> Self {
         Self {
             suspicion,
             directory,
             silence,
+            resources,
             links: Mutex::default(),
         }
     }
--- a/crates/edge/src/link/pool/tests.rs
+++ b/crates/edge/src/link/pool/tests.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use hornbeamhitch_dispatch::resources::limits::ResourceLimits;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
@@ -14,6 +15,7 @@
         Arc::new(Suspicion::new(clock)),
         SharedDirectory::default(),
         Arc::new(Silence::new(clock, [127, 0, 0, 1].into())),
+        Resources::new(ResourceLimits::of_account(1024 * 1024), clock),
     ))
 }
 
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 use hornbeamhitch_dispatch::faults::silence::ReportCursor;
+use hornbeamhitch_dispatch::resources::limits::Listener;
+use hornbeamhitch_dispatch::resources::peers::Activity;
 use hornbeamhitch_wire::link::{CallId, ToEntry, ToGate};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
@@ -19,9 +21,11 @@
 use crate::directory::adopt_facts;
 use crate::feed::ChangeFeed;
 use crate::gate::{
-    CallContent, CallGuard, EventSink, Gate, GateEvent, GateRequest, LoadReports, WholeCall,
+    CallContent, CallGuard, DeferredCall, EventSink, Gate, GateEvent, GateRequest, LoadReports,
+    WholeCall,
 };
 use crate::prelude::*;
+use crate::resources::{Charge, Registration};
 use crate::sockets;
 use crate::suspicion::Suspicion;
 
@@ -52,6 +56,10 @@
 /// available.
 const REQUEST_FACTS_INTERVAL: Duration = Duration::from_millis(400);
 
+type PartialCalls = Arc<Mutex<HashMap<CallId, PartialCall>>>;
+/// The rest of answers whose entry has not requested it yet.
+type DeferredAnswers = Arc<Mutex<HashMap<CallId, Bytes>>>;
+
 /// A call whose head or body the entry deferred and which has not arrived whole.
 struct PartialCall {
     head: Option<CallHead>,
@@ -68,11 +76,20 @@
 
 impl LinkServer {
     /// Accepts links until the process ends.
-    pub async fn accept(self, listener: TcpListener) {
-        sockets::accept_all(listener, "a link", |stream| self.serve(stream)).await;
+    pub async fn accept(self, socket: TcpListener) {
+        let resources = Arc::clone(self.gate.resources());
+        sockets::accept_all(
+            socket,
+            Listener::Links,
+            resources,
+            |stream, registration| {
+                self.serve(stream, registration);
+            },
+        )
+        .await;
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, registration: Registration) {
         let (reader, writer) = stream.into_split();
         let (answers, to_write) = mpsc::unbounded_channel();
         let hello = ToEntry::Hello {
@@ -101,12 +118,14 @@
             facts: PartialFacts::default(),
             facts_requests: Arc::clone(&self.facts_requests),
             active_calls: ActiveCalls::default(),
-            partial: HashMap::new(),
+            partial: PartialCalls::default(),
+            deferred_answers: DeferredAnswers::default(),
             reported: Arc::default(),
         };
         tokio::spawn(async move {
             let ended = tokio::select! {
-                ended = link.read(FrameReader::new(reader)) => ended,
+                ended = link.read(FrameReader::new(reader), &registration) => ended,
+                () = registration.must_close() => Ok(()),
                 ended = write_frames(writer, to_write) => ended,
                 () = forwarding => Ok(()),
                 () = requesting => Ok(()),
@@ -145,84 +164,107 @@
     facts: PartialFacts,
     facts_requests: Arc<FactsRequests>,
     active_calls: ActiveCalls,
-    partial: HashMap<CallId, PartialCall>,
+    partial: PartialCalls,
+    deferred_answers: DeferredAnswers,
     reported: Arc<Mutex<ReportCursor>>,
 }
 
 impl Link {
     /// Reads frames until the link ends, which cancels all open calls.
-    async fn read(mut self, mut reader: FrameReader) -> Result<(), LinkFault> {
+    async fn read(
+        mut self,
+        mut reader: FrameReader,
+        registration: &Registration,
+    ) -> Result<(), LinkFault> {
         loop {
-            match reader.next().await? {
-                ToGate::Call {
-                    id,
-                    terms,
-                    head,
-                    body_bytes,
-                    body,
-                } => {
-                    let content = self.receive_content(id, head, body_bytes, body);
-                    self.submit(id, GateRequest { terms, content });
-                }
-                ToGate::Offer {
-                    id,
-                    terms,
-                    body_bytes,
-                } => {
-                    let content = self.expect_content(id, None, body_bytes);
-                    self.submit(id, GateRequest { terms, content });
-                }
-                ToGate::Head { id, head } => {
-                    if let Some(partial) = self.partial.get_mut(&id) {
-                        partial.head = Some(head);
-                        self.deliver_if_complete(id);
-                    }
-                }
-                ToGate::Body { id, part } => {
-                    if let Some(partial) = self.partial.get_mut(&id) {
-                        partial.body.push(&part);
-                        self.deliver_if_complete(id);
-                    }
-                }
-                ToGate::Cancel { id } => {
-                    self.partial.remove(&id);
-                    self.active_calls.lock().remove(&id);
-                }
-                ToGate::Fence { id, key } => {
-                    let sink = self.answer_sink(id, ActiveCalls::default());
-                    self.gate.fence(key, sink);
-                }
-                ToGate::Crashes(notice) => self.suspicion.merge_notice(&notice),
-                ToGate::Demand(report) => self.load.note_demand(&report),
-                ToGate::Silence(report) => self.gate.silence().merge(&report),
-                ToGate::Suspect(_) => {}
-                ToGate::Facts(encoded) => adopt_facts(&self.directory, &encoded),
-                ToGate::FactsPart {
-                    digest,
-                    whole_bytes,
-                    part,
-                } => {
-                    self.facts_requests.note_progress();
-                    if let Some(encoded) = self.facts.add(digest, whole_bytes, &part) {
-                        adopt_facts(&self.directory, &encoded);
-                    }
-                }
-                ToGate::Ping => {
-                    let _ = self.answers.send(ToEntry::Pong);
+            let frame = reader.next().await?;
+            self.handle(frame)?;
+            registration.set_activity(self.activity());
+        }
+    }
+
+    fn activity(&self) -> Activity {
+        let is_idle =
+            self.active_calls.lock().is_empty() && self.deferred_answers.lock().is_empty();
+        match is_idle {
+            true => Activity::Idle,
+            false => Activity::Served,
+        }
+    }
+
+    fn handle(&mut self, frame: ToGate) -> Result<(), LinkFault> {
+        match frame {
+            ToGate::Call {
+                id,
+                terms,
+                head,
+                body_bytes,
+                body,
+            } => {
+                self.submit(id, terms, |link| {
+                    link.receive_content(id, head, body_bytes, body)
+                });
+            }
+            ToGate::Offer {
+                id,
+                terms,
+                body_bytes,
+            } => {
+                self.submit(id, terms, |link| link.expect_content(id, None, body_bytes));
+            }
+            ToGate::Head { id, head } => {
+                if let Some(partial) = self.partial.lock().get_mut(&id) {
+                    partial.head = Some(head);
                 }
-                ToGate::Subscribe { revision } => {
-                    let feed = Arc::clone(&self.feed);
-                    let answers = self.answers.clone();
-                    tokio::spawn(async move { feed.serve(revision, &answers).await });
+                self.deliver_if_complete(id);
+            }
+            ToGate::Body { id, part } => {
+                if let Some(partial) = self.partial.lock().get_mut(&id) {
+                    partial.body.push(&part)?;
                 }
-                ToGate::OfferFeed { node } => self.feed.accept_offer(node),
-                ToGate::FetchParts(request) => {
-                    let feed = Arc::clone(&self.feed);
-                    let answers = self.answers.clone();
-                    tokio::spawn(async move { feed.serve_parts(&request, &answers).await });
+                self.deliver_if_complete(id);
+            }
+            ToGate::Cancel { id } => {
+                self.partial.lock().remove(&id);
+                self.deferred_answers.lock().remove(&id);
+                self.active_calls.lock().remove(&id);
+            }
+            ToGate::WantsRest { id } => self.send_rest(id),
+            ToGate::Fence { id, key } => {
+                let sink = self.answer_sink(id, ActiveCalls::default(), None);
+                self.gate.fence(key, sink);
+            }
+            ToGate::Crashes(notice) => self.suspicion.merge_notice(&notice),
+            ToGate::Demand(report) => self.load.note_demand(&report),
+            ToGate::Silence(report) => self.gate.silence().merge(&report),
+            ToGate::Suspect(_) => {}
+            ToGate::Facts(encoded) => adopt_facts(&self.directory, &encoded),
+            ToGate::FactsPart {
+                digest,
+                whole_bytes,
+                part,
+            } => {
+                self.facts_requests.note_progress();
+                if let Some(encoded) = self.facts.add(digest, whole_bytes, &part) {
+                    adopt_facts(&self.directory, &encoded);
                 }
             }
+            ToGate::Ping => {
+                let _ = self.answers.send(ToEntry::Pong);
+            }
+            ToGate::Subscribe { revision } => {
+                let feed = Arc::clone(&self.feed);
+                let answers = self.answers.clone();
+                tokio::spawn(async move { feed.serve(revision, &answers).await });
+            }
+            ToGate::OfferFeed { node } => self.feed.accept_offer(node),
+            ToGate::FetchParts(request) => {
+                let feed = Arc::clone(&self.feed);
+                let answers = self.answers.clone();
+                tokio::spawn(async move { feed.serve_parts(&request, &answers).await });
+            }
         }
+        Ok(())
     }
 
     fn receive_content(
@@ -244,25 +286,38 @@
         head: Option<CallHead>,
         body_bytes: u64,
     ) -> CallContent {
-        let (sender, receiver) = oneshot::channel();
-        self.partial
-            .retain(|_, partial| !partial.sender.is_closed());
+        let (sender, whole) = oneshot::channel();
+        let mut calls = self.partial.lock();
+        calls.retain(|_, partial| !partial.sender.is_closed());
         let partial = PartialCall {
             head,
-            body: PartialBody::new(body_bytes),
+            body: PartialBody::new(body_bytes, 0),
             sender,
         };
-        self.partial.insert(id, partial);
-        CallContent::Deferred(receiver)
+        calls.insert(id, partial);
+        drop(calls);
+        let calls = Arc::clone(&self.partial);
+        let permit = Box::new(move |charge| {
+            if let Some(partial) = calls.lock().get_mut(&id) {
+                partial.body.permit(charge);
+            }
+        });
+        CallContent::Deferred(DeferredCall {
+            body_bytes,
+            permit,
+            whole,
+        })
     }
 
     fn deliver_if_complete(&mut self, id: CallId) {
-        if !self.partial.get(&id).is_some_and(PartialCall::is_complete) {
+        let mut calls = self.partial.lock();
+        if !calls.get(&id).is_some_and(PartialCall::is_complete) {
             return;
         }
-        let Some(PartialCall { head, body, sender }) = self.partial.remove(&id) else {
+        let Some(PartialCall { head, body, sender }) = calls.remove(&id) else {
             return;
         };
+        drop(calls);
         let Some(head) = head else {
             return;
         };
@@ -271,20 +326,49 @@
         let _ = sender.send(WholeCall { head, body });
     }
 
-    fn submit(&mut self, id: CallId, request: GateRequest) {
-        let sink = self.answer_sink(id, Arc::clone(&self.active_calls));
+    /// Submits a call to the gate, or rejects it if there is no memory for it.
+    fn submit(
+        &mut self,
+        id: CallId,
+        terms: CallTerms,
+        content: impl FnOnce(&mut Self) -> CallContent,
+    ) {
+        let Some(charge) = self.gate.resources().try_hold_request() else {
+            log::info!(request = terms.request_id.as_str(); "rejected a call without memory for it");
+            let sink = self.answer_sink(id, ActiveCalls::default(), None);
+            return sink(GateEvent::Ended(CallEnd::Busy));
+        };
+        let content = content(self);
+        let sink = self.answer_sink(id, Arc::clone(&self.active_calls), Some(charge));
         let sink = self.reporting_sink(sink);
-        let guard = self.gate.submit(request, sink);
+        let guard = self.gate.submit(GateRequest { terms, content }, sink);
         self.active_calls.lock().insert(id, guard);
     }
 
-    fn answer_sink(&self, id: CallId, active_calls: ActiveCalls) -> EventSink {
-        answer_sink(
+    /// Sends the rest of an answer to an entry that has memory for it.
+    fn send_rest(&self, id: CallId) {
+        let Some(mut body) = self.deferred_answers.lock().remove(&id) else {
+            return;
+        };
+        while !body.is_empty() {
+            let part = next_part(&mut body);
+            let _ = self.answers.send(ToEntry::Body { id, part });
+        }
+    }
+
+    fn answer_sink(
+        &self,
+        id: CallId,
+        active_calls: ActiveCalls,
+        charge: Option<Charge>,
+    ) -> EventSink {
+        let sender = AnswerSender {
             id,
-            self.answers.clone(),
-            active_calls,
-            Arc::clone(&self.load),
-        )
+            answers: self.answers.clone(),
+            deferred: Arc::clone(&self.deferred_answers),
+            charge: Mutex::new(charge),
+        };
+        answer_sink(sender, active_calls, Arc::clone(&self.load))
     }
 
     /// Extends a sink so that the end of its call is preceded by the silent VMs that the
@@ -309,11 +393,12 @@
 /// A send fails silently when the link has ended. The entry then requests the
 /// outcomes that it needs over a new link.
 fn answer_sink(
-    id: CallId,
-    answers: Answers,
+    sender: AnswerSender,
     active_calls: ActiveCalls,
     load: Arc<LoadReports>,
 ) -> EventSink {
+    let id = sender.id;
+    let answers = sender.answers.clone();
     Box::new(move |event| {
         if let Some(load) = load.due_before(&event) {
             let _ = answers.send(ToEntry::Load { id, load });
@@ -331,7 +416,7 @@
                     slowness_percent,
                 });
             }
-            GateEvent::Answered { head, body } => send_answer(id, &answers, head, body),
+            GateEvent::Answered { head, body } => sender.send(head, body),
             GateEvent::Ended(end) => {
                 let _ = answers.send(ToEntry::Ended { id, end });
             }
@@ -345,16 +430,32 @@
     })
 }
 
-fn send_answer(id: CallId, answers: &Answers, head: AnswerHead, body: Bytes) {
-    let mut body = body;
-    let _ = answers.send(ToEntry::Answered {
-        id,
-        head,
-        body_bytes: body.len() as u64,
-        part: next_part(&mut body),
-    });
-    while !body.is_empty() {
+/// Sends the answer of one call.
+struct AnswerSender {
+    id: CallId,
+    answers: Answers,
+    deferred: DeferredAnswers,
+    /// The memory of the call, which its answer needs until it is written.
+    charge: Mutex<Option<Charge>>,
+}
+
+impl AnswerSender {
+    /// Sends the head and the first part. The rest follows once the entry requests it, since
+    /// the entry may lack the memory for it.
+    fn send(&self, head: AnswerHead, mut body: Bytes) {
+        let body_bytes = body.len() as u64;
+        if let Some(charge) = self.charge.lock().take() {
+            body = charge.attach(body);
+        }
         let part = next_part(&mut body);
-        let _ = answers.send(ToEntry::Body { id, part });
+        if !body.is_empty() {
+            self.deferred.lock().insert(self.id, body);
+        }
+        let _ = self.answers.send(ToEntry::Answered {
+            id: self.id,
+            head,
+            body_bytes,
+            part,
+        });
     }
 }
--- a/crates/edge/src/sockets.rs
+++ b/crates/edge/src/sockets.rs
@@ -1,11 +1,15 @@
 //! TCP socket options that all connections of a node share.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use hornbeamhitch_dispatch::resources::limits::Listener;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::resources::{Registration, Resources};
+
 /// `TCP_USER_TIMEOUT`: a connection ends when sent data stays unacknowledged for
 /// this long. Without it, connections to a VM that lost power hang for minutes.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -17,7 +21,7 @@
 
 /// Delay before the next accept after a failed one, for example when the process is
 /// out of file descriptors. Without it, the accept loop would spin.
-pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Connects and sets the socket options.
 ///
@@ -54,19 +58,40 @@
 }
 
 /// Accepts connections until the process ends and passes each one to `serve`.
-///
-/// `what` names the kind of connection in the log.
-pub async fn accept_all(listener: TcpListener, what: &str, serve: impl Fn(TcpStream)) {
+pub async fn accept_all(
+    socket: TcpListener,
+    listener: Listener,
+    resources: Arc<Resources>,
+    serve: impl Fn(TcpStream, Registration),
+) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                prepare(&stream);
-                serve(stream);
-            }
-            Err(error) => {
-                log::warn!("cannot accept {what}: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
+        if let Some((stream, _, registration)) = accept(&socket, listener, &resources).await {
+            serve(stream, registration);
+        }
+    }
+}
+
+/// Accepts a connection. Returns `None` after a failure, and for a connection that is closed
+/// at once since the listener has as many as it may have.
+pub async fn accept(
+    socket: &TcpListener,
+    listener: Listener,
+    resources: &Arc<Resources>,
+) -> Option<(TcpStream, SocketAddr, Registration)> {
+    let name: &str = listener.into();
+    match socket.accept().await {
+        Ok((stream, peer)) => {
+            let Some(registration) = resources.open(listener) else {
+                log::info!(listener = name; "closed a new connection, since too many are open");
+                return None;
+            };
+            prepare(&stream);
+            Some((stream, peer, registration))
+        }
+        Err(error) => {
+            log::warn!(listener = name; "cannot accept a connection: {error}");
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            None
         }
     }
 }
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use hornbeamhitch_dispatch::resources::limits::Listener;
+use hornbeamhitch_dispatch::resources::peers::Activity;
 use hornbeamhitch_node::metrics::Metrics;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -11,6 +13,7 @@
 use crate::entry::Entry;
 use crate::http1::{self, HttpReader};
 use crate::prelude::*;
+use crate::resources::Registration;
 use crate::sockets;
 
 /// Maximum size of a request head.
@@ -35,9 +38,16 @@
 
 impl StatusServer {
     /// Serves until the process ends.
-    pub async fn accept(self, listener: TcpListener) {
-        sockets::accept_all(listener, "a status request", |stream| {
-            tokio::spawn(self.clone().serve(stream));
+    pub async fn accept(self, socket: TcpListener, listener: Listener) {
+        let resources = Arc::clone(self.entry.resources());
+        sockets::accept_all(socket, listener, resources, |stream, registration| {
+            let server = self.clone();
+            tokio::spawn(async move {
+                tokio::select! {
+                    () = server.serve(stream, &registration) => {}
+                    () = registration.must_close() => {}
+                }
+            });
         })
         .await;
     }
@@ -50,16 +60,22 @@
         self.directory.load().routes.is_some() && !is_draining && !self.entry.is_partitioned()
     }
 
-    async fn serve(self, stream: TcpStream) {
+    async fn serve(self, stream: TcpStream, registration: &Registration) {
         let (reader, mut writer) = stream.into_split();
         let mut reader = HttpReader::new(reader);
-        while let Ok(head) = reader.request_head(MAX_HEAD_BYTES).await {
+        while reader.wait_for_bytes().await.is_ok() {
+            registration.set_activity(Activity::Sending);
+            let Ok(head) = reader.request_head(MAX_HEAD_BYTES).await else {
+                return;
+            };
             let (status, body) = self.answer(head.path_only());
             let closes = !head.keeps_connection();
-            let bytes = http1::response_bytes(status, &[], Some(body.as_bytes()), closes);
-            if writer.write_all(&bytes).await.is_err() || closes {
+            let answer = http1::response(status, &[], Some(body.into()), closes);
+            registration.set_activity(Activity::Reading);
+            if writer.write_all_buf(&mut answer.into_buf()).await.is_err() || closes {
                 return;
             }
+            registration.set_activity(Activity::Idle);
         }
     }
 
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -9,8 +9,9 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
-use crate::http1::{self, Framing, HttpReader, ReadFault, ResponseHead};
+use crate::http1::{self, Encoded, Framing, HttpReader, ReadFault, ResponseHead};
 use crate::prelude::*;
+use crate::resources::{ChargedBody, Patience, Resources};
 use crate::sockets;
 
 /// Limit on connecting to the target.
@@ -20,11 +21,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Limit on the head of an answer.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// Limit on the body of an answer. A larger answer is reported as
-/// [`ExchangeFault::Broken`].
-///
-/// Answers are read whole, so that a truncated one is never forwarded.
-pub const MAX_ANSWER_BYTES: u64 = 32 * 1024 * 1024;
+/// How long an answer waits for memory. The target waits meanwhile, since nothing more is
+/// read from its connection.
+const MEMORY_PATIENCE: Patience = Patience::Until(Duration::from_secs(2));
 /// Idle timeout of a connection when the target does not state one.
 const DEFAULT_IDLE_MS: Millis = Millis(4_000);
 /// Share of the target's keep-alive timeout during which a connection is reused.
@@ -60,7 +59,7 @@
     /// Whether the request may run more than once.
     pub is_idempotent: bool,
     /// Encoded head and body.
-    pub bytes: Bytes,
+    pub encoded: Encoded,
 }
 
 /// A complete answer of the target.
@@ -91,21 +90,34 @@
     address: SocketAddr,
     dialect: Arc<dyn Dialect>,
     clock: ProcessClock,
+    resources: Arc<Resources>,
     idle: Mutex<Vec<IdleConnection>>,
 }
 
 impl TargetClient {
     /// Creates a client without connections.
     #[must_use]
-    pub fn new(address: SocketAddr, dialect: Arc<dyn Dialect>, clock: ProcessClock) -> Self {
+    pub fn new(
+        address: SocketAddr,
+        dialect: Arc<dyn Dialect>,
+        clock: ProcessClock,
+        resources: Arc<Resources>,
+    ) -> Self {
         Self {
             address,
             dialect,
             clock,
+            resources,
             idle: Mutex::new(Vec::new()),
         }
     }
 
+    /// Returns what the process holds for its peers.
+    #[must_use]
+    pub const fn resources(&self) -> &Arc<Resources> {
+        &self.resources
+    }
+
     /// Sends a request and reads the whole answer. Calls `on_sent` when the request was
     /// written, or can no longer be.
     ///
@@ -124,9 +136,7 @@
             Some(connection) => connection,
             None => self.connect().await?,
         };
-        let (answer, is_reusable) = connection
-            .exchange(exchange, &*self.dialect, on_sent)
-            .await?;
+        let (answer, is_reusable) = connection.exchange(exchange, self, on_sent).await?;
         if is_reusable {
             self.release(connection, &answer.head);
         }
@@ -217,11 +227,11 @@
     async fn exchange(
         &mut self,
         exchange: &Exchange,
-        dialect: &dyn Dialect,
+        client: &TargetClient,
         on_sent: impl FnOnce(),
     ) -> Result<(TargetAnswer, bool), ExchangeFault> {
         let (answer, framing, is_request_written) =
-            self.write_and_read(exchange, dialect, on_sent).await?;
+            self.write_and_read(exchange, client, on_sent).await?;
         let is_reusable = is_request_written
             && framing != Framing::UntilClose
             && answer.head.keeps_connection()
@@ -234,13 +244,14 @@
     async fn write_and_read(
         &mut self,
         exchange: &Exchange,
-        dialect: &dyn Dialect,
+        client: &TargetClient,
         on_sent: impl FnOnce(),
     ) -> Result<(TargetAnswer, Framing, bool), ExchangeFault> {
         let Self { reader, writer } = self;
         let mut on_sent = Some(on_sent);
-        let mut writing = std::pin::pin!(writer.write_all(&exchange.bytes));
-        let mut reading = std::pin::pin!(read_answer(reader, exchange, dialect));
+        let mut encoded = exchange.encoded.clone().into_buf();
+        let mut writing = std::pin::pin!(writer.write_all_buf(&mut encoded));
+        let mut reading = std::pin::pin!(read_answer(reader, exchange, client));
         let mut is_request_written = false;
         loop {
             tokio::select! {
@@ -267,11 +278,12 @@
 /// Reads the answer to this request.
 ///
 /// On a reused connection, a late duplicate answer to an earlier request may arrive
-/// first. It is recognised by its request id and skipped.
+/// first. It is recognised by its request id and skipped. Answers are read whole, so that
+/// a truncated one is never forwarded.
 async fn read_answer(
     reader: &mut HttpReader<OwnedReadHalf>,
     exchange: &Exchange,
-    dialect: &dyn Dialect,
+    client: &TargetClient,
 ) -> Result<(TargetAnswer, Framing), ExchangeFault> {
     for _ in 0..=MAX_MISMATCHED_ANSWERS {
         let head = reader
@@ -281,9 +293,10 @@
         let framing = head
             .framing(&exchange.method)
             .map_err(|_| ExchangeFault::Broken("the framing of the answer is ambiguous"))?;
-        let body = reader.body(framing, MAX_ANSWER_BYTES).await;
+        let memory = ChargedBody::new(&client.resources, MEMORY_PATIENCE);
+        let body = reader.body_within(framing, u64::MAX, memory).await;
         let body = body.map_err(to_exchange_fault)?;
-        let echoed = http1::field(&head.fields, dialect.names().request_id);
+        let echoed = http1::field(&head.fields, client.dialect.names().request_id);
         let is_mismatched = match (&exchange.request_id, echoed) {
             (Some(expected), Some(echoed)) => expected != echoed,
             (Some(_), None) => is_success(head.status),
@@ -314,7 +327,7 @@
         ReadFault::Closed => "the connection was closed without an answer",
         ReadFault::Truncated => "the connection was closed within the answer",
         ReadFault::Head(_) => "the answer is not valid HTTP/1",
-        ReadFault::BodyTooLarge | ReadFault::NoRoom => "the answer is too large",
+        ReadFault::BodyTooLarge | ReadFault::NoRoom => "no memory is left for the answer",
         ReadFault::Io(_) => "the connection failed",
     })
 }
--- a/crates/edge/tests/all/callers.rs
+++ b/crates/edge/tests/all/callers.rs
@@ -8,7 +8,7 @@
 use crate::support::caller::Caller;
 use crate::support::log_lines::{keep_lines_of_held_answers, line_of_held_answer};
 use crate::support::target::until;
-use crate::support::{BUFFERED_BYTES, DEADLINE_MS, REQUEST_ID, fleet};
+use crate::support::{ACCOUNT_BYTES, DEADLINE_MS, REQUEST_ID, fleet};
 
 /// Guards against losing requests during shutdown. A request that arrives after the
 /// shutdown was announced is served, and its answer closes the connection. A pipelined
@@ -127,7 +127,7 @@
 async fn bodies_that_exceed_the_nodes_memory_are_refused_and_not_run() {
     let fleet = fleet(&["s"]).await;
     let vm = &fleet.vms[0];
-    let half = "b".repeat(usize::try_from(BUFFERED_BYTES).expect("a small budget") / 2 + 1);
+    let half = "b".repeat(usize::try_from(ACCOUNT_BYTES).expect("a small budget") / 2 + 1);
     let mut first = Caller::connect(vm.callers).await;
     first.send("POST", "/pay/slow", "id-1", &half).await;
     until("the first body is at the target", || {
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -11,13 +11,13 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use hornbeamhitch_dispatch::gate::warm_up::{WarmUp, WarmUpTolerance};
 use hornbeamhitch_dispatch::knowledge::waits::Waits;
 use hornbeamhitch_dispatch::overload::OverloadParts;
 use hornbeamhitch_dispatch::overload::retry_budget::RetryLimit;
+use hornbeamhitch_dispatch::resources::limits::ResourceLimits;
 use hornbeamhitch_dispatch::routing::regions::Regions;
 use hornbeamhitch_dispatch::routing::routes::Destination;
 use hornbeamhitch_edge::callers::{CallerServer, DrainPhase};
@@ -29,11 +29,11 @@
 use hornbeamhitch_edge::gate::{Gate, GateParts};
 use hornbeamhitch_edge::link::LinkServer;
 use hornbeamhitch_edge::prelude::*;
+use hornbeamhitch_edge::resources::Resources;
 use hornbeamhitch_edge::source::Fact;
 use hornbeamhitch_edge::suspicion::Suspicion;
 use hornbeamhitch_edge::target::TargetClient;
 use hornbeamhitch_node::metrics::Metrics;
-use hornbeamhitch_node::uploads::UploadLimits;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -86,8 +86,8 @@
 
 /// Time within which changes must be in force. It is longer than any test waits.
 pub const IN_FORCE_MS: Millis = Millis(100_000);
-/// Bytes of callers' bodies that a node buffers at once.
-pub const BUFFERED_BYTES: u64 = 16 * 1024 * 1024;
+/// Memory that a node holds for its peers, in bytes.
+pub const ACCOUNT_BYTES: u64 = 16 * 1024 * 1024;
 
 /// A VM with its target, gate and entry.
 pub struct Vm {
@@ -315,7 +315,12 @@
         let suspicion = Arc::new(Suspicion::new(clock));
         let parts = GateParts {
             service: service.clone(),
-            target: TargetClient::new(target.address, Arc::clone(&dialect), clock),
+            target: TargetClient::new(
+                target.address,
+                Arc::clone(&dialect),
+                clock,
+                Resources::new(ResourceLimits::of_account(ACCOUNT_BYTES), clock),
+            ),
             directory: Arc::clone(directory),
             dialect: Arc::clone(&dialect),
             clock,
@@ -344,7 +349,6 @@
             incarnation,
             metrics: Arc::clone(&metrics),
             suspicion,
-            uploads: UploadLimits::new(Duration::from_secs(5), BUFFERED_BYTES),
             retry_limit: RetryLimit {
                 ratio: 0.2,
                 slack: 64.0,
--- a/crates/edge/tests/all/support/follower.rs
+++ b/crates/edge/tests/all/support/follower.rs
@@ -8,11 +8,13 @@
 use hornbeamhitch_dispatch::gate::warm_up::WarmUpTolerance;
 use hornbeamhitch_dispatch::knowledge::readers::{self, Role};
 use hornbeamhitch_dispatch::knowledge::waits::Waits;
+use hornbeamhitch_dispatch::resources::limits::ResourceLimits;
 use hornbeamhitch_edge::directory::{Directory, DirectoryWriter};
 use hornbeamhitch_edge::feed::ChangeFeed;
 use hornbeamhitch_edge::following::{self, FollowSettings};
 use hornbeamhitch_edge::gate::GateParts;
 use hornbeamhitch_edge::prelude::*;
+use hornbeamhitch_edge::resources::Resources;
 use hornbeamhitch_edge::source::Fact;
 use hornbeamhitch_edge::suspicion::Suspicion;
 use hornbeamhitch_edge::target::TargetClient;
@@ -22,7 +24,7 @@
 use tokio::sync::oneshot;
 
 use super::source::{Published, TestSource};
-use super::{TestDialect, bind_same_port, link_server, member};
+use super::{ACCOUNT_BYTES, TestDialect, bind_same_port, link_server, member};
 
 /// Data centre of the tests' members.
 const DATA_CENTRE: &str = "here";
@@ -144,7 +146,12 @@
         let dialect: Arc<dyn Dialect> = Arc::new(TestDialect);
         let parts = GateParts {
             service,
-            target: TargetClient::new(target_address, Arc::clone(&dialect), clock),
+            target: TargetClient::new(
+                target_address,
+                Arc::clone(&dialect),
+                clock,
+                Resources::new(ResourceLimits::of_account(ACCOUNT_BYTES), clock),
+            ),
             directory: Arc::clone(&directory),
             dialect,
             clock,
--- a/crates/routed/src/program.rs
+++ b/crates/routed/src/program.rs
@@ -8,6 +8,7 @@
 use hornbeamhitch_dispatch::gate::warm_up::WarmUpTolerance;
 use hornbeamhitch_dispatch::overload::OverloadParts;
 use hornbeamhitch_dispatch::overload::retry_budget::RetryLimit;
+use hornbeamhitch_dispatch::resources::limits::ResourceLimits;
 use hornbeamhitch_dispatch::routing::regions::Regions;
 use hornbeamhitch_edge::config::{EdgeConfig, Tunables};
 use hornbeamhitch_edge::daemon::{self, Deployment};
@@ -127,7 +128,11 @@
         readiness_path: READINESS_PATH,
         metrics_address: None,
         target_address: config.target_address,
-        buffered_bytes: config.limits.buffered_bodies_bytes,
+        resources: ResourceLimits {
+            caller_connections: config.limits.max_connections,
+            link_connections: config.limits.max_peer_connections,
+            ..ResourceLimits::of_account(config.limits.buffered_bodies_bytes)
+        },
         in_force_ms: IN_FORCE_MS,
         grace_ms: config.drain_timeout_ms,
         tunables: tunables(config),
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -278,6 +278,11 @@
     Demand(DemandReport),
     /// The silent VMs that the sender knows of.
     Silence(SilenceReport),
+    /// The entry has memory for the rest of an answer, and requests it.
+    WantsRest {
+        /// The call.
+        id: CallId,
+    },
 }
 
 /// A message from a gate to an entry or a subscriber.
@@ -300,7 +305,8 @@
         /// Recent run time at the target, in percent of the usual one.
         slowness_percent: u32,
     },
-    /// The target's answer with the first part of its body.
+    /// The target's answer with the first part of its body. The rest is deferred until
+    /// [`ToGate::WantsRest`].
     Answered {
         /// The call.
         id: CallId,
