Do not read a link further whose peer reads no responses

What was seen: a peer that sends pings to the port for links and reads nothing takes the process to 200 MiB of 64.

Cause: the frames to a peer are queued without a bound, and the link goes on reading requests while nothing can be written.

A second subscription of a link replaces the first, and a link has at most 64 requests for parts of a configuration open; both started tasks without a bound.

--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -7,6 +7,7 @@
 mod outgoing;
 mod pending;
 mod pool;
+mod read_ahead;
 mod server;
 mod slot;
 
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -164,7 +164,7 @@
         tokio::spawn(async move {
             let ended = tokio::select! {
                 ended = driver.read(reader) => ended,
-                ended = write_frames(writer, to_write) => ended,
+                ended = write_frames(writer, to_write, || {}) => ended,
                 () = forwarding => Ok(()),
             };
             if let Err(fault) = ended {
--- a/crates/edge/src/link/framed.rs
+++ b/crates/edge/src/link/framed.rs
@@ -30,6 +30,8 @@
     Wire(#[from] WireError),
     #[error("the peer sent a part of a body that was not requested")]
     Unrequested,
+    #[error("the peer sent too many requests for parts of a configuration")]
+    TooManyRequests,
 }
 
 /// Decodes frames from the read half of a connection.
@@ -67,10 +69,12 @@
     }
 }
 
-/// Writes the messages of a channel as frames until its last sender is dropped.
+/// Writes the messages of a channel as frames until its last sender is dropped. Calls
+/// `on_drained` each time that none is left.
 pub(super) async fn write_frames<T: Serialize>(
     mut writer: OwnedWriteHalf,
     mut messages: mpsc::UnboundedReceiver<T>,
+    on_drained: impl Fn(),
 ) -> Result<(), LinkFault> {
     let mut buffer = BytesMut::new();
     while let Some(message) = messages.recv().await {
@@ -83,6 +87,9 @@
         }
         writer.write_all(&buffer).await?;
         buffer.clear();
+        if messages.is_empty() {
+            on_drained();
+        }
     }
     Ok(())
 }
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -12,12 +12,14 @@
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
 
 use super::facts::{FactsRequests, PartialFacts};
 use super::framed::{
     FrameReader, LinkFault, PartialBody, forward_notices, next_part, send_known_notices,
     write_frames,
 };
+use super::read_ahead::ReadAhead;
 use crate::directory::adopt_facts;
 use crate::feed::ChangeFeed;
 use crate::gate::{
@@ -60,6 +62,9 @@
 /// The rest of answers whose entry has not requested it yet.
 type DeferredAnswers = Arc<Mutex<HashMap<CallId, Bytes>>>;
 
+/// Maximum number of requests for parts of a configuration that one link has open.
+const MAX_FETCHES: usize = 64;
+
 /// A call whose head or body the entry deferred and which has not arrived whole.
 struct PartialCall {
     head: Option<CallHead>,
@@ -121,12 +126,15 @@
             partial: PartialCalls::default(),
             deferred_answers: DeferredAnswers::default(),
             reported: Arc::default(),
+            subscription: JoinSet::new(),
+            fetches: JoinSet::new(),
         };
+        let read_ahead = ReadAhead::default();
         tokio::spawn(async move {
             let ended = tokio::select! {
-                ended = link.read(FrameReader::new(reader), &registration) => ended,
+                ended = link.read(FrameReader::new(reader), &registration, &read_ahead) => ended,
                 () = registration.must_close() => Ok(()),
-                ended = write_frames(writer, to_write) => ended,
+                ended = write_frames(writer, to_write, || read_ahead.note_drained()) => ended,
                 () = forwarding => Ok(()),
                 () = requesting => Ok(()),
             };
@@ -167,6 +175,10 @@
     partial: PartialCalls,
     deferred_answers: DeferredAnswers,
     reported: Arc<Mutex<ReportCursor>>,
+    /// Sends changes to the peer, if it has subscribed to them.
+    subscription: JoinSet<()>,
+    /// Requests for parts of a configuration that are being answered.
+    fetches: JoinSet<()>,
 }
 
 impl Link {
@@ -175,9 +187,11 @@
         mut self,
         mut reader: FrameReader,
         registration: &Registration,
+        read_ahead: &ReadAhead,
     ) -> Result<(), LinkFault> {
         loop {
             let frame = reader.next().await?;
+            read_ahead.note_read().await;
             self.handle(frame)?;
             registration.set_activity(self.activity());
         }
@@ -255,13 +269,21 @@
             ToGate::Subscribe { revision } => {
                 let feed = Arc::clone(&self.feed);
                 let answers = self.answers.clone();
-                tokio::spawn(async move { feed.serve(revision, &answers).await });
+                self.subscription.abort_all();
+                self.subscription
+                    .spawn(async move { feed.serve(revision, &answers).await });
+                while self.subscription.try_join_next().is_some() {}
             }
             ToGate::OfferFeed { node } => self.feed.accept_offer(node),
             ToGate::FetchParts(request) => {
                 let feed = Arc::clone(&self.feed);
                 let answers = self.answers.clone();
-                tokio::spawn(async move { feed.serve_parts(&request, &answers).await });
+                while self.fetches.try_join_next().is_some() {}
+                if self.fetches.len() >= MAX_FETCHES {
+                    return Err(LinkFault::TooManyRequests);
+                }
+                self.fetches
+                    .spawn(async move { feed.serve_parts(&request, &answers).await });
             }
         }
         Ok(())
