Reject an answer whose status is not a status

What callers saw: a target in trouble sent an answer with the status 000, and the caller got it as an answer, by way of both nodes.

Cause: any three digits were taken for a status. A 101, which ends HTTP on the connection, was skipped like an interim answer, and what followed was read.

Change: a head whose status is outside 100 to 599 (RFC 9110, section 15), or is 101, is malformed, so that the run counts as broken: a lookup is retried on another target, a payment ends as 502. It holds for the target and the store, which share the parser. Names with a blank or a control byte, folded lines and control bytes in values were already rejected; tests now say so.

Measured: a_lookup_with_a_broken_answer (no-status), the test of statuses and that of 101 failed before and pass; the other tests of answers and http1 pass.

--- a/crates/edge/src/http1/head.rs
+++ b/crates/edge/src/http1/head.rs
@@ -20,6 +20,9 @@
     "content-length",
 ];
 
+/// Status after which the connection no longer carries HTTP/1.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Why a head is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum HeadFault {
@@ -242,8 +245,14 @@
             Err(httparse::Error::TooManyHeaders) => return Err(HeadFault::TooLarge),
             Err(_) => return Err(HeadFault::Malformed("not a response of HTTP/1")),
         };
+        let status = response.code.unwrap_or_default();
+        // A recipient may not give a meaning to any other status (RFC 9110, section 15). A
+        // switch of protocols is never requested.
+        if !(100..=599).contains(&status) || status == SWITCHING_PROTOCOLS {
+            return Err(HeadFault::Malformed("the status is invalid"));
+        }
         let head = Self {
-            status: response.code.unwrap_or_default(),
+            status,
             is_http11: response.version == Some(1),
             fields: to_fields(response.headers),
         };
--- a/crates/edge/src/http1/tests.rs
+++ b/crates/edge/src/http1/tests.rs
@@ -135,6 +135,105 @@
     assert_eq!(head.framing("GET").expect("framing"), Framing::Length(0));
 }
 
+async fn response_framing(text: &str) -> Result<Framing, ReadFault> {
+    let head = reader(text).response_head(4_096).await?;
+    Ok(head.framing("GET")?)
+}
+
+/// Guards against forwarding an answer whose status has no meaning: statuses are 100 to 599.
+#[tokio::test]
+async fn answers_with_an_invalid_status_are_rejected() {
+    for status in [
+        "000", "001", "099", "600", "999", "20", "2000", "2x0", "-20", "+20",
+    ] {
+        let text = format!("HTTP/1.1 {status} Odd\r\nContent-Length: 0\r\n\r\n");
+        let result = reader(&text).response_head(4_096).await;
+        assert!(
+            matches!(result, Err(ReadFault::Head(_))),
+            "{status}: {result:?}"
+        );
+    }
+    for status in [200, 204, 299, 304, 404, 451, 503, 599] {
+        let text = format!("HTTP/1.1 {status} Fine\r\nContent-Length: 0\r\n\r\n");
+        let head = reader(&text).response_head(4_096).await;
+        assert_eq!(head.expect("a head").status, status);
+    }
+}
+
+/// Guards against taking what follows a change of protocols, which was never requested, for
+/// an answer.
+#[tokio::test]
+async fn a_switch_of_protocols_is_rejected() {
+    let text = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n\
+                HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    assert!(response_framing(text).await.is_err());
+}
+
+/// Guards against fields that other parsers read differently, so that a field or a body that
+/// is not the target's reaches the caller.
+#[tokio::test]
+async fn answers_with_malformed_fields_are_rejected() {
+    for field in [
+        "X-A : b",
+        "X A: b",
+        " X-A: b",
+        "X-A\t: b",
+        "X-\x01A: b",
+        "X-\x7fA: b",
+        "X-\0A: b",
+        ": b",
+        "X-A",
+        "X-A: b\r\n folded",
+        "X-A: b\r\n\tfolded",
+        "X-A: b\x01c",
+        "X-A: b\0c",
+        "X-A: b\x7fc",
+        "X-A: b\rc",
+        "X(A): b",
+        "Content-Length : 3",
+        "Transfer-Encoding : chunked",
+    ] {
+        let text = format!("HTTP/1.1 200 OK\r\n{field}\r\nContent-Length: 0\r\n\r\n");
+        let result = reader(&text).response_head(4_096).await;
+        assert!(
+            matches!(result, Err(ReadFault::Head(_))),
+            "{field:?}: {result:?}"
+        );
+    }
+}
+
+/// Guards against rejecting answers whose framing is valid.
+#[tokio::test]
+async fn answers_with_unambiguous_framing_are_parsed() {
+    for (head, expected) in [
+        (
+            "1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 3\r\n",
+            Framing::Length(3),
+        ),
+        (
+            "1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n",
+            Framing::Chunked,
+        ),
+        ("1.0 200 OK\r\n", Framing::UntilClose),
+        (
+            "1.1 204 No Content\r\nContent-Length: 0\r\n",
+            Framing::Length(0),
+        ),
+        (
+            "1.1 304 Not Modified\r\nContent-Length: 3\r\n",
+            Framing::Length(0),
+        ),
+        ("1.1 200\r\n", Framing::UntilClose),
+    ] {
+        let text = format!("HTTP/{head}\r\n");
+        assert_eq!(
+            response_framing(&text).await.expect(head),
+            expected,
+            "{head}"
+        );
+    }
+}
+
 #[test]
 fn hop_by_hop_fields_are_removed() {
     let mut fields = Vec::new();
--- a/crates/edge/tests/all/answers.rs
+++ b/crates/edge/tests/all/answers.rs
@@ -8,7 +8,7 @@
 /// target, and the caller receives that target's complete answer.
 #[tokio::test]
 async fn a_lookup_with_a_broken_answer_is_retried_on_another_target() {
-    for behaviour in ["break", "cut", "garbage", "unsigned", "fail"] {
+    for behaviour in ["break", "cut", "garbage", "no-status", "unsigned", "fail"] {
         let fleet = fleet(&["s", "s"]).await;
         fleet.vms[0].target.set_default_behaviour(behaviour);
         for number in 0..4 {
--- a/crates/edge/tests/all/support/target.rs
+++ b/crates/edge/tests/all/support/target.rs
@@ -310,6 +310,7 @@
             success("mine")
         ),
         "unsigned" => success("unsigned").replace(DIGEST, "T-Other"),
+        "no-status" => success("odd").replace("200 OK", "000 Odd"),
         "until-close" => {
             let text = success("open").replace("Content-Length: 4\r\n", "");
             let _ = writer.write_all(text.as_bytes()).await;
