Apply the framing rules of requests to answers

Cause: of several Transfer-Encoding fields only the last one counted, so that a body in gzip and chunks was passed on as a plain one without that coding; chunks in an answer of HTTP/1.0, and a body of a 204, were accepted. Requests with the like are rejected. Compared field by field with RFC 9112, sections 4 to 6.

Change: one rule for both: at most one transfer coding, chunked, only in HTTP/1.1 and without a length. An answer may repeat the same length, as the RFC allows.

Measured: answers_with_ambiguous_framing_are_rejected failed before (gzip, then chunked, in two fields) and passes; answers with valid framing are still parsed.

--- a/crates/edge/src/http1/head.rs
+++ b/crates/edge/src/http1/head.rs
@@ -20,6 +20,8 @@
     "content-length",
 ];
 
+/// Status of an answer without a body.
+const NO_CONTENT: u16 = 204;
 /// Status after which the connection no longer carries HTTP/1.
 const SWITCHING_PROTOCOLS: u16 = 101;
 
@@ -88,6 +90,17 @@
     false
 }
 
+/// Returns the trimmed values of all fields with this name.
+fn values<'a>(fields: &'a [HeaderField], name: &str) -> Vec<&'a [u8]> {
+    let mut found = Vec::new();
+    for field in fields {
+        if field.name.eq_ignore_ascii_case(name) {
+            found.push(field.value.trim_ascii());
+        }
+    }
+    found
+}
+
 /// Removes the hop-by-hop fields, including those that the `Connection` field names.
 ///
 /// `Content-Length` is removed too, because each hop sets it for the body that it
@@ -175,8 +188,8 @@
     ///
     /// The framing is ambiguous, or the transfer coding is not supported.
     pub fn framing(&self) -> Result<Framing, HeadFault> {
-        let codings = self.values("transfer-encoding");
-        let lengths = self.values("content-length");
+        let codings = values(&self.fields, "transfer-encoding");
+        let lengths = values(&self.fields, "content-length");
         match (codings.as_slice(), lengths.as_slice()) {
             ([], []) => Ok(Framing::Length(0)),
             ([], [length]) => parse_length(length).map(Framing::Length),
@@ -210,18 +223,8 @@
         self.path.split('?').next().unwrap_or(&self.path)
     }
 
-    fn values(&self, name: &str) -> Vec<&[u8]> {
-        let mut found = Vec::new();
-        for field in &self.fields {
-            if field.name.eq_ignore_ascii_case(name) {
-                found.push(field.value.trim_ascii());
-            }
-        }
-        found
-    }
-
     fn check_host(&self) -> Result<(), HeadFault> {
-        match self.values("host").as_slice() {
+        match values(&self.fields, "host").as_slice() {
             [_] => Ok(()),
             [] if !self.is_http11 => Ok(()),
             _ => Err(HeadFault::Malformed("not exactly one host")),
@@ -265,27 +268,36 @@
     ///
     /// The framing is ambiguous, or the transfer coding is not supported.
     pub fn framing(&self, method: &str) -> Result<Framing, HeadFault> {
-        if method == "HEAD" || matches!(self.status, 100..=199 | 204 | 304) {
+        let stated = self.stated_framing()?;
+        if method == "HEAD" || matches!(self.status, 100..=199 | 304) {
             return Ok(Framing::Length(0));
         }
-        let mut length = None;
-        let mut coding = None;
-        for field in &self.fields {
-            if field.name.eq_ignore_ascii_case("content-length") {
-                let stated = parse_length(field.value.trim_ascii())?;
-                if length.is_some_and(|known| known != stated) {
+        if self.status != NO_CONTENT {
+            return Ok(stated);
+        }
+        match stated {
+            Framing::Length(0) | Framing::UntilClose => Ok(Framing::Length(0)),
+            _ => Err(HeadFault::Malformed("a body where there is none")),
+        }
+    }
+
+    /// Returns the framing that the fields state, by the rules of requests
+    /// ([`RequestHead::framing`]) except that a length may be repeated.
+    fn stated_framing(&self) -> Result<Framing, HeadFault> {
+        let codings = values(&self.fields, "transfer-encoding");
+        let lengths = values(&self.fields, "content-length");
+        match (codings.as_slice(), lengths.as_slice()) {
+            ([], []) => Ok(Framing::UntilClose),
+            ([], [length, others @ ..]) => {
+                if others.iter().any(|other| other != length) {
                     return Err(HeadFault::Malformed("two different lengths"));
                 }
-                length = Some(stated);
-            } else if field.name.eq_ignore_ascii_case("transfer-encoding") {
-                coding = Some(field.value.trim_ascii());
+                parse_length(length).map(Framing::Length)
             }
-        }
-        match (coding, length) {
-            (Some(coding), None) if coding.eq_ignore_ascii_case(b"chunked") => Ok(Framing::Chunked),
-            (Some(_), _) => Err(HeadFault::Malformed("an unclear transfer coding")),
-            (None, Some(length)) => Ok(Framing::Length(length)),
-            (None, None) => Ok(Framing::UntilClose),
+            ([coding], []) if self.is_http11 && coding.eq_ignore_ascii_case(b"chunked") => {
+                Ok(Framing::Chunked)
+            }
+            _ => Err(HeadFault::Malformed("an unclear transfer coding")),
         }
     }
 
--- a/crates/edge/src/http1/tests.rs
+++ b/crates/edge/src/http1/tests.rs
@@ -202,6 +202,40 @@
     }
 }
 
+/// Guards against a body whose end two parsers see in different places.
+#[tokio::test]
+async fn answers_with_ambiguous_framing_are_rejected() {
+    for (version, fields) in [
+        ("1.1", "Content-Length: 3\r\nContent-Length: 4\r\n"),
+        ("1.1", "Content-Length: 3, 4\r\n"),
+        ("1.1", "Content-Length: +3\r\n"),
+        ("1.1", "Content-Length: \r\n"),
+        ("1.1", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"),
+        (
+            "1.1",
+            "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+        ),
+        (
+            "1.1",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        ),
+        ("1.1", "Transfer-Encoding: gzip, chunked\r\n"),
+        ("1.1", "Transfer-Encoding: identity\r\n"),
+        ("1.1", "Transfer-Encoding:\r\n"),
+        ("1.0", "Transfer-Encoding: chunked\r\n"),
+    ] {
+        let text = format!("HTTP/{version} 200 OK\r\n{fields}\r\n");
+        assert!(
+            response_framing(&text).await.is_err(),
+            "{version} {fields:?}"
+        );
+    }
+    for fields in ["Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n"] {
+        let text = format!("HTTP/1.1 204 No Content\r\n{fields}\r\n");
+        assert!(response_framing(&text).await.is_err(), "204 {fields:?}");
+    }
+}
+
 /// Guards against rejecting answers whose framing is valid.
 #[tokio::test]
 async fn answers_with_unambiguous_framing_are_parsed() {
