An answer without a length is incomplete if its upload was not written

What callers saw: a target answers a long upload at once with a 200 that has no length, sends a part of the body and resets the connection while the upload is still being written. The caller got that part as a complete answer.

Cause: the kernel reports a reset once. The failed write took it, and the read that followed saw a plain end of the connection, which ends such a body. The result of the write was only logged; a comment said that the read fails.

Change: an answer that ends with its connection counts only if the whole request was written before that, without an error. Otherwise the run is broken: 502 for a payment. Other framings tell the end of a body by themselves.

Why it holds: a reset before the last write was accepted by the kernel fails a write or leaves the request unwritten; one after it fails the read.

Looked for elsewhere: the store is asked without a body and its failed write ends the request; the older path passes on no answer that ends with its connection.

Measured: an_answer_without_a_length_that_is_reset_is_not_complete failed before (200 with the part, at a delay of 0 ms) and passes for 0, 5, 50 and 200 ms.

--- a/crates/edge/src/http1/stream.rs
+++ b/crates/edge/src/http1/stream.rs
@@ -205,7 +205,8 @@
             if self.fill().await? > 0 {
                 continue;
             }
-            // `fill` fails on a reset, so only a clean close ends such a body.
+            // `fill` fails on a reset, unless a write has failed on it before. Who writes to
+            // the same connection must check that.
             if framing == Framing::UntilClose {
                 return Ok(memory.finish(body));
             }
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -252,22 +252,30 @@
         let mut encoded = exchange.encoded.clone().into_buf();
         let mut writing = std::pin::pin!(writer.write_all_buf(&mut encoded));
         let mut reading = std::pin::pin!(read_answer(reader, exchange, client));
-        let mut is_request_written = false;
+        let mut written = None;
         loop {
             tokio::select! {
                 biased;
-                written = &mut writing, if !is_request_written => {
-                    // When writing fails, the target may have answered early.
-                    is_request_written = true;
+                result = &mut writing, if written.is_none() => {
                     if let Some(on_sent) = on_sent.take() {
                         on_sent();
                     }
-                    if let Err(error) = written {
+                    // When writing fails, the target may have answered early.
+                    if let Err(error) = &result {
                         log::debug!("writing to the target failed: {error}");
                     }
+                    written = Some(result.is_ok());
                 }
                 read = &mut reading => {
                     let (answer, framing) = read?;
+                    let is_request_written = written == Some(true);
+                    // The kernel reports a reset once. If a write gets it, the read that
+                    // follows sees a plain end of the connection.
+                    if framing == Framing::UntilClose && !is_request_written {
+                        return Err(ExchangeFault::Broken(
+                            "the connection ended before the request was written",
+                        ));
+                    }
                     return Ok((answer, framing, is_request_written));
                 }
             }
--- a/crates/edge/tests/all/answers.rs
+++ b/crates/edge/tests/all/answers.rs
@@ -32,6 +32,24 @@
     assert_eq!((answer.status(), answer.body.as_str()), (200, "open"));
 }
 
+/// Guards against taking a part of an answer for the whole one. The target answers a long
+/// upload at once without a length, and resets the connection while the upload is still being
+/// written. The failed write then reports the reset, and the read sees a plain end.
+#[tokio::test]
+async fn an_answer_without_a_length_that_is_reset_is_not_complete() {
+    let fleet = fleet(&["s"]).await;
+    let body = "b".repeat(12 * 1024 * 1024);
+    for delay_ms in [0, 5, 50, 200] {
+        let mut caller = Caller::connect(fleet.vms[0].callers).await;
+        let path = format!("/pay/early-reset-{delay_ms}");
+        let id = format!("id-{delay_ms}");
+        caller.send("POST", &path, &id, &body).await;
+        let answer = caller.answer().await.expect("an answer");
+        assert_eq!(answer.status(), 502, "{path}: {}", answer.body);
+        assert_eq!(fleet.vms[0].target.run_count(&id), 1);
+    }
+}
+
 /// Guards against taking a duplicate answer for the answer to the next request. A
 /// target answers a request twice, and the second answer is still unread on the
 /// connection when the next request is sent.
--- a/crates/edge/tests/all/support/target.rs
+++ b/crates/edge/tests/all/support/target.rs
@@ -10,6 +10,7 @@
 
 use hornbeamhitch_edge::http1::{self, Framing, HttpReader, RequestHead};
 use parking_lot::Mutex;
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -280,6 +281,19 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
         return is_written && reader.body(framing, u64::MAX).await.is_ok();
     }
+    if let Some(delay_ms) = behaviour.strip_prefix("early-reset-") {
+        let delay_ms = delay_ms.parse().expect("a delay in milliseconds");
+        journal.ran.lock().push(RecordedRun {
+            head,
+            body: Vec::new(),
+        });
+        let text = success("a part").replace("Content-Length: 6\r\n", "");
+        let _ = writer.write_all(text.as_bytes()).await;
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        // The connection is reset when it is closed.
+        let _ = SockRef::from(writer.as_ref()).set_linger(Some(Duration::ZERO));
+        return false;
+    }
     let Ok(body) = reader.body(head_framing, u64::MAX).await else {
         return false;
     };
