Older path: reject an answer whose status is above 599

Cause: the same as in the routed path, looked for where else answers are read. The HTTP library rejects 000 to 099, but takes 600 to 999 for a status.

Change: such an answer of a target counts as broken, since the call may have run.

Measured: an_answer_with_a_malformed_head_is_not_passed_on failed before for 600 ("Answered" where "Unknown" is due) and passes, also for 000, 999, and names with a blank or a control byte, which the library already rejected.

--- a/crates/node/src/target_client.rs
+++ b/crates/node/src/target_client.rs
@@ -23,6 +23,9 @@
 /// millisecond.
 const MAX_IDLE_TICKETED: Duration = Duration::from_millis(500);
 
+/// Highest status that has a meaning (RFC 9110, section 15).
+const MAX_STATUS: u16 = 599;
+
 type Sender = http1::SendRequest<NodeBody>;
 
 #[derive(Debug)]
@@ -166,6 +169,10 @@
         return Attempt::Unsent(Box::new(request));
     }
     match sender.try_send_request(request).await {
+        // The library accepts any status from 100 to 999.
+        Ok(answer) if answer.status().as_u16() > MAX_STATUS => Attempt::Done(Err(
+            SendFailure::MaybeSent(format!("{} is no status", answer.status().as_u16())),
+        )),
         Ok(answer) => Attempt::Done(Ok((answer, InUse { sender }))),
         Err(mut error) => match error.take_message() {
             Some(unsent) => Attempt::Unsent(Box::new(unsent)),
--- a/tests/all/whole_answers.rs
+++ b/tests/all/whole_answers.rs
@@ -381,6 +381,44 @@
     Ok(())
 }
 
+/// Guards against passing on an answer whose head is malformed: an invalid status, or a name
+/// of a field with a blank or a control byte.
+#[tokio::test]
+async fn an_answer_with_a_malformed_head_is_not_passed_on() -> Result<()> {
+    for (status, field) in [
+        ("000 Odd", "x-a: b"),
+        ("600 Odd", "x-a: b"),
+        ("999 Odd", "x-a: b"),
+        ("200 OK", "x-a : b"),
+        ("200 OK", "x a: b"),
+        ("200 OK", "x-\x01a: b"),
+        ("200 OK", "content-length : 1"),
+    ] {
+        let target = RawTarget::start(move |_| RawAnswer {
+            bytes: format!("HTTP/1.1 {status}\r\n{field}\r\ncontent-length: 4\r\n\r\nbody")
+                .into_bytes(),
+            close: false,
+        })
+        .await?;
+        let deployment = start_with_raw_target(&target).await?;
+        let entry = deployment.entry("cashier-1");
+        let answer = Caller::new().send(entry, &Call::price("odd")).await?;
+        assert_eq!(
+            certainty_of(&answer),
+            Certainty::Unknown,
+            "{status} {field:?}"
+        );
+        let payment = Payment::ticketed(entry, Call::charge("odd")).await?;
+        let answer = payment.send(entry).await?;
+        assert_eq!(
+            code_of(&answer),
+            Some(ResultCode::RunBroken),
+            "{status} {field:?}"
+        );
+    }
+    Ok(())
+}
+
 /// A target states a shorter length than it sends. The call itself gets as many bytes
 /// as stated: that is a complete answer in HTTP, and the nodes cannot tell that it is
 /// not. The excess bytes, which look like another answer, must not become the answer
