Bound the answers that a gate keeps for entries that lose their link

Cause: the whole answer of each non-idempotent call stayed in its record until five seconds after its deadline. Payments with long answers, at a usual rate and read at once, filled the account of the gate for that long.

Change: records keep an eighth of the account; the oldest answers are dropped for newer ones. An entry that queries such a call is told that it may have run, which is true, and its caller gets 502. At-most-once does not depend on answers: the record itself stays.

--- a/crates/dispatch/src/resources/limits.rs
+++ b/crates/dispatch/src/resources/limits.rs
@@ -14,6 +14,8 @@
 const ACCOUNT_DIVISOR: u64 = 2;
 /// Ordinary requests get the account divided by this for themselves.
 const ORDINARY_DIVISOR: u64 = 8;
+/// Recorded answers of non-idempotent calls get the account divided by this.
+const RECORDED_DIVISOR: u64 = 8;
 /// Callers' connections and links each get this share of the sockets.
 const TRAFFIC_SOCKETS_PERCENT: usize = 37;
 /// Callers' connections and links each get the memory of the process divided by this, each
@@ -86,6 +88,12 @@
         }
     }
 
+    /// Returns how many bytes of answers a gate keeps for entries that lose their link.
+    #[must_use]
+    pub const fn recorded_bytes(&self) -> u64 {
+        self.account_bytes / RECORDED_DIVISOR
+    }
+
     /// Returns how many connections of a listener may be open at once.
     #[must_use]
     pub const fn connections(&self, listener: Listener) -> usize {
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -110,13 +110,13 @@
 }
 
 impl GateState {
-    fn new(admission: Admission, started_at: Millis) -> Self {
+    fn new(admission: Admission, max_recorded_bytes: u64, started_at: Millis) -> Self {
         Self {
             running: RunningCalls::default(),
             idleness: TargetIdleness::new(started_at),
             admission,
             room: RoomMeter::new(started_at),
-            records: Records::default(),
+            records: Records::new(max_recorded_bytes),
             ended_incarnations: VecDeque::new(),
             incarnation: None,
         }
@@ -128,6 +128,7 @@
     #[must_use]
     pub fn new(parts: GateParts) -> Self {
         let started_at = parts.clock.now();
+        let max_recorded_bytes = parts.target.resources().limits().recorded_bytes();
         let mut admission = Admission::new(started_at);
         admission.warm_up().set_tolerance(parts.warm_up_tolerance);
         Self {
@@ -137,7 +138,7 @@
             directory: parts.directory,
             dialect: parts.dialect,
             clock: parts.clock,
-            state: Mutex::new(GateState::new(admission, started_at)),
+            state: Mutex::new(GateState::new(admission, max_recorded_bytes, started_at)),
             changed: Notify::new(),
             speed: SpeedProbe::default(),
             suspicion: parts.suspicion,
--- a/crates/edge/src/gate/records.rs
+++ b/crates/edge/src/gate/records.rs
@@ -1,6 +1,6 @@
 //! Records of non-idempotent calls, so that each runs at most once.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::fmt;
 use std::sync::Arc;
 
@@ -59,14 +59,30 @@
 /// A retry might run it twice, and giving up would leave the caller without the
 /// outcome. With the record the entry can query it: a key that has not started is
 /// fenced, and a call that runs or has run reports its outcome.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Records {
     by_key: HashMap<CallKey, Phase>,
     /// The keys in the order in which their records expire.
     by_expiry: BTreeSet<(Millis, CallKey)>,
+    /// The keys of calls that were answered, oldest first. Some may have expired.
+    answered: VecDeque<CallKey>,
+    /// Length of the bodies of all recorded answers.
+    answer_bytes: u64,
+    max_answer_bytes: u64,
 }
 
 impl Records {
+    /// Creates an empty table that keeps this many bytes of answers.
+    pub(super) fn new(max_answer_bytes: u64) -> Self {
+        Self {
+            by_key: HashMap::new(),
+            by_expiry: BTreeSet::new(),
+            answered: VecDeque::new(),
+            answer_bytes: 0,
+            max_answer_bytes,
+        }
+    }
+
     /// Number of records.
     pub(super) fn len(&self) -> usize {
         self.by_key.len()
@@ -84,14 +100,39 @@
         true
     }
 
-    /// Records how a call ended; returns the sinks of the queries that wait for it.
+    /// Records how a call ended; returns the sinks of the queries that wait for it. The
+    /// oldest answers are dropped for it if their bodies become too long.
     pub(super) fn end(&mut self, key: CallKey, event: GateEvent) -> Vec<Arc<EventSink>> {
         let Some(phase) = self.by_key.get_mut(&key) else {
             return Vec::new();
         };
-        match std::mem::replace(phase, Phase::Ended(event)) {
+        self.answer_bytes += body_bytes(&event);
+        if let GateEvent::Answered { .. } = event {
+            self.answered.push_back(key);
+        }
+        let before = std::mem::replace(phase, Phase::Ended(event));
+        self.drop_oldest_answers();
+        match before {
             Phase::Running(watchers) => watchers,
-            Phase::Ended(_) | Phase::Fenced => Vec::new(),
+            Phase::Ended(event) => {
+                self.answer_bytes -= body_bytes(&event);
+                Vec::new()
+            }
+            Phase::Fenced => Vec::new(),
+        }
+    }
+
+    /// Replaces the oldest answers while too many bytes are recorded. Who queries such a call
+    /// later learns that it may have run.
+    fn drop_oldest_answers(&mut self) {
+        while self.answer_bytes > self.max_answer_bytes {
+            let Some(key) = self.answered.pop_front() else {
+                return;
+            };
+            if let Some(Phase::Ended(event)) = self.by_key.get_mut(&key) {
+                self.answer_bytes -= body_bytes(event);
+                *event = GateEvent::Ended(CallEnd::Broken);
+            }
         }
     }
 
@@ -131,7 +172,22 @@
                 return;
             }
             self.by_expiry.pop_first();
-            self.by_key.remove(&key);
+            if let Some(Phase::Ended(event)) = self.by_key.remove(&key) {
+                self.answer_bytes -= body_bytes(&event);
+            }
+            while let Some(oldest) = self.answered.front()
+                && !self.by_key.contains_key(oldest)
+            {
+                self.answered.pop_front();
+            }
         }
     }
 }
+
+/// Length of the body that an event holds.
+fn body_bytes(event: &GateEvent) -> u64 {
+    match event {
+        GateEvent::Answered { body, .. } => body.len() as u64,
+        _ => 0,
+    }
+}
--- a/crates/edge/src/gate/records/tests.rs
+++ b/crates/edge/src/gate/records/tests.rs
@@ -28,7 +28,7 @@
 /// next payment would wait milliseconds for their removal.
 #[test]
 fn an_expired_burst_is_removed_a_few_records_at_a_time() {
-    let mut records = Records::default();
+    let mut records = Records::new(u64::MAX);
     for key in 0..5_000 {
         run(&mut records, key, Millis(key as u64 / 5));
     }
@@ -49,7 +49,7 @@
 /// records than it adds, whatever the order of their deadlines.
 #[test]
 fn expired_records_do_not_accumulate() {
-    let mut records = Records::default();
+    let mut records = Records::new(u64::MAX);
     let mut max_records = 0;
     for key in 0..50_000_u128 {
         let at = Millis(key as u64);
@@ -65,7 +65,7 @@
 
 #[test]
 fn a_record_is_kept_until_its_entry_can_no_longer_query_it() {
-    let mut records = Records::default();
+    let mut records = Records::new(u64::MAX);
     run(&mut records, 1, Millis::ZERO);
     let last = DEADLINE + RECORD_RETENTION_MS;
     run(&mut records, 2, Millis(last.0 - 1));
@@ -75,3 +75,26 @@
     run(&mut records, 3, last);
     assert_eq!(records.len(), 2);
 }
+
+/// Guards against recorded answers that fill the memory of the process: the oldest ones are
+/// dropped, and a query for such a call says that it may have run.
+#[test]
+fn the_oldest_answers_are_dropped_beyond_the_limit() {
+    let length = b"receipt".len() as u64;
+    let mut records = Records::new(3 * length);
+    for key in 0..5 {
+        run(&mut records, key, Millis(0));
+    }
+    let sink: Arc<EventSink> = Arc::new(Box::new(|_| {}));
+    for key in 0..5 {
+        let found = records.fence(CallKey(key), &sink, Millis(0));
+        let is_dropped = matches!(found, FenceResult::Ended(GateEvent::Ended(CallEnd::Broken)));
+        assert_eq!(is_dropped, key < 2, "{key}: {found:?}");
+    }
+    for key in 5..50 {
+        run(&mut records, key, ALL_EXPIRED);
+    }
+    assert_eq!(records.answer_bytes, 3 * length);
+    assert!(!records.start(CallKey(49), ALL_EXPIRED, ALL_EXPIRED));
+    assert!(records.answered.len() <= records.len());
+}
--- a/crates/edge/src/resources.rs
+++ b/crates/edge/src/resources.rs
@@ -48,6 +48,7 @@
 #[derive(Debug)]
 pub struct Resources {
     clock: ProcessClock,
+    limits: ResourceLimits,
     account: Mutex<Account>,
     /// Notified when memory is released.
     released: Notify,
@@ -75,6 +76,7 @@
     pub fn new(limits: ResourceLimits, clock: ProcessClock) -> Arc<Self> {
         Arc::new(Self {
             clock,
+            limits,
             account: Mutex::new(Account::new(&limits)),
             released: Notify::new(),
             connections: Mutex::new(Connections {
@@ -84,6 +86,12 @@
         })
     }
 
+    /// Returns the limits of the process.
+    #[must_use]
+    pub const fn limits(&self) -> &ResourceLimits {
+        &self.limits
+    }
+
     /// Registers a new connection. Returns `None` if the listener has as many as it may have
     /// and none of them can be closed for it.
     #[must_use]
