Do not cut connections whose caller or target pauses in reading

What callers saw: a caller that read nothing for 3.5 s lost the rest of a long answer, and an upload to a target that paused for as long ended as 502.

Cause: TCP_USER_TIMEOUT (2.5 s) also ends a connection whose peer is alive and only keeps its window closed. It is meant for VMs that lost power.

Change: it is set between VMs (links, feeds, the store) and not for callers and the target, which are on the VM itself.

Measured: a_caller_that_pauses_gets_its_whole_answer (reset) and a_target_that_pauses_gets_its_whole_upload (502) failed before and pass.

--- a/crates/edge/src/feed/links.rs
+++ b/crates/edge/src/feed/links.rs
@@ -12,7 +12,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 
 use crate::link::{FrameReader, LinkFault};
-use crate::sockets;
+use crate::sockets::{self, PeerKind};
 
 /// Future of a result from another node, which fails when the link ends.
 pub(crate) type LinkFuture<'a, T> = Pin<Box<dyn Future<Output = Result<T, LinkFault>> + Send + 'a>>;
@@ -43,7 +43,7 @@
         let address = SocketAddr::new(node, self.port);
         Box::pin(async move {
             let stream = TcpStream::connect(address).await?;
-            sockets::prepare(&stream);
+            sockets::prepare(&stream, PeerKind::Node);
             let (frames, writer) = stream.into_split();
             let mut feed_stream: Box<dyn FeedStream> = Box::new(TcpFeedStream {
                 reader: FrameReader::new(frames),
--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -28,7 +28,7 @@
 use crate::prelude::*;
 use crate::resources::{Patience, Resources};
 use crate::silence::{LastFrame, Silence};
-use crate::sockets;
+use crate::sockets::{self, PeerKind};
 use crate::suspicion::Suspicion;
 
 /// Limit on connecting and on the gate's first frame.
@@ -123,7 +123,7 @@
         slot: &LinkSlot,
     ) -> Result<Arc<Self>, LinkFault> {
         let connecting_since = Instant::now();
-        let stream = sockets::connect(gate, CONNECT_TIMEOUT).await?;
+        let stream = sockets::connect(gate, PeerKind::Node, CONNECT_TIMEOUT).await?;
         slot.set_round_trip(connecting_since.elapsed());
         let (reader, writer) = stream.into_split();
         let mut reader = FrameReader::new(reader);
--- a/crates/edge/src/sockets.rs
+++ b/crates/edge/src/sockets.rs
@@ -10,8 +10,9 @@
 
 use crate::resources::{Registration, Resources};
 
-/// `TCP_USER_TIMEOUT`: a connection ends when sent data stays unacknowledged for
-/// this long. Without it, connections to a VM that lost power hang for minutes.
+/// `TCP_USER_TIMEOUT` between VMs: a connection ends when sent data stays unacknowledged for
+/// this long. Without it, connections to a VM that lost power hang for minutes. It also ends
+/// a connection whose peer only reads nothing for so long.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time before the first TCP keepalive probe, and the interval between probes.
 /// A connection ends after [`KEEPALIVE_RETRIES`] unanswered probes, which takes about
@@ -23,15 +24,37 @@
 /// out of file descriptors. Without it, the accept loop would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// The peer of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerKind {
+    /// A node or the store, which always reads. One that acknowledges nothing is down.
+    Node,
+    /// A caller or the target, which may pause in reading.
+    Client,
+}
+
+impl PeerKind {
+    const fn of(listener: Listener) -> Self {
+        match listener {
+            Listener::Links => Self::Node,
+            Listener::Callers | Listener::Readiness | Listener::Metrics => Self::Client,
+        }
+    }
+}
+
 /// Connects and sets the socket options.
 ///
 /// # Errors
 ///
 /// The connection failed or was not established within `timeout`.
-pub async fn connect(address: SocketAddr, timeout: Duration) -> std::io::Result<TcpStream> {
+pub async fn connect(
+    address: SocketAddr,
+    peer: PeerKind,
+    timeout: Duration,
+) -> std::io::Result<TcpStream> {
     let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
     let stream = connecting.await??;
-    prepare(&stream);
+    prepare(&stream, peer);
     Ok(stream)
 }
 
@@ -39,16 +62,17 @@
 ///
 /// A failure is only logged: the connection still works, but only the timeouts of
 /// the layers above then detect that it is dead.
-pub fn prepare(stream: &TcpStream) {
+pub fn prepare(stream: &TcpStream, peer: PeerKind) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_IDLE)
         .with_retries(KEEPALIVE_RETRIES);
+    let user_timeout = (peer == PeerKind::Node).then_some(USER_TIMEOUT);
     let results = [
         stream.set_nodelay(true),
         socket.set_tcp_keepalive(&keepalive),
-        socket.set_tcp_user_timeout(Some(USER_TIMEOUT)),
+        socket.set_tcp_user_timeout(user_timeout),
     ];
     for result in results {
         if let Err(error) = result {
@@ -85,7 +109,7 @@
                 log::info!(listener = name; "closed a new connection, since too many are open");
                 return None;
             };
-            prepare(&stream);
+            prepare(&stream, PeerKind::of(listener));
             Some((stream, peer, registration))
         }
         Err(error) => {
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -12,7 +12,7 @@
 use crate::http1::{self, Encoded, Framing, HttpReader, ReadFault, ResponseHead};
 use crate::prelude::*;
 use crate::resources::{ChargedBody, Patience, Resources};
-use crate::sockets;
+use crate::sockets::{self, PeerKind};
 
 /// Limit on connecting to the target.
 ///
@@ -196,7 +196,7 @@
     }
 
     async fn connect(&self) -> Result<Connection, ExchangeFault> {
-        match sockets::connect(self.address, CONNECT_TIMEOUT).await {
+        match sockets::connect(self.address, PeerKind::Client, CONNECT_TIMEOUT).await {
             Ok(stream) => {
                 let (reader, writer) = stream.into_split();
                 Ok(Connection {
