Close a connection for others before its next request is read

Cause, by reading: a connection that was told to close could still read a request that had just arrived and start it, and then drop it.

Change: the order to close is looked at first. The request stays unread, so that its caller may send it again.

--- a/crates/edge/src/callers/connection.rs
+++ b/crates/edge/src/callers/connection.rs
@@ -96,8 +96,11 @@
     pub(super) async fn serve(self, stream: TcpStream) {
         let phase = Arc::clone(&self.phase);
         tokio::select! {
-            () = self.serve_requests(stream) => {}
+            // A request that arrives when the connection closes is left unread, so that its
+            // caller knows that it may be sent again.
+            biased;
             () = phase.registration().must_close() => {}
+            () = self.serve_requests(stream) => {}
         }
     }
 
