Charge long frames of links while they arrive

What was seen: 400 connections to the port for links, each with most of a frame of 256 KiB, take the process to 129 MiB of 64.

Cause: a frame is buffered until it is whole, whoever sends it, and the memory of a connection was reckoned with 16 KiB.

Change: a gate charges the memory of a frame above 16 KiB while it arrives. A link that does not finish its frame counts as slow, and is closed if others need the memory; without memory the link of the new frame ends.

--- a/crates/edge/src/link/framed.rs
+++ b/crates/edge/src/link/framed.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
+use hornbeamhitch_dispatch::resources::limits::ORDINARY_REQUEST_BYTES;
+use hornbeamhitch_dispatch::resources::peers::Activity;
 use hornbeamhitch_types::crash::CrashNotice;
 use hornbeamhitch_wire::WireError;
 use hornbeamhitch_wire::link::{self, BODY_PART_BYTES};
@@ -12,10 +14,12 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{broadcast, mpsc};
 
-use crate::resources::{Charge, body_capacity};
+use crate::resources::{Charge, Patience, Registration, Resources, body_capacity};
 use crate::suspicion::Suspicion;
 
 const READ_BYTES: usize = 32 * 1024;
+/// Longest frame that is part of the memory of its connection.
+const SHORT_FRAME_BYTES: u64 = 16 * 1024;
 /// Queued frames are written in one batch of up to about this many bytes.
 const WRITE_BYTES: usize = 64 * 1024;
 
@@ -30,6 +34,8 @@
     Wire(#[from] WireError),
     #[error("the peer sent a part of a body that was not requested")]
     Unrequested,
+    #[error("no memory is left for a frame")]
+    NoMemory,
     #[error("the peer sent too many requests for parts of a configuration")]
     TooManyRequests,
 }
@@ -39,6 +45,8 @@
 pub(crate) struct FrameReader {
     inner: OwnedReadHalf,
     buffer: BytesMut,
+    /// Charges the frames of a peer that this node has not chosen itself.
+    memory: Option<FrameMemory>,
 }
 
 impl FrameReader {
@@ -46,9 +54,16 @@
         Self {
             inner,
             buffer: BytesMut::new(),
+            memory: None,
         }
     }
 
+    /// Charges each long frame while it arrives.
+    pub(super) fn charged(mut self, memory: FrameMemory) -> Self {
+        self.memory = Some(memory);
+        self
+    }
+
     /// Reads the next message.
     ///
     /// This is cancel safe: bytes that have been read stay in the buffer.
@@ -59,8 +74,14 @@
     pub(crate) async fn next<T: DeserializeOwned>(&mut self) -> Result<T, LinkFault> {
         loop {
             if let Some(message) = link::decode(&mut self.buffer)? {
+                if let Some(memory) = &mut self.memory {
+                    memory.release();
+                }
                 return Ok(message);
             }
+            if let Some(memory) = &mut self.memory {
+                memory.hold(&self.buffer).await?;
+            }
             self.buffer.reserve(READ_BYTES);
             if self.inner.read_buf(&mut self.buffer).await? == 0 {
                 return Err(LinkFault::Closed);
@@ -69,6 +90,52 @@
     }
 }
 
+/// The memory of the frame that arrives on a link.
+#[derive(Debug)]
+pub(super) struct FrameMemory {
+    resources: Arc<Resources>,
+    registration: Arc<Registration>,
+    charge: Option<Charge>,
+}
+
+impl FrameMemory {
+    pub(super) const fn new(resources: Arc<Resources>, registration: Arc<Registration>) -> Self {
+        Self {
+            resources,
+            registration,
+            charge: None,
+        }
+    }
+
+    /// Holds the memory of the frame whose first bytes were received, if it is long.
+    async fn hold(&mut self, received: &[u8]) -> Result<(), LinkFault> {
+        if self.charge.is_some() {
+            self.registration.set_moved(received.len() as u64);
+            return Ok(());
+        }
+        let bytes = link::frame_bytes(received).unwrap_or_default() as u64;
+        if bytes <= SHORT_FRAME_BYTES {
+            return Ok(());
+        }
+        let charge = match bytes <= ORDINARY_REQUEST_BYTES {
+            true => self.resources.hold_request().await,
+            false => self.resources.hold_body(bytes, Patience::Relief).await,
+        };
+        let charge = charge.ok_or(LinkFault::NoMemory)?;
+        self.registration.add_held(charge.bytes());
+        self.registration.set_activity(Activity::Sending);
+        self.charge = Some(charge);
+        Ok(())
+    }
+
+    /// Releases the memory of a frame that was received whole.
+    fn release(&mut self) {
+        if let Some(charge) = self.charge.take() {
+            self.registration.remove_held(charge.bytes());
+        }
+    }
+}
+
 /// Writes the messages of a channel as frames until its last sender is dropped. Calls
 /// `on_drained` each time that none is left.
 pub(super) async fn write_frames<T: Serialize>(
--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -16,8 +16,8 @@
 
 use super::facts::{FactsRequests, PartialFacts};
 use super::framed::{
-    FrameReader, LinkFault, PartialBody, forward_notices, next_part, send_known_notices,
-    write_frames,
+    FrameMemory, FrameReader, LinkFault, PartialBody, forward_notices, next_part,
+    send_known_notices, write_frames,
 };
 use super::read_ahead::ReadAhead;
 use crate::directory::adopt_facts;
@@ -130,9 +130,12 @@
             fetches: JoinSet::new(),
         };
         let read_ahead = ReadAhead::default();
+        let registration = Arc::new(registration);
+        let memory = FrameMemory::new(Arc::clone(self.gate.resources()), Arc::clone(&registration));
+        let frames = FrameReader::new(reader).charged(memory);
         tokio::spawn(async move {
             let ended = tokio::select! {
-                ended = link.read(FrameReader::new(reader), &registration, &read_ahead) => ended,
+                ended = link.read(frames, &registration, &read_ahead) => ended,
                 () = registration.must_close() => Ok(()),
                 ended = write_frames(writer, to_write, || read_ahead.note_drained()) => ended,
                 () = forwarding => Ok(()),
--- a/crates/edge/src/resources.rs
+++ b/crates/edge/src/resources.rs
@@ -207,6 +207,12 @@
 }
 
 impl Charge {
+    /// Returns how many bytes are held.
+    #[must_use]
+    pub const fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
     /// Lets a body carry its charge: the memory is held until its last slice is dropped.
     #[must_use]
     pub fn attach(self, body: impl AsRef<[u8]> + Send + 'static) -> Bytes {
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -404,6 +404,13 @@
     Ok(())
 }
 
+/// Returns the length of the first frame, or `None` while it is not known.
+#[must_use]
+pub fn frame_bytes(from: &[u8]) -> Option<usize> {
+    let length = from.first_chunk::<LENGTH_BYTES>()?;
+    Some(LENGTH_BYTES + u32::from_le_bytes(*length) as usize)
+}
+
 /// Takes the first complete message out of the bytes that were read. Returns `None` when
 /// more bytes are needed.
 ///
