Part of a body waits for memory before its link ends; a floor for small accounts

Cause, by reading: a frame of 32 KiB that found no memory ended its link at once, which costs all calls of the link. hornbeamhitch-routed took any setting of buffered_bodies_bytes for the account, so that the smallest one left room for 16 requests where it bounded bodies only before.

Change: such a frame waits 500 ms for memory. The account of routed is 16 MiB, 256 requests, at least.

--- a/crates/edge/src/callers/connection.rs
+++ b/crates/edge/src/callers/connection.rs
@@ -236,7 +236,7 @@
         }
         let body_timeout = self.entry.body_timeout_ms(&head).to_duration();
         let resources = self.entry.resources();
-        let Some(charge) = resources.hold_request().await else {
+        let Some(charge) = resources.hold_request(Patience::Relief).await else {
             return Err(self.refuse(&ReadFault::NoRoom).await);
         };
         let memory = ChargedBody::new(resources, Patience::Relief);
--- a/crates/edge/src/link/framed.rs
+++ b/crates/edge/src/link/framed.rs
@@ -1,6 +1,7 @@
 //! Reading and writing of length-prefixed frames on a TCP connection.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use hornbeamhitch_dispatch::resources::limits::ORDINARY_REQUEST_BYTES;
@@ -18,6 +19,8 @@
 use crate::suspicion::Suspicion;
 
 const READ_BYTES: usize = 32 * 1024;
+/// How long a part of a body waits for memory. The end of its link would cost all its calls.
+const FRAME_PATIENCE: Patience = Patience::Until(Duration::from_millis(500));
 /// Longest frame that is part of the memory of its connection.
 const SHORT_FRAME_BYTES: u64 = 16 * 1024;
 /// Queued frames are written in one batch of up to about this many bytes.
@@ -118,7 +121,7 @@
             return Ok(());
         }
         let charge = match bytes <= ORDINARY_REQUEST_BYTES {
-            true => self.resources.hold_request().await,
+            true => self.resources.hold_request(FRAME_PATIENCE).await,
             false => self.resources.hold_body(bytes, Patience::Relief).await,
         };
         let charge = charge.ok_or(LinkFault::NoMemory)?;
--- a/crates/edge/src/resources.rs
+++ b/crates/edge/src/resources.rs
@@ -119,9 +119,8 @@
 
     /// Holds the memory of one request, if necessary in place of slow peers. Returns `None`
     /// without room.
-    pub async fn hold_request(self: &Arc<Self>) -> Option<Charge> {
-        self.wait_for(Patience::Relief, || self.try_hold_request())
-            .await
+    pub async fn hold_request(self: &Arc<Self>, patience: Patience) -> Option<Charge> {
+        self.wait_for(patience, || self.try_hold_request()).await
     }
 
     /// Holds the memory of a long body, if necessary in place of slow peers. Returns `None`
--- a/crates/edge/src/resources/tests.rs
+++ b/crates/edge/src/resources/tests.rs
@@ -52,7 +52,7 @@
     let patience = Patience::Until(Duration::from_secs(60));
     assert!(resources.hold_body(100 * MIB, patience).await.is_none());
     assert_eq!(before.elapsed(), Duration::ZERO);
-    assert!(resources.hold_request().await.is_some());
+    assert!(resources.hold_request(Patience::Relief).await.is_some());
 }
 
 /// Guards against answers that are lost although memory becomes free soon.
--- a/crates/routed/src/program.rs
+++ b/crates/routed/src/program.rs
@@ -8,7 +8,7 @@
 use hornbeamhitch_dispatch::gate::warm_up::WarmUpTolerance;
 use hornbeamhitch_dispatch::overload::OverloadParts;
 use hornbeamhitch_dispatch::overload::retry_budget::RetryLimit;
-use hornbeamhitch_dispatch::resources::limits::ResourceLimits;
+use hornbeamhitch_dispatch::resources::limits::{ORDINARY_REQUEST_BYTES, ResourceLimits};
 use hornbeamhitch_dispatch::routing::regions::Regions;
 use hornbeamhitch_edge::config::{EdgeConfig, Tunables};
 use hornbeamhitch_edge::daemon::{self, Deployment};
@@ -38,6 +38,9 @@
     window_ms: Millis(10_000),
 };
 
+/// Smallest account for what the node holds for its peers: 256 requests at once.
+const MIN_ACCOUNT_BYTES: u64 = 256 * ORDINARY_REQUEST_BYTES;
+
 /// Runs a node that routes calls by host and path.
 #[derive(Debug, Options)]
 struct Arguments {
@@ -131,7 +134,7 @@
         resources: ResourceLimits {
             caller_connections: config.limits.max_connections,
             link_connections: config.limits.max_peer_connections,
-            ..ResourceLimits::of_account(config.limits.buffered_bodies_bytes)
+            ..ResourceLimits::of_account(config.limits.buffered_bodies_bytes.max(MIN_ACCOUNT_BYTES))
         },
         in_force_ms: IN_FORCE_MS,
         grace_ms: config.drain_timeout_ms,
