Cancel the rest of an answer that no call waits for

Cause, by reading: a payment whose caller has left runs to its end, and its gate keeps the rest of a long answer until the entry requests it. The entry no longer knew the call and said nothing, so that the gate held the memory for as long as the link lasted.

Change: an entry cancels an answer that it does not know.

Measured: the_rest_of_an_answer_is_requested_or_cancelled failed before (no frame for the unknown answer) and passes.

--- a/crates/edge/src/link/client.rs
+++ b/crates/edge/src/link/client.rs
@@ -413,6 +413,11 @@
         body.push(part)?;
         let mut calls = self.calls.lock();
         let Some(open) = calls.get_mut(&id) else {
+            drop(calls);
+            if !body.is_complete() {
+                // The gate keeps the rest until it is requested or the call is cancelled.
+                self.push(ToGate::Cancel { id });
+            }
             return Ok(());
         };
         open.is_confirmed = true;
--- a/crates/edge/tests/all/links.rs
+++ b/crates/edge/tests/all/links.rs
@@ -6,7 +6,7 @@
 
 use hornbeamhitch_dispatch::overload::{OverloadPart, OverloadParts};
 use hornbeamhitch_edge::prelude::*;
-use hornbeamhitch_wire::link::{ToEntry, ToGate};
+use hornbeamhitch_wire::link::{BODY_PART_BYTES, CallId, ToEntry, ToGate};
 use tokio::net::TcpListener;
 
 use crate::support::caller::{Caller, request};
@@ -42,6 +42,40 @@
     (fleet, listener)
 }
 
+/// Builds the first frame of an answer that is twice as long as one part.
+fn first_part(id: CallId, request_id: &str) -> ToEntry {
+    let ToEntry::Answered { id, head, .. } = answer(id, request_id) else {
+        panic!("an answer was expected");
+    };
+    ToEntry::Answered {
+        id,
+        head,
+        body_bytes: 2 * BODY_PART_BYTES as u64,
+        part: vec![b'a'; BODY_PART_BYTES].into(),
+    }
+}
+
+/// Guards against an entry that takes a long answer before it has the memory, and against a
+/// gate that keeps the rest of an answer whose caller has left for as long as its link lasts.
+#[tokio::test]
+async fn the_rest_of_an_answer_is_requested_or_cancelled() {
+    let (fleet, listener) = with_fake_gate_without(CONFIRMATION).await;
+    let mut caller = Caller::connect(fleet.vms[0].callers).await;
+    caller.send("POST", "/pay/x", "id-1", "").await;
+    let mut gate = FakeGate::accept(&listener, 1).await;
+    let (id, _) = gate.next_call().await;
+    let unknown = CallId(id.0 + 1_000);
+    gate.send(&first_part(unknown, "id-0")).await;
+    assert_eq!(gate.next().await, ToGate::Cancel { id: unknown });
+    gate.send(&first_part(id, "id-1")).await;
+    assert_eq!(gate.next().await, ToGate::WantsRest { id });
+    let part = vec![b'b'; BODY_PART_BYTES].into();
+    gate.send(&ToEntry::Body { id, part }).await;
+    let answer = caller.answer().await.expect("an answer");
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.body.len(), 2 * BODY_PART_BYTES);
+}
+
 /// Most gates that are tried refuse the call. If an upload were sent to each of them, it
 /// would waste the bandwidth between data centres. Payments are always offered first while
 /// attempts must be confirmed, so this is switched off here.
