Release the memory of a body that never arrives

Cause, by reading: the memory that a gate holds for a body it has requested was kept with the parts, and these were dropped only by a later call on that link.

Change: the end of a call drops what has arrived of its content.

Measured: the_memory_of_a_body_that_never_arrives_is_released failed before (one megabyte still held after 10 s) and passes.

--- a/crates/edge/src/link/server.rs
+++ b/crates/edge/src/link/server.rs
@@ -390,6 +390,7 @@
         let sender = AnswerSender {
             id,
             answers: self.answers.clone(),
+            partial: Arc::clone(&self.partial),
             deferred: Arc::clone(&self.deferred_answers),
             charge: Mutex::new(charge),
         };
@@ -430,6 +431,7 @@
         }
         if event.is_last() {
             active_calls.lock().remove(&id);
+            sender.partial.lock().remove(&id);
         }
         match event {
             GateEvent::WantsContent => {
@@ -459,6 +461,8 @@
 struct AnswerSender {
     id: CallId,
     answers: Answers,
+    /// Where the content of the call arrives.
+    partial: PartialCalls,
     deferred: DeferredAnswers,
     /// The memory of the call, which its answer needs until it is written.
     charge: Mutex<Option<Charge>>,
--- a/crates/edge/tests/all/links.rs
+++ b/crates/edge/tests/all/links.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpListener;
 
 use crate::support::caller::{Caller, request};
+use crate::support::entry_end::FakeEntry;
 use crate::support::gate_end::{FakeGate, answer};
 use crate::support::target::{FakeTarget, until};
 use crate::support::{fleet, fleet_without, member, set_directory, start_vm};
@@ -76,6 +77,34 @@
     assert_eq!(answer.body.len(), 2 * BODY_PART_BYTES);
 }
 
+/// Guards against a gate that holds the memory of a body whose entry never sends it, beyond the
+/// deadline of the call.
+#[tokio::test]
+async fn the_memory_of_a_body_that_never_arrives_is_released() {
+    let fleet = fleet(&["s"]).await;
+    let mut entry = FakeEntry::connect(&fleet).await;
+    let resources = Arc::clone(fleet.vms[0].entry.resources());
+    let terms = CallTerms {
+        deadline_ms: Millis(300),
+        ..entry.lookup_terms()
+    };
+    let id = CallId(1);
+    let body_bytes = 1_000_000;
+    entry
+        .send(&ToGate::Offer {
+            id,
+            terms,
+            body_bytes,
+        })
+        .await;
+    until("the body is requested", || {
+        resources.held_bytes() >= body_bytes
+    })
+    .await;
+    assert_eq!(entry.end_of(id).await, Some(CallEnd::Late));
+    until("the memory is released", || resources.held_bytes() == 0).await;
+}
+
 /// Most gates that are tried refuse the call. If an upload were sent to each of them, it
 /// would waste the bandwidth between data centres. Payments are always offered first while
 /// attempts must be confirmed, so this is switched off here.
